--- /dev/null
+++ b/internal/config/model.go
@@ -0,0 +1,7 @@
+package config
+
+// Model is a family of versions behind one name.
+type Model struct {
+	Name     string    `json:"name"`
+	Versions []Version `json:"versions"`
+}
--- /dev/null
+++ b/internal/config/target.go
@@ -0,0 +1,7 @@
+package config
+
+// Target is an organisation's quality target for a class.
+type Target struct {
+	Class   string  `json:"class"`
+	Quality float64 `json:"quality"`
+}
