--- /dev/null
+++ b/internal/standin/engine/prompt.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// digestLength is how many hex digits of the SHA-256 an answer carries.
+const digestLength = 16
+
+// chatRequest is the part of a chat completion request that the stand-in reads.
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Text string `json:"text"`
+}
+
+// Digest returns the digits by which an answer names the prompt it belongs to:
+// the start of the SHA-256 of the last user message's text.
+func Digest(content string) string {
+	sum := sha256.Sum256([]byte(content))
+	return hex.EncodeToString(sum[:])[:digestLength]
+}
+
+// FirstText returns the first piece of the answer of version, as attempt, to a
+// prompt with the given digest.
+func FirstText(version, digest, attempt string) string {
+	return fmt.Sprintf("[%s %s %s] ", version, digest, attempt)
+}
+
+func parseChat(body []byte) (chatRequest, error) {
+	var req chatRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return chatRequest{}, eris.Wrap(err, "chat request")
+	}
+	if req.Model == "" {
+		return chatRequest{}, eris.New("chat request names no model")
+	}
+	if len(req.Messages) == 0 {
+		return chatRequest{}, eris.New("chat request has no messages")
+	}
+	return req, nil
+}
+
+// lastUser returns the text of the last user message, or of the last message.
+func (r chatRequest) lastUser() string {
+	for i := len(r.Messages) - 1; i >= 0; i-- {
+		if r.Messages[i].Role == "user" {
+			return r.Messages[i].text()
+		}
+	}
+	return r.Messages[len(r.Messages)-1].text()
+}
+
+// text joins the parts of a content that is a string or a list of parts.
+func (m chatMessage) text() string {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s
+	}
+	var parts []contentPart
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return string(m.Content)
+	}
+	for _, p := range parts {
+		s += p.Text
+	}
+	return s
+}
