Serve the stand-in platform over HTTP, thin

Cause: every node needs a table, an object store, a VM list and ratings before a request can run through it. Ruled out: a second implementation of the state for tests in one process; the HTTP server is a skin over package memory, so both behave alike by construction. Limits, lag, faults, rating noise and weights come next.

--- /dev/null
+++ b/internal/standin/platform/routes.go
@@ -0,0 +1,46 @@
+package platform
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
+)
+
+// routes serves the platform's interface.
+func (s *Server) routes() http.Handler {
+	router := newRouter()
+	router.POST(wire.PathGet, s.tableGet)
+	router.POST(wire.PathScan, s.tableScan)
+	router.POST(wire.PathCommit, s.tableCommit)
+	router.PUT(wire.PathObjects, s.objectPut)
+	router.GET(wire.PathObjects, s.objectGet)
+	router.GET(wire.PathObjectKeys, s.objectKeys)
+	router.GET(wire.PathVMs, s.vmList)
+	router.POST(wire.PathVMs, s.vmRegister)
+	router.DELETE(wire.PathVMs+"/:id", s.vmRemove)
+	router.POST(wire.PathVMs+"/:id/leave", s.vmLeave)
+	router.POST(wire.PathRate, s.rate)
+	return router
+}
+
+// faultRoutes serves the fault interface.
+func (s *Server) faultRoutes() http.Handler {
+	return newRouter()
+}
+
+// newRouter answers unknown paths and methods with a refusal, since nothing
+// took effect.
+func newRouter() *httprouter.Router {
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, &wire.Refusal{Reason: wire.Absent, Detail: "no such path: " + r.URL.Path})
+	})
+	router.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, &wire.Refusal{Reason: wire.Invalid, Detail: "method not allowed: " + r.Method})
+	})
+	return router
+}
