Serve a request from end to end as separate processes

Cause: nothing ran yet. Two entries, a stand-in platform, two engines and a service run as separate processes; a chat request (whole and streamed), a service call and the address answer come back through either entry, and one bill row is written for a chat request. Ruled out for now: retries, claims, batching, push of configuration; each has its own place behind this path and replaces a plain stand-in here.

--- /dev/null
+++ b/internal/api/decode.go
@@ -0,0 +1,179 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+// Limits of what callers may send.
+const (
+	maxBody    = 4 << 20 // bytes
+	maxKey     = 128     // characters of an idempotency key
+	maxTimeout = time.Hour
+)
+
+// Headers of the interface.
+const (
+	headerKey         = "Idempotency-Key"
+	headerSession     = "Hickorybank-Session"
+	headerWantSession = "Hickorybank-Session-Start"
+	headerClass       = "Hickorybank-Class"
+	headerTimeout     = "Hickorybank-Timeout-Ms"
+	headerVersion     = "Hickorybank-Version"
+	headerCost        = "Hickorybank-Cost-Micros"
+)
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func bad(text string) *request.Failure {
+	return request.Refuse(request.CodeBadRequest, 0, text)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Failure) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, bad("the body is larger than " + strconv.Itoa(maxBody) + " bytes")
+	}
+	if err != nil {
+		return nil, bad("the body could not be read: " + err.Error())
+	}
+	return body, nil
+}
+
+// decodeChat reads a chat request's body. Fields that the router does not know
+// pass through to the engine.
+func decodeChat(body []byte) (ChatCall, bool, *request.Failure) {
+	var call ChatCall
+	var fields request.Fields
+	if err := decodeOne(body, &fields); err != nil {
+		return call, false, bad("the body is not one JSON object: " + err.Error())
+	}
+	var stream bool
+	if raw, ok := fields["stream"]; ok && json.Unmarshal(raw, &stream) != nil {
+		return call, false, bad("stream: must be true or false")
+	}
+	if json.Unmarshal(fields["model"], &call.Model) != nil || call.Model == "" {
+		return call, false, bad("model: must be the name of a model, version or class")
+	}
+	var messages []message
+	if json.Unmarshal(fields["messages"], &messages) != nil || len(messages) == 0 {
+		return call, false, bad("messages: must be a list with at least one message")
+	}
+	prompt, fail := promptOf(messages)
+	if fail != nil {
+		return call, false, fail
+	}
+	call.Fields = fields
+	call.Prompt = prompt
+	call.PrefixHash = prefixHash(messages)
+	call.Body = body
+	return call, stream, nil
+}
+
+func decodeOne(body []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(v); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("there is data after it")
+	}
+	return nil
+}
+
+func promptOf(messages []message) (string, *request.Failure) {
+	var last string
+	for i, m := range messages {
+		field := "messages[" + strconv.Itoa(i) + "]"
+		if m.Role == "" {
+			return "", bad(field + ".role: must not be empty")
+		}
+		text, ok := contentText(m.Content)
+		if !ok {
+			return "", bad(field + ".content: must be text, null or a list of parts")
+		}
+		if m.Role == "user" {
+			last = text
+		}
+	}
+	return last, nil
+}
+
+func contentText(raw json.RawMessage) (string, bool) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", true
+	}
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, true
+	}
+	var parts []part
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", false
+	}
+	texts := make([]string, 0, len(parts))
+	for _, p := range parts {
+		texts = append(texts, p.Text)
+	}
+	return strings.Join(texts, "\n"), true
+}
+
+// prefixHash covers all messages but the last, which is what turns of one
+// conversation share; with one message it covers that.
+func prefixHash(messages []message) uint64 {
+	shared := messages
+	if len(messages) > 1 {
+		shared = messages[:len(messages)-1]
+	}
+	h := xxhash.New()
+	for _, m := range shared {
+		_, _ = h.WriteString(m.Role)
+		_, _ = h.Write(m.Content)
+	}
+	return h.Sum64()
+}
+
+func keyOf(r *http.Request) (string, *request.Failure) {
+	key := r.Header.Get(headerKey)
+	if len(key) > maxKey {
+		return "", bad(headerKey + ": longer than " + strconv.Itoa(maxKey) + " characters")
+	}
+	for _, c := range key {
+		if c <= ' ' || c > '~' || c == '/' {
+			return "", bad(headerKey + ": only printable ASCII without space and slash is accepted")
+		}
+	}
+	return key, nil
+}
+
+func timeoutOf(r *http.Request) (time.Duration, *request.Failure) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return 0, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	limit := maxTimeout.Milliseconds()
+	if err != nil || millis <= 0 || millis > limit {
+		return 0, bad(headerTimeout + ": must be whole milliseconds from 1 to " + strconv.FormatInt(limit, 10))
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/api/json.go
@@ -0,0 +1,12 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may have gone; nothing is left to do
+}
--- /dev/null
+++ b/internal/api/service.go
@@ -0,0 +1,79 @@
+package api
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+var serviceMethods = []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) {
+	call, fail := serviceCall(w, r, p, id)
+	if fail != nil {
+		writeFailure(w, fail)
+		return
+	}
+	answer, err := s.router.Service(r.Context(), call)
+	if err != nil {
+		writeFailure(w, asFailure(err))
+		return
+	}
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // the caller may have gone; nothing is left to do
+}
+
+func serviceCall(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) (ServiceCall, *request.Failure) {
+	path := p.ByName("path")
+	service, declared, fail := declaredCall(id, p.ByName("service"), r.Method, path)
+	if fail != nil {
+		return ServiceCall{}, fail
+	}
+	key, fail := keyOf(r)
+	if fail != nil {
+		return ServiceCall{}, fail
+	}
+	timeout, fail := timeoutOf(r)
+	if fail != nil {
+		return ServiceCall{}, fail
+	}
+	body, fail := readBody(w, r)
+	if fail != nil {
+		return ServiceCall{}, fail
+	}
+	return ServiceCall{
+		Org: id.org, Snapshot: id.snapshot, Service: service, Call: declared, Key: key, Timeout: timeout,
+		Request: upstream.ServiceCall{
+			Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
+			ContentType: r.Header.Get("Content-Type"), Body: body,
+		},
+	}, nil
+}
+
+func declaredCall(id identity, name, method, path string) (*config.Service, *config.Call, *request.Failure) {
+	service := id.snapshot.Service(name)
+	if service == nil || !mayCall(id.org, name) {
+		return nil, nil, request.Refuse(request.CodeUnknownModel, 0, "there is no service "+name+" for this organisation")
+	}
+	declared := service.Call(method, path)
+	if declared == nil {
+		return nil, nil, bad("service " + name + " declares no call " + method + " " + path)
+	}
+	return service, declared, nil
+}
+
+func mayCall(org *config.Organisation, service string) bool {
+	for _, name := range org.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/api/stream.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+// streamSink sends an answer as server-sent events. A stream that fails ends
+// in an error event and never in the normal end mark, so that no caller takes
+// a part for the whole.
+type streamSink struct {
+	w       http.ResponseWriter
+	flusher *http.ResponseController
+	head    completion
+	begun   bool
+	first   bool
+}
+
+func newStreamSink(w http.ResponseWriter) *streamSink {
+	return &streamSink{w: w, flusher: http.NewResponseController(w), first: true}
+}
+
+// Begin sends the headers.
+func (s *streamSink) Begin(version, session string) {
+	setVersionHeaders(s.w.Header(), version, session)
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-cache")
+	s.w.WriteHeader(http.StatusOK)
+	s.head = completion{ID: completionID(), Object: objectChunk, Created: time.Now().Unix(), Model: version}
+	s.begun = true
+}
+
+// Text sends one piece.
+func (s *streamSink) Text(text string) error {
+	delta := &content{Content: text}
+	if s.first {
+		delta.Role = roleAssistant
+		s.first = false
+	}
+	return s.send(choice{Delta: delta}, nil)
+}
+
+func (s *streamSink) send(c choice, u *usage) error {
+	chunk := s.head
+	chunk.Choices = []choice{c}
+	chunk.Usage = u
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	return s.event(data)
+}
+
+func (s *streamSink) event(data []byte) error {
+	out := make([]byte, 0, len(data)+len("data: \n\n"))
+	out = append(out, "data: "...)
+	out = append(out, data...)
+	out = append(out, "\n\n"...)
+	if _, err := s.w.Write(out); err != nil {
+		return err
+	}
+	return s.flusher.Flush()
+}
+
+func (s *streamSink) finish(a request.Answer) {
+	reason := a.FinishReason
+	if s.send(choice{Delta: &content{}, FinishReason: &reason}, usageOf(a)) != nil {
+		return
+	}
+	_ = s.event([]byte("[DONE]")) // the caller may have gone; nothing is left to do
+}
+
+func (s *streamSink) fail(f *request.Failure) {
+	if !s.begun {
+		writeFailure(s.w, f)
+		return
+	}
+	_, body := newErrorBody(f)
+	data, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	_ = s.event(data) // the caller may have gone; nothing is left to do
+}
--- /dev/null
+++ b/internal/cli/version.go
@@ -0,0 +1,16 @@
+package cli
+
+import "fmt"
+
+// version is set by the build.
+var version = "dev"
+
+type versionCommand struct {
+	env *env
+}
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	fmt.Fprintln(c.env.out, "hickorybank", version)
+	return nil
+}
--- /dev/null
+++ b/internal/request/failure.go
@@ -0,0 +1,50 @@
+package request
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code is the machine-readable reason of a failure.
+type Code string
+
+// The codes, each with its HTTP status in package api.
+const (
+	CodeBadRequest     Code = "bad_request"
+	CodeUnauthorised   Code = "invalid_api_key"
+	CodeUnknownModel   Code = "model_not_found"
+	CodeNotAllowed     Code = "model_not_allowed"
+	CodeWithdrawn      Code = "version_withdrawn"
+	CodeOverloaded     Code = "overloaded"
+	CodeRateLimited    Code = "rate_limited"
+	CodeDeadline       Code = "deadline"
+	CodeNoUpstream     Code = "no_upstream"
+	CodeUpstreamFailed Code = "upstream_failed"
+	CodeNotFresh       Code = "configuration_not_fresh"
+	CodeLedger         Code = "ledger_unavailable"
+	CodeSuspect        Code = "request_crashes_upstreams"
+	CodeDuplicate      Code = "duplicate_request"
+	CodeKeyReused      Code = "idempotency_key_reused"
+	CodeKeyTooOld      Code = "idempotency_key_too_old"
+	CodeStopping       Code = "stopping"
+	CodeCancelled      Code = "cancelled"
+)
+
+// Failure is the final answer to a request that did not complete.
+type Failure struct {
+	Code    Code
+	Message string
+	Outcome Outcome
+	// RetryAfter tells the caller when to come back; 0 says not to.
+	RetryAfter time.Duration
+}
+
+// Error returns the message with its code and outcome.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (%s, %s)", f.Message, f.Code, f.Outcome)
+}
+
+// Refuse makes a failure of a request that was not run.
+func Refuse(code Code, retryAfter time.Duration, message string) *Failure {
+	return &Failure{Code: code, Message: message, Outcome: NotRun, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/request/sink.go
@@ -0,0 +1,10 @@
+package request
+
+// Sink takes an answer as it comes. After Begin the caller hears only that
+// one attempt.
+type Sink interface {
+	// Begin tells which version answers, and the session token if any.
+	Begin(version, session string)
+	// Text passes on one piece. An error says that the caller has gone.
+	Text(text string) error
+}
