--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rotisserie/eris"
+)
+
+// Server answers peers.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+	duties   conc.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	done  bool
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+}
+
+// Register offers the methods of receiver under a name, in net/rpc's form.
+func (s *Server) Register(name string, receiver any) error {
+	return eris.Wrap(s.rpc.RegisterName(name, receiver), "register "+name)
+}
+
+// Start listens and serves.
+func (s *Server) Start(listen string) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	s.listener = listener
+	s.duties.Go(s.accept)
+	return nil
+}
+
+// Addr is the address that peers reach the server at.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			return
+		}
+		s.duties.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	s.rpc.ServeConn(conn)
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+// Close stops listening, cuts the connections and waits for their ends.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.done = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	s.duties.Wait()
+}
