Let the stand-in platform limit, lag, rate, pace and fail

Cause: the platform that the router meets is rate-limited, lags, and loses answers; a stand-in that always answers proves nothing. Ruled out: a goroutine for each delayed write. A write whose caller has given up must still take effect later, so admitted writes stand in a queue by due time, and every call first settles what has fallen due; nobody can see a state without a due write, and virtual time needs no goroutine. Ruled out too: one random generator for all faults, since a fault in one service would change the draws of another.

--- /dev/null
+++ b/internal/standin/platform/limit/doc.go
@@ -0,0 +1,3 @@
+// Package limit holds the stand-in platform's rate limits and rate figures:
+// plain structures that are given the time.
+package limit
--- a/internal/standin/platform/memory/check.go
+++ b/internal/standin/platform/memory/check.go
@@ -1,8 +1,11 @@
 package memory
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
@@ -25,10 +28,16 @@
 	if key == "" || len(key) > MaxKey {
 		return invalid("key: %d bytes; accepted are 1 to %d", len(key), MaxKey)
 	}
+	if !utf8.ValidString(key) {
+		return invalid("key: %q is not UTF-8", key)
+	}
 	return nil
 }
 
-func checkLimit(limit int) error {
+func checkScan(prefix, after string, limit int) error {
+	if !utf8.ValidString(prefix) || !utf8.ValidString(after) {
+		return invalid("prefix or after: not UTF-8")
+	}
 	if limit < 1 || limit > MaxScan {
 		return invalid("limit: %d; accepted is 1 to %d", limit, MaxScan)
 	}
@@ -67,6 +76,17 @@
 	return nil
 }
 
+// cloneTxn keeps a write that takes effect late from seeing what its caller
+// does to the buffers meanwhile.
+func cloneTxn(txn platform.Txn) platform.Txn {
+	txn.Conditions = slices.Clone(txn.Conditions)
+	txn.Writes = slices.Clone(txn.Writes)
+	for i, w := range txn.Writes {
+		txn.Writes[i].Value = bytes.Clone(w.Value)
+	}
+	return txn
+}
+
 func checkVM(vm platform.VM) error {
 	if vm.ID == "" || strings.Contains(vm.ID, "/") {
 		return invalid("id: %q; accepted is a name without a slash", vm.ID)
--- /dev/null
+++ b/internal/standin/platform/memory/meter.go
@@ -0,0 +1,38 @@
+package memory
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/limit"
+)
+
+// meter bounds and counts one kind of call.
+type meter struct {
+	bucket  *limit.Bucket
+	peak    limit.Peak
+	refused uint64
+}
+
+func newMeter(rate float64) *meter { return &meter{bucket: limit.NewBucket(rate)} }
+
+// admit counts the call, or refuses it.
+func (m *meter) admit(now time.Time) error {
+	wait, ok := m.bucket.Take(now)
+	if !ok {
+		m.refused++
+		return &wire.Refusal{
+			Reason:       wire.RateLimited,
+			Detail:       "over the rate limit",
+			RetryAfterMS: roundUp(wait),
+		}
+	}
+	m.peak.Add(now)
+	return nil
+}
+
+// roundUp returns whole milliseconds, so that a caller who waits that long
+// does not come too early.
+func roundUp(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- a/internal/standin/platform/memory/objects.go
+++ b/internal/standin/platform/memory/objects.go
@@ -5,8 +5,10 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
 // objects is the object store of a Platform.
@@ -22,10 +24,11 @@
 	if len(value) > MaxObject {
 		return invalid("object %q has %d bytes; at most %d", key, len(value), MaxObject)
 	}
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	o.p.objects[key] = bytes.Clone(value)
-	return nil
+	value = bytes.Clone(value)
+	return o.p.write(ctx, fault.Objects, func() bool {
+		o.p.objects[key] = value
+		return true
+	})
 }
 
 // Get implements [platform.Objects].
@@ -33,22 +36,33 @@
 	if err := checkKey(key); err != nil {
 		return nil, false, err
 	}
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	value, ok := o.p.objects[key]
+	var value []byte
+	var ok bool
+	err := o.p.read(ctx, fault.Objects, o.p.reads, func(time.Time) {
+		value, ok = o.p.objects[key]
+	})
+	if err != nil {
+		return nil, false, err
+	}
 	return bytes.Clone(value), ok, nil
 }
 
 // List implements [platform.Objects].
 func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
 	var keys []string
-	for key := range o.p.objects {
+	err := o.p.read(ctx, fault.Objects, o.p.reads, func(time.Time) {
+		keys = o.p.objectKeys(prefix)
+	})
+	return keys, err
+}
+
+func (p *Platform) objectKeys(prefix string) []string {
+	var keys []string
+	for key := range p.objects {
 		if strings.HasPrefix(key, prefix) {
 			keys = append(keys, key)
 		}
 	}
 	slices.Sort(keys)
-	return keys, nil
+	return keys
 }
--- a/internal/standin/platform/memory/platform.go
+++ b/internal/standin/platform/memory/platform.go
@@ -2,8 +2,12 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/limit"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/rating"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/table"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/vmlist"
 )
@@ -16,6 +20,24 @@
 	table   *table.Table
 	objects map[string][]byte
 	vms     *vmlist.List
+	lag     time.Duration
+	rater   *rating.Rater
+	pacer   *limit.Pacer
+	faults  *fault.Injector
+	late    lateWrites
+
+	// reads and writes are of the table and the object store together.
+	reads   *meter
+	writes  *meter
+	lists   *meter
+	ratings *meter
+	weights *meter
+
+	conflicts   uint64
+	faulted     uint64
+	dropped     uint64
+	lostAcks    uint64
+	weightBytes uint64
 }
 
 var _ platform.Platform = (*Platform)(nil)
@@ -26,11 +48,21 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
+	s = s.withDefaults()
 	return &Platform{
-		settings: s.withDefaults(),
+		settings: s,
 		table:    table.New(),
 		objects:  make(map[string][]byte),
 		vms:      vmlist.New(),
+		lag:      s.VMListLag,
+		rater:    rating.New(s.Seed, s.RatingNoise, s.DefaultQuality),
+		pacer:    limit.NewPacer(s.WeightBytesPerSecond),
+		faults:   fault.NewInjector(s.Seed),
+		reads:    newMeter(s.ReadsPerSecond),
+		writes:   newMeter(s.WritesPerSecond),
+		lists:    newMeter(0),
+		ratings:  newMeter(0),
+		weights:  newMeter(0),
 	}
 }
 
--- a/internal/standin/platform/memory/rating.go
+++ b/internal/standin/platform/memory/rating.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
 // Rate implements [platform.Rater].
@@ -11,5 +13,12 @@
 	if req.Version == "" {
 		return 0, invalid("version: missing")
 	}
-	return p.settings.DefaultQuality, nil
+	var score float64
+	err := p.read(ctx, fault.Rating, p.ratings, func(time.Time) {
+		score = p.rater.Score(req.Version, req.Class)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return score, nil
 }
--- a/internal/standin/platform/memory/vms.go
+++ b/internal/standin/platform/memory/vms.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
 // vms is the lagging VM list of a Platform.
@@ -14,14 +16,16 @@
 
 // List implements [platform.VMs].
 func (v vms) List(ctx context.Context) ([]platform.VM, error) {
-	v.p.mu.Lock()
-	defer v.p.mu.Unlock()
-	now := v.p.settings.Now()
-	return v.p.vms.AsOf(now.Add(-v.p.settings.VMListLag)), nil
+	var list []platform.VM
+	err := v.p.read(ctx, fault.VMs, v.p.lists, func(now time.Time) {
+		list = v.p.vms.AsOf(now.Add(-v.p.lag))
+	})
+	return list, err
 }
 
 // RegisterVM adds a VM, or replaces the one with its id. An empty state means
-// live.
+// live. Registering, leaving and removing are the platform's own doing: faults
+// do not touch them.
 func (p *Platform) RegisterVM(_ context.Context, vm platform.VM) error {
 	if vm.State == "" {
 		vm.State = platform.Live
--- a/internal/standin/platform/routes.go
+++ b/internal/standin/platform/routes.go
@@ -22,14 +22,10 @@
 	router.DELETE(wire.PathVMs+"/:id", s.vmRemove)
 	router.POST(wire.PathVMs+"/:id/leave", s.vmLeave)
 	router.POST(wire.PathRate, s.rate)
+	router.GET(wire.PathWeights+"/*version", s.weights)
 	return router
 }
 
-// faultRoutes serves the fault interface.
-func (s *Server) faultRoutes() http.Handler {
-	return newRouter()
-}
-
 // newRouter answers unknown paths and methods with a refusal, since nothing
 // took effect.
 func newRouter() *httprouter.Router {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -44,8 +44,8 @@
 
 // New returns a server that does not listen yet.
 func New(s Settings, log *slog.Logger) (*Server, error) {
-	if s.Listen == "" {
-		return nil, eris.New("stand-in platform: Listen is missing")
+	if err := s.Validate(); err != nil {
+		return nil, eris.Wrap(err, "stand-in platform")
 	}
 	base, stop := context.WithCancel(context.Background())
 	return &Server{
