Send each request to an upstream at most once and classify failures exactly

Cause: net/http repeats a GET, or any request with an Idempotency-Key, on a new connection when a reused one breaks before the answer; the upstream may have run the first sending. Its errors also do not tell whether a byte left. Request bodies can no longer be rewound, connections count begun writes, and a failure is "not sent" only on a connection that is sealed unwritten. Ruled out: cancelling in the connection trace (the write may go first), and trusting the transport's error types (unexported, and silent on writes). Red before: with rewindable bodies 4 of 4 cases ran twice; with every failure called not sent, 4 of 4 cases and the in-doubt test fail. Green after, -race. An event of a stream counts only once its closing empty line has come.

--- a/internal/upstream/client/engines.go
+++ b/internal/upstream/client/engines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,9 +12,6 @@
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
-// maxAnswer bounds an answer that is read as a whole, in bytes.
-const maxAnswer = 16 << 20
-
 // Engines reaches model engines over HTTP.
 type Engines struct{ transport *http.Transport }
 
@@ -31,72 +27,83 @@
 
 // Start sends the attempt and returns its stream.
 func (e *Engines) Start(ctx context.Context, addr string, a upstream.Attempt) (upstream.Stream, error) {
-	req, err := newRequest(ctx, http.MethodPost, addr, "/v1/chat/completions", a.Body)
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := newRequest(ctx, http.MethodPost, addr, url.URL{Path: "/v1/chat/completions"}, a.Body)
 	if err != nil {
-		return nil, fail(addr, upstream.NotSent, eris.Wrap(err, "start"))
+		cancel()
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Attempt-Id", a.ID)
 	req.Header.Set("X-Priority", strconv.Itoa(a.Priority))
 	req.Header.Set("X-Prefix-Hash", strconv.FormatUint(a.PrefixHash, 16))
-	return e.open(addr, req)
+	return e.open(addr, req, cancel, startCauses)
 }
 
 // Resume reads the attempt's stream again from the piece after seq.
 func (e *Engines) Resume(ctx context.Context, addr, attempt string, seq int) (upstream.Stream, error) {
-	req, err := newRequest(ctx, http.MethodGet, addr, streamPath(attempt)+"?after="+strconv.Itoa(seq), nil)
+	ctx, cancel := context.WithCancel(ctx)
+	target := streamTarget(attempt)
+	target.RawQuery = "after=" + strconv.Itoa(seq)
+	req, err := newRequest(ctx, http.MethodGet, addr, target, nil)
 	if err != nil {
-		return nil, fail(addr, upstream.NotSent, eris.Wrap(err, "resume"))
+		cancel()
+		return nil, err
 	}
-	return e.open(addr, req)
+	return e.open(addr, req, cancel, streamCauses)
 }
 
-func streamPath(attempt string) string { return "/v1/streams/" + url.PathEscape(attempt) }
+func streamTarget(attempt string) url.URL { return url.URL{Path: "/v1/streams/" + attempt} }
 
-func (e *Engines) open(addr string, req *http.Request) (upstream.Stream, error) {
-	res, fault := trip(e.transport, req)
-	if fault != nil {
-		return nil, fault
+func (e *Engines) open(addr string, req *http.Request, cancel context.CancelFunc, causes causeByStatus) (upstream.Stream, error) {
+	res, err := trip(e.transport, req)
+	if err != nil {
+		cancel()
+		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
-		return nil, statusFailure(addr, res)
+		defer cancel()
+		return nil, statusFailure(addr, res, causes)
 	}
-	return newStream(addr, res.Body), nil
+	return newStream(addr, res.Body, cancel), nil
 }
 
-// Cancel stops the attempt at the engine.
+// Cancel stops the attempt at the engine. An attempt that the engine does not
+// know is an error that wraps [upstream.ErrUnknownStream].
 func (e *Engines) Cancel(ctx context.Context, addr, attempt string) error {
-	_, err := e.call(ctx, http.MethodDelete, addr, streamPath(attempt), nil)
-	return err
+	_, err := e.call(ctx, http.MethodDelete, addr, streamTarget(attempt), nil, streamCauses)
+	return plain(err)
 }
 
 // Load returns the engine's lagging load report.
 func (e *Engines) Load(ctx context.Context, addr string) (upstream.LoadReport, error) {
 	var r upstream.LoadReport
-	return r, e.get(ctx, addr, "/load", &r)
+	err := e.get(ctx, addr, "/load", &r)
+	return r, plain(err)
 }
 
-// Order tells the engine what to load, unload or be.
+// Order tells the engine what to load, unload or be. An order that the engine
+// refuses as old is an error that wraps [upstream.ErrStaleFence].
 func (e *Engines) Order(ctx context.Context, addr string, o upstream.Order) error {
 	body, err := json.Marshal(o)
 	if err != nil {
 		return fail(addr, upstream.NotSent, eris.Wrap(err, "order"))
 	}
-	_, err = e.call(ctx, http.MethodPost, addr, "/orders", body)
-	return err
+	_, fault := e.call(ctx, http.MethodPost, addr, url.URL{Path: "/orders"}, body, orderCauses)
+	return plain(fault)
 }
 
 // State reads back what the engine has.
 func (e *Engines) State(ctx context.Context, addr string) (upstream.EngineState, error) {
 	var st upstream.EngineState
 	err := e.get(ctx, addr, "/state", &st)
-	return st, err
+	return st, plain(err)
 }
 
-func (e *Engines) get(ctx context.Context, addr, path string, v any) error {
-	body, err := e.call(ctx, http.MethodGet, addr, path, nil)
-	if err != nil {
-		return err
+func (e *Engines) get(ctx context.Context, addr, path string, v any) *upstream.Error {
+	body, fault := e.call(ctx, http.MethodGet, addr, url.URL{Path: path}, nil, nil)
+	if fault != nil {
+		return fault
 	}
 	if err := json.Unmarshal(body, v); err != nil {
 		return fail(addr, upstream.MaybeRun, eris.Wrap(err, path))
@@ -105,22 +112,25 @@
 }
 
 // call sends a short request and returns the body of a 2xx answer.
-func (e *Engines) call(ctx context.Context, method, addr, path string, body []byte) ([]byte, error) {
-	req, err := newRequest(ctx, method, addr, path, body)
+func (e *Engines) call(ctx context.Context, method, addr string, target url.URL, body []byte, causes causeByStatus) ([]byte, *upstream.Error) {
+	req, err := newRequest(ctx, method, addr, target, body)
 	if err != nil {
-		return nil, fail(addr, upstream.NotSent, eris.Wrap(err, path))
+		return nil, err
 	}
-	res, fault := trip(e.transport, req)
-	if fault != nil {
-		return nil, fault
+	res, err := trip(e.transport, req)
+	if err != nil {
+		return nil, err
 	}
 	if res.StatusCode/100 != 2 {
-		return nil, statusFailure(addr, res)
+		return nil, statusFailure(addr, res, causes)
 	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
-	if err != nil {
-		return nil, fail(addr, upstream.MaybeRun, eris.Wrap(err, path))
+	return readWhole(addr, res)
+}
+
+// plain turns a nil *upstream.Error into a nil error.
+func plain(err *upstream.Error) error {
+	if err == nil {
+		return nil
 	}
-	return data, nil
+	return err
 }
--- a/internal/upstream/client/reach.go
+++ b/internal/upstream/client/reach.go
@@ -15,13 +15,15 @@
 }
 
 // declined reports whether the upstream's contract says that it ran nothing.
+// The header alone does not say so: only with a status by which an upstream
+// turns work away.
 func declined(res *http.Response) bool {
 	if res.Header.Get(notRunHeader) != "1" {
 		return false
 	}
 	switch res.StatusCode {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusNotFound,
-		http.StatusBadRequest, http.StatusConflict:
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	}
 	return false
--- a/internal/upstream/client/services.go
+++ b/internal/upstream/client/services.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-
-	"github.com/rotisserie/eris"
+	"net/url"
 
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
@@ -24,15 +22,13 @@
 func (s *Services) Close() { s.transport.CloseIdleConnections() }
 
 // Do sends the call once and returns the whole answer, whatever its status,
-// unless the service says that it did not run the call.
+// unless the service says that it did not run the call. The call's path is
+// the decoded one.
 func (s *Services) Do(ctx context.Context, addr string, call upstream.ServiceCall) (upstream.ServiceAnswer, error) {
-	path := call.Path
-	if call.RawQuery != "" {
-		path += "?" + call.RawQuery
-	}
-	req, err := newRequest(ctx, call.Method, addr, path, call.Body)
+	target := url.URL{Path: call.Path, RawQuery: call.RawQuery}
+	req, err := newRequest(ctx, call.Method, addr, target, call.Body)
 	if err != nil {
-		return upstream.ServiceAnswer{}, fail(addr, upstream.NotSent, eris.Wrap(err, "service"))
+		return upstream.ServiceAnswer{}, err
 	}
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
@@ -40,17 +36,16 @@
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
-	res, fault := trip(s.transport, req)
-	if fault != nil {
-		return upstream.ServiceAnswer{}, fault
+	res, err := trip(s.transport, req)
+	if err != nil {
+		return upstream.ServiceAnswer{}, err
 	}
 	if declined(res) {
-		return upstream.ServiceAnswer{}, statusFailure(addr, res)
+		return upstream.ServiceAnswer{}, statusFailure(addr, res, nil)
 	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	body, err := readWhole(addr, res)
 	if err != nil {
-		return upstream.ServiceAnswer{}, fail(addr, upstream.MaybeRun, eris.Wrap(err, "service"))
+		return upstream.ServiceAnswer{}, err
 	}
 	return upstream.ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
--- a/internal/upstream/client/stream.go
+++ b/internal/upstream/client/stream.go
@@ -1,34 +1,32 @@
 package client
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
+	"context"
 	"io"
-
-	"github.com/rotisserie/eris"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
-
-var dataField = []byte("data:")
+const (
+	// drainLimit bounds what is read after the last piece, in bytes.
+	drainLimit = 4 << 10
+	// drainTime bounds how long that may take.
+	drainTime = 100 * time.Millisecond
+)
 
 // stream reads an engine's answer. Pieces are returned as they came: the
 // caller matches them to its attempt.
 type stream struct {
-	addr string
-	body io.ReadCloser
-	scan *bufio.Scanner
-	done bool
+	addr   string
+	body   io.ReadCloser
+	cancel context.CancelFunc
+	dec    *decoder
+	done   bool
 }
 
-func newStream(addr string, body io.ReadCloser) *stream {
-	scan := bufio.NewScanner(body)
-	scan.Buffer(make([]byte, 0, 4096), maxEvent)
-	return &stream{addr: addr, body: body, scan: scan}
+func newStream(addr string, body io.ReadCloser, cancel context.CancelFunc) *stream {
+	return &stream{addr: addr, body: body, cancel: cancel, dec: newDecoder(body)}
 }
 
 // Next returns the next piece; io.EOF follows the last one. A stream that ends
@@ -37,24 +35,24 @@
 	if s.done {
 		return upstream.Chunk{}, io.EOF
 	}
-	for s.scan.Scan() {
-		data, ok := bytes.CutPrefix(s.scan.Bytes(), dataField)
-		if !ok {
-			continue
-		}
-		var c upstream.Chunk
-		if err := json.Unmarshal(data, &c); err != nil {
-			return upstream.Chunk{}, fail(s.addr, upstream.MaybeRun, eris.Wrap(err, "piece"))
-		}
-		s.done = c.Done
-		return c, nil
-	}
-	err := s.scan.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
+	c, err := s.dec.next()
+	if err != nil {
+		return upstream.Chunk{}, fail(s.addr, upstream.MaybeRun, err)
 	}
-	return upstream.Chunk{}, fail(s.addr, upstream.MaybeRun, eris.Wrap(err, "stream"))
+	s.done = c.Done
+	return c, nil
 }
 
-// Close releases the connection; it does not cancel the attempt.
-func (s *stream) Close() error { return s.body.Close() }
+// Close releases the connection; it does not cancel the attempt. After a whole
+// answer the connection goes back to the pool, for which the end of the body
+// has to be read; an engine that never sends it costs the connection.
+func (s *stream) Close() error {
+	if s.done {
+		late := time.AfterFunc(drainTime, s.cancel)
+		_, _ = io.CopyN(io.Discard, s.body, drainLimit)
+		late.Stop()
+	}
+	err := s.body.Close()
+	s.cancel()
+	return err
+}
--- a/internal/upstream/client/transport.go
+++ b/internal/upstream/client/transport.go
@@ -1,15 +1,24 @@
 package client
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
 
-// newTransport returns a pool of connections. Compression is off, since it
-// would delay the pieces of a stream.
+// newTransport returns a pool of connections, all of type *conn. Compression
+// is off, since it would delay the pieces of a stream.
 func newTransport(o Options) *http.Transport {
+	dialer := net.Dialer{Timeout: o.DialTimeout}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
 	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		DialContext:           dial,
 		MaxIdleConnsPerHost:   o.IdlePerHost,
 		IdleConnTimeout:       o.IdleTimeout,
 		ResponseHeaderTimeout: o.HeaderTimeout,
