--- a/internal/platform/client/call.go
+++ b/internal/platform/client/call.go
@@ -49,6 +49,9 @@
 
 // exchange returns the body of a whole and successful answer.
 func (c *Client) exchange(ctx context.Context, what call) ([]byte, error) {
+	if err := checkSize(what.body); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var track sent
--- a/internal/platform/client/table.go
+++ b/internal/platform/client/table.go
@@ -14,12 +14,18 @@
 // Get implements [platform.Table].
 func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
 	var row platform.Row
+	if err := checkText(key); err != nil {
+		return row, eris.Wrap(err, "platform: get")
+	}
 	err := c.post(ctx, wire.PathGet, wire.GetRequest{Key: key}, &row)
 	return row, err
 }
 
 // Scan implements [platform.Table].
 func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := checkText(prefix, after); err != nil {
+		return nil, eris.Wrap(err, "platform: scan")
+	}
 	var resp wire.ScanResponse
 	req := wire.ScanRequest{Prefix: prefix, After: after, Limit: limit}
 	err := c.post(ctx, wire.PathScan, req, &resp)
@@ -29,6 +35,9 @@
 // Commit implements [platform.Table].
 func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	var result platform.CommitResult
+	if err := checkTxn(txn); err != nil {
+		return result, eris.Wrap(err, "platform: commit")
+	}
 	body, err := json.Marshal(txn)
 	if err != nil {
 		return result, eris.Wrap(wire.Refused(err), "platform: encode commit")
--- a/internal/standin/platform/memory/flow.go
+++ b/internal/standin/platform/memory/flow.go
@@ -128,7 +128,7 @@
 }
 
 func unavailable(s fault.Service) *wire.Refusal {
-	return &wire.Refusal{Reason: wire.Unavailable, Detail: s.String() + " is not available"}
+	return &wire.Refusal{Reason: wire.Unavailable, Detail: "service " + s.String() + " is not available"}
 }
 
 // settled lets the writes that have fallen due take effect; returns the time.
