--- /dev/null
+++ b/internal/ledger/deps.go
@@ -0,0 +1,21 @@
+package ledger
+
+import (
+	"log/slog"
+
+	"github.com/hickorybank/hickorybank/internal/peer"
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// Deps are what a ledger reaches the outside with.
+type Deps struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Peers   peer.Caller
+	// Members returns the entry VMs that this node sees, with their Peer
+	// addresses and failure domains. It must not block.
+	Members func() []platform.VM
+	// Self is this node; its Peer address is the one that others see.
+	Self platform.VM
+	Log  *slog.Logger
+}
