--- /dev/null
+++ b/internal/confsync/store.go
@@ -0,0 +1,16 @@
+package confsync
+
+import "context"
+
+// Store reads the stored configuration. Package tablestore implements it over
+// the platform's table. The reads of the head must be linearizable: a read
+// sees every change that was acknowledged before the read began.
+type Store interface {
+	// Head reads the head row.
+	Head(ctx context.Context) (Head, error)
+	// Document reads the encoded document of a revision.
+	Document(ctx context.Context, revision uint64) ([]byte, error)
+	// Deltas reads the stored deltas of the revisions after the given one, in
+	// order; an empty list means that none is stored.
+	Deltas(ctx context.Context, after, upTo uint64) ([]Delta, error)
+}
--- /dev/null
+++ b/internal/confsync/tablestore/doc.go
@@ -0,0 +1,3 @@
+// Package tablestore reads the stored configuration from the platform's table,
+// in the rows that package admin writes.
+package tablestore
--- /dev/null
+++ b/internal/confsync/tablestore/store.go
@@ -0,0 +1,53 @@
+package tablestore
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/confsync"
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// Store is a [confsync.Store] over a table.
+type Store struct {
+	table platform.Table
+}
+
+var _ confsync.Store = (*Store)(nil)
+
+// New returns a store over the table.
+func New(table platform.Table) *Store { return &Store{table: table} }
+
+// Head implements [confsync.Store].
+func (s *Store) Head(ctx context.Context) (confsync.Head, error) {
+	row, err := s.table.Get(ctx, admin.HeadKey)
+	if err != nil {
+		return confsync.Head{}, eris.Wrap(err, "read head")
+	}
+	if row.Version == 0 {
+		return confsync.Head{}, nil
+	}
+	var head admin.Head
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return confsync.Head{}, eris.Wrap(err, "decode head")
+	}
+	return confsync.Head{Revision: head.Revision}, nil
+}
+
+// Document implements [confsync.Store].
+func (s *Store) Document(ctx context.Context, revision uint64) ([]byte, error) {
+	row, err := s.table.Get(ctx, admin.DocKey(revision))
+	if err != nil {
+		return nil, eris.Wrap(err, "read document")
+	}
+	if row.Version == 0 {
+		return nil, eris.Errorf("document of revision %d is missing", revision)
+	}
+	return row.Value, nil
+}
+
+// Deltas implements [confsync.Store].
+func (s *Store) Deltas(context.Context, uint64, uint64) ([]confsync.Delta, error) { return nil, nil }
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,9 @@
+package membership
+
+import "github.com/hickorybank/hickorybank/internal/platform"
+
+// Member is a VM and what this node thinks of it.
+type Member struct {
+	platform.VM
+	State State
+}
--- /dev/null
+++ b/internal/membership/stop_event.go
@@ -0,0 +1,16 @@
+package membership
+
+// StopEvent is an input of [Stopping].
+type StopEvent uint8
+
+// The events of a planned stop.
+const (
+	// StopOrdered asks the node to stop; a second one changes nothing.
+	StopOrdered StopEvent = iota
+	// PeersTold says that every peer leaves the node out of its answers.
+	PeersTold
+	// Tick only lets time pass.
+	Tick
+	// BillsFlushed says that all bills are durable.
+	BillsFlushed
+)
