Run the whole path as separate processes in a scenario

Cause: the path had been run by hand only. Scenarios are testscript files with a few commands of our own; the test binary stands in for the product's, so no build is needed beside the test. Ruled out: namespaces for cuts in the network (need privileges); a scenario that asks for relays gets one TCP relay a pair of processes instead, put in place by changing the VM list that each one reads.

--- /dev/null
+++ b/scenario/caller_test.go
@@ -0,0 +1,186 @@
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	bearerPrefix = "Bearer demo-" // keys of the example configurations
+	streamEnd    = "[DONE]"
+	callLimit    = 2 * time.Minute
+)
+
+// caller sends calls as an application does, each at most once: net/http may
+// not repeat a call on a new connection.
+type caller struct {
+	http *http.Client
+}
+
+func newCaller() *caller {
+	return &caller{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+// do sends one call and waits for what comes of it.
+func (c *caller) do(o order) result {
+	r := result{order: o, outcome: cutOff}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	req, err := newRequest(ctx, o)
+	if err != nil {
+		r.fault = err
+		return r
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		r.message = err.Error()
+		return r
+	}
+	defer resp.Body.Close()
+	r.status = resp.StatusCode
+	r.version = resp.Header.Get("Hickorybank-Version")
+	r.session = resp.Header.Get("Hickorybank-Session")
+	r.retry = resp.Header.Get("Retry-After")
+	switch {
+	case o.chat() && o.stream && resp.StatusCode == http.StatusOK:
+		r.readStream(resp.Body)
+	case o.chat():
+		r.readWhole(resp.Body)
+	default:
+		r.readService(resp)
+	}
+	return r
+}
+
+func newRequest(ctx context.Context, o order) (*http.Request, error) {
+	method, url := http.MethodPost, "http://"+o.addr+"/v1/chat/completions"
+	body := []byte(o.body)
+	if o.chat() {
+		var err error
+		body, err = json.Marshal(chatRequest{Model: o.model, Stream: o.stream, Messages: []chatMessage{{Role: "user", Content: o.text}}})
+		if err != nil {
+			return nil, err
+		}
+	} else {
+		method, url = o.method, "http://"+o.addr+"/v1/services/"+o.service+o.path
+	}
+	// A reader that net/http cannot rewind keeps it from sending twice.
+	req, err := http.NewRequestWithContext(ctx, method, url, io.MultiReader(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
+	req.Header.Set("Authorization", bearerPrefix+o.org)
+	setIf(req, "Idempotency-Key", o.key)
+	setIf(req, "Hickorybank-Class", o.class)
+	setIf(req, "Hickorybank-Session", o.session)
+	setIf(req, "Hickorybank-Timeout-Ms", o.timeoutMS)
+	if o.start {
+		req.Header.Set("Hickorybank-Session-Start", "1")
+	}
+	return req, nil
+}
+
+func setIf(req *http.Request, header, value string) {
+	if value != "" {
+		req.Header.Set(header, value)
+	}
+}
+
+func (r *result) readWhole(body io.Reader) {
+	var a chatAnswer
+	data, err := io.ReadAll(body)
+	if err != nil {
+		r.message = err.Error()
+		return
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		r.fault = eris.Wrapf(err, "answer %q", data)
+		return
+	}
+	if a.Error != nil {
+		r.fail(a.Error)
+		return
+	}
+	if len(a.Choices) != 1 || a.Usage == nil {
+		r.fault = eris.Errorf("answer %q", data)
+		return
+	}
+	r.text = a.Choices[0].Message.Content
+	r.complete(a.Usage.CompletionTokens)
+}
+
+func (r *result) readStream(body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	var tokens int
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == streamEnd {
+			r.complete(tokens)
+			return
+		}
+		var a chatAnswer
+		if err := json.Unmarshal([]byte(data), &a); err != nil {
+			r.fault = eris.Wrapf(err, "event %q", data)
+			return
+		}
+		if a.Error != nil {
+			r.fail(a.Error)
+			return
+		}
+		if len(a.Choices) > 0 {
+			r.text += a.Choices[0].Delta.Content
+		}
+		if a.Usage != nil {
+			tokens = a.Usage.CompletionTokens
+		}
+	}
+	r.message = "the stream ended without its end mark"
+}
+
+func (r *result) readService(resp *http.Response) {
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.message = err.Error()
+		return
+	}
+	r.text = string(data)
+	if resp.StatusCode < http.StatusMultipleChoices {
+		r.outcome = completed
+		return
+	}
+	var a chatAnswer
+	if json.Unmarshal(data, &a) == nil && a.Error != nil {
+		r.fail(a.Error)
+		return
+	}
+	r.outcome = completed // the service's own answer
+}
+
+func (r *result) fail(e *chatError) {
+	r.outcome = e.Outcome
+	r.code = e.Code
+	r.message = e.Message
+}
+
+func (r *result) complete(tokens int) {
+	r.outcome = completed
+	r.fault = checkAnswer(r.order.text, r.text, r.version)
+	if r.fault == nil {
+		r.fault = checkCount(r.text, tokens)
+	}
+}
--- /dev/null
+++ b/scenario/callers_test.go
@@ -0,0 +1,76 @@
+package scenario
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// callers makes the calls of a scenario and remembers what came of them.
+type callers struct {
+	caller *caller
+
+	mu      sync.Mutex
+	results map[string]result
+	running map[string]chan struct{}
+	all     []result
+}
+
+func newCallers() *callers {
+	return &callers{caller: newCaller(), results: map[string]result{}, running: map[string]chan struct{}{}}
+}
+
+// begin makes a call in the background under a name.
+func (c *callers) begin(name string, o order) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[name] != nil {
+		return eris.Errorf("call %s runs already", name)
+	}
+	done := make(chan struct{})
+	c.running[name] = done
+	go func() {
+		defer close(done)
+		r := c.caller.do(o)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.results[name] = r
+		c.all = append(c.all, r)
+	}()
+	return nil
+}
+
+// join waits for the named call and returns its result; a fault in the answer
+// is an error.
+func (c *callers) join(name string) (result, error) {
+	c.mu.Lock()
+	done := c.running[name]
+	c.mu.Unlock()
+	if done == nil {
+		return result{}, eris.Errorf("there is no call %s", name)
+	}
+	<-done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, name)
+	r := c.results[name]
+	return r, r.fault
+}
+
+func (c *callers) result(name string) (result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.results[name]
+	if !ok {
+		return r, eris.Errorf("there is no result of a call %s", name)
+	}
+	return r, nil
+}
+
+func (c *callers) list() []result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]result(nil), c.all...)
+}
+
+func (c *callers) close() { c.caller.http.CloseIdleConnections() }
--- /dev/null
+++ b/scenario/cluster_test.go
@@ -0,0 +1,103 @@
+package scenario
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+const platformID = "platform"
+
+// cluster is the processes of one scenario and the calls made to them.
+type cluster struct {
+	dir     string
+	network *network
+	relayed bool
+	callers *callers
+
+	mu     sync.Mutex
+	procs  map[string]*process
+	past   []*process // ended and replaced under the same name
+	frozen map[string]bool
+	closed []func()
+}
+
+func newCluster(dir string) *cluster {
+	return &cluster{dir: dir, network: newNetwork(), callers: newCallers(), procs: map[string]*process{}, frozen: map[string]bool{}}
+}
+
+// start runs the product under a name.
+func (c *cluster) start(id string, args ...string) (*process, error) {
+	c.mu.Lock()
+	old := c.procs[id]
+	c.mu.Unlock()
+	if old != nil && old.running() {
+		return nil, eris.Errorf("%s runs already", id)
+	}
+	p, err := startProcess(c.dir, id, args...)
+	if p == nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old != nil {
+		c.past = append(c.past, old)
+	}
+	c.procs[id] = p
+	delete(c.frozen, id)
+	return p, err
+}
+
+func (c *cluster) process(id string) (*process, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.procs[id]
+	if p == nil {
+		return nil, eris.Errorf("there is no process %s", id)
+	}
+	return p, nil
+}
+
+func (c *cluster) all() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := append([]*process(nil), c.past...)
+	for _, p := range c.procs {
+		all = append(all, p)
+	}
+	return all
+}
+
+// platformURL is where the named process reaches the platform.
+func (c *cluster) platformURL(id string) (string, error) {
+	p, err := c.process(platformID)
+	if err != nil {
+		return "", err
+	}
+	if !c.relayed {
+		return "http://" + p.addrs.Main, nil
+	}
+	proxy := newVMProxy(c.network, id, p.addrs.Main)
+	c.mu.Lock()
+	c.closed = append(c.closed, proxy.Close)
+	c.mu.Unlock()
+	addr, err := c.network.route(id, platformID, proxy.Listener.Addr().String())
+	return "http://" + addr, err
+}
+
+// close ends everything and returns what broke in a process, if anything.
+func (c *cluster) close() error {
+	c.callers.close()
+	var first error
+	for _, p := range c.all() {
+		p.kill()
+		if err := p.broken(); err != nil && first == nil {
+			first = err
+		}
+	}
+	c.network.close()
+	for _, f := range c.closed {
+		f()
+	}
+	return first
+}
--- /dev/null
+++ b/scenario/network_test.go
@@ -0,0 +1,69 @@
+package scenario
+
+import "sync"
+
+// pair is two processes in no particular order.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// link is the way from a process to an address of another.
+type link struct {
+	from, to, target string
+}
+
+// network holds the relays between processes, one a link, and a gate for each
+// pair of processes.
+type network struct {
+	mu     sync.Mutex
+	gates  map[pair]*gate
+	relays map[link]*relay
+}
+
+func newNetwork() *network {
+	return &network{gates: map[pair]*gate{}, relays: map[link]*relay{}}
+}
+
+func (n *network) gate(a, b string) *gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gateLocked(a, b)
+}
+
+func (n *network) gateLocked(a, b string) *gate {
+	g := n.gates[pairOf(a, b)]
+	if g == nil {
+		g = newGate()
+		n.gates[pairOf(a, b)] = g
+	}
+	return g
+}
+
+// route returns the address at which from reaches target, which belongs to.
+func (n *network) route(from, to, target string) (string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := link{from, to, target}
+	if r := n.relays[key]; r != nil {
+		return r.addr(), nil
+	}
+	r, err := newRelay(target, n.gateLocked(from, to))
+	if err != nil {
+		return "", err
+	}
+	n.relays[key] = r
+	return r.addr(), nil
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.relays {
+		r.close()
+	}
+}
--- /dev/null
+++ b/scenario/script_test.go
@@ -0,0 +1,69 @@
+package scenario
+
+import (
+	"flag"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// scripts is the folder of the scenarios to run; those of testdata/pending do
+// not pass yet.
+var scripts = flag.String("scripts", "testdata/script", "folder of the scenarios to run")
+
+type command func(*testscript.TestScript, *cluster, bool, []string)
+
+var commands = map[string]command{
+	"relays":      cmdRelays,
+	"platform":    cmdPlatform,
+	"engine":      cmdEngine,
+	"service":     cmdService,
+	"entry":       cmdEntry,
+	"sigkill":     cmdSigkill,
+	"sigterm":     cmdSigterm,
+	"freeze":      cmdFreeze,
+	"thaw":        cmdThaw,
+	"cut":         cmdCut,
+	"heal":        cmdHeal,
+	"fault":       cmdFault,
+	"admin":       cmdAdmin,
+	"call":        cmdCall,
+	"callservice": cmdCallService,
+	"join":        cmdJoin,
+	"await":       cmdAwait,
+	"expect":      cmdExpect,
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                *scripts,
+		Setup:              setup,
+		Cmds:               bind(commands),
+		RequireUniqueNames: true,
+	})
+}
+
+type clusterKey struct{}
+
+func setup(env *testscript.Env) error {
+	c := newCluster(filepath.Clean(env.WorkDir))
+	env.Values[clusterKey{}] = c
+	env.Defer(func() {
+		if err := c.close(); err != nil {
+			env.T().Log(err)
+			env.T().FailNow()
+		}
+	})
+	return writeExamples(env.WorkDir)
+}
+
+func bind(commands map[string]command) map[string]func(*testscript.TestScript, bool, []string) {
+	bound := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, run := range commands {
+		bound[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			run(ts, ts.Value(clusterKey{}).(*cluster), neg, args)
+		}
+	}
+	return bound
+}
--- /dev/null
+++ b/scenario/vmproxy_test.go
@@ -0,0 +1,69 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+
+	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
+)
+
+// newVMProxy stands between one process and the platform. It changes the VM
+// list so that the process reaches every other VM through a relay of its own,
+// which the scenario can cut for this pair alone.
+func newVMProxy(n *network, id, platform string) *httptest.Server {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: platform})
+	proxy.FlushInterval = -1
+	proxy.ModifyResponse = func(resp *http.Response) error {
+		request := resp.Request
+		if request.Method != http.MethodGet || request.URL.Path != wire.PathVMs || resp.StatusCode != http.StatusOK {
+			return nil
+		}
+		return rerouteList(n, id, resp)
+	}
+	// A platform that is gone breaks the connection off, as without the proxy.
+	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
+	return httptest.NewServer(proxy)
+}
+
+func rerouteList(n *network, id string, resp *http.Response) error {
+	var list wire.VMsResponse
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	for i := range list.VMs {
+		vm := &list.VMs[i]
+		if vm.ID == id {
+			continue
+		}
+		if err := reroute(n, id, vm.ID, &vm.Addr); err != nil {
+			return err
+		}
+		if err := reroute(n, id, vm.ID, &vm.Peer); err != nil {
+			return err
+		}
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(data))
+	resp.ContentLength = int64(len(data))
+	resp.Header.Set("Content-Length", strconv.Itoa(len(data)))
+	return nil
+}
+
+func reroute(n *network, from, to string, addr *string) error {
+	if *addr == "" {
+		return nil
+	}
+	relayed, err := n.route(from, to, *addr)
+	*addr = relayed
+	return err
+}
