Refuse every faulty configuration field by its path

Cause: encoding/json drops or refuses a misspelt field without its place, and of a field that stands twice, or in two spellings of case, only the last counts, so the configuration in force could differ from the one written. Ruled out: DisallowUnknownFields (no path, one fault at a time, blind to case and repetition).

--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -21,6 +21,21 @@
 	return strings.Join(lines, "\n")
 }
 
+// add notes a fault. Beyond a bound it says only that there are more, so that
+// a file of nothing but faults is not answered by one of its own size.
 func (f *Faults) add(field, reason string) {
-	*f = append(*f, Fault{Field: field, Reason: reason})
+	switch {
+	case len(*f) < maxFaults:
+		*f = append(*f, Fault{Field: field, Reason: reason})
+	case len(*f) == maxFaults:
+		*f = append(*f, Fault{Field: field, Reason: "is wrong too; further faults are not listed"})
+	}
+}
+
+// err is nil when there are no faults.
+func (f Faults) err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -1,204 +1,128 @@
 package config
 
 import (
-	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"strconv"
 )
 
 // Validate returns every fault of the document, or nil.
 func (d *Document) Validate() Faults {
-	v := &validator{doc: d, names: map[string]string{}, versions: map[string]bool{}, classes: map[string]bool{}, services: map[string]bool{}}
+	v := newValidator(d)
 	v.presets()
 	v.classNames()
 	v.models()
 	v.classModels()
-	v.serviceCalls()
+	v.services()
 	v.organisations()
+	v.size()
 	return v.faults
 }
 
+// validator gathers the faults and the names that references may use.
 type validator struct {
-	doc      *Document
-	faults   Faults
-	names    map[string]string // name of a class, model or version to its field
-	versions map[string]bool
-	classes  map[string]bool
-	services map[string]bool
+	doc    *Document
+	faults Faults
+	// names are those a caller may ask for: of classes, models and versions,
+	// each with the field that has it.
+	names        map[string]string
+	versionNames map[string]bool
+	classes      map[string]bool
+	serviceNames map[string]bool
 }
 
-func (v *validator) claim(field, name string) {
-	if name == "" {
-		v.faults.add(field, "must not be empty")
-		return
+func newValidator(d *Document) *validator {
+	return &validator{
+		doc:          d,
+		names:        map[string]string{},
+		versionNames: map[string]bool{},
+		classes:      map[string]bool{},
+		serviceNames: map[string]bool{},
 	}
-	if other, taken := v.names[name]; taken {
+}
+
+// claim takes a name that callers may ask for.
+func (v *validator) claim(field, name string) {
+	v.name(field, name)
+	if other, taken := v.names[name]; taken && name != "" {
 		v.faults.add(field, fmt.Sprintf("%q is already used by %s", name, other))
 		return
 	}
 	v.names[name] = field
 }
 
-func (v *validator) unit(field string, x float64) {
-	if !(x >= 0 && x <= 1) {
-		v.faults.add(field, fmt.Sprintf("%v is not between 0 and 1", x))
-	}
-}
-
-func (v *validator) presets() {
-	seen := map[string]bool{}
-	for i, p := range v.doc.Presets {
-		field := fmt.Sprintf("presets[%d].name", i)
-		if p.Name == "" {
-			v.faults.add(field, "must not be empty")
-		}
-		if seen[p.Name] {
-			v.faults.add(field, fmt.Sprintf("%q stands twice", p.Name))
-		}
-		seen[p.Name] = true
-	}
-	if !seen[v.doc.Preset] {
-		v.faults.add("preset", fmt.Sprintf("%q is not one of the presets", v.doc.Preset))
-	}
-}
-
-func (v *validator) classNames() {
-	for i, c := range v.doc.Classes {
-		field := fmt.Sprintf("classes[%d]", i)
-		v.claim(field+".name", c.Name)
-		v.classes[c.Name] = true
-		switch c.Kind {
-		case Immediate, Heavy, Deferrable:
-		default:
-			v.faults.add(field+".kind", fmt.Sprintf("%q is not immediate, heavy or deferrable", c.Kind))
-		}
-		if c.DeadlineMillis <= 0 {
-			v.faults.add(field+".deadline_ms", "must be above 0")
-		}
+// name checks the form. Names stand in keys of the platform's table, in paths
+// and in metric labels, so a slash, a space or a quote would cross into a
+// neighbour's place there.
+func (v *validator) name(field, name string) {
+	switch {
+	case name == "":
+		v.faults.add(field, "must not be empty")
+	case len(name) > MaxName:
+		v.faults.add(field, fmt.Sprintf("must not be longer than %d bytes", MaxName))
+	case !plainName(name):
+		v.faults.add(field, fmt.Sprintf("%q may only have letters, digits and . _ - @ + :", name))
 	}
 }
 
-func (v *validator) models() {
-	for i, m := range v.doc.Models {
-		field := fmt.Sprintf("models[%d]", i)
-		v.claim(field+".name", m.Name)
-		if len(m.Versions) == 0 {
-			v.faults.add(field+".versions", "must not be empty")
-		}
-		for j, version := range m.Versions {
-			v.version(fmt.Sprintf("%s.versions[%d]", field, j), version)
+func plainName(name string) bool {
+	for i := range len(name) {
+		if !plainByte(name[i]) {
+			return false
 		}
 	}
+	return true
 }
 
-func (v *validator) version(field string, version Version) {
-	v.claim(field+".name", version.Name)
-	v.versions[version.Name] = true
-	switch version.State {
-	case Serving, Staged, Withdrawn:
+func plainByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	case c == '.', c == '_', c == '-', c == '@', c == '+', c == ':':
+		return true
 	default:
-		v.faults.add(field+".state", fmt.Sprintf("%q is not serving, staged or withdrawn", version.State))
-	}
-	if version.InputCost < 0 {
-		v.faults.add(field+".input_cost", "must not be below 0")
+		return false
 	}
-	if version.OutputCost < 0 {
-		v.faults.add(field+".output_cost", "must not be below 0")
-	}
-	if version.ExposureCap < 0 {
-		v.faults.add(field+".exposure_cap", "must not be below 0")
-	}
-	v.unit(field+".prior_quality", version.PriorQuality)
-	v.unit(field+".share", version.Share)
 }
 
-func (v *validator) classModels() {
-	models := map[string]bool{}
-	for _, m := range v.doc.Models {
-		models[m.Name] = true
-	}
-	for i, c := range v.doc.Classes {
-		if c.Model != "" && !models[c.Model] {
-			v.faults.add(fmt.Sprintf("classes[%d].model", i), fmt.Sprintf("there is no model %q", c.Model))
-		}
+// once says that a name stands a second time within its list.
+func (v *validator) once(field, name string, seen map[string]bool) {
+	if seen[name] && name != "" {
+		v.faults.add(field, fmt.Sprintf("%q stands twice", name))
 	}
+	seen[name] = true
 }
 
-func (v *validator) serviceCalls() {
-	for i, s := range v.doc.Services {
-		field := fmt.Sprintf("services[%d]", i)
-		if s.Name == "" || v.services[s.Name] {
-			v.faults.add(field+".name", fmt.Sprintf("%q is empty or stands twice", s.Name))
-		}
-		v.services[s.Name] = true
-		for j, c := range s.Calls {
-			v.call(fmt.Sprintf("%s.calls[%d]", field, j), c)
-		}
+// known says that a reference leads nowhere.
+func (v *validator) known(field, what, name string, names map[string]bool) {
+	if !names[name] {
+		v.faults.add(field, fmt.Sprintf("there is no %s %q", what, shorten(name)))
 	}
 }
 
-func (v *validator) call(field string, c Call) {
-	if c.Method == "" {
-		v.faults.add(field+".method", "must not be empty")
-	}
-	if len(c.Path) == 0 || c.Path[0] != '/' {
-		v.faults.add(field+".path", "must begin with /")
-	}
-	if !v.classes[c.Class] {
-		v.faults.add(field+".class", fmt.Sprintf("there is no class %q", c.Class))
-	}
-	if c.Cost < 0 {
-		v.faults.add(field+".cost", "must not be below 0")
+func (v *validator) atMost(field string, n, most int) {
+	if n > most {
+		v.faults.add(field, fmt.Sprintf("has %d entries; accepted are at most %d", n, most))
 	}
 }
 
-func (v *validator) organisations() {
-	names := map[string]bool{}
-	keys := map[string]bool{}
-	for i, o := range v.doc.Organisations {
-		field := fmt.Sprintf("organisations[%d]", i)
-		if o.Name == "" || names[o.Name] {
-			v.faults.add(field+".name", fmt.Sprintf("%q is empty or stands twice", o.Name))
-		}
-		names[o.Name] = true
-		v.organisation(field, o, keys)
+// unit refuses NaN too.
+func (v *validator) unit(field string, x float64) {
+	if !(x >= 0 && x <= 1) {
+		v.faults.add(field, fmt.Sprintf("%v is not between 0 and 1", x))
 	}
 }
 
-func (v *validator) organisation(field string, o Organisation, keys map[string]bool) {
-	if !(o.Weight > 0) {
-		v.faults.add(field+".weight", "must be above 0")
-	}
-	if !(o.RatePerSecond >= 0) {
-		v.faults.add(field+".rate_per_second", "must not be below 0")
-	}
-	for i, key := range o.KeyHashes {
-		v.keyHash(fmt.Sprintf("%s.key_hashes[%d]", field, i), key, keys)
-	}
-	for i, name := range o.Versions {
-		if !v.versions[name] {
-			v.faults.add(fmt.Sprintf("%s.versions[%d]", field, i), fmt.Sprintf("there is no version %q", name))
-		}
-	}
-	for i, name := range o.Services {
-		if !v.services[name] {
-			v.faults.add(fmt.Sprintf("%s.services[%d]", field, i), fmt.Sprintf("there is no service %q", name))
-		}
-	}
-	for i, t := range o.Targets {
-		if !v.classes[t.Class] {
-			v.faults.add(fmt.Sprintf("%s.targets[%d].class", field, i), fmt.Sprintf("there is no class %q", t.Class))
-		}
-		v.unit(fmt.Sprintf("%s.targets[%d].quality", field, i), t.Quality)
+func (v *validator) between(field string, x, least, most int64) {
+	if x < least || x > most {
+		v.faults.add(field, fmt.Sprintf("%d is not between %d and %d", x, least, most))
 	}
 }
 
-func (v *validator) keyHash(field, key string, keys map[string]bool) {
-	raw, err := hex.DecodeString(key)
-	if err != nil || len(raw) != KeyHashBytes {
-		v.faults.add(field, "is not a SHA-256 sum in hexadecimal")
-	}
-	if keys[key] {
-		v.faults.add(field, "stands twice")
+// size checks the stored form; numbers that have none are faults already.
+func (v *validator) size() {
+	data, err := json.Marshal(v.doc)
+	if err == nil && len(data) > MaxDocumentBytes {
+		v.faults.add("document", "is "+strconv.Itoa(len(data))+" bytes long; accepted are at most "+strconv.Itoa(MaxDocumentBytes))
 	}
-	keys[key] = true
 }
--- /dev/null
+++ b/internal/config/warnings.go
@@ -0,0 +1,67 @@
+package config
+
+import "fmt"
+
+// Warnings returns what is accepted in a valid document but is likely not
+// meant, in the order of the document.
+func (d *Document) Warnings() []Fault {
+	var found Faults
+	d.warnModels(&found)
+	d.warnOrganisations(&found)
+	return found
+}
+
+func (d *Document) warnModels(found *Faults) {
+	for i, m := range d.Models {
+		serving := 0
+		for j, v := range m.Versions {
+			if v.State == Serving {
+				serving++
+			}
+			if v.State == Staged && v.Share == 0 {
+				found.add(fmt.Sprintf("models[%d].versions[%d].share", i, j), fmt.Sprintf("%s is staged and gets no requests", v.Name))
+			}
+		}
+		if serving == 0 {
+			found.add(fmt.Sprintf("models[%d].versions", i), fmt.Sprintf("model %s has no serving version: its requests are refused or run on staged versions only", m.Name))
+		}
+	}
+}
+
+func (d *Document) warnOrganisations(found *Faults) {
+	usable := d.usableVersions()
+	for i, o := range d.Organisations {
+		field := fmt.Sprintf("organisations[%d]", i)
+		if len(o.KeyHashes) == 0 {
+			found.add(field+".key_hashes", fmt.Sprintf("%s has no key: nobody can call for it", o.Name))
+		}
+		for j, t := range o.Targets {
+			d.warnTarget(found, fmt.Sprintf("%s.targets[%d].quality", field, j), o, t, usable)
+		}
+	}
+}
+
+// warnTarget warns of a target that no allowed version is believed to meet.
+func (d *Document) warnTarget(found *Faults, field string, o Organisation, t Target, usable map[string]Version) {
+	best := 0.0
+	for _, name := range o.Versions {
+		if v, ok := usable[name]; ok {
+			best = max(best, v.PriorQuality)
+		}
+	}
+	if t.Quality > best {
+		found.add(field, fmt.Sprintf("%v is above the prior quality of every version that %s may use (%v at best)", t.Quality, o.Name, best))
+	}
+}
+
+func (d *Document) usableVersions() map[string]Version {
+	usable := map[string]Version{}
+	for _, m := range d.Models {
+		for _, v := range m.Versions {
+			if v.State != Withdrawn {
+				usable[v.Name] = v
+			}
+		}
+	}
+	return usable
+}
