--- a/internal/choice/chooser.go
+++ b/internal/choice/chooser.go
@@ -21,11 +21,12 @@
 // Observe takes in a rating.
 func (c *Chooser) Observe(o Observation) {}
 
-// ObserveAnswer takes in that an attempt was answered, and how long it took.
-func (c *Chooser) ObserveAnswer(version, class string, took time.Duration, now time.Time) {}
+// ObserveAnswer takes in that an attempt was answered.
+func (c *Chooser) ObserveAnswer(a Answer) {}
 
-// ObserveError takes in that an attempt failed in a way that may be the
-// version's fault: not a refusal, a cancel or a lost connection.
+// ObserveError takes in that an engine said that the version failed: not a
+// refusal, a cancel, a lost connection or a crash, which are the upstream's
+// and would come from all of its requests at once.
 func (c *Chooser) ObserveError(version, class string, now time.Time) {}
 
 // ObserveRatingFailure takes in that the rating service did not answer.
--- a/internal/choice/observation.go
+++ b/internal/choice/observation.go
@@ -19,5 +19,7 @@
 	// answer to the same request fell short. Such requests are harder than
 	// others, so they tell nothing of the version's quality on all requests.
 	AfterShort bool
-	Now        time.Time
+	// Took is how long the rating service took; 0 is unknown.
+	Took time.Duration
+	Now  time.Time
 }
