--- /dev/null
+++ b/internal/balance/place.go
@@ -0,0 +1,30 @@
+package balance
+
+import (
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// Place is a node's rank among the entry nodes of its failure domain. It
+// spreads the subsets evenly: with it each upstream is known by about equally
+// many nodes.
+type Place struct {
+	Index int
+	Count int
+}
+
+// PlaceOf finds the place of the node self in a list of VMs. A node that is
+// not listed yet takes the place that its ID would have.
+func PlaceOf(vms []platform.VM, self, domain string) Place {
+	p := Place{Count: 1}
+	for i := range vms {
+		v := &vms[i]
+		if v.Role != platform.RoleEntry || v.FailureDomain != domain || v.ID == self {
+			continue
+		}
+		p.Count++
+		if v.ID < self {
+			p.Index++
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/event/load.go
@@ -0,0 +1,20 @@
+package event
+
+import "log/slog"
+
+// Events 1600 to 1699: upstream choice, admission and suspects.
+var (
+	BreakerOpened     = define(1600, slog.LevelWarn, "upstream's breaker opened")
+	BreakerClosed     = define(1601, slog.LevelInfo, "upstream's breaker closed")
+	UpstreamEjected   = define(1602, slog.LevelWarn, "upstream is slow and gets little work")
+	UpstreamReturned  = define(1603, slog.LevelInfo, "upstream is no longer slow")
+	PoolShort         = define(1604, slog.LevelWarn, "no upstream can take the request")
+	AdmissionRefused  = define(1610, slog.LevelInfo, "request refused by admission")
+	RateRefused       = define(1611, slog.LevelInfo, "request refused by its organisation's rate limit")
+	RetryBudgetSpent  = define(1612, slog.LevelWarn, "no retry: the budget is spent")
+	UpstreamCrashed   = define(1620, slog.LevelWarn, "upstream crashed and its requests are suspects")
+	SuspectRunsAlone  = define(1621, slog.LevelInfo, "suspect runs alone")
+	SuspectRefused    = define(1622, slog.LevelWarn, "suspect refused")
+	SuspectConvicted  = define(1623, slog.LevelError, "request convicted of crashing upstreams")
+	SuspectClearedRun = define(1624, slog.LevelInfo, "suspect cleared")
+)
