Make the stand-in engine whole: batching, cache, resume, orders and faults

Cause: decisions need an engine whose queue, cache and faults behave like one. The server is now a shell around the core, with one driver goroutine; generations go on without a reader for a grace time and can be resumed. The fault port has slow, down, freeze, crash on a marked request, bad versions, cut and crossed streams, load lag and leaving, and lists every run. The port stays reserved while the stand-in is down, by a bound socket that never listens; ruled out: listening anew, which can lose the number. A frozen engine runs late requests after the thaw, as a paused process does. An engine that ignores fencing numbers reports none; a crash forgets them.

--- /dev/null
+++ b/internal/standin/engine/fault_test.go
@@ -0,0 +1,149 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/standin/engine"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// One request crashes the engine that runs it: every stream breaks, the port
+// refuses, and the engine comes back with nothing but what it started with.
+func TestMarkedRequestCrashes(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	r := newRig(t, engine.Settings{TokenGap: never, TokensPerAnswer: 1_000_000, BatchLimit: 4, HonourFence: true})
+	is.NoErr(r.client.Order(ctx, r.server.Addr(), order(9, upstream.LoadVersion, "v2")))
+	r.faults(t, func(f *engine.Faults) {
+		f.CrashMarker = "poison"
+		f.RestartMillis = never.Milliseconds()
+		f.SlowFactor = 1e-6 // steps short enough for the marked request to join
+	})
+	innocent := r.start(t, attempt("a", "v2", "x"))
+	marked, err := r.client.Start(ctx, r.server.Addr(), attempt("b", "v1", "some poison"))
+	if err == nil {
+		_, err = readAll(marked)
+	}
+	is.Equal(reachOf(t, err), upstream.MaybeRun)
+	_, err = readAll(innocent)
+	is.Equal(reachOf(t, err), upstream.MaybeRun)
+	counts := r.server.Counts()
+	is.Equal(counts.Crashes, 1)
+	is.Equal(counts.Started, 2)
+	is.Equal(counts.Lost, 2)
+	_, err = r.client.Start(ctx, r.server.Addr(), attempt("c", "v1", "x"))
+	is.Equal(reachOf(t, err), upstream.NotSent)
+	r.faults(t, func(f *engine.Faults) { f.RestartMillis = 0 })
+	var st upstream.EngineState
+	waitFor(t, "the engine is back", func() bool {
+		st, err = r.client.State(ctx, r.server.Addr())
+		return err == nil
+	})
+	is.Equal(st.Versions, []string{"v1"})
+	is.Equal(st.Fence, uint64(0))
+	_, err = r.client.Resume(ctx, r.server.Addr(), "a", 0)
+	is.True(errors.Is(err, upstream.ErrUnknownStream))
+}
+
+// A caller gives up on a frozen engine; the engine runs the request after the
+// thaw all the same.
+func TestFrozenEngineRunsLate(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine.Settings{})
+	r.faults(t, func(f *engine.Faults) { f.Frozen = true })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := r.client.Start(ctx, r.server.Addr(), attempt("a", "v1", "x"))
+	is.Equal(reachOf(t, err), upstream.MaybeRun)
+	is.Equal(r.server.Counts().Started, 0)
+	r.faults(t, func(f *engine.Faults) { f.Frozen = false })
+	waitFor(t, "the run is done", func() bool { return r.server.Counts().Completed == 1 })
+}
+
+// An engine that cannot be reached goes on with what it runs.
+func TestDownEngineGoesOn(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	r := newRig(t, engine.Settings{TokensPerAnswer: 3})
+	r.faults(t, func(f *engine.Faults) { f.SlowFactor = 10_000 })
+	st := r.start(t, attempt("a", "v1", "x"))
+	r.faults(t, func(f *engine.Faults) { f.Down = true })
+	_, err := readAll(st)
+	is.Equal(reachOf(t, err), upstream.MaybeRun)
+	_, err = r.client.Start(ctx, r.server.Addr(), attempt("b", "v1", "x"))
+	is.Equal(reachOf(t, err), upstream.NotSent)
+	r.faults(t, func(f *engine.Faults) { f.Down, f.SlowFactor = false, 1 })
+	st, err = r.client.Resume(ctx, r.server.Addr(), "a", 0)
+	is.NoErr(err)
+	pieces, err := readAll(st)
+	is.NoErr(err)
+	is.Equal(len(pieces), 3)
+}
+
+// Closing an engine that streams: the stream ends whole.
+func TestCloseFinishesStreams(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine.Settings{TokensPerAnswer: 50, TokenGap: time.Millisecond})
+	st := r.start(t, attempt("a", "v1", "x"))
+	_, err := st.Next()
+	is.NoErr(err)
+	closed := make(chan error)
+	go func() { closed <- r.server.Close(context.Background()) }()
+	pieces, err := readAll(st)
+	is.NoErr(err)
+	is.Equal(len(pieces), 49)
+	is.NoErr(<-closed)
+}
+
+func TestFaultPort(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine.Settings{LoadLag: 250 * time.Millisecond})
+	status, _ := r.post(t, "/faults", `{"crash_marker":"poison","bad_versions":[{"version":"v1","error_rate":1}]}`)
+	is.Equal(status, http.StatusOK)
+	status, _ = r.post(t, "/faults", `{"cut_streams":2}`)
+	is.Equal(status, http.StatusOK)
+	f := r.server.Faults()
+	is.Equal(f.CrashMarker, "poison") // what a change does not name stays
+	is.Equal(f.CutStreams, 2)
+	is.Equal(f.LoadLagMillis, int64(250))
+	is.Equal(len(f.BadVersions), 1)
+	for _, bad := range []string{`{`, `{"unknown":1}`, `{"slow_factor":0}`, `{"cut_after":-1}`, `{"bad_versions":[{"version":""}]}`} {
+		status, _ = r.post(t, "/faults", bad)
+		is.Equal(status, http.StatusBadRequest)
+	}
+	is.Equal(r.server.Faults().CutStreams, 2)
+	r.faults(t, func(f *engine.Faults) { f.BadVersions, f.CutStreams = nil, 0 })
+	_, err := readAll(r.start(t, attempt("a", "v1", "x")))
+	is.NoErr(err)
+	var page engine.RunPage
+	_, body := r.get(t, "/runs?after=0")
+	is.NoErr(json.Unmarshal([]byte(body), &page))
+	is.Equal(page.Total, 1)
+	is.Equal(page.Runs[0], engine.Run{Attempt: "a", Version: "v1", Digest: engine.Digest("x"), State: engine.RunCompleted})
+	_, body = r.get(t, "/counts")
+	var counts engine.Counts
+	is.NoErr(json.Unmarshal([]byte(body), &counts))
+	is.Equal(counts.Completed, 1)
+}
+
+// The engine does not hide it when a router sends an attempt twice.
+func TestAttemptSentTwiceRunsTwice(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine.Settings{})
+	for range 2 {
+		_, err := readAll(r.start(t, attempt("a", "v1", "x")))
+		is.NoErr(err)
+	}
+	is.Equal(r.server.Counts().Started, 2)
+	st, err := r.client.Resume(context.Background(), r.server.Addr(), "a", 0)
+	is.NoErr(err)
+	_, err = readAll(st)
+	is.NoErr(err)
+}
--- /dev/null
+++ b/internal/standin/engine/faultport.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
+)
+
+func (s *Server) faultRoutes() http.Handler {
+	r := httprouter.New()
+	r.GET("/faults", s.getFaults)
+	r.POST("/faults", s.postFaults)
+	r.GET("/runs", s.getRuns)
+	r.GET("/counts", s.getCounts)
+	return r
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	host.WriteJSON(w, s.Faults())
+}
+
+// postFaults changes the faults that the body names; the others stay.
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, err := host.ReadBody(w, r)
+	if err == nil {
+		err = s.ChangeFaults(func(f *Faults) error { return f.merge(body) })
+	}
+	if err != nil {
+		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	host.WriteJSON(w, s.Faults())
+}
+
+func (s *Server) getRuns(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	after, err := number(r.URL.Query().Get("after"), strconv.Atoi)
+	if err != nil {
+		http.Error(w, "after is no run number", http.StatusBadRequest)
+		return
+	}
+	host.WriteJSON(w, s.Runs(after))
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	host.WriteJSON(w, s.Counts())
+}
+
+// Faults returns the present faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	f.BadVersions = append([]BadVersion{}, f.BadVersions...)
+	return f
+}
+
+// ChangeFaults lets change edit the faults, and puts the result into effect
+// unless change or the check of the result fails.
+func (s *Server) ChangeFaults(change func(*Faults) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	f.BadVersions = append([]BadVersion{}, f.BadVersions...)
+	if err := change(&f); err != nil {
+		return err
+	}
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	s.catchUp()
+	s.putFaults(f)
+	event.StandinFaults.Log(s.log, slog.String("id", s.settings.ID), slog.Any("faults", f))
+	return nil
+}
+
+func (s *Server) putFaults(f Faults) {
+	if f.SlowFactor != s.faults.SlowFactor {
+		s.engine.SetSlow(f.SlowFactor)
+	}
+	if f.LoadLagMillis != s.faults.LoadLagMillis {
+		s.engine.SetLoadLag(s.clock.now(), time.Duration(f.LoadLagMillis)*time.Millisecond)
+	}
+	if !s.restartAt.IsZero() && f.RestartMillis != s.faults.RestartMillis {
+		s.restartAt = restartTime(f)
+	}
+	s.setFrozen(f.Frozen)
+	s.faults = f
+	s.openPort()
+	s.nudge()
+}
+
+func (s *Server) setFrozen(frozen bool) {
+	if frozen == s.clock.frozen {
+		return
+	}
+	if frozen {
+		s.clock.freeze()
+		s.host.Freeze()
+		return
+	}
+	s.clock.thaw()
+	s.host.Thaw()
+}
+
+// Runs returns the runs from number after on.
+func (s *Server) Runs(after int) RunPage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs.page(after)
+}
+
+// Counts returns what the engine has done so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs.counts
+}
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -1,68 +1,159 @@
 package engine
 
 import (
+	"strconv"
 	"sync"
+	"time"
 
+	"github.com/hickorybank/hickorybank/internal/standin/engine/model"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
-// generation keeps the pieces of one attempt, so that any number of readers
-// can follow it from any piece on.
+// genState is where a generation stands.
+type genState uint8
+
+const (
+	genRunning genState = iota
+	genDone
+	genCancelled
+	// genFailed: the version went bad in the middle of the answer.
+	genFailed
+	// genLost: the engine crashed.
+	genLost
+)
+
+// generation is one attempt. Its pieces follow from its fields, so that it
+// keeps only how many there are.
 type generation struct {
+	id      uint64
 	attempt string
+	key     string
 	version string
 	digest  string
+	tokens  int
+	input   int
+	// cutShort says that the request asked for fewer tokens than the answer has.
+	cutShort bool
+	// crashes says that running it crashes the engine.
+	crashes bool
+	// failAt is the piece after which the version fails; 0 is never.
+	failAt int
+	ticket model.Ticket
+	// run is the number of its run, or none before it has started.
+	run int
 
-	mu     sync.Mutex
-	pieces []upstream.Chunk
-	ended  bool
-	failed bool
-	// more is closed and replaced when pieces or ended change.
-	more chan struct{}
+	mu       sync.Mutex
+	produced int
+	cached   bool
+	state    genState
+	readers  []chan struct{}
+	// idleSince is when the last reader left or the generation ended.
+	idleSince time.Duration
 }
 
-func newGeneration(attempt, version, digest string) *generation {
-	return &generation{attempt: attempt, version: version, digest: digest, more: make(chan struct{})}
-}
+// none is the run number of a generation that has not started.
+const none = -1
 
-// add appends the next piece.
-func (g *generation) add(c upstream.Chunk) {
+// produce says that so many pieces exist by now.
+func (g *generation) produce(count int, cached bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
-		return
-	}
-	c.Attempt = g.attempt
-	c.Seq = len(g.pieces) + 1
-	g.pieces = append(g.pieces, c)
-	g.ended = c.Done
+	g.produced = count
+	g.cached = cached
 	g.wake()
 }
 
-// fail ends the generation without a last piece.
-func (g *generation) fail() {
+// end ends the generation, unless it has ended before.
+func (g *generation) end(now time.Duration, state genState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
-		return
+	if g.state != genRunning {
+		return false
 	}
-	g.ended = true
-	g.failed = true
+	g.state = state
+	g.idleSince = now
 	g.wake()
+	return true
 }
 
 func (g *generation) wake() {
-	close(g.more)
-	g.more = make(chan struct{})
+	for _, r := range g.readers {
+		select {
+		case r <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// follow returns a channel that has a token when there may be more to read.
+func (g *generation) follow() chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := make(chan struct{}, 1)
+	g.readers = append(g.readers, r)
+	return r
+}
+
+func (g *generation) unfollow(now time.Duration, r chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, other := range g.readers {
+		if other == r {
+			g.readers = append(g.readers[:i], g.readers[i+1:]...)
+			break
+		}
+	}
+	g.idleSince = max(g.idleSince, now)
+}
+
+// view returns how many pieces there are and where the generation stands. The
+// last piece counts only once the generation is done.
+func (g *generation) view() (produced int, state genState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	produced = g.produced
+	if g.state != genDone {
+		produced = min(produced, g.tokens-1)
+	}
+	return produced, g.state
+}
+
+// unread reports for how long nobody has read, and whether it still runs.
+func (g *generation) unread(now time.Duration) (idle time.Duration, running bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.readers) > 0 {
+		return 0, g.state == genRunning
+	}
+	return now - g.idleSince, g.state == genRunning
+}
+
+// piece returns the piece with this number, counted from 1.
+func (g *generation) piece(seq int) upstream.Chunk {
+	c := upstream.Chunk{Attempt: g.attempt, Seq: seq}
+	if seq == 1 {
+		c.Text = FirstText(g.version, g.digest, g.attempt)
+	} else {
+		c.Text = "t" + strconv.Itoa(seq) + " "
+	}
+	if seq < g.tokens {
+		return c
+	}
+	c.Done = true
+	c.FinishReason = "stop"
+	if g.cutShort {
+		c.FinishReason = "length"
+	}
+	c.Usage = g.usage()
+	return c
 }
 
-// after returns the pieces that follow seq, whether the generation has ended,
-// and a channel that closes when there is more to see.
-func (g *generation) after(seq int) (pieces []upstream.Chunk, ended bool, more <-chan struct{}) {
+func (g *generation) usage() upstream.Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if seq < len(g.pieces) {
-		pieces = g.pieces[seq:len(g.pieces):len(g.pieces)]
+	u := upstream.Usage{InputTokens: g.input, OutputTokens: g.tokens}
+	if g.cached {
+		u.CachedTokens = g.input - g.input/model.CachedPrefillDivisor
 	}
-	return pieces, g.ended, g.more
+	return u
 }
--- /dev/null
+++ b/internal/standin/engine/host/freezer.go
@@ -0,0 +1,42 @@
+package host
+
+import "sync"
+
+// freezer holds up every request while the process is frozen. A request that
+// came meanwhile runs after the thaw, also when its caller has gone: that is
+// what a paused process does when it wakes.
+type freezer struct {
+	mu sync.Mutex
+	// thawed is open while the process is frozen, and nil otherwise.
+	thawed chan struct{}
+}
+
+func (f *freezer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.thawed == nil {
+		f.thawed = make(chan struct{})
+	}
+}
+
+func (f *freezer) thaw() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.thawed != nil {
+		close(f.thawed)
+		f.thawed = nil
+	}
+}
+
+// wait returns once the process is not frozen.
+func (f *freezer) wait() {
+	for {
+		f.mu.Lock()
+		thawed := f.thawed
+		f.mu.Unlock()
+		if thawed == nil {
+			return
+		}
+		<-thawed
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/order_test.go
@@ -0,0 +1,95 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/standin/engine"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+func order(fence uint64, action upstream.OrderAction, version string) upstream.Order {
+	return upstream.Order{Fence: fence, Action: action, Version: version}
+}
+
+// A version that was rolled out disappears: a roll-out driver that was paused
+// past its lease wakes and sends its old order. An engine that honours fencing
+// numbers refuses it; one that ignores them does it.
+func TestLateOrder(t *testing.T) {
+	for _, honour := range []bool{true, false} {
+		is := is.New(t)
+		ctx := context.Background()
+		r := newRig(t, engine.Settings{HonourFence: honour})
+		is.NoErr(r.client.Order(ctx, r.server.Addr(), order(7, upstream.LoadVersion, "v2")))
+		err := r.client.Order(ctx, r.server.Addr(), order(6, upstream.UnloadVersion, "v2"))
+		is.Equal(errors.Is(err, upstream.ErrStaleFence), honour)
+		st, err := r.client.State(ctx, r.server.Addr())
+		is.NoErr(err)
+		if honour {
+			is.Equal(st.Versions, []string{"v1", "v2"})
+			is.Equal(st.Fence, uint64(7))
+		} else {
+			is.Equal(st.Versions, []string{"v1"})
+			is.Equal(st.Fence, uint64(0))
+		}
+	}
+}
+
+// A version is unloaded under traffic: what runs is finished, new work is
+// declined.
+func TestUnloadedVersionFinishesItsWork(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	r := newRig(t, engine.Settings{TokensPerAnswer: 3})
+	r.faults(t, func(f *engine.Faults) { f.SlowFactor = 10_000 })
+	st := r.start(t, attempt("a", "v1", "x"))
+	is.NoErr(r.client.Order(ctx, r.server.Addr(), order(1, upstream.UnloadVersion, "v1")))
+	_, err := r.client.Start(ctx, r.server.Addr(), attempt("b", "v1", "x"))
+	is.True(errors.Is(err, upstream.ErrUnknownVersion))
+	r.faults(t, func(f *engine.Faults) { f.SlowFactor = 1 })
+	pieces, err := readAll(st)
+	is.NoErr(err)
+	is.Equal(len(pieces), 3)
+}
+
+// A load takes as long as the weight store needs; until then the engine says
+// that it is loading and declines the version.
+func TestLoadIsPacedByTheWeightStore(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	release := make(chan struct{})
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/weights/broken" {
+			http.Error(w, "no such weights", http.StatusServiceUnavailable)
+			return
+		}
+		<-release
+	}))
+	defer store.Close()
+	r := newRig(t, engine.Settings{WeightsURL: store.URL})
+	is.NoErr(r.client.Order(ctx, r.server.Addr(), order(1, upstream.LoadVersion, "v2")))
+	st, err := r.client.State(ctx, r.server.Addr())
+	is.NoErr(err)
+	is.Equal(st.Loading, []string{"v2"})
+	_, err = r.client.Start(ctx, r.server.Addr(), attempt("a", "v2", "x"))
+	is.Equal(reachOf(t, err), upstream.Declined)
+	close(release)
+	waitFor(t, "the version is loaded", func() bool {
+		st, err = r.client.State(ctx, r.server.Addr())
+		is.NoErr(err)
+		return len(st.Versions) == 2
+	})
+	is.Equal(len(st.Loading), 0)
+	is.NoErr(r.client.Order(ctx, r.server.Addr(), order(1, upstream.LoadVersion, "broken")))
+	waitFor(t, "the load is given up", func() bool {
+		st, err = r.client.State(ctx, r.server.Addr())
+		is.NoErr(err)
+		return len(st.Loading) == 0
+	})
+	is.Equal(len(st.Versions), 2)
+}
--- a/internal/standin/engine/prompt.go
+++ b/internal/standin/engine/prompt.go
@@ -41,6 +41,18 @@
 	return fmt.Sprintf("[%s %s %s] ", version, digest, attempt)
 }
 
+// charsPerToken is the usual rule of thumb for English text.
+const charsPerToken = 4
+
+// inputTokens estimates the length of the prompt.
+func (r chatRequest) inputTokens() int {
+	n := 0
+	for _, m := range r.Messages {
+		n += len(m.Content)
+	}
+	return n/charsPerToken + 1
+}
+
 func parseChat(body []byte) (chatRequest, error) {
 	var req chatRequest
 	if err := json.Unmarshal(body, &req); err != nil {
--- /dev/null
+++ b/internal/standin/engine/rig_test.go
@@ -0,0 +1,148 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/standin/engine"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+	"github.com/hickorybank/hickorybank/internal/upstream/client"
+)
+
+// ample is longer than anything a test waits for.
+const ample = 30 * time.Second
+
+// never is a time that no test lives to see.
+const never = time.Hour
+
+// rig is one engine with a client.
+type rig struct {
+	server *engine.Server
+	client *client.Engines
+}
+
+func newRig(t testing.TB, s engine.Settings) *rig {
+	t.Helper()
+	s.ID = "u1"
+	s.Listen = "127.0.0.1:0"
+	s.FaultListen = "127.0.0.1:0"
+	if s.Versions == nil {
+		s.Versions = []string{"v1"}
+	}
+	s.BatchLimit = max(s.BatchLimit, 1)
+	s.TokensPerAnswer = max(s.TokensPerAnswer, 1)
+	server, err := engine.New(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{server: server, client: client.NewEngines(client.Options{})}
+	t.Cleanup(r.close)
+	return r
+}
+
+// close cuts whatever still runs.
+func (r *rig) close() {
+	cut, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = r.server.Close(cut)
+	r.client.Close()
+}
+
+func attempt(id, version, prompt string) upstream.Attempt {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, version, prompt)
+	return upstream.Attempt{ID: id, Version: version, Body: []byte(body)}
+}
+
+func (r *rig) start(t testing.TB, a upstream.Attempt) upstream.Stream {
+	t.Helper()
+	st, err := r.client.Start(context.Background(), r.server.Addr(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = st.Close() })
+	return st
+}
+
+// readAll returns the pieces until the last one or an error, and closes.
+func readAll(st upstream.Stream) ([]upstream.Chunk, error) {
+	defer func() { _ = st.Close() }()
+	var pieces []upstream.Chunk
+	for {
+		c, err := st.Next()
+		if err == io.EOF {
+			return pieces, nil
+		}
+		if err != nil {
+			return pieces, err
+		}
+		pieces = append(pieces, c)
+	}
+}
+
+func (r *rig) faults(t testing.TB, change func(*engine.Faults)) {
+	t.Helper()
+	err := r.server.ChangeFaults(func(f *engine.Faults) error {
+		change(f)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitFor waits until the condition holds.
+func waitFor(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(ample); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("in vain: " + what)
+}
+
+func reachOf(t testing.TB, err error) upstream.Reach {
+	t.Helper()
+	var e *upstream.Error
+	if !errors.As(err, &e) {
+		t.Fatalf("error is no *upstream.Error: %v", err)
+	}
+	return e.Reach
+}
+
+// post sends JSON to the fault port and returns status and answer.
+func (r *rig) post(t testing.TB, path, body string) (int, string) {
+	t.Helper()
+	res, err := http.Post("http://"+r.server.FaultAddr()+path, "application/json", strings.NewReader(body))
+	return answerOf(t, res, err)
+}
+
+func (r *rig) get(t testing.TB, path string) (int, string) {
+	t.Helper()
+	res, err := http.Get("http://" + r.server.FaultAddr() + path)
+	return answerOf(t, res, err)
+}
+
+func answerOf(t testing.TB, res *http.Response, err error) (int, string) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, string(body)
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -3,35 +3,41 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
 	"sync"
+	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
-	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
+	"github.com/hickorybank/hickorybank/internal/standin/engine/model"
 )
 
 // Server is one stand-in engine.
 type Server struct {
 	settings Settings
 	log      *slog.Logger
-	http     *http.Server
-	listener net.Listener
-	fault    net.Listener
+	host     *host.Host
+	weights  weightStore
 	tasks    conc.WaitGroup
-	// stop ends generations and idle readers when the server closes.
+	// stop ends the driver, downloads and readers when the server closes.
 	stop context.Context
 	end  context.CancelFunc
+	// kick wakes the driver when there may be something earlier to do.
+	kick chan struct{}
 
-	mu       sync.Mutex
-	streams  map[string]*generation
-	versions []string
-	role     string
-	fence    uint64
-	running  int
-	kv       map[uint64][]byte
+	mu      sync.Mutex
+	clock   clock
+	faults  Faults
+	engine  *model.Engine
+	control *model.Control
+	streams map[string]*generation
+	running map[uint64]*generation
+	lastID  uint64
+	runs    runLog
+	// restartAt is when a crashed engine comes back; 0 is not crashed.
+	restartAt time.Time
+	swept     time.Duration
+	events    []model.Event
 }
 
 // New checks the settings and returns an engine that is not yet listening.
@@ -39,58 +45,73 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
+	s = s.withDefaults()
 	stop, end := context.WithCancel(context.Background())
 	srv := &Server{
 		settings: s,
 		log:      log,
+		host:     host.New(s.ID, log),
+		weights:  newWeightStore(s.WeightsURL),
 		stop:     stop,
 		end:      end,
-		streams:  make(map[string]*generation),
-		versions: append([]string(nil), s.Versions...),
-		kv:       make(map[uint64][]byte),
+		kick:     make(chan struct{}, 1),
+		clock:    newClock(),
+		faults:   newFaults(s.LoadLag),
+	}
+	if err := srv.boot(); err != nil {
+		end()
+		return nil, err
 	}
-	srv.http = &http.Server{Handler: srv.routes()}
 	return srv, nil
 }
 
-// Start listens and serves until Close.
-func (s *Server) Start() error {
-	l, err := net.Listen("tcp", s.settings.Listen)
+// boot sets up what a fresh process has.
+func (s *Server) boot() error {
+	lag := time.Duration(s.faults.LoadLagMillis) * time.Millisecond
+	e, err := model.New(s.settings.model(lag))
 	if err != nil {
-		return eris.Wrap(err, "engine: listen")
+		return err
 	}
-	s.listener = l
-	s.tasks.Go(func() { s.serve(s.http, l) })
-	event.StandinListening.Log(s.log, slog.String("id", s.settings.ID), slog.String("addr", l.Addr().String()))
+	e.SetSlow(s.faults.SlowFactor)
+	s.engine = e
+	s.control = model.NewControl(s.settings.Versions, s.settings.HonourFence)
+	s.streams = make(map[string]*generation)
+	s.running = make(map[uint64]*generation)
+
 	return nil
 }
 
-func (s *Server) serve(h *http.Server, l net.Listener) {
-	if err := h.Serve(l); !eris.Is(err, http.ErrServerClosed) {
-		event.StandinServeFail.Log(s.log, slog.Any("error", err))
+// Start listens and serves until Close.
+func (s *Server) Start() error {
+	if err := s.host.Start(s.settings.Listen, s.routes(), s.settings.FaultListen, s.faultRoutes()); err != nil {
+		s.end()
+		return err
 	}
+	s.tasks.Go(s.drive)
+	return nil
 }
 
 // Addr returns the IP and port for requests.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.host.Addr() }
 
 // FaultAddr returns the IP and port of the fault port, or "".
-func (s *Server) FaultAddr() string {
-	if s.fault == nil {
-		return ""
-	}
-	return s.fault.Addr().String()
-}
+func (s *Server) FaultAddr() string { return s.host.FaultAddr() }
 
-// Close ends all streams and releases the listeners. Streams that run are cut
-// once ctx is done.
+// Close waits for streams until ctx is done, then cuts them, and releases
+// everything.
 func (s *Server) Close(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
+	s.thaw()
+	err := s.host.Close(ctx)
 	s.end()
-	if err != nil {
-		err = s.http.Close()
-	}
 	s.tasks.Wait()
-	event.StandinClosed.Log(s.log, slog.String("id", s.settings.ID))
+	s.weights.close()
 	return err
 }
+
+// nudge wakes the driver.
+func (s *Server) nudge() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
--- a/internal/upstream/client/status.go
+++ b/internal/upstream/client/status.go
@@ -49,5 +49,6 @@
 var (
 	startCauses  = causeByStatus{http.StatusNotFound: upstream.ErrUnknownVersion}
 	streamCauses = causeByStatus{http.StatusNotFound: upstream.ErrUnknownStream}
+	cacheCauses  = causeByStatus{http.StatusNotFound: upstream.ErrNotCached}
 	orderCauses  = causeByStatus{http.StatusConflict: upstream.ErrStaleFence}
 )
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -12,4 +12,6 @@
 	// ErrStaleFence says that the engine refused an order because it has seen
 	// a higher fencing number.
 	ErrStaleFence = errors.New("engine has seen a higher fencing number")
+	// ErrNotCached says that the engine's cache does not hold the prefix.
+	ErrNotCached = errors.New("engine has not cached the prefix")
 )
