Choose upstreams by prefix affinity with bounded load

The balancer keeps a deterministic subset of the VM list, counts its own requests in flight, weighs lagging reports by their age, and guards against failing (breaker), slow but alive (outlier) and new (slow start) upstreams and against a lost failure domain. Round robin, random, least loaded and two choices stay as baselines behind the same interface.

Leaving takes the time, so that a report from before it cannot undo it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,49 +3,101 @@
 import (
 	"time"
 
-	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
 // Balancer chooses upstreams. See the package for who may call it.
 type Balancer struct {
 	settings Settings
-}
-
-// New returns a balancer that knows no upstream yet.
-func New(s Settings) *Balancer { return &Balancer{settings: s} }
+	policy   policy
+	// base is the time that durations inside count from.
+	base    time.Time
+	started bool
 
-// SetMembers takes the list of VMs as the platform gives it (entry VMs in it
-// are passed over) and this node's place, and chooses the node's subset.
-func (b *Balancer) SetMembers(vms []platform.VM, place Place, now time.Time) {}
+	hosts    map[string]*host
+	order    []*host
+	rest     []member // beyond the subset, in the order of looking at them
+	versions map[string]*pool
+	services map[string]*pool
+	// unsure are the engines whose versions are not known yet.
+	unsure  pool
+	domains domains
 
-// Pick chooses an upstream and counts the attempt as in flight there until
-// Done. When it returns false, Pick.Shortage says why.
-func (b *Balancer) Pick(r Request) (Pick, bool) {
-	return Pick{Shortage: Shortage{Reason: NoneKnown, RetryAfter: time.Second}}, false
+	slots slots
+	view  view
+	// sawFirst says that the caller tells of first tokens.
+	sawFirst  bool
+	refreshed time.Duration
+	polls     polls
+	wanted    map[string]time.Duration
 }
 
-// FirstToken tells that the attempt's first piece came, after the given time.
-// It is optional, and lets a slow upstream be seen before long answers end.
-func (b *Balancer) FirstToken(t Token, after time.Duration, now time.Time) {}
+// New returns a balancer that knows no upstream yet.
+func New(s Settings) *Balancer {
+	s = s.withDefaults()
+	return &Balancer{
+		settings: s,
+		policy:   newPolicy(s.Policy),
+		hosts:    map[string]*host{},
+		versions: map[string]*pool{},
+		services: map[string]*pool{},
+		domains:  domains{},
+		wanted:   map[string]time.Duration{},
+	}
+}
 
-// Done tells how an attempt ended.
-func (b *Balancer) Done(t Token, r Result, now time.Time) { _, _ = t.slot, t.generation }
+// since turns a time into the balancer's own.
+func (b *Balancer) since(now time.Time) time.Duration {
+	if b.base.IsZero() {
+		// Some time before the first call, so that 0 is always past.
+		b.base = now.Add(-time.Hour)
+	}
+	return now.Sub(b.base)
+}
 
 // Report takes the load that an upstream gave, asked for by NeedPoll or
 // otherwise.
-func (b *Balancer) Report(vmID string, r upstream.LoadReport, now time.Time) {}
+func (b *Balancer) Report(vmID string, r upstream.LoadReport, now time.Time) {
+	t := b.since(now)
+	at := t - time.Duration(r.AgeMillis)*time.Millisecond
+	h := b.hosts[vmID]
+	if h == nil {
+		h = b.adopt(vmID, r, t)
+	}
+	if h == nil {
+		return
+	}
+	h.poll.answered(t)
+	h.breaker.alive(t)
+	if h.report.have && at < h.report.at {
+		return
+	}
+	h.report.take(r, h.inFlight, at)
+	if r.Leaving {
+		h.leaves(t)
+	} else {
+		h.stays(at)
+	}
+	if h.learn(r.Versions, at) {
+		b.rebuild(t)
+	}
+}
 
 // PollFailed tells that an upstream did not answer when asked for its load.
-func (b *Balancer) PollFailed(vmID string, now time.Time) {}
-
-// Leaving tells that an upstream takes no new work, by the list or its own
-// word. It holds until the VM is listed as live again after it was not listed.
-func (b *Balancer) Leaving(vmID string) {}
-
-// NeedPoll returns the upstreams whose load is to be asked for now. Call it
-// several times a second; it keeps to Settings.PollsPerSecond.
-func (b *Balancer) NeedPoll(now time.Time) []platform.VM { return nil }
+func (b *Balancer) PollFailed(vmID string, now time.Time) {
+	t := b.since(now)
+	h := b.hosts[vmID]
+	if h == nil {
+		return
+	}
+	h.poll.answered(t)
+	b.failed(h, t)
+}
 
-// Status describes the upstreams of the subset, for operators and metrics.
-func (b *Balancer) Status(now time.Time) []HostStatus { return nil }
+// Leaving tells that an upstream takes no new work, by its own word. It holds
+// until a later report of the upstream says otherwise.
+func (b *Balancer) Leaving(vmID string, now time.Time) {
+	if h := b.hosts[vmID]; h != nil {
+		h.leaves(b.since(now))
+	}
+}
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -19,3 +19,29 @@
 	// ReportAge is the age of its last load report; negative: there is none.
 	ReportAge time.Duration
 }
+
+// Status describes the upstreams of the subset, for operators and metrics.
+func (b *Balancer) Status(now time.Time) []HostStatus {
+	t := b.since(now)
+	list := make([]HostStatus, 0, len(b.order))
+	for _, h := range b.order {
+		list = append(list, h.status(t))
+	}
+	return list
+}
+
+func (h *host) status(now time.Duration) HostStatus {
+	s := HostStatus{
+		VM:        h.vm,
+		InFlight:  h.inFlight,
+		Versions:  h.versions,
+		Leaving:   h.leaving(),
+		Open:      h.breaker.open(),
+		Ejected:   h.outlier.ejected(now),
+		ReportAge: -1,
+	}
+	if h.report.have {
+		s.ReportAge = now - h.report.at
+	}
+	return s
+}
