Choose the cheapest mix of versions that meets the target

Ratings become estimates with their uncertainty in three memories, so a change is followed as soon as a shorter one contradicts a longer one. Estimates become the upper hull of cost and quality over single versions and cascades; a target picks the mix of two corners. A sequential test holds a version that fell to half its quality; staged versions run on grants and within their share. Nothing here is measured yet.

--- /dev/null
+++ b/internal/choice/call.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"github.com/hickorybank/hickorybank/internal/config"
+)
+
+// call is one choosing under way.
+type call struct {
+	*Chooser
+	req   Request
+	draws draws
+	// usable are the versions that are serving and not held, by their index.
+	usable uint64
+	// least is the held version that is the least bad; nil when none is held.
+	least *versionView
+}
+
+func newCall(c *Chooser, req Request) call {
+	return call{Chooser: c, req: req, draws: draws{state: req.Random}}
+}
+
+func (c *call) plan() Plan {
+	if len(c.req.Versions) == 0 {
+		return Plan{Refusal: RefuseNoVersion}
+	}
+	if c.req.Pinned {
+		return c.pinned()
+	}
+	exposed := c.sort()
+	if exposed != nil {
+		return c.expose(exposed)
+	}
+	if c.usable == 0 {
+		return c.lastResort()
+	}
+	return c.mix()
+}
+
+// sort looks at the versions one by one and returns the staged one that is due
+// to be exposed, if any.
+func (c *call) sort() *versionView {
+	var exposed *versionView
+	for _, name := range c.req.Versions {
+		i, ok := c.view.index[name]
+		if !ok || i >= mostVersions {
+			continue
+		}
+		v := &c.view.versions[i]
+		switch {
+		case v.state.held():
+			c.least = c.better(c.least, v)
+		case v.config.State == config.Staged:
+			if c.due(v) {
+				exposed = v
+			}
+		default:
+			c.usable |= 1 << i
+		}
+	}
+	return exposed
+}
+
+// better returns the version with the higher expected quality.
+func (c *call) better(a, b *versionView) *versionView {
+	if a == nil || c.mean(b) > c.mean(a) {
+		return b
+	}
+	return a
+}
+
+func (c *call) mean(v *versionView) float64 {
+	return c.known(v.config, c.req.Class.Name, c.req.Now).option.Estimate.Mean
+}
+
+// lastResort runs when no serving version may. If all were held, the class
+// would have no version left; so the least bad goes on.
+func (c *call) lastResort() Plan {
+	if c.least == nil {
+		return Plan{Refusal: RefuseUngranted}
+	}
+	p := Plan{First: c.least.config.Name, AllHeld: true, BelowTarget: true}
+	p.Rate = c.sample(c.least.state)
+	return p
+}
--- a/internal/choice/chooser.go
+++ b/internal/choice/chooser.go
@@ -1,48 +1,93 @@
 package choice
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/choice/frontier"
+	"github.com/hickorybank/hickorybank/internal/choice/quality"
+)
 
 // Chooser is the policy in use. Its methods are safe for concurrent use.
 type Chooser struct {
 	settings Settings
+
+	mu      sync.Mutex
+	book    *quality.Book
+	store   *quality.Store
+	states  map[string]*state
+	ratings ratings
+	raised  []Hold
+	view    *view
+	builder frontier.Builder
+	// balances are by organisation and class.
+	balances map[balanceKey]*balance
 }
 
 // New returns a chooser that has seen nothing yet.
-func New(s Settings) *Chooser { return &Chooser{settings: s} }
+func New(s Settings) *Chooser {
+	s = s.withDefaults()
+	return &Chooser{
+		settings: s,
+		book:     quality.NewBook(quality.Run{Node: s.Node, Epoch: s.Epoch}),
+		store:    quality.NewStore(),
+		states:   make(map[string]*state),
+		balances: make(map[balanceKey]*balance),
+		builder:  frontier.Builder{Confidence: s.Confidence, Enough: enoughRatings},
+	}
+}
 
 // Choose returns the plan for a request.
 func (c *Chooser) Choose(req Request) Plan {
-	if len(req.Versions) == 0 {
-		return Plan{Refusal: RefuseNoVersion}
-	}
-	return Plan{First: req.Versions[0]}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh(req.Snapshot, req.Now)
+	call := newCall(c, req)
+	return call.plan()
 }
 
-// Observe takes in a rating.
-func (c *Chooser) Observe(o Observation) {}
-
-// ObserveAnswer takes in that an attempt was answered.
-func (c *Chooser) ObserveAnswer(a Answer) {}
-
-// ObserveError takes in that an engine said that the version failed: not a
-// refusal, a cancel, a lost connection or a crash, which are the upstream's
-// and would come from all of its requests at once.
-func (c *Chooser) ObserveError(version, class string, now time.Time) {}
-
-// ObserveRatingFailure takes in that the rating service did not answer.
-func (c *Chooser) ObserveRatingFailure(now time.Time) {}
+func (c *Chooser) run() quality.Run {
+	return quality.Run{Node: c.settings.Node, Epoch: c.settings.Epoch}
+}
 
-// Summary returns what this node has seen, for its peers.
-func (c *Chooser) Summary() Summary {
-	return Summary{Node: c.settings.Node, Epoch: c.settings.Epoch}
+// state returns what is known of a version.
+func (c *Chooser) state(version string) *state {
+	s, ok := c.states[version]
+	if !ok {
+		s = newState(version)
+		c.states[version] = s
+	}
+	return s
 }
 
-// Merge takes in a peer's summary.
-func (c *Chooser) Merge(s Summary) {}
+// sorted returns the states in the order of the versions' names.
+func (c *Chooser) sorted() []*state {
+	list := slices.Collect(maps.Values(c.states))
+	slices.SortFunc(list, func(a, b *state) int { return strings.Compare(a.name, b.name) })
+	return list
+}
 
-// NewHolds returns the holds that this node has raised since the last call,
-// to be told to peers and recorded.
-func (c *Chooser) NewHolds() []Hold { return nil }
+// cell returns what all runs have seen of a cell.
+func (c *Chooser) cell(key quality.Key, now time.Time) quality.Cell {
+	var total quality.Cell
+	s := c.state(key.Version)
+	c.book.Add(&total, key)
+	if s.pool == nil {
+		c.store.Add(&total, key, c.run())
+	} else {
+		s.pool.add(&total, key)
+	}
+	total.Advance(now.UnixNano())
+	return total
+}
 
-// ApplyHold takes in a hold, or the lifting of one, from a peer or the table.
-func (c *Chooser) ApplyHold(h Hold) {}
+func (p *pooled) add(total *quality.Cell, key quality.Key) {
+	for i := range p.cells {
+		if p.cells[i].Key == key {
+			total.Plus(p.cells[i].Cell)
+		}
+	}
+}
--- /dev/null
+++ b/internal/choice/frontier/hull.go
@@ -0,0 +1,31 @@
+package frontier
+
+import "slices"
+
+// hull returns the corners of the upper hull, from the cheapest point to the
+// best: each corner costs more, is better, and buys less quality for its cost
+// than the corner before. It reorders the points.
+func hull(points []Point) []Point {
+	slices.SortStableFunc(points, byCost)
+	corners := points[:0]
+	for _, p := range points {
+		if n := len(corners); n > 0 && p.Quality <= corners[n-1].Quality {
+			continue
+		}
+		corners = append(drop(corners, p), p)
+	}
+	return slices.Clone(corners)
+}
+
+// drop removes the last corners that lie below the line to p.
+func drop(corners []Point, p Point) []Point {
+	for n := len(corners); n >= 2 && below(corners[n-1], corners[n-2], p); n-- {
+		corners = corners[:n-1]
+	}
+	return corners
+}
+
+// below says that b lies on or below the line from a to c.
+func below(b, a, c Point) bool {
+	return (b.Quality-a.Quality)*(c.Cost-a.Cost) <= (c.Quality-a.Quality)*(b.Cost-a.Cost)
+}
--- a/internal/choice/hold.go
+++ b/internal/choice/hold.go
@@ -28,3 +28,12 @@
 	// HoldErrors: its attempts failed far more often than others'.
 	HoldErrors HoldReason = "errors"
 )
+
+// After says that the hold is a later word on its version than another one:
+// of a later term, or the lifting of the same term.
+func (h Hold) After(o Hold) bool {
+	if h.Term != o.Term {
+		return h.Term > o.Term
+	}
+	return h.Lifted && !o.Lifted
+}
--- /dev/null
+++ b/internal/choice/observe.go
@@ -0,0 +1,75 @@
+package choice
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/choice/detect"
+	"github.com/hickorybank/hickorybank/internal/choice/quality"
+)
+
+// Observe takes in a rating.
+func (c *Chooser) Observe(o Observation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ratings.succeeded(o.Took)
+	s := c.state(o.Version)
+	s.sawClass(o.Class)
+	s.rated = o.Now
+	cell := c.book.Cell(quality.Key{Version: o.Version, Class: o.Class})
+	now := o.Now.UnixNano()
+	if o.AfterShort {
+		cell.AddRescue(o.Score, now)
+		return
+	}
+	cell.AddScore(o.Score, now)
+	if o.HasAgain {
+		cell.AddPair(o.Score, o.Again, now)
+	}
+	c.test(s, o)
+}
+
+// test takes in what the score says about a bad turn.
+func (c *Chooser) test(s *state, o Observation) {
+	if c.view == nil {
+		return
+	}
+	i, ok := c.view.index[o.Version]
+	if !ok {
+		return
+	}
+	k := c.known(c.view.versions[i].config, o.Class, o.Now)
+	if k.table == nil {
+		return
+	}
+	s.add(detect.Evidence{Ratings: k.table.Evidence(o.Score)})
+	c.judge(s, o.Class, o.Now)
+}
+
+// ObserveAnswer takes in that an attempt was answered.
+func (c *Chooser) ObserveAnswer(a Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.state(a.Version)
+	s.sawClass(a.Class)
+	cell := c.book.Cell(quality.Key{Version: a.Version, Class: a.Class})
+	cell.AddAnswer(a.Took, a.InputTokens, a.OutputTokens, a.Now.UnixNano())
+	s.add(detect.Evidence{Errors: detect.AnswerEvidence})
+}
+
+// ObserveError takes in that an engine said that the version failed: not a
+// refusal, a cancel, a lost connection or a crash, which are the upstream's
+// and would come from all of its requests at once.
+func (c *Chooser) ObserveError(version, class string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.state(version)
+	s.add(detect.Evidence{Errors: detect.ErrorEvidence})
+	c.judge(s, class, now)
+}
+
+// ObserveRatingFailure takes in that the rating service did not answer.
+func (c *Chooser) ObserveRatingFailure(time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ratings.failed()
+}
--- /dev/null
+++ b/internal/choice/pinned.go
@@ -0,0 +1,56 @@
+package choice
+
+import "github.com/hickorybank/hickorybank/internal/config"
+
+// pinned plans a request whose session or caller fixed the version.
+func (c *call) pinned() Plan {
+	name := c.req.Versions[0]
+	i, ok := c.view.index[name]
+	if !ok {
+		return Plan{Refusal: RefuseNoVersion}
+	}
+	v := &c.view.versions[i]
+	p := Plan{First: name}
+	c.fixed(c.mean(v))
+	if v.state.held() {
+		if c.alternative(name) {
+			return Plan{Refusal: RefuseHeld}
+		}
+		p.AllHeld = true
+	}
+	if v.config.State == config.Staged {
+		if !v.state.purse.Granted() {
+			v.state.wanted = true
+			return Plan{Refusal: RefuseUngranted}
+		}
+		v.state.purse.Spend()
+		p.Exposed = true
+		p.Rate = true
+		return p
+	}
+	p.Rate, p.RateAgain = c.rate(v)
+	return p
+}
+
+// alternative says that the organisation has another version for the class
+// that is serving and not held.
+func (c *call) alternative(pinned string) bool {
+	for i := range c.view.versions {
+		v := &c.view.versions[i]
+		if v.config.Name == pinned || v.config.State != config.Serving || v.state.held() {
+			continue
+		}
+		if c.serves(v) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) serves(v *versionView) bool {
+	model := c.req.Class.Model
+	if model != "" && c.req.Snapshot.ModelOf(v.config.Name).Name != model {
+		return false
+	}
+	return c.req.Snapshot.Allowed(c.req.Org, v.config.Name)
+}
--- a/internal/choice/plan.go
+++ b/internal/choice/plan.go
@@ -20,6 +20,9 @@
 	// BelowTarget says that no allowed plan is expected to meet the
 	// organisation's target; First is then the best there is.
 	BelowTarget bool
+	// AllHeld says that every version that could serve is held, and that
+	// First is the least bad of them.
+	AllHeld bool
 	// Refusal says why nothing may run; it is empty for a plan that runs.
 	Refusal Refusal
 }
--- /dev/null
+++ b/internal/choice/state.go
@@ -0,0 +1,89 @@
+package choice
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/choice/detect"
+	"github.com/hickorybank/hickorybank/internal/choice/exposure"
+	"github.com/hickorybank/hickorybank/internal/choice/quality"
+)
+
+// state is what a node knows of one version, whatever the configuration.
+type state struct {
+	name string
+	hold Hold
+	// evidence is what this run has seen in the hold's term.
+	evidence detect.Evidence
+	// own tests what this run saw, pooled what it and the merged runs saw.
+	own    detect.Suspicion
+	pooled detect.Suspicion
+	// peers is the highest statistic in the collecting node's pool.
+	peers float64
+	// seen is the evidence of merged runs that is already in pooled.
+	seen map[quality.Run]VersionEvidence
+	// pool stands in place of merged summaries when set.
+	pool  *pooled
+	purse exposure.Purse
+	// wanted is set when a request would have been exposed with a grant.
+	wanted bool
+	// rated is when this node last took in a rating.
+	rated time.Time
+	// classes are those of which there are cells.
+	classes []string
+}
+
+// pooled is what others have seen of a version.
+type pooled struct {
+	at    int64
+	cells []quality.Entry
+}
+
+func newState(name string) *state {
+	return &state{name: name, seen: make(map[quality.Run]VersionEvidence)}
+}
+
+func (s *state) held() bool { return s.hold.Term > 0 && !s.hold.Lifted }
+
+// suspicion is the highest statistic known, in nats.
+func (s *state) suspicion() float64 {
+	return max(s.own.Ratings(), s.own.Errors(), s.pooled.Ratings(), s.pooled.Errors(), s.peers)
+}
+
+func (s *state) sawClass(class string) {
+	if !slices.Contains(s.classes, class) {
+		s.classes = append(s.classes, class)
+	}
+}
+
+// add takes in evidence that this run saw.
+func (s *state) add(e detect.Evidence) {
+	s.evidence.Ratings += e.Ratings
+	s.evidence.Errors += e.Errors
+	s.own.Add(e)
+	s.pooled.Add(e)
+}
+
+// merge takes in a peer's evidence of this term. What a run saw before it was
+// first heard of here does not count: it may be long past, and another node
+// that collected then has judged it.
+func (s *state) merge(run quality.Run, e VersionEvidence) {
+	if e.Term != s.hold.Term {
+		return
+	}
+	earlier, known := s.seen[run]
+	s.seen[run] = e
+	if known {
+		s.pooled.Add(e.Minus(earlier.Evidence))
+	}
+}
+
+// begin starts a new term of holds without evidence.
+func (s *state) begin(h Hold) {
+	s.hold = h
+	s.evidence = detect.Evidence{}
+	s.own.Reset()
+	s.pooled.Reset()
+	s.peers = 0
+	clear(s.seen)
+}
--- a/internal/choice/summary.go
+++ b/internal/choice/summary.go
@@ -1,10 +1,23 @@
 package choice
 
-// Summary is what one run of one node has seen, for its peers. Merging the
-// same summary again, or an older one of the same run, changes nothing.
+import (
+	"github.com/hickorybank/hickorybank/internal/choice/detect"
+	"github.com/hickorybank/hickorybank/internal/choice/quality"
+)
+
+// Summary is what one run of one node has seen, for its peers. It is
+// cumulative: merging it again, or an older one of the same run, changes
+// nothing.
 type Summary struct {
-	Node  string
-	Epoch uint64
-	// Seq grows with each summary of the run.
-	Seq uint64
+	quality.Summary
+	Evidence []VersionEvidence
+}
+
+// VersionEvidence is all evidence against one version that a run has seen in
+// one term of holds. A lifted hold begins a new term, and evidence from before
+// counts no more.
+type VersionEvidence struct {
+	Version string
+	Term    uint64
+	detect.Evidence
 }
