Make the stand-in service whole: faults, lagging load, a list of doubles

Cause: at most once can only be measured against a service that counts. The service never deduplicates; it lists every run and every key that ran twice. Faults: delay, down, freeze, leaving, crash on a marked call, and answers lost after the effect. A call goes on when its caller has gone, and a frozen one runs after the thaw, as with a paused process.

--- a/internal/standin/engine/host/host.go
+++ b/internal/standin/engine/host/host.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -22,10 +23,15 @@
 	faults  net.Listener
 	servers []*http.Server
 	tasks   conc.WaitGroup
+	// cut is closed when Close waits for requests no longer.
+	cut     chan struct{}
+	closing sync.Once
 }
 
 // New returns a host that is not yet listening.
-func New(id string, log *slog.Logger) *Host { return &Host{id: id, log: log} }
+func New(id string, log *slog.Logger) *Host {
+	return &Host{id: id, log: log, cut: make(chan struct{})}
+}
 
 // Start listens on both ports; an empty faultAddr means no fault port.
 func (h *Host) Start(addr string, requests http.Handler, faultAddr string, faults http.Handler) error {
@@ -95,8 +101,11 @@
 // WaitThawed returns once the host is not frozen.
 func (h *Host) WaitThawed() { h.freezer.wait() }
 
+// Cut returns a channel that closes when Close waits for requests no longer.
+func (h *Host) Cut() <-chan struct{} { return h.cut }
+
 // Close thaws, takes no new connections, waits for requests until ctx is done,
-// and then breaks them. Handlers have to end when their request's context does.
+// and then breaks them. Handlers have to end when Cut says so.
 func (h *Host) Close(ctx context.Context) error {
 	h.Thaw()
 	var failed error
@@ -106,6 +115,7 @@
 			_ = srv.Close()
 		}
 	}
+	h.closing.Do(func() { close(h.cut) })
 	h.active.drain()
 	h.tasks.Wait()
 	event.StandinClosed.Log(h.log, slog.String("id", h.id))
--- a/internal/standin/engine/send.go
+++ b/internal/standin/engine/send.go
@@ -57,7 +57,7 @@
 		case <-more:
 		case <-r.Context().Done():
 			return
-		case <-s.stop.Done():
+		case <-s.host.Cut():
 			panic(http.ErrAbortHandler)
 		}
 		s.host.WaitThawed()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -19,7 +19,7 @@
 	host     *host.Host
 	weights  weightStore
 	tasks    conc.WaitGroup
-	// stop ends the driver, downloads and readers when the server closes.
+	// stop ends the driver and downloads when the server closes.
 	stop context.Context
 	end  context.CancelFunc
 	// kick wakes the driver when there may be something earlier to do.
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -2,40 +2,33 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
-	"net"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/event"
-	"github.com/hickorybank/hickorybank/internal/upstream"
-)
-
-const (
-	maxBody = 16 << 20
-	maxEcho = 256
+	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
+	"github.com/hickorybank/hickorybank/internal/standin/engine/model"
 )
 
 // Server is one stand-in service.
 type Server struct {
 	settings Settings
 	log      *slog.Logger
-	http     *http.Server
-	listener net.Listener
-	fault    net.Listener
+	host     *host.Host
 	tasks    conc.WaitGroup
+	began    time.Time
 
 	mu      sync.Mutex
-	runs    []Run
-	counts  map[Run]int
-	running int
+	faults  Faults
+	runs    runLog
+	history model.LoadHistory
+	// crashed says that a crash is not over.
+	crashed bool
+	// restart is sent to when a crash's length has changed.
+	restart chan struct{}
 }
 
 // New checks the settings and returns a service that is not yet listening.
@@ -43,114 +36,89 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	srv := &Server{settings: s, log: log, counts: make(map[Run]int)}
-	srv.http = &http.Server{Handler: http.HandlerFunc(srv.handle)}
-	return srv, nil
+	return &Server{
+		settings: s,
+		log:      log,
+		host:     host.New(s.ID, log),
+		began:    time.Now(),
+		faults:   newFaults(s.LoadLag),
+		runs:     newRunLog(),
+		history:  model.NewLoadHistory(s.LoadLag),
+		restart:  make(chan struct{}, 1),
+	}, nil
 }
 
 // Start listens and serves until Close.
 func (s *Server) Start() error {
-	l, err := net.Listen("tcp", s.settings.Listen)
-	if err != nil {
-		return eris.Wrap(err, "service: listen")
-	}
-	s.listener = l
-	s.tasks.Go(func() { s.serve(s.http, l) })
-	event.StandinListening.Log(s.log, slog.String("id", s.settings.ID), slog.String("addr", l.Addr().String()))
-	return nil
-}
-
-func (s *Server) serve(h *http.Server, l net.Listener) {
-	if err := h.Serve(l); !eris.Is(err, http.ErrServerClosed) {
-		event.StandinServeFail.Log(s.log, slog.Any("error", err))
-	}
+	return s.host.Start(s.settings.Listen, s.routes(), s.settings.FaultListen, s.faultRoutes())
 }
 
 // Addr returns the IP and port for calls.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.host.Addr() }
 
 // FaultAddr returns the IP and port of the fault port, or "".
-func (s *Server) FaultAddr() string {
-	if s.fault == nil {
-		return ""
-	}
-	return s.fault.Addr().String()
-}
+func (s *Server) FaultAddr() string { return s.host.FaultAddr() }
 
 // Close waits for running calls until ctx is done, then cuts them.
 func (s *Server) Close(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		err = s.http.Close()
-	}
+	err := s.host.Close(ctx)
 	s.tasks.Wait()
-	event.StandinClosed.Log(s.log, slog.String("id", s.settings.ID))
 	return err
 }
 
-// Runs returns every execution so far.
-func (s *Server) Runs() []Run {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Run(nil), s.runs...)
-}
+func (s *Server) now() time.Duration { return time.Since(s.began) }
 
-func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet && r.URL.Path == "/load" {
-		s.load(w)
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil || !s.known(r.Method, r.URL.Path) {
-		w.Header().Set("X-Not-Run", "1")
-		http.Error(w, "call is unknown", http.StatusNotFound)
+func (s *Server) note() { s.history.Note(s.now(), len(s.runs.open), 0) }
+
+// crash breaks all connections and loses all running calls.
+func (s *Server) crash() {
+	event.StandinCrashed.Log(s.log, slog.String("id", s.settings.ID))
+	s.runs.total.Crashes++
+	s.runs.loseAll()
+	s.note()
+	s.host.Down()
+	if s.crashed {
 		return
 	}
-	n, count := s.begin(Run{Method: r.Method, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key")})
-	time.Sleep(s.settings.Latency)
-	s.finish(n)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Answer{
-		Service: s.settings.Service,
-		Path:    r.URL.Path,
-		Key:     r.Header.Get("Idempotency-Key"),
-		Count:   count,
-		Echo:    string(body[:min(len(body), maxEcho)]),
-	})
+	s.crashed = true
+	s.tasks.Go(s.comeBack)
 }
 
-func (s *Server) known(method, path string) bool {
-	if len(s.settings.Calls) == 0 {
-		return true
-	}
-	for _, c := range s.settings.Calls {
-		if c.Method == method && strings.HasPrefix(path, c.Path) {
-			return true
+// comeBack ends a crash when its time has passed.
+func (s *Server) comeBack() {
+	for {
+		s.mu.Lock()
+		wait := millis(s.faults.RestartMillis)
+		s.mu.Unlock()
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+			s.endCrash()
+			return
+		case <-s.restart:
+			timer.Stop()
+		case <-s.host.Cut():
+			timer.Stop()
+			return
 		}
 	}
-	return false
-}
-
-func (s *Server) begin(run Run) (index, count int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs = append(s.runs, run)
-	s.counts[run]++
-	s.running++
-	return len(s.runs) - 1, s.counts[run]
 }
 
-func (s *Server) finish(index int) {
+func (s *Server) endCrash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.runs[index].Completed = true
-	s.running--
+	s.crashed = false
+	event.StandinRestarted.Log(s.log, slog.String("id", s.settings.ID))
+	s.openPort()
 }
 
-func (s *Server) load(w http.ResponseWriter) {
-	s.mu.Lock()
-	report := upstream.LoadReport{Running: s.running, Limit: s.settings.Limit}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
+// openPort opens or closes the port as faults and crash demand.
+func (s *Server) openPort() {
+	if s.faults.Down || s.crashed {
+		s.host.Down()
+		return
+	}
+	if err := s.host.Up(); err != nil {
+		event.StandinServeFail.Log(s.log, slog.String("id", s.settings.ID), slog.Any("error", err))
+	}
 }
