--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"net/http"
-	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
@@ -16,32 +12,10 @@
 	"github.com/hickorybank/hickorybank/internal/platform/client"
 	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
-	"github.com/hickorybank/hickorybank/internal/standin/platform/control"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
-	"github.com/hickorybank/hickorybank/internal/standin/platform/rating"
 )
 
-func startWithFaults(t *testing.T, s standin.Settings) (*client.Client, *control.Client) {
-	t.Helper()
-	s.FaultListen = "127.0.0.1:0"
-	server, c := start(t, s)
-	ctl := control.New("http://" + server.FaultAddr())
-	t.Cleanup(ctl.Close)
-	return c, ctl
-}
-
-func put(key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
-}
-
-// await polls until the condition holds or the test ends.
-func await(t *testing.T, holds func() bool) {
-	for !holds() && t.Context().Err() == nil {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // The table takes a write and the connection breaks before the answer. The
 // writer must hear "unknown", and find its write when it looks.
 func TestLostAck(t *testing.T) {
@@ -156,52 +130,6 @@
 	is.NoErr(err)
 }
 
-func TestRetryAfterHeader(t *testing.T) {
-	is := is.New(t)
-	server, c := start(t, standin.Settings{WritesPerSecond: 0.4})
-	_, err := c.Commit(t.Context(), put("a", "x"))
-	is.NoErr(err)
-	body := strings.NewReader(`{"conditions":[],"writes":[]}`)
-	resp, err := http.Post("http://"+server.Addr()+wire.PathCommit, "application/json", body)
-	is.NoErr(err)
-	defer http.DefaultClient.CloseIdleConnections()
-	defer resp.Body.Close()
-	is.Equal(resp.StatusCode, http.StatusTooManyRequests)
-	is.True(resp.Header.Get("Retry-After") != "")
-}
-
-func TestVersionGoesBad(t *testing.T) {
-	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{DefaultQuality: 0.9})
-	ctx := t.Context()
-	score, err := c.Rate(ctx, platform.RateRequest{Version: "v", Class: "draft"})
-	is.NoErr(err)
-	is.Equal(score, 0.9)
-	is.NoErr(ctl.SetQuality(ctx, rating.Quality{Version: "v", Quality: 0.1}))
-	score, err = c.Rate(ctx, platform.RateRequest{Version: "v", Class: "draft"})
-	is.NoErr(err)
-	is.Equal(score, 0.1)
-}
-
-func TestVMListLag(t *testing.T) {
-	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{VMListLag: time.Minute})
-	ctx := t.Context()
-	is.NoErr(c.RegisterVM(ctx, platform.VM{ID: "vm-1", Role: platform.RoleEntry, Addr: "127.0.0.1:1"}))
-	list, err := c.VMs().List(ctx)
-	is.NoErr(err)
-	is.Equal(len(list), 0)
-	var none int64
-	limits, err := ctl.SetLimits(ctx, memory.LimitsChange{VMListLagMS: &none})
-	is.NoErr(err)
-	is.Equal(limits.VMListLagMS, int64(0))
-	list, err = c.VMs().List(ctx)
-	is.NoErr(err)
-	is.Equal(len(list), 1)
-	err = c.LeaveVM(ctx, "vm-2")
-	is.True(errors.Is(err, platform.ErrRefused))
-}
-
 // A roll-out loads weights, and the weight store fails in the middle. The
 // loader must not take the part for the whole.
 func TestWeightsCutOff(t *testing.T) {
@@ -228,69 +156,3 @@
 	is.True(errors.Is(err, platform.ErrRefused))
 	is.True(n < 1<<20)
 }
-
-// An operator of a test mistypes a field: it must not pass for a test without
-// the fault.
-func TestUnknownFieldsAreNamed(t *testing.T) {
-	is := is.New(t)
-	server, _ := start(t, standin.Settings{FaultListen: "127.0.0.1:0"})
-	defer http.DefaultClient.CloseIdleConnections()
-	for _, c := range []struct{ addr, path, body, names string }{
-		{server.FaultAddr(), control.PathFaults, `{"table":{"dwon":true}}`, "dwon"},
-		{server.FaultAddr(), control.PathFaults, `{"tabel":{}}`, "tabel"},
-		{server.FaultAddr(), control.PathFaults, `{"table":{"refuse_fraction":2}}`, "table.refuse_fraction"},
-		{server.FaultAddr(), control.PathFaults, `{"table":{"down":"yes"}}`, "table.down"},
-		{server.FaultAddr(), control.PathFaults, `{} {}`, "after"},
-		{server.FaultAddr(), control.PathLimits, `{"vm_list_lag_ms":-1}`, "vm_list_lag_ms"},
-		{server.FaultAddr(), control.PathQuality, `{"version":"v","qualty":1}`, "qualty"},
-		{server.FaultAddr(), control.PathQuality, `{"version":"v","quality":7}`, "quality"},
-		{server.Addr(), wire.PathCommit, `{"condition":[]}`, "condition"},
-		{server.Addr(), wire.PathGet, ``, "EOF"},
-	} {
-		resp, err := http.Post("http://"+c.addr+c.path, "application/json", strings.NewReader(c.body))
-		is.NoErr(err)
-		var text strings.Builder
-		is.NoErr(resp.Write(&text))
-		is.NoErr(resp.Body.Close())
-		is.Equal(resp.StatusCode, http.StatusBadRequest)
-		if !strings.Contains(text.String(), c.names) {
-			t.Errorf("%s %s: no %q in %s", c.path, c.body, c.names, text.String())
-		}
-	}
-}
-
-func TestSettingsAreCheckedTogether(t *testing.T) {
-	is := is.New(t)
-	_, err := standin.New(standin.Settings{WritesPerSecond: -1, VMListLag: -1, DefaultQuality: 3}, nil)
-	is.True(err != nil)
-	for _, field := range []string{"Listen", "WritesPerSecond", "VMListLag", "DefaultQuality"} {
-		is.True(strings.Contains(err.Error(), field))
-	}
-}
-
-func TestPortTaken(t *testing.T) {
-	is := is.New(t)
-	other, _ := start(t, standin.Settings{})
-	server, err := standin.New(standin.Settings{Listen: "127.0.0.1:0", FaultListen: other.Addr()}, slog.New(slog.DiscardHandler))
-	is.NoErr(err)
-	is.True(server.Start() != nil)
-	is.NoErr(server.Close(t.Context()))
-}
-
-// A stand-in is stopped while calls are held back by a fault. It must end, and
-// the callers must hear that they do not know.
-func TestCloseEndsHeldCalls(t *testing.T) {
-	is := is.New(t)
-	server, c := start(t, standin.Settings{FaultListen: "127.0.0.1:0"})
-	is.NoErr(server.State().SetFaults(fault.Change{Table: &fault.Fault{DelayMS: 600_000}}))
-	closed := make(chan error, 1)
-	var closer conc.WaitGroup
-	defer closer.Wait()
-	closer.Go(func() {
-		await(t, func() bool { return server.State().Stats().LateWrites == 1 })
-		closed <- server.Close(context.Background())
-	})
-	_, err := c.Commit(t.Context(), put("a", "x"))
-	is.True(errors.Is(err, platform.ErrUnknown))
-	is.NoErr(<-closed)
-}
--- a/internal/standin/platform/limit/bucket.go
+++ b/internal/standin/platform/limit/bucket.go
@@ -1,36 +1,53 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BurstWindow is how much unused allowance a bucket saves up. A quarter of a
 // second lets callers that batch several times a second reach the full rate,
 // while a second never holds more than 1.25 times the rate.
 const BurstWindow = 250 * time.Millisecond
 
-// Bucket is a token bucket.
+// maxPeriod keeps the time between two calls within what a Duration can add up.
+const maxPeriod = 365 * 24 * time.Hour
+
+// Bucket is a token bucket, kept as the time at which it will be full again
+// (the generic cell rate algorithm). Times are whole nanoseconds, so the wait
+// that a refusal names is exact: a count of tokens in floating point can stand
+// at 0.9999999 when a caller comes back at just the time it was told.
 type Bucket struct {
 	rate   float64
-	tokens float64
-	last   time.Time
+	period time.Duration
+	full   time.Time
 }
 
 // NewBucket returns a full bucket of a rate a second; 0 means no limit.
 func NewBucket(rate float64) *Bucket {
-	b := &Bucket{rate: rate}
-	b.tokens = b.burst()
-	return b
+	return &Bucket{rate: rate, period: period(rate)}
+}
+
+// period rounds up, so that the rate is never exceeded.
+func period(rate float64) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	ns := math.Ceil(float64(time.Second) / rate)
+	return time.Duration(min(ns, float64(maxPeriod)))
 }
 
 // Rate returns the rate a second; 0 means no limit.
 func (b *Bucket) Rate() float64 { return b.rate }
 
-// SetRate changes the rate.
+// SetRate changes the rate. What was taken at the old rate costs at most one
+// period of the new one.
 func (b *Bucket) SetRate(rate float64, now time.Time) {
-	b.fill(now)
-	unlimited := b.rate == 0
 	b.rate = rate
-	if unlimited || b.tokens > b.burst() {
-		b.tokens = b.burst()
+	b.period = period(rate)
+	latest := now.Add(b.saved() + b.period)
+	if b.full.After(latest) {
+		b.full = latest
 	}
 }
 
@@ -40,25 +57,18 @@
 	if b.rate == 0 {
 		return 0, true
 	}
-	b.fill(now)
-	if b.tokens >= 1 {
-		b.tokens--
-		return 0, true
+	if b.full.Before(now) {
+		b.full = now
 	}
-	missing := (1 - b.tokens) / b.rate
-	return time.Duration(missing*float64(time.Second)) + 1, false
-}
-
-func (b *Bucket) fill(now time.Time) {
-	if !now.After(b.last) {
-		return
+	if wait := b.full.Sub(now) - b.saved(); wait > 0 {
+		return wait, false
 	}
-	passed := now.Sub(b.last).Seconds()
-	b.tokens = min(b.burst(), b.tokens+passed*b.rate)
-	b.last = now
+	b.full = b.full.Add(b.period)
+	return 0, true
 }
 
-// burst is at least one token, or a slow bucket could never give any.
-func (b *Bucket) burst() float64 {
-	return max(1, b.rate*BurstWindow.Seconds())
+// saved is the allowance saved up beside the one token that every bucket
+// holds; a slow bucket saves none.
+func (b *Bucket) saved() time.Duration {
+	return max(0, BurstWindow-b.period)
 }
--- a/internal/standin/platform/limit/limit_test.go
+++ b/internal/standin/platform/limit/limit_test.go
@@ -33,13 +33,32 @@
 		}
 		for i := range admitted {
 			passed := now.Sub(admitted[i]).Seconds()
-			if most := b.burst() + rate*passed + 1e-3; float64(len(admitted)-i) > most {
+			if most := max(1, rate*BurstWindow.Seconds()) + rate*passed + 1e-3; float64(len(admitted)-i) > most {
 				t.Fatalf("%d admitted in %fs; at most %f", len(admitted)-i, passed, most)
 			}
 		}
 	})
 }
 
+// A caller is refused three times and comes back at the time that the last
+// refusal named. Tokens added up in floating point came to just under one
+// here, and the caller was refused again.
+func TestWaitIsExact(t *testing.T) {
+	is := is.New(t)
+	b := NewBucket(0.625)
+	_, ok := b.Take(epoch)
+	is.True(ok)
+	var wait time.Duration
+	for ns := range 3 {
+		wait, ok = b.Take(epoch.Add(time.Duration(ns + 1)))
+		is.True(!ok)
+	}
+	_, ok = b.Take(epoch.Add(3 + wait - 1))
+	is.True(!ok)
+	_, ok = b.Take(epoch.Add(3 + wait))
+	is.True(ok)
+}
+
 func TestBucketGivesItsRate(t *testing.T) {
 	is := is.New(t)
 	b := NewBucket(500)
@@ -65,7 +84,14 @@
 	is.True(ok)
 	wait, ok := b.Take(epoch)
 	is.True(!ok)
-	is.Equal(wait.Round(time.Millisecond), 250*time.Millisecond)
+	is.Equal(wait, 250*time.Millisecond)
+	b.SetRate(0.001, epoch)
+	_, ok = b.Take(epoch)
+	is.True(!ok)
+	b.SetRate(10, epoch)
+	wait, ok = b.Take(epoch)
+	is.True(!ok)
+	is.Equal(wait, 100*time.Millisecond)
 	b.SetRate(0, epoch)
 	_, ok = b.Take(epoch)
 	is.True(ok)
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -1,42 +1,14 @@
 package platform_test
 
 import (
-	"context"
-	"log/slog"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
-	"github.com/hickorybank/hickorybank/internal/platform/client"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
 )
 
-func start(t testing.TB, s standin.Settings) (*standin.Server, *client.Client) {
-	t.Helper()
-	if s.Listen == "" {
-		s.Listen = "127.0.0.1:0"
-	}
-	server, err := standin.New(s, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := server.Start(); err != nil {
-		t.Fatal(err)
-	}
-	c := client.New("http://" + server.Addr())
-	t.Cleanup(func() {
-		c.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-		defer cancel()
-		if err := server.Close(ctx); err != nil {
-			t.Error(err)
-		}
-	})
-	return server, c
-}
-
 func TestWholeInterface(t *testing.T) {
 	is := is.New(t)
 	_, c := start(t, standin.Settings{})
