--- a/internal/standin/platform/faultport_test.go
+++ b/internal/standin/platform/faultport_test.go
@@ -13,7 +13,6 @@
 	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/control"
-	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/rating"
 )
