Serve a versioned administration API that applies each change at most once

Cause: the stored configuration could be changed only by a program that talks to the platform itself, without keys, and a change whose acknowledgement was lost could not be told from one that never arrived. Each change is one transaction on the head row, the document, a log record and a row for the change's id. After a lost acknowledgement the same transaction is sent again until the table says what became of it; the head is read before the id's row, since once the head is past the base no copy can take effect any more. If the store stays down the answer is 504, unknown, and the id answers later: applied, not applied, or undecided while the head is at the base. Ruled out: comparing the head's writer only (a later change overwrites it, and a retry after that would be taken for a lost race), and If-Match: * (it would overwrite what its sender has not seen). Proof: a property test over refused, dropped, lost and late commits holds what operators are told against the log. The warning of targets out of reach now looks at the class's model only.

--- /dev/null
+++ b/internal/admin/headers.go
@@ -0,0 +1,77 @@
+package admin
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+)
+
+// Headers of changes.
+const (
+	// HeaderRevision carries the revision that a change was made from, as the
+	// ETag of an answer gave it.
+	HeaderRevision = "If-Match"
+	// HeaderChange carries the change's id; a retry has the same.
+	HeaderChange = "Idempotency-Key"
+	// HeaderReplayed is set to true when the change had been accepted before.
+	HeaderReplayed = "Idempotency-Replayed"
+)
+
+const maxChangeID = 128
+
+// Tag is the ETag of a revision.
+func Tag(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
+
+func setRevision(w http.ResponseWriter, revision uint64) { w.Header().Set("ETag", Tag(revision)) }
+
+// baseOf reads If-Match. It must be one revision: "*" would let a change
+// overwrite what its writer has not seen.
+func baseOf(r *http.Request) (uint64, *Failure) {
+	text := strings.TrimSpace(r.Header.Get(HeaderRevision))
+	if text == "" {
+		return 0, fail(http.StatusPreconditionRequired, CodeNoRevision, "%s: the revision that the change was made from is needed, for example %s", HeaderRevision, Tag(7))
+	}
+	if len(text) >= 2 && text[0] == '"' && text[len(text)-1] == '"' {
+		text = text[1 : len(text)-1]
+	}
+	revision, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, badRequest("%s: must be one revision, for example %s", HeaderRevision, Tag(7))
+	}
+	return revision, nil
+}
+
+// changeID reads Idempotency-Key, or makes an id up.
+func changeID(r *http.Request) (string, *Failure) {
+	id := r.Header.Get(HeaderChange)
+	if id == "" {
+		return uuid.NewString(), nil
+	}
+	if !plainID(id) {
+		return "", badRequest("%s: accepted are 1 to %d printable ASCII characters without space and slash", HeaderChange, maxChangeID)
+	}
+	return id, nil
+}
+
+func plainID(id string) bool {
+	if id == "" || len(id) > maxChangeID {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' || id[i] == '/' {
+			return false
+		}
+	}
+	return true
+}
+
+func bodyFailure(err error) *Failure {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fail(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	return badRequest("the body could not be read: %v", err)
+}
--- a/internal/config/warnings.go
+++ b/internal/config/warnings.go
@@ -41,25 +41,43 @@
 	}
 }
 
-// warnTarget warns of a target that no allowed version is believed to meet.
-func (d *Document) warnTarget(found *Faults, field string, o Organisation, t Target, usable map[string]Version) {
+// warnTarget warns of a target that no allowed version of the class's model is
+// believed to meet.
+func (d *Document) warnTarget(found *Faults, field string, o Organisation, t Target, usable map[string]usableVersion) {
+	model := d.modelOfClass(t.Class)
 	best := 0.0
 	for _, name := range o.Versions {
-		if v, ok := usable[name]; ok {
-			best = max(best, v.PriorQuality)
+		v, ok := usable[name]
+		if ok && (model == "" || v.model == model) {
+			best = max(best, v.quality)
 		}
 	}
 	if t.Quality > best {
-		found.add(field, fmt.Sprintf("%v is above the prior quality of every version that %s may use (%v at best)", t.Quality, o.Name, best))
+		found.add(field, fmt.Sprintf("%v is above the prior quality of every version that %s may use for it (%v at best)", t.Quality, o.Name, best))
 	}
 }
 
-func (d *Document) usableVersions() map[string]Version {
-	usable := map[string]Version{}
+func (d *Document) modelOfClass(class string) string {
+	for _, c := range d.Classes {
+		if c.Name == class {
+			return c.Model
+		}
+	}
+	return ""
+}
+
+// usableVersion is a version that is not withdrawn.
+type usableVersion struct {
+	model   string
+	quality float64
+}
+
+func (d *Document) usableVersions() map[string]usableVersion {
+	usable := map[string]usableVersion{}
 	for _, m := range d.Models {
 		for _, v := range m.Versions {
 			if v.State != Withdrawn {
-				usable[v.Name] = v
+				usable[v.Name] = usableVersion{model: m.Name, quality: v.PriorQuality}
 			}
 		}
 	}
