--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/http"
 	"testing"
 	"time"
 
@@ -104,33 +103,32 @@
 
 func TestFaultPort(t *testing.T) {
 	is := is.New(t)
+	ctx := context.Background()
 	r := newRig(t, engine.Settings{LoadLag: 250 * time.Millisecond})
-	status, _ := r.post(t, "/faults", `{"crash_marker":"poison","bad_versions":[{"version":"v1","error_rate":1}]}`)
-	is.Equal(status, http.StatusOK)
-	status, _ = r.post(t, "/faults", `{"cut_streams":2}`)
-	is.Equal(status, http.StatusOK)
-	f := r.server.Faults()
+	port := r.port(t)
+	is.NoErr(port.Change(ctx, json.RawMessage(`{"crash_marker":"poison","bad_versions":[{"version":"v1","error_rate":1}]}`), nil))
+	var f engine.Faults
+	is.NoErr(port.Change(ctx, json.RawMessage(`{"cut_streams":2}`), &f))
 	is.Equal(f.CrashMarker, "poison") // what a change does not name stays
 	is.Equal(f.CutStreams, 2)
 	is.Equal(f.LoadLagMillis, int64(250))
 	is.Equal(len(f.BadVersions), 1)
-	for _, bad := range []string{`{`, `{"unknown":1}`, `{"slow_factor":0}`, `{"cut_after":-1}`, `{"bad_versions":[{"version":""}]}`} {
-		status, _ = r.post(t, "/faults", bad)
-		is.Equal(status, http.StatusBadRequest)
+	for _, bad := range []string{`1`, `{"unknown":1}`, `{"slow_factor":0}`, `{"cut_after":-1}`, `{"bad_versions":[{"version":""}]}`} {
+		is.True(port.Change(ctx, json.RawMessage(bad), nil) != nil)
 	}
-	is.Equal(r.server.Faults().CutStreams, 2)
-	r.faults(t, func(f *engine.Faults) { f.BadVersions, f.CutStreams = nil, 0 })
+	is.NoErr(port.Get(ctx, "/faults", &f))
+	is.Equal(f.CutStreams, 2)
+	is.NoErr(port.Change(ctx, json.RawMessage(`{"cut_streams":0,"bad_versions":[]}`), nil))
 	_, err := readAll(r.start(t, attempt("a", "v1", "x")))
 	is.NoErr(err)
 	var page engine.RunPage
-	_, body := r.get(t, "/runs?after=0")
-	is.NoErr(json.Unmarshal([]byte(body), &page))
+	is.NoErr(port.Get(ctx, "/runs?after=0", &page))
 	is.Equal(page.Total, 1)
 	is.Equal(page.Runs[0], engine.Run{Attempt: "a", Version: "v1", Digest: engine.Digest("x"), State: engine.RunCompleted})
-	_, body = r.get(t, "/counts")
 	var counts engine.Counts
-	is.NoErr(json.Unmarshal([]byte(body), &counts))
+	is.NoErr(port.Get(ctx, "/counts", &counts))
 	is.Equal(counts.Completed, 1)
+	is.True(port.Get(ctx, "/runs?after=x", &page) != nil)
 }
 
 // The engine does not hide it when a router sends an attempt twice.
--- a/internal/standin/engine/rig_test.go
+++ b/internal/standin/engine/rig_test.go
@@ -7,11 +7,11 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/standin/engine"
+	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 	"github.com/hickorybank/hickorybank/internal/upstream/client"
 )
@@ -120,29 +120,9 @@
 	return e.Reach
 }
 
-// post sends JSON to the fault port and returns status and answer.
-func (r *rig) post(t testing.TB, path, body string) (int, string) {
-	t.Helper()
-	res, err := http.Post("http://"+r.server.FaultAddr()+path, "application/json", strings.NewReader(body))
-	return answerOf(t, res, err)
-}
-
-func (r *rig) get(t testing.TB, path string) (int, string) {
-	t.Helper()
-	res, err := http.Get("http://" + r.server.FaultAddr() + path)
-	return answerOf(t, res, err)
-}
-
-func answerOf(t testing.TB, res *http.Response, err error) (int, string) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer http.DefaultClient.CloseIdleConnections()
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return res.StatusCode, string(body)
+// port returns a client of the engine's fault port.
+func (r *rig) port(t testing.TB) host.FaultClient {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return host.FaultClient{Addr: r.server.FaultAddr(), HTTP: &http.Client{Transport: transport}}
 }
