Decide claims by append-only logs of conditional rows

Cause: work that may not be repeated has to be claimed durably before its first byte leaves, and a row for each claim is more than the table takes. Claims go into logs by shard and key time; a row is created only if absent, by a writer that has read the rows before it, so that two batchers of one log, a paused one, and a lost answer are all settled by the table.

--- /dev/null
+++ b/internal/ledger/claim/log.go
@@ -0,0 +1,126 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/ledger/pace"
+)
+
+// Log is one append-only log of claims, as one process sees it. Any number of
+// processes may hold the same log. What keeps them apart is the table: row n
+// is created only if absent, and only by a process that has read the rows
+// before n and judged its entries by them. A process that lost the race reads
+// the winner's row and judges again. So a paused process that wakes needs no
+// care: what it writes next fails, unless nobody wrote meanwhile.
+type Log struct {
+	settings LogSettings
+	name     key.Log
+	index    *index
+	floor    Floor
+	next     uint64 // the first row that was not read
+	fresh    bool   // no row is known to be missing
+	busy     bool   // a call is out
+	asked    time.Time
+	asOf     time.Time // when the index was last known to be the newest
+	writes   *pace.Pace
+	reads    *pace.Pace
+
+	pending []Op
+	// judged is how many of pending were judged by the present index.
+	judged  int
+	flight  *flight
+	number  uint64
+	replies []Reply
+	used    time.Time
+}
+
+// NewLog returns a log of which nothing was read yet.
+func NewLog(name key.Log, s LogSettings) *Log {
+	return &Log{
+		settings: s,
+		name:     name,
+		index:    newIndex(s.Window),
+		writes:   pace.New(s.MinGap, s.MaxGap),
+		reads:    pace.New(0, s.MaxGap),
+	}
+}
+
+// Add takes an operation; its reply comes in a later Ready.
+func (l *Log) Add(now time.Time, op Op) {
+	l.used = now
+	op.Entry.At = now.UnixMilli()
+	op.added = now
+	l.pending = append(l.pending, op)
+}
+
+// Idle says whether the log could be dropped from memory: nobody waits.
+func (l *Log) Idle() bool {
+	return !l.busy && l.flight == nil && len(l.pending) == 0 && len(l.replies) == 0
+}
+
+// Used is when the last operation came.
+func (l *Log) Used() time.Time { return l.used }
+
+// Keys is the number of keys that the log holds in memory.
+func (l *Log) Keys() int { return len(l.index.records) }
+
+// SetGap changes the least time between two writes.
+func (l *Log) SetGap(gap time.Duration) { l.writes.SetFloor(gap) }
+
+// RowsRead takes the result of a Read. More says that further rows may follow.
+func (l *Log) RowsRead(floor Floor, rows []StoredRow, more bool) {
+	l.busy = false
+	l.reads.Succeeded()
+	l.judged = 0
+	l.takeFloor(floor)
+	for i := range rows {
+		l.take(&rows[i])
+	}
+	l.fresh = !more
+	if l.fresh {
+		l.asOf = l.asked
+	}
+}
+
+// take applies the next row. A row that was read before is passed over.
+func (l *Log) take(stored *StoredRow) {
+	if stored.Seq != l.next {
+		return
+	}
+	for i := range stored.Row.Entries {
+		l.index.apply(stored.Seq, &stored.Row.Entries[i])
+	}
+	l.next++
+	l.resolve(stored)
+}
+
+// ReadFailed notes that a Read got no answer.
+func (l *Log) ReadFailed(now time.Time) {
+	l.busy = false
+	l.reads.Failed(now)
+}
+
+// WriteDone takes the result of a Create.
+func (l *Log) WriteDone(now time.Time, fate Fate) {
+	l.busy = false
+	switch fate {
+	case Applied:
+		l.writes.Succeeded()
+		l.judged = 0
+		l.asOf = l.asked
+		l.take(&StoredRow{Seq: l.flight.seq, Row: l.flight.row})
+	case Conflict:
+		l.writes.Succeeded()
+		l.fresh = false
+	case Refused:
+		l.writes.Failed(now)
+		l.landUnlessDoubted()
+	case Unanswered:
+		// The write may have taken effect, or may yet. The row tells whose
+		// it is by its writer and number, once there is one.
+		l.writes.Failed(now)
+		l.flight.doubted = true
+		l.fresh = false
+	}
+}
--- /dev/null
+++ b/internal/ledger/claim/ready.go
@@ -0,0 +1,54 @@
+package claim
+
+import "time"
+
+// Fate is what became of a call to the platform.
+type Fate uint8
+
+// The fates.
+const (
+	// Applied means that the write took effect.
+	Applied Fate = iota + 1
+	// Conflict means that a condition failed. An earlier sending of the same
+	// write may have taken effect all the same.
+	Conflict
+	// Refused means that the call took no effect.
+	Refused
+	// Unanswered means that the write may have taken effect.
+	Unanswered
+)
+
+// Floor is what a shard says of its deleted rows.
+type Floor struct {
+	// Version is the version of the floor's row; 0 when there is none.
+	Version uint64
+	// Bucket is the lowest bucket of timed keys that still has its rows.
+	Bucket int64
+	// Seq is the lowest row that an opaque shard still has.
+	Seq uint64
+}
+
+// Read asks for the floor, and then for the rows from a number on. The floor
+// has to be read first: if rows are deleted after it, it changes, and a write
+// under the old one fails.
+type Read struct {
+	From uint64
+}
+
+// Create asks for a row to be created, under two conditions: that it is
+// absent, and that the floor still has this version.
+type Create struct {
+	Seq   uint64
+	Row   Row
+	Floor uint64
+}
+
+// Ready is what a log wants done. At most one of Read and Create is set, and
+// no other comes before its result was given back.
+type Ready struct {
+	Read    *Read
+	Create  *Create
+	Replies []Reply
+	// Wake is when to call again without an event; zero means not at all.
+	Wake time.Time
+}
--- /dev/null
+++ b/internal/ledger/key/bucket.go
@@ -0,0 +1,26 @@
+package key
+
+import "fmt"
+
+// Bucket names the bills that are settled together.
+type Bucket struct {
+	Kind   Kind
+	Number int64
+}
+
+// Prefix is the beginning of the keys of the bucket's rows and objects.
+func (b Bucket) Prefix() string { return fmt.Sprintf("bills/%c/%012d/", b.Kind, b.Number) }
+
+// Row is the key of a writer's row.
+func (b Bucket) Row(writer string, seq uint64) string {
+	return fmt.Sprintf("%s%s/%010d", b.Prefix(), writer, seq)
+}
+
+// Summary is the key of the row that holds the bucket's totals.
+func (b Bucket) Summary() string { return fmt.Sprintf("settled/%c/%012d", b.Kind, b.Number) }
+
+// Previous is the bucket before.
+func (b Bucket) Previous() Bucket { return Bucket{Kind: b.Kind, Number: b.Number - 1} }
+
+// String returns the bucket's name.
+func (b Bucket) String() string { return fmt.Sprintf("%c/%012d", b.Kind, b.Number) }
