--- /dev/null
+++ b/internal/telemetry/label.go
@@ -0,0 +1,32 @@
+package telemetry
+
+import (
+	"strconv"
+	"strings"
+)
+
+// label is one label of a metric.
+type label struct {
+	name, value string
+}
+
+// metricName is a metric's name with its labels in the exposition form.
+func metricName(name string, labels ...label) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	for i, l := range labels {
+		if i == 0 {
+			b.WriteByte('{')
+		} else {
+			b.WriteByte(',')
+		}
+		b.WriteString(l.name)
+		b.WriteByte('=')
+		b.WriteString(strconv.Quote(l.value))
+	}
+	b.WriteByte('}')
+	return b.String()
+}
