--- /dev/null
+++ b/internal/confsync/candidates.go
@@ -0,0 +1,85 @@
+package confsync
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// foreignDomains is in how many other failure domains a node looks for a peer.
+const foreignDomains = 3
+
+// candidates returns the peers to pull from, the best first: the parent in the
+// tree, the readers of this failure domain, readers of others, then peers
+// marked down, and the seeds when nobody is known.
+func (r *roster) candidates(now time.Duration, s Settings) []platform.VM {
+	var list []platform.VM
+	if vm, ok := r.treeParent(now, s); ok {
+		list = append(list, vm)
+	}
+	list = r.addReaders(list, r.domain, now, s)
+	for i := 0; i < len(r.others) && i < foreignDomains; i++ {
+		list = r.addReaders(list, r.others[i].vms, now, s)
+	}
+	list = r.addDown(list, now)
+	if len(r.members) > 0 {
+		return list
+	}
+	for _, addr := range s.Seeds {
+		if addr != r.self.Peer {
+			list = append(list, platform.VM{ID: addr, Peer: addr})
+		}
+	}
+	return list
+}
+
+// treeParent is the parent of this node in its failure domain's tree. A
+// parent's rank is below its children's, so that nodes that agree on the list
+// form no cycle; in a cycle of nodes that do not agree proofs only grow old,
+// and each looks for another parent.
+func (r *roster) treeParent(now time.Duration, s Settings) (platform.VM, bool) {
+	rank := r.rank(now)
+	if rank < s.Readers {
+		return platform.VM{}, false
+	}
+	return r.at((rank-s.Readers)/s.FanOut, now)
+}
+
+func (r *roster) addReaders(list, domain []platform.VM, now time.Duration, s Settings) []platform.VM {
+	added := 0
+	for _, vm := range domain {
+		if added == s.Readers {
+			break
+		}
+		if vm.ID == r.self.ID || r.down.has(vm.ID, now) {
+			continue
+		}
+		list = appendOnce(list, vm)
+		added++
+	}
+	return list
+}
+
+// addDown adds the peers marked down, a few: the mark may be wrong.
+func (r *roster) addDown(list []platform.VM, now time.Duration) []platform.VM {
+	added := 0
+	for _, vm := range r.members {
+		if added == foreignDomains {
+			break
+		}
+		if r.down.has(vm.ID, now) {
+			list = appendOnce(list, vm)
+			added++
+		}
+	}
+	return list
+}
+
+func appendOnce(list []platform.VM, vm platform.VM) []platform.VM {
+	for _, other := range list {
+		if other.ID == vm.ID {
+			return list
+		}
+	}
+	return append(list, vm)
+}
--- a/internal/confsync/confirmation.go
+++ b/internal/confsync/confirmation.go
@@ -6,8 +6,8 @@
 type Confirmation struct {
 	Revision uint64
 	// InForce says that no node admits work under an older revision, now or
-	// later: enough nodes have confirmed it, and every other one has it too or
-	// has been without a proof for longer than the bound.
+	// later: enough nodes have confirmed it, and every proof of an older one
+	// has outlived the bound. The nodes in Lagging refuse new work then.
 	InForce bool
 	// Members is how many entry nodes are known, Have how many of them
 	// confirmed, and Needed how many must.
--- /dev/null
+++ b/internal/confsync/roster.go
@@ -0,0 +1,154 @@
+package confsync
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// roster orders the entry nodes: who reads the table for a failure domain, who
+// pulls from whom. The order is a rendezvous hash, so that nodes with the same
+// list agree without a message; nodes that do not agree only read or pull once
+// too often.
+type roster struct {
+	self platform.VM
+	// members are all entry VMs but this one, sorted by id.
+	members []platform.VM
+	// listed says that this node is in the list.
+	listed bool
+	// domain are the live VMs of this failure domain in the rendezvous order,
+	// this one among them.
+	domain []platform.VM
+	// others are the other failure domains, in this node's own order.
+	others []domainOrder
+	// electors counts the entry VMs of the list, those that leave among them:
+	// they may still vote and admit work.
+	electors int
+	down     downMarks
+}
+
+// domainOrder are the live VMs of one failure domain in the rendezvous order.
+type domainOrder struct {
+	name string
+	vms  []platform.VM
+}
+
+func newRoster(self platform.VM) *roster {
+	r := &roster{self: self, down: downMarks{}}
+	r.set(nil)
+	return r
+}
+
+// set takes the entry VMs known now.
+func (r *roster) set(vms []platform.VM) {
+	r.members = r.members[:0:0]
+	r.listed = false
+	r.electors = 0
+	domains := map[string][]platform.VM{r.self.FailureDomain: {r.self}}
+	for _, vm := range vms {
+		r.electors++
+		if vm.ID == r.self.ID {
+			r.listed = true
+			continue
+		}
+		r.members = append(r.members, vm)
+		if vm.State != platform.Leaving {
+			domains[vm.FailureDomain] = append(domains[vm.FailureDomain], vm)
+		}
+	}
+	slices.SortFunc(r.members, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	r.order(domains)
+	r.down.keepOnly(r.members)
+}
+
+func (r *roster) order(domains map[string][]platform.VM) {
+	r.others = r.others[:0:0]
+	for name, vms := range domains {
+		sortByScore(vms, name, func(vm platform.VM) string { return vm.ID })
+		if name == r.self.FailureDomain {
+			r.domain = vms
+			continue
+		}
+		r.others = append(r.others, domainOrder{name: name, vms: vms})
+	}
+	sortByScore(r.others, r.self.ID, func(d domainOrder) string { return d.name })
+}
+
+// sortByScore sorts by the rendezvous hash of a name and each element's key.
+func sortByScore[T any](list []T, name string, key func(T) string) {
+	slices.SortFunc(list, func(a, b T) int {
+		return cmp.Or(cmp.Compare(score(name, key(a)), score(name, key(b))), cmp.Compare(key(a), key(b)))
+	})
+}
+
+func score(name, key string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + key)
+}
+
+// rank is this node's place among the VMs of its failure domain that are not
+// marked down.
+func (r *roster) rank(now time.Duration) int {
+	rank := 0
+	for _, vm := range r.domain {
+		if vm.ID == r.self.ID {
+			return rank
+		}
+		if !r.down.has(vm.ID, now) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// at is the VM at a rank of this failure domain.
+func (r *roster) at(rank int, now time.Duration) (platform.VM, bool) {
+	return nth(r.domain, rank, func(vm platform.VM) bool {
+		return vm.ID == r.self.ID || !r.down.has(vm.ID, now)
+	})
+}
+
+func nth(vms []platform.VM, n int, counts func(platform.VM) bool) (platform.VM, bool) {
+	for _, vm := range vms {
+		if !counts(vm) {
+			continue
+		}
+		if n == 0 {
+			return vm, true
+		}
+		n--
+	}
+	return platform.VM{}, false
+}
+
+func (r *roster) find(id string) (platform.VM, bool) {
+	i, ok := slices.BinarySearchFunc(r.members, id, func(vm platform.VM, id string) int { return cmp.Compare(vm.ID, id) })
+	if !ok {
+		return platform.VM{}, false
+	}
+	return r.members[i], true
+}
+
+// isElector says whether a node counts in majorities: it is listed.
+func (r *roster) isElector(id string) bool {
+	if id == r.self.ID {
+		return r.listed
+	}
+	_, ok := r.find(id)
+	return ok
+}
+
+// electorIDs returns the ids of all listed entry VMs.
+func (r *roster) electorIDs() []string {
+	ids := make([]string, 0, len(r.members)+1)
+	if r.listed {
+		ids = append(ids, r.self.ID)
+	}
+	for _, vm := range r.members {
+		ids = append(ids, vm.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/confsync/rules.go
@@ -0,0 +1,57 @@
+package confsync
+
+import "time"
+
+// rules are the guards of the protocol, each a pure function, so that tests
+// can take one away and see that the checker notices.
+type rules struct {
+	// proofAt gives the instant of a proof that a peer reported.
+	proofAt func(sent, received, age time.Duration) time.Duration
+	// upward says whether an offered revision may replace the applied one.
+	upward func(applied, offered uint64) bool
+	// outageQuorum is how many of the electors must vote for an outage.
+	outageQuorum func(electors int) int
+	// mayVote says whether this node may vote.
+	mayVote func(everProved bool) bool
+	// promise is how long a vote binds its voter.
+	promise func(bound time.Duration) time.Duration
+	// settle is how long after a revision was learned the nodes that did not
+	// confirm it have surely stopped to admit work under an older one.
+	settle func(bound time.Duration) time.Duration
+	// confirmQuorum is how many of the electors must confirm, when there were
+	// at least fewest electors of late.
+	confirmQuorum func(electors, fewest int) int
+}
+
+// driftDivisor widens the waits that must outlast a peer's by 1/20: clocks of
+// two machines run at rates that differ by far less.
+const driftDivisor = 20
+
+func withDrift(d time.Duration) time.Duration { return d + d/driftDivisor }
+
+func defaultRules() rules {
+	return rules{
+		// A reply may have lain in a buffer while this process was paused, or
+		// crossed the network slowly. It is counted from the instant of the
+		// call, which is earlier than everything the peer did for it.
+		proofAt: func(sent, _, age time.Duration) time.Duration { return sent - age },
+		// A stale read or an old parent may offer an older revision.
+		upward: func(applied, offered uint64) bool { return offered > applied },
+		// A majority has a node in common with every majority that confirmed
+		// a revision, so that the highest revision among the voters is not
+		// older than any that was reported in force.
+		outageQuorum: majority,
+		// A process that started anew has forgotten what it confirmed. Once it
+		// has seen a proof of the table its revision is as new again.
+		mayVote: func(everProved bool) bool { return everProved },
+		promise: withDrift,
+		settle:  withDrift,
+		// Nodes that joined lately are unknown to a node that was cut off
+		// before: its majority is one of the fewer.
+		confirmQuorum: func(electors, fewest int) int {
+			return max(majority(electors), electors-fewest/2)
+		},
+	}
+}
+
+func majority(n int) int { return n/2 + 1 }
--- a/internal/confsync/settings.go
+++ b/internal/confsync/settings.go
@@ -49,13 +49,13 @@
 	DefaultReadGap     = 500 * time.Millisecond
 	DefaultReadTimeout = 2 * time.Second
 	DefaultListGap     = time.Second
-	DefaultMinHold     = 600 * time.Millisecond
-	DefaultMaxHold     = 900 * time.Millisecond
+	DefaultMinHold     = 700 * time.Millisecond
+	DefaultMaxHold     = 1200 * time.Millisecond
 	DefaultCallTimeout = 250 * time.Millisecond
 	DefaultSurveyGap   = 800 * time.Millisecond
 	DefaultReaders     = 2
 	DefaultFanOut      = 4
-	DefaultDirectLimit = 64
+	DefaultDirectLimit = 16
 )
 
 // WithDefaults returns the settings with every zero replaced by its default.
--- /dev/null
+++ b/internal/confsync/sim_faults_test.go
@@ -0,0 +1,174 @@
+package confsync
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	chaosTime  = 12 * time.Second
+	settleTime = 4 * time.Second
+	faultKinds = 9
+)
+
+// simRun is one randomised run: a small fleet, faults, operators.
+func simRun(seed uint64, r rules, tracing bool) *world {
+	w := newWorld(seed, Settings{})
+	w.tracing = tracing
+	w.rules = r
+	w.settings.Readers = 1 + w.random.IntN(2)
+	w.settings.FanOut = 1 + w.random.IntN(3)
+	if w.random.IntN(3) == 0 {
+		w.settings.DirectLimit = 1
+	}
+	w.vms.lag = w.between(0, 3*time.Second)
+	w.table.stored = append(w.table.stored, 0)
+	nodes, domains := 3+w.random.IntN(6), 1+w.random.IntN(4)
+	for i := range nodes {
+		w.addNode(fmt.Sprintf("n%d", i), fmt.Sprintf("d%d", i%domains))
+	}
+	w.run(w.vms.lag + w.between(3*time.Second, 6*time.Second))
+	w.net.side, w.net.noTable = map[string]int{}, map[string]bool{}
+	for range 1 + w.random.IntN(4) {
+		w.kinds = append(w.kinds, w.random.IntN(faultKinds))
+	}
+	end := w.now + chaosTime
+	w.nextFault(end)
+	w.nextChange(end)
+	w.runUntil(end)
+	w.heal()
+	w.run(settleTime)
+	w.checkSettled()
+	return w
+}
+
+func (w *world) nextFault(end time.Duration) {
+	w.after(w.between(0, time.Second), func() {
+		if w.now >= end {
+			return
+		}
+		w.fault()
+		w.nextFault(end)
+	})
+}
+
+// nextChange lets an operator change the configuration and ask until it is in
+// force. The acknowledgement may be lost; the operator asks all the same.
+func (w *world) nextChange(end time.Duration) {
+	w.after(w.between(0, 3*time.Second), func() {
+		if w.now >= end {
+			return
+		}
+		if n := w.anyNode(); !n.dead && !w.table.down && !w.table.silent && !w.net.noTable[n.vm.ID] {
+			revision := w.accept()
+			n.deliver(n.boot, Poked{})
+			w.askUntil(n, revision, end)
+		}
+		w.nextChange(end)
+	})
+}
+
+func (w *world) askUntil(n *simNode, revision uint64, end time.Duration) {
+	w.after(w.between(0, 600*time.Millisecond), func() {
+		if w.now >= end || w.reported >= revision {
+			return
+		}
+		if n.dead {
+			n = w.anyNode()
+		}
+		n.askConfirm(revision)
+		w.askUntil(n, revision, end)
+	})
+}
+
+func (w *world) anyNode() *simNode { return w.nodes[w.random.IntN(len(w.nodes))] }
+
+func (w *world) fault() {
+	length := w.between(100*time.Millisecond, 7*time.Second)
+	switch w.kinds[w.random.IntN(len(w.kinds))] {
+	case 0, 1:
+		n := w.anyNode()
+		n.pause()
+		w.after(length, n.thaw)
+	case 2:
+		w.split()
+		w.after(length, func() { clear(w.net.side) })
+	case 3:
+		w.cutFromTable()
+		w.after(length, func() { clear(w.net.noTable) })
+	case 4:
+		w.table.down = true
+		w.note("the table is down")
+		w.after(length, func() { w.table.down = false })
+	case 5:
+		w.table.silent = true
+		w.note("the table is silent")
+		w.after(length, func() { w.table.silent = false })
+	case 6:
+		w.table.most = w.between(0, 2*time.Second)
+		w.net.slow, w.net.slowBy = 0.2, 3*time.Second
+		w.note("table and network are slow")
+		w.after(length, w.calm)
+	case 7:
+		n := w.anyNode()
+		n.kill()
+		w.after(w.between(0, time.Second), n.start)
+	case 8:
+		w.replace(w.anyNode())
+	}
+}
+
+func (w *world) calm() {
+	w.table.most = 8 * time.Millisecond
+	w.net.slow = 0
+}
+
+func (w *world) split() {
+	for _, n := range w.nodes {
+		w.net.side[n.vm.ID] = w.random.IntN(2)
+	}
+	w.note("the network is split: %v", w.net.side)
+}
+
+func (w *world) cutFromTable() {
+	for _, n := range w.nodes {
+		w.net.noTable[n.vm.ID] = w.random.IntN(2) == 0
+	}
+	w.note("cut from the table: %v", w.net.noTable)
+}
+
+// replace kills a node for good and starts one with a new id in its place.
+func (w *world) replace(n *simNode) {
+	n.kill()
+	id := fmt.Sprintf("%s.%d", n.vm.ID, w.seq)
+	list := w.vms.last()
+	for i := range list {
+		if list[i].ID == n.vm.ID {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	delete(w.byAddr, n.vm.ID)
+	for i := range w.nodes {
+		if w.nodes[i] == n {
+			w.nodes = append(w.nodes[:i:i], w.nodes[i+1:]...)
+			break
+		}
+	}
+	w.vms.change(w.now, list)
+	w.addNode(id, n.vm.FailureDomain)
+}
+
+func (w *world) heal() {
+	clear(w.net.side)
+	clear(w.net.noTable)
+	w.table.down, w.table.silent, w.vms.down = false, false, false
+	w.calm()
+	for _, n := range w.nodes {
+		n.thaw()
+		if n.dead {
+			n.start()
+		}
+	}
+	w.note("all faults are over")
+}
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -6,11 +6,12 @@
 // the platform's table. The reads of the head must be linearizable: a read
 // sees every change that was acknowledged before the read began.
 type Store interface {
-	// Head reads the head row.
-	Head(ctx context.Context) (Head, error)
+	// Head reads the head row: the newest accepted revision, 0 while there is
+	// none.
+	Head(ctx context.Context) (uint64, error)
 	// Document reads the encoded document of a revision.
 	Document(ctx context.Context, revision uint64) ([]byte, error)
-	// Deltas reads the stored deltas of the revisions after the given one, in
-	// order; an empty list means that none is stored.
+	// Deltas reads the stored deltas of the revisions after one, up to
+	// another, in order. An empty answer means that they are not stored.
 	Deltas(ctx context.Context, after, upTo uint64) ([]Delta, error)
 }
