Tell an engine's own failure from a lost stream; name the run of an upstream

Cause: a version gone bad answers with its own failure, for which there is nothing to resume; resuming it would look like a crashed engine, since the engine then knows no such stream. The machine takes it as an event of its own. A load report names the run of the upstream's process, so that a crash seen by several nodes counts once. Hop-by-hop headers of a service stay on its side. Ruled out: guessing a crash from the status of a resumption alone.

--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -23,13 +23,25 @@
 		writeFailure(w, asFailure(err))
 		return
 	}
-	for name, values := range answer.Header {
-		w.Header()[name] = values
-	}
+	copyHeader(w.Header(), answer.Header)
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body) // the caller may have gone; nothing is left to do
 }
 
+// hopHeaders belong to one connection or are set anew here.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Date": true,
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !hopHeaders[name] {
+			to[name] = values
+		}
+	}
+}
+
 func serviceCall(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) (ServiceCall, *request.Failure) {
 	path := p.ByName("path")
 	service, declared, fail := declaredCall(id, p.ByName("service"), r.Method, path)
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -23,6 +23,9 @@
 	return &streamSink{w: w, flusher: http.NewResponseController(w), first: true}
 }
 
+// Streams is true: pieces go out as they come.
+func (s *streamSink) Streams() bool { return true }
+
 // Begin sends the headers.
 func (s *streamSink) Begin(version, session string) {
 	setVersionHeaders(s.w.Header(), version, session)
--- a/internal/api/whole.go
+++ b/internal/api/whole.go
@@ -18,6 +18,9 @@
 	text    strings.Builder
 }
 
+// Streams is false: the answer goes out in one piece.
+func (s *wholeSink) Streams() bool { return false }
+
 // Begin notes the version and session for the headers.
 func (s *wholeSink) Begin(version, session string) {
 	s.version = version
--- a/internal/lifecycle/chat.go
+++ b/internal/lifecycle/chat.go
@@ -48,6 +48,9 @@
 // Ended says whether the final answer has been given.
 func (c *Chat) Ended() bool { return c.phase == ended }
 
+// Running says that an attempt is in flight and its pieces are awaited.
+func (c *Chat) Running() bool { return c.phase == running }
+
 func (c *Chat) version() string { return c.s.Versions[c.stage] }
 
 func (c *Chat) lastStage() bool { return c.stage == len(c.s.Versions)-1 }
--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -23,6 +23,15 @@
 	return c.resume()
 }
 
+// Failed reports that the upstream itself said that the attempt failed. There
+// is nothing to resume.
+func (c *Chat) Failed(attempt string) []Decision {
+	if c.phase != running || attempt != c.current.id {
+		return nil
+	}
+	return c.elsewhere()
+}
+
 // notRun tries elsewhere: this attempt is known not to have run.
 func (c *Chat) notRun() []Decision {
 	c.mayHaveRun = c.ranBefore()
--- a/internal/lifecycle/script_test.go
+++ b/internal/lifecycle/script_test.go
@@ -53,6 +53,8 @@
 		return c.Piece(chunk)
 	case "broke":
 		return c.Broke(text(t, d, "attempt"), reach(t, d), d.HasArg("resuming"))
+	case "said-failed":
+		return c.Failed(text(t, d, "attempt"))
 	case "rated":
 		var score float64
 		if d.HasArg("score") {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -32,14 +32,25 @@
 	return eris.Wrap(s.rpc.RegisterName(name, receiver), "register "+name)
 }
 
-// Start listens and serves.
-func (s *Server) Start(listen string) error {
-	listener, err := net.Listen("tcp", listen)
+// Listen takes the address, so that it is known before anything is served.
+func (s *Server) Listen(addr string) error {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
 	s.listener = listener
-	s.duties.Go(s.accept)
+	return nil
+}
+
+// Serve begins to answer. All methods must be registered before.
+func (s *Server) Serve() { s.duties.Go(s.accept) }
+
+// Start listens and serves.
+func (s *Server) Start(addr string) error {
+	if err := s.Listen(addr); err != nil {
+		return err
+	}
+	s.Serve()
 	return nil
 }
 
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -10,6 +10,9 @@
 	Versions []string `json:"versions,omitempty"`
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Epoch tells the runs of the upstream's process apart: it changes with
+	// each start.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// AgeMillis is how old the report was when it was sent.
 	AgeMillis int64 `json:"age_ms"`
 }
