Check settings as a whole and operate through the administration API

Cause: a process stopped at its first wrong setting, and the only command for operators wrote to the platform by itself, past keys and revisions. Settings now keep their text until all are known; then every fault is told at once with flag, variable, value and what is accepted. Secrets are not shown. "config check" and "config example" need no node. A second stop signal still cuts nothing off, and a ready line now comes after the VM is in the list. Ruled out: go-flags' own required and choice tags, which end at the first.

--- /dev/null
+++ b/internal/cli/admin.go
@@ -0,0 +1,114 @@
+package cli
+
+const adminHelp = `Operate a deployment through a node's administration interface.
+
+Every command takes --admin URL and --operator-key KEY, or better their
+variables, so that the key stands in no list of processes:
+  export HICKORYBANK_ADMIN=http://127.0.0.1:8090
+  export HICKORYBANK_OPERATOR_KEY=...
+
+A change is made from one revision. If another change came first, nothing is
+changed and the present revision is told. A change is answered as accepted
+with its revision; --wait tells when it is in force on every node.`
+
+const (
+	withdrawHelp = `Withdraw a version: it receives no new work, and its sessions end.
+
+Example:
+  hickorybank admin withdraw dues@1 --wait 10s`
+	presetHelp = `Show the preset in force, or put another one in force.
+
+Examples:
+  hickorybank admin preset
+  hickorybank admin preset peak --wait 10s`
+	rolloutHelp = `Show the roll-outs, or set how far a version is rolled out.
+
+Examples:
+  hickorybank admin rollout
+  hickorybank admin rollout dues@3 staged --share 0.1 --exposure-cap 40
+  hickorybank admin rollout dues@3 serving`
+	targetHelp = `Set an organisation's quality target for a class.
+
+Example:
+  hickorybank admin target tolu draft 0.9`
+	putHelp = `Create or replace one entry from a JSON file.
+
+KIND is organisations, models, services, classes or presets.
+Example:
+  hickorybank admin put organisations tolu tolu.json`
+	deleteHelp = `Remove one entry. It is refused while another entry refers to it.
+
+KIND is organisations, models, services, classes or presets.
+Example:
+  hickorybank admin delete organisations tolu`
+	applyHelp = `Replace the whole configuration by a JSON file.
+
+--base is the revision that the file was made from, as "admin get" told it;
+0 (the default) is right only while nothing is stored.
+Examples:
+  hickorybank admin get > now.json
+  hickorybank admin apply now.json --base 7 --dry-run
+  hickorybank admin apply now.json --base 7 --wait 10s`
+	bootstrapHelp = `Store the very first configuration, straight at the platform.
+
+A deployment without configuration serves nobody. This command needs no
+running node, and changes nothing once a configuration is stored.
+Example:
+  hickorybank admin bootstrap first.json --platform http://127.0.0.1:8070`
+	getHelp = `Print the whole configuration; its revision goes to standard error.
+
+Examples:
+  hickorybank admin get > now.json
+  hickorybank admin get --revision 6 > before.json`
+	billsHelp = `List bills by time, with their sums.
+
+Example:
+  hickorybank admin bills --organisation tolu --from 2026-03-01 --to 2026-03-02`
+	statusHelp = `Tell how far a revision is in force, and where not yet.
+
+Example:
+  hickorybank admin status --revision 8`
+	changeHelp = `Tell what became of a change: applied, not applied, or not decided.
+
+Example:
+  hickorybank admin change 5e0c... --base 7`
+	liftHelp = `Lift the hold of a version that turned bad. Name the term that you looked at.
+
+Example:
+  hickorybank admin lift dues@3 --term 1`
+)
+
+func adminCommands(e *env) []command {
+	options := adminOptions{env: e}
+	change := changeOptions{adminOptions: options}
+	return append(adminReaders(options), []command{
+		{name: "apply", short: "replace the whole configuration", long: applyHelp, data: &adminApplyCommand{changeOptions: change}},
+		{name: "bootstrap", short: "store the very first configuration", long: bootstrapHelp, data: &adminBootstrapCommand{env: e}},
+		{name: "put", short: "create or replace an entry", long: putHelp, data: &adminPutCommand{changeOptions: change}},
+		{name: "delete", short: "remove an entry", long: deleteHelp, data: &adminDeleteCommand{changeOptions: change}},
+		{name: "withdraw", short: "withdraw a version", long: withdrawHelp, data: &adminWithdrawCommand{changeOptions: change}},
+		{name: "preset", short: "show or change the preset in force", long: presetHelp, data: &adminPresetCommand{changeOptions: change}},
+		{name: "rollout", short: "show or change roll-outs", long: rolloutHelp, data: &adminRolloutCommand{changeOptions: change}},
+		{name: "target", short: "set a quality target", long: targetHelp, data: &adminTargetCommand{changeOptions: change}},
+		{name: "lift", short: "lift a version's hold", long: liftHelp, data: &adminLiftCommand{adminOptions: options}},
+	}...)
+}
+
+func adminReaders(o adminOptions) []command {
+	return []command{
+		{name: "get", short: "print the configuration", long: getHelp, data: &adminGetCommand{adminOptions: o}},
+		{name: "organisations", short: "list organisations", long: "List the organisations.", data: &adminOrganisationsCommand{adminOptions: o}},
+		{name: "models", short: "list models", long: "List the models with their versions.", data: &adminModelsCommand{adminOptions: o}},
+		{name: "versions", short: "list versions", long: "List the versions with their costs, quality and share.", data: &adminVersionsCommand{adminOptions: o}},
+		{name: "services", short: "list plain services", long: "List the calls of the plain services.", data: &adminServicesCommand{adminOptions: o}},
+		{name: "classes", short: "list classes", long: "List the classes of requests.", data: &adminClassesCommand{adminOptions: o}},
+		{name: "presets", short: "list presets", long: "List the presets.", data: &adminPresetsCommand{adminOptions: o}},
+		{name: "changes", short: "list recent changes", long: "List recent changes, newest first.", data: &adminChangesCommand{adminOptions: o}},
+		{name: "change", short: "tell what became of a change", long: changeHelp, data: &adminChangeCommand{adminOptions: o}},
+		{name: "status", short: "tell how far a revision is in force", long: statusHelp, data: &adminStatusCommand{adminOptions: o}},
+		{name: "bills", short: "list bills", long: billsHelp, data: &adminBillsCommand{adminOptions: o}},
+		{name: "nodes", short: "list entry nodes", long: "List the entry nodes as the asked one sees them.", data: &adminNodesCommand{adminOptions: o}},
+		{name: "upstreams", short: "list upstreams", long: "List the upstreams that the asked node knows.", data: &adminUpstreamsCommand{adminOptions: o}},
+		{name: "holds", short: "list versions on hold", long: "List the versions that are or were held because they turned bad.", data: &adminHoldsCommand{adminOptions: o}},
+	}
+}
--- /dev/null
+++ b/internal/cli/admin_test.go
@@ -0,0 +1,216 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/example"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
+)
+
+// onlooker is what a node knows; a revision is in force after some questions.
+type onlooker struct {
+	questions atomic.Int64
+}
+
+const questionsUntilInForce = 3
+
+func (o *onlooker) Confirmations(_ context.Context, revision uint64) (admin.Confirmation, error) {
+	c := admin.Confirmation{Revision: revision, Members: 3, Have: 2, Needed: 3, Lagging: []string{"e3"}}
+	if o.questions.Add(1) >= questionsUntilInForce {
+		c = admin.Confirmation{Revision: revision, InForce: true, Members: 3, Have: 3, Needed: 3}
+	}
+	return c, nil
+}
+
+func (o *onlooker) Bills(_ context.Context, q admin.BillQuery) (admin.BillPage, error) {
+	at := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	if q.Cursor == "" {
+		return admin.BillPage{Bills: []admin.Bill{{Organisation: "tolu", Key: "a", Version: "dues@1", Cost: 5, At: at}}, Next: "2"}, nil
+	}
+	return admin.BillPage{Bills: []admin.Bill{{Organisation: "tolu", Key: "b", Service: "billing", Cost: 7, At: at}, {Organisation: "turbo", Key: "c", Cost: 1, At: at}}}, nil
+}
+
+func (o *onlooker) Nodes(context.Context) ([]admin.Node, error) {
+	return []admin.Node{{ID: "e1", Address: "127.0.0.1:1", FailureDomain: "manga", State: "live", Revision: 4}}, nil
+}
+
+func (o *onlooker) Upstreams(context.Context) ([]admin.Upstream, error) {
+	return []admin.Upstream{{ID: "eng1", Kind: "engine", Versions: []string{"dues@1", "dues@2"}}}, nil
+}
+
+func (o *onlooker) Rollouts(context.Context) ([]admin.Rollout, error) {
+	return []admin.Rollout{{Version: "dues@3", Stage: "canary", Share: 0.05, Holder: "e1"}}, nil
+}
+
+func (o *onlooker) Holds(context.Context) ([]admin.Hold, error) {
+	return []admin.Hold{{Version: "dues@3", Term: 1, Reason: "ratings", Node: "e2"}}, nil
+}
+
+func (o *onlooker) Lift(_ context.Context, _ string, term uint64) (bool, error) {
+	return term == 1, nil
+}
+
+// startAdmin serves the API over the tarifas example and points the commands
+// at it.
+func startAdmin(t *testing.T, wrap func(http.Handler) http.Handler) *admin.Store {
+	t.Helper()
+	is := is.New(t)
+	store := admin.NewStore(memory.New())
+	doc, err := example.Load("tarifas")
+	is.NoErr(err)
+	_, _, err = store.Put(context.Background(), 0, doc, "first")
+	is.NoErr(err)
+	keys, err := admin.ParseKeys([]string{"ana=" + config.HashKey("key")})
+	is.NoErr(err)
+	o := new(onlooker)
+	server := httptest.NewServer(wrap(admin.NewServer(admin.Deps{
+		Store: store, Keys: keys, Log: slog.New(slog.DiscardHandler),
+		Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o,
+	})))
+	t.Cleanup(server.Close)
+	t.Setenv("HICKORYBANK_ADMIN", server.URL)
+	t.Setenv("HICKORYBANK_OPERATOR_KEY", "key")
+	return store
+}
+
+func plain(h http.Handler) http.Handler { return h }
+
+func TestAdminTables(t *testing.T) {
+	startAdmin(t, plain)
+	cases := []struct{ command, part string }{
+		{"organisations", "cartagena     8       0       1     dues@1,dues@2,dues@3,lines@1,lines@2  billing   draft=0.9,explain=0.8,tag=0.72"},
+		{"models", "lines  lines@1(serving),lines@2(serving)"},
+		{"versions", "dues@3   dues   staged   0.05   40            900         3600         0.91"},
+		{"services", "billing  POST    /settlements  false       settle     100"},
+		{"classes", "receipt    immediate   2000         -      false"},
+		{"presets", "maintenance  false             true      false"},
+		{"preset", "ordinary"},
+		{"changes", "first"},
+		{"change first", "applied as revision 1"},
+		{"change other", "not decided"},
+		{"change other --base 0", "not applied, and never will be"},
+		{"status", "revision 1 is in force on 2 of 3 nodes; not yet on e3"},
+		{"bills", "tolu: 2 bills, 12 micro-units"},
+		{"bills --limit 2", "there are more"},
+		{"nodes", "e1    127.0.0.1:1  -     manga           live   4"},
+		{"upstreams", "dues@1,dues@2"},
+		{"rollout", "dues@3   canary  0.05   e1"},
+		{"holds", "dues@3   1     false   ratings  -      e2"},
+		{"lift dues@3 --term 1", "lifted hold 1 of dues@3"},
+	}
+	for _, c := range cases {
+		t.Run(c.command, func(t *testing.T) {
+			is := is.New(t)
+			got := call(append([]string{"admin"}, strings.Fields(c.command)...)...)
+			if got.code != 0 || !strings.Contains(got.out, c.part) {
+				t.Log(got.out, got.err)
+			}
+			is.Equal(got.code, 0)
+			is.True(strings.Contains(got.out, c.part)) // the row
+			if strings.HasPrefix(c.command, "lift") {
+				return
+			}
+			got = call(append([]string{"admin"}, strings.Fields(c.command+" --json")...)...)
+			is.True(json.Valid([]byte(got.out)))
+		})
+	}
+}
+
+func TestAdminChanges(t *testing.T) {
+	is := is.New(t)
+	store := startAdmin(t, plain)
+	entry := file(t, "new.json", `{"weight":2,"versions":["dues@1"]}`)
+	steps := []struct {
+		args string
+		code int
+		part string
+	}{
+		{"preset peak --dry-run", 0, "nothing was changed; from revision 1 it would be:\n  ~ preset \"ordinary\" -> \"peak\""},
+		{"preset peak --wait 10s", 0, "revision 2 is in force on every node (3 of 3 confirmed)"},
+		{"withdraw dues@1 --base 1", 1, "another change came first: the present revision is 2"},
+		{"withdraw dues@1 --base 2 --change c7", 0, "accepted revision 3 (change c7)"},
+		{"withdraw dues@1 --base 2 --change c7", 0, "it had been accepted before"},
+		{"rollout dues@3 staged --share 0.2 --exposure-cap 7", 0, "share 0.05 -> 0.2"},
+		{"rollout dues@3 half", 1, `"half" is not serving, staged or withdrawn`},
+		{"target tolu draft 0.7", 0, "organisations[tolu].targets[draft].quality 0.9 -> 0.7"},
+		{"put organisations new " + entry, 0, "+ organisations[new]"},
+		{"delete organisations new", 0, "- organisations[new]"},
+		{"delete organisations new", 1, "there is no organisation"},
+		{"lift dues@3 --term 2", 1, "no hold of term 2"},
+	}
+	for _, s := range steps {
+		got := call(append([]string{"admin"}, strings.Fields(s.args)...)...)
+		if !strings.Contains(got.out+got.err, s.part) {
+			t.Log(s.args, got.out, got.err)
+		}
+		is.Equal(got.code, s.code)
+		is.True(strings.Contains(got.out+got.err, s.part)) // the part
+	}
+	head, doc, err := store.Current(context.Background())
+	is.NoErr(err)
+	is.Equal(head.Revision, uint64(7))
+	is.Equal(doc.Preset, "peak")
+}
+
+func TestAdminGetEditApply(t *testing.T) {
+	is := is.New(t)
+	startAdmin(t, plain)
+	got := call("admin", "get")
+	is.Equal(got.code, 0)
+	is.Equal(got.err, "revision 1\n")
+	edited := file(t, "next.json", strings.Replace(got.out, `"preset": "ordinary"`, `"preset": "maintenance"`, 1))
+	is.Equal(call("admin", "apply", edited).code, 1) // no base, and something is stored
+	applied := call("admin", "apply", edited, "--base", "1", "--json")
+	is.Equal(applied.code, 0)
+	var a admin.Acceptance
+	is.NoErr(json.Unmarshal([]byte(applied.out), &a))
+	is.Equal(a.Revision, uint64(2))
+	is.Equal(call("admin", "preset").out, "maintenance\n")
+	is.Equal(call("admin", "get", "--revision", "1").out, got.out)
+}
+
+// The connection breaks after the node has taken a change, again and again.
+// The operator must not be told that nothing happened: the command says that
+// the outcome is unknown and how to ask. When only the first answer is lost,
+// the same change is sent again and is applied once.
+func TestLostAnswersAreSentAgainOrToldUnknown(t *testing.T) {
+	is := is.New(t)
+	var lose atomic.Int64
+	store := startAdmin(t, func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet || lose.Add(-1) < 0 {
+				h.ServeHTTP(w, r)
+				return
+			}
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			_, _ = io.Copy(io.Discard, r.Body)
+			panic(http.ErrAbortHandler)
+		})
+	})
+	lose.Store(1)
+	got := call("admin", "preset", "peak")
+	is.Equal(got.code, 0)
+	is.True(strings.Contains(got.out, "accepted revision 2"))
+	lose.Store(1000)
+	got = call("admin", "preset", "ordinary", "--change", "c9", "--timeout", "1s")
+	is.Equal(got.code, 1)
+	is.True(strings.Contains(got.err, "unknown: the change may have been applied"))
+	is.True(strings.Contains(got.err, "hickorybank admin change c9 --base 2"))
+	is.True(strings.Contains(call("admin", "change", "c9", "--base", "2").out, "applied as revision 3"))
+	head, _, err := store.Head(context.Background())
+	is.NoErr(err)
+	is.Equal(head.Revision, uint64(3))
+}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -3,36 +3,78 @@
 import (
 	"fmt"
 
+	"github.com/hickorybank/hickorybank/internal/cli/setting"
 	"github.com/hickorybank/hickorybank/internal/node"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	platformclient "github.com/hickorybank/hickorybank/internal/platform/client"
 	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
 
+const entryHelp = `Run an entry node: callers, peers and operators reach it by IP and port.
+
+Example:
+  export HICKORYBANK_SESSION_KEY=$(od -An -tx1 -N32 -v /dev/urandom | tr -d ' \n')
+  hickorybank entry --id e1 --failure-domain manga --listen 127.0.0.1:8080 \
+  --peer-listen 127.0.0.1:8081 --admin-listen 127.0.0.1:8082 \
+  --operator-key-hash ana=$(printf %s KEY | sha256sum | cut -d' ' -f1) \
+  --platform http://127.0.0.1:8070
+
+It prints "ready entry IP:PORT peer IP:PORT admin IP:PORT". SIGTERM or SIGINT
+stops it gracefully: it leaves the addresses, finishes what runs and ends.
+All nodes of a deployment need the same session key.`
+
 type entryCommand struct {
 	logOptions
 	env           *env
-	ID            string `long:"id" env:"HICKORYBANK_ID" required:"true" description:"this VM's name in the platform's list"`
-	Listen        string `long:"listen" env:"HICKORYBANK_LISTEN" default:"127.0.0.1:8080" description:"IP and port for callers"`
-	FailureDomain string `long:"failure-domain" env:"HICKORYBANK_FAILURE_DOMAIN" required:"true" description:"this VM's failure domain"`
-	Platform      string `long:"platform" env:"HICKORYBANK_PLATFORM" required:"true" description:"base URL of the platform"`
-	Register      bool   `long:"register" env:"HICKORYBANK_REGISTER" description:"tell a stand-in platform of this VM"`
+	ID            string           `long:"id" env:"HICKORYBANK_ID" accept:"name" needed:"yes" description:"this VM's name in the platform's list"`
+	FailureDomain string           `long:"failure-domain" env:"HICKORYBANK_FAILURE_DOMAIN" accept:"name" needed:"yes" description:"this VM's failure domain"`
+	Platform      string           `long:"platform" env:"HICKORYBANK_PLATFORM" accept:"url" needed:"yes" description:"base URL of the platform"`
+	Listen        string           `long:"listen" env:"HICKORYBANK_LISTEN" accept:"address" default:"127.0.0.1:8080" description:"IP and port for callers"`
+	PeerListen    string           `long:"peer-listen" env:"HICKORYBANK_PEER_LISTEN" accept:"address" default:"127.0.0.1:0" description:"IP and port for other entry nodes"`
+	AdminListen   string           `long:"admin-listen" env:"HICKORYBANK_ADMIN_LISTEN" accept:"address" description:"IP and port for operators; none, if not given"`
+	OperatorKeys  []string         `long:"operator-key-hash" env:"HICKORYBANK_OPERATOR_KEY_HASH" env-delim:"," accept:"keyhash" secret:"yes" description:"[NAME=]SHA-256 sum of an operator's key (repeat)"`
+	SessionKeys   []string         `long:"session-key" env:"HICKORYBANK_SESSION_KEY" env-delim:"," accept:"secret" secret:"yes" default-mask:"-" description:"key of session tokens in hexadecimal, the same on every node; the first signs, all verify (repeat)"`
+	Seeds         []string         `long:"seed-peer" env:"HICKORYBANK_SEED_PEER" env-delim:"," accept:"address" description:"peer IP and port to ask while the platform gives no list (repeat)"`
+	AddressTTL    setting.Duration `long:"address-ttl" env:"HICKORYBANK_ADDRESS_TTL" accept:"100ms..1h" default:"5s" description:"how long callers may keep an answer of /v1/addresses"`
+	StopTimeout   setting.Duration `long:"stop-timeout" env:"HICKORYBANK_STOP_TIMEOUT" accept:"1s..24h" default:"30m" description:"how long a stop may take; what runs then is cut off"`
+	Register      bool             `long:"register" env:"HICKORYBANK_REGISTER" description:"tell a stand-in platform of this VM"`
+}
+
+// faults are those that concern more than one setting.
+func (c *entryCommand) faults() setting.Faults {
+	if (c.AdminListen == "") == (len(c.OperatorKeys) == 0) {
+		return nil
+	}
+	return setting.Faults{{
+		Flag: "operator-key-hash", Variable: "HICKORYBANK_OPERATOR_KEY_HASH",
+		Accepted: "at least one with --admin-listen, none without",
+	}}
 }
 
 // Execute runs an entry node until it is told to stop.
 func (c *entryCommand) Execute([]string) error {
 	log := c.logger(c.env)
 	client := platformclient.New(c.Platform)
-	n := node.New(
-		node.Settings{ID: c.ID, Listen: c.Listen, FailureDomain: c.FailureDomain},
-		node.Deps{Platform: client, Engines: upstreamclient.NewEngines(upstreamclient.Options{}), Services: upstreamclient.NewServices(upstreamclient.Options{}), Log: log},
-	)
+	defer client.Close()
+	n := node.New(c.settings(), node.Deps{
+		Platform: client,
+		Engines:  upstreamclient.NewEngines(upstreamclient.Options{}),
+		Services: upstreamclient.NewServices(upstreamclient.Options{}),
+		Log:      log,
+	})
 	ready := func() error {
-		fmt.Fprintln(c.env.out, "ready entry", n.Addr())
-		if !c.Register {
-			return nil
+		if c.Register {
+			vm := platform.VM{ID: c.ID, Role: platform.RoleEntry, Addr: n.Addr(), FailureDomain: c.FailureDomain, State: platform.Live}
+			if err := register(client, vm); err != nil {
+				return err
+			}
 		}
-		return register(client, platform.VM{ID: c.ID, Role: platform.RoleEntry, Addr: n.Addr(), FailureDomain: c.FailureDomain, State: platform.Live})
+		fmt.Fprintln(c.env.out, "ready entry", n.Addr())
+		return nil
 	}
-	return run(log, ready, n)
+	return run(log, c.StopTimeout.Get(), ready, n)
+}
+
+func (c *entryCommand) settings() node.Settings {
+	return node.Settings{ID: c.ID, Listen: c.Listen, FailureDomain: c.FailureDomain}
 }
--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -6,14 +6,14 @@
 
 // logOptions are the flags of every long-running command.
 type logOptions struct {
-	LogFormat string `long:"log-format" env:"HICKORYBANK_LOG_FORMAT" choice:"text" choice:"json" default:"text" description:"form of the log"`
-	LogLevel  string `long:"log-level" env:"HICKORYBANK_LOG_LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level that is logged"`
+	LogFormat string `long:"log-format" env:"HICKORYBANK_LOG_FORMAT" accept:"one of text, json" default:"text" description:"form of the log"`
+	LogLevel  string `long:"log-level" env:"HICKORYBANK_LOG_LEVEL" accept:"one of debug, info, warn, error" default:"info" description:"least level that is logged"`
 }
 
 func (o *logOptions) logger(e *env) *slog.Logger {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(o.LogLevel)); err != nil {
-		panic(err) // go-flags admits only the choices
+		panic(err) // the settings were checked
 	}
 	options := &slog.HandlerOptions{Level: level}
 	if o.LogFormat == "json" {
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/hickorybank/hickorybank/internal/cli/setting"
 )
 
 // Exit codes.
@@ -22,12 +25,12 @@
 }
 
 // Main parses the arguments, runs the command and returns the exit code: 0
-// when it did its work, 1 when it failed, 2 when the command line is wrong.
+// when it did its work, 1 when it failed, 2 when the command line or a setting
+// is wrong.
 func Main(args []string, out, errOut io.Writer) int {
-	e := &env{out: out, err: errOut}
-	parser := newParser(e)
-	_, err := parser.ParseArgs(args)
+	_, err := newParser(&env{out: out, err: errOut}).ParseArgs(args)
 	var flagErr *flags.Error
+	var faults setting.Faults
 	switch {
 	case err == nil:
 		return exitOK
@@ -37,28 +40,29 @@
 	case errors.As(err, &flagErr):
 		fmt.Fprintln(errOut, "hickorybank:", flagErr.Message)
 		return exitUsage
+	case errors.As(err, &faults):
+		fmt.Fprintln(errOut, "hickorybank:", faults)
+		return exitUsage
 	default:
 		fmt.Fprintln(errOut, "hickorybank:", err)
 		return exitFailed
 	}
 }
 
-func newParser(e *env) *flags.Parser {
-	parser := flags.NewNamedParser("hickorybank", flags.HelpFlag|flags.PassDoubleDash)
-	parser.ShortDescription = "model-aware router for versions and cascades"
-	add := func(to *flags.Command, name, short string, data any) *flags.Command {
-		c, err := to.AddCommand(name, short, short, data)
-		if err != nil {
-			panic(err) // a command's own definition is wrong
-		}
-		return c
+// execute checks all settings of a command before it runs.
+func execute(command flags.Commander, args []string) error {
+	if command == nil {
+		return nil
+	}
+	if len(args) > 0 {
+		return &flags.Error{Type: flags.ErrCommandRequired, Message: "unexpected argument: " + strings.Join(args, " ")}
+	}
+	faults := setting.Check(command)
+	if more, ok := command.(interface{ faults() setting.Faults }); ok {
+		faults = append(faults, more.faults()...)
+	}
+	if len(faults) > 0 {
+		return faults
 	}
-	add(parser.Command, "entry", "run an entry node", &entryCommand{env: e})
-	add(parser.Command, "version", "print the version", &versionCommand{env: e})
-	standin := add(parser.Command, "standin", "run a stand-in for an outside system", &struct{}{})
-	add(standin, "platform", "run a stand-in platform", &standinPlatformCommand{env: e})
-	add(standin, "upstream", "run a stand-in model engine or plain service", &standinUpstreamCommand{env: e})
-	admin := add(parser.Command, "admin", "operate a deployment", &struct{}{})
-	add(admin, "apply", "store a configuration file", &adminApplyCommand{env: e})
-	return parser
+	return command.Execute(nil)
 }
--- /dev/null
+++ b/internal/cli/parser.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"github.com/jessevdk/go-flags"
+)
+
+const about = `Model-aware router for versions and cascades.
+
+A newcomer's first command, everything in one process:
+  hickorybank dev --deployment tarifas
+
+Each flag can be given by its environment variable instead.
+Exit codes: 0 done, 1 failed, 2 wrong command line or settings.`
+
+// command is one entry of the command line.
+type command struct {
+	name  string
+	short string
+	long  string
+	data  any
+	sub   []command
+}
+
+func newParser(e *env) *flags.Parser {
+	parser := flags.NewNamedParser("hickorybank", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = about
+	parser.CommandHandler = execute
+	for _, c := range commands(e) {
+		add(parser.Command, c)
+	}
+	return parser
+}
+
+func add(to *flags.Command, c command) {
+	if c.data == nil {
+		c.data = &struct{}{}
+	}
+	added, err := to.AddCommand(c.name, c.short, c.long, c.data)
+	if err != nil {
+		panic(err) // a command's own definition is wrong
+	}
+	for _, sub := range c.sub {
+		add(added, sub)
+	}
+}
+
+func commands(e *env) []command {
+	return []command{
+		{name: "entry", short: "run an entry node", long: entryHelp, data: &entryCommand{env: e}},
+		{name: "standin", short: "run a stand-in for an outside system", long: standinHelp, sub: []command{
+			{name: "platform", short: "run a stand-in platform", long: standinPlatformHelp, data: &standinPlatformCommand{env: e}},
+			{name: "upstream", short: "run a stand-in model engine or plain service", long: standinUpstreamHelp, data: &standinUpstreamCommand{env: e}},
+		}},
+		{name: "admin", short: "operate a deployment", long: adminHelp, sub: adminCommands(e)},
+		{name: "config", short: "work with configuration files", long: configHelp, sub: []command{
+			{name: "check", short: "check a configuration file", long: configCheckHelp, data: &configCheckCommand{env: e}},
+			{name: "example", short: "print the configuration of an example deployment", long: configExampleHelp, data: &configExampleCommand{env: e}},
+		}},
+		{name: "version", short: "print the version", long: "Print the version and how it was built.", data: &versionCommand{env: e}},
+	}
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -10,6 +10,7 @@
 	"github.com/hickorybank/hickorybank/internal/event"
 )
 
+// stopTimeout bounds the stop of what serves no callers.
 const stopTimeout = 60 * time.Second
 
 // part is something that a command starts and stops.
@@ -19,29 +20,30 @@
 }
 
 // run starts the parts in order, calls ready, waits for SIGINT or SIGTERM and
-// closes the parts in reverse order.
-func run(log *slog.Logger, ready func() error, parts ...part) error {
+// closes the parts in reverse order. A further signal changes nothing: what was
+// accepted is still finished.
+func run(log *slog.Logger, limit time.Duration, ready func() error, parts ...part) error {
 	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	for i, p := range parts {
 		if err := p.Start(); err != nil {
-			closeAll(parts[:i])
+			_ = closeAll(limit, parts[:i]) // the first error counts
 			return err
 		}
 	}
 	if err := ready(); err != nil {
-		closeAll(parts)
+		_ = closeAll(limit, parts) // the first error counts
 		return err
 	}
 	<-signals.Done()
 	event.ProcessStopping.Log(log)
-	err := closeAll(parts)
+	err := closeAll(limit, parts)
 	event.ProcessStopped.Log(log)
 	return err
 }
 
-func closeAll(parts []part) error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+func closeAll(limit time.Duration, parts []part) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var first error
 	for i := len(parts) - 1; i >= 0; i-- {
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -1,6 +1,9 @@
 package cli
 
-import "fmt"
+import (
+	"fmt"
+	"runtime"
+)
 
 // version is set by the build.
 var version = "dev"
@@ -11,6 +14,6 @@
 
 // Execute prints the version.
 func (c *versionCommand) Execute([]string) error {
-	fmt.Fprintln(c.env.out, "hickorybank", version)
+	fmt.Fprintln(c.env.out, "hickorybank", version, runtime.Version(), runtime.GOOS+"/"+runtime.GOARCH)
 	return nil
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -60,12 +60,16 @@
 		v.faults.add(field, "must not be empty")
 	case len(name) > MaxName:
 		v.faults.add(field, fmt.Sprintf("must not be longer than %d bytes", MaxName))
-	case !plainName(name):
+	case !IsName(name):
 		v.faults.add(field, fmt.Sprintf("%q may only have letters, digits and . _ - @ + :", name))
 	}
 }
 
-func plainName(name string) bool {
+// IsName says whether a text has the form of a name.
+func IsName(name string) bool {
+	if name == "" || len(name) > MaxName {
+		return false
+	}
 	for i := range len(name) {
 		if !plainByte(name[i]) {
 			return false
