Name the life of a stand-in upstream in its load reports

Cause: several nodes see one crash and have to count it once. Each start, and each return from a crash, has a higher epoch. The crash test checks it.

--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -25,6 +25,8 @@
 		f.RestartMillis = never.Milliseconds()
 		f.SlowFactor = 1e-6 // steps short enough for the marked request to join
 	})
+	before, err := r.client.Load(ctx, r.server.Addr())
+	is.NoErr(err)
 	innocent := r.start(t, attempt("a", "v2", "x"))
 	marked, err := r.client.Start(ctx, r.server.Addr(), attempt("b", "v1", "some poison"))
 	if err == nil {
@@ -47,6 +49,9 @@
 	})
 	is.Equal(st.Versions, []string{"v1"})
 	is.Equal(st.Fence, uint64(0))
+	after, err := r.client.Load(ctx, r.server.Addr())
+	is.NoErr(err)
+	is.True(after.Epoch > before.Epoch)
 	_, err = r.client.Resume(ctx, r.server.Addr(), "a", 0)
 	is.True(errors.Is(err, upstream.ErrUnknownStream))
 }
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -32,6 +32,7 @@
 		Limit:     s.settings.BatchLimit,
 		Versions:  s.control.Versions(),
 		Leaving:   s.faults.Leaving,
+		Epoch:     s.epoch,
 		AgeMillis: s.faults.LoadLagMillis,
 	}
 	s.mu.Unlock()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -33,7 +33,9 @@
 	streams map[string]*generation
 	running map[uint64]*generation
 	lastID  uint64
-	runs    runLog
+	// epoch tells the engine\'s lives apart.
+	epoch uint64
+	runs  runLog
 	// restartAt is when a crashed engine comes back; 0 is not crashed.
 	restartAt time.Time
 	swept     time.Duration
@@ -77,6 +79,7 @@
 	s.control = model.NewControl(s.settings.Versions, s.settings.HonourFence)
 	s.streams = make(map[string]*generation)
 	s.running = make(map[uint64]*generation)
+	s.epoch = host.NewEpoch()
 
 	return nil
 }
--- a/internal/standin/service/handle.go
+++ b/internal/standin/service/handle.go
@@ -33,6 +33,7 @@
 		Running:   l.Running,
 		Limit:     s.settings.Limit,
 		Leaving:   s.faults.Leaving,
+		Epoch:     s.epoch,
 		AgeMillis: s.faults.LoadLagMillis,
 	}
 	s.mu.Unlock()
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -25,6 +25,8 @@
 	faults  Faults
 	runs    runLog
 	history model.LoadHistory
+	// epoch tells the service's lives apart.
+	epoch uint64
 	// crashed says that a crash is not over.
 	crashed bool
 	// restart is sent to when a crash's length has changed.
@@ -41,6 +43,7 @@
 		log:      log,
 		host:     host.New(s.ID, log),
 		began:    time.Now(),
+		epoch:    host.NewEpoch(),
 		faults:   newFaults(s.LoadLag),
 		runs:     newRunLog(),
 		history:  model.NewLoadHistory(s.LoadLag),
@@ -108,6 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashed = false
+	s.epoch = host.NewEpoch()
 	event.StandinRestarted.Log(s.log, slog.String("id", s.settings.ID))
 	s.openPort()
 }
