--- a/internal/confsync/sim_node_test.go
+++ b/internal/confsync/sim_node_test.go
@@ -21,9 +21,7 @@
 	replies map[Token]func(Event)
 	tokens  Token
 	confirm map[Token]bool
-	// lists holds the digests of lists read but not yet taken.
-	lists map[Token]uint64
-	seen  uint64 // highest revision applied since the start
+	seen    uint64 // highest revision applied since the start
 }
 
 // start begins a new process under the node's id.
@@ -102,10 +100,10 @@
 	switch d := d.(type) {
 	case ReadHead:
 		w.counts.headReads++
-		w.callTable(n, func() Event { return HeadRead{Token: d.Token, Revision: w.table.head()} }, ReadFailed{Token: d.Token})
+		w.callTable(n, func() Event { return HeadRead{Token: d.Token, Revision: w.table.head()} }, ReadFailed(d))
 	case Fetch:
 		w.counts.docReads++
-		w.callTable(n, func() Event { return Applied{Token: d.Token, Revision: d.Revision} }, ApplyFailed{Token: d.Token})
+		w.callTable(n, func() Event { return Applied(d) }, ApplyFailed{Token: d.Token})
 	case Apply:
 		w.after(w.between(0, time.Millisecond), func() { n.deliver(boot, Applied{Token: d.Token, Revision: d.Update.To}) })
 	case ReadList:
--- a/internal/confsync/sim_world_test.go
+++ b/internal/confsync/sim_world_test.go
@@ -34,7 +34,7 @@
 
 // counts are what the nodes did together.
 type counts struct {
-	steps, headReads, docReads, listReads, waits, surveys, refusals int
+	steps, headReads, docReads, listReads, waits, surveys int
 }
 
 func newWorld(seed uint64, s Settings) *world {
--- a/internal/confsync/tablestore/store.go
+++ b/internal/confsync/tablestore/store.go
@@ -22,19 +22,19 @@
 func New(table platform.Table) *Store { return &Store{table: table} }
 
 // Head implements [confsync.Store].
-func (s *Store) Head(ctx context.Context) (confsync.Head, error) {
+func (s *Store) Head(ctx context.Context) (uint64, error) {
 	row, err := s.table.Get(ctx, admin.HeadKey)
 	if err != nil {
-		return confsync.Head{}, eris.Wrap(err, "read head")
+		return 0, eris.Wrap(err, "read head")
 	}
 	if row.Version == 0 {
-		return confsync.Head{}, nil
+		return 0, nil
 	}
 	var head admin.Head
 	if err := json.Unmarshal(row.Value, &head); err != nil {
-		return confsync.Head{}, eris.Wrap(err, "decode head")
+		return 0, eris.Wrap(err, "decode head")
 	}
-	return confsync.Head{Revision: head.Revision}, nil
+	return head.Revision, nil
 }
 
 // Document implements [confsync.Store].
