Decide how bills become safe, and what holds them when no store does

Cause: the last bytes of an answer leave only when its bill is safe, and a row for each bill is more than the table takes. A collector packs bills into rows that belong to one process, so writing one again is harmless; when the table fails it puts them as objects, and when that fails too, peers in two other failure domains hold copies until a store takes them, and write them themselves when the owner falls silent. Ruled out: counting a slow store as down. Then it got one row for each probe, and the backlog of an outage never shrank; now nobody waits for a slow store, and it still gets all rows. Dropping the old copies of a row that is held anew also dropped the new copy at a holder that had both.

--- /dev/null
+++ b/internal/ledger/bill/collector.go
@@ -0,0 +1,156 @@
+package bill
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/fate"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/ledger/pace"
+)
+
+// Collector makes bills safe: it packs them into rows and writes these to the
+// table; when that is down, to the object store; when that is down too, it has
+// peers in other failure domains hold copies until a store takes them. It
+// needs no claim to its bills: two collectors that write the same bill write
+// it twice under one key, which is one bill.
+type Collector struct {
+	settings CollectorSettings
+	pace     *pace.Pace // of writes to stores
+	holding  *pace.Pace // of rows held by peers alone
+	table    health
+	objects  health
+
+	open    []waitingBill
+	active  []*batch // somebody waits for them
+	backlog []*batch // nobody waits, and no store has them
+	known   map[uint64]*batch
+	flights int    // writes to stores that are out
+	number  uint64 // of batches
+	seq     uint64 // of rows
+	bills   int    // in memory
+
+	refreshAt time.Time
+	replies   []Reply
+	drops     []Piece
+}
+
+type waitingBill struct {
+	number uint64
+	bucket key.Bucket
+	bill   Bill
+}
+
+// NewCollector returns an empty collector.
+func NewCollector(s CollectorSettings) *Collector {
+	return &Collector{
+		settings: s,
+		pace:     pace.New(s.MinGap, s.MaxGap),
+		holding:  pace.New(s.MinGap, s.MinGap),
+		table:    health{grace: s.TableGrace, probe: s.Probe},
+		objects:  health{grace: s.TableGrace, probe: s.Probe},
+		known:    map[uint64]*batch{},
+	}
+}
+
+// Add takes a bill; its reply comes in a later Ready.
+func (c *Collector) Add(number uint64, b Bill) {
+	if c.bills >= c.settings.MaxWaiting {
+		c.replies = append(c.replies, Reply{Number: number, Safety: Unsafe})
+		return
+	}
+	c.bills++
+	c.open = append(c.open, waitingBill{number, c.settings.Layout.Bill(b.Key, b.At), b})
+}
+
+// Adopt takes a row whose owner has vanished. Its holders all write it, under
+// the owner's name and number, which makes one row.
+func (c *Collector) Adopt(now time.Time, row Row) {
+	b := c.newBatch(now, row)
+	b.held = true
+	c.rest(b)
+	c.bills += row.Bills.Len()
+}
+
+// Waiting is how many bills are in memory.
+func (c *Collector) Waiting() int { return c.bills }
+
+// Full says whether a further bill would be unsafe.
+func (c *Collector) Full() bool { return c.bills >= c.settings.MaxWaiting }
+
+// SetGap changes the least time between two writes.
+func (c *Collector) SetGap(gap time.Duration) {
+	c.pace.SetFloor(gap)
+	c.holding.SetFloor(gap)
+}
+
+// TableDone takes the fate of a write to the table.
+func (c *Collector) TableDone(now time.Time, w Write, f fate.Fate) {
+	stored := c.landed(now, w, &c.table, f)
+	if b := c.known[w.Batch]; b != nil {
+		c.stored(now, b, &b.table, stored, InTable)
+	}
+}
+
+// ObjectDone takes the fate of a put.
+func (c *Collector) ObjectDone(now time.Time, w Write, f fate.Fate) {
+	stored := c.landed(now, w, &c.objects, f)
+	if b := c.known[w.Batch]; b != nil {
+		c.stored(now, b, &b.objects, stored, InObjects)
+	}
+}
+
+// landed learns from the end of a write, also when another store was faster
+// and the batch is gone.
+func (c *Collector) landed(now time.Time, w Write, h *health, f fate.Fate) bool {
+	c.flights--
+	stored := h.done(now, w.sent, f)
+	switch {
+	case stored:
+		c.pace.Succeeded()
+	case !h.down():
+		c.pace.Failed(now)
+	}
+	return stored
+}
+
+func (c *Collector) stored(now time.Time, b *batch, o *outgoing, stored bool, s Safety) {
+	o.out = false
+	if stored {
+		c.finish(b, s)
+		return
+	}
+	o.again = now.Add(c.pace.Gap())
+}
+
+// finish ends a batch that a store has taken.
+func (c *Collector) finish(b *batch, s Safety) {
+	c.answer(b, s)
+	c.drops = append(c.drops, b.pieces...)
+	c.bills -= b.row.Bills.Len()
+	delete(c.known, b.number)
+	c.active = without(c.active, b)
+	c.backlog = without(c.backlog, b)
+}
+
+func (c *Collector) answer(b *batch, s Safety) {
+	for _, number := range b.waiting {
+		c.replies = append(c.replies, Reply{Number: number, Safety: s})
+	}
+	b.waiting = nil
+}
+
+func (c *Collector) newBatch(now time.Time, row Row) *batch {
+	c.number++
+	b := &batch{number: c.number, row: row, born: now}
+	c.known[b.number] = b
+	return b
+}
+
+func without(batches []*batch, gone *batch) []*batch {
+	for i, b := range batches {
+		if b == gone {
+			return append(batches[:i], batches[i+1:]...)
+		}
+	}
+	return batches
+}
--- a/internal/ledger/claim/harness_test.go
+++ b/internal/ledger/claim/harness_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/ledger/fate"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/table"
@@ -43,14 +44,14 @@
 	return txn
 }
 
-func (s *store) commit(txn platform.Txn) Fate {
+func (s *store) commit(txn platform.Txn) fate.Fate {
 	if s.table.Commit(txn).Applied {
-		return Applied
+		return fate.Applied
 	}
 	if s.variant.conflictIsOwn {
-		return Applied
+		return fate.Applied
 	}
-	return Conflict
+	return fate.Conflict
 }
 
 func (s *store) floor(name key.Log) Floor {
--- a/internal/ledger/claim/log.go
+++ b/internal/ledger/claim/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/ledger/fate"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 	"github.com/hickorybank/hickorybank/internal/ledger/pace"
 )
@@ -102,21 +103,21 @@
 }
 
 // WriteDone takes the result of a Create.
-func (l *Log) WriteDone(now time.Time, fate Fate) {
+func (l *Log) WriteDone(now time.Time, f fate.Fate) {
 	l.busy = false
-	switch fate {
-	case Applied:
+	switch f {
+	case fate.Applied:
 		l.writes.Succeeded()
 		l.judged = 0
 		l.asOf = l.asked
 		l.take(&StoredRow{Seq: l.flight.seq, Row: l.flight.row})
-	case Conflict:
+	case fate.Conflict:
 		l.writes.Succeeded()
 		l.fresh = false
-	case Refused:
+	case fate.Refused:
 		l.writes.Failed(now)
 		l.landUnlessDoubted()
-	case Unanswered:
+	case fate.Unanswered:
 		// The write may have taken effect, or may yet. The row tells whose
 		// it is by its writer and number, once there is one.
 		l.writes.Failed(now)
--- a/internal/ledger/claim/ready.go
+++ b/internal/ledger/claim/ready.go
@@ -2,22 +2,6 @@
 
 import "time"
 
-// Fate is what became of a call to the platform.
-type Fate uint8
-
-// The fates.
-const (
-	// Applied means that the write took effect.
-	Applied Fate = iota + 1
-	// Conflict means that a condition failed. An earlier sending of the same
-	// write may have taken effect all the same.
-	Conflict
-	// Refused means that the call took no effect.
-	Refused
-	// Unanswered means that the write may have taken effect.
-	Unanswered
-)
-
 // Floor is what a shard says of its deleted rows.
 type Floor struct {
 	// Version is the version of the floor's row; 0 when there is none.
--- a/internal/ledger/claim/script_test.go
+++ b/internal/ledger/claim/script_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/hickorybank/hickorybank/internal/ledger/fate"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
@@ -117,13 +118,13 @@
 		w.create = nil
 		w.log.WriteDone(s.now, s.fate(d.Cmd, w, txn))
 	case "land":
-		fmt.Fprintf(&s.out, "%s: late write: %s\n", id, fateName(s.store.commit(w.late[0])))
+		fmt.Fprintf(&s.out, "%s: late write: %s\n", id, s.store.commit(w.late[0]))
 		w.late = w.late[1:]
 	}
 	s.ready(id, w)
 }
 
-func (s *script) fate(cmd string, w *writer, txn platform.Txn) Fate {
+func (s *script) fate(cmd string, w *writer, txn platform.Txn) fate.Fate {
 	switch cmd {
 	case "write":
 		return s.store.commit(txn)
@@ -132,9 +133,9 @@
 	case "write-late":
 		w.late = append(w.late, txn)
 	case "write-refused":
-		return Refused
+		return fate.Refused
 	}
-	return Unanswered
+	return fate.Unanswered
 }
 
 func (s *script) ready(id string, w *writer) {
@@ -161,10 +162,6 @@
 	}
 }
 
-func fateName(f Fate) string {
-	return [...]string{"none", "applied", "conflict", "refused", "unanswered"}[f]
-}
-
 func atoi(t *testing.T, d *datadriven.TestData, s string) int64 {
 	var n int64
 	if _, err := fmt.Sscanf(s, "%d", &n); err != nil {
--- a/internal/ledger/claim/sim_step_test.go
+++ b/internal/ledger/claim/sim_step_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/ledger/fate"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 	"github.com/hickorybank/hickorybank/internal/request"
 )
@@ -138,9 +139,9 @@
 func (s *sim) endWrite(n *simNode) {
 	txn := s.store.txn(s.name, n.create)
 	n.create = nil
-	lost := Unanswered
+	lost := fate.Unanswered
 	if s.store.variant.lostIsRefused {
-		lost = Refused
+		lost = fate.Refused
 	}
 	switch p := s.rng.IntN(10); {
 	case p < 6:
@@ -152,7 +153,7 @@
 		s.late = append(s.late, txn)
 		n.log.WriteDone(s.now, lost)
 	default:
-		n.log.WriteDone(s.now, Refused)
+		n.log.WriteDone(s.now, fate.Refused)
 	}
 }
 
