Carry the configuration along a tree of held calls

A change travels as the elements of the document's lists that differ, checked by a digest of the whole result; a peer that is too far behind gets the document whole.

Deltas lead from any drawn state to any other; one made from another base is refused.

--- /dev/null
+++ b/internal/confsync/applier.go
@@ -0,0 +1,92 @@
+package confsync
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/event"
+)
+
+// rejectedGap is the time between two log records of documents that could not
+// be applied: each is tried again several times a second.
+const rejectedGap = 10 * time.Second
+
+// job is a document to be applied: read from the table, or sent by a peer.
+type job struct {
+	token  Token
+	update Update
+	// stored is set for one read whole from the table.
+	stored []byte
+}
+
+// applied is a configuration ready to take the place of the one before.
+type applied struct {
+	archive  *archive
+	snapshot *config.Snapshot
+}
+
+// applyJobs decodes and checks documents, one after the other, off the core's
+// goroutine: a large one takes milliseconds.
+func (s *Syncer) applyJobs() {
+	var current *archive
+	var logged time.Time
+	for {
+		var j job
+		select {
+		case <-s.ctx.Done():
+			return
+		case j = <-s.jobs:
+		}
+		result, err := prepare(current, j)
+		if err != nil {
+			if time.Since(logged) > rejectedGap {
+				logged = time.Now()
+				event.ConfigRejected.Log(s.deps.Log, slog.Uint64("revision", j.update.To), slog.Any("error", err))
+			}
+			s.post(input{event: ApplyFailed{Token: j.token}})
+			continue
+		}
+		if result != nil {
+			current = result.archive
+		}
+		s.post(input{event: Applied{Token: j.token, Revision: j.update.To}, applied: result})
+	}
+}
+
+// prepare returns nil for a document that is not newer than the current one:
+// an old peer's, or one that came twice.
+func prepare(current *archive, j job) (*applied, error) {
+	if current != nil && j.update.To <= current.tag {
+		return nil, nil
+	}
+	next, err := j.archive(current)
+	if err != nil {
+		return nil, err
+	}
+	if next.tag != j.update.To {
+		return nil, eris.Errorf("update leads to revision %d", next.tag)
+	}
+	doc, err := config.Parse(next.raw)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := config.Compile(next.tag, doc)
+	if err != nil {
+		return nil, err
+	}
+	return &applied{archive: next, snapshot: snapshot}, nil
+}
+
+func (j job) archive(current *archive) (*archive, error) {
+	if j.stored == nil {
+		return current.take(j.update)
+	}
+	raw, err := compact(j.stored)
+	if err != nil {
+		return nil, err
+	}
+	return current.replace(j.update.To, raw), nil
+}
--- /dev/null
+++ b/internal/confsync/archive_test.go
@@ -0,0 +1,106 @@
+package confsync
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// randomState draws an object with arrays and other values.
+func randomState(t *rapid.T) []byte {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-c"<]{1,2}`), 0, 4, rapid.ID[string]).Draw(t, "names")
+	raw := []byte("{")
+	for i, name := range names {
+		if i > 0 {
+			raw = append(raw, ',')
+		}
+		encoded, _ := json.Marshal(name)
+		raw = append(raw, encoded...)
+		raw = append(raw, ':')
+		raw = append(raw, randomValue(t)...)
+	}
+	return append(raw, '}')
+}
+
+func randomValue(t *rapid.T) []byte {
+	var value any = rapid.String().Draw(t, "text")
+	if rapid.Bool().Draw(t, "array") {
+		value = rapid.SliceOfN(rapid.IntRange(0, 6), 0, 8).Draw(t, "elements")
+	}
+	encoded, _ := json.Marshal(value)
+	return encoded
+}
+
+func TestDeltaLeadsFromAnyStateToAnyOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := randomState(t), randomState(t)
+		d, err := MakeDelta(1, 2, before, after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := d.Apply(before)
+		if err != nil || string(got) != string(after) {
+			t.Fatalf("from %s to %s: got %s, %v", before, after, got, err)
+		}
+	})
+}
+
+// A peer that was started from another state sends a delta that does not fit.
+// Without the digest the node would run under a document that nobody accepted.
+func TestDeltaOfAnotherBaseIsRefused(t *testing.T) {
+	is := is.New(t)
+	d, err := MakeDelta(1, 2, []byte(`{"a":[1,2,3]}`), []byte(`{"a":[1,2,4]}`))
+	is.NoErr(err)
+	_, err = d.Apply([]byte(`{"a":[9,2,3]}`))
+	is.True(err != nil)
+	_, err = d.Apply([]byte(`{"a":[1]}`))
+	is.True(err != nil)
+	_, err = Delta{Edits: []byte("no")}.Apply([]byte(`{}`))
+	is.True(err != nil)
+}
+
+func stateOf(revision uint64) []byte { return fmt.Appendf(nil, `{"a":[%d,7,8]}`, revision) }
+
+func TestArchiveGivesWhatAPeerLacks(t *testing.T) {
+	is := is.New(t)
+	var a *archive
+	for revision := uint64(1); revision <= 2*maxDeltas; revision++ {
+		a = a.replace(revision, stateOf(revision))
+	}
+	newest := a.tag
+	cases := []struct {
+		name  string
+		known uint64
+		full  bool
+		sent  int // deltas; 0 for the whole
+	}{
+		{"the one before", newest - 1, false, 1},
+		{"some behind", newest - 5, false, 5},
+		{"as far behind as deltas are kept", newest - maxDeltas, false, maxDeltas},
+		{"further behind", newest - maxDeltas - 1, false, 0},
+		{"nothing", 0, false, 0},
+		{"asks for the whole", newest - 1, true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := a.update(c.known, c.full)
+			is.Equal(len(u.Deltas), c.sent)
+			is.Equal(len(u.Full) > 0, c.sent == 0)
+			peer := (*archive)(nil)
+			if c.known > 0 {
+				peer = newArchive(c.known, stateOf(c.known), nil)
+			}
+			peer, err := peer.take(*u)
+			is.NoErr(err)
+			is.Equal(peer.tag, newest)
+			is.Equal(string(peer.raw), string(a.raw))
+		})
+	}
+	is.True(a.update(newest, false) == nil) // nothing is lacking
+	_, err := newArchive(3, stateOf(3), nil).take(*a.update(newest-1, false))
+	is.True(err != nil) // deltas with a gap
+}
--- /dev/null
+++ b/internal/confsync/calls.go
@@ -0,0 +1,112 @@
+package confsync
+
+import (
+	"context"
+	"time"
+)
+
+// readHead reads the head row of the table.
+func (s *Syncer) readHead(d ReadHead) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.settings.ReadTimeout)
+	defer cancel()
+	revision, err := s.deps.Store.Head(ctx)
+	if err != nil {
+		s.post(input{event: ReadFailed(d)})
+		return
+	}
+	s.post(input{event: HeadRead{Token: d.Token, Revision: revision}})
+}
+
+// fetch reads a document of the table: the deltas since the known one if they
+// are stored, else the whole.
+func (s *Syncer) fetch(d Fetch, known *archive) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.settings.ReadTimeout)
+	defer cancel()
+	if known != nil {
+		deltas, err := s.deps.Store.Deltas(ctx, known.tag, d.Revision)
+		if err == nil && leadsTo(deltas, known.tag, d.Revision) {
+			s.submit(job{token: d.Token, update: Update{To: d.Revision, Deltas: deltas}})
+			return
+		}
+	}
+	stored, err := s.deps.Store.Document(ctx, d.Revision)
+	if err != nil {
+		s.post(input{event: ApplyFailed{Token: d.Token}})
+		return
+	}
+	s.submit(job{token: d.Token, update: Update{To: d.Revision}, stored: stored})
+}
+
+func leadsTo(deltas []Delta, from, to uint64) bool {
+	for _, d := range deltas {
+		if d.From != from {
+			return false
+		}
+		from = d.To
+	}
+	return len(deltas) > 0 && from == to
+}
+
+// submit hands a document to the goroutine that applies. There is room for as
+// many as the core lets be under way.
+func (s *Syncer) submit(j job) {
+	select {
+	case s.jobs <- j:
+	case <-s.ctx.Done():
+	}
+}
+
+// readList reads the platform's VM list.
+func (s *Syncer) readList(d ReadList) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.settings.ReadTimeout)
+	defer cancel()
+	if s.deps.Lists == nil {
+		s.post(input{event: ListFailed(d)})
+		return
+	}
+	vms, err := s.deps.Lists.List(ctx)
+	if err != nil {
+		s.post(input{event: ListFailed(d)})
+		return
+	}
+	list, err := newVMList(vms)
+	if err != nil {
+		s.post(input{event: ListFailed(d)})
+		return
+	}
+	s.post(input{event: ListRead{Token: d.Token, Digest: list.tag}, list: list})
+}
+
+// wait pulls from a peer.
+func (s *Syncer) wait(d Wait) {
+	timeout := s.settings.CallTimeout
+	if d.Args.Hold {
+		timeout += s.settings.MaxHold
+	}
+	var reply WaitReply
+	if err := s.call(timeout, d.Addr, "Wait", d.Args, &reply); err != nil {
+		s.post(input{event: WaitFailed{Token: d.Token}})
+		return
+	}
+	s.post(input{event: WaitReplied{Token: d.Token, Reply: reply}})
+}
+
+// survey asks a peer for its state.
+func (s *Syncer) survey(d Survey) {
+	timeout := s.settings.CallTimeout
+	if d.Args.Domain {
+		timeout *= 2
+	}
+	var reply SurveyReply
+	if err := s.call(timeout, d.Addr, "Survey", d.Args, &reply); err != nil {
+		s.post(input{event: SurveyFailed{Token: d.Token}})
+		return
+	}
+	s.post(input{event: SurveyReplied{Token: d.Token, Reply: reply}})
+}
+
+func (s *Syncer) call(timeout time.Duration, addr, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	return s.deps.Peers.Call(ctx, addr, ServiceName+"."+method, args, reply)
+}
--- a/internal/confsync/candidates.go
+++ b/internal/confsync/candidates.go
@@ -60,6 +60,15 @@
 	return list
 }
 
+// readersEverywhere are the readers of all failure domains.
+func (r *roster) readersEverywhere(now time.Duration, s Settings) []platform.VM {
+	list := r.addReaders(nil, r.domain, now, s)
+	for _, d := range r.others {
+		list = r.addReaders(list, d.vms, now, s)
+	}
+	return list
+}
+
 // addDown adds the peers marked down, a few: the mark may be wrong.
 func (r *roster) addDown(list []platform.VM, now time.Duration) []platform.VM {
 	added := 0
--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -59,8 +59,7 @@
 		c.roster.set(e.VMs)
 		c.surveys.noteElectors(c.roster.electors, now)
 	case StopOrdered:
-		c.stopping = true
-		c.hearNotice(c.ownNotice(), now)
+		c.stopOrdered(now, e.Token)
 	case NoticeHeard:
 		c.hearNotice(e.Notice, now)
 	case Applied:
--- a/internal/confsync/core_decision.go
+++ b/internal/confsync/core_decision.go
@@ -1,5 +1,7 @@
 package confsync
 
+import "github.com/hickorybank/hickorybank/internal/platform"
+
 // Decision is an output of [Core].
 type Decision interface{ decision() }
 
@@ -20,7 +22,7 @@
 		Update Update
 	}
 	// TakeList takes a VM list that a peer sent.
-	TakeList struct{ List ListUpdate }
+	TakeList struct{ List Update }
 	// Wait calls a peer.
 	Wait struct {
 		Token Token
@@ -57,6 +59,12 @@
 		Token        Token
 		Confirmation Confirmation
 	}
+	// Tell answers [StopOrdered] with the peers to be told.
+	Tell struct {
+		Token  Token
+		Notice Notice
+		Peers  []platform.VM
+	}
 	// NoteLeaving says that an entry node stops or serves again.
 	NoteLeaving struct{ Notice Notice }
 )
@@ -71,4 +79,5 @@
 func (Survey) decision()        {}
 func (AnswerSurvey) decision()  {}
 func (AnswerConfirm) decision() {}
+func (Tell) decision()          {}
 func (NoteLeaving) decision()   {}
--- a/internal/confsync/core_event.go
+++ b/internal/confsync/core_event.go
@@ -72,8 +72,8 @@
 	}
 	// NoticeHeard is the word of an entry node that stops or serves.
 	NoticeHeard struct{ Notice Notice }
-	// StopOrdered says that this node stops.
-	StopOrdered struct{}
+	// StopOrdered says that this node stops; [Tell] answers it.
+	StopOrdered struct{ Token Token }
 )
 
 func (Tick) event()           {}
--- a/internal/confsync/deps.go
+++ b/internal/confsync/deps.go
@@ -23,7 +23,12 @@
 	OnApply func(*config.Snapshot)
 	// OnList is called for each newer VM list; may be nil.
 	OnList func(List)
-	// OnLeaving is called with the id of an entry VM that says it stops; may
+	// OnLeaving is called with the id of an entry VM that says it stops, and
+	// OnServing with one that said so before and was started anew; both may
 	// be nil.
+	//
+	// None of these functions may block: they run on the goroutine that keeps
+	// the configuration fresh.
 	OnLeaving func(id string)
+	OnServing func(id string)
 }
--- a/internal/confsync/judging.go
+++ b/internal/confsync/judging.go
@@ -5,7 +5,9 @@
 // judge makes a grant of a survey once more than half of the electors have
 // voted for an outage. The grant holds from the oldest of the votes.
 func (c *Core) judge(round *survey, now time.Duration) {
-	if round.purpose != forOutage || c.roster.electors == 0 {
+	// Without a list of the platform the majority of an unknown number of
+	// nodes is asked for: a node that knows only itself would be one.
+	if round.purpose != forOutage || c.listing.digest == 0 {
 		return
 	}
 	count, oldest := 0, round.sent
@@ -42,7 +44,7 @@
 	// Also when every listed node has it: a node that the list does not show
 	// yet may hold a proof of the revision before for as long as the bound.
 	settled := result.Since >= c.rules.settle(c.settings.Bound)
-	result.InForce = c.roster.electors > 0 && result.Have >= result.Needed && settled
+	result.InForce = c.listing.digest != 0 && result.Have >= result.Needed && settled
 	return result
 }
 
--- a/internal/confsync/listing.go
+++ b/internal/confsync/listing.go
@@ -77,7 +77,7 @@
 		l.at = at
 		return
 	}
-	if r.List == nil {
+	if r.List == nil || r.List.To != r.ListDigest {
 		return
 	}
 	l.digest = r.ListDigest
@@ -90,3 +90,9 @@
 	c.listing.digest = 0
 	c.pulling.next = max(c.pulling.next, now+fetchRetry)
 }
+
+// ListDigest names the VM list taken last, 0 for none.
+func (c *Core) ListDigest() uint64 { return c.listing.digest }
+
+// ListAt is no later than the start of the read of that list.
+func (c *Core) ListAt() time.Duration { return c.listing.at }
--- /dev/null
+++ b/internal/confsync/loop_list.go
@@ -0,0 +1,51 @@
+package confsync
+
+import (
+	"log/slog"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+)
+
+// takeListRead keeps a list that was read here, if the core takes it: a slow
+// read may be older than the list that a peer sent meanwhile. The archive is
+// changed before the step, whose answers to children may send it on.
+func (l *loop) takeListRead(e Event, list *vmList) {
+	old := l.list
+	if l.list == nil || l.list.tag != list.tag {
+		l.list = l.list.replace(list.tag, list.raw)
+	}
+	l.step(e)
+	if l.core.ListDigest() != list.tag {
+		l.list = old
+		return
+	}
+	l.tellList(list)
+}
+
+// takeListSent keeps a list that a peer sent.
+func (l *loop) takeListSent(u Update) {
+	next, err := l.list.take(u)
+	if err != nil {
+		l.rejectList(err)
+		return
+	}
+	list, err := parseVMList(next)
+	if err != nil {
+		l.rejectList(err)
+		return
+	}
+	l.list = next
+	l.tellList(list)
+}
+
+func (l *loop) rejectList(err error) {
+	event.ListRejected.Log(l.syncer.deps.Log, slog.Any("error", err))
+	l.later = append(l.later, ListTakeFailed{})
+}
+
+func (l *loop) tellList(list *vmList) {
+	if l.syncer.deps.OnList != nil {
+		l.syncer.deps.OnList(List{VMs: list.VMs, ReadAt: l.syncer.started.Add(l.core.ListAt())})
+	}
+	l.syncer.MembersChanged()
+}
--- a/internal/confsync/noticing.go
+++ b/internal/confsync/noticing.go
@@ -36,6 +36,19 @@
 	return Notice{ID: c.self.ID, Boot: c.boot, Leaving: c.stopping}
 }
 
+// stopOrdered names the peers that must hear that this node stops: the readers
+// of each failure domain, which answer their children's calls with it; all
+// peers where they are few, since nothing is saved by the tree then.
+func (c *Core) stopOrdered(now time.Duration, t Token) {
+	c.stopping = true
+	c.hearNotice(c.ownNotice(), now)
+	peers := c.roster.members
+	if len(peers) > c.settings.DirectLimit {
+		peers = c.roster.readersEverywhere(now, c.settings)
+	}
+	c.decide(Tell{Token: t, Notice: c.ownNotice(), Peers: peers})
+}
+
 // hearNotice takes a word and passes it on when it is news. That a node serves
 // is news only after it was said to stop.
 func (c *Core) hearNotice(n Notice, now time.Duration) {
--- /dev/null
+++ b/internal/confsync/script.go
@@ -0,0 +1,105 @@
+package confsync
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// editField compares a field with the one of the same name in the old state.
+func editField(old []field, f field) (fieldEdit, error) {
+	whole := fieldEdit{Name: f.name, Value: f.value}
+	before, ok := find(old, f.name)
+	if !ok {
+		return whole, nil
+	}
+	oldElements, ok := splitArray(before)
+	if !ok {
+		return whole, nil
+	}
+	newElements, ok := splitArray(f.value)
+	if !ok {
+		return whole, nil
+	}
+	return fieldEdit{Name: f.name, Runs: runsOf(oldElements, newElements)}, nil
+}
+
+// runsOf expresses an array by runs of another.
+func runsOf(before, after []json.RawMessage) []run {
+	places := make(map[string]int, len(before))
+	for i, e := range before {
+		places[string(e)] = i
+	}
+	runs := []run{{}}
+	for _, e := range after {
+		last := &runs[len(runs)-1]
+		place, known := places[string(e)]
+		switch {
+		case !known:
+			last.New = append(last.New, e)
+		case len(last.New) == 0 && (last.Count == 0 || last.From+last.Count == place):
+			last.From = place - last.Count
+			last.Count++
+		default:
+			runs = append(runs, run{From: place, Count: 1})
+		}
+	}
+	return runs
+}
+
+// build makes the new state out of the old fields.
+func (s script) build(old []field) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte('{')
+	for i, f := range s.Fields {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		name, err := json.Marshal(f.Name)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode field's name")
+		}
+		b.Write(name)
+		b.WriteByte(':')
+		if err := f.write(&b, old); err != nil {
+			return nil, err
+		}
+	}
+	b.WriteByte('}')
+	return b.Bytes(), nil
+}
+
+func (f fieldEdit) write(b *bytes.Buffer, old []field) error {
+	if len(f.Value) > 0 {
+		b.Write(f.Value)
+		return nil
+	}
+	before, _ := find(old, f.Name)
+	elements, ok := splitArray(before)
+	if !ok {
+		return eris.Errorf("delta edits field %s, which is no array", f.Name)
+	}
+	b.WriteByte('[')
+	first := true
+	for _, r := range f.Runs {
+		if r.From < 0 || r.Count < 0 || r.From+r.Count > len(elements) {
+			return eris.Errorf("delta copies elements that field %s does not have", f.Name)
+		}
+		first = writeAll(b, elements[r.From:r.From+r.Count], first)
+		first = writeAll(b, r.New, first)
+	}
+	b.WriteByte(']')
+	return nil
+}
+
+func writeAll(b *bytes.Buffer, elements []json.RawMessage, first bool) bool {
+	for _, e := range elements {
+		if !first {
+			b.WriteByte(',')
+		}
+		first = false
+		b.Write(e)
+	}
+	return first
+}
--- /dev/null
+++ b/internal/confsync/service.go
@@ -0,0 +1,55 @@
+package confsync
+
+// ServiceName is the name under which peers call a Syncer.
+const ServiceName = "Config"
+
+// service is what peers call, in net/rpc's form.
+type service struct {
+	syncer *Syncer
+}
+
+// Wait answers a peer that pulls from this node.
+func (s *service) Wait(args WaitArgs, reply *WaitReply) error {
+	ask := func(t Token) Event { return WaitAsked{Token: t, Args: args} }
+	answer, err := s.syncer.ask(s.syncer.ctx, ask)
+	if err != nil {
+		return err
+	}
+	filled := answer.(filledAnswer)
+	*reply = filled.Reply
+	reply.Update = filled.update()
+	if filled.SendList && filled.list.tag == reply.ListDigest {
+		reply.List = filled.list.update(filled.KnownList, false)
+	}
+	return nil
+}
+
+// update is the document's update that the peer lacks. The archive may be
+// ahead of the answer's proofs, never behind them.
+func (f filledAnswer) update() *Update {
+	if f.doc == nil || f.doc.tag <= f.Known {
+		return nil
+	}
+	return f.doc.update(f.Known, f.Full)
+}
+
+// Survey answers a peer that asks for the state of this node or of its
+// failure domain.
+func (s *service) Survey(args SurveyArgs, reply *SurveyReply) error {
+	ask := func(t Token) Event { return SurveyAsked{Token: t, Args: args} }
+	answer, err := s.syncer.ask(s.syncer.ctx, ask)
+	if err != nil {
+		return err
+	}
+	*reply = answer.(AnswerSurvey).Reply
+	return nil
+}
+
+// NoticeReply acknowledges a notice.
+type NoticeReply struct{}
+
+// Notice takes the word of a node that stops.
+func (s *service) Notice(args Notice, _ *NoticeReply) error {
+	s.syncer.post(input{event: NoticeHeard{Notice: args}})
+	return s.syncer.ctx.Err()
+}
--- a/internal/confsync/sim_node_test.go
+++ b/internal/confsync/sim_node_test.go
@@ -110,7 +110,7 @@
 		w.counts.listReads++
 		n.readList(d.Token)
 	case TakeList:
-		n.members(d.List.Digest)
+		n.members(d.List.To)
 	case Wait:
 		w.counts.waits++
 		hold := time.Duration(0)
@@ -129,7 +129,7 @@
 			d.Reply.Update = &Update{To: d.Reply.Revision}
 		}
 		if d.SendList {
-			d.Reply.List = &ListUpdate{Digest: d.Reply.ListDigest}
+			d.Reply.List = &Update{To: d.Reply.ListDigest}
 		}
 		n.answer(d.Token, WaitReplied{Reply: d.Reply})
 	case Survey:
--- a/internal/confsync/wire.go
+++ b/internal/confsync/wire.go
@@ -28,7 +28,7 @@
 	// Update is set when the peer has a newer document.
 	Update *Update
 	// List is set when the peer has a newer VM list.
-	List *ListUpdate
+	List *Update
 	// ListDigest and ListAge name the peer's VM list; ListAge is before the
 	// receipt of the call, as in [SentProof].
 	ListDigest uint64
@@ -80,20 +80,10 @@
 	Age time.Duration
 }
 
-// Update brings a document up to a revision: by deltas, or whole.
+// Update brings an item up to a state: by deltas, or whole.
 type Update struct {
 	To     uint64
 	Deltas []Delta
-	// Full is the compressed document; empty when deltas suffice.
-	Full []byte
-}
-
-// ListUpdate brings a VM list up to date.
-type ListUpdate struct {
-	Digest uint64
-	// From is the digest that Edits applies to.
-	From  uint64
-	Edits []byte
-	// Full is the compressed list; empty when edits suffice.
+	// Full is the compressed state; empty when deltas suffice.
 	Full []byte
 }
--- a/internal/event/confsync.go
+++ b/internal/event/confsync.go
@@ -12,6 +12,7 @@
 	ConfigReader    = define(1405, slog.LevelInfo, "node reads the table for its failure domain")
 	ConfigFollower  = define(1406, slog.LevelInfo, "node pulls the configuration from a peer")
 	ConfigReadError = define(1407, slog.LevelWarn, "head of the configuration could not be read")
+	ListRejected    = define(1408, slog.LevelWarn, "VM list of a peer could not be taken")
 	MemberLeaving   = define(1420, slog.LevelInfo, "VM leaves")
 	MemberSuspect   = define(1421, slog.LevelWarn, "VM cannot be reached")
 	MemberLive      = define(1422, slog.LevelInfo, "VM serves")
