Lose at most two upstreams to one request

A crash makes every request in flight there a suspect. The callers of these hear of the failure once the peers know or must ask before they run anything; a suspect runs with the votes of all peers, and no two suspects on one upstream; two crashes convict; a silent node counts as a crash in doubt.

The release guard showed nothing until the caller was made to send again faster than messages travel.

--- /dev/null
+++ b/internal/suspect/caller_test.go
@@ -0,0 +1,140 @@
+package suspect
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+// caller sends one request again and again until it completes. It gives up on
+// a node that does not answer, and goes to another one. The caller of the
+// crashing request gives up at last, when memories of it may end.
+type caller struct {
+	w           *world
+	name        string
+	fingerprint request.Fingerprint
+	// crasher says that the request crashes each upstream that runs it.
+	crasher  bool
+	attempts []string
+	lost     []time.Duration // when the request took an upstream
+	done     bool
+	refusals int
+	// current is the attempt that the caller waits for; answers to others
+	// come too late.
+	current string
+}
+
+// patience is how long a caller waits for any answer.
+const patience = 8 * time.Second
+
+func (w *world) addCaller(name string, crasher bool) *caller {
+	c := &caller{w: w, name: name, crasher: crasher, fingerprint: request.NewFingerprint("org", []byte(name))}
+	w.callers = append(w.callers, c)
+	w.after(w.between(0, 3000), c.try)
+	return c
+}
+
+func (c *caller) try() {
+	w := c.w
+	if c.done || (c.crasher && w.now > maxLife) {
+		return
+	}
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if n.dead {
+		w.after(w.between(10, 100), c.try)
+		return
+	}
+	attempt := fmt.Sprintf("%s/%d", c.name, len(c.attempts))
+	c.attempts = append(c.attempts, attempt)
+	c.current = attempt
+	w.after(patience, func() { c.answer(attempt, false) })
+	w.do(n, func() {
+		u := w.choose()
+		d := n.t.AdmitAt(attempt, c.fingerprint, u.id, w.time())
+		if d.Verdict == Wait {
+			n.waits[attempt] = func(d Decision) { c.decided(n, u, attempt, d) }
+			return
+		}
+		c.decided(n, u, attempt, d)
+	})
+}
+
+// answer is what the caller hears; it then sends again unless it has its
+// answer.
+func (c *caller) answer(attempt string, completed bool) {
+	if c.current != attempt {
+		return
+	}
+	c.current = ""
+	if completed {
+		c.done = true
+		return
+	}
+	most := 300
+	if c.w.random.IntN(2) == 0 {
+		most = 2 // faster than any message between nodes
+	}
+	c.w.after(c.w.between(0, most), c.try)
+}
+
+func (c *caller) decided(n *node, u *engine, attempt string, d Decision) {
+	w := c.w
+	if c.crasher || w.keepLog && d.Verdict == Refuse {
+		w.note("%s at %s: verdict %d convicted %v", attempt, n.id, d.Verdict, d.Convicted)
+	}
+	if d.Verdict == Refuse {
+		c.refusals++
+		w.after(w.between(200, 2000), func() { c.answer(attempt, false) })
+		return
+	}
+	// Some time passes between the verdict and the sending.
+	w.after(w.between(0, 20), func() { w.do(n, func() { c.start(n, u, attempt) }) })
+}
+
+func (c *caller) start(n *node, u *engine, attempt string) {
+	w := c.w
+	if !w.send(n, u, attempt, c.fingerprint, func() { c.broke(n, attempt) }) {
+		n.t.Finished(attempt, w.time())
+		w.after(w.between(1, 50), func() { c.answer(attempt, false) })
+		return
+	}
+	if c.crasher {
+		w.after(w.between(1, 400), func() { c.strike(u, attempt) })
+		return
+	}
+	w.after(w.between(100, 3000), func() { c.complete(n, u, attempt) })
+}
+
+func (c *caller) strike(u *engine, attempt string) {
+	if u.runs[attempt] == nil {
+		return
+	}
+	c.lost = append(c.lost, c.w.now)
+	c.w.note("%s takes %s", attempt, u.id)
+	c.w.crash(u)
+}
+
+func (c *caller) complete(n *node, u *engine, attempt string) {
+	if u.runs[attempt] == nil {
+		return
+	}
+	delete(u.runs, attempt)
+	c.w.do(n, func() {
+		n.t.Completed(attempt, c.w.time())
+		c.answer(attempt, true)
+	})
+}
+
+// broke is the node finding the attempt's upstream crashed. Its caller hears
+// of it when the tracker lets it.
+func (c *caller) broke(n *node, attempt string) {
+	w := c.w
+	fl := n.t.flights[attempt]
+	if fl == nil {
+		return
+	}
+	n.holds[attempt] = func() { c.answer(attempt, false) }
+	n.t.Crashed(CrashID{Upstream: fl.upstream, Epoch: n.epochs[fl.upstream]}, w.time())
+	n.t.Finished(attempt, w.time())
+}
--- /dev/null
+++ b/internal/suspect/learn.go
@@ -0,0 +1,98 @@
+package suspect
+
+import "github.com/hickorybank/hickorybank/internal/request"
+
+// learn takes a record in and passes on what was new. from is the peer that
+// sent it, or empty.
+func (t *Tracker) learn(r Record, from string) {
+	c := t.store.merge(r, t.now)
+	for _, id := range r.Crashes {
+		if _, known := t.crashes[id]; !known {
+			t.crashes[id] = t.now
+		}
+	}
+	e := t.store.get(r.Fingerprint)
+	if e == nil {
+		return
+	}
+	if c.news {
+		t.tellAll(e, from, c.more)
+		t.speakUp(r.Fingerprint)
+	}
+	if c.more && !c.news {
+		t.tell(t.peers.of[from], e)
+	}
+}
+
+// tellAll marks the record for all neighbours but the one that has just told
+// all of it.
+func (t *Tracker) tellAll(e *entry, from string, more bool) {
+	if !t.settings.has(guardAlert) {
+		return
+	}
+	for _, p := range t.peers.neighbours {
+		if p.id != from || more {
+			t.tell(p, e)
+		}
+	}
+}
+
+func (t *Tracker) tell(p *peer, e *entry) {
+	if p != nil && t.settings.has(guardAlert) {
+		p.pending[e.fingerprint] = e.version
+	}
+}
+
+// alertPeers sends what peers have not acknowledged.
+func (t *Tracker) alertPeers() {
+	for _, p := range t.peers.all {
+		if len(p.pending) == 0 || (len(p.alerts) > 0 && t.now < p.alerted+t.settings.Resend) {
+			continue
+		}
+		t.alert(p)
+	}
+}
+
+func (t *Tracker) alert(p *peer) {
+	items := p.due()
+	m := Message{To: p.id, Kind: Alert, Seq: t.nextSeq()}
+	for _, item := range items {
+		e := t.store.get(item.fingerprint)
+		if e == nil {
+			delete(p.pending, item.fingerprint)
+			continue
+		}
+		m.Records = append(m.Records, e.record(t.now))
+	}
+	if len(m.Records) == 0 {
+		return
+	}
+	p.sent(m.Seq, items, t.now)
+	t.send(m)
+}
+
+// speakUp takes back others' doubts about this node: it is not silent, and
+// knows what became of the request here.
+func (t *Tracker) speakUp(f request.Fingerprint) {
+	e := t.store.get(f)
+	if e == nil || t.flying(f, "") {
+		return
+	}
+	self := CrashID{Upstream: t.settings.Self, Epoch: t.settings.Born, Doubt: true}
+	if !contains(e.crashes, self) || contains(e.cleared, self) {
+		return
+	}
+	t.learn(Record{Fingerprint: f, Cleared: []CrashID{self}, Left: e.expires - t.now}, "")
+}
+
+// sweepCrashes forgets crashes that no record can be due to any more.
+func (t *Tracker) sweepCrashes() {
+	if len(t.crashes) <= 2*t.settings.MaxRecords {
+		return
+	}
+	for id, at := range t.crashes {
+		if t.now > at+t.settings.Expiry {
+			delete(t.crashes, id)
+		}
+	}
+}
--- a/internal/suspect/ready.go
+++ b/internal/suspect/ready.go
@@ -2,8 +2,8 @@
 
 // Ready is what a tracker wants done.
 type Ready struct {
-	// Messages are to be sent, each at most once; the tracker sends again
-	// what it misses the answer of.
+	// Messages are to be sent, each once; the tracker sends again what it
+	// misses the answer of.
 	Messages []Message
 	// Decisions are on attempts that had to wait.
 	Decisions []Decision
--- /dev/null
+++ b/internal/suspect/seeds_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package suspect
+
+const defaultSeeds = 10_000
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -11,9 +11,9 @@
 	Run Verdict = iota
 	// RunAlone: it is a suspect and may run, alone on its upstream.
 	RunAlone
-	// Wait: a Decision of Ready follows shortly.
+	// Wait: a Decision of Ready follows, at the latest after Settings.AskFor.
 	Wait
-	// Refuse: it is convicted, or its holder cannot be asked. It was not run.
+	// Refuse: it is convicted, or permission is not to be had. It was not run.
 	Refuse
 )
 
--- /dev/null
+++ b/internal/suspect/world_test.go
@@ -0,0 +1,258 @@
+package suspect
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// world is nodes, upstreams and callers in virtual time, with messages that
+// are lost, late and repeated, pauses, cuts and replacements. It is a function
+// of its seed.
+type world struct {
+	random *rand.Rand
+	now    time.Duration
+	events agenda
+	count  uint64
+	off    guard
+
+	nodes     []*node
+	upstreams []*engine
+	loss      float64
+	cuts      map[[2]string]bool
+	born      uint64
+	trouble   time.Duration // no new trouble for nodes before it
+
+	callers []*caller
+	log     []string
+	keepLog bool
+}
+
+// node is one entry node with its tracker.
+type node struct {
+	id     string
+	t      *Tracker
+	paused bool
+	dead   bool
+	resume []func()
+	epochs map[string]uint64 // as last polled
+	waits  map[string]func(Decision)
+	holds  map[string]func()
+}
+
+// engine is one upstream.
+type engine struct {
+	id    string
+	epoch uint64
+	down  bool
+	runs  map[string]*run
+}
+
+// run is an attempt at an upstream.
+type run struct {
+	attempt string
+	node    *node
+	broken  func()
+}
+
+type agendaItem struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type agenda []agendaItem
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(agendaItem)) }
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	item := (*a)[last]
+	*a = (*a)[:last]
+	return item
+}
+
+func newWorld(seed uint64, off guard) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 7)), cuts: map[[2]string]bool{}, off: off}
+	w.loss = 0.3 * w.random.Float64()
+	for i := range 3 + w.random.IntN(6) {
+		w.addNode(fmt.Sprintf("node-%d", i))
+	}
+	for i := range 6 {
+		w.upstreams = append(w.upstreams, &engine{id: fmt.Sprintf("engine-%d", i), runs: map[string]*run{}})
+	}
+	for _, n := range w.nodes {
+		n.t.SetPeers(w.listed(), w.time())
+		w.flush(n)
+	}
+	return w
+}
+
+func (w *world) time() time.Time { return epoch.Add(w.now) }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.count++
+	heap.Push(&w.events, agendaItem{at: w.now + d, seq: w.count, do: do})
+}
+
+// between draws a duration of so many milliseconds.
+func (w *world) between(least, most int) time.Duration {
+	return time.Duration(least+w.random.IntN(most-least+1)) * time.Millisecond
+}
+
+func (w *world) note(format string, args ...any) {
+	if w.keepLog {
+		w.log = append(w.log, fmt.Sprintf("%8v ", w.now.Round(time.Millisecond))+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) runUntil(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end {
+		item := heap.Pop(&w.events).(agendaItem)
+		w.now = item.at
+		item.do()
+	}
+	w.now = end
+}
+
+func (w *world) addNode(id string) *node {
+	w.born++
+	n := &node{id: id, epochs: map[string]uint64{}, waits: map[string]func(Decision){}, holds: map[string]func(){}}
+	n.t = New(Settings{Self: id, Born: w.born, MaxRun: 30 * time.Second, Expiry: 2 * time.Minute, MaxLife: maxLife, off: w.off}, w.time())
+	w.nodes = append(w.nodes, n)
+	w.after(w.between(0, 50), func() { w.tick(n) })
+	return n
+}
+
+func (w *world) listed() []string {
+	var ids []string
+	for _, n := range w.nodes {
+		if !n.dead {
+			ids = append(ids, n.id)
+		}
+	}
+	return ids
+}
+
+func (w *world) tick(n *node) {
+	if n.dead {
+		return
+	}
+	w.after(50*time.Millisecond, func() { w.tick(n) })
+	w.do(n, func() {
+		if w.random.IntN(30) == 0 {
+			for _, u := range w.upstreams {
+				n.epochs[u.id] = u.epoch
+			}
+		}
+		n.t.Tick(w.time())
+	})
+}
+
+// do runs a step of a node, or keeps it until the node's pause ends.
+func (w *world) do(n *node, step func()) {
+	if n.dead {
+		return
+	}
+	if n.paused {
+		n.resume = append(n.resume, step)
+		return
+	}
+	step()
+	w.flush(n)
+}
+
+func (w *world) flush(n *node) {
+	ready := n.t.Ready()
+	for _, m := range ready.Messages {
+		w.transmit(m)
+	}
+	for _, d := range ready.Decisions {
+		if decided := n.waits[d.Attempt]; decided != nil {
+			delete(n.waits, d.Attempt)
+			w.do(n, func() { decided(d) })
+		}
+	}
+	for _, a := range ready.Released {
+		if told := n.holds[a]; told != nil {
+			delete(n.holds, a)
+			told()
+		}
+	}
+}
+
+func (w *world) transmit(m Message) {
+	copies := 1
+	if w.random.IntN(20) == 0 {
+		copies = 2
+	}
+	for range copies {
+		if w.random.Float64() < w.loss {
+			continue
+		}
+		delay := w.between(1, 5)
+		if w.random.IntN(20) == 0 {
+			delay = w.between(5, 250)
+		}
+		w.after(delay, func() { w.deliver(m) })
+	}
+}
+
+func (w *world) deliver(m Message) {
+	if w.cuts[[2]string{m.From, m.To}] {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.id == m.To && !n.dead {
+			w.do(n, func() { n.t.Step(m, w.time()) })
+			return
+		}
+	}
+}
+
+// choose draws an upstream.
+func (w *world) choose() *engine { return w.upstreams[w.random.IntN(len(w.upstreams))] }
+
+// send puts an attempt on an upstream, if it is up and the tracker allows it.
+func (w *world) send(n *node, u *engine, attempt string, f request.Fingerprint, broken func()) bool {
+	if u.down {
+		return false
+	}
+	if !n.t.Started(attempt, f, u.id, w.time()) {
+		w.note("%s may not start at %s", attempt, n.id)
+		return false
+	}
+	u.runs[attempt] = &run{attempt: attempt, node: n, broken: broken}
+	return true
+}
+
+// crash takes an upstream down and breaks what runs there.
+func (w *world) crash(u *engine) {
+	if u.down {
+		return
+	}
+	u.down = true
+	w.note("%s crashes in epoch %d", u.id, u.epoch)
+	for _, c := range w.callers { // in a fixed order
+		for _, a := range c.attempts {
+			if r := u.runs[a]; r != nil {
+				delete(u.runs, a)
+				w.after(w.between(1, 50), func() { w.do(r.node, r.broken) })
+			}
+		}
+	}
+	clear(u.runs)
+	w.after(w.between(200, 3000), func() {
+		u.down = false
+		u.epoch++
+	})
+}
