Carry claims and bills between nodes, table, object store and peers

A claim goes to the batcher of its log, the next one, or is written by the node itself; bills go to the collector of the failure domain, whose duty moves on every 30 s; rows that no store takes are held by peers and taken over when their owner is silent; settlements that the table does not take follow later. A janitor deletes claims older than the window behind a floor, and folds closed buckets of bills into one row.

--- /dev/null
+++ b/internal/event/ledger.go
@@ -0,0 +1,20 @@
+package event
+
+import "log/slog"
+
+// Events 1300 to 1399: claims and bills.
+var (
+	LedgerStarted      = define(1300, slog.LevelInfo, "ledger has started")
+	LedgerStopped      = define(1301, slog.LevelInfo, "ledger has stopped")
+	LedgerFlushFailed  = define(1302, slog.LevelError, "ledger stopped with bills that no store has taken")
+	LedgerRowMalformed = define(1303, slog.LevelError, "a claim log has a row that cannot be read; its keys are refused")
+	LedgerReadFailed   = define(1304, slog.LevelWarn, "a claim log could not be read")
+	LedgerTableDown    = define(1305, slog.LevelWarn, "bills go to the object store or to peers; the table does not take them")
+	LedgerTableBack    = define(1306, slog.LevelInfo, "bills go to the table again")
+	LedgerAdopted      = define(1307, slog.LevelWarn, "bills of a process that fell silent were taken over")
+	LedgerUnsafe       = define(1308, slog.LevelError, "bills could not be made safe in time")
+	LedgerRejected     = define(1309, slog.LevelError, "a settlement was rejected: its attempt does not hold the key")
+	LedgerSettled      = define(1310, slog.LevelInfo, "a bucket of bills was settled")
+	LedgerJanitorLate  = define(1311, slog.LevelWarn, "old claims or bills could not be seen to")
+	LedgerPeerSuspect  = define(1312, slog.LevelWarn, "a peer does not answer the ledger; others are asked for a while")
+)
--- a/internal/ledger/bill/collector_hold.go
+++ b/internal/ledger/bill/collector_hold.go
@@ -70,6 +70,11 @@
 		return nil
 	}
 	c.refreshAt = now.Add(c.settings.Refresh)
+	return c.Pieces()
+}
+
+// Pieces are the copies that peers hold.
+func (c *Collector) Pieces() []Piece {
 	var pieces []Piece
 	for _, b := range c.active {
 		pieces = append(pieces, b.pieces...)
--- /dev/null
+++ b/internal/ledger/claim/floor_codec.go
@@ -0,0 +1,27 @@
+package claim
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+type wireFloor struct {
+	Bucket int64  `json:"bucket"`
+	Seq    uint64 `json:"seq"`
+}
+
+// Encode returns the floor's bytes.
+func (f Floor) Encode() ([]byte, error) {
+	data, err := json.Marshal(wireFloor{f.Bucket, f.Seq})
+	return data, eris.Wrap(err, "encode floor")
+}
+
+// DecodeFloor reads the floor from its row.
+func DecodeFloor(version uint64, data []byte) (Floor, error) {
+	var w wireFloor
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Floor{}, eris.Wrap(err, "decode floor")
+	}
+	return Floor{Version: version, Bucket: w.Bucket, Seq: w.Seq}, nil
+}
--- a/internal/ledger/claim/record.go
+++ b/internal/ledger/claim/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/request"
 )
 
@@ -19,4 +20,6 @@
 	Outcome request.Outcome
 	// Answer is the answer, if it was small enough to keep.
 	Answer []byte
+	// Bill is the bill that the settlement came with.
+	Bill *bill.Bill
 }
--- /dev/null
+++ b/internal/ledger/fabric_test.go
@@ -0,0 +1,241 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/wire"
+	"github.com/hickorybank/hickorybank/internal/peer"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
+)
+
+// fabric joins ledgers within a process and one time bubble. It can freeze
+// nodes, cut them off and lose their answers.
+type fabric struct {
+	mu     sync.Mutex
+	nodes  map[string]*service
+	frozen map[string]chan struct{}
+	lossy  map[string]bool
+}
+
+func newFabric() *fabric {
+	return &fabric{nodes: map[string]*service{}, frozen: map[string]chan struct{}{}, lossy: map[string]bool{}}
+}
+
+// Call implements peer.Caller.
+func (f *fabric) Call(ctx context.Context, addr, method string, args, reply any) error {
+	f.mu.Lock()
+	node, frozen, lossy := f.nodes[addr], f.frozen[addr], f.lossy[addr]
+	f.mu.Unlock()
+	if node == nil {
+		return peer.ErrNotSent
+	}
+	done := make(chan error, 1)
+	got := copyOf(reply)
+	go func() {
+		if frozen != nil {
+			<-frozen
+		}
+		done <- dispatch(node, method, args, got)
+	}()
+	select {
+	case <-ctx.Done():
+		return peer.ErrUnknown
+	case err := <-done:
+		if lossy {
+			return peer.ErrUnknown
+		}
+		if err != nil {
+			return errors.New(err.Error()) // net/rpc keeps only the text
+		}
+		return through(got, reply)
+	}
+}
+
+// through carries a message over gob, as net/rpc does.
+func through(from, to any) error {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&buf).Decode(to)
+}
+
+func copyOf(reply any) any {
+	switch reply.(type) {
+	case *wire.AppendReply:
+		return new(wire.AppendReply)
+	case *wire.CollectReply:
+		return new(wire.CollectReply)
+	case *wire.HoldReply:
+		return new(wire.HoldReply)
+	case *wire.PiecesReply:
+		return new(wire.PiecesReply)
+	default:
+		return new(wire.AliveReply)
+	}
+}
+
+func dispatch(s *service, method string, args, reply any) error {
+	switch method {
+	case methodAppend:
+		return handle(s.Append, args, reply)
+	case methodCollect:
+		return handle(s.Collect, args, reply)
+	case methodHold:
+		return handle(s.Hold, args, reply)
+	case methodRefresh:
+		return handle(s.Refresh, args, reply)
+	case methodDrop:
+		return handle(s.Drop, args, reply)
+	default:
+		return handle(s.Alive, args, reply)
+	}
+}
+
+func handle[A, R any](method func(*A, *R) error, args, reply any) error {
+	var got A
+	if err := through(args, &got); err != nil {
+		return err
+	}
+	return method(&got, reply.(*R))
+}
+
+// cluster is some ledgers over one platform.
+type cluster struct {
+	t        *testing.T
+	platform *memory.Platform
+	fabric   *fabric
+	members  []platform.VM
+	ledgers  map[string]*Ledger
+	settings Settings
+	mu       sync.Mutex
+}
+
+// newCluster starts n nodes in four failure domains.
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t, platform: memory.New(), fabric: newFabric(), ledgers: map[string]*Ledger{}, settings: DefaultSettings()}
+	for i := range n {
+		id := fmt.Sprintf("e%d", i)
+		c.members = append(c.members, platform.VM{
+			ID: id, Role: platform.RoleEntry, Peer: id, FailureDomain: fmt.Sprintf("d%d", i%4), State: platform.Live,
+		})
+	}
+	for _, vm := range c.members {
+		c.start(vm)
+	}
+	return c
+}
+
+func (c *cluster) start(vm platform.VM) *Ledger {
+	l := New(c.settings, Deps{
+		Table: c.platform, Objects: c.platform.Objects(), Peers: c.fabric, Self: vm,
+		Members: func() []platform.VM { return c.view() }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	if err := l.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.fabric.mu.Lock()
+	c.fabric.nodes[vm.Peer] = &service{l}
+	c.fabric.mu.Unlock()
+	c.ledgers[vm.ID] = l
+	return l
+}
+
+func (c *cluster) view() []platform.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members
+}
+
+// lose ends a node without any care, as the loss of its VM does.
+func (c *cluster) lose(id string) {
+	c.fabric.mu.Lock()
+	delete(c.fabric.nodes, id)
+	c.fabric.mu.Unlock()
+	l := c.ledgers[id]
+	l.mu.Lock()
+	l.open = false
+	l.mu.Unlock()
+	l.stop()
+	l.duties.Wait()
+}
+
+// close ends the nodes that still run.
+func (c *cluster) close() {
+	for _, l := range c.ledgers {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		_ = l.Close(ctx)
+		cancel()
+	}
+	time.Sleep(maxAppend + time.Second) // calls that were overtaken end
+}
+
+func (c *cluster) fail(change fault.Change) {
+	if err := c.platform.SetFaults(change); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// storeDown takes the table and the object store down, or up again.
+func (c *cluster) storeDown(down bool) {
+	c.fail(fault.Change{Table: &fault.Fault{Down: down}, Objects: &fault.Fault{Down: down}})
+}
+
+// allBills reads the bills that count.
+func (c *cluster) allBills(id string) []Bill {
+	q := BillQuery{From: time.Now().Add(-48 * time.Hour), To: time.Now().Add(time.Hour)}
+	var all []Bill
+	for {
+		page, err := c.ledgers[id].Bills(context.Background(), q)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		all = append(all, page.Bills...)
+		if page.Next == "" {
+			return all
+		}
+		q.Cursor = page.Next
+	}
+}
+
+func inBubble(t *testing.T, n int, do func(is *is.I, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, n)
+		defer c.close()
+		do(is.New(t), c)
+	})
+}
+
+// newKey returns a UUIDv7 of the bubble's time. The library's own never go
+// back, and each bubble begins at the same time.
+func newKey() string { return keyAt(time.Now()) }
+
+func keyAt(at time.Time) string {
+	u := uuid.New()
+	for i := range 6 {
+		u[i] = byte(at.UnixMilli() >> (8 * (5 - i)))
+	}
+	u[6] = 0x70 | u[6]&0x0f
+	return u.String()
+}
+
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	_ = cancel // ends with its time, within the bubble
+	return ctx
+}
--- /dev/null
+++ b/internal/ledger/holders.go
@@ -0,0 +1,158 @@
+package ledger
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
+	"github.com/hickorybank/hickorybank/internal/ledger/wire"
+	"github.com/hickorybank/hickorybank/internal/peer"
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// holdTimeout bounds a call to one holder.
+const holdTimeout = time.Second
+
+// holders speaks to the peers that hold copies of this node's rows.
+type holders struct {
+	peers peer.Caller
+	route *route
+}
+
+// hold has a row held in as many other failure domains as needed, and returns
+// the ids of the VMs that hold it.
+func (h *holders) hold(ctx context.Context, row bill.Row) []string {
+	var ids []string
+	left := h.route.holders(time.Now(), row.Key())
+	taken := map[string]bool{}
+	for len(ids) < holdCopies {
+		var round []platform.VM
+		round, left = h.round(left, taken, holdCopies-len(ids))
+		if len(round) == 0 {
+			return ids
+		}
+		for _, vm := range h.askAll(ctx, round, row) {
+			ids = append(ids, vm.ID)
+			taken[vm.FailureDomain] = true
+		}
+	}
+	return ids
+}
+
+// round picks the next candidates, each in another failure domain.
+func (h *holders) round(candidates []platform.VM, taken map[string]bool, n int) (round, left []platform.VM) {
+	seen := maps.Clone(taken)
+	for _, vm := range candidates {
+		switch {
+		case taken[vm.FailureDomain]:
+		case seen[vm.FailureDomain] || len(round) == n:
+			left = append(left, vm)
+		default:
+			seen[vm.FailureDomain] = true
+			round = append(round, vm)
+		}
+	}
+	return round, left
+}
+
+func (h *holders) askAll(ctx context.Context, vms []platform.VM, row bill.Row) []platform.VM {
+	held := make([]bool, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Go(func() {
+			var reply wire.HoldReply
+			args := wire.NewHoldArgs(row)
+			err := h.call(ctx, vm, methodHold, &args, &reply)
+			held[i] = err == nil && reply.Held
+		})
+	}
+	wg.Wait()
+	var by []platform.VM
+	for i, vm := range vms {
+		if held[i] {
+			by = append(by, vm)
+		}
+	}
+	return by
+}
+
+// refresh tells the holders that this process lives, and returns the rows of
+// which a copy is missing.
+func (h *holders) refresh(ctx context.Context, writer string, pieces []bill.Piece) []uint64 {
+	var mu sync.Mutex
+	missing := map[uint64]bool{}
+	var wg sync.WaitGroup
+	for id, seqs := range byHolder(pieces) {
+		wg.Go(func() {
+			lost := h.ask(ctx, id, wire.PiecesArgs{Writer: writer, Seqs: seqs})
+			mu.Lock()
+			defer mu.Unlock()
+			for _, seq := range lost {
+				missing[seq] = true
+			}
+		})
+	}
+	wg.Wait()
+	return slices.Sorted(maps.Keys(missing))
+}
+
+// ask returns the rows that a holder has not: all, if it does not answer.
+func (h *holders) ask(ctx context.Context, id string, args wire.PiecesArgs) []uint64 {
+	vm, ok := h.route.find(id)
+	if !ok {
+		return args.Seqs
+	}
+	var reply wire.PiecesReply
+	if err := h.call(ctx, vm, methodRefresh, &args, &reply); err != nil {
+		return args.Seqs
+	}
+	return reply.Missing
+}
+
+// drop tells holders that rows are needed no more. One that does not hear of
+// it writes them when this process is gone, which is harmless.
+func (h *holders) drop(ctx context.Context, writer string, pieces []bill.Piece) {
+	var wg sync.WaitGroup
+	for id, seqs := range byHolder(pieces) {
+		if vm, ok := h.route.find(id); ok {
+			wg.Go(func() {
+				args := wire.PiecesArgs{Writer: writer, Seqs: seqs}
+				_ = h.call(ctx, vm, methodDrop, &args, &wire.PiecesReply{})
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// gone tells the holders that this process stops, so that they write at once.
+func (h *holders) gone(ctx context.Context, writer string, pieces []bill.Piece) {
+	for id := range byHolder(pieces) {
+		if vm, ok := h.route.find(id); ok {
+			args := wire.PiecesArgs{Writer: writer, Gone: true}
+			_ = h.call(ctx, vm, methodDrop, &args, &wire.PiecesReply{})
+		}
+	}
+}
+
+func (h *holders) call(ctx context.Context, vm platform.VM, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	err := h.peers.Call(ctx, vm.Peer, method, args, reply)
+	if err != nil {
+		h.route.silent(vm)
+	}
+	return err
+}
+
+func byHolder(pieces []bill.Piece) map[string][]uint64 {
+	seqs := map[string][]uint64{}
+	for _, p := range pieces {
+		for _, id := range p.Holders {
+			seqs[id] = append(seqs[id], p.Seq)
+		}
+	}
+	return seqs
+}
--- /dev/null
+++ b/internal/ledger/route.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/ledger/rank"
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+const (
+	// candidates is how many nodes are asked before one helps itself.
+	candidates = 2
+	// suspicion is how long a peer that did not answer is passed over.
+	suspicion = 5 * time.Second
+	// epoch is how long one node collects the bills of its failure domain. The
+	// duty goes round, so that its cost is spread over the domain's nodes.
+	epoch = 30 * time.Second
+)
+
+// route picks nodes for duties by rendezvous hashing over the members that
+// this node sees. Other nodes may see others, and pick others.
+type route struct {
+	self    platform.VM
+	members func() []platform.VM
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	suspects map[string]time.Time // until when, by id
+}
+
+func newRoute(d Deps) *route {
+	return &route{self: d.Self, members: d.Members, log: d.Log, suspects: map[string]time.Time{}}
+}
+
+// batchers returns who should bring entries into a log: the members of any
+// failure domain, in order, and this node in the end.
+func (r *route) batchers(now time.Time, name key.Log) []platform.VM {
+	return r.withSelf(rank.First(name.Prefix(), r.usable(now, anywhere), candidates))
+}
+
+// collectors returns who should collect this node's bills.
+func (r *route) collectors(now time.Time) []platform.VM {
+	duty := "collect/" + r.self.FailureDomain + "/" + strconv.FormatInt(now.UnixNano()/int64(epoch), 10)
+	here := func(vm platform.VM) bool { return vm.FailureDomain == r.self.FailureDomain }
+	return r.withSelf(rank.First(duty, r.usable(now, here), candidates))
+}
+
+// holders returns who should hold copies of a row, in order; there are more
+// than needed, for those that have no room or do not answer.
+func (r *route) holders(now time.Time, rowKey string) []platform.VM {
+	elsewhere := func(vm platform.VM) bool { return vm.FailureDomain != r.self.FailureDomain }
+	return rank.First("hold/"+rowKey, r.usable(now, elsewhere), 3*holdCopies)
+}
+
+// janitor says whether this node sees to old rows in this period.
+func (r *route) janitor(period int64) bool {
+	duty := "janitor/" + strconv.FormatInt(period, 10)
+	return rank.First(duty, r.usable(time.Now(), anywhere), 1)[0].ID == r.self.ID
+}
+
+// domains is how many failure domains the members are in.
+func (r *route) domains() int {
+	seen := map[string]struct{}{r.self.FailureDomain: {}}
+	for _, vm := range r.members() {
+		seen[vm.FailureDomain] = struct{}{}
+	}
+	return len(seen)
+}
+
+func (r *route) find(id string) (platform.VM, bool) {
+	if id == r.self.ID {
+		return r.self, true
+	}
+	for _, vm := range r.members() {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return platform.VM{}, false
+}
+
+func anywhere(platform.VM) bool { return true }
+
+// usable returns the members that fit, and this node if it does.
+func (r *route) usable(now time.Time, fits func(platform.VM) bool) []platform.VM {
+	members := r.members()
+	usable := make([]platform.VM, 0, len(members)+1)
+	if fits(r.self) {
+		usable = append(usable, r.self)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range members {
+		if vm.ID == r.self.ID || vm.Peer == "" || vm.State == platform.Leaving || !fits(vm) {
+			continue
+		}
+		if until, ok := r.suspects[vm.ID]; ok && now.Before(until) {
+			continue
+		}
+		usable = append(usable, vm)
+	}
+	return usable
+}
+
+// withSelf ends the order with this node, which can do everything itself.
+func (r *route) withSelf(order []platform.VM) []platform.VM {
+	for i := range order {
+		if order[i].ID == r.self.ID {
+			return order[:i+1]
+		}
+	}
+	return append(order, r.self)
+}
+
+// silent notes that a peer did not answer in time. A frozen peer would
+// otherwise be waited for by each call that it comes first for.
+func (r *route) silent(vm platform.VM) {
+	if vm.ID == r.self.ID {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if until, ok := r.suspects[vm.ID]; !ok || until.Before(now) {
+		event.LedgerPeerSuspect.Log(r.log, slog.String("peer", vm.ID))
+	}
+	r.suspects[vm.ID] = now.Add(suspicion)
+}
+
+// answered notes that a peer answered.
+func (r *route) answered(vm platform.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.suspects, vm.ID)
+}
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -1,33 +1,111 @@
 package ledger
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
+	"github.com/hickorybank/hickorybank/internal/ledger/claim"
+	"github.com/hickorybank/hickorybank/internal/ledger/hold"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+)
 
 // Settings are the ledger's static settings; they must be alike on all nodes.
 type Settings struct {
-	// ClaimShards is how many claim logs are written side by side.
-	ClaimShards int
+	// Layout is how claims and bills are spread.
+	Layout key.Layout
 	// ClaimWritesPerSecond bounds the table writes for claims, of all nodes
-	// together.
+	// together; half of it is for keys that carry their time.
 	ClaimWritesPerSecond float64
-	// BillWritesPerSecond bounds the table writes for bills, of all nodes
-	// together.
+	// BillWritesPerSecond bounds the writes for bills, of all nodes together.
 	BillWritesPerSecond float64
 	// Window is how long a key is kept; an older key is refused.
 	Window time.Duration
+	// Skew is how far clocks may lie apart.
+	Skew time.Duration
 	// RunLimit is how long a claim counts as running.
 	RunLimit time.Duration
 	// MaxAnswer is the longest answer kept with a settlement, in bytes.
 	MaxAnswer int
+	// HedgeAfter is how long one node is waited for before the next is asked.
+	HedgeAfter time.Duration
+	// MaxWaiting and MaxHeld bound the bills in this node's memory: its own
+	// and its domain's, and those that it holds for others.
+	MaxWaiting int
+	MaxHeld    int
+	// MaxKeys bounds the keys of claim logs kept in memory.
+	MaxKeys int
+	// Janitor is how often old claims are deleted and old bills settled.
+	Janitor time.Duration
 }
 
-// DefaultSettings suit 6 to 8 nodes.
+// DefaultSettings suit 6 to 8 nodes and a table that takes 500 writes a second,
+// of which the ledger uses at most 300.
 func DefaultSettings() Settings {
 	return Settings{
-		ClaimShards:          4,
-		ClaimWritesPerSecond: 100,
+		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: time.Hour},
+		ClaimWritesPerSecond: 150,
 		BillWritesPerSecond:  150,
 		Window:               24 * time.Hour,
+		Skew:                 5 * time.Minute,
 		RunLimit:             15 * time.Minute,
 		MaxAnswer:            8 << 10,
+		HedgeAfter:           700 * time.Millisecond,
+		MaxWaiting:           50_000,
+		MaxHeld:              50_000,
+		MaxKeys:              100_000,
+		Janitor:              time.Minute,
+	}
+}
+
+const (
+	maxGap        = time.Second
+	maxRowEntries = 2000
+	maxRowBytes   = 128 << 10
+	maxRowBills   = 5000
+	maxFlights    = 4
+	tableGrace    = 300 * time.Millisecond
+	objectGrace   = 600 * time.Millisecond
+	giveUp        = 3 * time.Second
+	probeGap      = time.Second
+	refreshGap    = 2 * time.Second
+	silence       = 10 * time.Second
+	holdCopies    = 2
+)
+
+// gap is the least time between the writes of one of several writers that
+// share a budget.
+func gap(writers int, perSecond float64) time.Duration {
+	return time.Duration(float64(writers) / perSecond * float64(time.Second))
+}
+
+func (s Settings) log(name key.Log, writer string, now time.Time) claim.LogSettings {
+	settings := claim.LogSettings{Writer: writer, MaxGap: maxGap, MaxEntries: maxRowEntries, MaxBytes: maxRowBytes}
+	half := s.ClaimWritesPerSecond / 2
+	if name.Kind == key.Opaque {
+		settings.Window = s.Window + s.Skew
+		settings.MinGap = gap(s.Layout.OpaqueShards, half)
+		return settings
 	}
+	// Old buckets only get settlements, so each is written the more seldom
+	// the older it is: else all buckets with running work would share what is
+	// meant for the newest.
+	age := max(0, now.UnixMilli()/s.Layout.ClaimBucket.Milliseconds()-name.Bucket)
+	settings.MinGap = gap(s.Layout.Shards, half) * time.Duration(min(1+age, maxAge))
+	return settings
+}
+
+// maxAge bounds by how much the gap of an old bucket is wider.
+const maxAge = 5
+
+func (s Settings) collector(writer string) bill.CollectorSettings {
+	return bill.CollectorSettings{
+		Writer: writer, Layout: s.Layout, MinGap: gap(1, s.BillWritesPerSecond), MaxGap: maxGap,
+		MaxBatch: maxRowBills, MaxFlights: maxFlights, MaxWaiting: s.MaxWaiting,
+		TableGrace: tableGrace, ObjectGrace: objectGrace, GiveUp: giveUp,
+		Probe: probeGap, Refresh: refreshGap, Copies: holdCopies,
+	}
+}
+
+func (s Settings) holder() hold.Settings {
+	return hold.Settings{MaxBills: s.MaxHeld, Silence: silence}
 }
