Keep each node's picture of the VMs, and stop without cutting a request

The platform's list lags: a VM's own word that it leaves and connections that fail take it out at once, and the list cannot bring it back before it has itself shown the change. A stop tells the peers, serves until the last answer that names the node has run out, refuses, lets what runs end, flushes and exits; a second order changes nothing.

--- a/internal/confsync/deps.go
+++ b/internal/confsync/deps.go
@@ -21,7 +21,7 @@
 	Log     *slog.Logger
 	// OnApply is called, in order, for each configuration applied; may be nil.
 	OnApply func(*config.Snapshot)
-	// OnList is called for each newer VM list; may be nil.
+	// OnList is called for each VM list that differs from the last; may be nil.
 	OnList func(List)
 	// OnLeaving is called with the id of an entry VM that says it stops, and
 	// OnServing with one that said so before and was started anew; both may
--- a/internal/confsync/loop_act.go
+++ b/internal/confsync/loop_act.go
@@ -70,4 +70,5 @@
 	if tell != nil {
 		tell(d.Notice.ID)
 	}
+	l.syncer.MembersChanged()
 }
--- a/internal/confsync/loop_list.go
+++ b/internal/confsync/loop_list.go
@@ -11,9 +11,11 @@
 // changed before the step, whose answers to children may send it on.
 func (l *loop) takeListRead(e Event, list *vmList) {
 	old := l.list
-	if l.list == nil || l.list.tag != list.tag {
-		l.list = l.list.replace(list.tag, list.raw)
+	if old != nil && old.tag == list.tag {
+		l.step(e)
+		return
 	}
+	l.list = old.replace(list.tag, list.raw)
 	l.step(e)
 	if l.core.ListDigest() != list.tag {
 		l.list = old
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -6,4 +6,6 @@
 type Member struct {
 	platform.VM
 	State State
+	// Load in [0,1] is what an entry VM reports of itself.
+	Load float64
 }
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -10,27 +10,41 @@
 	// AnswerSize is how many addresses an answer has at most.
 	AnswerSize int
 	// SuspectFor is how long a VM that could not be reached stays a suspect
-	// before it is tried again.
-	SuspectFor time.Duration
+	// before it is tried again; it doubles with each failure in a row up to
+	// LongestSuspect.
+	SuspectFor     time.Duration
+	LongestSuspect time.Duration
+	// TellTime is how long after the peers were told that this node stops
+	// the last of them may still name it: a notice's way down their trees.
+	TellTime time.Duration
+	// ListTime is the same for peers that could not be told, and learn it
+	// from the platform's list.
+	ListTime time.Duration
 }
 
 // The defaults.
 const (
-	DefaultAnswerTTL  = 5 * time.Second
-	DefaultAnswerSize = 4
-	DefaultSuspectFor = 2 * time.Second
+	DefaultAnswerTTL      = 5 * time.Second
+	DefaultAnswerSize     = 4
+	DefaultSuspectFor     = 2 * time.Second
+	DefaultLongestSuspect = time.Minute
+	DefaultTellTime       = 2 * time.Second
+	DefaultListTime       = 15 * time.Second
 )
 
 // WithDefaults returns the settings with every zero replaced by its default.
 func (s Settings) WithDefaults() Settings {
-	if s.AnswerTTL == 0 {
-		s.AnswerTTL = DefaultAnswerTTL
-	}
-	if s.AnswerSize == 0 {
-		s.AnswerSize = DefaultAnswerSize
-	}
-	if s.SuspectFor == 0 {
-		s.SuspectFor = DefaultSuspectFor
-	}
+	setDefault(&s.AnswerTTL, DefaultAnswerTTL)
+	setDefault(&s.AnswerSize, DefaultAnswerSize)
+	setDefault(&s.SuspectFor, DefaultSuspectFor)
+	setDefault(&s.LongestSuspect, DefaultLongestSuspect)
+	setDefault(&s.TellTime, DefaultTellTime)
+	setDefault(&s.ListTime, DefaultListTime)
 	return s
 }
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- a/internal/membership/stop_event.go
+++ b/internal/membership/stop_event.go
@@ -9,6 +9,8 @@
 	StopOrdered StopEvent = iota
 	// PeersTold says that every peer leaves the node out of its answers.
 	PeersTold
+	// PeersMissed says that some peers could not be told.
+	PeersMissed
 	// Tick only lets time pass.
 	Tick
 	// BillsFlushed says that all bills are durable.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -25,11 +25,16 @@
 	return nil
 }
 
-// EntryVMs returns the entry VMs in every state, in the platform's form.
+// EntryVMs returns the entry VMs in every state, in the platform's form: one
+// that said it leaves is leaving, whatever the list says.
 func (v *View) EntryVMs() []platform.VM {
 	vms := make([]platform.VM, 0, len(v.Entries))
 	for _, m := range v.Entries {
-		vms = append(vms, m.VM)
+		vm := m.VM
+		if m.State == Leaving {
+			vm.State = platform.Leaving
+		}
+		vms = append(vms, vm)
 	}
 	return vms
 }
