--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -30,6 +30,7 @@
 	headerClass       = "Hickorybank-Class"
 	headerTimeout     = "Hickorybank-Timeout-Ms"
 	headerVersion     = "Hickorybank-Version"
+	headerStream      = "Hickorybank-Stream"
 	headerCost        = "Hickorybank-Cost-Micros"
 )
 
--- /dev/null
+++ b/internal/api/read_on.go
@@ -0,0 +1,49 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+const (
+	headerLastEvent = "Last-Event-ID"
+	queryAfter      = "after"
+)
+
+// readOn sends the rest of a stream whose connection broke. Any entry node can,
+// since the token says where the stream runs.
+func (s *Server) readOn(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) {
+	after, fail := afterOf(r)
+	if fail != nil {
+		writeFailure(w, fail)
+		return
+	}
+	sink := newStreamSink(w)
+	answer, err := s.router.ReadOn(r.Context(), ReadOnCall{Org: id.org, Token: p.ByName("token"), After: after}, sink)
+	if err != nil {
+		sink.fail(asFailure(err))
+		return
+	}
+	sink.finish(answer)
+}
+
+// afterOf is the number of the last piece that the caller has, from the query
+// or from the header that event-stream libraries send.
+func afterOf(r *http.Request) (int, *request.Failure) {
+	text := r.URL.Query().Get(queryAfter)
+	if text == "" {
+		text = r.Header.Get(headerLastEvent)
+	}
+	if text == "" {
+		return 0, nil
+	}
+	after, err := strconv.Atoi(text)
+	if err != nil || after < 0 {
+		return 0, bad("after: must be the number of the last event that came, from 0")
+	}
+	return after, nil
+}
--- a/internal/api/router.go
+++ b/internal/api/router.go
@@ -15,6 +15,8 @@
 	Snapshot() *config.Snapshot
 	// Chat runs model work. On failure the error is a *request.Failure.
 	Chat(ctx context.Context, call ChatCall, sink request.Sink) (request.Answer, error)
+	// ReadOn goes on with a stream whose connection broke.
+	ReadOn(ctx context.Context, call ReadOnCall, sink request.Sink) (request.Answer, error)
 	// Service runs a call of a plain service.
 	Service(ctx context.Context, call ServiceCall) (upstream.ServiceAnswer, error)
 	// Addresses returns the entry addresses that a caller should use.
@@ -37,6 +39,15 @@
 	Body        []byte
 }
 
+// ReadOnCall asks for the rest of a stream.
+type ReadOnCall struct {
+	Org *config.Organisation
+	// Token came with the stream's beginning.
+	Token string
+	// After is the number of the last piece that the caller has.
+	After int
+}
+
 // ServiceCall is a call of a plain service as the caller sent it.
 type ServiceCall struct {
 	Org      *config.Organisation
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -23,6 +23,7 @@
 func New(router Router) *Server {
 	s := &Server{router: router, mux: httprouter.New()}
 	s.mux.POST("/v1/chat/completions", s.caller(s.chat))
+	s.mux.GET("/v1/streams/:token", s.caller(s.readOn))
 	s.mux.GET("/v1/models", s.caller(s.models))
 	s.mux.GET("/v1/addresses", s.addresses)
 	for _, method := range serviceMethods {
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -70,6 +71,9 @@
 }
 
 func declaredCall(id identity, name, method, path string) (*config.Service, *config.Call, *request.Failure) {
+	if hasDots(path) {
+		return nil, nil, bad("the path must not hold . or .. segments")
+	}
 	service := id.snapshot.Service(name)
 	if service == nil || !mayCall(id.org, name) {
 		return nil, nil, request.Refuse(request.CodeUnknownModel, 0, "there is no service "+name+" for this organisation")
@@ -81,6 +85,17 @@
 	return service, declared, nil
 }
 
+// hasDots says that the path leads elsewhere than it reads: "/receipts/../x"
+// would match the call declared for "/receipts/" and reach "/x".
+func hasDots(path string) bool {
+	for _, segment := range strings.Split(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 func mayCall(org *config.Organisation, service string) bool {
 	for _, name := range org.Services {
 		if name == service {
--- a/internal/api/whole.go
+++ b/internal/api/whole.go
@@ -13,35 +13,34 @@
 
 // wholeSink gathers an answer that goes out in one piece.
 type wholeSink struct {
-	version string
-	session string
-	text    strings.Builder
+	head request.Head
+	text strings.Builder
 }
 
 // Streams is false: the answer goes out in one piece.
 func (s *wholeSink) Streams() bool { return false }
 
-// Begin notes the version and session for the headers.
-func (s *wholeSink) Begin(version, session string) {
-	s.version = version
-	s.session = session
-}
+// Begin notes the head for the headers.
+func (s *wholeSink) Begin(h request.Head) { s.head = h }
 
 // Text gathers one piece.
-func (s *wholeSink) Text(text string) error {
+func (s *wholeSink) Text(_ int, text string) error {
 	s.text.WriteString(text)
 	return nil
 }
 
 func (s *wholeSink) setHeaders(h http.Header, a request.Answer) {
-	setVersionHeaders(h, s.version, s.session)
+	setHead(h, s.head)
 	h.Set(headerCost, strconv.FormatInt(a.Cost, 10))
 }
 
-func setVersionHeaders(h http.Header, version, session string) {
-	h.Set(headerVersion, version)
-	if session != "" {
-		h.Set(headerSession, session)
+func setHead(h http.Header, head request.Head) {
+	h.Set(headerVersion, head.Version)
+	if head.Session != "" {
+		h.Set(headerSession, head.Session)
+	}
+	if head.Stream != "" {
+		h.Set(headerStream, head.Stream)
 	}
 }
 
--- /dev/null
+++ b/internal/capacity/relayrouter.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/lifecycle"
+	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// relayRouter carries each request to one engine and decides nothing but its
+// life: what the other decisions cost is measured by themselves.
+type relayRouter struct {
+	snapshot *config.Snapshot
+	engines  upstream.Engines
+	addr     string
+}
+
+// Snapshot implements [api.Router].
+func (r *relayRouter) Snapshot() *config.Snapshot { return r.snapshot }
+
+// Service implements [api.Router].
+func (r *relayRouter) Service(context.Context, api.ServiceCall) (upstream.ServiceAnswer, error) {
+	return upstream.ServiceAnswer{}, eris.New("no services here")
+}
+
+// ReadOn implements [api.Router].
+func (r *relayRouter) ReadOn(context.Context, api.ReadOnCall, request.Sink) (request.Answer, error) {
+	return request.Answer{}, eris.New("nothing is read on here")
+}
+
+// Addresses implements [api.Router].
+func (r *relayRouter) Addresses(string) api.Addresses { return api.Addresses{} }
+
+// Chat implements [api.Router]. The number at the prompt's end is the caller's.
+func (r *relayRouter) Chat(ctx context.Context, call api.ChatCall, sink request.Sink) (request.Answer, error) {
+	request.NewFingerprint(call.Org.Name, call.Body)
+	words := strings.Fields(strings.TrimSuffix(strings.TrimSpace(call.Prompt), "."))
+	caller := words[len(words)-1]
+	chat := lifecycle.NewChat(lifecycle.ChatSettings{ID: caller, Versions: []string{versionName0}, Streaming: true, MaxAttempts: 1, Deadline: time.Now().Add(time.Minute)})
+	chat.Begin()
+	chat.Picked("engine-00001")
+	body, err := call.Fields.BodyFor(versionName0)
+	if err != nil {
+		return request.Answer{}, err
+	}
+	stream, err := r.engines.Start(ctx, r.addr, upstream.Attempt{ID: caller + "." + strconv.Itoa(1), Version: versionName0, Body: body})
+	if err != nil {
+		return request.Answer{}, err
+	}
+	defer func() { _ = stream.Close() }()
+	sink.Begin(request.Head{Version: versionName0})
+	return follow(chat, stream, sink)
+}
+
+func follow(chat *lifecycle.Chat, stream upstream.Stream, sink request.Sink) (request.Answer, error) {
+	for {
+		chunk, err := stream.Next()
+		if err == io.EOF {
+			return request.Answer{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return request.Answer{}, err
+		}
+		for _, d := range chat.Piece(chunk) {
+			if emit, ok := d.(lifecycle.Emit); ok {
+				if err := sink.Text(emit.Seq, emit.Text); err != nil {
+					return request.Answer{}, err
+				}
+			}
+		}
+		if chunk.Done {
+			chat.BillSafe()
+			return request.Answer{Version: versionName0, FinishReason: chunk.FinishReason, Usage: chunk.Usage}, nil
+		}
+	}
+}
--- a/internal/lifecycle/chat.go
+++ b/internal/lifecycle/chat.go
@@ -45,6 +45,20 @@
 // Begin starts the request's life.
 func (c *Chat) Begin() []Decision { return []Decision{Pick{Version: c.version()}} }
 
+// Adopt starts the life of a request whose stream runs already and whose
+// caller has heard the pieces up to after: it can only be read on.
+func (c *Chat) Adopt(attemptID, vm string, after int) []Decision {
+	c.sent = c.s.MaxAttempts
+	c.current = &attempt{id: attemptID, version: c.version(), vm: vm, lastSeq: after}
+	c.mayHaveRun = true
+	c.emitted = true
+	c.phase = running
+	return c.resume()
+}
+
+// Runs are the completed runs so far.
+func (c *Chat) Runs() []Run { return c.runs }
+
 // Ended says whether the final answer has been given.
 func (c *Chat) Ended() bool { return c.phase == ended }
 
@@ -115,7 +129,7 @@
 
 func (c *Chat) emit(text string) []Decision {
 	c.emitted = true
-	return []Decision{Emit{Version: c.current.version, Text: text}}
+	return []Decision{Emit{Version: c.current.version, Seq: c.current.lastSeq, Text: text}}
 }
 
 func (c *Chat) done(chunk upstream.Chunk) []Decision {
@@ -165,6 +179,7 @@
 		Usage:        c.current.usage,
 		Runs:         c.runs,
 		Text:         c.wholeText(),
+		Seq:          c.current.lastSeq,
 	}}
 }
 
--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -105,8 +105,12 @@
 }
 
 // CallerGone reports that nobody listens any more. A bill that is being
-// written goes on outside.
+// written goes on outside. A stream that the caller may read on through
+// another node is left to its engine, which drops it after a while.
 func (c *Chat) CallerGone() []Decision {
+	if c.phase == running && c.emitted && c.s.Resumable {
+		return c.end(request.CodeCancelled, 0, "the caller has gone")
+	}
 	return c.stop(request.CodeCancelled, 0, "the caller has gone")
 }
 
--- a/internal/lifecycle/chat_settings.go
+++ b/internal/lifecycle/chat_settings.go
@@ -15,6 +15,9 @@
 	// nothing before the end, so that a broken attempt may be run again.
 	Streaming bool
 	Deadline  time.Time
+	// Resumable says that a caller whose connection broke may read on through
+	// any node: its attempt is then not cancelled.
+	Resumable bool
 	// MaxAttempts bounds the attempts over all versions.
 	MaxAttempts int
 	// MaxResumes bounds the resumptions of one attempt.
--- a/internal/lifecycle/decision.go
+++ b/internal/lifecycle/decision.go
@@ -37,9 +37,10 @@
 	VM      string
 }
 
-// Emit passes text to the caller.
+// Emit passes a piece to the caller.
 type Emit struct {
 	Version string
+	Seq     int
 	Text    string
 }
 
@@ -61,7 +62,9 @@
 	FinishReason string
 	Usage        upstream.Usage
 	Runs         []Run
-	Text         string
+	// Text is what has not been passed on yet; Seq is its last piece's number.
+	Text string
+	Seq  int
 }
 
 // Fail ends the request without a whole answer.
--- a/internal/lifecycle/script_test.go
+++ b/internal/lifecycle/script_test.go
@@ -21,6 +21,9 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "new" {
 				c = NewChat(chatSettings(t, d))
+				if d.HasArg("adopt") {
+					return show(c.Adopt(text(t, d, "adopt"), text(t, d, "vm"), number(t, d, "after")))
+				}
 				return show(c.Begin())
 			}
 			return show(chatEvent(t, c, d))
@@ -29,7 +32,7 @@
 }
 
 func chatSettings(t *testing.T, d *datadriven.TestData) ChatSettings {
-	s := ChatSettings{ID: "r", MaxAttempts: 3, MaxResumes: 1, Threshold: 0.8, Streaming: d.HasArg("stream")}
+	s := ChatSettings{ID: "r", MaxAttempts: 3, MaxResumes: 1, Threshold: 0.8, Streaming: d.HasArg("stream"), Resumable: d.HasArg("resumable")}
 	var versions string
 	d.ScanArgs(t, "plan", &versions)
 	s.Versions = strings.Split(versions, "+")
--- /dev/null
+++ b/internal/node/addresses.go
@@ -0,0 +1,13 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/api"
+)
+
+// Addresses returns the entry addresses that a caller should use.
+func (n *Node) Addresses(caller string) api.Addresses {
+	answer := n.members.Addresses(caller, time.Now())
+	return api.Addresses{Addresses: answer.Addresses, TTLMillis: answer.TTL.Milliseconds()}
+}
--- /dev/null
+++ b/internal/node/call_run.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/ledger"
+	"github.com/hickorybank/hickorybank/internal/lifecycle"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+const (
+	claimTimeout = 10 * time.Second
+	// lateWindow is how long a call that may not be repeated is still
+	// listened to after its caller was told "unknown": a late answer is
+	// recorded, so that a retry with the same key gets it.
+	lateWindow = 60 * time.Second
+)
+
+// callRun carries out the decisions of one service call's life. All events go
+// through one ring to one goroutine, which owns the machine.
+type callRun struct {
+	node     *Node
+	call     api.ServiceCall
+	class    *config.Class
+	id       string
+	deadline time.Time
+
+	machine *lifecycle.Call
+	events  chan callEvent
+	pending int // calls whose event is still to come
+	result  chan callResult
+	vm      platform.VM
+	token   balance.Token
+	took    time.Duration
+}
+
+// callEvent feeds the machine on the goroutine that owns it.
+type callEvent func() []lifecycle.Decision
+
+// callResult is the final answer to the caller.
+type callResult struct {
+	answer  upstream.ServiceAnswer
+	failure *request.Failure
+	took    time.Duration // of the upstream's last answer
+}
+
+// callRing has room for every call that can be out at the same time.
+const callRing = 4
+
+// Service runs a call of a plain service.
+func (n *Node) Service(ctx context.Context, call api.ServiceCall) (upstream.ServiceAnswer, error) {
+	run, fail := n.newCallRun(call)
+	if fail != nil {
+		n.metrics.Failed(fail.Code)
+		return upstream.ServiceAnswer{}, fail
+	}
+	arrived := time.Now()
+	result := run.run(ctx)
+	run.measure(arrived, result)
+	if result.failure != nil {
+		return upstream.ServiceAnswer{}, result.failure
+	}
+	return result.answer, nil
+}
+
+// run waits for admission and for the final answer. The life itself goes on
+// without the caller as long as an answer may still come. The count of running
+// requests covers it, so that a planned stop waits for it.
+func (r *callRun) run(ctx context.Context) callResult {
+	r.node.running.Add(1)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if fail := r.node.gate.enter(ctx, r.admission()); fail != nil {
+		r.node.running.Add(-1)
+		return callResult{failure: fail}
+	}
+	r.node.duties.Go(func() {
+		defer r.node.running.Add(-1)
+		r.drive(ctx)
+	})
+	// The final answer comes at once when ctx ends: drive sees it too.
+	return <-r.result
+}
+
+func (n *Node) newCallRun(call api.ServiceCall) (*callRun, *request.Failure) {
+	snapshot, fail := n.admit()
+	if fail != nil {
+		return nil, fail
+	}
+	if fail := n.gate.rate(call.Org.Name); fail != nil {
+		return nil, fail
+	}
+	class := snapshot.Class(call.Call.Class)
+	if class == nil {
+		return nil, request.Refuse(request.CodeBadRequest, 0, "the call's class "+call.Call.Class+" has been removed")
+	}
+	now := time.Now()
+	return &callRun{
+		node: n, call: call, class: class,
+		id: uuid.Must(uuid.NewV7()).String(), deadline: now.Add(timeout(call.Timeout, class)),
+		events: make(chan callEvent, callRing), result: make(chan callResult, 1),
+		machine: lifecycle.NewCall(lifecycle.CallSettings{
+			Idempotent: call.Call.Idempotent, Keyed: call.Key != "", MaxAttempts: lifecycle.DefaultMaxAttempts,
+		}),
+	}, nil
+}
+
+func (r *callRun) admission() admission.Request {
+	return admission.Request{
+		ID: r.id, Org: r.call.Org.Name, Weight: r.call.Org.Weight, Kind: r.class.Kind,
+		Pool: r.call.Service.Name, Deadline: r.deadline,
+	}
+}
+
+// drive runs until the machine has ended and every call has come back.
+func (r *callRun) drive(ctx context.Context) {
+	r.doAll(ctx, r.machine.Begin())
+	ended := ctx.Done()
+	for r.pending > 0 || !r.machine.Ended() {
+		select {
+		case event := <-r.events:
+			r.pending--
+			r.doAll(ctx, event())
+		case <-ended:
+			ended = nil
+			r.doAll(ctx, r.interrupted(ctx))
+		}
+	}
+}
+
+func (r *callRun) interrupted(ctx context.Context) []lifecycle.Decision {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return r.machine.Expired(retrySoon)
+	}
+	return r.machine.CallerGone()
+}
+
+func (r *callRun) doAll(ctx context.Context, decisions []lifecycle.Decision) {
+	for len(decisions) > 0 {
+		next := decisions[0]
+		decisions = append(decisions[1:], r.do(ctx, next)...)
+	}
+}
+
+func (r *callRun) do(ctx context.Context, d lifecycle.Decision) []lifecycle.Decision {
+	switch d := d.(type) {
+	case lifecycle.Claim:
+		r.claim(ctx)
+	case lifecycle.Release:
+		r.release(ctx)
+	case lifecycle.PickService:
+		return r.pick(d)
+	case lifecycle.Send:
+		r.send(ctx)
+	case lifecycle.Settle:
+		r.settle(ctx, d.Answer)
+	case lifecycle.SettleUnknown:
+		r.settleUnknown(ctx)
+	case lifecycle.BillCall:
+		r.bill(ctx)
+	case lifecycle.FinishCall:
+		r.end(callResult{answer: d.Answer})
+	case lifecycle.Fail:
+		r.end(callResult{failure: d.Failure})
+	}
+	return nil
+}
+
+func (r *callRun) end(result callResult) {
+	result.took = r.took
+	r.result <- result // has room for the one result that it ever gets
+	r.node.gate.leave(r.id, admission.Sample{Start: r.took, Total: r.took})
+}
+
+// background runs a call whose event must come whatever the caller does.
+func (r *callRun) background(ctx context.Context, limit time.Duration, call func(context.Context) callEvent) {
+	r.pending++
+	r.node.duties.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+		defer cancel()
+		r.events <- call(ctx)
+	})
+}
+
+// pick finds an upstream and checks, just before the sending, that new work
+// may begin under the configuration in force.
+func (r *callRun) pick(d lifecycle.PickService) []lifecycle.Decision {
+	if d.Retry && !r.node.gate.retryAllowed() {
+		return r.machine.Refused(request.CodeOverloaded, retrySoon, "too many requests are being retried")
+	}
+	if _, fresh := r.node.sync.Current(); !fresh {
+		return r.machine.Refused(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
+	}
+	pick, ok := r.node.upstreams.pick(balance.Request{Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude})
+	if !ok {
+		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+r.call.Service.Name+": "+string(pick.Shortage.Reason))
+	}
+	r.vm = pick.VM
+	r.token = pick.Token
+	return r.machine.Picked(pick.VM.ID)
+}
+
+func (r *callRun) send(ctx context.Context) {
+	out := r.call.Request
+	out.Key = r.upstreamKey()
+	vm := r.vm
+	began := time.Now()
+	do := func(ctx context.Context) callEvent {
+		answer, err := r.node.deps.Services.Do(ctx, vm.Addr, out)
+		return func() []lifecycle.Decision { return r.sent(answer, err, time.Since(began)) }
+	}
+	if r.call.Call.Idempotent {
+		r.pending++
+		r.node.duties.Go(func() { r.events <- do(ctx) })
+		return
+	}
+	r.background(ctx, time.Until(r.deadline)+lateWindow, do)
+}
+
+// upstreamKey names the call to the service. Keys are the organisations' own,
+// so two of them may use the same one.
+func (r *callRun) upstreamKey() string {
+	if r.call.Key == "" {
+		return r.id
+	}
+	return r.call.Org.Name + "." + r.call.Key
+}
+
+func (r *callRun) sent(answer upstream.ServiceAnswer, err error, took time.Duration) []lifecycle.Decision {
+	r.took = took
+	r.node.upstreams.done(r.token, balance.Result{Outcome: balance.OutcomeOf(err), FirstToken: took, Latency: took})
+	r.node.observe(r.vm.Addr, err)
+	if err != nil {
+		return r.machine.SendFailed(reachOf(err))
+	}
+	return r.machine.Answered(answer)
+}
+
+func (r *callRun) bill(ctx context.Context) {
+	b := r.billOf()
+	r.background(ctx, billTimeout, func(ctx context.Context) callEvent {
+		_, err := r.node.ledger.Bill(ctx, b)
+		return func() []lifecycle.Decision { return r.machine.Billed(err == nil) }
+	})
+}
+
+func (r *callRun) billOf() ledger.Bill {
+	key := r.call.Key
+	if key == "" {
+		key = r.id
+	}
+	return ledger.Bill{
+		Org: r.call.Org.Name, Key: key, Class: r.class.Name, Service: r.call.Service.Name,
+		Cost: r.call.Call.Cost, At: time.Now(),
+	}
+}
+
+func encodeAnswer(a upstream.ServiceAnswer) []byte {
+	data, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // an answer of plain values always encodes
+	}
+	return data
+}
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -2,116 +2,127 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/config"
-	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
-	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
 const (
-	retrySoon         = time.Second
-	tokensPerCostUnit = 1000
+	retrySoon = time.Second
+	// freshRetry is when a node that refuses for want of a fresh
+	// configuration may be tried again.
+	freshRetry = time.Second
 )
 
-// Chat runs model work on the first allowed version.
+// Chat runs model work.
 func (n *Node) Chat(ctx context.Context, call api.ChatCall, sink request.Sink) (request.Answer, error) {
-	version := firstAllowed(call)
-	if version == nil {
-		return request.Answer{}, request.Refuse(request.CodeUnknownModel, 0, "no allowed version serves "+call.Model)
+	n.running.Add(1)
+	defer n.running.Add(-1)
+	run, fail := n.newChatRun(call, sink)
+	if fail != nil {
+		n.metrics.Failed(fail.Code)
+		return request.Answer{}, fail
 	}
-	vm, ok := n.pick(platform.RoleEngine, "")
-	if !ok {
-		return request.Answer{}, request.Refuse(request.CodeNoUpstream, retrySoon, "no upstream is known")
-	}
-	body, err := call.Fields.BodyFor(version.Name)
-	if err != nil {
-		return request.Answer{}, request.Refuse(request.CodeBadRequest, 0, err.Error())
-	}
-	attempt := upstream.Attempt{ID: uuid.NewString(), Version: version.Name, PrefixHash: call.PrefixHash, Body: body}
-	stream, err := n.deps.Engines.Start(ctx, vm.Addr, attempt)
-	if err != nil {
-		return request.Answer{}, failureOf(err)
-	}
-	defer func() { _ = stream.Close() }()
-	return n.forward(ctx, call, version, attempt.ID, stream, sink)
+	answer, err := run.run(ctx)
+	run.measure(answer, err)
+	return answer, err
 }
 
-func (n *Node) forward(ctx context.Context, call api.ChatCall, v *config.Version, attempt string, stream upstream.Stream, sink request.Sink) (request.Answer, error) {
-	sink.Begin(v.Name, "")
-	for {
-		chunk, err := stream.Next()
-		if err != nil {
-			return request.Answer{}, failureOf(err)
-		}
-		if chunk.Attempt != attempt {
-			return request.Answer{}, &request.Failure{Code: request.CodeUpstreamFailed, Message: "an answer to another attempt came", Outcome: request.Unknown, RetryAfter: retrySoon}
-		}
-		if chunk.Text != "" {
-			if err := sink.Text(chunk.Text); err != nil {
-				return request.Answer{}, err
-			}
-		}
-		if chunk.Done {
-			answer := request.Answer{Version: v.Name, FinishReason: chunk.FinishReason, Usage: chunk.Usage, Cost: cost(v, chunk.Usage)}
-			return answer, n.bill(ctx, call, answer)
-		}
+// run waits for admission and lives the request's life.
+func (r *chatRun) run(ctx context.Context) (request.Answer, error) {
+	n := r.node
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if fail := n.gate.enter(ctx, r.admission()); fail != nil {
+		return request.Answer{}, fail
 	}
+	r.admitted = time.Now()
+	defer func() { n.gate.leave(r.id, r.last) }()
+	return r.drive(ctx)
 }
 
-func cost(v *config.Version, u upstream.Usage) int64 {
-	return (v.InputCost*int64(u.InputTokens) + v.OutputCost*int64(u.OutputTokens)) / tokensPerCostUnit
-}
-
-type billRow struct {
-	Org     string `json:"org"`
-	Key     string `json:"key"`
-	Version string `json:"version"`
-	Cost    int64  `json:"cost"`
-}
-
-func (n *Node) bill(ctx context.Context, call api.ChatCall, a request.Answer) error {
-	key := call.Key
-	if key == "" {
-		key = uuid.NewString()
+// newChatRun checks what can be checked before anything waits, and chooses the
+// version or cascade.
+func (n *Node) newChatRun(call api.ChatCall, sink request.Sink) (*chatRun, *request.Failure) {
+	now := time.Now()
+	snapshot, fail := n.admit()
+	if fail != nil {
+		return nil, fail
+	}
+	call.Snapshot = snapshot
+	if call.Org = snapshot.Organisation(call.Org.Name); call.Org == nil {
+		return nil, request.Refuse(request.CodeUnauthorised, 0, "the organisation has been removed")
+	}
+	session, fail := n.openSession(call, now)
+	if fail != nil {
+		return nil, fail
 	}
-	value, err := json.Marshal(billRow{Org: call.Org.Name, Key: key, Version: a.Version, Cost: a.Cost})
-	if err != nil {
-		return err
+	t, fail := resolve(call, session.version)
+	if fail != nil {
+		return nil, fail
 	}
-	row := "bills/" + call.Org.Name + "/" + key
-	_, err = n.deps.Platform.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: row}},
-		Writes:     []platform.Write{{Key: row, Value: value}},
+	if fail := n.gate.rate(call.Org.Name); fail != nil {
+		return nil, fail
+	}
+	deadline := now.Add(timeout(call.Timeout, t.class))
+	plan := n.chooser.Choose(choice.Request{
+		Snapshot: snapshot, Org: call.Org, Class: t.class, Versions: t.versions, Pinned: t.pinned,
+		Now: now, Slack: deadline.Sub(now), Random: rand.Uint64(),
 	})
-	if err != nil {
-		return &request.Failure{Code: request.CodeLedger, Message: "the bill could not be written", Outcome: request.Unknown, RetryAfter: retrySoon}
+	if plan.Refusal != choice.RefuseNone {
+		return nil, refusedPlan(plan.Refusal)
 	}
-	return nil
+	return &chatRun{
+		node: n, call: call, sink: sink, class: t.class, plan: plan, session: session,
+		id: uuid.Must(uuid.NewV7()).String(), arrived: now, deadline: deadline,
+		fingerprint: request.NewFingerprint(call.Org.Name, call.Body),
+	}, nil
 }
 
-func firstAllowed(call api.ChatCall) *config.Version {
-	s := call.Snapshot
-	name := call.Model
-	if c := s.Class(name); c != nil {
-		name = c.Model
+// admit returns the configuration under which new work may begin.
+func (n *Node) admit() (*config.Snapshot, *request.Failure) {
+	if n.stopping.refusesNew() {
+		return nil, request.Refuse(request.CodeStopping, retrySoon, "this VM stops; ask for the addresses again")
 	}
-	if s.Version(name) != nil && s.Allowed(call.Org, name) {
-		return s.Version(name)
+	snapshot, fresh := n.sync.Current()
+	if snapshot == nil || !fresh {
+		return nil, request.Refuse(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
 	}
-	m := s.Model(name)
-	if m == nil {
-		return nil
+	if !n.ledger.Ready() {
+		return nil, request.Refuse(request.CodeLedger, retrySoon, "no bill can be made safe at present")
 	}
-	for i := range m.Versions {
-		if s.Allowed(call.Org, m.Versions[i].Name) {
-			return &m.Versions[i]
-		}
+	return snapshot, nil
+}
+
+func timeout(asked time.Duration, class *config.Class) time.Duration {
+	limit := time.Duration(class.DeadlineMillis) * time.Millisecond
+	if asked > 0 && asked < limit {
+		return asked
+	}
+	return limit
+}
+
+func refusedPlan(r choice.Refusal) *request.Failure {
+	switch r {
+	case choice.RefuseHeld:
+		return request.Refuse(request.CodeWithdrawn, 0, "the session's version is held because it turned bad; begin a new session")
+	case choice.RefuseUngranted:
+		return request.Refuse(request.CodeOverloaded, retrySoon, "no answer of the staged version is granted at present")
+	default:
+		return request.Refuse(request.CodeNotAllowed, 0, "no version may serve the request")
+	}
+}
+
+func (r *chatRun) admission() admission.Request {
+	return admission.Request{
+		ID: r.id, Org: r.call.Org.Name, Weight: r.call.Org.Weight, Kind: r.class.Kind,
+		Pool: r.plan.First, Deadline: r.deadline,
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/node/chat_run.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/choice"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/ledger"
+	"github.com/hickorybank/hickorybank/internal/lifecycle"
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+const (
+	billTimeout = 15 * time.Second
+	rateTimeout = 2 * time.Second
+)
+
+// chatRun carries out the decisions of one chat request's life.
+type chatRun struct {
+	node        *Node
+	call        api.ChatCall
+	sink        request.Sink
+	class       *config.Class
+	plan        choice.Plan
+	session     openedSession
+	spent       spent // by runs that another node saw complete
+	adopted     *adoption
+	id          string
+	arrived     time.Time
+	admitted    time.Time
+	firstOut    time.Time // when the caller got the first piece
+	cached      int
+	deadline    time.Time
+	fingerprint request.Fingerprint
+
+	machine *lifecycle.Chat
+	try     *try // the attempt in flight
+	begun   bool
+	short   bool // an earlier answer fell short
+	last    admission.Sample
+	answer  request.Answer
+	failure *request.Failure
+}
+
+// drive runs the machine to its end. The calls that it makes end with ctx, so
+// the final answer goes out at once when the deadline passes or the caller
+// leaves.
+func (r *chatRun) drive(ctx context.Context) (request.Answer, error) {
+	r.machine = lifecycle.NewChat(lifecycle.ChatSettings{
+		ID: r.id, Versions: append([]string{r.plan.First}, r.plan.Then...), Threshold: r.plan.Threshold,
+		Streaming: r.sink.Streams(), Resumable: r.sink.Streams(),
+		MaxAttempts: lifecycle.DefaultMaxAttempts, MaxResumes: lifecycle.DefaultMaxResumes,
+	})
+	queue := r.first()
+	for !r.machine.Ended() || len(queue) > 0 {
+		if ctx.Err() != nil && !r.machine.Ended() {
+			queue = r.interrupted(ctx)
+			continue
+		}
+		if len(queue) == 0 {
+			queue = r.read(ctx)
+			continue
+		}
+		next := queue[0]
+		queue = append(queue[1:], r.do(ctx, next)...)
+	}
+	r.endTry()
+	if r.failure != nil {
+		return request.Answer{}, r.failure
+	}
+	return r.answer, nil
+}
+
+func (r *chatRun) first() []lifecycle.Decision {
+	if r.adopted == nil {
+		return r.machine.Begin()
+	}
+	return r.machine.Adopt(r.adopted.attempt, r.try.vm.ID, r.adopted.after)
+}
+
+// interrupted ends the life when its time is over or the caller has gone.
+func (r *chatRun) interrupted(ctx context.Context) []lifecycle.Decision {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return r.machine.Expired(retrySoon)
+	}
+	return r.machine.CallerGone()
+}
+
+func (r *chatRun) do(ctx context.Context, d lifecycle.Decision) []lifecycle.Decision {
+	switch d := d.(type) {
+	case lifecycle.Pick:
+		return r.pick(ctx, d)
+	case lifecycle.Start:
+		return r.start(ctx, d)
+	case lifecycle.Resume:
+		return r.resume(ctx, d)
+	case lifecycle.Cancel:
+		r.cancel(d)
+	case lifecycle.Emit:
+		return r.emit(d)
+	case lifecycle.Rate:
+		return r.rate(ctx, d)
+	case lifecycle.Bill:
+		return r.bill(ctx, d)
+	case lifecycle.Finish:
+		r.finish(d)
+	case lifecycle.Fail:
+		r.failure = d.Failure
+	}
+	return nil
+}
+
+func (r *chatRun) emit(d lifecycle.Emit) []lifecycle.Decision {
+	r.begin(d.Version)
+	if r.sink.Text(d.Seq, d.Text) != nil {
+		return r.machine.CallerGone()
+	}
+	return nil
+}
+
+func (r *chatRun) begin(version string) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	r.firstOut = time.Now()
+	head := request.Head{Version: version, Session: r.node.tokenFor(r.session, r.call.Org.Name, version)}
+	if r.sink.Streams() && r.try != nil {
+		head.Stream = r.streamToken(head.Session)
+	}
+	r.sink.Begin(head)
+}
+
+// rate has a cascade's answer rated before it may be used.
+func (r *chatRun) rate(ctx context.Context, d lifecycle.Rate) []lifecycle.Decision {
+	ctx, cancel := context.WithTimeout(ctx, rateTimeout)
+	defer cancel()
+	began := time.Now()
+	score, err := r.node.deps.Platform.Rate(ctx, r.rateRequest(d.Version, d.Answer))
+	if err != nil {
+		r.node.chooser.ObserveRatingFailure(time.Now())
+		r.short = true
+		return r.machine.Rated(0, false)
+	}
+	now := time.Now()
+	r.node.chooser.Observe(choice.Observation{
+		Version: d.Version, Class: r.class.Name, Score: score, AfterShort: r.short, Took: now.Sub(began), Now: now,
+	})
+	r.short = r.short || score < r.plan.Threshold
+	return r.machine.Rated(score, true)
+}
+
+// bill makes the bill safe. The writing goes on when the caller stops waiting:
+// a bill that was begun must not be lost with the connection.
+func (r *chatRun) bill(ctx context.Context, d lifecycle.Bill) []lifecycle.Decision {
+	b := r.billOf(d)
+	done := make(chan error, 1)
+	r.node.duties.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), billTimeout)
+		defer cancel()
+		_, err := r.node.ledger.Bill(ctx, b)
+		done <- err
+	})
+	select {
+	case err := <-done:
+		if err != nil {
+			return r.machine.BillFailed()
+		}
+		return r.machine.BillSafe()
+	case <-ctx.Done():
+		return r.interrupted(ctx)
+	}
+}
+
+func (r *chatRun) billOf(d lifecycle.Bill) ledger.Bill {
+	b := ledger.Bill{Org: r.call.Org.Name, Key: r.key(), Class: r.class.Name, Version: d.Version, At: time.Now()}
+	all := r.spent
+	all.add(r, d.Runs)
+	b.Cost = all.cost
+	b.InputTokens = all.input
+	b.OutputTokens = all.output
+	return b
+}
+
+func (r *chatRun) key() string {
+	if r.call.Key != "" {
+		return r.call.Key
+	}
+	return r.id
+}
+
+// tokensPerPrice is how many tokens a version's cost is given for.
+const tokensPerPrice = 1000
+
+func (r *chatRun) cost(run lifecycle.Run) int64 {
+	v := r.call.Snapshot.Version(run.Version)
+	return (v.InputCost*int64(run.Usage.InputTokens) + v.OutputCost*int64(run.Usage.OutputTokens)) / tokensPerPrice
+}
+
+func (r *chatRun) finish(d lifecycle.Finish) {
+	r.begin(d.Version)
+	if d.Text != "" {
+		// The caller may have gone; the request is complete all the same.
+		_ = r.sink.Text(d.Seq, d.Text)
+	}
+	r.answer = request.Answer{Version: d.Version, FinishReason: d.FinishReason, Usage: d.Usage}
+	all := r.spent
+	all.add(r, d.Runs)
+	r.answer.Cost = all.cost
+}
--- /dev/null
+++ b/internal/node/gate.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+const gateTick = 20 * time.Millisecond
+
+// gate owns the admission queue, the retry budget and the organisations'
+// rate limits of this node.
+type gate struct {
+	mu      sync.Mutex
+	queue   *admission.Queue
+	budget  *admission.RetryBudget
+	limiter *admission.RateLimiter
+	waiting map[string]chan admission.Decision // by request ID
+}
+
+func newGate(s Settings) *gate {
+	return &gate{
+		queue:   admission.New(admission.Settings{}),
+		budget:  admission.NewRetryBudget(admission.RetrySettings{}),
+		limiter: admission.NewRateLimiter(admission.RateSettings{Self: s.ID}),
+		waiting: map[string]chan admission.Decision{},
+	}
+}
+
+func (g *gate) setSnapshot(s *config.Snapshot, limits []admission.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.SetLimits(limits, time.Now())
+	g.queue.SetDeferDeferrable(s.Preset().DeferDeferrable)
+}
+
+func (g *gate) summaries(now time.Time) []admission.Summary {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limiter.Summaries(now)
+}
+
+func (g *gate) granted(grant admission.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Granted(grant, time.Now())
+}
+
+func (g *gate) setNodes(v *membership.View) {
+	var ids []string
+	for _, m := range v.Entries {
+		if m.State == membership.Live {
+			ids = append(ids, m.ID)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.SetNodes(ids, time.Now())
+}
+
+// rate takes one request from the organisation's limit.
+func (g *gate) rate(org string) *request.Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	after, ok := g.limiter.Allow(org, time.Now())
+	if ok {
+		return nil
+	}
+	return request.Refuse(request.CodeRateLimited, after, "the organisation's limit of requests a second is reached")
+}
+
+// enter waits until the request may run. A refusal comes at once, as soon as
+// it is decided.
+func (g *gate) enter(ctx context.Context, r admission.Request) *request.Failure {
+	decided := make(chan admission.Decision, 1)
+	g.mu.Lock()
+	r.Now = time.Now()
+	g.budget.First(r.Now)
+	d := g.queue.Offer(r)
+	if d.Verdict == admission.Queued {
+		g.waiting[r.ID] = decided
+	}
+	g.mu.Unlock()
+	if d.Verdict == admission.Queued {
+		d = g.wait(ctx, r, decided)
+	}
+	if d.Verdict == admission.Run {
+		return nil
+	}
+	return request.Refuse(d.Code, d.RetryAfter, "too much work is waiting")
+}
+
+func (g *gate) wait(ctx context.Context, r admission.Request, decided chan admission.Decision) admission.Decision {
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+		return g.abandon(r, decided)
+	}
+}
+
+// abandon takes a request out of the queue whose time has ended. A decision
+// that came in the same moment has already left the queue: a run must be
+// given back, or the slot would be lost.
+func (g *gate) abandon(r admission.Request, decided chan admission.Decision) admission.Decision {
+	g.mu.Lock()
+	delete(g.waiting, r.ID)
+	g.queue.Cancel(r.ID, time.Now())
+	g.deliver(g.queue.Next(time.Now()))
+	g.mu.Unlock()
+	select {
+	case d := <-decided:
+		if d.Verdict == admission.Refused {
+			return d
+		}
+	default:
+	}
+	return admission.Decision{ID: r.ID, Verdict: admission.Refused, Code: request.CodeDeadline, RetryAfter: retrySoon}
+}
+
+// leave gives the request's place back.
+func (g *gate) leave(id string, s admission.Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.queue.Finish(id, s, now)
+	g.deliver(g.queue.Next(now))
+}
+
+func (g *gate) deliver(decisions []admission.Decision) {
+	for _, d := range decisions {
+		decided, ok := g.waiting[d.ID]
+		if !ok {
+			continue
+		}
+		delete(g.waiting, d.ID)
+		decided <- d // has room for the one decision that it ever gets
+	}
+}
+
+func (g *gate) retryAllowed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Allow(time.Now())
+}
+
+// watch refuses what can no longer be in time.
+func (g *gate) watch(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.tick(now)
+		}
+	}
+}
+
+func (g *gate) tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, any := g.queue.Wake()
+	if !any || now.Before(at) {
+		return
+	}
+	g.deliver(g.queue.Next(now))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,47 +2,66 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/confsync"
+	"github.com/hickorybank/hickorybank/internal/confsync/tablestore"
 	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/ledger"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/peer"
 	"github.com/hickorybank/hickorybank/internal/platform"
-	"github.com/hickorybank/hickorybank/internal/upstream"
+	"github.com/hickorybank/hickorybank/internal/seal"
+	"github.com/hickorybank/hickorybank/internal/session"
+	"github.com/hickorybank/hickorybank/internal/telemetry"
 )
 
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
-	pollGap           = 500 * time.Millisecond
-	pollTimeout       = 2 * time.Second
 )
 
-// Deps are what a node reaches the outside with.
-type Deps struct {
-	Platform platform.Platform
-	Engines  upstream.Engines
-	Services upstream.Services
-	Log      *slog.Logger
-}
-
 // Node is one entry node.
 type Node struct {
 	settings Settings
 	deps     Deps
-	store    *admin.Store
-	snapshot atomic.Pointer[config.Snapshot]
-	vms      atomic.Pointer[[]platform.VM]
-	turn     atomic.Uint64
+	self     platform.VM
+
+	pool      *peer.Pool
+	peers     *peer.Server
+	members   *membership.Tracker
+	sync      *confsync.Syncer
+	ledger    *ledger.Ledger
+	chooser   *choice.Chooser
+	upstreams *upstreams
+	gate      *gate
+	limits    *limits
+	suspects  *suspects
+	raters    *raters
+	sealer    *seal.Sealer
+	sessions  *session.Signer
+	store     *admin.Store
+	metrics   *telemetry.Set
+
+	operatorKeys  admin.Keys
+	adminListener net.Listener
+	adminServer   *http.Server
+
+	running  atomic.Int64
+	stopping *stopping
 
 	listener net.Listener
 	server   *http.Server
@@ -50,68 +69,171 @@
 	stop     context.CancelFunc
 }
 
-// New returns a node that is not yet started.
-func New(s Settings, d Deps) *Node {
-	n := &Node{settings: s, deps: d, store: admin.NewStore(d.Platform), duties: conc.NewWaitGroup()}
-	n.vms.Store(new([]platform.VM))
-	return n
+// New returns a node that is not yet started. The error names what is wrong
+// with the settings.
+func New(s Settings, d Deps) (*Node, error) {
+	sealer, err := seal.New(s.SessionKeys...)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := admin.ParseKeys(s.OperatorKeyHashes)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{
+		settings:     s,
+		deps:         d,
+		sealer:       sealer,
+		sessions:     session.NewSigner(sealer),
+		operatorKeys: keys,
+		store:        admin.NewStore(d.Platform),
+		metrics:      telemetry.New(telemetry.Bounds{}),
+		duties:       conc.NewWaitGroup(),
+		pool:         peer.NewSecurePool(s.TLS.PeerClient),
+		peers:        peer.NewSecureServer(s.TLS.PeerServer),
+	}, nil
 }
 
-// Start listens and begins the node's duties.
+// Start listens, joins the other nodes and begins to serve.
 func (n *Node) Start() error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.build()
+	if err := n.register(); err != nil {
+		return err
+	}
+	if err := n.startParts(); err != nil {
+		return err
+	}
+	n.serve()
+	event.ProcessReady.Log(n.deps.Log, slog.String("id", n.settings.ID), slog.String("addr", n.Addr()))
+	return nil
+}
+
+func (n *Node) listen() error {
 	listener, err := net.Listen("tcp", n.settings.Listen)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
+	n.listener = n.secured(listener)
+	if err := n.listenOperators(); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	if err := n.peers.Listen(n.settings.PeerListen); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	n.self = platform.VM{
+		ID: n.settings.ID, Role: platform.RoleEntry, Addr: listener.Addr().String(), Peer: n.peers.Addr(),
+		FailureDomain: n.settings.FailureDomain, State: platform.Live,
+	}
+	return nil
+}
+
+// secured speaks TLS on a listener towards callers or operators, if set.
+func (n *Node) secured(l net.Listener) net.Listener {
+	if n.settings.TLS.Callers == nil {
+		return l
+	}
+	return tls.NewListener(l, n.settings.TLS.Callers)
+}
+
+func (n *Node) build() {
+	log := n.deps.Log
+	n.upstreams = newUpstreams(n)
+	n.gate = newGate(n.settings)
+	n.limits = newLimits(n)
+	n.suspects = newSuspects(n)
+	n.raters = newRaters(n)
+	n.chooser = choice.New(choice.Settings{Node: n.settings.ID, Epoch: uint64(time.Now().UnixNano())})
+	n.members = membership.New(
+		membership.Settings{AnswerTTL: n.settings.AddressTTL},
+		membership.Deps{Self: n.self, Log: log, OnChange: n.viewChanged},
+	)
+	n.stopping = newStopping(n)
+	n.sync = confsync.New(
+		confsync.Settings{Seeds: n.settings.Seeds, Seed: n.settings.Seed},
+		confsync.Deps{
+			Store: tablestore.New(n.deps.Platform), Lists: n.deps.Platform.VMs(), Peers: n.pool, Members: n.entries, Self: n.self, Log: log,
+			OnApply:   n.applied,
+			OnList:    func(l confsync.List) { n.members.SetList(l.VMs, l.ReadAt) },
+			OnLeaving: func(id string) { n.members.MarkLeaving(id) },
+		},
+	)
+	n.ledger = ledger.New(ledger.DefaultSettings(), ledger.Deps{
+		Table: n.deps.Platform, Objects: n.deps.Platform.Objects(), Peers: n.pool, Members: n.entries, Self: n.self, Log: log,
+	})
+}
+
+func (n *Node) register() error {
+	if err := n.sync.Register(n.peers); err != nil {
+		return err
+	}
+	if err := n.ledger.Register(n.peers); err != nil {
+		return err
+	}
+	if err := n.peers.Register(limitService, &limitReceiver{limits: n.limits}); err != nil {
+		return err
+	}
+	return n.peers.Register(suspectService, n.suspects.receiver())
+}
+
+func (n *Node) startParts() error {
+	n.peers.Serve()
+	if err := n.sync.Start(); err != nil {
+		return err
+	}
+	return n.ledger.Start()
+}
+
+func (n *Node) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	n.listener = listener
 	n.server = &http.Server{Handler: api.New(n), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	n.duties.Go(func() { _ = n.server.Serve(listener) }) // returns when closed
-	n.duties.Go(func() { n.poll(ctx) })
-	event.ProcessReady.Log(n.deps.Log, slog.String("id", n.settings.ID), slog.String("addr", n.Addr()))
-	return nil
+	n.duties.Go(func() { _ = n.server.Serve(n.listener) }) // returns when closed
+	n.registerGauges()
+	n.serveOperators()
+	n.duties.Go(func() { n.upstreams.poll(ctx) })
+	n.duties.Go(func() { n.gate.watch(ctx) })
+	n.duties.Go(func() { n.suspects.run(ctx) })
+	n.duties.Go(func() { n.limits.run(ctx) })
+	n.duties.Go(func() { n.raters.run(ctx) })
 }
 
+// VM is this node as the platform's list should name it.
+func (n *Node) VM() platform.VM { return n.self }
+
 // Addr is the address that callers reach the node at.
-func (n *Node) Addr() string { return n.listener.Addr().String() }
-
-// Close finishes what runs and stops the duties.
-func (n *Node) Close(ctx context.Context) error {
-	err := n.server.Shutdown(ctx)
-	n.stop()
-	n.duties.Wait()
-	return err
-}
+func (n *Node) Addr() string { return n.self.Addr }
 
 // Snapshot returns the configuration in force here.
-func (n *Node) Snapshot() *config.Snapshot { return n.snapshot.Load() }
-
-func (n *Node) poll(ctx context.Context) {
-	ticker := time.NewTicker(pollGap)
-	defer ticker.Stop()
-	for {
-		n.pollOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+func (n *Node) Snapshot() *config.Snapshot { return n.sync.Snapshot() }
+
+// entries are the entry VMs that this node knows.
+func (n *Node) entries() []platform.VM { return n.members.View().EntryVMs() }
+
+// viewChanged is called with each new picture of the VMs.
+func (n *Node) viewChanged(v *membership.View) {
+	n.upstreams.setView(v)
+	n.suspects.setPeers(v)
+	n.gate.setNodes(v)
 }
 
-func (n *Node) pollOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	if list, err := n.deps.Platform.VMs().List(ctx); err == nil {
-		n.vms.Store(&list)
-	}
-	head, err := n.store.Load(ctx)
-	if err != nil || head == nil {
-		return
-	}
-	if old := n.snapshot.Load(); old != nil && old.Revision >= head.Revision {
-		return
+// applied is called with each configuration that comes into force here.
+func (n *Node) applied(s *config.Snapshot) {
+	limits := rateLimits(s)
+	n.gate.setSnapshot(s, limits)
+	n.limits.setLimits(limits)
+}
+
+func rateLimits(s *config.Snapshot) []admission.Limit {
+	var limits []admission.Limit
+	for _, o := range s.Doc.Organisations {
+		if o.RatePerSecond > 0 {
+			limits = append(limits, admission.Limit{Org: o.Name, PerSecond: o.RatePerSecond})
+		}
 	}
-	n.snapshot.Store(head)
+	return limits
 }
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/ledger"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/telemetry"
+)
+
+// operators is what the administration API answers from.
+type operators struct{ node *Node }
+
+// listenOperators takes the operators' address, when one is set.
+func (n *Node) listenOperators() error {
+	if n.settings.AdminListen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", n.settings.AdminListen)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	n.adminListener = n.secured(listener)
+	return nil
+}
+
+// AdminAddr is the address that operators reach the node at; empty when it
+// offers no administration API.
+func (n *Node) AdminAddr() string {
+	if n.adminListener == nil {
+		return ""
+	}
+	return n.adminListener.Addr().String()
+}
+
+// serveOperators offers administration, metrics and health on the operators'
+// listener.
+func (n *Node) serveOperators() {
+	if n.adminListener == nil {
+		return
+	}
+	o := &operators{node: n}
+	mux := http.NewServeMux()
+	mux.Handle("/admin/", admin.NewServer(admin.Deps{
+		Store: n.store, Keys: n.operatorKeys, Confirmer: o, Bills: o, Nodes: o, Upstreams: o,
+		Accepted: func(uint64) { n.sync.Poke() }, Log: n.deps.Log,
+	}))
+	mux.Handle("/metrics", n.metrics.Handler())
+	mux.Handle("/healthz", telemetry.Healthz())
+	mux.Handle("/readyz", telemetry.Readyz(n.notReady))
+	n.adminServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	n.duties.Go(func() { _ = n.adminServer.Serve(n.adminListener) }) // returns when closed
+}
+
+// notReady says why no new work is taken, or nothing.
+func (n *Node) notReady() []string {
+	if _, fail := n.admit(); fail != nil {
+		return []string{fail.Message}
+	}
+	return nil
+}
+
+// Confirmations tells how far a revision is in force.
+func (o *operators) Confirmations(ctx context.Context, revision uint64) (admin.Confirmation, error) {
+	c, err := o.node.sync.Confirmations(ctx, revision)
+	return admin.Confirmation{
+		Revision: c.Revision, InForce: c.InForce, Members: c.Members, Have: c.Have, Needed: c.Needed,
+		Lagging: c.Lagging, LaggingMore: c.LaggingMore, SinceMillis: c.Since.Milliseconds(),
+	}, err
+}
+
+// Bills reads bills.
+func (o *operators) Bills(ctx context.Context, q admin.BillQuery) (admin.BillPage, error) {
+	page, err := o.node.ledger.Bills(ctx, ledger.BillQuery{Org: q.Organisation, From: q.From, To: q.To, Cursor: q.Cursor})
+	out := admin.BillPage{Bills: make([]admin.Bill, 0, len(page.Bills)), Next: page.Next}
+	for _, b := range page.Bills {
+		out.Bills = append(out.Bills, admin.Bill{
+			Organisation: b.Org, Key: b.Key, Class: b.Class, Version: b.Version, Service: b.Service, Cost: b.Cost,
+			InputTokens: b.InputTokens, OutputTokens: b.OutputTokens, At: b.At,
+		})
+	}
+	return out, err
+}
+
+// Nodes lists the entry nodes as this one sees them.
+func (o *operators) Nodes(context.Context) ([]admin.Node, error) {
+	var out []admin.Node
+	for _, m := range o.node.members.View().Entries {
+		entry := admin.Node{ID: m.ID, Address: m.Addr, Peer: m.Peer, FailureDomain: m.FailureDomain, State: m.State.String()}
+		if m.ID == o.node.settings.ID {
+			status := o.node.sync.Status()
+			entry.Revision = status.Revision
+			entry.Detail = selfDetail(status.Fresh, status.Outage)
+		}
+		out = append(out, entry)
+	}
+	return out, nil
+}
+
+func selfDetail(fresh, outage bool) string {
+	switch {
+	case outage:
+		return "serves without the platform's table"
+	case fresh:
+		return "configuration is fresh"
+	default:
+		return "configuration is not fresh: new work is refused"
+	}
+}
+
+// Upstreams lists the upstreams that this node deals with.
+func (o *operators) Upstreams(context.Context) ([]admin.Upstream, error) {
+	states := upstreamStates(o.node.members.View())
+	var out []admin.Upstream
+	for _, h := range o.node.upstreams.status() {
+		out = append(out, adminUpstream(h, states[h.VM.ID]))
+	}
+	return out, nil
+}
+
+func adminUpstream(h balance.HostStatus, state string) admin.Upstream {
+	u := admin.Upstream{
+		ID: h.VM.ID, Kind: string(h.VM.Role), Service: h.VM.Service, Address: h.VM.Addr, FailureDomain: h.VM.FailureDomain,
+		State: state, Running: h.InFlight, Versions: h.Versions, AgeMillis: -1,
+	}
+	if h.ReportAge >= 0 {
+		u.AgeMillis = h.ReportAge.Milliseconds()
+	}
+	switch {
+	case h.Open:
+		u.Detail = "breaker is open"
+	case h.Ejected:
+		u.Detail = "slow but alive: ejected for a while"
+	}
+	return u
+}
+
+func upstreamStates(v *membership.View) map[string]string {
+	states := map[string]string{}
+	for _, m := range v.Engines {
+		states[m.ID] = m.State.String()
+	}
+	for _, s := range v.Services {
+		for _, m := range s.Members {
+			states[m.ID] = m.State.String()
+		}
+	}
+	return states
+}
+
+// registerGauges offers the figures that are read when the page is.
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("hickorybank_config_revision", func() float64 { return float64(n.sync.Status().Revision) })
+	n.metrics.Gauge("hickorybank_config_proof_age_seconds", func() float64 { return n.sync.Status().ProofAge.Seconds() })
+	n.metrics.Gauge("hickorybank_requests_running", func() float64 { return float64(n.running.Load()) })
+	n.metrics.Gauge("hickorybank_bills_waiting", func() float64 { return float64(n.ledger.Stats().Waiting) })
+	n.metrics.Gauge("hickorybank_bills_held", func() float64 { return float64(n.ledger.Stats().Held) })
+}
+
+var _ admin.Confirmer = (*operators)(nil)
+var _ admin.BillReader = (*operators)(nil)
+var _ admin.NodeReader = (*operators)(nil)
+var _ admin.UpstreamReader = (*operators)(nil)
--- /dev/null
+++ b/internal/node/priority.go
@@ -0,0 +1,21 @@
+package node
+
+import "github.com/hickorybank/hickorybank/internal/config"
+
+// The priorities that engines get; a lower one runs first.
+const (
+	priorityImmediate = iota
+	priorityHeavy
+	priorityDeferrable
+)
+
+func priority(k config.Kind) int {
+	switch k {
+	case config.Immediate:
+		return priorityImmediate
+	case config.Heavy:
+		return priorityHeavy
+	default:
+		return priorityDeferrable
+	}
+}
--- /dev/null
+++ b/internal/node/read_on.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/choice"
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/streamtoken"
+)
+
+// adoption is a stream that was begun through another connection, perhaps at
+// another node.
+type adoption struct {
+	attempt string
+	after   int
+}
+
+// streamToken lets the caller read on through any node if its connection
+// breaks.
+func (r *chatRun) streamToken(session string) string {
+	all := r.spent
+	all.add(r, r.machine.Runs())
+	text, err := streamtoken.Seal(r.node.sealer, streamtoken.Token{
+		Org: r.call.Org.Name, Key: r.key(), Class: r.class.Name, Version: r.try.version,
+		Attempt: r.try.attempt, VM: r.try.vm.ID, Session: session,
+		Started: time.Now().Unix(), SpentCost: all.cost, SpentInput: all.input, SpentOutput: all.output,
+	})
+	if err != nil {
+		panic(err) // a token of plain values always encodes
+	}
+	return text
+}
+
+// ReadOn goes on with a stream whose connection broke. It is not new work: the
+// attempt runs already, so neither admission nor a withdrawal stands in its
+// way, and its bill has the same key.
+func (n *Node) ReadOn(ctx context.Context, call api.ReadOnCall, sink request.Sink) (request.Answer, error) {
+	n.running.Add(1)
+	defer n.running.Add(-1)
+	token, err := streamtoken.Open(n.sealer, call.Token, call.Org.Name, time.Now())
+	if err != nil {
+		return request.Answer{}, request.Refuse(request.CodeBadRequest, 0, "the stream token is "+err.Error())
+	}
+	run, fail := n.adopt(call, token, sink)
+	if fail != nil {
+		return request.Answer{}, fail
+	}
+	ctx, cancel := context.WithDeadline(ctx, run.deadline)
+	defer cancel()
+	answer, err := run.drive(ctx)
+	run.measure(answer, err)
+	return answer, err
+}
+
+func (n *Node) adopt(call api.ReadOnCall, token streamtoken.Token, sink request.Sink) (*chatRun, *request.Failure) {
+	snapshot := n.sync.Snapshot()
+	version := snapshot.Version(token.Version)
+	class := snapshot.Class(token.Class)
+	if version == nil || class == nil {
+		return nil, &request.Failure{Code: request.CodeUpstreamFailed, Outcome: request.Unknown, Message: "the stream's version or class has been removed"}
+	}
+	vm, known := n.engine(token.VM)
+	if !known {
+		return nil, &request.Failure{Code: request.CodeUpstreamFailed, Outcome: request.Unknown, Message: "the stream's engine is gone"}
+	}
+	now := time.Now()
+	return &chatRun{
+		node: n, sink: sink, class: class, arrived: now, deadline: now.Add(timeout(0, class)),
+		call:    api.ChatCall{Org: call.Org, Snapshot: snapshot, Key: token.Key},
+		plan:    choice.Plan{First: token.Version},
+		session: openedSession{version: token.Version, token: token.Session},
+		spent:   spent{cost: token.SpentCost, input: token.SpentInput, output: token.SpentOutput},
+		adopted: &adoption{attempt: token.Attempt, after: call.After},
+		id:      uuid.Must(uuid.NewV7()).String(),
+		try:     adoptedTry(token, version, vm, now),
+	}, nil
+}
+
+func adoptedTry(token streamtoken.Token, version *config.Version, vm platform.VM, now time.Time) *try {
+	return &try{attempt: token.Attempt, version: version.Name, vm: vm, began: now, adopted: true}
+}
+
+// engine finds an engine by its name, also one that takes no new work.
+func (n *Node) engine(id string) (platform.VM, bool) {
+	for _, m := range n.members.View().Engines {
+		if m.ID == id {
+			return m.VM, true
+		}
+	}
+	return platform.VM{}, false
+}
--- /dev/null
+++ b/internal/node/suspects.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/suspect"
+)
+
+const (
+	suspectService = "Suspect"
+	suspectStep    = suspectService + ".Step"
+	suspectTick    = 50 * time.Millisecond
+	suspectTimeout = time.Second
+	suspectRing    = 1024
+)
+
+// suspects owns the tracker of requests that crash upstreams and carries its
+// messages.
+type suspects struct {
+	node *Node
+	out  chan suspect.Message
+
+	mu      sync.Mutex
+	tracker *suspect.Tracker
+	addrs   map[string]string // peer address by node
+	waiting map[string]chan suspect.Decision
+}
+
+func newSuspects(n *Node) *suspects {
+	return &suspects{
+		node:    n,
+		out:     make(chan suspect.Message, suspectRing),
+		tracker: suspect.New(suspect.Settings{Self: n.settings.ID}, time.Now()),
+		addrs:   map[string]string{},
+		waiting: map[string]chan suspect.Decision{},
+	}
+}
+
+func (s *suspects) setPeers(v *membership.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(v.Entries))
+	clear(s.addrs)
+	for _, m := range v.Entries {
+		s.addrs[m.ID] = m.Peer
+		if m.ID != s.node.settings.ID && m.State != membership.Suspect {
+			ids = append(ids, m.ID)
+		}
+	}
+	s.tracker.SetPeers(ids, time.Now())
+	s.flush()
+}
+
+// flush carries out what the tracker wants done; s.mu is held.
+func (s *suspects) flush() {
+	ready := s.tracker.Ready()
+	for _, m := range ready.Messages {
+		select {
+		case s.out <- m:
+		default: // the ring is full; the tracker sends again what it misses
+		}
+	}
+	for _, d := range ready.Decisions {
+		if decided, ok := s.waiting[d.Attempt]; ok {
+			delete(s.waiting, d.Attempt)
+			decided <- d // has room for the one decision that it ever gets
+		}
+	}
+}
+
+// admit asks whether an attempt may run, and whether alone.
+func (s *suspects) admit(ctx context.Context, attempt string, f request.Fingerprint) suspect.Decision {
+	decided := make(chan suspect.Decision, 1)
+	s.mu.Lock()
+	d := s.tracker.Admit(attempt, f, time.Now())
+	if d.Verdict == suspect.Wait {
+		s.waiting[attempt] = decided
+	}
+	s.flush()
+	s.mu.Unlock()
+	if d.Verdict != suspect.Wait {
+		return d
+	}
+	select {
+	case d = <-decided:
+		return d
+	case <-ctx.Done():
+		s.finished(attempt)
+		return suspect.Decision{Attempt: attempt, Verdict: suspect.Refuse, RetryAfter: retrySoon}
+	}
+}
+
+func (s *suspects) started(attempt string, f request.Fingerprint, vm string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Started(attempt, f, vm, time.Now())
+	s.flush()
+}
+
+func (s *suspects) finished(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, attempt)
+	s.tracker.Finished(attempt, time.Now())
+	s.flush()
+}
+
+// crashed tells that the upstream on which an attempt ran has crashed.
+func (s *suspects) crashed(vm string, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Crashed(suspect.CrashID{Upstream: vm, Epoch: epoch}, time.Now())
+	s.flush()
+}
+
+func (s *suspects) run(ctx context.Context) {
+	ticker := time.NewTicker(suspectTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.out:
+			s.node.duties.Go(func() { s.send(ctx, m) })
+		case now := <-ticker.C:
+			s.tick(now)
+		}
+	}
+}
+
+func (s *suspects) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Tick(now)
+	s.flush()
+}
+
+func (s *suspects) send(ctx context.Context, m suspect.Message) {
+	s.mu.Lock()
+	addr := s.addrs[m.To]
+	s.mu.Unlock()
+	if addr == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	_ = s.node.pool.Call(ctx, addr, suspectStep, &m, &SuspectReply{}) // the tracker sends again what it misses
+}
+
+// SuspectReply carries nothing: answers are messages of their own. It is
+// exported because net/rpc demands it.
+type SuspectReply struct{}
+
+// suspectReceiver takes the messages of peers.
+type suspectReceiver struct{ s *suspects }
+
+func (s *suspects) receiver() *suspectReceiver { return &suspectReceiver{s: s} }
+
+// Step takes one message.
+func (r *suspectReceiver) Step(m *suspect.Message, _ *SuspectReply) error {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.tracker.Step(*m, time.Now())
+	r.s.flush()
+	return nil
+}
--- /dev/null
+++ b/internal/node/upstreams.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+const (
+	pollTick    = 100 * time.Millisecond
+	pollTimeout = 2 * time.Second
+	pollsAtOnce = 16
+)
+
+// upstreams owns the balancer and asks upstreams for their load.
+type upstreams struct {
+	node *Node
+
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	epochs   map[string]uint64 // by VM
+	asking   map[string]bool
+}
+
+func newUpstreams(n *Node) *upstreams {
+	return &upstreams{
+		node:     n,
+		balancer: balance.New(balance.Settings{Seed: n.settings.Seed, SelfID: n.settings.ID, SelfDomain: n.settings.FailureDomain}),
+		epochs:   map[string]uint64{},
+		asking:   map[string]bool{},
+	}
+}
+
+// setView takes the VMs in. Those that are leaving or suspected gone take no
+// new work, whatever the platform's lagging list still says.
+func (u *upstreams) setView(v *membership.View) {
+	var vms []platform.VM
+	for _, m := range v.Engines {
+		vms = append(vms, listed(m))
+	}
+	for _, s := range v.Services {
+		for _, m := range s.Members {
+			vms = append(vms, listed(m))
+		}
+	}
+	place := balance.PlaceOf(v.EntryVMs(), u.node.settings.ID, u.node.settings.FailureDomain)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.balancer.SetMembers(vms, place, time.Now())
+}
+
+func listed(m membership.Member) platform.VM {
+	vm := m.VM
+	if m.State == membership.Leaving {
+		vm.State = platform.Leaving
+	}
+	return vm
+}
+
+func (u *upstreams) pick(r balance.Request) (balance.Pick, bool) {
+	r.Now = time.Now()
+	r.Random = rand.Uint64()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.balancer.Pick(r)
+}
+
+func (u *upstreams) firstToken(t balance.Token, after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.balancer.FirstToken(t, after, time.Now())
+}
+
+func (u *upstreams) done(t balance.Token, r balance.Result) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.balancer.Done(t, r, time.Now())
+}
+
+func (u *upstreams) epoch(vm string) uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.epochs[vm]
+}
+
+func (u *upstreams) status() []balance.HostStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.balancer.Status(time.Now())
+}
+
+// poll asks for load reports as the balancer wants them.
+func (u *upstreams) poll(ctx context.Context) {
+	slots := make(chan struct{}, pollsAtOnce)
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.ask(ctx, slots)
+		}
+	}
+}
+
+func (u *upstreams) ask(ctx context.Context, slots chan struct{}) {
+	for _, vm := range u.due() {
+		select {
+		case slots <- struct{}{}:
+			u.node.duties.Go(func() {
+				defer func() { <-slots }()
+				u.askOne(ctx, vm)
+			})
+		default:
+			u.answered(vm.ID) // frozen upstreams hold all slots; it is asked later
+		}
+	}
+}
+
+// due are the upstreams to ask now, without those whose answer is still out:
+// a frozen one must not gather calls.
+func (u *upstreams) due() []platform.VM {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var due []platform.VM
+	for _, vm := range u.balancer.NeedPoll(time.Now()) {
+		if u.asking[vm.ID] {
+			continue
+		}
+		u.asking[vm.ID] = true
+		due = append(due, vm)
+	}
+	return due
+}
+
+func (u *upstreams) answered(vm string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.asking, vm)
+}
+
+func (u *upstreams) askOne(ctx context.Context, vm platform.VM) {
+	defer u.answered(vm.ID)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := u.node.deps.Engines.Load(ctx, vm.Addr)
+	if err != nil {
+		u.failed(vm, err)
+		return
+	}
+	u.reported(vm, report)
+}
+
+func (u *upstreams) failed(vm platform.VM, err error) {
+	u.mu.Lock()
+	u.balancer.PollFailed(vm.ID, time.Now())
+	u.mu.Unlock()
+	u.node.observe(vm.Addr, err)
+}
+
+func (u *upstreams) reported(vm platform.VM, r upstream.LoadReport) {
+	u.mu.Lock()
+	u.balancer.Report(vm.ID, r, time.Now())
+	u.epochs[vm.ID] = r.Epoch
+	u.mu.Unlock()
+	if r.Leaving {
+		u.node.members.Observe(vm.Addr, membership.SaidLeaving)
+		return
+	}
+	u.node.members.Observe(vm.Addr, membership.Reached)
+}
+
+// observe tells the membership what a call to an upstream showed of it.
+func (n *Node) observe(addr string, err error) {
+	switch balance.OutcomeOf(err) {
+	case balance.Succeeded:
+		n.members.Observe(addr, membership.Reached)
+	case balance.Unreached:
+		n.members.Observe(addr, membership.ConnectFailed)
+	case balance.Broken:
+		n.members.Observe(addr, membership.Broken)
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -22,11 +23,17 @@
 	done  bool
 }
 
-// NewPool returns a pool that dials TCP.
-func NewPool() *Pool {
-	dialer := &net.Dialer{Timeout: defaultDialTimeout}
+// NewPool returns a pool that dials TCP in the clear.
+func NewPool() *Pool { return NewSecurePool(nil) }
+
+// NewSecurePool returns a pool that dials TCP, in TLS when secure is not nil.
+func NewSecurePool(secure *tls.Config) *Pool {
+	plain := &net.Dialer{Timeout: defaultDialTimeout}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", addr)
+		if secure == nil {
+			return plain.DialContext(ctx, "tcp", addr)
+		}
+		return (&tls.Dialer{NetDialer: plain, Config: secure}).DialContext(ctx, "tcp", addr)
 	}
 	return &Pool{dial: dial, conns: map[string]*rpc.Client{}}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/rpc"
@@ -14,6 +15,7 @@
 // Server answers peers.
 type Server struct {
 	rpc      *rpc.Server
+	secure   *tls.Config
 	listener net.Listener
 	duties   conc.WaitGroup
 
@@ -22,9 +24,13 @@
 	done  bool
 }
 
-// NewServer returns a server without methods.
-func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+// NewServer returns a server without methods that speaks in the clear.
+func NewServer() *Server { return NewSecureServer(nil) }
+
+// NewSecureServer returns a server without methods, which speaks TLS when
+// secure is not nil.
+func NewSecureServer(secure *tls.Config) *Server {
+	return &Server{rpc: rpc.NewServer(), secure: secure, conns: map[net.Conn]struct{}{}}
 }
 
 // Register offers the methods of receiver under a name, in net/rpc's form.
@@ -38,6 +44,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	if s.secure != nil {
+		listener = tls.NewListener(listener, s.secure)
+	}
 	s.listener = listener
 	return nil
 }
--- a/internal/request/sink.go
+++ b/internal/request/sink.go
@@ -6,8 +6,19 @@
 	// Streams says that pieces go out as they come; otherwise the caller
 	// sees nothing before the end.
 	Streams() bool
-	// Begin tells which version answers, and the session token if any.
-	Begin(version, session string)
-	// Text passes on one piece. An error says that the caller has gone.
-	Text(text string) error
+	// Begin tells which version answers and the caller's tokens.
+	Begin(h Head)
+	// Text passes on one piece with its number in the attempt. An error says
+	// that the caller has gone.
+	Text(seq int, text string) error
+}
+
+// Head is what goes before an answer.
+type Head struct {
+	Version string
+	// Session is the session's token, or empty.
+	Session string
+	// Stream is the token with which a broken stream is read on through any
+	// entry node, or empty.
+	Stream string
 }
--- a/internal/session/signer_test.go
+++ b/internal/session/signer_test.go
@@ -7,19 +7,21 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/seal"
 )
 
 var (
-	oldKey = []byte(strings.Repeat("a", MinKeyBytes))
-	newKey = []byte(strings.Repeat("b", MinKeyBytes))
+	oldKey = []byte(strings.Repeat("a", seal.MinKeyBytes))
+	newKey = []byte(strings.Repeat("b", seal.MinKeyBytes))
 	start  = time.Unix(1_800_000_000, 0)
 )
 
 func signer(t *testing.T, keys ...[]byte) *Signer {
 	t.Helper()
-	s, err := NewSigner(keys...)
+	s, err := seal.New(keys...)
 	is.New(t).NoErr(err)
-	return s
+	return NewSigner(s)
 }
 
 func signed(t *testing.T, s *Signer) (string, Token) {
@@ -43,11 +45,11 @@
 		{"another organisation's", text, "tunis", start, ErrForeign},
 		{"too old", text, "sfax", start.Add(MaxAge + time.Second), ErrTooOld},
 		{"from the future", text, "sfax", start.Add(-time.Hour), ErrTooOld},
-		{"signed with a foreign key", foreign, "sfax", start, ErrForged},
-		{"payload changed", "A" + text, "sfax", start, ErrMalformed},
-		{"no signature", strings.Split(text, ".")[0], "sfax", start, ErrMalformed},
-		{"empty", "", "sfax", start, ErrMalformed},
-		{"huge", strings.Repeat("x", MaxTokenBytes+1), "sfax", start, ErrMalformed},
+		{"signed with a foreign key", foreign, "sfax", start, seal.ErrForged},
+		{"payload changed", "A" + text, "sfax", start, seal.ErrMalformed},
+		{"no signature", strings.Split(text, ".")[0], "sfax", start, seal.ErrMalformed},
+		{"empty", "", "sfax", start, seal.ErrMalformed},
+		{"huge", strings.Repeat("x", seal.MaxBytes+1), "sfax", start, seal.ErrMalformed},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,15 +73,16 @@
 }
 
 func TestShortKeyIsRefused(t *testing.T) {
-	_, err := NewSigner([]byte("short"))
+	_, err := seal.New([]byte("short"))
 	is.New(t).True(err != nil)
 }
 
 func FuzzRead(f *testing.F) {
-	s, err := NewSigner(oldKey)
+	sealer, err := seal.New(oldKey)
 	if err != nil {
 		f.Fatal(err)
 	}
+	s := NewSigner(sealer)
 	text, err := s.Sign(Token{ID: "s1", Org: "sfax", Version: "assess@4", Started: start.Unix()})
 	if err != nil {
 		f.Fatal(err)
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -31,6 +31,10 @@
 	ended chan struct{}
 }
 
+// sessionKey signs the session tokens of every entry node of a scenario.
+const sessionKey = "HICKORYBANK_SESSION_KEY=" +
+	"6b6579206f66207363656e6172696f73206f6e6c79206b657920736365732e2e"
+
 // startProcess starts the product and waits for its ready line.
 func startProcess(dir, id string, args ...string) (*process, error) {
 	p := &process{id: id, log: filepath.Join(dir, id+".log"), ended: make(chan struct{})}
@@ -40,7 +44,7 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command(binary, args...)
-	p.cmd.Env = append(os.Environ(), guardVariable+"=1")
+	p.cmd.Env = append(os.Environ(), guardVariable+"=1", sessionKey)
 	p.cmd.Stderr = log
 	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
 		return nil, err
--- a/scenario/store_test.go
+++ b/scenario/store_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
+	"log/slog"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hickorybank/hickorybank/internal/ledger"
 	"github.com/hickorybank/hickorybank/internal/platform"
+	platformclient "github.com/hickorybank/hickorybank/internal/platform/client"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/control"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
@@ -28,32 +30,37 @@
 	return client.Dump(ctx, prefix)
 }
 
-// bill is one bill as the store holds it.
-type bill struct {
-	Org     string `json:"org"`
-	Key     string `json:"key"`
-	Version string `json:"version"`
-	Cost    int64  `json:"cost"`
-}
-
-const billsPrefix = "bills/"
-
-func (c *cluster) bills() ([]bill, error) {
-	dump, err := c.dump(billsPrefix)
+// bills reads the bills as operators see them: each key once, wherever the
+// ledger keeps it.
+func (c *cluster) bills() ([]ledger.Bill, error) {
+	p, err := c.process(platformID)
 	if err != nil {
 		return nil, err
 	}
-	bills := make([]bill, 0, len(dump.Rows))
-	for _, row := range dump.Rows {
-		var b bill
-		if err := json.Unmarshal(row.Value, &b); err != nil {
-			return nil, eris.Wrap(err, row.Key)
+	client := platformclient.New("http://" + p.addrs.Main)
+	defer client.Close()
+	reader := ledger.New(ledger.DefaultSettings(), ledger.Deps{Table: client, Objects: client.Objects(), Log: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithTimeout(context.Background(), dumpLimit)
+	defer cancel()
+	now := time.Now()
+	query := ledger.BillQuery{From: now.Add(-billsBack), To: now.Add(billsBack)}
+	var all []ledger.Bill
+	for {
+		page, err := reader.Bills(ctx, query)
+		if err != nil {
+			return nil, err
 		}
-		bills = append(bills, b)
+		all = append(all, page.Bills...)
+		if page.Next == "" {
+			return all, nil
+		}
+		query.Cursor = page.Next
 	}
-	return bills, nil
 }
 
+// billsBack is how far around now a scenario's bills lie.
+const billsBack = 2 * time.Hour
+
 // expectBills: ORG KEY N: the store holds N bills of the request.
 func expectBills(c *cluster, args []string) error {
 	if len(args) != 3 {
