End the process on a broken invariant; guard plain services from crashing calls

Cause: conc keeps a duty's panic until Wait, so a node could go on for hours without, say, its configuration duty (test: the process must end and name the panic). And an idempotent service call that crashes its upstream was sent on to the next one, up to four: as many as there are. Ruled out: taking any broken connection for a crash, since a cut or frozen upstream would convict innocent calls; the upstream is asked, and only a refused connection or another run of its process counts.

--- /dev/null
+++ b/internal/duty/doc.go
@@ -0,0 +1,2 @@
+// Package duty runs the goroutines of a process's duties.
+package duty
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -16,6 +16,7 @@
 	"github.com/hickorybank/hickorybank/internal/lifecycle"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
+	"github.com/hickorybank/hickorybank/internal/suspect"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
@@ -41,6 +42,7 @@
 	pending int // calls whose event is still to come
 	result  chan callResult
 	vm      platform.VM
+	epoch   uint64 // of the upstream's process when the call was sent
 	token   balance.Token
 	took    time.Duration
 }
@@ -160,7 +162,7 @@
 	case lifecycle.Release:
 		r.release(ctx)
 	case lifecycle.PickService:
-		return r.pick(d)
+		return r.pick(ctx, d)
 	case lifecycle.Send:
 		r.send(ctx)
 	case lifecycle.Settle:
@@ -195,19 +197,28 @@
 
 // pick finds an upstream and checks, just before the sending, that new work
 // may begin under the configuration in force.
-func (r *callRun) pick(d lifecycle.PickService) []lifecycle.Decision {
+func (r *callRun) pick(ctx context.Context, d lifecycle.PickService) []lifecycle.Decision {
 	if d.Retry && !r.node.gate.retryAllowed() {
 		return r.machine.Refused(request.CodeOverloaded, retrySoon, "too many requests are being retried")
 	}
 	if _, fresh := r.node.sync.Current(); !fresh {
 		return r.machine.Refused(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
 	}
-	pick, ok := r.node.upstreams.pick(balance.Request{Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude})
+	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint())
+	if verdict.Verdict == suspect.Refuse {
+		return r.machine.Refused(request.CodeSuspect, verdict.RetryAfter, "upstreams crashed on this request")
+	}
+	pick, ok := r.node.upstreams.pick(balance.Request{
+		Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude, Alone: verdict.Verdict == suspect.RunAlone,
+	})
 	if !ok {
+		r.node.suspects.finished(r.id)
 		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+r.call.Service.Name+": "+string(pick.Shortage.Reason))
 	}
 	r.vm = pick.VM
+	r.epoch = r.node.upstreams.epoch(pick.VM.ID)
 	r.token = pick.Token
+	r.node.suspects.started(r.id, r.fingerprint(), pick.VM.ID)
 	return r.machine.Picked(pick.VM.ID)
 }
 
@@ -216,8 +227,10 @@
 	out.Key = r.upstreamKey()
 	vm := r.vm
 	began := time.Now()
+	epoch := r.epoch
 	do := func(ctx context.Context) callEvent {
 		answer, err := r.node.deps.Services.Do(ctx, vm.Addr, out)
+		r.node.callEnded(r.id, vm, epoch, err)
 		return func() []lifecycle.Decision { return r.sent(answer, err, time.Since(began)) }
 	}
 	if r.call.Call.Idempotent {
--- /dev/null
+++ b/internal/node/crash.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+const crashProbeLimit = 500 * time.Millisecond
+
+// callEnded tells the suspects how a service call ended. A connection that
+// broke off may mean that the call crashed its upstream; sent on to the next
+// one, it would crash that too.
+func (n *Node) callEnded(id string, vm platform.VM, epoch uint64, err error) {
+	if err != nil && reachOf(err) == upstream.MaybeRun && n.hasCrashed(vm, epoch) {
+		n.suspects.crashed(vm.ID, epoch)
+		return
+	}
+	n.suspects.finished(id)
+}
+
+// hasCrashed asks an upstream whose connection broke off: when it cannot be
+// connected to, or answers as another run of its process, it has crashed. One
+// that is frozen or cut off gives no answer and has not.
+func (n *Node) hasCrashed(vm platform.VM, epoch uint64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeLimit)
+	defer cancel()
+	report, err := n.deps.Engines.Load(ctx, vm.Addr)
+	if err != nil {
+		return reachOf(err) == upstream.NotSent
+	}
+	return epoch != 0 && report.Epoch != epoch
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/admin"
 	"github.com/hickorybank/hickorybank/internal/admission"
@@ -19,6 +18,7 @@
 	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/confsync"
 	"github.com/hickorybank/hickorybank/internal/confsync/tablestore"
+	"github.com/hickorybank/hickorybank/internal/duty"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/ledger"
 	"github.com/hickorybank/hickorybank/internal/membership"
@@ -65,7 +65,7 @@
 
 	listener net.Listener
 	server   *http.Server
-	duties   *conc.WaitGroup
+	duties   *duty.Group
 	stop     context.CancelFunc
 }
 
@@ -88,7 +88,7 @@
 		operatorKeys: keys,
 		store:        admin.NewStore(d.Platform),
 		metrics:      telemetry.New(telemetry.Bounds{}),
-		duties:       conc.NewWaitGroup(),
+		duties:       new(duty.Group),
 		pool:         peer.NewSecurePool(s.TLS.PeerClient),
 		peers:        peer.NewSecureServer(s.TLS.PeerServer),
 	}, nil
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -47,7 +47,9 @@
 	clear(s.addrs)
 	for _, m := range v.Entries {
 		s.addrs[m.ID] = m.Peer
-		if m.ID != s.node.settings.ID && m.State != membership.Suspect {
+		// One that cannot be reached at present may still run work: it
+		// counts until the platform's list drops it.
+		if m.ID != s.node.settings.ID {
 			ids = append(ids, m.ID)
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,9 +7,9 @@
 	"net/rpc"
 	"sync"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/duty"
 )
 
 // Server answers peers.
@@ -17,7 +17,7 @@
 	rpc      *rpc.Server
 	secure   *tls.Config
 	listener net.Listener
-	duties   conc.WaitGroup
+	duties   duty.Group
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
