Measure version choice in virtual time, and test what cascades rescue

Two findings changed the choice: a version that only ran as the second of cascades was never found bad, because ratings of such answers were kept out of the test; they now have a reference of their own. And a staged version under slight suspicion was blocked for good, because no further ratings could clear it.

--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -4,6 +4,13 @@
 	"github.com/hickorybank/hickorybank/internal/config"
 )
 
+const (
+	// caution is the statistic from which a version gets only cautionShare
+	// of its requests, in nats.
+	caution      = 4.0
+	cautionShare = 0.25
+)
+
 // call is one choosing under way.
 type call struct {
 	*Chooser
@@ -40,6 +47,7 @@
 // to be exposed, if any.
 func (c *call) sort() *versionView {
 	var exposed *versionView
+	var spared uint64
 	for _, name := range c.req.Versions {
 		i, ok := c.view.index[name]
 		if !ok || i >= mostVersions {
@@ -53,13 +61,25 @@
 			if c.due(v) {
 				exposed = v
 			}
-		default:
+		case !c.spared(v.state):
 			c.usable |= 1 << i
+		default:
+			spared |= 1 << i
 		}
 	}
+	if c.usable == 0 {
+		c.usable = spared
+	}
 	return exposed
 }
 
+// spared says that a version under suspicion is left out of this request. It
+// gets few until its ratings have cleared it or it is held: answers that are
+// begun before their forerunners' ratings have come would only be more bad ones.
+func (c *call) spared(s *state) bool {
+	return s.suspicion() >= caution && c.draws.next() >= cautionShare
+}
+
 // better returns the version with the higher expected quality.
 func (c *call) better(a, b *versionView) *versionView {
 	if a == nil || c.mean(b) > c.mean(a) {
--- a/internal/choice/expose.go
+++ b/internal/choice/expose.go
@@ -16,7 +16,7 @@
 	s.wanted = true
 	// Without ratings nothing would tell that the version is bad, so nobody
 	// new is exposed until they are back.
-	return s.purse.Granted() && !c.ratings.down() && s.suspicion() < suspect
+	return s.purse.Granted() && !c.ratings.down()
 }
 
 // expose runs a staged version.
--- a/internal/choice/known.go
+++ b/internal/choice/known.go
@@ -35,13 +35,17 @@
 	cell := c.cell(key, now)
 	e := cell.Estimate(version.PriorQuality)
 	k := &known{
-		option: frontier.Option{Version: version.Name, Cost: c.cost(version, class, cell, now), Estimate: e},
-		took:   took(cell),
-		pairs:  cell.Pairs,
+		option:  frontier.Option{Version: version.Name, Cost: c.cost(version, class, cell, now), Estimate: e},
+		took:    took(cell),
+		pairs:   cell.Pairs,
+		rescues: cell.Rescue.Weight,
 	}
 	if e.Weight >= referenceRatings || version.State == config.Staged {
 		k.table = detect.NewTable(e.Scores, max(e.Weight, referenceRatings))
 	}
+	if cell.Rescue.Weight >= referenceRatings {
+		k.rescueTable = detect.NewTable(cell.RescueShares(), cell.Rescue.Weight)
+	}
 	c.view.known[key] = k
 	return k
 }
--- a/internal/choice/mix.go
+++ b/internal/choice/mix.go
@@ -21,7 +21,12 @@
 	}
 	p := Plan{First: point.First, Then: point.Then, Threshold: point.Threshold}
 	p.BelowTarget = f.Best().Mean < wanted
-	p.Rate, p.RateAgain = c.rate(c.version(point.First))
+	if len(p.Then) == 0 {
+		p.Rate, p.RateAgain = c.rate(c.version(point.First))
+	} else {
+		p.Rate = c.rateRescue(p.Then[0])
+		p.RateAgain = c.draws.next() < pairShare
+	}
 	return p
 }
 
--- a/internal/choice/observe.go
+++ b/internal/choice/observe.go
@@ -15,20 +15,27 @@
 	s := c.state(o.Version)
 	s.sawClass(o.Class)
 	s.rated = o.Now
+	c.test(s, o)
+	c.note(o)
+}
+
+// note takes the score into the estimates.
+func (c *Chooser) note(o Observation) {
 	cell := c.book.Cell(quality.Key{Version: o.Version, Class: o.Class})
 	now := o.Now.UnixNano()
 	if o.AfterShort {
 		cell.AddRescue(o.Score, now)
-		return
+	} else {
+		cell.AddScore(o.Score, now)
 	}
-	cell.AddScore(o.Score, now)
-	if o.HasAgain {
+	if o.HasAgain && !o.AfterShort {
 		cell.AddPair(o.Score, o.Again, now)
 	}
-	c.test(s, o)
 }
 
-// test takes in what the score says about a bad turn.
+// test takes in what the score says about a bad turn. Answers that followed
+// one that fell short are to harder requests, so they are compared with their
+// like; a version may run nothing else.
 func (c *Chooser) test(s *state, o Observation) {
 	if c.view == nil {
 		return
@@ -38,10 +45,14 @@
 		return
 	}
 	k := c.known(c.view.versions[i].config, o.Class, o.Now)
-	if k.table == nil {
+	table := k.table
+	if o.AfterShort {
+		table = k.rescueTable
+	}
+	if table == nil {
 		return
 	}
-	s.add(detect.Evidence{Ratings: k.table.Evidence(o.Score)})
+	s.add(detect.Evidence{Ratings: table.Evidence(o.Score)})
 	c.judge(s, o.Class, o.Now)
 }
 
--- a/internal/choice/quality/cell.go
+++ b/internal/choice/quality/cell.go
@@ -28,8 +28,10 @@
 	Pairs       float64
 	PairSquares float64
 	// Rescue holds ratings of answers that were run after another version's
-	// answer had fallen short, in the long memory.
-	Rescue Moments
+	// answer had fallen short, in the long memory, and RescueScores counts
+	// them by [Bin].
+	Rescue       Moments
+	RescueScores [Bins]float64
 	// Took holds the answers' durations in seconds, in the mid memory, with
 	// the sums of their tokens.
 	Took   Moments
@@ -58,6 +60,7 @@
 	c.Long.scale(f)
 	for i := range c.Scores {
 		c.Scores[i] *= f
+		c.RescueScores[i] *= f
 	}
 	c.Pairs *= f
 	c.PairSquares *= f
@@ -92,6 +95,7 @@
 func (c *Cell) AddRescue(score float64, now int64) {
 	c.Advance(now)
 	c.Rescue.add(score)
+	c.RescueScores[Bin(score)]++
 }
 
 // AddAnswer counts an answer's duration and tokens.
@@ -111,6 +115,7 @@
 	c.Short.plus(o.Short)
 	for i := range c.Scores {
 		c.Scores[i] += o.Scores[i]
+		c.RescueScores[i] += o.RescueScores[i]
 	}
 	c.Pairs += o.Pairs
 	c.PairSquares += o.PairSquares
--- a/internal/choice/quality/estimate.go
+++ b/internal/choice/quality/estimate.go
@@ -15,11 +15,9 @@
 	// high, so that a rating is not trusted before pairs have shown the noise.
 	priorNoise       = 0.15
 	priorNoiseWeight = 4
-	// rescueWeight is how many ratings the belief is worth that a version is
-	// as good on requests that another fell short of, and rescueSD how far
-	// off that belief may be.
-	rescueWeight = 10
-	rescueSD     = 0.04
+	// rescueSD is how far a version's quality on requests that another fell
+	// short of may be from its quality on all requests.
+	rescueSD = 0.04
 	// contradiction is by how many standard deviations a shorter memory must
 	// differ from a longer one to be believed in its place.
 	contradiction = 2.5
@@ -99,31 +97,34 @@
 
 // scores returns the distribution of the scores. Without ratings it is a
 // coarse bell around the mean.
-func (c *Cell) scores(mean float64) (shares [Bins]float64, shift float64) {
+func (c *Cell) scores(mean float64) (scores [Bins]float64, shift float64) {
 	if c.Long.Weight < leastWeight {
 		return bell(mean), 0
 	}
+	return shares(c.Scores), mean - c.Long.Mean()
+}
+
+// RescueShares returns the distribution of the scores of answers that were run
+// after another version's had fallen short.
+func (c *Cell) RescueShares() [Bins]float64 { return shares(c.RescueScores) }
+
+func shares(counts [Bins]float64) [Bins]float64 {
 	var total float64
-	for _, weight := range c.Scores {
+	for _, weight := range counts {
 		total += weight
 	}
-	for i, weight := range c.Scores {
-		shares[i] = weight / total
+	for i := range counts {
+		counts[i] /= total
 	}
-	return shares, mean - c.Long.Mean()
+	return counts
 }
 
-func bell(mean float64) (shares [Bins]float64) {
-	var total float64
-	for i := range shares {
+func bell(mean float64) (scores [Bins]float64) {
+	for i := range scores {
 		d := (Centre(i) - mean) / priorSpread
-		shares[i] = math.Exp(-d * d / 2)
-		total += shares[i]
-	}
-	for i := range shares {
-		shares[i] /= total
+		scores[i] = math.Exp(-d * d / 2)
 	}
-	return shares
+	return shares(scores)
 }
 
 // reliability is 1 less the noise's share of the variance.
@@ -134,11 +135,10 @@
 	return min(max(1-share, 0), 1), share * math.Sqrt(2/pairs)
 }
 
-// rescue expects no better answers to hard requests than to all.
+// rescue expects the same quality as on all requests, until ratings tell.
 func (c *Cell) rescue(e Estimate) (mean, sd float64) {
-	weight := c.Rescue.Weight
-	offset := c.Rescue.Sum - weight*e.Mean
-	mean = e.Mean + min(offset/(weight+rescueWeight), 0)
-	own := rescueSD * math.Sqrt(rescueWeight/(weight+rescueWeight))
-	return mean, math.Hypot(own, e.SD)
+	before := 1 / (rescueSD * rescueSD)
+	seen := c.Rescue.Weight / (e.Spread * e.Spread)
+	mean = (before*e.Mean + seen*c.Rescue.Mean()) / (before + seen)
+	return mean, 1 / math.Sqrt(before+seen)
 }
--- a/internal/choice/quality/round.go
+++ b/internal/choice/quality/round.go
@@ -10,6 +10,7 @@
 	}
 	for i := range r.Scores {
 		cut(&r.Scores[i])
+		cut(&r.RescueScores[i])
 	}
 	cut(&r.Pairs)
 	cut(&r.PairSquares)
--- a/internal/choice/sample.go
+++ b/internal/choice/sample.go
@@ -8,6 +8,9 @@
 	// only pairShare of the rated ones are.
 	enoughPairs = 50
 	pairShare   = 0.1
+	// enoughRescues is how many second answers of cascades must have been
+	// rated before they are sampled like others.
+	enoughRescues = 200
 )
 
 // rate says whether the answer is to be rated, and whether twice.
@@ -22,6 +25,14 @@
 	return true, c.draws.next() < pairShare
 }
 
+// rateRescue says whether the second answer of a cascade is to be rated. Each
+// is until enough are in: without, nothing would tell how much harder the
+// requests are that the first version falls short of.
+func (c *call) rateRescue(version string) bool {
+	k := c.known(c.version(version).config, c.req.Class.Name, c.req.Now)
+	return k.rescues < enoughRescues || c.sample(c.version(version).state)
+}
+
 func (c *call) sample(s *state) bool {
 	if c.ratings.down() {
 		return c.ratings.probe(c.req.Now)
--- /dev/null
+++ b/internal/choice/sim/event.go
@@ -0,0 +1,57 @@
+package sim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+// agenda holds what is to happen, in order of time.
+type agenda struct {
+	now    time.Duration
+	seq    uint64
+	events eventHeap
+}
+
+// after plans something.
+func (a *agenda) after(d time.Duration, do func()) {
+	a.seq++
+	heap.Push(&a.events, event{at: a.now + d, seq: a.seq, do: do})
+}
+
+// run lets everything happen until nothing is left.
+func (a *agenda) run() {
+	for len(a.events) > 0 {
+		e := heap.Pop(&a.events).(event)
+		a.now = e.at
+		e.do()
+	}
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/choice/sim/measure/main.go
@@ -0,0 +1,27 @@
+// Command measure prints the measurements of version choice.
+//
+//	go run ./internal/choice/sim/measure --help
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	var o options
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.ParseArgs(args); err != nil {
+		return err
+	}
+	return experiments[o.Args.Experiment](o)
+}
--- /dev/null
+++ b/internal/choice/sim/table.go
@@ -0,0 +1,62 @@
+package sim
+
+import (
+	"github.com/hickorybank/hickorybank/internal/choice/exposure"
+	"github.com/hickorybank/hickorybank/internal/platform"
+)
+
+// table holds the exposure rows and the account of the node with the duty.
+type table struct {
+	rows     map[string]platform.Row
+	accounts map[string]*exposure.Account
+}
+
+func newTable() *table {
+	return &table{rows: map[string]platform.Row{}, accounts: map[string]*exposure.Account{}}
+}
+
+func (t *table) account(version string) *exposure.Account {
+	a, ok := t.accounts[version]
+	if !ok {
+		a = exposure.NewAccount(version)
+		t.accounts[version] = a
+	}
+	if !a.Known() {
+		key := exposure.RowKey(version)
+		row := t.rows[key]
+		row.Key = key
+		if err := a.Read(row); err != nil {
+			panic(err) // only accounts write these rows
+		}
+	}
+	return a
+}
+
+func (t *table) open(version string) bool { return t.account(version).Open() }
+
+func (t *table) commit(a *exposure.Account, txn platform.Txn) {
+	w := txn.Writes[0]
+	row := platform.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: w.Value}
+	t.rows[w.Key] = row
+	a.Committed(platform.CommitResult{Applied: true, Version: row.Version}, nil)
+}
+
+// grant is what the node with the duty answers.
+func (r *run) grant(version string) exposure.Grant {
+	a := r.table.account(version)
+	chooser := r.nodes[r.collector(version)].chooser
+	if !a.Open() && chooser.ReadyToOpen(version, r.time()) {
+		r.table.commit(a, a.OpenUp())
+		r.result.Opened[version] = r.now
+	}
+	if a.Open() {
+		return exposure.Grant{Open: true}
+	}
+	if units := a.Hand(1); units > 0 {
+		return exposure.Grant{Units: units}
+	}
+	if txn, ok := a.Take(r.snapshot.Version(version).ExposureCap); ok {
+		r.table.commit(a, txn)
+	}
+	return exposure.Grant{Units: a.Hand(1)}
+}
--- a/internal/choice/view.go
+++ b/internal/choice/view.go
@@ -52,9 +52,12 @@
 type known struct {
 	option frontier.Option
 	// took is how long an answer takes at most, nearly always; 0 is unknown.
-	took  time.Duration
-	pairs float64
-	table *detect.Table // nil while the reference is too thin
+	took    time.Duration
+	pairs   float64
+	rescues float64
+	// table and rescueTable are nil while their reference is too thin.
+	table       *detect.Table
+	rescueTable *detect.Table
 }
 
 // refresh makes the view anew when the configuration changed or the estimates
