Prove configuration sync by scripts and by moves between sides of a split

A script that restarts a node in an outage beside nodes that were cut off failed at 18.2 s of virtual time: the node took a peer's old proof of the table as the licence to vote, and three of five went on under a revision that was reported replaced. A vote now needs a proof that is younger than the voter's process.

--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -39,6 +39,7 @@
 	c := &Core{settings: s.WithDefaults(), rules: defaultRules(), self: self, boot: boot, started: now}
 	c.roster = newRoster(self)
 	c.known.rules = &c.rules
+	c.known.started = now
 	c.reading = newReading(c.settings.Seed^score("read", self.ID), now)
 	c.notices = notices{}
 	return c
--- a/internal/confsync/knowledge.go
+++ b/internal/confsync/knowledge.go
@@ -8,6 +8,7 @@
 // knowledge is what this node has applied and what it can prove.
 type knowledge struct {
 	rules   *rules
+	started time.Duration
 	applied uint64
 	// table and grant are the youngest proofs that cover the applied revision.
 	table Proof
@@ -16,9 +17,9 @@
 	// once these are applied.
 	pendingTable []Proof
 	pendingGrant []Proof
-	// everProved says that a proof of the table covered what was applied here
-	// since this process started.
-	everProved bool
+	// provedSinceStart says that what was applied here is as new as the head
+	// was at some instant since this process started.
+	provedSinceStart bool
 	// learned are the newest revisions heard of, and when.
 	learned []learning
 }
@@ -41,7 +42,7 @@
 		return false
 	}
 	k.table = p
-	k.everProved = k.everProved || k.applied > 0
+	k.provedSinceStart = k.provedSinceStart || k.rules.sinceStart(p.At, k.started)
 	return true
 }
 
--- a/internal/confsync/rules.go
+++ b/internal/confsync/rules.go
@@ -12,7 +12,9 @@
 	// outageQuorum is how many of the electors must vote for an outage.
 	outageQuorum func(electors int) int
 	// mayVote says whether this node may vote.
-	mayVote func(everProved bool) bool
+	mayVote func(provedSinceStart bool) bool
+	// sinceStart says whether a proof is younger than this process.
+	sinceStart func(at, started time.Duration) bool
 	// promise is how long a vote binds its voter.
 	promise func(bound time.Duration) time.Duration
 	// settle is how long after a revision was learned the nodes that did not
@@ -42,10 +44,17 @@
 		// older than any that was reported in force.
 		outageQuorum: majority,
 		// A process that started anew has forgotten what it confirmed. Once it
-		// has seen a proof of the table its revision is as new again.
-		mayVote: func(everProved bool) bool { return everProved },
+		// has a proof of the table that is younger than itself, its revision is
+		// as new again.
+		mayVote: func(provedSinceStart bool) bool { return provedSinceStart },
+		// A peer that is cut off hands on a proof from before this process
+		// started, which may be older than what the process before it confirmed.
+		sinceStart: func(at, started time.Duration) bool { return at >= started },
+		// While others may rely on the vote this node confirms nothing newer.
 		promise: withDrift,
-		settle:  withDrift,
+		// Until then a node that was cut off may hold a proof of the revision
+		// before.
+		settle: withDrift,
 		// Nodes that joined lately are unknown to a node that was cut off
 		// before: its majority is one of the fewer.
 		confirmQuorum: func(electors, fewest int) int {
--- /dev/null
+++ b/internal/confsync/script_test.go
@@ -0,0 +1,239 @@
+package confsync
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// scenario runs the commands of a scenario on a world:
+//
+//	fleet nodes=N [domains=N] [readers=N] [fanout=N] [direct=N]
+//	without GUARD            take a guard of the protocol away, before fleet
+//	run T                    let time pass
+//	change [NODE]            store a revision; NODE reads the head at once
+//	pause|thaw|kill|start NODES
+//	add NODE DOMAIN          start a node with a new id
+//	split NODES              cut these nodes off from the others
+//	cut NODES                cut these nodes off from the table
+//	table up|down|silent     the table for all nodes
+//	latency table|net T      the slowest answer
+//	heal                     end all faults but kills
+//	ask NODE REVISION        how far is it in force?
+//	nodes                    what each node has, and why it admits work
+//	refused                  who had to refuse work since the last time
+//	load                     messages since the last time, a second
+type scenario struct {
+	w *world
+	// rules are those of the next fleet.
+	rules  rules
+	last   counts
+	lastAt time.Duration
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &scenario{rules: defaultRules()}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out := s.command(t, d)
+			if s.w != nil && s.w.failure != "" {
+				out += "FAILED " + s.w.failure + "\n"
+			}
+			return out
+		})
+	})
+}
+
+func (s *scenario) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "fleet":
+		s.fleet(t, d)
+	case "without":
+		s.without(t, d)
+	case "run":
+		s.w.run(duration(t, d, 0))
+	case "change":
+		s.change(d)
+	case "ask":
+		return s.askConfirm(t, d)
+	case "nodes":
+		return s.nodes()
+	case "refused":
+		return s.refused()
+	case "load":
+		return s.load()
+	default:
+		s.fault(t, d)
+	}
+	return ""
+}
+
+func duration(t *testing.T, d *datadriven.TestData, i int) time.Duration {
+	v, err := time.ParseDuration(d.CmdArgs[i].Key)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
+
+func (s *scenario) fleet(t *testing.T, d *datadriven.TestData) {
+	nodes, domains := 0, 1
+	var settings Settings
+	d.ScanArgs(t, "nodes", &nodes)
+	for _, a := range []struct {
+		name  string
+		value *int
+	}{{"domains", &domains}, {"readers", &settings.Readers}, {"fanout", &settings.FanOut}, {"direct", &settings.DirectLimit}} {
+		d.MaybeScanArgs(t, a.name, a.value)
+	}
+	s.w = newWorld(1, settings)
+	s.w.rules = s.rules
+	s.w.net.side, s.w.net.noTable = map[string]int{}, map[string]bool{}
+	s.w.accept()
+	for i := range nodes {
+		s.w.addNode(fmt.Sprint("n", i), fmt.Sprint("d", i%domains))
+	}
+}
+
+func (s *scenario) without(t *testing.T, d *datadriven.TestData) {
+	for _, g := range guards {
+		if g.name == d.CmdArgs[0].Key {
+			g.remove(&s.rules)
+			return
+		}
+	}
+	d.Fatalf(t, "unknown guard %s", d.CmdArgs[0].Key)
+}
+
+func (s *scenario) change(d *datadriven.TestData) {
+	s.w.accept()
+	for _, n := range s.named(d) {
+		n.deliver(n.boot, Poked{})
+	}
+}
+
+func (s *scenario) named(d *datadriven.TestData) []*simNode {
+	var list []*simNode
+	for _, arg := range d.CmdArgs {
+		if n := s.w.byAddr[arg.Key]; n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func (s *scenario) fault(t *testing.T, d *datadriven.TestData) {
+	w := s.w
+	named := s.named(d)
+	switch d.Cmd {
+	case "pause":
+		each(named, (*simNode).pause)
+	case "thaw":
+		each(named, (*simNode).thaw)
+	case "kill":
+		each(named, (*simNode).kill)
+	case "start":
+		each(named, (*simNode).start)
+	case "add":
+		w.addNode(d.CmdArgs[0].Key, d.CmdArgs[1].Key)
+	case "split":
+		clear(w.net.side)
+		each(named, func(n *simNode) { w.net.side[n.vm.ID] = 1 })
+	case "cut":
+		clear(w.net.noTable)
+		each(named, func(n *simNode) { w.net.noTable[n.vm.ID] = true })
+	case "table":
+		w.table.down = d.CmdArgs[0].Key == "down"
+		w.table.silent = d.CmdArgs[0].Key == "silent"
+	case "latency":
+		s.latency(t, d)
+	case "heal":
+		clear(w.net.side)
+		clear(w.net.noTable)
+		w.table.down, w.table.silent = false, false
+		w.calm()
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+}
+
+func each(nodes []*simNode, do func(*simNode)) {
+	for _, n := range nodes {
+		do(n)
+	}
+}
+
+func (s *scenario) latency(t *testing.T, d *datadriven.TestData) {
+	switch most := duration(t, d, 1); d.CmdArgs[0].Key {
+	case "table":
+		s.w.table.least, s.w.table.most = most, most
+	case "net":
+		s.w.net.least, s.w.net.most = most, most
+	}
+}
+
+func (s *scenario) askConfirm(t *testing.T, d *datadriven.TestData) string {
+	var revision uint64
+	if _, err := fmt.Sscan(d.CmdArgs[1].Key, &revision); err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	known := len(s.w.answers)
+	s.named(d)[0].askConfirm(revision)
+	s.w.run(time.Second)
+	if len(s.w.answers) == known {
+		return "no answer\n"
+	}
+	c := s.w.answers[known]
+	return fmt.Sprintf("in force: %v; %d of %d, needed %d, lagging %v\n", c.InForce, c.Have, c.Members, c.Needed, c.Lagging)
+}
+
+func (s *scenario) nodes() string {
+	var b strings.Builder
+	for _, n := range s.w.nodes {
+		fmt.Fprintf(&b, "%s %s\n", n.vm.ID, n.describe())
+	}
+	return b.String()
+}
+
+func (n *simNode) describe() string {
+	switch status := n.core.Status(n.w.now); {
+	case n.dead:
+		return "dead"
+	case n.paused:
+		return "paused"
+	case status.Outage:
+		return fmt.Sprintf("revision %d, goes on in the outage", status.Revision)
+	case status.Fresh && !status.Reader:
+		return fmt.Sprintf("revision %d, from a peer", status.Revision)
+	case status.Fresh:
+		return fmt.Sprintf("revision %d", status.Revision)
+	default:
+		return fmt.Sprintf("revision %d, refuses", status.Revision)
+	}
+}
+
+func (s *scenario) refused() string {
+	ids := []string{}
+	for _, n := range s.w.nodes {
+		if n.refused {
+			ids = append(ids, n.vm.ID)
+			n.refused = false
+		}
+	}
+	return fmt.Sprintln(ids)
+}
+
+// load prints the messages a second since the last time, rounded.
+func (s *scenario) load() string {
+	now, c := s.w.now, s.w.counts
+	seconds := (now - s.lastAt).Seconds()
+	rate := func(n, before int) float64 { return float64(n-before) / seconds }
+	out := fmt.Sprintf("reads of the head %.0f/s, of documents %d, calls held %.0f/s, surveys %.0f/s\n",
+		rate(c.headReads, s.last.headReads), c.docReads-s.last.docReads,
+		rate(c.waits, s.last.waits), rate(c.surveys, s.last.surveys))
+	s.last, s.lastAt = c, now
+	return out
+}
--- a/internal/confsync/sim_check_test.go
+++ b/internal/confsync/sim_check_test.go
@@ -28,9 +28,14 @@
 	}
 	n.seen = applied
 	w.checkProof(n)
-	if n.paused || w.now >= n.core.FreshUntil() {
+	if n.paused {
 		return
 	}
+	if w.now >= n.core.FreshUntil() {
+		n.refused = n.refused || n.admitted
+		return
+	}
+	n.admitted = true
 	if applied < w.reported {
 		w.fail("%s admits work under revision %d although %d was reported in force", n.vm.ID, applied, w.reported)
 	}
--- a/internal/confsync/sim_faults_test.go
+++ b/internal/confsync/sim_faults_test.go
@@ -27,13 +27,17 @@
 	for i := range nodes {
 		w.addNode(fmt.Sprintf("n%d", i), fmt.Sprintf("d%d", i%domains))
 	}
-	w.run(w.vms.lag + w.between(3*time.Second, 6*time.Second))
+	w.run(w.vms.lag + w.between(2*time.Second, 4*time.Second))
 	w.net.side, w.net.noTable = map[string]int{}, map[string]bool{}
 	for range 1 + w.random.IntN(4) {
 		w.kinds = append(w.kinds, w.random.IntN(faultKinds))
 	}
 	end := w.now + chaosTime
-	w.nextFault(end)
+	if w.random.IntN(2) == 0 {
+		w.nextMove(end)
+	} else {
+		w.nextFault(end)
+	}
 	w.nextChange(end)
 	w.runUntil(end)
 	w.heal()
@@ -42,6 +46,25 @@
 	return w
 }
 
+// nextMove splits the fleet, one side without the table, and moves nodes from
+// side to side: what goes wrong with majorities takes several such steps in a
+// row, which faults drawn one by one seldom make.
+func (w *world) nextMove(end time.Duration) {
+	w.split()
+	w.cutSide()
+	w.moveLater(end)
+}
+
+func (w *world) moveLater(end time.Duration) {
+	w.after(w.between(0, 4*time.Second), func() {
+		if w.now >= end {
+			return
+		}
+		w.moveOver()
+		w.moveLater(end)
+	})
+}
+
 func (w *world) nextFault(end time.Duration) {
 	w.after(w.between(0, time.Second), func() {
 		if w.now >= end {
@@ -55,7 +78,7 @@
 // nextChange lets an operator change the configuration and ask until it is in
 // force. The acknowledgement may be lost; the operator asks all the same.
 func (w *world) nextChange(end time.Duration) {
-	w.after(w.between(0, 3*time.Second), func() {
+	w.after(w.between(0, 2500*time.Millisecond), func() {
 		if w.now >= end {
 			return
 		}
@@ -92,7 +115,13 @@
 		w.after(length, n.thaw)
 	case 2:
 		w.split()
-		w.after(length, func() { clear(w.net.side) })
+		if w.random.IntN(2) == 0 {
+			w.cutSide()
+		}
+		w.after(length, func() {
+			clear(w.net.side)
+			clear(w.net.noTable)
+		})
 	case 3:
 		w.cutFromTable()
 		w.after(length, func() { clear(w.net.noTable) })
@@ -130,6 +159,14 @@
 	w.note("the network is split: %v", w.net.side)
 }
 
+// cutSide leaves the table to one side of the split.
+func (w *world) cutSide() {
+	for _, n := range w.nodes {
+		w.net.noTable[n.vm.ID] = w.net.side[n.vm.ID] == 1
+	}
+	w.note("cut from the table: %v", w.net.noTable)
+}
+
 func (w *world) cutFromTable() {
 	for _, n := range w.nodes {
 		w.net.noTable[n.vm.ID] = w.random.IntN(2) == 0
@@ -137,6 +174,20 @@
 	w.note("cut from the table: %v", w.net.noTable)
 }
 
+// moveOver moves a node to the other side of the split; it may be started anew,
+// without what it knew, and the table may go or come as well.
+func (w *world) moveOver() {
+	n := w.anyNode()
+	if w.random.IntN(2) == 0 {
+		n.kill()
+		n.start()
+	}
+	w.net.side[n.vm.ID] = 1 - w.net.side[n.vm.ID]
+	w.net.noTable[n.vm.ID] = w.net.side[n.vm.ID] == 1
+	w.table.down = w.random.IntN(4) == 0
+	w.note("%s moves: sides %v, table down: %v", n.vm.ID, w.net.side, w.table.down)
+}
+
 // replace kills a node for good and starts one with a new id in its place.
 func (w *world) replace(n *simNode) {
 	n.kill()
--- a/internal/confsync/sim_guards_test.go
+++ b/internal/confsync/sim_guards_test.go
@@ -9,36 +9,46 @@
 
 const guardSeeds = 4000
 
+// guard is one rule of the protocol and what is left without it.
+type guard struct {
+	name   string
+	remove func(*rules)
+}
+
+var guards = []guard{
+	{name: "count-from-call", remove: func(r *rules) {
+		r.proofAt = func(_, received, age time.Duration) time.Duration { return received - age }
+	}},
+	{name: "only-upwards", remove: func(r *rules) {
+		r.upward = func(applied, offered uint64) bool { return offered != applied }
+	}},
+	{name: "outage-majority", remove: func(r *rules) {
+		r.outageQuorum = func(int) int { return 1 }
+	}},
+	{name: "more-than-half", remove: func(r *rules) {
+		r.outageQuorum = func(n int) int { return max(1, n/2) }
+	}},
+	{name: "vote-after-proof", remove: func(r *rules) {
+		r.mayVote = func(bool) bool { return true }
+	}},
+	{name: "proof-since-start", remove: func(r *rules) {
+		r.sinceStart = func(time.Duration, time.Duration) bool { return true }
+	}},
+	{name: "vote-binds", remove: func(r *rules) {
+		r.promise = func(time.Duration) time.Duration { return 0 }
+	}},
+	{name: "report-after-bound", remove: func(r *rules) {
+		r.settle = func(time.Duration) time.Duration { return 0 }
+	}},
+	{name: "report-majority", remove: func(r *rules) {
+		r.confirmQuorum = func(int, int) int { return 1 }
+	}},
+}
+
 // Each guard of the protocol is there for a failure that a user would see.
 // Without the guard the randomised run must find that failure; a guard whose
 // loss nobody notices is not proved by that run.
 func TestRandomFaultsNeedEachGuard(t *testing.T) {
-	guards := []struct {
-		name   string
-		remove func(*rules)
-	}{
-		{"proof counted from the call", func(r *rules) {
-			r.proofAt = func(_, received, age time.Duration) time.Duration { return received - age }
-		}},
-		{"only upwards", func(r *rules) {
-			r.upward = func(applied, offered uint64) bool { return offered != applied }
-		}},
-		{"majority for an outage", func(r *rules) {
-			r.outageQuorum = func(int) int { return 1 }
-		}},
-		{"half is no majority", func(r *rules) {
-			r.outageQuorum = func(n int) int { return max(1, n/2) }
-		}},
-		{"vote binds the voter", func(r *rules) {
-			r.promise = func(time.Duration) time.Duration { return 0 }
-		}},
-		{"report after the bound", func(r *rules) {
-			r.settle = func(time.Duration) time.Duration { return 0 }
-		}},
-		{"majority for a report", func(r *rules) {
-			r.confirmQuorum = func(int, int) int { return 1 }
-		}},
-	}
 	for _, g := range guards {
 		t.Run(g.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/confsync/sim_node_test.go
+++ b/internal/confsync/sim_node_test.go
@@ -22,6 +22,11 @@
 	tokens  Token
 	confirm map[Token]bool
 	seen    uint64 // highest revision applied since the start
+	// admitted says that the process has admitted work, refused that it had to
+	// refuse some after that.
+	admitted, refused bool
+
+	list uint64 // state of the VM list that the core knows
 }
 
 // start begins a new process under the node's id.
@@ -31,7 +36,8 @@
 	n.core.rules = n.w.rules
 	n.dead, n.paused = false, false
 	n.inbox = nil
-	n.seen = 0
+	n.seen, n.list = 0, 0
+	n.admitted, n.refused = false, false
 	n.replies = map[Token]func(Event){}
 	n.confirm = map[Token]bool{}
 	n.w.note("%s starts", n.vm.ID)
@@ -177,6 +183,10 @@
 
 // members gives the core the entry VMs of a list.
 func (n *simNode) members(digest uint64) {
+	if digest == n.list {
+		return
+	}
+	n.list = digest
 	n.deliver(n.boot, MembersChanged{VMs: n.w.vms.states[digest-1].vms})
 }
 
--- a/internal/confsync/voting.go
+++ b/internal/confsync/voting.go
@@ -36,7 +36,7 @@
 
 // ownStatus is what this node says of itself; a vote binds it.
 func (c *Core) ownStatus(now time.Duration, voting bool) NodeStatus {
-	vote := voting && c.known.applied > 0 && c.seesOutage(now) && c.rules.mayVote(c.known.everProved)
+	vote := voting && c.known.applied > 0 && c.seesOutage(now) && c.rules.mayVote(c.known.provedSinceStart)
 	if vote {
 		c.votes.bind(now, now+c.rules.promise(c.settings.Bound), c.known.applied)
 	}
