--- a/internal/suspect/caller_test.go
+++ b/internal/suspect/caller_test.go
@@ -20,6 +20,9 @@
 	lost     []time.Duration // when the request took an upstream
 	done     bool
 	refusals int
+	// strikeAfter bounds how long an upstream runs the request before it
+	// crashes, in milliseconds.
+	strikeAfter int
 	// current is the attempt that the caller waits for; answers to others
 	// come too late.
 	current string
@@ -30,6 +33,10 @@
 
 func (w *world) addCaller(name string, crasher bool) *caller {
 	c := &caller{w: w, name: name, crasher: crasher, fingerprint: request.NewFingerprint("org", []byte(name))}
+	c.strikeAfter = 10
+	if w.random.IntN(2) == 0 {
+		c.strikeAfter = 400
+	}
 	w.callers = append(w.callers, c)
 	w.after(w.between(0, 3000), c.try)
 	return c
@@ -88,8 +95,8 @@
 		w.after(w.between(200, 2000), func() { c.answer(attempt, false) })
 		return
 	}
-	// Some time passes between the verdict and the sending.
-	w.after(w.between(0, 20), func() { w.do(n, func() { c.start(n, u, attempt) }) })
+	// Some time may pass between the verdict and the sending.
+	w.after(w.between(0, 20)*time.Duration(w.random.IntN(2)), func() { w.do(n, func() { c.start(n, u, attempt) }) })
 }
 
 func (c *caller) start(n *node, u *engine, attempt string) {
@@ -100,7 +107,7 @@
 		return
 	}
 	if c.crasher {
-		w.after(w.between(1, 400), func() { c.strike(u, attempt) })
+		w.after(w.between(1, c.strikeAfter), func() { c.strike(u, attempt) })
 		return
 	}
 	w.after(w.between(100, 3000), func() { c.complete(n, u, attempt) })
@@ -135,6 +142,6 @@
 		return
 	}
 	n.holds[attempt] = func() { c.answer(attempt, false) }
-	n.t.Crashed(CrashID{Upstream: fl.upstream, Epoch: n.epochs[fl.upstream]}, w.time())
+	n.t.Crashed(CrashID{Upstream: fl.upstream, Epoch: 1}, w.time())
 	n.t.Finished(attempt, w.time())
 }
--- a/internal/suspect/flight.go
+++ b/internal/suspect/flight.go
@@ -14,6 +14,10 @@
 	fingerprint request.Fingerprint
 	upstream    string // empty until it is sent
 	started     time.Duration
+	// epoch is the upstream's while the attempt runs there, once a load report
+	// made meanwhile has told it.
+	epoch uint64
+	sure  bool
 	// voters have voted for it; a run of no suspect has none.
 	granted bool
 	lane    string
--- a/internal/suspect/learn.go
+++ b/internal/suspect/learn.go
@@ -1,16 +1,15 @@
 package suspect
 
-import "github.com/hickorybank/hickorybank/internal/request"
+import (
+	"slices"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
 
 // learn takes a record in and passes on what was new. from is the peer that
 // sent it, or empty.
 func (t *Tracker) learn(r Record, from string) {
 	c := t.store.merge(r, t.now)
-	for _, id := range r.Crashes {
-		if _, known := t.crashes[id]; !known {
-			t.crashes[id] = t.now
-		}
-	}
 	e := t.store.get(r.Fingerprint)
 	if e == nil {
 		return
@@ -38,15 +37,20 @@
 }
 
 func (t *Tracker) tell(p *peer, e *entry) {
-	if p != nil && t.settings.has(guardAlert) {
-		p.pending[e.fingerprint] = e.version
+	if p == nil || !t.settings.has(guardAlert) {
+		return
+	}
+	if len(p.pending) == 0 && !slices.Contains(t.untold, p) {
+		t.untold = append(t.untold, p)
 	}
+	p.pending[e.fingerprint] = e.version
 }
 
 // alertPeers sends what peers have not acknowledged.
 func (t *Tracker) alertPeers() {
-	for _, p := range t.peers.all {
-		if len(p.pending) == 0 || (len(p.alerts) > 0 && t.now < p.alerted+t.settings.Resend) {
+	t.untold = slices.DeleteFunc(t.untold, func(p *peer) bool { return len(p.pending) == 0 || t.peers.of[p.id] != p })
+	for _, p := range t.untold {
+		if len(p.alerts) > 0 && t.now < p.alerted+t.settings.Resend {
 			continue
 		}
 		t.alert(p)
@@ -84,15 +88,3 @@
 	}
 	t.learn(Record{Fingerprint: f, Cleared: []CrashID{self}, Left: e.expires - t.now}, "")
 }
-
-// sweepCrashes forgets crashes that no record can be due to any more.
-func (t *Tracker) sweepCrashes() {
-	if len(t.crashes) <= 2*t.settings.MaxRecords {
-		return
-	}
-	for id, at := range t.crashes {
-		if t.now > at+t.settings.Expiry {
-			delete(t.crashes, id)
-		}
-	}
-}
--- a/internal/suspect/loss.go
+++ b/internal/suspect/loss.go
@@ -21,14 +21,15 @@
 // this node in flight there becomes a suspect. The failure of each may be told
 // to its caller once Ready names it in Released: as a rule after one round
 // trip to the peers, at the latest after Settings.Lapse and Grace. It returns
-// those attempts; they still end by Finished.
+// those attempts; they still end by Finished. The epoch in id is the caller's
+// belief; what Observe has told of each attempt goes before it.
 func (t *Tracker) Crashed(id CrashID, now time.Time) []string {
 	t.at(now)
 	l := &loss{at: t.now}
 	seen := t.burst.add(id.Upstream, t.now)
 	for _, fl := range t.flightsAt(id.Upstream) {
 		l.attempts = append(l.attempts, fl.attempt)
-		if t.accuse(fl, id, seen) {
+		if t.accuse(fl, seen) {
 			l.fingerprints = append(l.fingerprints, fl.fingerprint)
 		}
 	}
@@ -39,7 +40,7 @@
 }
 
 // accuse makes the attempt's request a suspect and says whether it did.
-func (t *Tracker) accuse(fl *flight, id CrashID, upstreams int) bool {
+func (t *Tracker) accuse(fl *flight, upstreams int) bool {
 	known := t.store.get(fl.fingerprint).suspect()
 	if !known && upstreams > massLoss {
 		return false
@@ -49,23 +50,37 @@
 	}
 	t.learn(Record{
 		Fingerprint: fl.fingerprint,
-		Crashes:     []CrashID{t.distinct(id, fl)},
+		Crashes:     []CrashID{t.crashOf(fl)},
 		Left:        t.settings.Expiry,
 	}, "")
 	return true
 }
 
-// distinct names the crash. An attempt that was sent after the crash of that
-// epoch had become known here has met another one: the epoch is a stale one,
-// from before the upstream started again.
-func (t *Tracker) distinct(id CrashID, fl *flight) CrashID {
-	known, ok := t.crashes[id]
-	if !ok || fl.started <= known {
-		return id
+// Observe tells that a load report of the upstream was made at asOf, in that
+// epoch. Attempts in flight since before then run in that epoch.
+func (t *Tracker) Observe(upstream string, epoch uint64, asOf, now time.Time) {
+	t.at(now)
+	at := asOf.Sub(t.base)
+	for _, fl := range t.flights {
+		if fl.upstream == upstream && fl.started < at && !fl.sure {
+			fl.epoch = epoch
+			fl.sure = true
+		}
+	}
+}
+
+// crashOf names the crash that ended the attempt.
+//
+// Several nodes see one crash, and an epoch that is known makes it one. An
+// epoch from before the attempt may be an earlier one: two crashes would then
+// count as one and a third upstream be lost. So without a report made while
+// the attempt ran its crash has a name of its own.
+func (t *Tracker) crashOf(fl *flight) CrashID {
+	if fl.sure {
+		return CrashID{Upstream: fl.upstream, Epoch: fl.epoch}
 	}
-	const another = 1 << 63
-	id.Epoch = (id.Epoch ^ xxhash.Sum64String(fl.attempt)) | another
-	return id
+	const unsure = 1 << 63
+	return CrashID{Upstream: fl.upstream, Epoch: xxhash.Sum64String(fl.attempt) | unsure}
 }
 
 // releaseLosses lets the callers hear of the failures that the peers know of.
--- a/internal/suspect/losses_test.go
+++ b/internal/suspect/losses_test.go
@@ -15,7 +15,7 @@
 
 // play runs one seed and returns what is wrong, or nothing.
 func play(seed uint64, off guard, keepLog bool) (string, *world) {
-	const faultsEnd, end = 40 * time.Second, maxLife + 2*time.Minute
+	const faultsEnd, end = 25 * time.Second, maxLife + 2*time.Minute
 	w := newWorld(seed, off)
 	w.keepLog = keepLog
 	bad := w.addCaller("crasher", true)
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -18,8 +18,6 @@
 	holder  *Holder
 	peers   peers
 	flights map[string]*flight
-	// crashes are those known here, and since when.
-	crashes map[CrashID]time.Duration
 	burst   burst
 
 	freshness freshness
@@ -27,6 +25,8 @@
 	asks      []*ask
 	releases  []*release
 	losses    []*loss
+	// untold are the peers that have not acknowledged all news.
+	untold []*peer
 
 	seq uint64
 	out Ready
@@ -45,7 +45,6 @@
 		settings: s.withDefaults(now),
 		base:     now,
 		flights:  map[string]*flight{},
-		crashes:  map[CrashID]time.Duration{},
 	}
 	t.store = newStore(&t.settings)
 	t.holder = NewHolder(t.settings.MaxRun)
@@ -105,7 +104,6 @@
 // work does all that time or news has made due.
 func (t *Tracker) work() {
 	t.store.sweep(t.now)
-	t.sweepCrashes()
 	t.peers.forget(t.now - t.settings.Expiry - t.settings.MaxRun)
 	t.expireVotes()
 	t.pullIfDue()
--- a/internal/suspect/world_test.go
+++ b/internal/suspect/world_test.go
@@ -40,7 +40,6 @@
 	paused bool
 	dead   bool
 	resume []func()
-	epochs map[string]uint64 // as last polled
 	waits  map[string]func(Decision)
 	holds  map[string]func()
 }
@@ -126,7 +125,7 @@
 
 func (w *world) addNode(id string) *node {
 	w.born++
-	n := &node{id: id, epochs: map[string]uint64{}, waits: map[string]func(Decision){}, holds: map[string]func(){}}
+	n := &node{id: id, waits: map[string]func(Decision){}, holds: map[string]func(){}}
 	n.t = New(Settings{Self: id, Born: w.born, MaxRun: 30 * time.Second, Expiry: 2 * time.Minute, MaxLife: maxLife, off: w.off}, w.time())
 	w.nodes = append(w.nodes, n)
 	w.after(w.between(0, 50), func() { w.tick(n) })
@@ -150,14 +149,26 @@
 	w.after(50*time.Millisecond, func() { w.tick(n) })
 	w.do(n, func() {
 		if w.random.IntN(30) == 0 {
-			for _, u := range w.upstreams {
-				n.epochs[u.id] = u.epoch
-			}
+			w.poll(n)
 		}
 		n.t.Tick(w.time())
 	})
 }
 
+// poll asks the upstreams for their load; the answers are late.
+func (w *world) poll(n *node) {
+	asOf := w.time()
+	for _, u := range w.upstreams {
+		if u.down {
+			continue
+		}
+		epoch := u.epoch
+		w.after(w.between(1, 1500), func() {
+			w.do(n, func() { n.t.Observe(u.id, epoch, asOf, w.time()) })
+		})
+	}
+}
+
 // do runs a step of a node, or keeps it until the node's pause ends.
 func (w *world) do(n *node, step func()) {
 	if n.dead {
