Run a whole deployment in one process, and measure it by open-loop load

Cause: a newcomer had nothing to send a request to, and no figure could be had from the product itself. "dev" joins a stand-in platform, 18 engines, 4 service runners and the entry nodes of an example deployment over the real protocols; it prints keys and a curl line, and a test runs what is printed. Ruled out: sending each job to both lanes at once (it doubles the load and correlates the arrivals), and a lane after the other (the machine changes). "entry" takes the node's new settings: peers, operators, session keys, TLS files, seeds, address answers and the length of a stop.

--- a/internal/cli/admin_lists.go
+++ b/internal/cli/admin_lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/hickorybank/hickorybank/internal/admin"
@@ -116,12 +117,20 @@
 	return show(&c.adminOptions, "nodes", nil, func(l *admin.NodeList) error {
 		t := newTable("NODE", "ADDRESS", "PEER", "FAILURE DOMAIN", "STATE", "REVISION", "DETAIL")
 		for _, n := range l.Nodes {
-			t.add(n.ID, n.Address, n.Peer, n.FailureDomain, n.State, n.Revision, n.Detail)
+			t.add(n.ID, n.Address, n.Peer, n.FailureDomain, n.State, known(n.Revision), n.Detail)
 		}
 		return t.write(c.env.out)
 	})
 }
 
+// known is a revision, or nothing when the asked node does not know it.
+func known(revision uint64) string {
+	if revision == 0 {
+		return ""
+	}
+	return strconv.FormatUint(revision, 10)
+}
+
 type adminUpstreamsCommand struct{ adminOptions }
 
 // Execute lists the upstreams.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -64,7 +64,7 @@
 		{[]string{}, 2, "Please specify"},
 		{[]string{"entry", "--nonsense"}, 2, "nonsense"},
 		{[]string{"entry", "--listen", "here"}, 2, `--listen (HICKORYBANK_LISTEN) is "here"; accepted: an IP and port`},
-		{[]string{"entry"}, 2, "3 settings cannot be used"},
+		{[]string{"entry"}, 2, "4 settings cannot be used"},
 		{[]string{"standin", "upstream", "--id", "s", "--failure-domain", "d", "--kind", "service"}, 2, "--service (HICKORYBANK_SERVICE) is missing"},
 		{[]string{"standin", "platform", "--writes=-1", "--list-lag", "soon"}, 2, "2 settings cannot be used"},
 		{[]string{"admin", "nodes", "--admin", "http://127.0.0.1:1", "--operator-key", "k"}, 1, "gave no answer"},
--- /dev/null
+++ b/internal/cli/dev/ready.go
@@ -0,0 +1,67 @@
+package dev
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/admin/client"
+	"github.com/hickorybank/hickorybank/internal/example"
+)
+
+const readyPause = 50 * time.Millisecond
+
+// AwaitReady returns when every entry node takes new work and knows an
+// upstream, or with the context's error.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, n := range d.entries {
+		if err := awaitEntry(ctx, n.AdminAddr()); err != nil {
+			return eris.Wrap(err, "entry node at "+n.Addr())
+		}
+	}
+	return nil
+}
+
+func awaitEntry(ctx context.Context, addr string) error {
+	c := client.New("http://"+addr, example.OperatorKey)
+	defer c.Close()
+	for !(takesWork(ctx, addr) && knowsUpstreams(ctx, c)) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
+func takesWork(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	transport := new(http.Transport)
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// knowsUpstreams says whether there are an engine and a service.
+func knowsUpstreams(ctx context.Context, c *client.Client) bool {
+	var list admin.UpstreamList
+	if _, err := c.Get(ctx, "upstreams", nil, &list); err != nil {
+		return false
+	}
+	kinds := map[string]bool{}
+	for _, u := range list.Upstreams {
+		kinds[u.Kind] = true
+	}
+	return len(kinds) > 1
+}
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -1,12 +1,15 @@
 package cli
 
 import (
+	"encoding/hex"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorybank/hickorybank/internal/cli/setting"
 	"github.com/hickorybank/hickorybank/internal/node"
-	"github.com/hickorybank/hickorybank/internal/platform"
 	platformclient "github.com/hickorybank/hickorybank/internal/platform/client"
+	"github.com/hickorybank/hickorybank/internal/secure"
 	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
 
@@ -25,19 +28,22 @@
 
 type entryCommand struct {
 	logOptions
-	env           *env
-	ID            string           `long:"id" env:"HICKORYBANK_ID" accept:"name" needed:"yes" description:"this VM's name in the platform's list"`
-	FailureDomain string           `long:"failure-domain" env:"HICKORYBANK_FAILURE_DOMAIN" accept:"name" needed:"yes" description:"this VM's failure domain"`
-	Platform      string           `long:"platform" env:"HICKORYBANK_PLATFORM" accept:"url" needed:"yes" description:"base URL of the platform"`
-	Listen        string           `long:"listen" env:"HICKORYBANK_LISTEN" accept:"address" default:"127.0.0.1:8080" description:"IP and port for callers"`
-	PeerListen    string           `long:"peer-listen" env:"HICKORYBANK_PEER_LISTEN" accept:"address" default:"127.0.0.1:0" description:"IP and port for other entry nodes"`
-	AdminListen   string           `long:"admin-listen" env:"HICKORYBANK_ADMIN_LISTEN" accept:"address" description:"IP and port for operators; none, if not given"`
-	OperatorKeys  []string         `long:"operator-key-hash" env:"HICKORYBANK_OPERATOR_KEY_HASH" env-delim:"," accept:"keyhash" secret:"yes" description:"[NAME=]SHA-256 sum of an operator's key (repeat)"`
-	SessionKeys   []string         `long:"session-key" env:"HICKORYBANK_SESSION_KEY" env-delim:"," accept:"secret" secret:"yes" default-mask:"-" description:"key of session tokens in hexadecimal, the same on every node; the first signs, all verify (repeat)"`
-	Seeds         []string         `long:"seed-peer" env:"HICKORYBANK_SEED_PEER" env-delim:"," accept:"address" description:"peer IP and port to ask while the platform gives no list (repeat)"`
-	AddressTTL    setting.Duration `long:"address-ttl" env:"HICKORYBANK_ADDRESS_TTL" accept:"100ms..1h" default:"5s" description:"how long callers may keep an answer of /v1/addresses"`
-	StopTimeout   setting.Duration `long:"stop-timeout" env:"HICKORYBANK_STOP_TIMEOUT" accept:"1s..24h" default:"30m" description:"how long a stop may take; what runs then is cut off"`
-	Register      bool             `long:"register" env:"HICKORYBANK_REGISTER" description:"tell a stand-in platform of this VM"`
+	env            *env
+	ID             string           `long:"id" env:"HICKORYBANK_ID" accept:"name" needed:"yes" description:"this VM's name in the platform's list"`
+	FailureDomain  string           `long:"failure-domain" env:"HICKORYBANK_FAILURE_DOMAIN" accept:"name" needed:"yes" description:"this VM's failure domain"`
+	Platform       string           `long:"platform" env:"HICKORYBANK_PLATFORM" accept:"url" needed:"yes" description:"base URL of the platform"`
+	Listen         string           `long:"listen" env:"HICKORYBANK_LISTEN" accept:"address" default:"127.0.0.1:8080" description:"IP and port for callers"`
+	PeerListen     string           `long:"peer-listen" env:"HICKORYBANK_PEER_LISTEN" accept:"address" default:"127.0.0.1:0" description:"IP and port for other entry nodes"`
+	AdminListen    string           `long:"admin-listen" env:"HICKORYBANK_ADMIN_LISTEN" accept:"address" description:"IP and port for operators; none, if not given"`
+	OperatorKeys   []string         `long:"operator-key-hash" env:"HICKORYBANK_OPERATOR_KEY_HASH" env-delim:"," accept:"keyhash" secret:"yes" description:"[NAME=]SHA-256 sum of an operator's key (repeat)"`
+	SessionKeys    []string         `long:"session-key" env:"HICKORYBANK_SESSION_KEY" env-delim:"," accept:"secret" needed:"yes" secret:"yes" default-mask:"-" description:"key of session tokens in hexadecimal, the same on every node; the first signs, all verify (repeat)"`
+	Certificate    string           `long:"tls-certificate" env:"HICKORYBANK_TLS_CERTIFICATE" accept:"text" description:"PEM file: the node's certificate towards callers, operators and peers; plain TCP, if not given"`
+	CertificateKey string           `long:"tls-key" env:"HICKORYBANK_TLS_KEY" accept:"text" description:"PEM file: the certificate's key"`
+	PeerAuthority  string           `long:"tls-peer-authority" env:"HICKORYBANK_TLS_PEER_AUTHORITY" accept:"text" description:"PEM file: who signs entry nodes' certificates; without it they talk in the clear"`
+	Seeds          []string         `long:"seed-peer" env:"HICKORYBANK_SEED_PEER" env-delim:"," accept:"address" description:"peer IP and port to ask while the platform gives no list (repeat)"`
+	AddressTTL     setting.Duration `long:"address-ttl" env:"HICKORYBANK_ADDRESS_TTL" accept:"100ms..1h" default:"5s" description:"how long callers may keep an answer of /v1/addresses"`
+	StopTimeout    setting.Duration `long:"stop-timeout" env:"HICKORYBANK_STOP_TIMEOUT" accept:"1s..24h" default:"30m" description:"how long a stop may take; what runs then is cut off"`
+	Register       bool             `long:"register" env:"HICKORYBANK_REGISTER" description:"tell a stand-in platform of this VM"`
 }
 
 // faults are those that concern more than one setting.
@@ -53,28 +59,69 @@
 
 // Execute runs an entry node until it is told to stop.
 func (c *entryCommand) Execute([]string) error {
+	settings, err := c.settings()
+	if err != nil {
+		return err
+	}
 	log := c.logger(c.env)
 	client := platformclient.New(c.Platform)
 	defer client.Close()
-	n := node.New(c.settings(), node.Deps{
+	n, err := node.New(settings, node.Deps{
 		Platform: client,
 		Engines:  upstreamclient.NewEngines(upstreamclient.Options{}),
 		Services: upstreamclient.NewServices(upstreamclient.Options{}),
 		Log:      log,
 	})
+	if err != nil {
+		return err
+	}
 	ready := func() error {
 		if c.Register {
-			vm := platform.VM{ID: c.ID, Role: platform.RoleEntry, Addr: n.Addr(), FailureDomain: c.FailureDomain, State: platform.Live}
-			if err := register(client, vm); err != nil {
+			if err := register(client, n.VM()); err != nil {
 				return err
 			}
 		}
-		fmt.Fprintln(c.env.out, "ready entry", n.Addr())
+		fmt.Fprintln(c.env.out, readyLine(n))
 		return nil
 	}
 	return run(log, c.StopTimeout.Get(), ready, n)
 }
 
-func (c *entryCommand) settings() node.Settings {
-	return node.Settings{ID: c.ID, Listen: c.Listen, FailureDomain: c.FailureDomain}
+// readyLine names the node's addresses, each after the word for it.
+func readyLine(n *node.Node) string {
+	line := "ready entry " + n.Addr() + " peer " + n.VM().Peer
+	if n.AdminAddr() != "" {
+		line += " admin " + n.AdminAddr()
+	}
+	return line
+}
+
+func (c *entryCommand) settings() (node.Settings, error) {
+	configs, err := secure.Load(secure.Files{Certificate: c.Certificate, Key: c.CertificateKey, PeerAuthority: c.PeerAuthority})
+	if err != nil {
+		return node.Settings{}, err
+	}
+	return node.Settings{
+		ID: c.ID, FailureDomain: c.FailureDomain,
+		Listen: c.Listen, PeerListen: c.PeerListen, AdminListen: c.AdminListen,
+		OperatorKeyHashes: c.OperatorKeys, SessionKeys: secrets(c.SessionKeys),
+		Seeds: c.Seeds, AddressTTL: c.AddressTTL.Get(), Seed: seedOf(c.ID),
+		TLS: configs,
+	}, nil
+}
+
+// secrets decodes hexadecimal texts that were checked.
+func secrets(texts []string) [][]byte {
+	keys := make([][]byte, 0, len(texts))
+	for _, text := range texts {
+		key, err := hex.DecodeString(text)
+		if err != nil {
+			panic(err) // the settings were checked
+		}
+		keys = append(keys, key)
+	}
+	return keys
 }
+
+// seedOf spreads what must differ between nodes, whose ids do.
+func seedOf(id string) uint64 { return xxhash.Sum64String(id) }
--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -7,12 +7,18 @@
 // logOptions are the flags of every long-running command.
 type logOptions struct {
 	LogFormat string `long:"log-format" env:"HICKORYBANK_LOG_FORMAT" accept:"one of text, json" default:"text" description:"form of the log"`
-	LogLevel  string `long:"log-level" env:"HICKORYBANK_LOG_LEVEL" accept:"one of debug, info, warn, error" default:"info" description:"least level that is logged"`
+	LogLevel  string `long:"log-level" env:"HICKORYBANK_LOG_LEVEL" accept:"one of debug, info, warn, error" description:"least level that is logged (info, if not given; warn for dev)"`
 }
 
-func (o *logOptions) logger(e *env) *slog.Logger {
+func (o *logOptions) logger(e *env) *slog.Logger { return o.loggerFrom(e, "info") }
+
+// loggerFrom returns a logger from a level on, unless another was given.
+func (o *logOptions) loggerFrom(e *env, least string) *slog.Logger {
+	if o.LogLevel != "" {
+		least = o.LogLevel
+	}
 	var level slog.Level
-	if err := level.UnmarshalText([]byte(o.LogLevel)); err != nil {
+	if err := level.UnmarshalText([]byte(least)); err != nil {
 		panic(err) // the settings were checked
 	}
 	options := &slog.HandlerOptions{Level: level}
--- a/internal/cli/parser.go
+++ b/internal/cli/parser.go
@@ -47,6 +47,8 @@
 func commands(e *env) []command {
 	return []command{
 		{name: "entry", short: "run an entry node", long: entryHelp, data: &entryCommand{env: e}},
+		{name: "dev", short: "run a whole example deployment in one process", long: devHelp, data: &devCommand{env: e}},
+		{name: "load", short: "send load and report on it", long: loadHelp, data: &loadCommand{env: e}},
 		{name: "standin", short: "run a stand-in for an outside system", long: standinHelp, sub: []command{
 			{name: "platform", short: "run a stand-in platform", long: standinPlatformHelp, data: &standinPlatformCommand{env: e}},
 			{name: "upstream", short: "run a stand-in model engine or plain service", long: standinUpstreamHelp, data: &standinUpstreamCommand{env: e}},
