Check claim histories, old rows and settled buckets

Cause: what callers hear must be what one single ledger could have said. The result now says so (Doubted), and the model allows just that. Ruled out: answering only after the release of the copy, since it would let a denied caller wait for a table that may be down.

--- a/internal/ledger/claim/result.go
+++ b/internal/ledger/claim/result.go
@@ -34,4 +34,9 @@
 	// Record is the key's record for Granted, Running, Settled, Unknown and
 	// KeyReused.
 	Record Record
+	// Doubted says that a copy of the claim may still be on its way, though
+	// the key is held by another attempt. Should that one be released, the
+	// copy may take the key for a moment, until the ledger, which does so
+	// without being asked, has released this attempt too.
+	Doubted bool
 }
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -31,13 +31,16 @@
 		Print: r.Fingerprint, Node: l.process,
 	}
 	out := l.appendEntry(ctx, name, &e)
-	if out.doubt && out.verdict != claim.VerdictGranted && out.verdict != claim.VerdictRefused {
+	doubted := out.doubt && out.verdict != claim.VerdictGranted && out.verdict != claim.VerdictRefused
+	if doubted {
 		// The caller hears that it does not hold the key. A copy of the
 		// claim that is still on its way could take the key later, for
-		// nobody, if it were not barred.
+		// nobody and for good, if it were not barred.
 		l.release(name, e.ID, e.Attempt)
 	}
-	return l.claimed(ctx, out)
+	result, err := l.claimed(ctx, out)
+	result.Doubted = doubted
+	return result, err
 }
 
 // checkTime refuses keys whose logs may be deleted already, and those that
--- /dev/null
+++ b/internal/ledger/janitor_test.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/claim"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+)
+
+// Nobody looks after the table. Claims must not pile up for ever: after the
+// window their rows go, and only then may an opaque key be used anew.
+func TestOldClaimsAreDeleted(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		claimAs := func(id, k string) claim.State {
+			r, err := c.ledgers[id].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+			is.NoErr(err)
+			return r.State
+		}
+		timed := newKey()
+		is.Equal(claimAs("e0", timed), claim.Granted)
+		is.Equal(claimAs("e0", "order"), claim.Granted)
+		is.Equal(len(c.platform.Dump("claims/").Rows), 2)
+		time.Sleep(23 * time.Hour)
+		is.Equal(claimAs("e1", timed), claim.Unknown)
+		is.Equal(claimAs("e1", "order"), claim.Unknown)
+		time.Sleep(5 * time.Hour)
+		is.Equal(len(c.platform.Dump("claims/").Rows), 0)
+		is.Equal(len(c.platform.Dump("claim-floors/").Rows), 4+1) // all timed shards, one opaque
+		is.Equal(claimAs("e1", timed), claim.KeyTooOld)
+		is.Equal(claimAs("e1", "order"), claim.Granted)
+		is.Equal(claimAs("e0", "order"), claim.Running)
+	})
+}
+
+// A bill is written at two nodes with two amounts, one row in the table and
+// one among the objects. The bucket closes and is settled, once, by whichever
+// node comes first; a bill that was held through a long outage comes later and
+// makes a second revision.
+func TestClosedBucketIsSettledOnce(t *testing.T) {
+	inBubble(t, 4, func(is *is.I, c *cluster) {
+		k, late := newKey(), newKey()
+		b := billOf(k, 7)
+		_, err := c.ledgers["e0"].Bill(within(5*time.Second), b)
+		is.NoErr(err)
+		c.fail(fault.Change{Table: &fault.Fault{Down: true}})
+		dear := b
+		dear.Cost, dear.At = 9, b.At.Add(time.Second)
+		_, err = c.ledgers["e1"].Bill(within(5*time.Second), dear)
+		is.NoErr(err)
+		c.fail(fault.Change{Table: &fault.Fault{}})
+
+		bucket := c.settings.Layout.Bill(k, time.Time{})
+		_, err = c.ledgers["e0"].SettleBucket(context.Background(), bucket)
+		is.True(errors.Is(err, ErrOpenBucket))
+		time.Sleep(27 * time.Hour)
+		is.Equal(len(c.platform.Dump(bucket.Summary()).Rows), 1)
+		want := []Total{{Org: "org", Bills: 1, Cost: 7}}
+		for id := range c.ledgers {
+			s, err := c.ledgers[id].SettleBucket(context.Background(), bucket)
+			is.NoErr(err)
+			is.Equal(s, Summary{Revision: 1, Totals: want})
+		}
+		_, err = c.ledgers["e2"].Bill(within(5*time.Second), billOf(late, 1))
+		is.NoErr(err)
+		s, err := c.ledgers["e3"].SettleBucket(context.Background(), bucket)
+		is.NoErr(err)
+		is.Equal(s, Summary{Revision: 2, Totals: []Total{{Org: "org", Bills: 2, Cost: 8}}})
+		from, to := c.settings.Layout.Span(bucket)
+		sum, err := c.ledgers["e1"].Totals(context.Background(), BillQuery{From: from, To: to})
+		is.NoErr(err)
+		is.Equal(sum, s.Totals)
+	})
+}
+
+// A caller uses its own order numbers as keys and sends one again over
+// midnight. The two bills lie in two buckets, and are one bill of the first.
+func TestOpaqueKeyIsBilledOnceOverMidnight(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		time.Sleep(23 * time.Hour) // the bubble begins at midnight
+		first := billOf("order", 7)
+		_, err := c.ledgers["e0"].Bill(within(5*time.Second), first)
+		is.NoErr(err)
+		time.Sleep(2 * time.Hour)
+		_, err = c.ledgers["e1"].Bill(within(5*time.Second), billOf("order", 9))
+		is.NoErr(err)
+		is.Equal(c.settings.Layout.Bill("order", first.At).Kind, key.Opaque)
+		is.Equal(c.allBills("e0"), []Bill{first})
+		page, err := c.ledgers["e0"].Bills(context.Background(), BillQuery{From: time.Now().Add(-time.Hour), To: time.Now().Add(time.Hour)})
+		is.NoErr(err)
+		is.Equal(len(page.Bills), 0)
+		page, err = c.ledgers["e0"].Bills(context.Background(), BillQuery{Org: "another", From: first.At.Add(-time.Hour), To: time.Now()})
+		is.NoErr(err)
+		is.Equal(len(page.Bills), 0)
+		_, err = c.ledgers["e0"].Bills(context.Background(), BillQuery{From: first.At, To: time.Now(), Cursor: "x"})
+		is.True(err != nil)
+	})
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/ledger/claim"
+	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
@@ -264,3 +265,27 @@
 		is.Equal(string(got.Record.Answer), "yes")
 	})
 }
+
+// The platform is down for so long that the memory for bills is used up. The
+// ledger says that it is not ready, so that new work is refused as not run,
+// and says so no more when the platform has taken the bills.
+func TestFullMemoryRefusesNewWork(t *testing.T) {
+	inBubble(t, 4, func(is *is.I, c *cluster) {
+		c.settings.MaxWaiting = 3
+		l := c.start(platform.VM{ID: "e9", Peer: "e9", FailureDomain: "d9", State: platform.Live})
+		c.storeDown(true)
+		for range 3 {
+			is.True(l.Ready())
+			safety, err := l.Bill(within(8*time.Second), billOf(newKey(), 1))
+			is.NoErr(err)
+			is.Equal(safety, bill.InPeers)
+		}
+		is.True(!l.Ready())
+		_, err := l.Bill(within(8*time.Second), billOf(newKey(), 1))
+		is.True(errors.Is(err, ErrUnsafe))
+		c.storeDown(false)
+		time.Sleep(5 * time.Second)
+		is.True(l.Ready())
+		is.Equal(len(c.allBills("e1")), 3)
+	})
+}
