--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -108,9 +108,10 @@
 	}
 	err := l.flush(ctx)
 	l.stop()
+	// In this order: duties and calls of others begin calls to peers.
+	l.duties.Wait()
 	l.inside.Wait()
 	l.calls.Wait()
-	l.duties.Wait()
 	event.LedgerStopped.Log(l.deps.Log, slog.String("process", l.process))
 	return err
 }
