--- a/internal/confsync/calls.go
+++ b/internal/confsync/calls.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
 )
 
 // readHead reads the head row of the table.
@@ -10,6 +13,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.settings.ReadTimeout)
 	defer cancel()
 	revision, err := s.deps.Store.Head(ctx)
+	s.noteRead(err)
 	if err != nil {
 		s.post(input{event: ReadFailed(d)})
 		return
@@ -17,6 +21,15 @@
 	s.post(input{event: HeadRead{Token: d.Token, Revision: revision}})
 }
 
+// noteRead logs the first failure of several in a row.
+func (s *Syncer) noteRead(err error) {
+	failing := err != nil && s.ctx.Err() == nil
+	if failing && !s.failing.Load() {
+		event.ConfigReadError.Log(s.deps.Log, slog.Any("error", err))
+	}
+	s.failing.Store(failing)
+}
+
 // fetch reads a document of the table: the deltas since the known one if they
 // are stored, else the whole.
 func (s *Syncer) fetch(d Fetch, known *archive) {
--- a/internal/confsync/sim_node_test.go
+++ b/internal/confsync/sim_node_test.go
@@ -50,10 +50,22 @@
 	}
 	if !n.paused {
 		n.step(Tick{})
+		n.countRefusal()
 	}
 	n.w.after(simTick, func() { n.tick(boot) })
 }
 
+// countRefusal samples whether the node has to refuse work.
+func (n *simNode) countRefusal() {
+	if !n.admitted {
+		return
+	}
+	n.w.counts.samples++
+	if n.w.now >= n.core.FreshUntil() {
+		n.w.counts.refusing++
+	}
+}
+
 func (n *simNode) kill() {
 	n.dead = true
 	n.w.note("%s is killed", n.vm.ID)
--- a/internal/confsync/sim_world_test.go
+++ b/internal/confsync/sim_world_test.go
@@ -38,6 +38,8 @@
 // counts are what the nodes did together.
 type counts struct {
 	steps, headReads, docReads, listReads, waits, surveys int
+	// samples of nodes that once admitted work, and those that refused it.
+	samples, refusing int
 }
 
 func newWorld(seed uint64, s Settings) *world {
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -42,6 +42,8 @@
 	// whole asks the next fetch for the whole document: stored deltas did not
 	// lead to it, as when another release encodes a field differently.
 	whole atomic.Bool
+	// failing says that the last read of the head failed.
+	failing atomic.Bool
 
 	ctx    context.Context
 	stop   context.CancelFunc
