--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -9,7 +9,12 @@
 	"github.com/hickorybank/hickorybank/internal/membership"
 )
 
-const stopTick = 50 * time.Millisecond
+const (
+	stopTick = 50 * time.Millisecond
+	// announceLimit bounds the telling of the peers. A failure domain that is
+	// gone or cut off never answers, and its callers cannot be told anyway.
+	announceLimit = 3 * time.Second
+)
 
 // stopping carries out a planned stop.
 type stopping struct {
@@ -79,7 +84,9 @@
 
 func (s *stopping) leave(ctx context.Context) bool {
 	s.node.members.MarkLeaving(s.node.settings.ID)
-	s.node.sync.AnnounceLeaving(ctx)
+	announce, cancel := context.WithTimeout(ctx, announceLimit)
+	s.node.sync.AnnounceLeaving(announce)
+	cancel()
 	return s.take(ctx, membership.PeersTold)
 }
 
