--- /dev/null
+++ b/internal/api/main_test.go
@@ -0,0 +1,9 @@
+package api
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/cli/dev/ready.go
+++ b/internal/cli/dev/ready.go
@@ -10,25 +10,26 @@
 	"github.com/hickorybank/hickorybank/internal/admin"
 	"github.com/hickorybank/hickorybank/internal/admin/client"
 	"github.com/hickorybank/hickorybank/internal/example"
+	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
 const readyPause = 50 * time.Millisecond
 
-// AwaitReady returns when every entry node takes new work and knows an
-// upstream, or with the context's error.
+// AwaitReady returns when every entry node takes new work and has heard from
+// the upstreams what they can do, or with the context's error.
 func (d *Deployment) AwaitReady(ctx context.Context) error {
 	for _, n := range d.entries {
-		if err := awaitEntry(ctx, n.AdminAddr()); err != nil {
+		if err := d.awaitEntry(ctx, n.AdminAddr()); err != nil {
 			return eris.Wrap(err, "entry node at "+n.Addr())
 		}
 	}
 	return nil
 }
 
-func awaitEntry(ctx context.Context, addr string) error {
+func (d *Deployment) awaitEntry(ctx context.Context, addr string) error {
 	c := client.New("http://"+addr, example.OperatorKey)
 	defer c.Close()
-	for !(takesWork(ctx, addr) && knowsUpstreams(ctx, c)) {
+	for !(takesWork(ctx, addr) && d.knowsUpstreams(ctx, c)) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -53,15 +54,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// knowsUpstreams says whether there are an engine and a service.
-func knowsUpstreams(ctx context.Context, c *client.Client) bool {
+// knowsUpstreams says whether the node knows a service runner, and an engine
+// for each version.
+func (d *Deployment) knowsUpstreams(ctx context.Context, c *client.Client) bool {
 	var list admin.UpstreamList
 	if _, err := c.Get(ctx, "upstreams", nil, &list); err != nil {
 		return false
 	}
-	kinds := map[string]bool{}
+	services, versions := 0, map[string]bool{}
 	for _, u := range list.Upstreams {
-		kinds[u.Kind] = true
+		if u.Kind == string(platform.RoleService) {
+			services++
+		}
+		for _, v := range u.Versions {
+			versions[v] = true
+		}
 	}
-	return len(kinds) > 1
+	return services > 0 && len(versions) == len(d.topology.Versions)
 }
