--- /dev/null
+++ b/internal/capacity/fleet_confsync.go
@@ -0,0 +1,195 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hickorybank/hickorybank/internal/admin"
+	"github.com/hickorybank/hickorybank/internal/confsync"
+	"github.com/hickorybank/hickorybank/internal/confsync/tablestore"
+	"github.com/hickorybank/hickorybank/internal/peer"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
+)
+
+func discard() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// configFleet is nodes that keep a configuration fresh over loopback, before a
+// platform in memory.
+type configFleet struct {
+	platform *memory.Platform
+	nodes    []*configNode
+	vms      []platform.VM
+}
+
+type configNode struct {
+	syncer *confsync.Syncer
+	server *peer.Server
+	pool   *peer.Pool
+	relay  *relay
+}
+
+// fleetOrgs is how many organisations the fleet's configuration has.
+const fleetOrgs = 10
+
+// newConfigFleet starts nodes; counted puts a relay before each.
+func newConfigFleet(size int, counted bool) (*configFleet, error) {
+	f := &configFleet{platform: memory.New(), vms: fleet(size, 0, max(1, size/fleetDomain))}
+	if err := f.store(); err != nil {
+		return nil, err
+	}
+	for i := range f.vms {
+		if err := f.add(&f.vms[i], counted); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	for i, n := range f.nodes {
+		n.syncer = f.syncer(i)
+		if err := n.syncer.Register(n.server); err != nil {
+			f.close()
+			return nil, err
+		}
+		n.server.Serve()
+	}
+	for _, n := range f.nodes {
+		if err := n.syncer.Start(); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, f.settle()
+}
+
+// fleetDomain is how many nodes of a fleet are in one failure domain, as at
+// the letter's size.
+const fleetDomain = 42
+
+func (f *configFleet) store() error {
+	_, applied, err := admin.NewStore(f.platform).Put(context.Background(), 0, document(fleetOrgs), "capacity")
+	if err == nil && !applied {
+		err = eris.New("the configuration was not stored")
+	}
+	return err
+}
+
+func (f *configFleet) add(vm *platform.VM, counted bool) error {
+	n := &configNode{server: peer.NewServer(), pool: peer.NewPool()}
+	if err := n.server.Listen("127.0.0.1:0"); err != nil {
+		return err
+	}
+	f.nodes = append(f.nodes, n)
+	vm.Peer = n.server.Addr()
+	if !counted {
+		return nil
+	}
+	r, err := newRelay(vm.Peer)
+	if err != nil {
+		return err
+	}
+	n.relay = r
+	vm.Peer = r.addr()
+	return nil
+}
+
+func (f *configFleet) syncer(i int) *confsync.Syncer {
+	return confsync.New(confsync.Settings{Seed: uint64(i)}, confsync.Deps{
+		Store: tablestore.New(f.platform), Peers: f.nodes[i].pool, Self: f.vms[i], Log: discard(),
+		Members: func() []platform.VM { return f.vms },
+	})
+}
+
+// settle waits until every node has the configuration, and each failure domain
+// its readers and no more.
+func (f *configFleet) settle() error {
+	const patience, pause, calm = 20 * time.Second, 20 * time.Millisecond, time.Second
+	for deadline := time.Now().Add(patience); !f.settled(); {
+		if time.Now().After(deadline) {
+			return eris.New("the fleet did not settle")
+		}
+		time.Sleep(pause)
+	}
+	time.Sleep(calm)
+	return nil
+}
+
+func (f *configFleet) settled() bool {
+	readers := 0
+	for _, n := range f.nodes {
+		if !n.syncer.Fresh() {
+			return false
+		}
+		if n.syncer.Status().Reader {
+			readers++
+		}
+	}
+	return readers <= syncSettings().Readers*max(1, len(f.nodes)/fleetDomain)
+}
+
+func (f *configFleet) close() {
+	var all conc.WaitGroup
+	for _, n := range f.nodes {
+		all.Go(func() {
+			if n.syncer != nil {
+				_ = n.syncer.Close(context.Background())
+			}
+			n.pool.Close()
+		})
+	}
+	all.Wait()
+	for _, n := range f.nodes {
+		n.server.Close()
+		if n.relay != nil {
+			n.relay.close()
+		}
+	}
+}
+
+// bytes counts what all nodes have sent and received, each byte once.
+func (f *configFleet) bytes() int64 {
+	var sum int64
+	for _, n := range f.nodes {
+		sum += n.relay.bytes.Load()
+	}
+	return sum
+}
+
+// deltaOf is the change of one organisation's limit in a document.
+func deltaOf(orgs int) (before []byte, d confsync.Delta, err error) {
+	doc := document(orgs)
+	if before, err = json.Marshal(doc); err != nil {
+		return nil, confsync.Delta{}, err
+	}
+	doc.Organisations[orgs/2].RatePerSecond = 25
+	after, err := json.Marshal(doc)
+	if err != nil {
+		return nil, confsync.Delta{}, err
+	}
+	d, err = confsync.MakeDelta(1, 2, before, after)
+	return before, d, err
+}
+
+// listState is the VM list in the form that travels between peers.
+type listState struct {
+	VMs []platform.VM `json:"vms"`
+}
+
+// listDeltaOf is one VM that leaves the list and another that joins it.
+func listDeltaOf(vms int) (before []byte, d confsync.Delta, err error) {
+	list := fleet(0, vms+1, domainsOf(vms))
+	if before, err = json.Marshal(listState{list[:vms]}); err != nil {
+		return nil, confsync.Delta{}, err
+	}
+	after, err := json.Marshal(listState{list[1:]})
+	if err != nil {
+		return nil, confsync.Delta{}, err
+	}
+	d, err = confsync.MakeDelta(1, 2, before, after)
+	return before, d, err
+}
--- /dev/null
+++ b/internal/capacity/parse.go
@@ -0,0 +1,72 @@
+package capacity
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// errPage says that a page has no slopes that can be read.
+var errPage = eris.New("malformed capacity page")
+
+// slopeCells is how many cells a line of the slopes' table has.
+const slopeCells = 8
+
+// Parse reads the measured slopes back from a page.
+func Parse(page string) (Slopes, error) {
+	_, rest, found := strings.Cut(page, "### "+slopesTitle+"\n")
+	if !found {
+		return nil, eris.Wrap(errPage, "no section "+slopesTitle)
+	}
+	var all Slopes
+	for line := range strings.Lines(rest) {
+		if strings.HasPrefix(line, "### ") {
+			break
+		}
+		if !strings.HasPrefix(line, "| `") {
+			continue
+		}
+		s, err := parseSlope(line)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	if len(all) == 0 {
+		return nil, eris.Wrap(errPage, "no slopes")
+	}
+	return all, nil
+}
+
+func parseSlope(line string) (Slope, error) {
+	cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), " | ")
+	if len(cells) != slopeCells {
+		return Slope{}, eris.Wrap(errPage, line)
+	}
+	for i := range cells {
+		cells[i] = strings.TrimSpace(cells[i])
+	}
+	s := Slope{Name: strings.Trim(cells[0], "`"), What: cells[1], Per: cells[2], Unit: Unit(cells[3])}
+	for _, text := range strings.Fields(cells[4]) {
+		p, err := parsePoint(text)
+		if err != nil {
+			return Slope{}, err
+		}
+		s.Points = append(s.Points, p)
+	}
+	return s, nil
+}
+
+func parsePoint(text string) (Point, error) {
+	size, value, found := strings.Cut(text, ":")
+	if !found {
+		return Point{}, eris.Wrap(errPage, text)
+	}
+	x, err := strconv.ParseFloat(size, 64)
+	if err != nil {
+		return Point{}, eris.Wrap(err, text)
+	}
+	y, err := strconv.ParseFloat(value, 64)
+	return Point{Size: x, Value: y}, eris.Wrap(err, text)
+}
--- /dev/null
+++ b/internal/capacity/probe_stream.go
@@ -0,0 +1,117 @@
+package capacity
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hickorybank/hickorybank/internal/api"
+	"github.com/hickorybank/hickorybank/internal/upstream/client"
+)
+
+// callers is how many streams are under way at once, so that the threads of
+// the process are as busy as on a node and do not look for work in vain.
+const callers = 64
+
+// streamProbes measure the way of an answer through a node, decisions apart.
+func streamProbes() []Probe {
+	return []Probe{
+		{
+			Slope: Slope{Name: "stream.answer", What: "a streamed answer from an engine to a caller: HTTP, server-sent events, life of the request; bare sockets at both ends included", Per: "tokens of the answer", Unit: Nanoseconds},
+			Sizes: []int{4, 32, 128}, QuickSizes: []int{4, 32}, Measure: measureStream,
+		},
+		{
+			Slope: Slope{Name: "stream.heap", What: "the heap and stacks of streams under way", Per: "streams at once", Unit: Bytes},
+			Sizes: []int{64, 256}, QuickSizes: []int{16, 64}, Measure: measureStreamHeap,
+		},
+	}
+}
+
+// streamRig is an engine, a router and callers.
+type streamRig struct {
+	engine  *rawEngine
+	engines *client.Engines
+	server  *http.Server
+	serving conc.WaitGroup
+	callers []*rawCaller
+}
+
+func newStreamRig(callers, pieces int) (*streamRig, error) {
+	turns := newTurns(callers)
+	engine, err := newRawEngine(pieces, turns)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := snapshotOf(10)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	r := &streamRig{engine: engine, engines: client.NewEngines(client.Options{})}
+	r.server = &http.Server{Handler: api.New(&relayRouter{snapshot: snapshot, engines: r.engines, addr: engine.addr()})}
+	r.serving.Go(func() { _ = r.server.Serve(listener) }) // returns when closed
+	for i := range callers {
+		c, err := newRawCaller(listener.Addr().String(), i, pieces, turns[i])
+		if err != nil {
+			r.close()
+			return nil, err
+		}
+		r.callers = append(r.callers, c)
+	}
+	return r, nil
+}
+
+func (r *streamRig) close() {
+	for _, c := range r.callers {
+		c.close()
+	}
+	_ = r.server.Close()
+	r.serving.Wait()
+	r.engines.Close()
+	r.engine.close()
+}
+
+// run lets every caller have n answers.
+func (r *streamRig) run(n int) error {
+	var mu sync.Mutex
+	var first error
+	var all conc.WaitGroup
+	for _, c := range r.callers {
+		all.Go(func() {
+			for range n {
+				if err := c.run(); err != nil {
+					mu.Lock()
+					first = err
+					mu.Unlock()
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	return first
+}
+
+func measureStream(m Meter, tokens int) (float64, error) {
+	r, err := newStreamRig(callers, tokens)
+	if err != nil {
+		return 0, err
+	}
+	defer r.close()
+	if err := r.run(1); err != nil {
+		return 0, err
+	}
+	var failed error
+	v := m.CPU(func(n int) {
+		if err := r.run(n); err != nil {
+			failed = err
+		}
+	})
+	return v / callers, failed
+}
--- /dev/null
+++ b/internal/capacity/probes.go
@@ -0,0 +1,29 @@
+package capacity
+
+import "slices"
+
+// Probes are all measurements, in the order of the page.
+func Probes() []Probe {
+	return slices.Concat(
+		processProbes(), streamProbes(), requestProbes(), balanceProbes(), pollProbes(), admissionProbes(), limitProbes(),
+		choiceProbes(), ledgerProbes(), configProbes(), ledgerCallProbes(), ledgerFleetProbes(), confsyncProbes(), membershipProbes(), suspectProbes(), peerProbes(), platformProbes(), telemetryProbes(),
+	)
+}
+
+// Measure runs all probes. Quick runs fewer sizes for a shorter time.
+func Measure(quick bool, done func(Slope)) (Slopes, error) {
+	m := FullMeter
+	if quick {
+		m = QuickMeter
+	}
+	var all Slopes
+	for _, p := range Probes() {
+		s, err := p.Run(m, quick)
+		if err != nil {
+			return nil, err
+		}
+		done(s)
+		all = append(all, s)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/capacity/role_config.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/hickorybank/hickorybank/internal/confsync"
+)
+
+func syncSettings() confsync.Settings { return confsync.Settings{}.WithDefaults() }
+
+// headBytes is about the size of the head row.
+const headBytes = 150
+
+func (c *calc) configReading() Role {
+	s := syncSettings()
+	readers := float64(c.Size.FailureDomains * s.Readers)
+	changes := c.Size.Changes / secondsPerDay
+	doc := c.at("config.bytes", c.Assume.Organisations)
+	heads := c.calls(1/s.ReadGap.Seconds(), c.at("table.get", headBytes), c.at("table.get.bytes", headBytes))
+	documents := c.calls(changes, c.at("table.get", doc), c.at("table.get.bytes", doc))
+	deltas := c.calls(changes, 0, c.at("table.get.bytes", c.changeBytes()))
+	busiest := heads.Plus(documents)
+	return Role{
+		Name: "configuration: reading the table", Plane: Control,
+		State:     "the head's revision and proofs of when it was read",
+		Mechanism: fmt.Sprintf("%d readers a failure domain by rendezvous hash read the head every %v and each new document; package confsync", s.Readers, s.ReadGap),
+		Each:      busiest.Times(readers / float64(c.Size.Nodes)), Busiest: busiest, Who: fmt.Sprintf("a reader, %.0f nodes", readers),
+		Reads:  readers * (1/s.ReadGap.Seconds() + changes),
+		Over:   fmt.Sprintf("A reader fetches each new document whole, %s. The readers take deltas from the table where the writer stores them, which it does not yet: with them it would be %s/s.", amount(doc), amount(heads.Plus(deltas).Network)),
+		Mended: heads.Plus(deltas).Times(readers / float64(c.Size.Nodes)),
+	}
+}
+
+// waits is how often a node calls its parent, a second: a held call ends with
+// the first renewal of the parent's proof after the least hold, and at once
+// with each change.
+func (c *calc) waits() float64 {
+	s := syncSettings()
+	renewal := s.ReadGap.Seconds()
+	hold := math.Ceil(s.MinHold.Seconds()/renewal) * renewal
+	return 1/hold + c.Size.Changes/secondsPerDay
+}
+
+// noticeTime is for how long a stop is told, in seconds; package confsync.
+const noticeTime = 600
+
+// stops is how many planned stops are told of at one time.
+func (c *calc) stops() float64 {
+	entries := float64(c.Size.Nodes) / float64(c.Size.VMs())
+	return c.Size.Replacements * entries * noticeTime / secondsPerDay
+}
+
+func (c *calc) configTree() Role {
+	s := syncSettings()
+	rate, stops := c.waits(), c.stops()
+	changes := c.Size.Changes / secondsPerDay
+	ns, bytes := c.at("confsync.wait", stops), c.at("confsync.wait.bytes", stops)
+	own := Cost{
+		Processor: processor(1, c.per("confsync.fleet")) + processor(rate, c.per("confsync.step")*float64(c.Size.Nodes)) + processor(changes, c.at("config.apply", c.Assume.Organisations)+c.at("config.delta", c.Assume.Organisations)),
+		Memory:    c.memory(c.at("config.heap", c.Assume.Organisations) + c.at("config.bytes", c.Assume.Organisations) + c.at("confsync.heap", float64(c.Size.Nodes))),
+	}
+	delta := func(copies float64) Cost { return Cost{Network: copies * changes * c.changeBytes()} }
+	fan := float64(s.FanOut)
+	return Role{
+		Name: "configuration: push to all nodes", Plane: Control,
+		State:     fmt.Sprintf("the document of %.0f organisations, parsed and encoded; %d entry nodes", c.Assume.Organisations, c.Size.Nodes),
+		Mechanism: fmt.Sprintf("held calls along a tree of fan-out %d in each failure domain, %d levels, over net/rpc; package confsync", s.FanOut, c.levels()),
+		// The calls' processor time is in that of the fleet.
+		Each:    c.peerCalls(rate, rate, 0, bytes).Plus(delta(2)).Plus(own),
+		Busiest: c.peerCalls(rate, fan*rate, 0, bytes).Plus(delta(1 + fan)).Plus(own).Plus(Cost{Processor: processor((fan-1)*rate/2, ns)}), Who: fmt.Sprintf("a node with %d children", s.FanOut),
+	}
+}
+
+// changeBytes is a change as a delta on its way.
+func (c *calc) changeBytes() float64 { return c.at("config.delta.bytes", c.Assume.Organisations) }
+
+// levels is how deep the tree of a failure domain is, readers included.
+func (c *calc) levels() int {
+	s := syncSettings()
+	levels := 1
+	for width, all := s.Readers, s.Readers; float64(all) < c.Size.perDomain(); levels++ {
+		width *= s.FanOut
+		all += width
+	}
+	return levels
+}
+
+// listEdits is how often the VM list changes, a second.
+func (c *calc) listEdits() float64 {
+	return (c.Size.Failures + c.Size.Replacements) * c.Assume.ListEdits / secondsPerDay
+}
+
+// listChange is the processor time of one change of the list at a node: the
+// edit applied and decoded, and the pictures made anew.
+func (c *calc) listChange() float64 {
+	vms, nodes := float64(c.Size.VMs()), float64(c.Size.Nodes)
+	return c.at("list.delta", vms) + c.at("list.decode", vms) + c.at("membership.list", vms) + c.at("confsync.members", nodes) + c.at("balance.members", float64(c.Size.Runners))
+}
+
+func (c *calc) list() Role {
+	s := syncSettings()
+	vms := float64(c.Size.VMs())
+	edits := c.listEdits()
+	own := Cost{
+		Network:   2 * edits * c.at("list.delta.bytes", vms),
+		Processor: processor(edits, c.listChange()),
+		Memory:    c.memory(c.at("balance.heap", vms) + c.at("membership.heap", vms) + c.at("list.bytes", vms)),
+	}
+	// The reader decodes the list, and encodes it to see whether it changed.
+	reading := c.calls(1/s.ListGap.Seconds(), 1.5*c.at("list.decode", vms), c.at("list.bytes", vms))
+	domains := float64(c.Size.FailureDomains)
+	const nothingNewer = 350 // bytes of a question and of the answer that nothing is newer
+	asking := c.calls(1/s.ListGap.Seconds(), c.at("table.get", 0), nothingNewer)
+	return Role{
+		Name: "the VM list", Plane: Control,
+		State:     fmt.Sprintf("%d VMs with their addresses and failure domains", c.Size.VMs()),
+		Mechanism: fmt.Sprintf("one reader a failure domain reads the list every %v, edits go down the tree; packages confsync, membership, balance", s.ListGap),
+		Each:      own.Plus(reading.Times(domains / float64(c.Size.Nodes))), Busiest: own.Plus(reading), Who: fmt.Sprintf("the list's reader, %d nodes", c.Size.FailureDomains),
+		Over:   fmt.Sprintf("The platform's list comes whole, %.1f MB each time. Met if it answers “nothing newer” or edits, or is cut by failure domain; reading it less often does not do: once a minute is still %.0f kB/s.", c.at("list.bytes", vms)/megabyte, c.at("list.bytes", vms)/60/kilobyte),
+		Mended: own.Plus(asking.Times(domains / float64(c.Size.Nodes))),
+	}
+}
--- /dev/null
+++ b/internal/capacity/role_process.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/hickorybank/hickorybank/internal/telemetry"
+)
+
+const telemetryBound = telemetry.DefaultRequests
+
+// process is what any process of the program takes.
+func (c *calc) process() Role {
+	return Role{
+		Name: "the process itself", Plane: Control,
+		State:     "program text and runtime, resident",
+		Mechanism: "one binary",
+		Each:      Cost{Memory: c.at("process.resident", 0)},
+	}
+}
+
+func (c *calc) metrics() Role {
+	return Role{
+		Name: "metrics", Plane: Control,
+		State:     fmt.Sprintf("%.0f pairs of organisation and class, the rest as “other”", c.pairs()),
+		Mechanism: "VictoriaMetrics/metrics with bounded label sets; package telemetry",
+		Each:      Cost{Memory: c.memory(c.at("telemetry.heap", c.pairs()))},
+	}
+}
+
+func (c *calc) addresses() Role {
+	rate := c.Size.perNode(c.Assume.Callers / c.Assume.AddressTTL)
+	return Role{
+		Name: "callers: which addresses to use", Plane: Control,
+		State:     "the members' states; nothing for each caller",
+		Mechanism: "GET /v1/addresses, answered from the node's own picture; package membership",
+		Each:      c.calls(rate, c.at("http.get", 0)+c.at("membership.addresses", float64(c.Size.Nodes)), c.Assume.AddressBytes),
+	}
+}
+
+func (c *calc) loadReports() Role {
+	const versionsLoaded = 2
+	rate := c.Assume.PollsPerSecond
+	return Role{
+		Name: "upstreams: load reports", Plane: Control,
+		State:     fmt.Sprintf("%.0f upstreams dealt with of %d known", c.Assume.Subset, c.Size.Runners),
+		Mechanism: fmt.Sprintf("subsets and a bounded rate of polls; package balance. A runner is asked %.1f times a second by %.0f nodes", rate*float64(c.Size.Nodes)/float64(c.Size.Runners), c.Assume.Subset*float64(c.Size.Nodes)/float64(c.Size.Runners)),
+		Each:      c.calls(rate, c.at("poll.report", versionsLoaded)+c.at("balance.poll", float64(c.Size.Runners)), c.at("poll.report.bytes", versionsLoaded)),
+	}
+}
+
+// connections between peers stay open once they were used; nothing closes
+// those that are idle.
+func (c *calc) connections() Role {
+	nodes := float64(c.Size.Nodes)
+	end := c.per("peer.connection.heap") / 2
+	// Parent and children, ring of suspects both ways, the collectors of some
+	// epochs, holders of limits.
+	ring := 2 * math.Floor(math.Log2(nodes)+1)
+	used := 5 + ring + 2*c.Assume.ActiveOrganisations*c.Assume.Limited + 8
+	return Role{
+		Name: "connections between nodes", Plane: Control,
+		State:     fmt.Sprintf("%s of heap and stack for each end", amount(end)),
+		Mechanism: fmt.Sprintf("net/rpc over kept TCP connections, about %.0f in use at a time; package peer", used),
+		Each:      Cost{Memory: c.memory(used * end)}, Busiest: Cost{Memory: c.memory(2 * nodes * end)}, Who: "a node that has called and was called by all others once",
+		Over:   fmt.Sprintf("Collectors, batchers and holders change, so that a node meets all %.0f others in time, and no connection is ever closed for being idle: %s. Met by closing those that were idle for a minute.", nodes, amount(c.memory(2*nodes*end))),
+		Mended: Cost{Memory: c.memory(used * end)},
+	}
+}
+
+// administration is the operators' changes.
+func (c *calc) administration() Role {
+	rate := c.Size.Changes / secondsPerDay
+	// A change writes the head, the document, a log record and its id in one
+	// transaction, and reads the head and the id's row.
+	const reads = 2
+	doc := c.at("config.bytes", c.Assume.Organisations)
+	each := c.calls(c.Size.perNode(rate), c.at("table.commit", doc), c.at("table.commit.bytes", doc))
+	return Role{
+		Name: "operators: changes", Plane: Control,
+		State:     "none",
+		Mechanism: "one conditional transaction a change; package admin",
+		Each:      each, Reads: reads * rate, Writes: rate,
+	}
+}
