Bound the announcement of a stop

A dead peer is never told, so that the announcement went on until the whole stop's context ended. It ends after 3 s now and says how many peers it missed; these learn of the stop from the platform's list. A closed Syncer no longer says that it missed nobody.

--- a/internal/confsync/announce.go
+++ b/internal/confsync/announce.go
@@ -15,17 +15,21 @@
 	maxTelling = 16
 	// tellRetry is the time before a peer that did not answer is told again.
 	tellRetry = 200 * time.Millisecond
+	// tellTime bounds the whole announcement: a dead peer is never told.
+	tellTime = 3 * time.Second
 )
 
 // AnnounceLeaving tells the peers that this node stops, so that they leave it
 // out of the addresses they give. It tells the readers of each failure domain,
 // which pass it down their trees within one more call, and returns how many
-// peers could not be told before ctx ended.
+// peers could not be told within 3 s or before ctx ended.
 func (s *Syncer) AnnounceLeaving(ctx context.Context) (missed int) {
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
 	ask := func(t Token) Event { return StopOrdered{Token: t} }
 	answer, err := s.ask(ctx, ask)
 	if err != nil {
-		return 0
+		return 1 // nobody was told, and who should have been is not known
 	}
 	tell := answer.(Tell)
 	var untold atomic.Int64
