Learn from answers rated twice what a rating is worth

Now a curve is fitted through answers that were rated twice, and a line through what followed a rejected answer, both with their uncertainty.

--- a/internal/choice/frontier/builder.go
+++ b/internal/choice/frontier/builder.go
@@ -1,6 +1,9 @@
 package frontier
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 const (
 	// rescuers is how many of the best versions may be the second in a
@@ -73,7 +76,7 @@
 		b.best = append(b.best, i)
 	}
 	slices.SortStableFunc(b.best, func(i, j int) int {
-		return compareDown(options[i].Estimate.Rescue, options[j].Estimate.Rescue)
+		return cmp.Compare(options[j].Estimate.Rescue.Level, options[i].Estimate.Rescue.Level)
 	})
 	b.best = b.best[:min(len(b.best), rescuers)]
 	return b.best
@@ -87,13 +90,3 @@
 		}
 	}
 }
-
-func compareDown(a, b float64) int {
-	switch {
-	case a > b:
-		return -1
-	case a < b:
-		return 1
-	}
-	return 0
-}
--- a/internal/choice/known.go
+++ b/internal/choice/known.go
@@ -37,14 +37,14 @@
 	k := &known{
 		option:  frontier.Option{Version: version.Name, Cost: c.cost(version, class, cell, now), Estimate: e},
 		took:    took(cell),
-		pairs:   cell.Pairs,
+		pairs:   cell.Pairs.Count,
 		rescues: cell.Rescue.Weight,
 	}
 	if e.Weight >= referenceRatings || version.State == config.Staged {
 		k.table = detect.NewTable(e.Scores, max(e.Weight, referenceRatings))
 	}
 	if cell.Rescue.Weight >= referenceRatings {
-		k.rescueTable = detect.NewTable(cell.RescueShares(), cell.Rescue.Weight)
+		k.rescueTable = detect.NewTable(cell.Rescue.Shares(), cell.Rescue.Weight)
 	}
 	c.view.known[key] = k
 	return k
--- a/internal/choice/observation.go
+++ b/internal/choice/observation.go
@@ -19,6 +19,10 @@
 	// answer to the same request fell short. Such requests are harder than
 	// others, so they tell nothing of the version's quality on all requests.
 	AfterShort bool
+	// After is the version whose answer fell short, and AfterScore the
+	// rating of that answer, when AfterShort is set and they are known.
+	After      string
+	AfterScore float64
 	// Took is how long the rating service took; 0 is unknown.
 	Took time.Duration
 	Now  time.Time
--- a/internal/choice/observe.go
+++ b/internal/choice/observe.go
@@ -24,7 +24,7 @@
 	cell := c.book.Cell(quality.Key{Version: o.Version, Class: o.Class})
 	now := o.Now.UnixNano()
 	if o.AfterShort {
-		cell.AddRescue(o.Score, now)
+		cell.AddRescue(o.Score, c.short(o), now)
 	} else {
 		cell.AddScore(o.Score, now)
 	}
@@ -33,6 +33,23 @@
 	}
 }
 
+// typicalShort is by how much a rating that fell short is below its version's
+// mean when it is not known.
+const typicalShort = -0.2
+
+// short is by how much the rating that fell short was above its version's mean.
+func (c *Chooser) short(o Observation) float64 {
+	if o.After == "" || c.view == nil {
+		return typicalShort
+	}
+	i, ok := c.view.index[o.After]
+	if !ok {
+		return typicalShort
+	}
+	k := c.known(c.view.versions[i].config, o.Class, o.Now)
+	return o.AfterScore - k.option.Estimate.Mean
+}
+
 // test takes in what the score says about a bad turn. Answers that followed
 // one that fell short are to harder requests, so they are compared with their
 // like; a version may run nothing else.
--- a/internal/choice/plan.go
+++ b/internal/choice/plan.go
@@ -10,10 +10,13 @@
 	// Threshold accepts an answer whose rating is at least this much. An
 	// answer whose rating did not come counts as short.
 	Threshold float64
-	// Rate asks for a rating of the answer that is given to the caller.
+	// Rate asks for a rating of the answer of the last version, First or the
+	// last of Then, if it comes to that. All versions before it are rated
+	// anyway, and an answer must not be counted twice.
 	Rate bool
-	// RateAgain asks for a second, independent rating of the same answer,
-	// which tells the rater's noise from the answers' own spread.
+	// RateAgain asks for a second, independent rating of the first version's
+	// answer, if that is rated; it tells what a rating is worth. Both ratings
+	// are then to come in one observation.
 	RateAgain bool
 	// Exposed says that one granted answer of a staged version was spent.
 	Exposed bool
--- a/internal/choice/quality/cell.go
+++ b/internal/choice/quality/cell.go
@@ -22,16 +22,11 @@
 	Short Moments
 	// Scores counts ratings by [Bin], in the long memory.
 	Scores [Bins]float64
-	// Pairs counts answers that were rated twice, in the long memory.
-	// PairSquares sums half the squared differences, which estimate the
-	// variance of the rater's noise.
-	Pairs       float64
-	PairSquares float64
-	// Rescue holds ratings of answers that were run after another version's
-	// answer had fallen short, in the long memory, and RescueScores counts
-	// them by [Bin].
-	Rescue       Moments
-	RescueScores [Bins]float64
+	// Pairs sums up the answers that were rated twice, in the long memory.
+	Pairs Pairs
+	// Rescue sums up ratings of answers that were run after another
+	// version's answer had fallen short, in the long memory.
+	Rescue Rescues
 	// Took holds the answers' durations in seconds, in the mid memory, with
 	// the sums of their tokens.
 	Took   Moments
@@ -60,10 +55,8 @@
 	c.Long.scale(f)
 	for i := range c.Scores {
 		c.Scores[i] *= f
-		c.RescueScores[i] *= f
 	}
-	c.Pairs *= f
-	c.PairSquares *= f
+	c.Pairs.scale(f)
 	c.Rescue.scale(f)
 }
 
@@ -83,19 +76,18 @@
 	c.Scores[Bin(score)]++
 }
 
-// AddPair counts the two ratings of one answer towards the rater's noise.
+// AddPair counts two independent ratings of one answer towards what a rating
+// is worth.
 func (c *Cell) AddPair(first, second float64, now int64) {
 	c.Advance(now)
-	difference := first - second
-	c.Pairs++
-	c.PairSquares += difference * difference / 2
+	c.Pairs.add(first, second)
 }
 
-// AddRescue counts a rating of an answer that followed one that fell short.
-func (c *Cell) AddRescue(score float64, now int64) {
+// AddRescue counts a rating of an answer that followed one that fell short;
+// short is by how much the rating of that one was above its version's mean.
+func (c *Cell) AddRescue(score, short float64, now int64) {
 	c.Advance(now)
-	c.Rescue.add(score)
-	c.RescueScores[Bin(score)]++
+	c.Rescue.add(score, short)
 }
 
 // AddAnswer counts an answer's duration and tokens.
@@ -115,10 +107,8 @@
 	c.Short.plus(o.Short)
 	for i := range c.Scores {
 		c.Scores[i] += o.Scores[i]
-		c.RescueScores[i] += o.RescueScores[i]
 	}
-	c.Pairs += o.Pairs
-	c.PairSquares += o.PairSquares
+	c.Pairs.plus(o.Pairs)
 	c.Rescue.plus(o.Rescue)
 	c.Took.plus(o.Took)
 	c.Input += o.Input
--- a/internal/choice/quality/estimate.go
+++ b/internal/choice/quality/estimate.go
@@ -11,13 +11,6 @@
 	priorSpread = 0.2
 	// priorSpreadWeight is how many ratings that belief is worth.
 	priorSpreadWeight = 8
-	// priorNoise is the standard deviation of the rater's noise. It is set
-	// high, so that a rating is not trusted before pairs have shown the noise.
-	priorNoise       = 0.15
-	priorNoiseWeight = 4
-	// rescueSD is how far a version's quality on requests that another fell
-	// short of may be from its quality on all requests.
-	rescueSD = 0.04
 	// contradiction is by how many standard deviations a shorter memory must
 	// differ from a longer one to be believed in its place.
 	contradiction = 2.5
@@ -38,14 +31,10 @@
 	// Mean - Shift.
 	Scores [Bins]float64
 	Shift  float64
-	// Reliability is the share of the scores' variance that is the answers'
-	// own, and ReliabilitySD its standard deviation.
-	Reliability   float64
-	ReliabilitySD float64
-	// Rescue is the expected quality after another version fell short, and
-	// RescueSD its standard deviation.
-	Rescue   float64
-	RescueSD float64
+	// Curve tells what an answer with a given rating is worth.
+	Curve Curve
+	// Rescue tells the quality after another version fell short.
+	Rescue Line
 }
 
 // Estimate returns what the cell and the operators' belief say together.
@@ -55,8 +44,8 @@
 	e.Spread = c.spread()
 	e.Mean, e.SD = posterior(memory, e.Spread, prior)
 	e.Scores, e.Shift = c.scores(e.Mean)
-	e.Reliability, e.ReliabilitySD = c.reliability(e.Spread)
-	e.Rescue, e.RescueSD = c.rescue(e)
+	e.Curve = c.Pairs.curve(e.Mean, e.Spread*e.Spread)
+	e.Rescue = c.Rescue.line(e.Mean, e.SD, e.Spread)
 	return e
 }
 
@@ -104,10 +93,6 @@
 	return shares(c.Scores), mean - c.Long.Mean()
 }
 
-// RescueShares returns the distribution of the scores of answers that were run
-// after another version's had fallen short.
-func (c *Cell) RescueShares() [Bins]float64 { return shares(c.RescueScores) }
-
 func shares(counts [Bins]float64) [Bins]float64 {
 	var total float64
 	for _, weight := range counts {
@@ -126,19 +111,3 @@
 	}
 	return shares(scores)
 }
-
-// reliability is 1 less the noise's share of the variance.
-func (c *Cell) reliability(spread float64) (mean, sd float64) {
-	pairs := c.Pairs + priorNoiseWeight
-	noise := (c.PairSquares + priorNoise*priorNoise*priorNoiseWeight) / pairs
-	share := noise / (spread * spread)
-	return min(max(1-share, 0), 1), share * math.Sqrt(2/pairs)
-}
-
-// rescue expects the same quality as on all requests, until ratings tell.
-func (c *Cell) rescue(e Estimate) (mean, sd float64) {
-	before := 1 / (rescueSD * rescueSD)
-	seen := c.Rescue.Weight / (e.Spread * e.Spread)
-	mean = (before*e.Mean + seen*c.Rescue.Mean()) / (before + seen)
-	return mean, 1 / math.Sqrt(before+seen)
-}
--- a/internal/choice/quality/round.go
+++ b/internal/choice/quality/round.go
@@ -5,20 +5,33 @@
 // ten million, is far below the noise of a rating.
 func (c *Cell) rounded() Cell {
 	r := *c
-	for _, m := range []*Moments{&r.Long, &r.Mid, &r.Short, &r.Rescue, &r.Took} {
+	for _, m := range []*Moments{&r.Long, &r.Mid, &r.Short, &r.Took} {
 		m.round()
 	}
-	for i := range r.Scores {
-		cut(&r.Scores[i])
-		cut(&r.RescueScores[i])
-	}
-	cut(&r.Pairs)
-	cut(&r.PairSquares)
+	cutAll(r.Scores[:])
+	cut(&r.Pairs.Count)
+	cutAll(r.Pairs.Powers[:])
+	cutAll(r.Pairs.Cross[:])
+	r.Rescue.round()
 	cut(&r.Input)
 	cut(&r.Output)
 	return r
 }
 
+func (r *Rescues) round() {
+	r.Moments.round()
+	cutAll(r.Scores[:])
+	cut(&r.Short)
+	cut(&r.ShortSquares)
+	cut(&r.Cross)
+}
+
+func cutAll(list []float64) {
+	for i := range list {
+		cut(&list[i])
+	}
+}
+
 func (m *Moments) round() {
 	cut(&m.Weight)
 	cut(&m.Sum)
--- a/internal/choice/sample.go
+++ b/internal/choice/sample.go
@@ -6,7 +6,7 @@
 	suspect = 1.5
 	// enoughPairs is how many answers must have been rated twice before
 	// only pairShare of the rated ones are.
-	enoughPairs = 50
+	enoughPairs = 150
 	pairShare   = 0.1
 	// enoughRescues is how many second answers of cascades must have been
 	// rated before they are sampled like others.
--- a/internal/choice/settings.go
+++ b/internal/choice/settings.go
@@ -19,7 +19,7 @@
 
 // Defaults, chosen by the measurements in docs/measurements/choice.md.
 const (
-	DefaultConfidence  = 1.0
+	DefaultConfidence  = 1.65
 	DefaultSampleShare = 0.25
 
 	// refreshGap is how old the plans made of the estimates may get.
--- a/internal/choice/sim/job.go
+++ b/internal/choice/sim/job.go
@@ -32,7 +32,10 @@
 	step    int
 	version string
 	answer  float64
-	cost    float64
+	// shortVersion and shortScore are of the answer that fell short
+	shortVersion string
+	shortScore   float64
+	cost         float64
 }
 
 // begin chooses and runs; pinned is the version of the session, if any.
@@ -121,6 +124,9 @@
 			return
 		}
 		o := choice.Observation{Version: version, Class: j.class.Name, Sampled: j.plan.Rate, AfterShort: after, Now: r.time(), Took: r.now - asked}
+		if after {
+			o.After, o.AfterScore = j.shortVersion, j.shortScore
+		}
 		o.Score = r.truth.rating(j.rng, answer)
 		if j.plan.RateAgain {
 			o.HasAgain = true
@@ -137,6 +143,7 @@
 		j.deliver()
 		return
 	}
+	j.shortVersion, j.shortScore = j.version, score
 	next := j.plan.Then[j.step]
 	j.step++
 	j.attempt(next)
