--- /dev/null
+++ b/internal/rollout/machine.go
@@ -0,0 +1,141 @@
+package rollout
+
+import "time"
+
+// Machine decides which engine loads or unloads which version next, and when
+// this node may say so. It does no I/O; it belongs to one goroutine.
+type Machine struct {
+	settings Settings
+	self     string
+	run      string
+	guards   guards
+
+	now   time.Time
+	out   []Action
+	rank  int
+	plan  *plan
+	fresh bool
+	fleet fleet
+	tally tally
+	row   row
+
+	// takenAt is when this node took the row; what was seen before counts for
+	// nothing, because another holder may have changed it since.
+	takenAt time.Time
+	// doubtAt is when an order was last left that may still be on its way though
+	// nobody waits for it; the next orders then get a higher fencing number.
+	doubtAt time.Time
+	// confirmed is the revision known to be in force everywhere, since
+	// confirmedAt.
+	confirmed   uint64
+	confirmedAt time.Time
+	askedForce  time.Time
+	asking      bool
+	credit      float64
+	ticked      time.Time
+}
+
+// guards switch single rules off, so that tests show that each is needed.
+type guards struct {
+	// doneOnAck takes an order for done when the engine acknowledged it.
+	doneOnAck bool
+	// countComing takes versions for ready on engines that only load them.
+	countComing bool
+	// noProof sends orders without having seen the row lately.
+	noProof bool
+	// noInForce unloads a withdrawn version before the withdrawal is in force.
+	noInForce bool
+	// noRevision sends orders decided under an older configuration.
+	noRevision bool
+	// noForget keeps what was seen before the row was taken.
+	noForget bool
+}
+
+// NewMachine returns the machine of one process on the VM self. Run must be
+// different for each process.
+func NewMachine(s Settings, self, run string) *Machine {
+	return &Machine{settings: s.WithDefaults(), self: self, run: run, rank: -1}
+}
+
+// Step takes an event and returns what is to be done, in order. Now must carry
+// a monotonic reading, or be virtual.
+func (m *Machine) Step(now time.Time, ev Event) []Action {
+	m.now = now
+	m.out = nil
+	switch ev := ev.(type) {
+	case Tick:
+		m.tick(ev)
+	case RowAnswer:
+		m.rowAnswered(ev)
+	case RowWritten:
+		m.rowWritten(ev)
+	case EngineAnswer:
+		m.engineAnswered(ev)
+	case OrderAnswer:
+		m.orderAnswered(ev)
+	case InForceAnswer:
+		m.inForceAnswered(ev)
+	}
+	return m.out
+}
+
+func (m *Machine) tick(ev Tick) {
+	m.rank = ev.Rank
+	m.fleet.set(ev.View)
+	m.setPlan(ev)
+	m.attachHands()
+	m.advance()
+	if m.holding() {
+		m.readEngines()
+		m.askInForce()
+	}
+	m.ticked = m.now
+}
+
+func (m *Machine) setPlan(ev Tick) {
+	m.fresh = ev.Fresh && ev.Snapshot != nil
+	if ev.Snapshot == nil || m.plan != nil && m.plan.revision == ev.Snapshot.Revision {
+		return
+	}
+	m.plan = newPlan(ev.Snapshot)
+	for _, e := range m.fleet.engines {
+		m.resolve(e)
+	}
+}
+
+// resolve renews the engine's indexes into the plan.
+func (m *Machine) resolve(e *engine) {
+	if m.plan == nil {
+		return
+	}
+	e.has = m.plan.indexes(e.state.Versions)
+	e.loading = m.plan.indexes(e.state.Loading)
+	if e.hand != nil {
+		e.hand.version = m.plan.find(e.hand.pending.Version)
+	}
+}
+
+// advance does what the row allows now.
+func (m *Machine) advance() {
+	if !m.holding() {
+		m.watch()
+		return
+	}
+	if m.plan == nil || m.fleet.view == nil {
+		m.renew(m.row.record)
+		return
+	}
+	m.count()
+	m.send()
+	if m.row.busy {
+		return
+	}
+	next, changed := m.next()
+	if changed {
+		m.write(next)
+		return
+	}
+	m.renew(next)
+}
+
+func (m *Machine) do(a Action) { m.out = append(m.out, a) }
--- /dev/null
+++ b/internal/rollout/read.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+)
+
+// readEngines asks engines for their state: those with an order in hand first,
+// the others in turn, at most Settings.ReadsPerSecond.
+func (m *Machine) readEngines() {
+	if m.plan == nil {
+		return
+	}
+	m.fillCredit()
+	for _, e := range m.fleet.engines {
+		if e.hand != nil && m.credit >= 1 {
+			m.readEngine(e, m.settings.Tick)
+		}
+	}
+	gap := m.settings.SeenFor / 4
+	for range m.fleet.engines {
+		if m.credit < 1 {
+			return
+		}
+		e := m.fleet.engines[m.fleet.next%len(m.fleet.engines)]
+		m.fleet.next++
+		m.readEngine(e, gap)
+	}
+}
+
+func (m *Machine) fillCredit() {
+	if m.ticked.IsZero() {
+		m.ticked = m.now
+	}
+	earned := m.now.Sub(m.ticked).Seconds() * m.settings.ReadsPerSecond
+	burst := max(1, m.settings.Tick.Seconds()*m.settings.ReadsPerSecond)
+	m.credit = min(burst, m.credit+earned)
+}
+
+// readEngine begins a read unless one is out or the last was a moment ago.
+func (m *Machine) readEngine(e *engine, gap time.Duration) {
+	if e.out || m.now.Sub(e.asked) < gap {
+		return
+	}
+	e.out, e.asked = true, m.now
+	load := m.wantsLoad(e)
+	m.credit--
+	if load {
+		m.credit--
+	}
+	m.do(ReadEngine{Engine: e.id, Addr: e.addr, Load: load, Began: m.now})
+}
+
+// wantsLoad says whether an idle moment of the engine is waited for.
+func (m *Machine) wantsLoad(e *engine) bool {
+	if m.confirmed != m.plan.revision || e.idleAt.After(m.confirmedAt) {
+		return false
+	}
+	withdrawn := func(v int) bool { return m.plan.versions[v].state == config.Withdrawn }
+	return slices.ContainsFunc(e.has, withdrawn) || slices.ContainsFunc(e.loading, withdrawn)
+}
+
+func (m *Machine) engineAnswered(ev EngineAnswer) {
+	e := m.fleet.byID[ev.Engine]
+	if e == nil || !e.out || !e.asked.Equal(ev.Began) {
+		return
+	}
+	e.out = false
+	e.tried = ev.Began
+	if ev.Failed {
+		return
+	}
+	e.seen = ev.Began
+	e.state = ev.State
+	m.resolve(e)
+	if l := ev.Load; l != nil && l.Running+l.Queued == 0 {
+		e.idleAt = ev.Began.Add(-time.Duration(l.AgeMillis) * time.Millisecond)
+	}
+}
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Status is how far one version's roll-out or withdrawal is.
 type Status struct {
@@ -30,3 +33,22 @@
 	// Gone: withdrawn, and no engine that could be read has the version.
 	Gone Stage = "gone"
 )
+
+func (r *Record) statuses() []Status {
+	list := make([]Status, 0, len(r.Versions))
+	for i := range r.Versions {
+		list = append(list, r.status(&r.Versions[i]))
+	}
+	return list
+}
+
+func (r *Record) status(p *Progress) Status {
+	s := Status{Version: p.Version, Stage: p.Stage, Share: p.Share, Holder: r.Holder, Since: p.Since}
+	s.Detail = fmt.Sprintf("on %d engines, wanted on %d", p.Seen, p.Wanted)
+	for i := range r.Orders {
+		if o := &r.Orders[i]; o.Version == p.Version {
+			s.Detail += fmt.Sprintf("; %s at %s", o.Action, o.Engine)
+		}
+	}
+	return s
+}
