Carry summaries, grants and holds between nodes and the table

For each version one node of a group, picked by rendezvous hashing, collects the cumulative summaries of the others and answers with what all the rest have seen. Exposure is handed out by the node that the same hash picks, from a row that two such nodes may race for. A hold is in force at once where it was raised, told to the group and recorded under a condition; a lifting names the term that it ends. What a group has seen is kept in a row a minute, for the other groups and for the loss of all nodes.

Ruled out: a message between all pairs, and per-node rows.

--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -98,6 +98,7 @@
 	if c.least == nil {
 		return Plan{Refusal: RefuseUngranted}
 	}
+	c.stranded[c.req.Class.Name] = struct{}{}
 	p := Plan{First: c.least.config.Name, AllHeld: true, BelowTarget: true}
 	p.Rate = c.sample(c.least.state)
 	return p
--- a/internal/choice/chooser.go
+++ b/internal/choice/chooser.go
@@ -21,8 +21,10 @@
 	states  map[string]*state
 	ratings ratings
 	raised  []Hold
-	view    *view
-	builder frontier.Builder
+	// stranded are classes for which every version was held.
+	stranded map[string]struct{}
+	view     *view
+	builder  frontier.Builder
 	// balances are by organisation and class.
 	balances map[balanceKey]*balance
 }
@@ -35,6 +37,7 @@
 		book:     quality.NewBook(quality.Run{Node: s.Node, Epoch: s.Epoch}),
 		store:    quality.NewStore(),
 		states:   make(map[string]*state),
+		stranded: make(map[string]struct{}),
 		balances: make(map[balanceKey]*balance),
 		builder:  frontier.Builder{Confidence: s.Confidence, Enough: enoughRatings},
 	}
@@ -76,7 +79,8 @@
 	s := c.state(key.Version)
 	c.book.Add(&total, key)
 	if s.pool == nil {
-		c.store.Add(&total, key, c.run())
+		c.store.Add(&total, key, func(r quality.Run) bool { return r != c.run() })
+		s.restore(&total, key)
 	} else {
 		s.pool.add(&total, key)
 	}
--- a/internal/choice/holds.go
+++ b/internal/choice/holds.go
@@ -1,6 +1,10 @@
 package choice
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// alarm is the statistic from which a version is held, in nats: for
@@ -63,17 +67,44 @@
 }
 
 // ApplyHold takes in a hold, or the lifting of one, from a peer or the table.
-func (c *Chooser) ApplyHold(h Hold) {
+// It says whether that was new.
+func (c *Chooser) ApplyHold(h Hold) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.applyHold(h)
+	return c.applyHold(h)
 }
 
-func (c *Chooser) applyHold(h Hold) {
+func (c *Chooser) applyHold(h Hold) bool {
 	s := c.state(h.Version)
-	if h.After(s.hold) {
-		s.begin(h)
+	if !h.After(s.hold) {
+		return false
 	}
+	s.begin(h)
+	return true
+}
+
+// Stranded returns the classes for which, since the last call, every version
+// that could serve was held, so that the least bad went on.
+func (c *Chooser) Stranded() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Sorted(maps.Keys(c.stranded))
+	clear(c.stranded)
+	return list
+}
+
+// Suspects returns the versions that this node has evidence against, in the
+// order of their names.
+func (c *Chooser) Suspects() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []string
+	for _, s := range c.sorted() {
+		if max(s.own.Ratings(), s.own.Errors()) >= suspect {
+			list = append(list, s.name)
+		}
+	}
+	return list
 }
 
 // Holds returns the latest hold of each version that ever had one, in the
--- a/internal/choice/pinned.go
+++ b/internal/choice/pinned.go
@@ -16,6 +16,7 @@
 		if c.alternative(name) {
 			return Plan{Refusal: RefuseHeld}
 		}
+		c.stranded[c.req.Class.Name] = struct{}{}
 		p.AllHeld = true
 	}
 	if v.config.State == config.Staged {
--- a/internal/choice/pool.go
+++ b/internal/choice/pool.go
@@ -40,10 +40,11 @@
 	for _, class := range s.classes {
 		key := quality.Key{Version: name, Class: class}
 		entry := quality.Entry{Key: key}
-		c.store.Add(&entry.Cell, key, except)
+		c.store.Add(&entry.Cell, key, func(r quality.Run) bool { return r != except })
 		if except != c.run() {
 			c.book.Add(&entry.Cell, key)
 		}
+		s.restore(&entry.Cell, key)
 		if entry.Cell.At != 0 {
 			p.Cells = append(p.Cells, entry)
 		}
--- a/internal/choice/quality/book.go
+++ b/internal/choice/quality/book.go
@@ -38,7 +38,7 @@
 	s := Summary{Node: b.run.Node, Epoch: b.run.Epoch, Seq: b.seq}
 	for _, key := range b.keys {
 		if include(key) {
-			s.Cells = append(s.Cells, Entry{Key: key, Cell: b.cells[key].rounded()})
+			s.Cells = append(s.Cells, Entry{Key: key, Cell: b.cells[key].Rounded()})
 		}
 	}
 	return s
--- a/internal/choice/quality/cell.go
+++ b/internal/choice/quality/cell.go
@@ -67,6 +67,9 @@
 	c.Output *= f
 }
 
+// Weight is how many ratings and answers the cell still holds.
+func (c *Cell) Weight() float64 { return c.Long.Weight + c.Rescue.Weight + c.Took.Weight }
+
 // AddScore counts a rating.
 func (c *Cell) AddScore(score float64, now int64) {
 	c.Advance(now)
--- a/internal/choice/quality/round.go
+++ b/internal/choice/quality/round.go
@@ -1,9 +1,9 @@
 package quality
 
-// rounded returns the cell with its numbers cut to single precision. Codecs
+// Rounded returns the cell with its numbers cut to single precision. Codecs
 // that drop zero bytes then send them in half the bytes; the error, a part in
 // ten million, is far below the noise of a rating.
-func (c *Cell) rounded() Cell {
+func (c *Cell) Rounded() Cell {
 	r := *c
 	for _, m := range []*Moments{&r.Long, &r.Mid, &r.Short, &r.Took} {
 		m.round()
--- a/internal/choice/quality/store.go
+++ b/internal/choice/quality/store.go
@@ -42,10 +42,10 @@
 // Len is how many runs are known.
 func (s *Store) Len() int { return len(s.runs) }
 
-// Add adds what all runs but one have seen of a cell to total.
-func (s *Store) Add(total *Cell, key Key, except Run) {
+// Add adds what the runs to be included have seen of a cell to total.
+func (s *Store) Add(total *Cell, key Key, include func(Run) bool) {
 	for i := range s.runs {
-		if s.runs[i].Run() != except {
+		if include(s.runs[i].Run()) {
 			s.runs[i].add(total, key)
 		}
 	}
--- a/internal/choice/quality/summary.go
+++ b/internal/choice/quality/summary.go
@@ -50,7 +50,7 @@
 	for i := range s.Cells {
 		cell := s.Cells[i].Cell
 		cell.Advance(now)
-		total += cell.Long.Weight + cell.Rescue.Weight + cell.Took.Weight
+		total += cell.Weight()
 	}
 	return total
 }
--- a/internal/choice/state.go
+++ b/internal/choice/state.go
@@ -29,6 +29,8 @@
 	wanted bool
 	// rated is when this node last took in a rating.
 	rated time.Time
+	// restored is what was archived before this node collected the version.
+	restored []quality.Entry
 	// classes are those of which there are cells.
 	classes []string
 }
--- /dev/null
+++ b/internal/event/choice.go
@@ -0,0 +1,13 @@
+package event
+
+import "log/slog"
+
+// Events 1500 to 1599: version choice, exposure and holds.
+var (
+	VersionHeld       = define(1500, slog.LevelError, "version turned bad and is held")
+	HoldLearned       = define(1501, slog.LevelWarn, "version is held; another node found it bad")
+	HoldEnded         = define(1502, slog.LevelInfo, "version's hold was lifted")
+	ClassStranded     = define(1503, slog.LevelError, "all versions for a class are held; the least bad goes on")
+	ExposureOpened    = define(1510, slog.LevelInfo, "staged version's ratings are in and good; its cap is lifted")
+	ExposureRowBroken = define(1511, slog.LevelError, "row of a staged version's exposure cannot be read")
+)
