Compare like with like in load; trust the firm's own authority in admin

Ratios of what a lane did not measure are left out. The administration client can trust a PEM file, since nodes may speak TLS under an authority that no machine knows.

--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -31,11 +32,15 @@
 }
 
 // New returns a client of the API at a base URL, with an operator's key.
-func New(baseURL, key string) *Client {
+func New(baseURL, key string) *Client { return NewSecure(baseURL, key, nil) }
+
+// NewSecure returns a client that trusts the authorities of a TLS
+// configuration, or the machine's when it is nil.
+func NewSecure(baseURL, key string, secure *tls.Config) *Client {
 	return &Client{
 		base: strings.TrimSuffix(baseURL, "/"),
 		key:  key,
-		http: &http.Client{Transport: new(http.Transport), Timeout: timeout},
+		http: &http.Client{Transport: &http.Transport{TLSClientConfig: secure}, Timeout: timeout},
 	}
 }
 
--- a/internal/cli/admin_bills.go
+++ b/internal/cli/admin_bills.go
@@ -49,7 +49,10 @@
 // read gathers page after page.
 func (c *adminBillsCommand) read() (billReport, error) {
 	report := billReport{Bills: []admin.Bill{}}
-	s := c.open()
+	s, err := c.open()
+	if err != nil {
+		return report, err
+	}
 	defer s.close()
 	query := url.Values{}
 	for name, value := range map[string]string{"organisation": c.Organisation, "from": c.From, "to": c.To} {
--- a/internal/cli/admin_change.go
+++ b/internal/cli/admin_change.go
@@ -32,7 +32,10 @@
 
 // send sends a change and prints what became of it.
 func (o *changeOptions) send(method, path string, body any) error {
-	s := o.open()
+	s, err := o.open()
+	if err != nil {
+		return err
+	}
 	defer s.close()
 	c := client.Change{Method: method, Path: path, ID: o.ChangeID}
 	if c.ID == "" {
@@ -45,7 +48,6 @@
 		}
 		c.Body = data
 	}
-	var err error
 	if c.Base, err = o.base(s); err != nil {
 		return err
 	}
--- a/internal/cli/admin_entities.go
+++ b/internal/cli/admin_entities.go
@@ -136,7 +136,10 @@
 	if err != nil {
 		return err
 	}
-	s := c.open()
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
 	defer s.close()
 	var lifted admin.HoldTerm
 	if err := s.client.Post(s.ctx, client.Path("holds", c.Args.Version, "lift"), body, &lifted); err != nil {
--- a/internal/cli/admin_options.go
+++ b/internal/cli/admin_options.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net/url"
+	"os"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/hickorybank/hickorybank/internal/admin/client"
 	"github.com/hickorybank/hickorybank/internal/cli/setting"
@@ -14,6 +19,7 @@
 	env     *env
 	URL     string           `long:"admin" env:"HICKORYBANK_ADMIN" accept:"url" needed:"yes" description:"base URL of a node's administration interface"`
 	Key     string           `long:"operator-key" env:"HICKORYBANK_OPERATOR_KEY" accept:"text" needed:"yes" secret:"yes" default-mask:"-" description:"an operator's key"`
+	Trust   string           `long:"tls-authority" env:"HICKORYBANK_TLS_AUTHORITY" accept:"text" description:"PEM file: who signs the nodes' certificates (the machine's authorities, if not given)"`
 	JSON    bool             `long:"json" env:"HICKORYBANK_JSON" description:"print JSON for programs"`
 	Timeout setting.Duration `long:"timeout" env:"HICKORYBANK_TIMEOUT" accept:"1s..1h" default:"1m" description:"how long to try"`
 }
@@ -25,9 +31,29 @@
 	cancel context.CancelFunc
 }
 
-func (o *adminOptions) open() *session {
+func (o *adminOptions) open() (*session, error) {
+	secure, err := trust(o.Trust)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout.Get())
-	return &session{client: client.New(o.URL, o.Key), ctx: ctx, cancel: cancel}
+	return &session{client: client.NewSecure(o.URL, o.Key, secure), ctx: ctx, cancel: cancel}, nil
+}
+
+// trust reads the authorities of a PEM file; nil means the machine's.
+func trust(file string) (*tls.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "TLS authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, eris.Errorf("TLS authority %s: holds no certificate in PEM form", file)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
 
 func (s *session) close() {
@@ -37,7 +63,10 @@
 
 // show reads a path and prints it, as JSON or by the function for people.
 func show[T any](o *adminOptions, path string, query url.Values, people func(*T) error) error {
-	s := o.open()
+	s, err := o.open()
+	if err != nil {
+		return err
+	}
 	defer s.close()
 	v := new(T)
 	if _, err := s.client.Get(s.ctx, path, query, v); err != nil {
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"io"
 	"log/slog"
 	"net/http"
@@ -214,3 +215,28 @@
 	is.NoErr(err)
 	is.Equal(head.Revision, uint64(3))
 }
+
+// The nodes speak TLS under the firm's own authority. The command must trust
+// just that: without the file it sends no key to a server it cannot know.
+func TestAdminOverTLS(t *testing.T) {
+	is := is.New(t)
+	keys, err := admin.ParseKeys([]string{config.HashKey("key")})
+	is.NoErr(err)
+	api := admin.NewServer(admin.Deps{Store: admin.NewStore(memory.New()), Keys: keys, Nodes: new(onlooker), Log: slog.New(slog.DiscardHandler)})
+	var asked atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		api.ServeHTTP(w, r)
+	}))
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.StartTLS()
+	defer server.Close()
+	args := []string{"admin", "nodes", "--admin", server.URL, "--operator-key", "key"}
+	is.Equal(call(args...).code, 1)
+	is.Equal(asked.Load(), int64(0))
+	authority := file(t, "ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})))
+	is.Equal(call(append(args, "--tls-authority", authority)...).code, 0)
+	got := call(append(args, "--tls-authority", file(t, "bad.pem", "none"))...)
+	is.Equal(got.code, 1)
+	is.True(strings.Contains(got.err, "holds no certificate"))
+}
--- a/internal/cli/admin_whole.go
+++ b/internal/cli/admin_whole.go
@@ -34,7 +34,10 @@
 	if c.Revision.Given() {
 		query.Set("revision", fmt.Sprint(c.Revision.Get()))
 	}
-	s := c.open()
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
 	defer s.close()
 	var doc json.RawMessage
 	revision, err := s.client.Get(s.ctx, "configuration", query, &doc)
--- a/internal/config/validate_organisations.go
+++ b/internal/config/validate_organisations.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// emptyKeyHash would let a caller in who sends "Bearer " and nothing else.
+var emptyKeyHash = HashKey("")
+
 // keyHash refuses a key that two organisations would share: the second would
 // be billed for, and see, the work of the first. Case does not tell hashes
 // apart.
@@ -63,6 +66,9 @@
 		return
 	}
 	key = strings.ToLower(key)
+	if key == emptyKeyHash {
+		v.faults.add(field, "is the sum of an empty key")
+	}
 	if keys[key] {
 		v.faults.add(field, "stands twice")
 	}
--- a/internal/config/validate_test.go
+++ b/internal/config/validate_test.go
@@ -91,6 +91,7 @@
 		{"organisations[0].rate_per_second", func(d *Document) { org(d).RatePerSecond = -1 }},
 		{"organisations[0].rate_per_second", func(d *Document) { org(d).RatePerSecond = math.NaN() }},
 		{"organisations[0].key_hashes[0]", func(d *Document) { org(d).KeyHashes[0] = "secret" }},
+		{"organisations[0].key_hashes[0]", func(d *Document) { org(d).KeyHashes[0] = HashKey("") }},
 		{"organisations[0].versions[2]", func(d *Document) { org(d).Versions = append(org(d).Versions, "dues@9") }},
 		{"organisations[0].versions[2]", func(d *Document) { org(d).Versions = append(org(d).Versions, "dues@1") }},
 		{"organisations[0].services[0]", func(d *Document) { org(d).Services[0] = "gone" }},
--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return broken(res, "request", clock)
 	}
-	stream, err := d.engines.Start(ctx, h.vm.Addr, upstream.Attempt{ID: uuid.NewString(), Version: version, Body: body})
+	stream, err := d.engines.Start(ctx, h.vm.Addr, upstream.Attempt{ID: uuid.NewString(), Version: version, PrefixHash: job.prefixHash(), Body: body})
 	if err != nil {
 		return broken(res, kindOf(err), clock)
 	}
--- a/internal/load/figures.go
+++ b/internal/load/figures.go
@@ -71,20 +71,19 @@
 	return line
 }
 
+// ratios leaves out what one of the lanes did not measure.
 func ratios(a, b *Tally) []Ratio {
-	ratio := func(figure string, x, y int64) Ratio {
-		r := Ratio{Figure: figure, First: x, Second: y}
-		if y > 0 {
-			r.Ratio = float64(x) / float64(y)
+	var all []Ratio
+	add := func(figure string, x, y Latency) {
+		if x.Count == 0 || y.Count == 0 {
+			return
 		}
-		return r
-	}
-	return []Ratio{
-		ratio("whole p50", a.Whole.P50, b.Whole.P50),
-		ratio("whole p99", a.Whole.P99, b.Whole.P99),
-		ratio("first token p50", a.FirstToken.P50, b.FirstToken.P50),
-		ratio("first token p99", a.FirstToken.P99, b.FirstToken.P99),
-		ratio("between tokens p50", a.Gap.P50, b.Gap.P50),
-		ratio("between tokens p99", a.Gap.P99, b.Gap.P99),
+		all = append(all,
+			Ratio{Figure: figure + " p50", First: x.P50, Second: y.P50, Ratio: float64(x.P50) / float64(y.P50)},
+			Ratio{Figure: figure + " p99", First: x.P99, Second: y.P99, Ratio: float64(x.P99) / float64(y.P99)})
 	}
+	add("whole", a.Whole, b.Whole)
+	add("first token", a.FirstToken, b.FirstToken)
+	add("between tokens", a.Gap, b.Gap)
+	return all
 }
--- a/internal/load/prompt.go
+++ b/internal/load/prompt.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type chatBody struct {
@@ -29,13 +31,21 @@
 	return text
 }
 
+// prefix is the first message, alike for all jobs of a kind.
+func (j Job) prefix() string {
+	return "You work for " + j.Work.Organisation + " on " + j.Work.Class + "."
+}
+
+// prefixHash names it to an engine's cache, as the router does.
+func (j Job) prefixHash() uint64 { return xxhash.Sum64String(j.prefix()) }
+
 // body is the chat request of a job for a model or version. The first message
 // is shared by all jobs of its kind, as a prefix that engines can cache.
 func (j Job) body(run, model string) ([]byte, error) {
 	return json.Marshal(chatBody{
 		Model: model,
 		Messages: []chatMessage{
-			{Role: "system", Content: "You work for " + j.Work.Organisation + " on " + j.Work.Class + "."},
+			{Role: "system", Content: j.prefix()},
 			{Role: "user", Content: j.prompt(run)},
 		},
 		Stream:    j.Work.Stream,
