--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -129,7 +129,10 @@
 func (r *Results) add(role Role) {
 	r.Reads += role.Reads
 	r.Writes += role.Writes
-	if role.Plane == Data {
+	switch role.Plane {
+	case Part:
+		return
+	case Data:
 		r.Data = r.Data.Plus(role.Each)
 		return
 	}
@@ -139,7 +142,7 @@
 
 func (c *calc) roles() []Role {
 	roles := []Role{
-		c.requests(), c.decisions(),
+		c.requests(), c.carrying(), c.decisions(),
 		c.process(), c.connections(), c.metrics(), c.addresses(), c.loadReports(),
 		c.list(), c.configReading(), c.configTree(), c.administration(), c.rollouts(),
 		c.limits(), c.summaries(), c.suspects(), c.claims(), c.bills(), c.settling(),
--- a/internal/capacity/probe_stream.go
+++ b/internal/capacity/probe_stream.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -36,7 +35,7 @@
 	engines *client.Engines
 	server  *http.Server
 	serving conc.WaitGroup
-	callers []*rawCaller
+	callers rawCallers
 }
 
 func newStreamRig(callers, pieces int) (*streamRig, error) {
@@ -57,7 +56,7 @@
 	r.server = &http.Server{Handler: api.New(&relayRouter{snapshot: snapshot, engines: r.engines, addr: engine.addr()})}
 	r.serving.Go(func() { _ = r.server.Serve(listener) }) // returns when closed
 	for i := range callers {
-		c, err := newRawCaller(listener.Addr().String(), i, pieces, turns[i])
+		c, err := newRawCaller(listener.Addr().String(), versionName0, i, pieces, turns[i])
 		if err != nil {
 			r.close()
 			return nil, err
@@ -68,48 +67,25 @@
 }
 
 func (r *streamRig) close() {
-	for _, c := range r.callers {
-		c.close()
-	}
+	r.callers.close()
 	_ = r.server.Close()
 	r.serving.Wait()
 	r.engines.Close()
 	r.engine.close()
 }
 
-// run lets every caller have n answers.
-func (r *streamRig) run(n int) error {
-	var mu sync.Mutex
-	var first error
-	var all conc.WaitGroup
-	for _, c := range r.callers {
-		all.Go(func() {
-			for range n {
-				if err := c.run(); err != nil {
-					mu.Lock()
-					first = err
-					mu.Unlock()
-					return
-				}
-			}
-		})
-	}
-	all.Wait()
-	return first
-}
-
 func measureStream(m Meter, tokens int) (float64, error) {
 	r, err := newStreamRig(callers, tokens)
 	if err != nil {
 		return 0, err
 	}
 	defer r.close()
-	if err := r.run(1); err != nil {
+	if err := r.callers.run(1); err != nil {
 		return 0, err
 	}
 	var failed error
 	v := m.CPU(func(n int) {
-		if err := r.run(n); err != nil {
+		if err := r.callers.run(n); err != nil {
 			failed = err
 		}
 	})
--- a/internal/capacity/probes.go
+++ b/internal/capacity/probes.go
@@ -5,7 +5,7 @@
 // Probes are all measurements, in the order of the page.
 func Probes() []Probe {
 	return slices.Concat(
-		processProbes(), streamProbes(), requestProbes(), balanceProbes(), pollProbes(), admissionProbes(), limitProbes(),
+		processProbes(), streamProbes(), nodeProbes(), requestProbes(), balanceProbes(), pollProbes(), admissionProbes(), limitProbes(),
 		choiceProbes(), ledgerProbes(), configProbes(), ledgerCallProbes(), ledgerFleetProbes(), confsyncProbes(), membershipProbes(), suspectProbes(), peerProbes(), platformProbes(), telemetryProbes(),
 	)
 }
--- a/internal/capacity/rawcaller.go
+++ b/internal/capacity/rawcaller.go
@@ -25,15 +25,15 @@
 
 var doneMark = []byte("data: [DONE]")
 
-func newRawCaller(addr string, number, pieces int, turn chan<- struct{}) (*rawCaller, error) {
+func newRawCaller(addr, model string, number, pieces int, turn chan<- struct{}) (*rawCaller, error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":"Draft the statement for call %d."}]}`,
-		versionName0, bytes.Repeat([]byte("dossier "), promptWords), number)
-	ask := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer %s\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		keyName(0), "Hickorybank-Class", className(0), len(body), body)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":"Draft the %s%d."}]}`,
+		model, bytes.Repeat([]byte("dossier "), promptWords), callMark, number)
+	ask := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		keyName(0), len(body), body)
 	return &rawCaller{conn: conn, in: bufio.NewReader(conn), ask: []byte(ask), pieces: pieces, turn: turn}, nil
 }
 
--- a/internal/capacity/rawengine.go
+++ b/internal/capacity/rawengine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -58,10 +59,16 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
-		if e.answer(conn, req.Header.Get("X-Attempt-Id")) != nil {
+		if req.Method == http.MethodGet {
+			err = report(conn)
+		} else {
+			err = e.answer(conn, req.Header.Get("X-Attempt-Id"), e.turns.of(body))
+		}
+		if err != nil {
 			return
 		}
 	}
@@ -73,11 +80,25 @@
 	lastFormat  = "data: {\"attempt\":%q,\"seq\":%d,\"done\":true,\"finish_reason\":\"stop\",\"usage\":{\"input_tokens\":900,\"output_tokens\":%d}}\n\n"
 )
 
-func (e *rawEngine) answer(conn net.Conn, attempt string) error {
+// report answers a question for the load.
+func report(conn net.Conn) error {
+	load := loadReport()
+	load.Versions = nil
+	for i := range docVersions {
+		load.Versions = append(load.Versions, versionName(i))
+	}
+	data, err := json.Marshal(load)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(data), data)
+	return err
+}
+
+func (e *rawEngine) answer(conn net.Conn, attempt string, turn <-chan struct{}) error {
 	if _, err := io.WriteString(conn, answerHead); err != nil {
 		return err
 	}
-	turn := e.turns.of(attempt)
 	for seq := 1; seq <= e.pieces; seq++ {
 		event := fmt.Sprintf(pieceFormat, attempt, seq)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
--- a/internal/capacity/relayrouter.go
+++ b/internal/capacity/relayrouter.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"strconv"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +22,7 @@
 	snapshot *config.Snapshot
 	engines  upstream.Engines
 	addr     string
+	requests atomic.Uint64
 }
 
 // Snapshot implements [api.Router].
@@ -40,19 +41,18 @@
 // Addresses implements [api.Router].
 func (r *relayRouter) Addresses(string) api.Addresses { return api.Addresses{} }
 
-// Chat implements [api.Router]. The number at the prompt's end is the caller's.
+// Chat implements [api.Router].
 func (r *relayRouter) Chat(ctx context.Context, call api.ChatCall, sink request.Sink) (request.Answer, error) {
 	request.NewFingerprint(call.Org.Name, call.Body)
-	words := strings.Fields(strings.TrimSuffix(strings.TrimSpace(call.Prompt), "."))
-	caller := words[len(words)-1]
-	chat := lifecycle.NewChat(lifecycle.ChatSettings{ID: caller, Versions: []string{versionName0}, Streaming: true, MaxAttempts: 1, Deadline: time.Now().Add(time.Minute)})
+	id := strconv.FormatUint(r.requests.Add(1), 10)
+	chat := lifecycle.NewChat(lifecycle.ChatSettings{ID: id, Versions: []string{versionName0}, Streaming: true, MaxAttempts: 1, Deadline: time.Now().Add(time.Minute)})
 	chat.Begin()
 	chat.Picked("engine-00001")
 	body, err := call.Fields.BodyFor(versionName0)
 	if err != nil {
 		return request.Answer{}, err
 	}
-	stream, err := r.engines.Start(ctx, r.addr, upstream.Attempt{ID: caller + "." + strconv.Itoa(1), Version: versionName0, Body: body})
+	stream, err := r.engines.Start(ctx, r.addr, upstream.Attempt{ID: id + ".1", Version: versionName0, Body: body})
 	if err != nil {
 		return request.Answer{}, err
 	}
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -61,7 +61,7 @@
 
 func (r Report) roleCells(role Role) []string {
 	verdict := r.verdict(role.Busiest)
-	if role.Plane == Data {
+	if role.Plane != Control {
 		verdict = "no budget (data)"
 	}
 	if role.Who != "" {
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -9,6 +9,8 @@
 	Control Plane = "control"
 	// Data is the way of requests and answers themselves.
 	Data Plane = "data"
+	// Part is contained in another role and not added up.
+	Part Plane = "part"
 )
 
 // Role is one thing that entry nodes do.
--- a/internal/capacity/role_ledger.go
+++ b/internal/capacity/role_ledger.go
@@ -63,7 +63,7 @@
 	return Role{
 		Name: "claims: work that may not be repeated", Plane: Control,
 		State:     fmt.Sprintf("at a batcher %s keys of the last two buckets of %v", short(keys), s.Layout.ClaimBucket),
-		Mechanism: fmt.Sprintf("append-only logs of conditional rows, %d for each of %d tables, one row each %.0f ms; each log is batched by the first node in rendezvous order; package ledger/claim", s.Layout.Shards, c.Tables, 1000*f.gap),
+		Mechanism: fmt.Sprintf("append-only logs of conditional rows, %d for a table, one row each %.0f ms; each log is batched by the first node in rendezvous order; package ledger/claim", s.Layout.Shards, 1000*f.gap),
 		Each:      calling.Plus(batching.Times(share)), Busiest: calling.Plus(batching),
 		Who:    fmt.Sprintf("a log's batcher, %.0f nodes, with %.0f claims and settlements a second", f.batchers, taken),
 		Writes: s.ClaimWritesPerSecond * float64(c.Tables), Reads: f.batchers / s.Layout.ClaimBucket.Seconds(),
--- a/internal/capacity/role_shared.go
+++ b/internal/capacity/role_shared.go
@@ -46,7 +46,7 @@
 	return Role{
 		Name: "version choice: what is known of quality", Plane: Control,
 		State:     fmt.Sprintf("%.0f cells: %d versions by %.0f classes, with their scores' distribution", cells, c.Size.Versions, c.Assume.Classes),
-		Mechanism: fmt.Sprintf("cumulative summaries to a collector for each version in groups of a failure domain, every %.0f s; package choice", summaryPeriod),
+		Mechanism: fmt.Sprintf("cumulative summaries to a collector for each version in groups of a failure domain, every %.0f s (assumed: the exchange is not built yet); package choice", summaryPeriod),
 		Each:      exchange.Plus(own),
 		Busiest:   busiest.Plus(exchange).Plus(own).Plus(Cost{Memory: c.memory(c.at("choice.collector.heap", group))}), Who: "the collector of a version",
 	}
@@ -56,10 +56,9 @@
 func (c *calc) suspects() Role {
 	const known = 16
 	nodes := float64(c.Size.Nodes)
-	rate := c.Size.perNode(c.Size.Requests)
 	half := c.per("suspect.messages") / 2
 	quiet := c.peerCalls(half, half, c.at("suspect.call", 0), c.at("suspect.call.bytes", 0)).Times(2)
-	quiet.Processor += processor(1, c.at("suspect.second", nodes)) + processor(rate, c.at("suspect.attempt", nodes))
+	quiet.Processor += processor(1, c.at("suspect.second", nodes))
 	quiet.Memory = c.memory(c.at("suspect.heap", known))
 	return Role{
 		Name: "requests that crash upstreams", Plane: Control,
--- a/internal/capacity/turns.go
+++ b/internal/capacity/turns.go
@@ -1,12 +1,12 @@
 package capacity
 
 import (
+	"bytes"
 	"strconv"
-	"strings"
 )
 
 // turns let a caller tell the engine that it has had a piece; one channel a
-// caller. An attempt's id is its caller's number, a dot and more.
+// caller. A request's prompt ends in its caller's number.
 type turns []chan struct{}
 
 func newTurns(callers int) turns {
@@ -17,11 +17,15 @@
 	return t
 }
 
-func (t turns) of(attempt string) chan struct{} {
-	number, _, _ := strings.Cut(attempt, ".")
-	i, err := strconv.Atoi(number)
+// callMark stands before the caller's number in a prompt, and a dot after it.
+const callMark = "statement for call "
+
+func (t turns) of(body []byte) <-chan struct{} {
+	_, rest, _ := bytes.Cut(body, []byte(callMark))
+	number, _, _ := bytes.Cut(rest, []byte("."))
+	i, err := strconv.Atoi(string(number))
 	if err != nil || i >= len(t) {
-		panic("capacity: attempt " + attempt + " names no caller")
+		panic("capacity: a prompt without its caller")
 	}
 	return t[i]
 }
