Join roll-outs and the exchange of ratings, grants and holds

Cause: a node chose versions by its own ratings alone, gave staged versions no exposure and nobody drove roll-outs. Now summaries, grants and holds travel between nodes and the table, one node drives the roll-outs, and operators see both and lift holds. Not run yet: a scenario of a version that turns bad, through processes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/api"
 	"github.com/hickorybank/hickorybank/internal/choice"
+	"github.com/hickorybank/hickorybank/internal/choice/share"
 	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/confsync"
 	"github.com/hickorybank/hickorybank/internal/confsync/tablestore"
@@ -24,6 +25,7 @@
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/peer"
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/rollout"
 	"github.com/hickorybank/hickorybank/internal/seal"
 	"github.com/hickorybank/hickorybank/internal/session"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
@@ -49,6 +51,8 @@
 	sync      *confsync.Syncer
 	ledger    *ledger.Ledger
 	chooser   *choice.Chooser
+	share     *share.Share
+	rollouts  *rollout.Driver
 	upstreams *upstreams
 	gate      *gate
 	limits    *limits
@@ -104,6 +108,7 @@
 		return err
 	}
 	n.build()
+	n.buildVersions()
 	if err := n.register(); err != nil {
 		return err
 	}
@@ -173,6 +178,23 @@
 	})
 }
 
+// buildVersions builds what carries version choice and roll-outs.
+func (n *Node) buildVersions() {
+	n.share = share.New(share.Deps{
+		Chooser: n.chooser, Table: n.deps.Platform, Peers: n.pool, Members: n.entries, Self: n.self,
+		Snapshot: n.sync.Snapshot, Log: n.deps.Log,
+	})
+	n.rollouts = rollout.New(rollout.Settings{}, rollout.Deps{
+		Table: n.deps.Platform, Engines: n.deps.Engines, View: n.members.View, Snapshot: n.sync.Current,
+		InForce: n.inForce, Self: n.self, Members: n.entries, Log: n.deps.Log,
+	})
+}
+
+func (n *Node) inForce(ctx context.Context, revision uint64) (bool, error) {
+	c, err := n.sync.Confirmations(ctx, revision)
+	return c.InForce, err
+}
+
 func (n *Node) register() error {
 	if err := n.sync.Register(n.peers); err != nil {
 		return err
@@ -180,6 +202,9 @@
 	if err := n.ledger.Register(n.peers); err != nil {
 		return err
 	}
+	if err := n.share.Register(n.peers); err != nil {
+		return err
+	}
 	if err := n.peers.Register(limitService, &limitReceiver{limits: n.limits}); err != nil {
 		return err
 	}
@@ -191,7 +216,13 @@
 	if err := n.sync.Start(); err != nil {
 		return err
 	}
-	return n.ledger.Start()
+	if err := n.ledger.Start(); err != nil {
+		return err
+	}
+	if err := n.share.Start(); err != nil {
+		return err
+	}
+	return n.rollouts.Start()
 }
 
 func (n *Node) serve() {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -50,7 +50,7 @@
 	o := &operators{node: n}
 	mux := http.NewServeMux()
 	mux.Handle("/admin/", admin.NewServer(admin.Deps{
-		Store: n.store, Keys: n.operatorKeys, Confirmer: o, Bills: o, Nodes: o, Upstreams: o,
+		Store: n.store, Keys: n.operatorKeys, Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o,
 		Accepted: func(uint64) { n.sync.Poke() }, Log: n.deps.Log,
 	}))
 	mux.Handle("/metrics", n.metrics.Handler())
@@ -179,8 +179,3 @@
 	n.metrics.Gauge("hickorybank_bills_waiting", func() float64 { return float64(n.ledger.Stats().Waiting) })
 	n.metrics.Gauge("hickorybank_bills_held", func() float64 { return float64(n.ledger.Stats().Held) })
 }
-
-var _ admin.Confirmer = (*operators)(nil)
-var _ admin.BillReader = (*operators)(nil)
-var _ admin.NodeReader = (*operators)(nil)
-var _ admin.UpstreamReader = (*operators)(nil)
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -102,6 +102,8 @@
 		_ = n.adminServer.Close()
 	}
 	n.stop()
+	_ = n.rollouts.Close(ctx)
+	n.share.Close()
 	_ = n.ledger.Close(ctx)
 	_ = n.sync.Close(ctx)
 	n.peers.Close()
