--- a/internal/admin/apply.go
+++ b/internal/admin/apply.go
@@ -87,7 +87,7 @@
 		Revision: c.Base + 1, Base: c.Base, Change: c.ID, Operator: c.Operator,
 		Preset: doc.Preset, At: c.At, Digest: c.Digest,
 	}
-	txn, err := changeTxn(record, version, doc)
+	txn, err := changeTxn(record, version, before, doc)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/admin/apply_test.go
+++ b/internal/admin/apply_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/confsync"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
@@ -177,6 +178,39 @@
 	return platform.CommitResult{}, platform.ErrRefused
 }
 
+// A configuration is in force with another document than the stored one. The
+// stored document of a revision is unreadable, an operator replaces it, and nodes
+// that still hold the real one apply a delta made from nothing. Such a change
+// must come without a delta, so that nodes read the whole document.
+func TestReplacingAnUnreadableDocumentStoresNoDelta(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	inner := memory.New()
+	store := NewStore(inner)
+	for i := range uint64(2) {
+		_, err := store.Apply(ctx, smallChange(fmt.Sprintf("c%d", i+1), i))
+		is.NoErr(err)
+	}
+	row, err := inner.Get(ctx, confsync.DeltaKey(2))
+	is.NoErr(err)
+	is.True(row.Version > 0) // an ordinary change has one
+	row, err = inner.Get(ctx, DocKey(2))
+	is.NoErr(err)
+	_, err = inner.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: DocKey(2), Version: row.Version}},
+		Writes:     []platform.Write{{Key: DocKey(2), Value: []byte("{")}},
+	})
+	is.NoErr(err)
+	change := smallChange("c3", 2)
+	change.Replaces = true
+	result, err := store.Apply(ctx, change)
+	is.NoErr(err)
+	is.Equal(result.Verdict, Accepted)
+	row, err = inner.Get(ctx, confsync.DeltaKey(3))
+	is.NoErr(err)
+	is.Equal(row.Version, uint64(0))
+}
+
 func TestPastIsKeptAndDropped(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -191,7 +225,7 @@
 	}
 	rows, err := inner.Scan(ctx, "config/", "", 100)
 	is.NoErr(err)
-	is.Equal(len(rows), 1+3+5+5) // head, documents, log, change ids
+	is.Equal(len(rows), 1+3+3+5+5) // head, documents, deltas, log, change ids
 	doc, err := store.Document(ctx, last-2)
 	is.NoErr(err)
 	is.Equal(doc.Preset, "c18")
--- a/internal/admin/txn.go
+++ b/internal/admin/txn.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/confsync"
 	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
@@ -29,7 +30,9 @@
 }
 
 // changeTxn is the transaction of a change whose head row has the version.
-func changeTxn(r Record, version uint64, doc *config.Document) (platform.Txn, error) {
+// Before has no preset when there was no document, or none that could be read:
+// nodes may hold another one then, to which a delta would not fit.
+func changeTxn(r Record, version uint64, before, doc *config.Document) (platform.Txn, error) {
 	txn := platform.Txn{Conditions: []platform.Condition{
 		{Key: HeadKey, Version: version},
 		{Key: changeKey(r.Change)},
@@ -50,15 +53,46 @@
 		}
 		txn.Writes = append(txn.Writes, platform.Write{Key: row.key, Value: value})
 	}
+	if before.Preset == "" {
+		return txn, nil
+	}
+	delta, err := deltaWrite(r, before, doc)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	txn.Writes = append(txn.Writes, delta)
 	return txn, nil
 }
 
+// deltaWrite stores what the change changed, so that nodes that have the
+// revision before need not read the whole document.
+func deltaWrite(r Record, before, doc *config.Document) (platform.Write, error) {
+	old, err := json.Marshal(before)
+	if err != nil {
+		return platform.Write{}, err
+	}
+	young, err := json.Marshal(doc)
+	if err != nil {
+		return platform.Write{}, err
+	}
+	delta, err := confsync.MakeDelta(r.Base, r.Revision, old, young)
+	if err != nil {
+		return platform.Write{}, err
+	}
+	value, err := confsync.EncodeDelta(delta)
+	return platform.Write{Key: confsync.DeltaKey(r.Revision), Value: value}, err
+}
+
 // outdated returns the deletions that a revision brings with it. Without an
 // answer from the table it leaves the log as it is; a later change catches up.
 func (s *Store) outdated(ctx context.Context, revision uint64) []platform.Write {
 	var drop []platform.Write
 	if revision > s.keep.documents {
-		drop = append(drop, platform.Write{Key: DocKey(revision - s.keep.documents), Delete: true})
+		past := revision - s.keep.documents
+		drop = append(drop,
+			platform.Write{Key: DocKey(past), Delete: true},
+			platform.Write{Key: confsync.DeltaKey(past), Delete: true},
+		)
 	}
 	if revision <= s.keep.records {
 		return drop
