Test each kind of bad turn by itself, and prove the parts of the choice

A test wrote down that half of all answers being wrong, by a rater that says only right or wrong, must count against a version; it hardly did. The likelihood of three kinds of fall was mixed for each rating, and the kind that such ratings cannot show took away what the others saw. Each kind now has a statistic of its own.

--- /dev/null
+++ b/internal/choice/bench_test.go
@@ -0,0 +1,74 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const benchVersions = 24
+
+// learned returns a chooser that knows all versions well, and a request.
+func learned(b *testing.B, versions int) (*Chooser, Request) {
+	s := compile(b, document(versions))
+	c := New(Settings{Node: "a", Epoch: 1})
+	c.Choose(request(s, start, 0))
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, v := range s.Doc.Models[0].Versions {
+		for range 600 {
+			score := min(max(v.PriorQuality+0.1*rng.NormFloat64(), 0), 1)
+			c.Observe(Observation{Version: v.Name, Class: "draft", Score: score, Again: score, HasAgain: true, Now: start})
+		}
+		c.ObserveAnswer(Answer{Version: v.Name, Class: "draft", Took: time.Second, InputTokens: 1000, OutputTokens: 300, Now: start})
+	}
+	return c, request(s, start, 0)
+}
+
+// BenchmarkChoose chooses among 24 versions with the plans made.
+func BenchmarkChoose(b *testing.B) {
+	c, req := learned(b, benchVersions)
+	rng := rand.New(rand.NewPCG(1, 2))
+	c.Choose(req)
+	b.ReportAllocs()
+	for b.Loop() {
+		req.Random = rng.Uint64()
+		c.Choose(req)
+	}
+}
+
+// BenchmarkChooseRefreshing is a node at 59 requests a second, which makes its
+// plans anew every five seconds.
+func BenchmarkChooseRefreshing(b *testing.B) {
+	c, req := learned(b, benchVersions)
+	rng := rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	for b.Loop() {
+		req.Now = req.Now.Add(17 * time.Millisecond)
+		req.Random = rng.Uint64()
+		c.Choose(req)
+	}
+}
+
+// BenchmarkObserve takes in ratings of 24 versions.
+func BenchmarkObserve(b *testing.B) {
+	c, req := learned(b, benchVersions)
+	now := req.Now
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(100 * time.Millisecond)
+		c.Observe(Observation{Version: req.Versions[i%benchVersions], Class: "draft", Score: 0.8, Now: now})
+	}
+}
+
+// BenchmarkExchange is one report of all cells and its pool.
+func BenchmarkExchange(b *testing.B) {
+	c, req := learned(b, benchVersions)
+	collector, _ := learned(b, benchVersions)
+	collector.settings.Node = "b"
+	b.ReportAllocs()
+	for b.Loop() {
+		sum := c.Summary(req.Versions...)
+		collector.Merge(sum, req.Now)
+		c.TakePool(collector.Pool(sum.Run(), req.Versions, req.Now.UnixNano()))
+	}
+}
--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -100,6 +100,6 @@
 	}
 	c.stranded[c.req.Class.Name] = struct{}{}
 	p := Plan{First: c.least.config.Name, AllHeld: true, BelowTarget: true}
-	p.Rate = c.sample(c.least.state)
+	p.Rate = c.sample(c.least.state, false)
 	return p
 }
--- a/internal/choice/detect/evidence.go
+++ b/internal/choice/detect/evidence.go
@@ -1,14 +1,27 @@
 package detect
 
-// Evidence is all evidence against a version that one run of a node has seen
-// since its start, in nats. It only adds up, so that whoever has seen an
-// earlier value knows from a later one what came in between.
+// Evidence is evidence against a version, in nats. What one run of a node has
+// seen since its start adds up, so that whoever has seen an earlier sum knows
+// from a later one what came in between.
 type Evidence struct {
-	Ratings float64
+	Ratings [Alternatives]float64
 	Errors  float64
 }
 
-// Minus returns what came after an earlier value.
+// Plus adds later evidence.
+func (e Evidence) Plus(later Evidence) Evidence {
+	for i := range e.Ratings {
+		e.Ratings[i] += later.Ratings[i]
+	}
+	e.Errors += later.Errors
+	return e
+}
+
+// Minus returns what came after an earlier sum.
 func (e Evidence) Minus(earlier Evidence) Evidence {
-	return Evidence{Ratings: e.Ratings - earlier.Ratings, Errors: e.Errors - earlier.Errors}
+	for i := range e.Ratings {
+		e.Ratings[i] -= earlier.Ratings[i]
+	}
+	e.Errors -= earlier.Errors
+	return e
 }
--- a/internal/choice/detect/table.go
+++ b/internal/choice/detect/table.go
@@ -20,23 +20,44 @@
 	garbageBins = 5
 )
 
+// Alternatives are the ways in which a version may have turned bad, each with a
+// test of its own: one test against a mixture of them would be slow to see any.
+const (
+	// halved: every answer is worth half.
+	halved = iota
+	// lowered: low scores have become likelier, so that the mean is half.
+	lowered
+	// spoilt: every other answer is useless.
+	spoilt
+	Alternatives
+)
+
 // Table holds the evidence that a score of each bin gives, in nats.
-type Table [quality.Bins]float64
+type Table [Alternatives][quality.Bins]float64
 
 // NewTable returns the evidence table of a version that has the given
 // distribution of scores, known from so many ratings.
 func NewTable(scores [quality.Bins]float64, weight float64) *Table {
 	good := smooth(scores, min(weight, mostWeight))
-	bad := smooth(turned(good), mostWeight)
 	var t Table
-	for i := range t {
-		t[i] = math.Log(bad[i] / good[i])
+	for i, bad := range turned(good) {
+		bad = smooth(bad, mostWeight)
+		for bin := range bad {
+			t[i][bin] = math.Log(bad[bin] / good[bin])
+		}
 	}
 	return &t
 }
 
-// Evidence returns what a score says, in nats.
-func (t *Table) Evidence(score float64) float64 { return t[quality.Bin(score)] }
+// Evidence returns what a score says.
+func (t *Table) Evidence(score float64) Evidence {
+	var e Evidence
+	bin := quality.Bin(score)
+	for i := range e.Ratings {
+		e.Ratings[i] = t[i][bin]
+	}
+	return e
+}
 
 func smooth(shares [quality.Bins]float64, weight float64) [quality.Bins]float64 {
 	for i := range shares {
@@ -45,18 +66,15 @@
 	return shares
 }
 
-// turned returns how the scores may be distributed after the fall: a third
-// each of all scores halved, of low scores having become likelier, and of
-// every other answer having become useless.
-func turned(good [quality.Bins]float64) (bad [quality.Bins]float64) {
-	lower := tilt(good, fallen*mean(good))
-	for i := range bad {
-		bad[i/2] += good[i] / 3
-		bad[i] += lower[i] / 3
-		bad[i] += good[i] / 6
+// turned returns how the scores may be distributed after the fall.
+func turned(good [quality.Bins]float64) (bad [Alternatives][quality.Bins]float64) {
+	bad[lowered] = tilt(good, fallen*mean(good))
+	for i, share := range good {
+		bad[halved][i/2] += share
+		bad[spoilt][i] += share / 2
 	}
 	for i := range garbageBins {
-		bad[i] += 1.0 / 6 / garbageBins
+		bad[spoilt][i] += 0.5 / garbageBins
 	}
 	return bad
 }
@@ -71,7 +89,7 @@
 
 // tilt returns the distribution closest to shares that has the given lower mean.
 func tilt(shares [quality.Bins]float64, target float64) [quality.Bins]float64 {
-	const steepest, steps = 200, 40
+	const steepest, steps = 200, 24
 	low, high := 0.0, float64(steepest)
 	for range steps {
 		middle := (low + high) / 2
--- a/internal/choice/explore.go
+++ b/internal/choice/explore.go
@@ -26,5 +26,5 @@
 		return Plan{}, false
 	}
 	c.fixed(pick.Estimate.Mean)
-	return Plan{First: pick.Version, Rate: true, RateAgain: c.draws.next() < pairShare}, true
+	return Plan{First: pick.Version, Rate: true, RateAgain: c.again(c.version(pick.Version))}, true
 }
--- a/internal/choice/frontier/builder.go
+++ b/internal/choice/frontier/builder.go
@@ -10,6 +10,10 @@
 	// cascade. The second answers what the first could not, so it is one of
 	// the best; without the bound the ways grow with the square of versions.
 	rescuers = 4
+	// mostSlopeVariance is how uncertain the worth of a version's ratings may
+	// be for it to be the first in a cascade. Before pairs have shown what a
+	// rating is worth, a cascade would pay for two answers on mere belief.
+	mostSlopeVariance = 0.15 * 0.15
 	// optimism is by how many standard deviations an option must be able to
 	// beat the frontier to be explored.
 	optimism = 1.5
@@ -54,6 +58,9 @@
 		then = append(then, []string{options[next].Version})
 	}
 	for i := range options {
+		if options[i].Estimate.Curve.SlopeVariance > mostSlopeVariance {
+			continue
+		}
 		b.accepted = thresholds(&options[i].Estimate, b.accepted[:0])
 		for rank, next := range b.best {
 			if options[i].Cost < options[next].Cost {
--- a/internal/choice/frontier/hull.go
+++ b/internal/choice/frontier/hull.go
@@ -6,7 +6,7 @@
 // best: each corner costs more, is better, and buys less quality for its cost
 // than the corner before. It reorders the points.
 func hull(points []Point) []Point {
-	slices.SortStableFunc(points, byCost)
+	slices.SortFunc(points, byCost)
 	corners := points[:0]
 	for _, p := range points {
 		if n := len(corners); n > 0 && p.Quality <= corners[n-1].Quality {
--- a/internal/choice/holds.go
+++ b/internal/choice/holds.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// alarm is the statistic from which a version is held, in nats: for
-	// versions as good as their reference, once in four million ratings at
-	// most.
+	// alarm is the statistic from which a version is held, in nats. Of
+	// versions as good as their reference each of the three tests of ratings
+	// holds one in exp(15.2), four million, ratings at most.
 	alarm = 15.2
 	// common is the share of the lately rated versions that must look bad
 	// at once for the fault to be the rating service's.
--- a/internal/choice/known.go
+++ b/internal/choice/known.go
@@ -39,17 +39,29 @@
 		took:    took(cell),
 		pairs:   cell.Pairs.Count,
 		rescues: cell.Rescue.Weight,
-	}
-	if e.Weight >= referenceRatings || version.State == config.Staged {
-		k.table = detect.NewTable(e.Scores, max(e.Weight, referenceRatings))
-	}
-	if cell.Rescue.Weight >= referenceRatings {
-		k.rescueTable = detect.NewTable(cell.Rescue.Shares(), cell.Rescue.Weight)
+		cell:    cell,
+		tested:  e.Weight >= referenceRatings || version.State == config.Staged,
 	}
 	c.view.known[key] = k
 	return k
 }
 
+// evidence returns the table of the tests for all answers, or for those that
+// followed one that fell short; nil while its reference is too thin.
+func (k *known) evidence(afterShort bool) *detect.Table {
+	if afterShort {
+		if k.rescueTable == nil && k.rescues >= referenceRatings {
+			k.rescueTable = detect.NewTable(k.cell.Rescue.Shares(), k.rescues)
+		}
+		return k.rescueTable
+	}
+	if k.table == nil && k.tested {
+		e := &k.option.Estimate
+		k.table = detect.NewTable(e.Scores, max(e.Weight, referenceRatings))
+	}
+	return k.table
+}
+
 func took(cell quality.Cell) time.Duration {
 	seconds := cell.Took.Mean() + surely*math.Sqrt(cell.Took.Variance())
 	return time.Duration(seconds * float64(time.Second))
--- a/internal/choice/mix.go
+++ b/internal/choice/mix.go
@@ -25,7 +25,7 @@
 		p.Rate, p.RateAgain = c.rate(c.version(point.First))
 	} else {
 		p.Rate = c.rateRescue(p.Then[0])
-		p.RateAgain = c.draws.next() < pairShare
+		p.RateAgain = c.again(c.version(point.First))
 	}
 	return p
 }
--- a/internal/choice/observe.go
+++ b/internal/choice/observe.go
@@ -62,14 +62,11 @@
 		return
 	}
 	k := c.known(c.view.versions[i].config, o.Class, o.Now)
-	table := k.table
-	if o.AfterShort {
-		table = k.rescueTable
-	}
+	table := k.evidence(o.AfterShort)
 	if table == nil {
 		return
 	}
-	s.add(detect.Evidence{Ratings: table.Evidence(o.Score)})
+	s.add(table.Evidence(o.Score))
 	c.judge(s, o.Class, o.Now)
 }
 
--- a/internal/choice/settings.go
+++ b/internal/choice/settings.go
@@ -23,7 +23,7 @@
 	DefaultSampleShare = 0.25
 
 	// refreshGap is how old the plans made of the estimates may get.
-	refreshGap = 2 * time.Second
+	refreshGap = 5 * time.Second
 )
 
 func (s Settings) withDefaults() Settings {
--- a/internal/choice/state.go
+++ b/internal/choice/state.go
@@ -60,8 +60,7 @@
 
 // add takes in evidence that this run saw.
 func (s *state) add(e detect.Evidence) {
-	s.evidence.Ratings += e.Ratings
-	s.evidence.Errors += e.Errors
+	s.evidence = s.evidence.Plus(e)
 	s.own.Add(e)
 	s.pooled.Add(e)
 }
--- a/internal/choice/view.go
+++ b/internal/choice/view.go
@@ -55,7 +55,11 @@
 	took    time.Duration
 	pairs   float64
 	rescues float64
-	// table and rescueTable are nil while their reference is too thin.
+	// cell is what the estimate was made of; tested says that the version
+	// is to be tested against it.
+	cell   quality.Cell
+	tested bool
+	// table and rescueTable are made when the first rating needs them.
 	table       *detect.Table
 	rescueTable *detect.Table
 }
