--- a/internal/admission/defaults.go
+++ b/internal/admission/defaults.go
@@ -5,11 +5,11 @@
 const (
 	defaultMaxQueued       = 512
 	defaultMaxQueuedPerOrg = 128
-	defaultImmediateFloor  = 0.1
+	defaultImmediateFloor  = 0.2
 	defaultDeferrableShare = 0.1
-	defaultImmediateWait   = time.Second
-	defaultHeavyWait       = 4 * time.Second
-	defaultDeferrableWait  = 10 * time.Second
+	defaultImmediateWait   = 500 * time.Millisecond
+	defaultHeavyWait       = 2 * time.Second
+	defaultDeferrableWait  = 6 * time.Second
 	defaultInitialLimit    = 32
 	defaultMinLimit        = 4
 	defaultMaxLimit        = 4096
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -1,24 +1,28 @@
 package admission
 
-import "container/heap"
-
-// lane is the waiting requests of one kind in one pool. It serves the
-// organisations by start-time fair queueing: each request starts at the
-// virtual time at which its organisation's earlier ones are paid for, the
-// lowest start is served first, and costs count by the organisation's weight.
-// Within an organisation the earliest deadline goes first.
+// lane is waiting requests of one pool: one lane has the immediate ones, one
+// the others. It serves the organisations by start-time fair queueing: each
+// request starts at the virtual time at which its organisation's earlier ones
+// are paid for, the lowest start is served first, and costs count by the
+// organisation's weight. Within an organisation heavy work goes before
+// deferrable work, but for a share, and within these the earliest deadline
+// goes first.
 type lane struct {
-	flows  map[string]*flow
-	active []*flow
+	// deferrable is the share of an organisation's places that its deferrable
+	// work has while its heavy work waits too.
+	deferrable float64
+	flows      map[string]*flow
+	active     []*flow
 	// virtual is the start of the request served last.
 	virtual float64
 	queued  int
-	cost    float64
 	// removals since flows were last dropped keep that cheap.
 	removals int
 }
 
-func newLane() lane { return lane{flows: map[string]*flow{}} }
+func newLane(deferrable float64) lane {
+	return lane{deferrable: deferrable, flows: map[string]*flow{}}
+}
 
 func (l *lane) flowOf(t *ticket) *flow {
 	f := l.flows[t.org]
@@ -32,27 +36,22 @@
 
 func (l *lane) push(t *ticket) {
 	f := l.flowOf(t)
-	if len(f.queue) == 0 {
+	if f.queued == 0 {
 		l.active = append(l.active, f)
 	}
-	heap.Push(&f.queue, t)
-	f.cost += t.cost
-	l.cost += t.cost
+	f.push(t)
 	l.queued++
 }
 
 // remove takes a waiting ticket out.
 func (l *lane) remove(t *ticket) {
 	f := l.flows[t.org]
-	heap.Remove(&f.queue, t.index)
-	f.cost -= t.cost
-	l.cost -= t.cost
+	f.remove(t)
 	l.queued--
 	l.removals++
-	if len(f.queue) > 0 {
+	if f.queued > 0 {
 		return
 	}
-	f.cost = 0
 	for i, a := range l.active {
 		if a == f {
 			l.active = append(l.active[:i], l.active[i+1:]...)
@@ -73,7 +72,7 @@
 	if best == nil {
 		return nil
 	}
-	return best.queue[0]
+	return best.next(l.deferrable)
 }
 
 // startOf is the virtual start of the flow's next request. A flow that was
@@ -87,6 +86,7 @@
 	f.finish = start + t.cost/f.weight
 	l.virtual = start
 	l.remove(t)
+	f.charge(t, l.deferrable)
 }
 
 // idleFlows is how many flows without work are kept.
@@ -100,19 +100,25 @@
 	}
 	l.removals = 0
 	for org, f := range l.flows {
-		if len(f.queue) == 0 && f.finish <= l.virtual {
+		if f.queued == 0 && f.finish <= l.virtual {
 			delete(l.flows, org)
 		}
 	}
 }
 
-// weightWith is the weight of all organisations with work waiting, org's
-// included.
-func (l *lane) weightWith(org string, weight float64) float64 {
-	sum := weight
+// ahead is the cost of what would be served before a new request: of the other
+// organisations all that starts before it in virtual time, and what its own
+// has waiting.
+func (l *lane) ahead(t *ticket) float64 {
+	start, own := l.virtual, 0.0
+	if f := l.flows[t.org]; f != nil {
+		own = f.aheadOf(t.rank)
+		start = l.startOf(f) + own/t.weight
+	}
+	sum := own
 	for _, f := range l.active {
-		if f.org != org {
-			sum += f.weight
+		if f.org != t.org {
+			sum += f.before(l.startOf(f), start)
 		}
 	}
 	return sum
@@ -122,9 +128,19 @@
 func (l *lane) worst() *flow {
 	var worst *flow
 	for _, f := range l.active {
-		if worst == nil || f.cost/f.weight > worst.cost/worst.weight {
+		if worst == nil || f.cost()/f.weight > worst.cost()/worst.weight {
 			worst = f
 		}
 	}
 	return worst
 }
+
+// heavy says whether heavy work waits.
+func (l *lane) heavy() bool {
+	for _, f := range l.active {
+		if len(f.queues[rankHeavy]) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -28,7 +28,9 @@
 // as first tokens that come late while the upstreams work at their full rate.
 // Latency tells of it whichever node sends the load, so that nodes share the
 // upstreams without a message. A latency that rises while the limit is not in
-// use has another cause and changes nothing.
+// use has another cause and changes nothing. Where upstreams report their load,
+// Queue.Observe sets the limit instead: latency differs from prompt to prompt,
+// and tells of a queue only when it is there.
 type limiter struct {
 	settings LimitSettings
 	limit    float64
--- a/internal/admission/next.go
+++ b/internal/admission/next.go
@@ -30,7 +30,7 @@
 			q.drop(t, request.CodeOverloaded, now)
 			continue
 		}
-		p.run(t)
+		p.run(t, now)
 		q.decided = append(q.decided, Decision{ID: t.id, Verdict: Run})
 	}
 }
@@ -47,17 +47,13 @@
 	}
 	var late []*ticket
 	p.expires = never
-	for i := range p.lanes {
-		for _, f := range p.lanes[i].active {
-			for _, t := range f.queue {
-				if !q.inTime(t, now) {
-					late = append(late, t)
-					continue
-				}
-				p.expires = min(p.expires, min(p.latestStart(t), t.deadline))
-			}
+	p.each(func(t *ticket) {
+		if !q.inTime(t, now) {
+			late = append(late, t)
+			return
 		}
-	}
+		p.expires = min(p.expires, p.latestStart(t))
+	})
 	for _, t := range late {
 		q.drop(t, request.CodeOverloaded, now)
 	}
@@ -85,5 +81,5 @@
 	if first == never {
 		return time.Time{}, false
 	}
-	return q.base.Add(first + 1), true
+	return q.base.Add(first), true
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -15,12 +15,15 @@
 	settings *Settings
 	limiter  limiter
 	capacity int // bounds the limit; 0 does not
-	lanes    [ranks]lane
+	load     PoolLoad
+	// urgent has the immediate requests that wait, rest the others.
+	urgent   lane
+	rest     lane
 	services [ranks]serviceTime
 	running  [ranks]int
-	queued   int
-	// served counts what heavy and deferrable work have had, by their shares.
-	served        [ranks]float64
+	// usual is how many immediate requests have run of late.
+	usual         smooth
+	queued        int
 	lastImmediate time.Duration
 	seenImmediate bool
 	// expires is when the first waiting request may be too late.
@@ -28,15 +31,17 @@
 }
 
 func newPool(name string, s *Settings) *pool {
-	p := &pool{name: name, settings: s, limiter: newLimiter(s.Limit), expires: never}
-	for i := range p.lanes {
-		p.lanes[i] = newLane()
+	return &pool{
+		name: name, settings: s, limiter: newLimiter(s.Limit), expires: never,
+		urgent: newLane(s.DeferrableShare), rest: newLane(s.DeferrableShare),
 	}
-	return p
 }
 
 func (p *pool) limit() int {
 	limit := int(p.limiter.limit)
+	if p.load.Limit > 0 {
+		limit = max(int(p.load.share()), p.settings.Limit.Min)
+	}
 	if p.capacity > 0 {
 		limit = min(limit, p.capacity)
 	}
@@ -72,101 +77,91 @@
 
 // next is the ticket to run next, or nil when none may.
 func (p *pool) next(now time.Duration) *ticket {
-	if t := p.lanes[rankImmediate].next(); t != nil && p.room(rankImmediate, now) {
+	if t := p.urgent.next(); t != nil && p.room(rankImmediate, now) {
 		return t
 	}
 	if !p.room(rankHeavy, now) {
 		return nil
 	}
-	return p.lanes[p.turn()].next()
+	return p.rest.next()
 }
 
-// turn says whether heavy or deferrable work is next: each has its share
-// while both wait.
-func (p *pool) turn() rank {
-	if p.lanes[rankHeavy].queued == 0 {
-		return rankDeferrable
-	}
-	if p.lanes[rankDeferrable].queued == 0 {
-		return rankHeavy
-	}
-	share := p.settings.DeferrableShare
-	if p.served[rankDeferrable]+1/share < p.served[rankHeavy]+1/(1-share) {
-		return rankDeferrable
+func (p *pool) lane(r rank) *lane {
+	if r == rankImmediate {
+		return &p.urgent
 	}
-	return rankHeavy
+	return &p.rest
 }
 
-// charge counts what was served against the rank's share. A rank that was
-// idle cannot save up its share.
-func (p *pool) charge(t *ticket) {
-	share := p.settings.DeferrableShare
-	switch t.rank {
-	case rankHeavy:
-		p.served[rankHeavy] += t.cost / (1 - share)
-	case rankDeferrable:
-		p.served[rankDeferrable] += t.cost / share
-	default:
-		return
-	}
-	if p.lanes[rankHeavy].queued == 0 || p.lanes[rankDeferrable].queued == 0 {
-		most := max(p.served[rankHeavy], p.served[rankDeferrable])
-		p.served[rankHeavy], p.served[rankDeferrable] = most, most
+// each visits the waiting requests.
+func (p *pool) each(visit func(t *ticket)) {
+	for _, l := range []*lane{&p.urgent, &p.rest} {
+		for _, f := range l.active {
+			for r := range f.queues {
+				for _, t := range f.queues[r] {
+					visit(t)
+				}
+			}
+		}
 	}
 }
 
 func (p *pool) push(t *ticket) {
-	p.lanes[t.rank].push(t)
+	p.lane(t.rank).push(t)
 	p.queued++
 	p.expires = min(p.expires, p.latestStart(t))
 }
 
 func (p *pool) remove(t *ticket) {
-	p.lanes[t.rank].remove(t)
+	p.lane(t.rank).remove(t)
 	p.queued--
 }
 
 // run takes a waiting ticket out and counts it as running.
-func (p *pool) run(t *ticket) {
-	p.lanes[t.rank].serve(t)
+func (p *pool) run(t *ticket, now time.Duration) {
+	p.lane(t.rank).serve(t)
 	p.queued--
-	p.charge(t)
 	t.running = true
-	p.running[t.rank]++
+	p.count(t.rank, 1, now)
 	p.limiter.used(p.busy())
 }
 
-// latestStart is when a request must run at the latest to make its deadline.
+// patience is how many times MaxWait a request may in truth wait.
+const patience = 2
+
+// latestStart is when a request must run at the latest: to make its deadline,
+// and not to wait far longer than was estimated when it was queued.
 func (p *pool) latestStart(t *ticket) time.Duration {
-	return t.deadline - p.services[t.rank].of(t.cost)
+	return min(t.deadline-p.services[t.rank].of(t.cost), t.offered+patience*p.maxWait(t.rank))
 }
 
-// wait estimates how long a new request would wait: the work of its
-// organisation ahead of it, over the organisation's share of the pool. It is
-// 0 when there is room or nothing is known yet.
+// wait estimates how long a new request would wait: for what goes before it
+// and for one more place. It is 0 when there is room or nothing is known yet.
 func (p *pool) wait(t *ticket, now time.Duration) time.Duration {
-	l := &p.lanes[t.rank]
+	l := p.lane(t.rank)
 	if l.queued == 0 && p.room(t.rank, now) {
 		return 0
 	}
-	var ahead float64
-	if f := l.flows[t.org]; f != nil {
-		ahead = f.cost
+	return time.Duration(float64(p.services[t.rank].of(l.ahead(t)+1)) / p.slots(t.rank, now))
+}
+
+// slots are the places that requests of the rank's lane may count on: those
+// that immediate work has left the others of late.
+func (p *pool) slots(r rank, now time.Duration) float64 {
+	limit := float64(p.limit())
+	if r == rankImmediate {
+		return limit
 	}
-	slots := float64(p.limit()) * p.share(t.rank)
-	share := t.weight / l.weightWith(t.org, t.weight)
-	return time.Duration(float64(p.services[t.rank].of(ahead+t.cost)) / (slots * share))
-}
-
-// share is the part of the pool that a rank gets while others wait.
-func (p *pool) share(r rank) float64 {
-	switch {
-	case r == rankDeferrable && p.lanes[rankHeavy].queued > 0:
-		return p.settings.DeferrableShare
-	case r == rankHeavy && p.lanes[rankDeferrable].queued > 0:
-		return 1 - p.settings.DeferrableShare
+	left := limit - p.usual.at(now, p.running[rankImmediate])
+	return max(left, limit/2)
+}
+
+// count changes how many of a rank run.
+func (p *pool) count(r rank, by int, now time.Duration) {
+	if r == rankImmediate {
+		p.usual.at(now, p.running[r])
 	}
-	return 1
+	p.running[r] += by
 }
 
 func (p *pool) maxWait(r rank) time.Duration {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -62,10 +62,10 @@
 		p.lastImmediate = now
 		p.seenImmediate = true
 	}
-	if p.lanes[t.rank].queued == 0 && p.room(t.rank, now) && q.inTime(t, now) {
+	if p.lane(t.rank).queued == 0 && p.room(t.rank, now) && q.inTime(t, now) {
 		q.tickets[t.id] = t
 		p.push(t)
-		p.run(t)
+		p.run(t, now)
 		return Decision{ID: t.id, Verdict: Run}
 	}
 	if d, refused := q.refuse(t, now); refused {
@@ -79,6 +79,7 @@
 func (q *Queue) ticketOf(r Request) *ticket {
 	q.arrivals++
 	t := &ticket{id: r.ID, seq: q.arrivals, org: r.Org, weight: r.Weight, rank: rankOf(r.Kind), pool: q.poolOf(r.Pool), cost: r.Cost}
+	t.offered = r.Now.Sub(q.base)
 	t.deadline = r.Deadline.Sub(q.base)
 	if t.cost <= 0 {
 		t.cost = 1
@@ -91,7 +92,7 @@
 
 // inTime says whether a request that runs now can make its deadline.
 func (q *Queue) inTime(t *ticket, now time.Duration) bool {
-	return now < t.deadline && now <= t.pool.latestStart(t)
+	return now < t.pool.latestStart(t)
 }
 
 // Finish tells that a running request ended. Call Next afterwards.
@@ -102,13 +103,18 @@
 	}
 	delete(q.tickets, id)
 	p := t.pool
-	p.running[t.rank]--
+	p.count(t.rank, -1, q.since(now))
 	if s.Total > 0 && !s.Dropped {
 		p.services[t.rank].add(s.Total, t.cost)
 	}
 	p.limiter.observe(s, q.since(now))
 }
 
+// Observe takes what a pool's upstreams reported of their load; call it once or
+// more a second, and Next afterwards. While l.Limit is not 0 it sets the pool's
+// limit in place of latency.
+func (q *Queue) Observe(pool string, l PoolLoad) { q.poolOf(pool).load = l }
+
 // Cancel forgets a waiting or running request whose caller went away. Call
 // Next afterwards.
 func (q *Queue) Cancel(id string, now time.Time) {
@@ -118,7 +124,7 @@
 	}
 	delete(q.tickets, id)
 	if t.running {
-		t.pool.running[t.rank]--
+		t.pool.count(t.rank, -1, q.since(now))
 		return
 	}
 	t.pool.remove(t)
--- a/internal/admission/queue_rapid_test.go
+++ b/internal/admission/queue_rapid_test.go
@@ -106,7 +106,11 @@
 	}
 	each := map[string]int{}
 	for _, r := range m.waiting {
-		each[r.Org+string(r.Kind)]++
+		lane := "rest"
+		if r.Kind == config.Immediate {
+			lane = "urgent"
+		}
+		each[r.Org+" "+lane]++
 		if !m.now.Before(r.Deadline) {
 			t.Fatalf("%s still waits after its deadline", r.ID)
 		}
@@ -175,13 +179,13 @@
 // of another by more than one request of each.
 func TestFairShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := newLane()
+		l := newLane(defaultDeferrableShare)
 		orgs := rapid.IntRange(2, 6).Draw(t, "orgs")
 		weights := make([]float64, orgs)
 		served := make([]float64, orgs)
 		const most = 5.0
 		push := func(o int) {
-			l.push(&ticket{org: fmt.Sprint(o), weight: weights[o], cost: rapid.Float64Range(0.1, most).Draw(t, "cost")})
+			l.push(&ticket{org: fmt.Sprint(o), rank: rankHeavy + rank(rapid.IntRange(0, 1).Draw(t, "rank")), weight: weights[o], cost: rapid.Float64Range(0.1, most).Draw(t, "cost")})
 		}
 		for o := range orgs {
 			weights[o] = rapid.SampledFrom([]float64{1, 2, 8}).Draw(t, "weight")
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -24,7 +24,7 @@
 	if q.defers(t) {
 		return q.refusal(t, request.CodeOverloaded, now), true
 	}
-	if f := p.lanes[t.rank].flows[t.org]; f != nil && len(f.queue) >= q.settings.MaxQueuedPerOrganisation {
+	if f := p.lane(t.rank).flows[t.org]; f != nil && f.queued >= q.settings.MaxQueuedPerOrganisation {
 		return q.refusal(t, request.CodeOverloaded, now), true
 	}
 	wait := p.wait(t, now)
@@ -48,37 +48,41 @@
 		return false
 	}
 	for _, p := range q.order {
-		if p.lanes[rankImmediate].queued+p.lanes[rankHeavy].queued > 0 {
+		if p.urgent.queued > 0 || p.rest.heavy() {
 			return true
 		}
 	}
 	return false
 }
 
-// victim is the waiting request that makes room for t: of the least urgent
-// kind that waits, from the organisation that has most waiting for its
-// weight, the one with the latest deadline. It is nil when t itself is that.
+// victim is the waiting request that makes room for t: of the organisation
+// that has most waiting for its weight, the one that can best be spared. It is
+// nil when t itself is that. Immediate requests make room only for each other.
 func (p *pool) victim(t *ticket) *ticket {
-	for r := ranks - 1; r >= t.rank; r-- {
-		worst := p.lanes[r].worst()
-		if worst == nil {
-			continue
-		}
-		if r > t.rank {
-			return worst.queue.last()
-		}
-		if worst.org == t.org || worst.cost/worst.weight <= p.waitingFor(t)/t.weight {
-			return nil
+	if t.rank == rankImmediate && p.rest.queued > 0 {
+		return p.rest.worst().last()
+	}
+	l := p.lane(t.rank)
+	worst := l.worst()
+	if worst == nil {
+		return nil
+	}
+	if worst.org == t.org {
+		if spare := worst.last(); spare.rank > t.rank {
+			return spare
 		}
-		return worst.queue.last()
+		return nil
+	}
+	if worst.cost()/worst.weight <= l.waitingFor(t)/t.weight {
+		return nil
 	}
-	return nil
+	return worst.last()
 }
 
 // waitingFor is what t's organisation would have waiting with t.
-func (p *pool) waitingFor(t *ticket) float64 {
-	if f := p.lanes[t.rank].flows[t.org]; f != nil {
-		return f.cost + t.cost
+func (l *lane) waitingFor(t *ticket) float64 {
+	if f := l.flows[t.org]; f != nil {
+		return f.cost() + t.cost
 	}
 	return t.cost
 }
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -9,10 +9,10 @@
 	// MaxQueuedPerOrganisation bounds those of one organisation in a pool (128).
 	MaxQueuedPerOrganisation int
 	// ImmediateFloor is the share of a pool's concurrency that only immediate
-	// work may take, in a pool that had any within the last minute (0.1).
+	// work may take, in a pool that had any within the last minute (0.2).
 	ImmediateFloor float64
-	// DeferrableShare is the share of what heavy and deferrable work may take
-	// together that deferrable work gets while both wait (0.1).
+	// DeferrableShare is the share of an organisation's places that its
+	// deferrable work gets while its heavy work waits too (0.1).
 	DeferrableShare float64
 	// MaxWait bounds the wait that a request may be queued for, so that a
 	// queue is empty soon after an overload.
@@ -23,9 +23,9 @@
 
 // WaitSettings are the longest waits in the queue, by kind.
 type WaitSettings struct {
-	Immediate  time.Duration // 1 s
-	Heavy      time.Duration // 4 s
-	Deferrable time.Duration // 10 s
+	Immediate  time.Duration // 500 ms
+	Heavy      time.Duration // 2 s
+	Deferrable time.Duration // 6 s
 }
 
 // LimitSettings configure a concurrency limit that adapts to latency.
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -10,6 +10,7 @@
 	weight   float64
 	rank     rank
 	pool     *pool
+	offered  time.Duration
 	deadline time.Duration
 	cost     float64
 	running  bool
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -1,20 +1,32 @@
 package balance
 
-// affinityBound is how far above the pool's mean load the upstream of a
-// prefix may be.
-const affinityBound = 1.25
+import "github.com/hickorybank/hickorybank/internal/config"
+
+const (
+	// affinityBound is how far above the pool's mean load the upstream of a
+	// prefix may be.
+	affinityBound = 1.25
+	// fullBound is the same for an upstream that has more than it batches: a
+	// request that waits there loses more than a cached prefix saves.
+	fullBound = 1.05
+)
 
 // affinity keeps a prefix on the upstream whose cache holds it, by rendezvous
 // hashing that is the same on every node, as long as that upstream's load
-// stays within a bound of the mean; beyond it the next of the order takes
-// over. Work without a prefix takes two choices.
+// stays within a bound of the mean and of its batch; beyond it the next of the
+// order takes over. Work without a prefix takes two choices, and immediate work
+// the freest upstream.
 type affinity struct{}
 
 func (*affinity) choose(v *view) *host {
+	if v.kind == config.Immediate {
+		return freest{}.choose(v)
+	}
 	if v.prefix == 0 {
 		return twoChoices{}.choose(v)
 	}
-	bound := v.measure() * affinityBound
+	mean := v.measure()
+	bound := min(mean*affinityBound, max(1, mean*fullBound))
 	var best *host
 	var highest uint64
 	for i, h := range v.hosts {
--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
 var policies = []PolicyName{PolicyRoundRobin, PolicyRandom, PolicyLeastLoaded, PolicyTwoChoices, PolicyAffinity}
@@ -43,6 +45,57 @@
 	}
 }
 
+// BenchmarkSubsets tells by how many of 1,600 nodes each of 10,000 upstreams
+// in 38 failure domains is dealt with, against a random choice of as many.
+func BenchmarkSubsets(b *testing.B) {
+	const nodes, upstreams, domains, size = 1600, 10_000, 38, 64
+	vms := engines(upstreams)
+	for i := range vms {
+		vms[i].FailureDomain = fmt.Sprintf("domain-%d", i%domains)
+	}
+	all, _ := group(vms)
+	var windows, drawn spreadOf
+	for b.Loop() {
+		known, random := map[string]int{}, map[string]int{}
+		for n := range nodes {
+			place := Place{Index: n / domains, Count: nodes / domains}
+			for _, m := range chooseSubset(all, fmt.Sprintf("domain-%d", n%domains), place, size).chosen {
+				known[m.vm.ID]++
+			}
+			for i := range uint64(size) {
+				random[all[mix(uint64(n), i)%upstreams].vm.ID]++
+			}
+		}
+		windows, drawn = spreadOfAll(known, vms), spreadOfAll(random, vms)
+	}
+	b.ReportMetric(float64(windows.least), "least")
+	b.ReportMetric(float64(windows.most), "most")
+	b.ReportMetric(windows.deviation, "deviation")
+	b.ReportMetric(float64(drawn.least), "random-least")
+	b.ReportMetric(float64(drawn.most), "random-most")
+	b.ReportMetric(drawn.deviation, "random-deviation")
+}
+
+// spreadOf is how evenly upstreams are dealt with.
+type spreadOf struct {
+	least, most int
+	deviation   float64
+}
+
+func spreadOfAll(known map[string]int, vms []platform.VM) spreadOf {
+	s := spreadOf{least: 1 << 30}
+	var sum, squares float64
+	for _, vm := range vms {
+		n := known[vm.ID]
+		s.least, s.most = min(s.least, n), max(s.most, n)
+		sum += float64(n)
+		squares += float64(n * n)
+	}
+	mean := sum / float64(len(vms))
+	s.deviation = math.Sqrt(squares/float64(len(vms)) - mean*mean)
+	return s
+}
+
 // BenchmarkSetMembers is one change of the VM list.
 func BenchmarkSetMembers(b *testing.B) {
 	for _, known := range []int{24, 128, 1000, 10_000} {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -43,7 +43,7 @@
 func (b *Balancer) choose(p *pool, r *Request, now time.Duration) *host {
 	v := &b.view
 	v.b, v.pool, v.now = b, p, now
-	v.prefix, v.random = r.PrefixHash, r.Random
+	v.prefix, v.random, v.kind = r.PrefixHash, r.Random, r.Kind
 	for t := tierGood; t < tiers; t++ {
 		v.hosts = v.hosts[:0]
 		for _, h := range p.known() {
--- /dev/null
+++ b/internal/balance/datadriven_test.go
@@ -0,0 +1,167 @@
+package balance
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// script drives one balancer through a scripted scenario.
+type script struct {
+	b      *Balancer
+	now    time.Duration
+	random uint64
+	tokens map[string]Pick
+}
+
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
+		s := &script{tokens: map[string]Pick{}}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "balancer" {
+				s.b = New(Settings{SelfID: "self", SelfDomain: "here", Policy: PolicyTwoChoices})
+				s.now = 0
+			}
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				if f := strings.Fields(line); len(f) > 0 {
+					out.WriteString(s.run(t, d, f))
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+func (s *script) time() time.Time { return epoch.Add(s.now) }
+
+func (s *script) run(t *testing.T, d *datadriven.TestData, f []string) string {
+	switch d.Cmd {
+	case "pass":
+		v, err := time.ParseDuration(f[0])
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		s.now += v
+	case "members": // id domain [leaving]; one line each, all at once below
+		return s.members(d)
+	case "report": // id version...
+		s.b.Report(f[0], upstream.LoadReport{Limit: 8, Versions: f[1:]}, s.time())
+	case "stays": // id: a report that it is not leaving
+		s.b.Report(f[0], upstream.LoadReport{Limit: 8, Versions: []string{"v"}}, s.time())
+	case "leaving":
+		s.b.Leaving(f[0], s.time())
+	case "pick": // name [n] [not id...]
+		return s.pick(f[0], f[1:])
+	case "many": // n: where n requests go, each done at once
+		return s.many(f[0])
+	case "done": // name outcome
+		s.done(f[0], f[1])
+	case "fail": // id n: n requests sent there that break
+		for range number(f[1]) {
+			if p, ok := s.pickAt(f[0]); ok {
+				s.b.Done(p.Token, Result{Outcome: Unreached}, s.time())
+			}
+		}
+	case "slow": // id ms n: n requests there of that many milliseconds a token
+		s.slow(f[0], number(f[1]), number(f[2]))
+	case "polls":
+		return s.polls(number(f[0]))
+	}
+	return ""
+}
+
+func number(text string) int {
+	var n int
+	_, _ = fmt.Sscan(text, &n)
+	return n
+}
+
+func (s *script) members(d *datadriven.TestData) string {
+	var vms []platform.VM
+	for _, line := range strings.Split(d.Input, "\n") {
+		f := strings.Fields(line)
+		vm := platform.VM{ID: f[0], Role: platform.RoleEngine, Addr: f[0], FailureDomain: f[1], State: platform.Live}
+		if len(f) > 2 {
+			vm.State = platform.VMState(f[2])
+		}
+		vms = append(vms, vm)
+	}
+	s.b.SetMembers(vms, Place{Count: 1}, s.time())
+	return ""
+}
+
+func (s *script) request(exclude ...string) Request {
+	s.random++
+	return Request{Version: "v", Exclude: exclude, Now: s.time(), Random: mix(5, s.random)}
+}
+
+func (s *script) pick(name string, exclude []string) string {
+	p, ok := s.b.Pick(s.request(exclude...))
+	if !ok {
+		return fmt.Sprintf("%s: none, %s, retry after %v\n", name, p.Shortage.Reason, p.Shortage.RetryAfter.Round(100*time.Millisecond))
+	}
+	s.tokens[name] = p
+	return fmt.Sprintf("%s: %s\n", name, p.VM.ID)
+}
+
+// pickAt picks until it gets the upstream.
+func (s *script) pickAt(id string) (Pick, bool) {
+	var others []string
+	for h := range s.b.hosts {
+		if h != id {
+			others = append(others, h)
+		}
+	}
+	return s.b.Pick(s.request(others...))
+}
+
+func (s *script) many(n string) string {
+	counts := map[string]int{}
+	for range number(n) {
+		p, ok := s.b.Pick(s.request())
+		if !ok {
+			return "none\n"
+		}
+		counts[p.VM.ID]++
+		s.b.Done(p.Token, Result{Outcome: Abandoned}, s.time())
+	}
+	var out strings.Builder
+	for _, h := range s.b.order {
+		if counts[h.vm.ID] > 0 {
+			fmt.Fprintf(&out, "%s %d\n", h.vm.ID, counts[h.vm.ID])
+		}
+	}
+	return out.String()
+}
+
+func (s *script) done(name, outcome string) {
+	words := map[string]Outcome{"ok": Succeeded, "unreached": Unreached, "declined": Declined, "missing": MissingVersion, "broken": Broken}
+	s.b.Done(s.tokens[name].Token, Result{Outcome: words[outcome], FirstToken: 100 * time.Millisecond, Latency: time.Second, Tokens: 20}, s.time())
+}
+
+func (s *script) slow(id string, ms, n int) {
+	gap := time.Duration(ms) * time.Millisecond
+	for range n {
+		if p, ok := s.pickAt(id); ok {
+			s.b.Done(p.Token, Result{FirstToken: gap, Latency: 11 * gap, Tokens: 11}, s.time())
+		}
+	}
+}
+
+func (s *script) polls(n int) string {
+	var out []string
+	for range n {
+		for _, vm := range s.b.NeedPoll(s.time()) {
+			out = append(out, vm.ID)
+		}
+		s.now += 250 * time.Millisecond
+	}
+	return strings.Join(out, " ") + "\n"
+}
--- a/internal/balance/policy.go
+++ b/internal/balance/policy.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+)
 
 // policy chooses one of the usable upstreams, of which there is at least one.
 type policy interface {
@@ -14,6 +18,7 @@
 	hosts  []*host
 	prefix uint64
 	random uint64
+	kind   config.Kind
 	now    time.Duration
 	loads  []float64
 }
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -15,8 +15,11 @@
 type report struct {
 	have bool
 	// at is the moment that the report describes.
-	at    time.Duration
-	total float64
+	at      time.Duration
+	total   float64
+	running int
+	queued  int
+	own     int // in flight from this node when it came
 	// others is the load that did not come from this node.
 	others float64
 	limit  float64
@@ -26,6 +29,9 @@
 	r.have = true
 	r.at = at
 	r.total = float64(l.Running + l.Queued)
+	r.running = l.Running
+	r.queued = l.Queued
+	r.own = min(own, l.Running+l.Queued)
 	r.others = float64(max(0, l.Running+l.Queued-own))
 	r.limit = float64(l.Limit)
 }
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -75,14 +75,15 @@
 	return cmp.Compare(a.vm.ID, b.vm.ID)
 }
 
-// offset is where the node's window begins in a ring of n, when its failure
-// domain has part index of parts.
+// offset is where the node's window begins in a ring of n. The nodes of each
+// failure domain are spread over the whole ring, those of different domains
+// between each other.
 func (p Place) offset(index, parts, n int) int {
 	if n == 0 {
 		return 0
 	}
 	count := max(p.Count, 1)
-	return (index*count + p.Index) * n / (parts * count) % n
+	return (p.Index*parts + index) * n / (parts * count) % n
 }
 
 // window returns count members of the ring from at on.
--- a/internal/balance/versions.go
+++ b/internal/balance/versions.go
@@ -17,11 +17,14 @@
 	if at < h.lackedAt {
 		return false
 	}
+	versions = slices.Clone(versions)
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
 	if h.known && slices.Equal(h.versions, versions) {
 		return false
 	}
 	h.known = true
-	h.versions = slices.Clone(versions)
+	h.versions = versions
 	return true
 }
 
