--- a/internal/admin/bills.go
+++ b/internal/admin/bills.go
@@ -5,8 +5,14 @@
 	"time"
 )
 
-// defaultBillSpan is how far back bills are read when no time is given.
-const defaultBillSpan = 24 * time.Hour
+const (
+	// defaultBillSpan is how far back bills are read when no time is given.
+	defaultBillSpan = 24 * time.Hour
+	// maxBillSpan bounds one reading. Bills lie by the hour, and each hour
+	// costs the platform some reads, also one without any bill: a reading of
+	// months would take the reads that requests need.
+	maxBillSpan = 7 * 24 * time.Hour
+)
 
 const dateOnly = "2006-01-02"
 
@@ -43,6 +49,9 @@
 	if !q.From.Before(q.To) {
 		return q, badRequest("from: must be before to")
 	}
+	if q.To.Sub(q.From) > maxBillSpan {
+		return q, badRequest("from: at most %d days before to", int(maxBillSpan.Hours()/24))
+	}
 	return q, nil
 }
 
--- a/internal/admin/status_test.go
+++ b/internal/admin/status_test.go
@@ -111,6 +111,7 @@
 	is.Equal(f.query.To.Sub(f.query.From), defaultBillSpan)
 	is.Equal(d.call("GET", "/admin/v1/bills?from=2026-03-02&to=2026-03-01", "").status, 400)
 	is.Equal(d.call("GET", "/admin/v1/bills?from=noon", "").status, 400)
+	is.Equal(d.call("GET", "/admin/v1/bills?from=2026-01-01&to=2026-03-01", "").status, 400) // too much at once
 }
 
 // An operator lifts a hold that was there at breakfast. Meanwhile the version
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -33,12 +33,15 @@
   hickorybank admin target tolu draft 0.9`
 	putHelp = `Create or replace one entry from a JSON file.
 
-KIND is organisations, models, services, classes or presets.
-Example:
-  hickorybank admin put organisations tolu tolu.json`
+KIND is organisations, models, services, classes, presets or
+models/MODEL/versions.
+Examples:
+  hickorybank admin put organisations tolu tolu.json
+  hickorybank admin put models/dues/versions dues@4 version.json`
 	deleteHelp = `Remove one entry. It is refused while another entry refers to it.
 
-KIND is organisations, models, services, classes or presets.
+KIND is organisations, models, services, classes, presets or
+models/MODEL/versions.
 Example:
   hickorybank admin delete organisations tolu`
 	applyHelp = `Replace the whole configuration by a JSON file.
@@ -60,7 +63,7 @@
 Examples:
   hickorybank admin get > now.json
   hickorybank admin get --revision 6 > before.json`
-	billsHelp = `List bills by time, with their sums.
+	billsHelp = `List bills by time, with their sums; at most 7 days at once.
 
 Example:
   hickorybank admin bills --organisation tolu --from 2026-03-01 --to 2026-03-02`
--- a/internal/cli/admin_bills.go
+++ b/internal/cli/admin_bills.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	sort.SliceStable(report.Bills, func(i, j int) bool { return report.Bills[i].At.Before(report.Bills[j].At) })
 	report.Sums = sums(report.Bills)
 	if c.JSON {
 		return writeJSON(c.env.out, report)
--- a/internal/cli/admin_entities.go
+++ b/internal/cli/admin_entities.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -36,7 +37,7 @@
 	if !json.Valid(data) {
 		return eris.Errorf("%s is not JSON", c.Args.File)
 	}
-	return c.put(json.RawMessage(data), c.Args.Kind, c.Args.Name)
+	return c.put(json.RawMessage(data), entryPath(c.Args.Kind, c.Args.Name)...)
 }
 
 type adminDeleteCommand struct {
@@ -45,7 +46,13 @@
 }
 
 // Execute removes an entry.
-func (c *adminDeleteCommand) Execute([]string) error { return c.remove(c.Args.Kind, c.Args.Name) }
+func (c *adminDeleteCommand) Execute([]string) error {
+	return c.remove(entryPath(c.Args.Kind, c.Args.Name)...)
+}
+
+// entryPath is the parts of an entry's path; a kind such as
+// "models/dues/versions" has several.
+func entryPath(kind, name string) []string { return append(strings.Split(kind, "/"), name) }
 
 type adminWithdrawCommand struct {
 	changeOptions
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -133,6 +133,7 @@
 func TestAdminChanges(t *testing.T) {
 	is := is.New(t)
 	store := startAdmin(t, plain)
+	version := file(t, "version.json", `{"state":"serving","prior_quality":0.9}`)
 	entry := file(t, "new.json", `{"weight":2,"versions":["dues@1"]}`)
 	steps := []struct {
 		args string
@@ -150,6 +151,8 @@
 		{"put organisations new " + entry, 0, "+ organisations[new]"},
 		{"delete organisations new", 0, "- organisations[new]"},
 		{"delete organisations new", 1, "there is no organisation"},
+		{"put models/dues/versions dues@4 " + version, 0, "+ models[dues].versions[dues@4]"},
+		{"delete models/dues/versions dues@4", 0, "- models[dues].versions[dues@4]"},
 		{"lift dues@3 --term 2", 1, "no hold of term 2"},
 	}
 	for _, s := range steps {
@@ -162,7 +165,7 @@
 	}
 	head, doc, err := store.Current(context.Background())
 	is.NoErr(err)
-	is.Equal(head.Revision, uint64(7))
+	is.Equal(head.Revision, uint64(9))
 	is.Equal(doc.Preset, "peak")
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,6 +15,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	for _, pair := range os.Environ() {
 		name, _, _ := strings.Cut(pair, "=")
 		if strings.HasPrefix(name, "HICKORYBANK_") {
--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -21,9 +21,19 @@
 	if err := level.UnmarshalText([]byte(least)); err != nil {
 		panic(err) // the settings were checked
 	}
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
 	if o.LogFormat == "json" {
 		return slog.New(slog.NewJSONHandler(e.err, options))
 	}
 	return slog.New(slog.NewTextHandler(e.err, options))
 }
+
+// plainErrors writes an error as its message. The text handler would write the
+// stack of each error from eris, which hides the message and tells paths of the
+// machine that built the program.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
