Close connections between nodes that were idle for a minute

Ruled out: a goroutine for it; a look at most every 10 s on the way of a call is enough, and a node that calls nobody opens nothing either. Red before: with the look taken out TestIdleConnectionsEnd fails, the connection is still there after 4 minutes of idleness. After: green with -race.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -92,3 +93,22 @@
 	pool.Close()
 	server.Close()
 }
+
+// A node of a large fleet runs out of memory after some days. Duties move, so
+// that it has called each other node once, and every connection stays. The cause
+// would be a pool that never closes an idle connection; one in use must stay.
+func TestIdleConnectionsEnd(t *testing.T) {
+	is := is.New(t)
+	server, pool := start(t, &echo{})
+	defer server.Close()
+	defer pool.Close()
+	var reply string
+	is.NoErr(pool.Call(context.Background(), server.Addr(), "Echo.Say", "hello", &reply))
+	now := time.Now()
+	busy := pool.kept(server.Addr(), now)
+	is.True(pool.kept(server.Addr(), now.Add(2*idleLimit)) == busy) // in use
+	pool.release(busy)
+	pool.release(busy)
+	is.True(pool.kept(server.Addr(), time.Now().Add(4*idleLimit)) == nil) // idle
+	is.NoErr(pool.Call(context.Background(), server.Addr(), "Echo.Say", "again", &reply))
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -12,17 +12,32 @@
 	"github.com/rotisserie/eris"
 )
 
-const defaultDialTimeout = time.Second
+const (
+	defaultDialTimeout = time.Second
+	// Duties move from node to node, so that in time each node has called
+	// every other one. Without an end to idle connections a node of a fleet
+	// of 1,600 would hold one to each.
+	idleLimit = time.Minute
+	sweepGap  = 10 * time.Second
+)
 
 // Pool is a [Caller] that keeps one connection to each peer it calls.
 type Pool struct {
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	conns map[string]*conn
+	swept time.Time
 	done  bool
 }
 
+// conn is the connection to one peer.
+type conn struct {
+	client *rpc.Client
+	calls  int       // in flight
+	used   time.Time // end of the last call
+}
+
 // NewPool returns a pool that dials TCP in the clear.
 func NewPool() *Pool { return NewSecurePool(nil) }
 
@@ -35,53 +50,84 @@
 		}
 		return (&tls.Dialer{NetDialer: plain, Config: secure}).DialContext(ctx, "tcp", addr)
 	}
-	return &Pool{dial: dial, conns: map[string]*rpc.Client{}}
+	return &Pool{dial: dial, conns: map[string]*conn{}}
 }
 
 // Call calls a method and waits for its answer or the end of ctx. When ctx
 // ends first the call may still take effect at the peer.
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
-	client, err := p.client(ctx, addr)
+	c, err := p.take(ctx, addr)
 	if err != nil {
 		return eris.Wrap(ErrNotSent, err.Error())
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	defer p.release(c)
+	call := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		// The connection may be stuck at a frozen peer. Without dropping
 		// it each later call would wait out its own timeout too.
-		p.drop(addr, client)
+		p.drop(addr, c)
 		return eris.Wrap(ErrUnknown, ctx.Err().Error())
 	case <-call.Done:
-		return p.answered(addr, client, call.Error)
+		return p.answered(addr, c, call.Error)
 	}
 }
 
-func (p *Pool) answered(addr string, client *rpc.Client, err error) error {
+func (p *Pool) answered(addr string, c *conn, err error) error {
 	var fromMethod rpc.ServerError
 	if err == nil || errors.As(err, &fromMethod) {
 		return err
 	}
-	p.drop(addr, client)
+	p.drop(addr, c)
 	return eris.Wrap(ErrUnknown, err.Error())
 }
 
-func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
-	p.mu.Lock()
-	client, ok := p.conns[addr]
-	p.mu.Unlock()
-	if ok {
-		return client, nil
+// take returns the connection to a peer, counted as in use.
+func (p *Pool) take(ctx context.Context, addr string) (*conn, error) {
+	if c := p.kept(addr, time.Now()); c != nil {
+		return c, nil
 	}
-	conn, err := p.dial(ctx, addr)
+	dialled, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return p.keep(addr, rpc.NewClient(conn))
+	return p.keep(addr, rpc.NewClient(dialled))
+}
+
+func (p *Pool) kept(addr string, now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	c := p.conns[addr]
+	if c != nil {
+		c.calls++
+	}
+	return c
+}
+
+func (p *Pool) release(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	c.used = time.Now()
+}
+
+// sweep closes what has been idle for long; p.mu is held.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepGap {
+		return
+	}
+	p.swept = now
+	for addr, c := range p.conns {
+		if c.calls == 0 && now.Sub(c.used) > idleLimit {
+			delete(p.conns, addr)
+			_ = c.client.Close()
+		}
+	}
 }
 
 // keep stores a new connection, or closes it when another call was faster.
-func (p *Pool) keep(addr string, client *rpc.Client) (*rpc.Client, error) {
+func (p *Pool) keep(addr string, client *rpc.Client) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.done {
@@ -90,19 +136,21 @@
 	}
 	if other, ok := p.conns[addr]; ok {
 		_ = client.Close()
+		other.calls++
 		return other, nil
 	}
-	p.conns[addr] = client
-	return client, nil
+	c := &conn{client: client, calls: 1}
+	p.conns[addr] = c
+	return c, nil
 }
 
-func (p *Pool) drop(addr string, client *rpc.Client) {
+func (p *Pool) drop(addr string, c *conn) {
 	p.mu.Lock()
-	if p.conns[addr] == client {
+	if p.conns[addr] == c {
 		delete(p.conns, addr)
 	}
 	p.mu.Unlock()
-	_ = client.Close()
+	_ = c.client.Close()
 }
 
 // Close closes all connections.
@@ -110,8 +158,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.done = true
-	for addr, client := range p.conns {
-		_ = client.Close()
+	for addr, c := range p.conns {
+		_ = c.client.Close()
 		delete(p.conns, addr)
 	}
 }
