--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -46,6 +46,8 @@
 type Server struct {
 	deps Deps
 	mux  *httprouter.Router
+	// offered are the method and path of each route, for the page about them.
+	offered []string
 }
 
 // NewServer returns the administration API. The listener is the caller's.
@@ -87,6 +89,7 @@
 type handler func(in *incoming) (any, *Failure)
 
 func (s *Server) handle(method, path string, h handler) {
+	s.offered = append(s.offered, method+" "+path)
 	s.mux.Handle(method, path, func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		s.serve(w, r, p, h)
 	})
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -1,5 +1,7 @@
 package cli
 
+import "strings"
+
 const adminHelp = `Operate a deployment through a node's administration interface.
 
 Every command takes --admin URL and --operator-key KEY, or better their
@@ -100,18 +102,28 @@
 func adminReaders(o adminOptions) []command {
 	return []command{
 		{name: "get", short: "print the configuration", long: getHelp, data: &adminGetCommand{adminOptions: o}},
-		{name: "organisations", short: "list organisations", long: "List the organisations.", data: &adminOrganisationsCommand{adminOptions: o}},
-		{name: "models", short: "list models", long: "List the models with their versions.", data: &adminModelsCommand{adminOptions: o}},
-		{name: "versions", short: "list versions", long: "List the versions with their costs, quality and share.", data: &adminVersionsCommand{adminOptions: o}},
-		{name: "services", short: "list plain services", long: "List the calls of the plain services.", data: &adminServicesCommand{adminOptions: o}},
-		{name: "classes", short: "list classes", long: "List the classes of requests.", data: &adminClassesCommand{adminOptions: o}},
-		{name: "presets", short: "list presets", long: "List the presets.", data: &adminPresetsCommand{adminOptions: o}},
-		{name: "changes", short: "list recent changes", long: "List recent changes, newest first.", data: &adminChangesCommand{adminOptions: o}},
+		list("organisations", "list organisations", &adminOrganisationsCommand{adminOptions: o}),
+		list("models", "list models with their versions", &adminModelsCommand{adminOptions: o}),
+		list("versions", "list versions with their costs, quality and share", &adminVersionsCommand{adminOptions: o}),
+		list("services", "list the calls of plain services", &adminServicesCommand{adminOptions: o}),
+		list("classes", "list classes of requests", &adminClassesCommand{adminOptions: o}),
+		list("presets", "list presets", &adminPresetsCommand{adminOptions: o}),
+		list("changes", "list recent changes, newest first", &adminChangesCommand{adminOptions: o}),
 		{name: "change", short: "tell what became of a change", long: changeHelp, data: &adminChangeCommand{adminOptions: o}},
 		{name: "status", short: "tell how far a revision is in force", long: statusHelp, data: &adminStatusCommand{adminOptions: o}},
 		{name: "bills", short: "list bills", long: billsHelp, data: &adminBillsCommand{adminOptions: o}},
-		{name: "nodes", short: "list entry nodes", long: "List the entry nodes as the asked one sees them.", data: &adminNodesCommand{adminOptions: o}},
-		{name: "upstreams", short: "list upstreams", long: "List the upstreams that the asked node knows.", data: &adminUpstreamsCommand{adminOptions: o}},
-		{name: "holds", short: "list versions on hold", long: "List the versions that are or were held because they turned bad.", data: &adminHoldsCommand{adminOptions: o}},
+		list("nodes", "list entry nodes as the asked one sees them", &adminNodesCommand{adminOptions: o}),
+		list("upstreams", "list upstreams that the asked node knows", &adminUpstreamsCommand{adminOptions: o}),
+		list("holds", "list versions that are or were held because they turned bad", &adminHoldsCommand{adminOptions: o}),
 	}
 }
+
+// list is a command that prints one table.
+func list(name, short string, data any) command {
+	long := strings.ToUpper(short[:1]) + short[1:] + `.
+
+Examples:
+  hickorybank admin ` + name + `
+  hickorybank admin ` + name + ` --json`
+	return command{name: name, short: short, long: long, data: data}
+}
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -12,7 +12,11 @@
 
 const capacityHelp = `Measure what the router's parts cost at a few sizes, and work out from the
 slopes what a node and the platform have to bear at the size that the users
-expect within two years. Takes about two minutes of an otherwise quiet machine.`
+expect within two years. Takes about two minutes of an otherwise quiet machine.
+
+Examples:
+  hickorybank capacity --quick
+  hickorybank capacity --write docs/CAPACITY.md`
 
 type capacityCommand struct {
 	env    *env
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -96,6 +96,9 @@
 			is.True(o.Description != "")    // of the flag
 		}
 		is.True(c.LongDescription != "") // of the command
+		if len(c.Commands()) == 0 && !strings.Contains(c.LongDescription, "Example") {
+			t.Error(c.Name, "has no example in its help")
+		}
 		for _, sub := range c.Commands() {
 			walk(sub)
 		}
--- a/internal/cli/parser.go
+++ b/internal/cli/parser.go
@@ -59,6 +59,6 @@
 			{name: "example", short: "print the configuration of an example deployment", long: configExampleHelp, data: &configExampleCommand{env: e}},
 		}},
 		{name: "capacity", short: "measure costs and work out the letter's size", long: capacityHelp, data: &capacityCommand{env: e}},
-		{name: "version", short: "print the version", long: "Print the version and how it was built.", data: &versionCommand{env: e}},
+		{name: "version", short: "print the version", long: versionHelp, data: &versionCommand{env: e}},
 	}
 }
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -8,6 +8,11 @@
 // version is set by the build.
 var version = "dev"
 
+const versionHelp = `Print the version, and what it was built with and for.
+
+Example:
+  hickorybank version`
+
 type versionCommand struct {
 	env *env
 }
