Cut off an operator's request whose body never ends

Cause: the header has a limit in time, the body had none, so a connection of a small VM could be held for good. A body now has 30 s.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -19,6 +19,8 @@
 	maxBody = 4 << 20
 	// requestTimeout bounds what a request waits for the platform's store.
 	requestTimeout = 15 * time.Second
+	// bodyTimeout bounds how long a body may take to arrive.
+	bodyTimeout = 30 * time.Second
 	// confirmTimeout bounds what an accepted change waits to hear of other
 	// nodes before it is answered.
 	confirmTimeout = time.Second
@@ -46,6 +48,8 @@
 type Server struct {
 	deps Deps
 	mux  *httprouter.Router
+	// bodyTimeout is the constant, but for tests.
+	bodyTimeout time.Duration
 	// offered are the method and path of each route, for the page about them.
 	offered []string
 }
@@ -55,7 +59,7 @@
 	if d.Now == nil {
 		d.Now = time.Now
 	}
-	s := &Server{deps: d, mux: httprouter.New()}
+	s := &Server{deps: d, mux: httprouter.New(), bodyTimeout: bodyTimeout}
 	s.routes()
 	return s
 }
@@ -109,6 +113,9 @@
 		return
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	// A body that never ends would hold its connection for good. A writer that
+	// has no deadlines (in tests) has no connection either.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTimeout))
 	body, failure := h(&incoming{r: r, w: w, params: p, operator: operator})
 	if failure != nil {
 		s.logFailure(operator, r, failure)
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -155,3 +159,23 @@
 	is.Equal(d.call("POST", "/admin/v1/preset?dry_run=true", `{"name":"nights"}`, ifMatch(1)).status, 422)
 	is.Equal(d.call("POST", "/admin/v1/preset?dry_run=true", `{"name":"peak"}`, ifMatch(0)).status, 412)
 }
+
+// A program sends the beginning of a change and then nothing. The request must
+// end by itself, and change nothing; else each such one holds a connection of a
+// small VM for good.
+func TestBodyThatNeverEndsIsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	d.server.bodyTimeout = 10 * time.Millisecond
+	server := httptest.NewServer(d.server)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /admin/v1/preset HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nIf-Match: 1\r\nContent-Length: 100\r\n\r\n{", operatorKey)
+	is.NoErr(err)
+	answer, err := io.ReadAll(conn) // ends when the server closes
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 400"))
+	is.Equal(d.revision(), uint64(1))
+}
