--- a/internal/choice/observe.go
+++ b/internal/choice/observe.go
@@ -12,6 +12,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ratings.succeeded(o.Took)
+	if c.view != nil {
+		c.refresh(c.view.snapshot, o.Now)
+	}
 	s := c.state(o.Version)
 	s.sawClass(o.Class)
 	s.rated = o.Now
