--- a/internal/choice/sim/job.go
+++ b/internal/choice/sim/job.go
@@ -155,7 +155,7 @@
 	p.answer(j.run.truth.quality(j.answer))
 	p.Cost += j.cost
 	p.Best += r.bestCost(j.class)
-	cost, met := r.oracle.cost(j.class, p.Target)
+	cost, met := r.oracle.cost(j.class, p.Target, !r.cfg.ratingsDown(j.arrived))
 	p.Oracle += cost
 	p.Reachable = p.Reachable && met
 	j.latency()
