--- /dev/null
+++ b/internal/rollout/bench_test.go
@@ -0,0 +1,98 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// BenchmarkTick is a second of the node that drives, at 24 versions: one tick,
+// with all answers to the reads that it asks for. It reports the messages to
+// engines and the bytes of the row.
+func BenchmarkTick(b *testing.B) {
+	for _, engines := range []int{64, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			d := newBench(b, engines)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				d.second()
+			}
+			seconds := float64(b.N)
+			b.ReportMetric(float64(d.reads)/seconds, "reads/s")
+			b.ReportMetric(float64(d.writes)/seconds, "writes/s")
+			b.ReportMetric(float64(d.rowBytes), "row-B")
+		})
+	}
+}
+
+// benchDriver answers a machine at once.
+type benchDriver struct {
+	m        *Machine
+	now      time.Time
+	tick     Tick
+	versions []string
+	version  uint64
+	reads    int
+	writes   int
+	rowBytes int
+}
+
+func newBench(b *testing.B, engines int) *benchDriver {
+	b.Helper()
+	d := &benchDriver{now: time.Now(), m: NewMachine(Settings{}, "n0", "run")}
+	var models []string
+	for i := range 12 {
+		models = append(models, fmt.Sprintf("m%d: m%d@1 serving, m%d@2 serving", i, i, i))
+		d.versions = append(d.versions, fmt.Sprintf("m%d@1", i), fmt.Sprintf("m%d@2", i))
+	}
+	snapshot, err := config.Compile(1, document("ordinary", models...))
+	if err != nil {
+		b.Fatal(err)
+	}
+	v := &membership.View{}
+	for i := range engines {
+		id := fmt.Sprintf("engine-%05d", i)
+		vm := platform.VM{ID: id, Addr: id, FailureDomain: fmt.Sprintf("d%d", i%4)}
+		v.Engines = append(v.Engines, membership.Member{VM: vm})
+	}
+	d.tick = Tick{View: v, Snapshot: snapshot, Fresh: true}
+	for range 2*engines/DefaultReadsPerSecond + 60 { // until all engines were read
+		d.second()
+	}
+	if !d.m.tally.swept {
+		b.Fatal("not all engines were read")
+	}
+	d.reads, d.writes = 0, 0
+	return d
+}
+
+func (d *benchDriver) second() {
+	d.now = d.now.Add(time.Second)
+	todo := d.m.Step(d.now, d.tick)
+	for len(todo) > 0 {
+		a := todo[0]
+		todo = append(todo[1:], d.m.Step(d.now, d.answer(a))...)
+	}
+}
+
+func (d *benchDriver) answer(a Action) Event {
+	switch a := a.(type) {
+	case ReadEngine:
+		d.reads++
+		return EngineAnswer{Engine: a.Engine, Began: a.Began, State: upstream.EngineState{Versions: d.versions}}
+	case WriteRow:
+		d.writes++
+		d.version++
+		d.rowBytes = len(a.Value)
+		return RowWritten{Version: d.version}
+	case SendOrder:
+		return OrderAnswer{Engine: a.Engine, Began: a.Began, Result: OrderTaken}
+	}
+	return RowAnswer{Version: d.version}
+}
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -19,8 +19,8 @@
 	tally tally
 	row   row
 
-	// takenAt is when this node took the row; what was seen before counts for
-	// nothing, because another holder may have changed it since.
+	// takenAt is when this node took the row, or woke from a pause. Nothing is
+	// decided until all live engines were asked since.
 	takenAt time.Time
 	// doubtAt is when an order was last left that may still be on its way though
 	// nobody waits for it; the next orders then get a higher fencing number.
@@ -47,8 +47,8 @@
 	noInForce bool
 	// noRevision sends orders decided under an older configuration.
 	noRevision bool
-	// noForget keeps what was seen before the row was taken.
-	noForget bool
+	// noSweep decides before all engines were asked.
+	noSweep bool
 }
 
 // NewMachine returns the machine of one process on the VM self. Run must be
@@ -62,6 +62,7 @@
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	m.now = now
 	m.out = nil
+	m.noticePause()
 	switch ev := ev.(type) {
 	case Tick:
 		m.tick(ev)
@@ -92,6 +93,14 @@
 	m.ticked = m.now
 }
 
+// noticePause asks all engines again after this node stood still: what it knew
+// is partly too old to count, and versions would look missing that are there.
+func (m *Machine) noticePause() {
+	if m.holding() && m.now.Sub(m.ticked) > m.settings.Tick+m.settings.ProofFor {
+		m.takenAt = m.now
+	}
+}
+
 func (m *Machine) setPlan(ev Tick) {
 	m.fresh = ev.Fresh && ev.Snapshot != nil
 	if ev.Snapshot == nil || m.plan != nil && m.plan.revision == ev.Snapshot.Revision {
--- a/internal/rollout/row.go
+++ b/internal/rollout/row.go
@@ -145,9 +145,7 @@
 	m.confirmed = 0
 	for _, e := range m.fleet.engines {
 		e.hand = nil
-		if !m.guards.noForget {
-			e.forget()
-		}
+		e.forget()
 	}
 }
 
--- a/internal/rollout/send.go
+++ b/internal/rollout/send.go
@@ -57,7 +57,7 @@
 // idempotent at the engine.
 func (m *Machine) due(e *engine) bool {
 	h := e.hand
-	if h.out || !e.live {
+	if h.out || !e.live || m.finished(&h.pending) || m.lost(e) {
 		return false
 	}
 	if h.sentAt.IsZero() {
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -50,7 +50,7 @@
 
 func (m *Machine) countEngine(e *engine, oldest time.Time) {
 	t := &m.tally
-	if e.live && !e.tried.After(m.takenAt) {
+	if e.live && !e.tried.After(m.takenAt) && !m.guards.noSweep {
 		t.swept = false
 	}
 	t.fence = max(t.fence, e.state.Fence)
--- a/internal/rollout/withdraw.go
+++ b/internal/rollout/withdraw.go
@@ -95,7 +95,13 @@
 	if h.pending.Action == upstream.LoadVersion {
 		return m.plan.versions[h.version].state != config.Withdrawn
 	}
-	return m.tally.swept && m.mayUnload(e, h.version)
+	return m.tally.swept && m.mayUnload(e, h.version) && m.stillDue(h.version)
+}
+
+// stillDue: an unload may have stood in the row while its driver was paused and
+// engines with the successor were lost. Where room is short it is due anyway.
+func (m *Machine) stillDue(v int) bool {
+	return m.settings.Slots > 0 || m.plan.versions[v].state != config.Withdrawn || m.replaced(v)
 }
 
 func (m *Machine) askInForce() {
