--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +36,10 @@
 // do sends one call and waits for what comes of it.
 func (c *caller) do(o order) result {
 	r := result{order: o, outcome: cutOff}
+	if o.readsOn() {
+		r = *o.began
+		r.order, r.message = o, ""
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
 	req, err := newRequest(ctx, o)
@@ -41,14 +49,13 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		var dial *net.OpError
+		r.unreached = errors.As(err, &dial) && dial.Op == "dial"
 		r.message = err.Error()
 		return r
 	}
 	defer resp.Body.Close()
-	r.status = resp.StatusCode
-	r.version = resp.Header.Get("Hickorybank-Version")
-	r.session = resp.Header.Get("Hickorybank-Session")
-	r.retry = resp.Header.Get("Retry-After")
+	r.readHead(resp)
 	switch {
 	case o.chat() && o.stream && resp.StatusCode == http.StatusOK:
 		r.readStream(resp.Body)
@@ -60,10 +67,21 @@
 	return r
 }
 
+func (r *result) readHead(resp *http.Response) {
+	r.status = resp.StatusCode
+	r.retry = resp.Header.Get("Retry-After")
+	r.version = cmp.Or(resp.Header.Get("Hickorybank-Version"), r.version)
+	r.session = cmp.Or(resp.Header.Get("Hickorybank-Session"), r.session)
+	r.stream = cmp.Or(resp.Header.Get("Hickorybank-Stream"), r.stream)
+}
+
 func newRequest(ctx context.Context, o order) (*http.Request, error) {
 	method, url := http.MethodPost, "http://"+o.addr+"/v1/chat/completions"
 	body := []byte(o.body)
-	if o.chat() {
+	if o.readsOn() {
+		method, url = http.MethodGet, "http://"+o.addr+"/v1/streams/"+o.began.stream+"?after="+strconv.Itoa(o.began.last)
+		body = nil
+	} else if o.chat() {
 		var err error
 		body, err = json.Marshal(chatRequest{Model: o.model, Stream: o.stream, Messages: []chatMessage{{Role: "user", Content: o.text}}})
 		if err != nil {
@@ -72,15 +90,13 @@
 	} else {
 		method, url = o.method, "http://"+o.addr+"/v1/services/"+o.service+o.path
 	}
-	// A reader that net/http cannot rewind keeps it from sending twice.
+	// A body that net/http cannot rewind keeps it from sending twice; without
+	// one it would repeat any request that bears an idempotency key.
 	req, err := http.NewRequestWithContext(ctx, method, url, io.MultiReader(bytes.NewReader(body)))
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		req.Body = http.NoBody
-	}
 	req.Header.Set("Authorization", bearerPrefix+o.org)
 	setIf(req, "Idempotency-Key", o.key)
 	setIf(req, "Hickorybank-Class", o.class)
@@ -124,7 +140,11 @@
 func (r *result) readStream(body io.Reader) {
 	scanner := bufio.NewScanner(body)
 	var tokens int
+	var number int
 	for scanner.Scan() {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			number, _ = strconv.Atoi(id) // a bad number shows as a missing piece
+		}
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
 		if !ok {
 			continue
@@ -142,9 +162,7 @@
 			r.fail(a.Error)
 			return
 		}
-		if len(a.Choices) > 0 {
-			r.text += a.Choices[0].Delta.Content
-		}
+		r.piece(a, number)
 		if a.Usage != nil {
 			tokens = a.Usage.CompletionTokens
 		}
@@ -152,6 +170,16 @@
 	r.message = "the stream ended without its end mark"
 }
 
+func (r *result) piece(a chatAnswer, number int) {
+	if len(a.Choices) > 0 {
+		r.text += a.Choices[0].Delta.Content
+	}
+	r.last = number
+	if r.order.progress != nil {
+		r.order.progress.Store(int64(number))
+	}
+}
+
 func (r *result) readService(resp *http.Response) {
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
--- a/scenario/callers_test.go
+++ b/scenario/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,11 +14,11 @@
 	mu      sync.Mutex
 	results map[string]result
 	running map[string]chan struct{}
-	all     []result
+	pieces  map[string]*atomic.Int64
 }
 
 func newCallers() *callers {
-	return &callers{caller: newCaller(), results: map[string]result{}, running: map[string]chan struct{}{}}
+	return &callers{caller: newCaller(), results: map[string]result{}, running: map[string]chan struct{}{}, pieces: map[string]*atomic.Int64{}}
 }
 
 // begin makes a call in the background under a name.
@@ -29,13 +30,14 @@
 	}
 	done := make(chan struct{})
 	c.running[name] = done
+	o.progress = new(atomic.Int64)
+	c.pieces[name] = o.progress
 	go func() {
 		defer close(done)
 		r := c.caller.do(o)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.results[name] = r
-		c.all = append(c.all, r)
 	}()
 	return nil
 }
@@ -67,10 +69,14 @@
 	return r, nil
 }
 
-func (c *callers) list() []result {
+// came is the number of the last piece that the named call has got.
+func (c *callers) came(name string) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]result(nil), c.all...)
+	if p := c.pieces[name]; p != nil {
+		return p.Load()
+	}
+	return 0
 }
 
 func (c *callers) close() { c.caller.http.CloseIdleConnections() }
--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -1,7 +1,10 @@
 package scenario
 
 import (
+	"slices"
+	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -20,10 +23,17 @@
 	past   []*process // ended and replaced under the same name
 	frozen map[string]bool
 	closed []func()
+
+	pastRuns []run // of upstreams that were killed
+	marks    map[string]mark
+	loads    map[string]*load
 }
 
 func newCluster(dir string) *cluster {
-	return &cluster{dir: dir, network: newNetwork(), callers: newCallers(), procs: map[string]*process{}, frozen: map[string]bool{}}
+	return &cluster{
+		dir: dir, network: newNetwork(), callers: newCallers(), procs: map[string]*process{}, frozen: map[string]bool{},
+		marks: map[string]mark{}, loads: map[string]*load{},
+	}
 }
 
 // start runs the product under a name.
@@ -85,8 +95,49 @@
 	return "http://" + addr, err
 }
 
+// entries are the entry nodes that run, by name.
+func (c *cluster) entries() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*process
+	for _, p := range c.procs {
+		if p.entry && p.running() {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *process) int { return strings.Compare(a.id, b.id) })
+	return out
+}
+
+// kill ends a process at once.
+func (c *cluster) kill(p *process) error {
+	err := c.keepRuns(p)
+	p.kill()
+	return err
+}
+
+func (c *cluster) freeze(p *process, frozen bool) error {
+	s := syscall.SIGCONT
+	if frozen {
+		s = syscall.SIGSTOP
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen[p.id] = frozen
+	return p.signal(s)
+}
+
+func (c *cluster) isFrozen(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.frozen[id]
+}
+
 // close ends everything and returns what broke in a process, if anything.
 func (c *cluster) close() error {
+	for _, l := range c.loads {
+		l.abandon()
+	}
 	c.callers.close()
 	var first error
 	for _, p := range c.all() {
--- a/scenario/cmd_admin_test.go
+++ b/scenario/cmd_admin_test.go
@@ -2,21 +2,67 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/admin/client"
+	"github.com/hickorybank/hickorybank/internal/example"
 )
 
-// cmdAdmin runs "hickorybank admin" against the platform.
+const bootstrap = "bootstrap"
+
+// cmdAdmin runs "hickorybank admin": bootstrap against the platform, the rest
+// against an entry's administration interface.
 func cmdAdmin(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
-	needs(ts, false, args, 1, "admin ARG...")
+	needs(ts, false, args, 1, "admin [-at ENTRY] ARG...")
+	at := ""
+	if args[0] == "-at" {
+		needs(ts, false, args, 3, "admin [-at ENTRY] ARG...")
+		at, args = args[1], args[2:]
+	}
 	full := append([]string{"admin"}, args...)
-	full = append(full, "--platform", c.platformFor(ts, "operator"))
+	env := os.Environ()
+	if args[0] == bootstrap {
+		full = append(full, "--platform", c.platformFor(ts, "operator"))
+	} else {
+		addr, err := c.adminAddr(at)
+		ts.Check(err)
+		env = append(env, "HICKORYBANK_ADMIN=http://"+addr, "HICKORYBANK_OPERATOR_KEY="+example.OperatorKey)
+	}
 	cmd := exec.Command(binary, full...)
 	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = env
 	out, err := cmd.CombinedOutput()
 	fmt.Fprintf(ts.Stdout(), "%s", out)
 	if neg == (err == nil) {
 		ts.Fatalf("admin: %v\n%s", err, out)
 	}
 }
+
+// adminAddr is where operators reach the entry, or any one when it is empty.
+func (c *cluster) adminAddr(entry string) (string, error) {
+	if entry == "" {
+		for _, p := range c.entries() {
+			if p.addrs.Admin != "" && !c.isFrozen(p.id) {
+				return p.addrs.Admin, nil
+			}
+		}
+		return "", eris.New("no entry runs")
+	}
+	p, err := c.process(entry)
+	if err != nil {
+		return "", err
+	}
+	return p.addrs.Admin, nil
+}
+
+func (c *cluster) operator(entry string) (*client.Client, error) {
+	addr, err := c.adminAddr(entry)
+	if err != nil {
+		return nil, err
+	}
+	return client.New("http://"+addr, example.OperatorKey), nil
+}
--- a/scenario/cmd_call_test.go
+++ b/scenario/cmd_call_test.go
@@ -82,6 +82,22 @@
 	c.make(ts, neg, o)
 }
 
+// cmdReadOn reads the rest of a stream that broke, through another entry.
+func cmdReadOn(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
+	o, rest, err := c.parseCall(args)
+	ts.Check(err)
+	if len(rest) != 2 {
+		ts.Fatalf("usage: readon [OPTION...] ENTRY CALL")
+	}
+	began, err := c.callers.result(rest[1])
+	ts.Check(err)
+	name, back := o.name, o.back
+	o = callOptions{name: name, back: back, order: began.order}
+	o.order.began = &began
+	ts.Check(c.target(&o.order, rest[0], began.order.org, began.order.key))
+	c.make(ts, neg, o)
+}
+
 func (c *cluster) make(ts *testscript.TestScript, neg bool, o callOptions) {
 	ts.Check(c.callers.begin(o.name, o.order))
 	if o.back {
--- a/scenario/cmd_expect_test.go
+++ b/scenario/cmd_expect_test.go
@@ -8,11 +8,13 @@
 )
 
 var matters = map[string]condition{
-	"outcome": awaitOutcome,
-	"bills":   expectBills,
-	"runs":    expectRuns,
-	"same":    expectSame,
-	"version": expectVersion,
+	"outcome":     awaitOutcome,
+	"bills":       expectBills,
+	"runs":        expectRuns,
+	"newruns":     expectNewRuns,
+	"newdeclined": expectNewDeclined,
+	"same":        expectSame,
+	"version":     expectVersion,
 }
 
 // cmdExpect checks at once; "await" waits until the same holds.
--- a/scenario/cmd_signal_test.go
+++ b/scenario/cmd_signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -14,7 +15,7 @@
 }
 
 func cmdSigkill(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
-	c.must(ts, neg, args, "sigkill ID").kill()
+	ts.Check(c.kill(c.must(ts, neg, args, "sigkill ID")))
 }
 
 func cmdSigterm(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
@@ -22,11 +23,11 @@
 }
 
 func cmdFreeze(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
-	ts.Check(c.must(ts, neg, args, "freeze ID").signal(syscall.SIGSTOP))
+	ts.Check(c.freeze(c.must(ts, neg, args, "freeze ID"), true))
 }
 
 func cmdThaw(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
-	ts.Check(c.must(ts, neg, args, "thaw ID").signal(syscall.SIGCONT))
+	ts.Check(c.freeze(c.must(ts, neg, args, "thaw ID"), false))
 }
 
 func cmdCut(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
@@ -37,6 +38,14 @@
 	c.gateOf(ts, neg, args, "heal A B").heal()
 }
 
+// cmdSlow delays each piece of data between two processes.
+func cmdSlow(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
+	needs(ts, neg, args, 3, "slow A B DURATION")
+	delay, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	c.gateOf(ts, neg, args, "slow A B DURATION").slow(delay)
+}
+
 func (c *cluster) gateOf(ts *testscript.TestScript, neg bool, args []string, usage string) *gate {
 	needs(ts, neg, args, 2, usage)
 	if !c.relayed {
--- a/scenario/cmd_start_test.go
+++ b/scenario/cmd_start_test.go
@@ -2,22 +2,13 @@
 
 import (
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/example"
 )
 
 const freePort = "127.0.0.1:0"
 
-// startArgs is the command line of a process, with the settings that most
-// scenarios leave as they are.
-type startArgs struct {
-	id   string
-	args []string
-}
-
-func (c *cluster) run(ts *testscript.TestScript, s startArgs, more []string) {
-	_, err := c.start(s.id, append(s.args, more...)...)
-	ts.Check(err)
-}
-
 func (c *cluster) platformFor(ts *testscript.TestScript, id string) string {
 	url, err := c.platformURL(id)
 	ts.Check(err)
@@ -40,33 +31,68 @@
 
 func cmdPlatform(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
 	needs(ts, neg, args, 0, "platform [FLAG...]")
-	c.run(ts, startArgs{platformID, []string{"standin", "platform", "--listen", freePort, "--list-lag", "100ms"}}, args)
+	ts.Check(c.startPlatform(args...))
 }
 
 func cmdEngine(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
 	needs(ts, neg, args, 1, "engine ID [FLAG...]")
-	id := args[0]
-	c.run(ts, startArgs{id, []string{
-		"standin", "upstream", "--id", id, "--listen", freePort, "--failure-domain", "manga",
-		"--platform", c.platformFor(ts, id),
-		"--serve", "dues@1", "--serve", "dues@2", "--serve", "lines@1", "--serve", "lines@2",
-	}}, args[1:])
+	ts.Check(c.startEngine(args[0], args[1:]...))
 }
 
 func cmdService(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
 	needs(ts, neg, args, 2, "service ID NAME [FLAG...]")
-	id := args[0]
-	c.run(ts, startArgs{id, []string{
-		"standin", "upstream", "--kind", "service", "--id", id, "--service", args[1],
-		"--listen", freePort, "--failure-domain", "manga", "--platform", c.platformFor(ts, id),
-	}}, args[2:])
+	ts.Check(c.startService(args[0], args[1], args[2:]...))
 }
 
 func cmdEntry(ts *testscript.TestScript, c *cluster, neg bool, args []string) {
 	needs(ts, neg, args, 1, "entry ID [FLAG...]")
-	id := args[0]
-	c.run(ts, startArgs{id, []string{
-		"entry", "--id", id, "--listen", freePort, "--failure-domain", "manga",
-		"--platform", c.platformFor(ts, id), "--register",
-	}}, args[1:])
+	ts.Check(c.startEntry(args[0], args[1:]...))
+}
+
+// The processes start with the settings that most scenarios leave as they are;
+// more flags come after them and so win.
+
+func (c *cluster) startPlatform(more ...string) error {
+	args := []string{"standin", "platform", "--listen", freePort, "--list-lag", "100ms"}
+	_, err := c.start(platformID, append(args, more...)...)
+	return err
+}
+
+func (c *cluster) startEngine(id string, more ...string) error {
+	url, err := c.platformURL(id)
+	if err != nil {
+		return err
+	}
+	args := []string{
+		"standin", "upstream", "--id", id, "--listen", freePort, "--failure-domain", "manga", "--platform", url,
+		"--serve", "dues@1", "--serve", "dues@2", "--serve", "lines@1", "--serve", "lines@2",
+	}
+	_, err = c.start(id, append(args, more...)...)
+	return err
+}
+
+func (c *cluster) startService(id, name string, more ...string) error {
+	url, err := c.platformURL(id)
+	if err != nil {
+		return err
+	}
+	args := []string{
+		"standin", "upstream", "--kind", "service", "--id", id, "--service", name,
+		"--listen", freePort, "--failure-domain", "manga", "--platform", url,
+	}
+	_, err = c.start(id, append(args, more...)...)
+	return err
+}
+
+func (c *cluster) startEntry(id string, more ...string) error {
+	url, err := c.platformURL(id)
+	if err != nil {
+		return err
+	}
+	args := []string{
+		"entry", "--id", id, "--listen", freePort, "--failure-domain", "manga", "--platform", url, "--register",
+		"--admin-listen", freePort, "--operator-key-hash", "operator=" + config.HashKey(example.OperatorKey),
+	}
+	_, err = c.start(id, append(args, more...)...)
+	return err
 }
--- a/scenario/conditions_test.go
+++ b/scenario/conditions_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -43,13 +44,13 @@
 	return c.again(o)
 }
 
-// awaitServicesOK: ENTRY ORG KEY METHOD PATH: the service call, repeated,
+// awaitServicesOK: ENTRY ORG KEY METHOD PATH [BODY]: the service call, repeated,
 // completes.
 func awaitServicesOK(c *cluster, args []string) error {
 	if len(args) < 5 {
 		return errUsage
 	}
-	o := order{service: testService, method: args[3], path: args[4]}
+	o := order{service: testService, method: args[3], path: args[4], body: strings.Join(args[5:], " ")}
 	if err := c.target(&o, args[0], args[1], args[2]); err != nil {
 		return err
 	}
@@ -87,6 +88,21 @@
 	return eris.New(r.String())
 }
 
+// awaitPieces: NAME N: a streamed call in the background has got N pieces.
+func awaitPieces(c *cluster, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	want, err := strconv.ParseInt(args[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	if n := c.callers.came(args[0]); n < want {
+		return eris.Errorf("%d pieces of %d came", n, want)
+	}
+	return nil
+}
+
 // awaitEnded: ID [CODE]: the process has ended, with this exit code.
 func awaitEnded(c *cluster, args []string) error {
 	p, err := c.process(args[0])
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"io"
 	"os"
 	"testing"
@@ -10,11 +11,15 @@
 	"github.com/hickorybank/hickorybank/internal/cli"
 )
 
-// binary is the name under which the test binary stands in for the product's.
-const binary = "hickorybank"
+// product is the name under which the test binary stands in for the product's.
+const product = "hickorybank"
+
+// binary is the program that scenarios start: the product as tested here, or
+// another build of it.
+var binary = cmp.Or(os.Getenv("SCENARIO_BINARY"), product)
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){binary: runBinary})
+	testscript.Main(m, map[string]func(){product: runBinary})
 }
 
 func runBinary() {
--- a/scenario/network_test.go
+++ b/scenario/network_test.go
@@ -60,6 +60,19 @@
 	return r.addr(), nil
 }
 
+// direct is the address behind a relay, or the address itself: a caller stands
+// beside no entry, so it does not use the relays between them.
+func (n *network) direct(addr string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for way, r := range n.relays {
+		if r.addr() == addr {
+			return way.target
+		}
+	}
+	return addr
+}
+
 func (n *network) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/scenario/order_test.go
+++ b/scenario/order_test.go
@@ -1,5 +1,7 @@
 package scenario
 
+import "sync/atomic"
+
 // order is one call that a scenario makes.
 type order struct {
 	entry string // process
@@ -22,6 +24,14 @@
 	method  string
 	path    string
 	body    string
+
+	// began is what came of a stream before, when this order reads on.
+	began *result
+	// progress gets the number of each piece that comes, if set.
+	progress *atomic.Int64
 }
 
+// readsOn says that the order reads the rest of a stream.
+func (o order) readsOn() bool { return o.began != nil }
+
 func (o order) chat() bool { return o.service == "" }
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -28,6 +28,7 @@
 	stdin io.Closer
 	log   string // file
 	addrs addresses
+	entry bool // node, not a stand-in
 	ended chan struct{}
 }
 
@@ -37,7 +38,7 @@
 
 // startProcess starts the product and waits for its ready line.
 func startProcess(dir, id string, args ...string) (*process, error) {
-	p := &process{id: id, log: filepath.Join(dir, id+".log"), ended: make(chan struct{})}
+	p := &process{id: id, log: filepath.Join(dir, id+".log"), ended: make(chan struct{}), entry: args[0] == "entry"}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
--- a/scenario/result_test.go
+++ b/scenario/result_test.go
@@ -24,6 +24,10 @@
 	version string
 	session string
 	text    string
+	stream  string // token with which any entry reads on
+	last    int    // number of the last piece that came
+	// unreached: no connection came about, so nothing was sent.
+	unreached bool
 	// fault says what is wrong with an answer that claims to be whole.
 	fault error
 }
