Let a caller that has every piece read on for the end

Cause: a caller whose entry died after the last piece and before the end mark reads on from that piece; the engine had nothing left to send and the caller was told that its stream could not be resumed, for an answer it had whole. The piece that the caller names is read once more; it is not sent again, but when it is the last one the answer ends and is billed. Ruled out: keeping the end in the entry's memory, which died with it. Red before: scenario hold_whole_answer_end (outcome unknown, upstream_failed). After: it and the other scenarios of scenario/ pass with -race, 69.7 s in all.

--- a/internal/lifecycle/attempt.go
+++ b/internal/lifecycle/attempt.go
@@ -19,6 +19,15 @@
 	reason  string
 }
 
+// ends says that the piece, which the caller has already, is the answer's last.
+func (a *attempt) ends(c upstream.Chunk) bool { return c.Done && c.Seq == a.lastSeq }
+
+// finish notes what only the last piece tells.
+func (a *attempt) finish(c upstream.Chunk) {
+	a.usage = c.Usage
+	a.reason = c.FinishReason
+}
+
 // take accepts the next piece in order. A piece that came before is ignored;
 // a gap means that the stream lost something and must be read again.
 func (a *attempt) take(c upstream.Chunk) (fresh, gap bool) {
@@ -31,8 +40,7 @@
 	a.lastSeq = c.Seq
 	a.text.WriteString(c.Text)
 	if c.Done {
-		a.usage = c.Usage
-		a.reason = c.FinishReason
+		a.finish(c)
 	}
 	return true, false
 }
--- a/internal/lifecycle/chat.go
+++ b/internal/lifecycle/chat.go
@@ -53,7 +53,11 @@
 	c.mayHaveRun = true
 	c.emitted = true
 	c.phase = running
-	return c.resume()
+	// The piece that the caller has may be the last one, whose end mark did
+	// not reach it: it is read once more, or the engine would have nothing
+	// left to send and the answer would never end.
+	c.current.resumes++
+	return []Decision{Resume{Attempt: attemptID, VM: vm, After: max(after-1, 0)}}
 }
 
 // Runs are the completed runs so far.
@@ -111,9 +115,13 @@
 	if gap {
 		return c.resume()
 	}
-	if !fresh {
+	if !fresh && !c.current.ends(chunk) {
 		return nil
 	}
+	if !fresh {
+		c.current.finish(chunk)
+		chunk.Text = ""
+	}
 	if chunk.Done {
 		return c.done(chunk)
 	}
