--- a/internal/rollout/next.go
+++ b/internal/rollout/next.go
@@ -11,20 +11,13 @@
 func (m *Machine) next() (Record, bool) {
 	r := m.row.record
 	r.Orders = make([]Pending, 0, len(m.row.record.Orders)+m.settings.LoadsAtOnce)
-	left := false
 	for i := range m.row.record.Orders {
-		p := &m.row.record.Orders[i]
-		switch {
-		case m.finished(p):
-		case m.abandoned(p):
-			left = true
-		default:
+		if p := &m.row.record.Orders[i]; !m.finished(p) && !m.abandoned(p) {
 			r.Orders = append(r.Orders, *p)
 		}
 	}
 	changed := len(r.Orders) != len(m.row.record.Orders)
-	// The tally still counts on orders that were just left.
-	if m.mayMove() && !left {
+	if m.mayMove() {
 		changed = m.decide(&r) || changed
 	}
 	changed = m.raiseTerm(&r) || changed
@@ -98,8 +91,8 @@
 
 // lost says that the order has shown no effect for too long: the engine does
 // not answer, or cannot get the weights. What the engine showed before the last
-// send says nothing: a node that is paused just after it would wake to an old
-// state, take the order for lost and begin one load too many.
+// send says nothing: a load that failed and was ordered again a moment ago would be
+// taken for lost, and one load too many begun.
 func (m *Machine) lost(e *engine) bool {
 	if m.now.Sub(e.hand.since) < m.settings.Patience || !e.tried.After(e.hand.sentAt) {
 		return false
--- a/internal/rollout/schedule_test.go
+++ b/internal/rollout/schedule_test.go
@@ -177,7 +177,6 @@
 	broken  string
 	strays  int
 	settled time.Duration // after the last fault
-	lowest  map[string]int
 }
 
 func runSeed(seed uint64, g guards) outcome {
@@ -196,5 +195,5 @@
 	if w.broken == "" && w.unsettled() != "" {
 		w.violate("%s, %v after the last fault", w.unsettled(), after)
 	}
-	return outcome{broken: w.broken, strays: w.strays, settled: after, lowest: w.lowest}
+	return outcome{broken: w.broken, strays: w.strays, settled: after}
 }
--- a/internal/rollout/seeds_test.go
+++ b/internal/rollout/seeds_test.go
@@ -49,11 +49,13 @@
 // version below its demand, load a withdrawn version, or overrun the pace; and
 // the engines must come to what is wanted once the faults end.
 func TestSeeds(t *testing.T) {
-	if failed, first, said := sweepSeeds(t, 1, seeds, guards{}); failed > 0 {
+	if failed, first, said := sweepSeeds(t, *firstSeed, seeds, guards{}); failed > 0 {
 		t.Fatalf("%d of %d seeds; seed %d: %s", failed, seeds, first, said)
 	}
 }
 
+var firstSeed = flag.Uint64("first", 1, "the first seed of TestSeeds")
+
 var oneSeed = flag.Uint64("seed", 0, "run this seed alone and print what happens in it")
 
 func TestOneSeed(t *testing.T) {
--- a/internal/rollout/world_check_test.go
+++ b/internal/rollout/world_check_test.go
@@ -119,7 +119,8 @@
 			}
 		}
 	}
-	if n > w.settings.LoadsAtOnce {
+	w.mostLoads = max(w.mostLoads, n)
+	if n > w.settings.LoadsAtOnce && !w.paceUnchecked {
 		w.violate("%d engines load at one time", n)
 	}
 }
@@ -132,18 +133,6 @@
 	}
 }
 
-// sample keeps the least capacity of each version.
-func (w *world) sample() {
-	for _, m := range w.latest().snapshot.Doc.Models {
-		for _, v := range m.Versions {
-			n := w.ready(v.Name)
-			if least, ok := w.lowest[v.Name]; !ok || n < least {
-				w.lowest[v.Name] = n
-			}
-		}
-	}
-}
-
 // unsettled says what is not as the configuration wants it, or "".
 func (w *world) unsettled() string {
 	s := w.latest().snapshot
--- a/internal/rollout/world_engine_test.go
+++ b/internal/rollout/world_engine_test.go
@@ -165,7 +165,6 @@
 	case model.Taken:
 		if had && !e.control.Has(o.Version) {
 			e.w.note("%s unloads %s", e.id, o.Version)
-			e.w.sample()
 		}
 	}
 	e.w.checkLoads()
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -39,7 +39,10 @@
 	// broken is the first invariant that did not hold.
 	broken string
 	strays int
-	lowest map[string]int // ready engines seen least, by version
+	// mostLoads is the most loads at one time; with paceUnchecked it may be more
+	// than the settings allow.
+	mostLoads     int
+	paceUnchecked bool
 }
 
 // faults are in force for everything that happens.
@@ -70,7 +73,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	return &world{
 		settings: s.WithDefaults(), guards: g, random: rand.New(rand.NewPCG(seed, 1)),
-		start: start, now: start, lowest: map[string]int{}, faults: faults{load: 3 * time.Second},
+		start: start, now: start, faults: faults{load: 3 * time.Second},
 	}
 }
 
