Count roll-outs, the exchange of ratings and idle timers into capacity

Cause: the exchange between nodes, the roll-out driver and stored deltas have come in, and the ledger sends fewer messages and changes its collector sooner. What stays over the budget when all that is listed is mended is now said apart: what follows the requests, and control that does not.

--- a/internal/capacity/assumptions.go
+++ b/internal/capacity/assumptions.go
@@ -57,6 +57,6 @@
 		{"upstreams that a node deals with", a.Subset, "", "the default of package balance"},
 		{"writes that one table takes", a.TableWrites, "/s", "“several hundred”; the stand-in's default"},
 		{"reads that one table takes", a.TableReads, "/s", "“about two thousand”"},
-		{"steps of one roll-out", a.RolloutSteps, "", "a fifth of the runners load it, ten at a time: 200 conditional writes"},
+		{"writes of a roll-out's row a day for its steps", a.RolloutSteps, "", "stages, and what is in hand; its renewals come on top"},
 	}
 }
--- a/internal/capacity/fleet_confsync.go
+++ b/internal/capacity/fleet_confsync.go
@@ -108,7 +108,7 @@
 // settle waits until every node has the configuration, and each failure domain
 // its readers and no more.
 func (f *configFleet) settle() error {
-	const patience, pause, calm = 20 * time.Second, 20 * time.Millisecond, time.Second
+	const patience, pause, calm = 20 * time.Second, 20 * time.Millisecond, 500 * time.Millisecond
 	for deadline := time.Now().Add(patience); !f.settled(); {
 		if time.Now().After(deadline) {
 			return eris.New("the fleet did not settle")
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -19,8 +19,8 @@
 
 // The meters of a full and of a quick run.
 var (
-	FullMeter  = Meter{Span: 50 * time.Millisecond, Rounds: 4, Window: 3 * time.Second}
-	QuickMeter = Meter{Span: 5 * time.Millisecond, Rounds: 2, Window: 800 * time.Millisecond}
+	FullMeter  = Meter{Span: 50 * time.Millisecond, Rounds: 4, Window: 2500 * time.Millisecond}
+	QuickMeter = Meter{Span: 5 * time.Millisecond, Rounds: 2, Window: 500 * time.Millisecond}
 )
 
 // mostRepeats bounds a round whose work takes next to no time.
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -143,7 +143,7 @@
 func (c *calc) roles() []Role {
 	roles := []Role{
 		c.requests(), c.carrying(), c.decisions(),
-		c.process(), c.connections(), c.metrics(), c.addresses(), c.loadReports(),
+		c.process(), c.timers(), c.connections(), c.metrics(), c.addresses(), c.loadReports(),
 		c.list(), c.configReading(), c.configTree(), c.administration(), c.rollouts(),
 		c.limits(), c.summaries(), c.suspects(), c.claims(), c.bills(), c.settling(),
 	}
--- a/internal/capacity/probe_confsync.go
+++ b/internal/capacity/probe_confsync.go
@@ -22,7 +22,7 @@
 		},
 		{
 			Slope: Slope{Name: "confsync.fleet.bytes", What: "what they send in a second", Per: "entry nodes in one process", Unit: Bytes},
-			Sizes: []int{8, 32, 84}, QuickSizes: []int{2, 8}, Measure: measureConfigFleetBytes,
+			Sizes: []int{8, 32}, QuickSizes: []int{2, 8}, Measure: measureConfigFleetBytes,
 		},
 		{
 			Slope: Slope{Name: "config.delta.bytes", What: "a change of one organisation as a delta", Per: "organisations", Unit: Bytes},
--- a/internal/capacity/probe_ledgerfleet.go
+++ b/internal/capacity/probe_ledgerfleet.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return 0, err
 	}
-	time.Sleep(m.Window)
+	time.Sleep(m.Window / 2)
 	v := m.PerSecond()
 	f.close()
 	return v, f.result()
--- a/internal/capacity/probe_node.go
+++ b/internal/capacity/probe_node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/admin"
 	"github.com/hickorybank/hickorybank/internal/node"
@@ -17,6 +18,9 @@
 
 func nodeProbes() []Probe {
 	return []Probe{{
+		Slope: Slope{Name: "node.idle", What: "a second of whole nodes that nobody asks, before a platform in memory and one engine", Per: "entry nodes in one process", Unit: Nanoseconds},
+		Sizes: []int{1, 4, 16}, QuickSizes: []int{1, 4}, Measure: measureIdle,
+	}, {
 		Slope: Slope{Name: "node.answer", What: "a streamed answer through a whole node before a platform in memory, its bill included; bare sockets at both ends included", Per: "tokens of the answer", Unit: Nanoseconds},
 		Sizes: []int{4, 32, 128}, QuickSizes: []int{4, 32}, Measure: measureNode,
 	}}
@@ -25,27 +29,38 @@
 // nodeCallers are fewer than a pool's first limit, so that none waits.
 const nodeCallers = 30
 
-// nodeRig is an engine, a whole node and callers.
+// nodeRig is an engine, whole nodes, and callers of the first one.
 type nodeRig struct {
 	engine  *rawEngine
-	engines *client.Engines
-	node    *node.Node
+	store   *memory.Platform
+	nodes   []*nodePart
 	callers rawCallers
 }
 
-func newNodeRig(pieces int) (*nodeRig, error) {
+type nodePart struct {
+	*node.Node
+	engines *client.Engines
+}
+
+func newNodeRig(nodes, pieces int) (*nodeRig, error) {
 	turns := newTurns(nodeCallers)
 	e, err := newRawEngine(pieces, turns)
 	if err != nil {
 		return nil, err
 	}
-	r := &nodeRig{engine: e, engines: client.NewEngines(client.Options{})}
-	if err := r.start(); err != nil {
+	r := &nodeRig{engine: e, store: memory.New(memory.WithSeed(1))}
+	if err := r.begin(); err != nil {
 		return nil, err
 	}
+	for i := range nodes {
+		if err := r.add(i); err != nil {
+			r.close()
+			return nil, err
+		}
+	}
 	for i := range nodeCallers {
 		// The second class is heavy work.
-		c, err := newRawCaller(r.node.Addr(), className(1), i, pieces, turns[i])
+		c, err := newRawCaller(r.nodes[0].Addr(), className(1), i, pieces, turns[i])
 		if err != nil {
 			r.close()
 			return nil, err
@@ -55,18 +70,23 @@
 	return r, r.settle()
 }
 
-func (r *nodeRig) start() error {
+// begin gives the platform a configuration and the engine.
+func (r *nodeRig) begin() error {
 	ctx := context.Background()
-	store := memory.New(memory.WithSeed(1))
-	if _, _, err := admin.NewStore(store).Put(ctx, 0, document(fleetOrgs), "capacity"); err != nil {
+	if _, _, err := admin.NewStore(r.store).Put(ctx, 0, document(fleetOrgs), "capacity"); err != nil {
 		return err
 	}
+	return r.store.RegisterVM(ctx, platform.VM{ID: "engine-00000", Role: platform.RoleEngine, Addr: r.engine.addr(), FailureDomain: domainName(0), State: platform.Live})
+}
+
+func (r *nodeRig) add(i int) error {
+	engines := client.NewEngines(client.Options{})
 	n, err := node.New(
 		node.Settings{
-			ID: "entry-00000", FailureDomain: domainName(0), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-			AddressTTL: 50 * time.Millisecond, SessionKeys: [][]byte{bytes.Repeat([]byte("k"), seal.MinKeyBytes)}, Seed: 1,
+			ID: nodeNames(i + 1)[i], FailureDomain: domainName(0), Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+			AddressTTL: 50 * time.Millisecond, SessionKeys: [][]byte{bytes.Repeat([]byte("k"), seal.MinKeyBytes)}, Seed: uint64(i),
 		},
-		node.Deps{Platform: store, Engines: r.engines, Services: client.NewServices(client.Options{}), Log: discard()},
+		node.Deps{Platform: r.store, Engines: engines, Services: client.NewServices(client.Options{}), Log: discard()},
 	)
 	if err != nil {
 		return err
@@ -74,11 +94,8 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	r.node = n
-	if err := store.RegisterVM(ctx, n.VM()); err != nil {
-		return err
-	}
-	return store.RegisterVM(ctx, platform.VM{ID: "engine-00000", Role: platform.RoleEngine, Addr: r.engine.addr(), FailureDomain: domainName(0), State: platform.Live})
+	r.nodes = append(r.nodes, &nodePart{Node: n, engines: engines})
+	return r.store.RegisterVM(context.Background(), n.VM())
 }
 
 // settle asks until the node answers.
@@ -100,16 +117,22 @@
 func (r *nodeRig) close() {
 	r.callers.close()
 	// A planned stop would wait for callers who know its address.
-	const patience = 500 * time.Millisecond
+	const patience = 200 * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	_ = r.node.Close(ctx)
-	r.engines.Close()
+	var all conc.WaitGroup
+	for _, n := range r.nodes {
+		all.Go(func() {
+			_ = n.Close(ctx)
+			n.engines.Close()
+		})
+	}
+	all.Wait()
 	r.engine.close()
 }
 
 func measureNode(m Meter, tokens int) (float64, error) {
-	r, err := newNodeRig(tokens)
+	r, err := newNodeRig(1, tokens)
 	if err != nil {
 		return 0, err
 	}
@@ -125,3 +148,14 @@
 	})
 	return v / nodeCallers, failed
 }
+
+func measureIdle(m Meter, nodes int) (float64, error) {
+	const pieces = 1
+	r, err := newNodeRig(nodes, pieces)
+	if err != nil {
+		return 0, err
+	}
+	defer r.close()
+	time.Sleep(m.Window / 2)
+	return m.PerSecond(), nil
+}
--- /dev/null
+++ b/internal/capacity/probe_share.go
@@ -0,0 +1,52 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/choice"
+	"github.com/hickorybank/hickorybank/internal/choice/share"
+)
+
+// shareProbes measure the exchange of what nodes know of versions.
+func shareProbes() []Probe {
+	sizes := []int{1, 12, 48, 288}
+	return []Probe{
+		{
+			Slope: Slope{Name: "share.report", What: "a node's report to a collector and the pool that comes back, over net/rpc, both ends", Per: "cells in each", Unit: Nanoseconds},
+			Sizes: sizes, QuickSizes: []int{1, 12}, Measure: func(m Meter, n int) (float64, error) { return reportExchange(n).processor(m) },
+		},
+		{
+			Slope: Slope{Name: "share.report.bytes", What: "a node's report to a collector and the pool that comes back", Per: "cells in each", Unit: Bytes},
+			Sizes: sizes, QuickSizes: []int{1, 12}, Measure: func(_ Meter, n int) (float64, error) { return reportExchange(n).bytes() },
+		},
+	}
+}
+
+// shareReceiver answers as a collector that knows two other nodes.
+type shareReceiver struct{ chooser *choice.Chooser }
+
+// Report takes in a summary and answers with what all others have seen.
+func (s shareReceiver) Report(r *share.Report, pool *choice.Pool) error {
+	s.chooser.Merge(r.Summary, start)
+	*pool = s.chooser.Pool(r.Summary.Run(), r.Versions, start.Add(time.Second).UnixNano())
+	return nil
+}
+
+func reportExchange(cells int) exchange {
+	collector := newChooser("entry-00000", cells)
+	collector.Merge(newChooser("entry-00002", cells).Summary(), start)
+	report := &share.Report{Versions: versionsOf(cells), Summary: newChooser("entry-00001", cells).Summary()}
+	return exchange{
+		name: "Choice", receiver: shareReceiver{collector}, method: "Report", args: report,
+		reply: func() any { return new(choice.Pool) },
+	}
+}
+
+// versionsOf are the versions of the first cells.
+func versionsOf(cells int) []string {
+	var names []string
+	for i := range min(cells, docVersions) {
+		names = append(names, versionName(i))
+	}
+	return names
+}
--- a/internal/capacity/probes.go
+++ b/internal/capacity/probes.go
@@ -6,7 +6,7 @@
 func Probes() []Probe {
 	return slices.Concat(
 		processProbes(), streamProbes(), nodeProbes(), requestProbes(), balanceProbes(), pollProbes(), admissionProbes(), limitProbes(),
-		choiceProbes(), ledgerProbes(), configProbes(), ledgerCallProbes(), ledgerFleetProbes(), confsyncProbes(), membershipProbes(), suspectProbes(), peerProbes(), platformProbes(), telemetryProbes(),
+		choiceProbes(), shareProbes(), rolloutProbes(), ledgerProbes(), configProbes(), ledgerCallProbes(), ledgerFleetProbes(), confsyncProbes(), membershipProbes(), suspectProbes(), peerProbes(), platformProbes(), telemetryProbes(),
 	)
 }
 
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -1,7 +1,9 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -94,4 +96,27 @@
 		fmt.Fprintf(b, "- *%s*, the busiest node over the budget: %s. %s An average node: %s/s, %s, %s now; %s/s, %s, %s then.\n", role.Name, strings.TrimPrefix(r.verdict(role.Busiest), "**no**: "), role.Over,
 			amount(role.Each.Network), cores(role.Each.Processor), amount(role.Each.Memory), amount(role.Mended.Network), cores(role.Mended.Processor), amount(role.Mended.Memory))
 	}
+	r.left(b)
+}
+
+// left says what stays over the budget when all that is listed is mended.
+func (r Report) left(b *strings.Builder) {
+	var memory []Role
+	var requests float64
+	for _, role := range r.Single.Roles {
+		if role.Plane != Control {
+			continue
+		}
+		memory = append(memory, role)
+		if role.PerRequest {
+			requests += role.Mended.Network
+		}
+	}
+	slices.SortStableFunc(memory, func(a, b Role) int { return cmp.Compare(b.Mended.Memory, a.Mended.Memory) })
+	mended := r.Single.Mended
+	fmt.Fprintf(b, "\nWhat stays over: *network*, %s/s a node, of which %s/s follow the requests (bills,\nclaims, addresses) and %s/s are control that does not. *Memory*, %s a node:\n", amount(mended.Network), amount(requests), amount(mended.Network-requests), amount(mended.Memory))
+	for _, role := range memory[:min(4, len(memory))] {
+		fmt.Fprintf(b, "%s for %s, ", amount(role.Mended.Memory), role.Name)
+	}
+	b.WriteString("and small\nparts. Every node knows every VM in three forms (the list's text for its children,\nthe members' picture, the balancer's order); a list cut by region, one form, or a\ncollector set tighter than the default would each bring it below the budget.\n")
 }
--- a/internal/capacity/role.go
+++ b/internal/capacity/role.go
@@ -17,6 +17,8 @@
 type Role struct {
 	Name  string `json:"name"`
 	Plane Plane  `json:"plane"`
+	// PerRequest says that its network grows with requests.
+	PerRequest bool `json:"per_request"`
 	// State is what a node keeps for it.
 	State string `json:"state"`
 	// Mechanism carries it.
--- a/internal/capacity/role_config.go
+++ b/internal/capacity/role_config.go
@@ -16,19 +16,16 @@
 	s := syncSettings()
 	readers := float64(c.Size.FailureDomains * s.Readers)
 	changes := c.Size.Changes / secondsPerDay
-	doc := c.at("config.bytes", c.Assume.Organisations)
 	heads := c.calls(1/s.ReadGap.Seconds(), c.at("table.get", headBytes), c.at("table.get.bytes", headBytes))
-	documents := c.calls(changes, c.at("table.get", doc), c.at("table.get.bytes", doc))
-	deltas := c.calls(changes, 0, c.at("table.get.bytes", c.changeBytes()))
-	busiest := heads.Plus(documents)
+	row := c.changeBytes() * base64Growth
+	deltas := c.calls(changes, c.at("table.get", row), c.at("table.get.bytes", row))
+	busiest := heads.Plus(deltas)
 	return Role{
 		Name: "configuration: reading the table", Plane: Control,
 		State:     "the head's revision and proofs of when it was read",
-		Mechanism: fmt.Sprintf("%d readers a failure domain by rendezvous hash read the head every %v and each new document; package confsync", s.Readers, s.ReadGap),
+		Mechanism: fmt.Sprintf("%d readers a failure domain by rendezvous hash read the head every %v, and what each change changed: %.0f B, the document being %s; package confsync", s.Readers, s.ReadGap, c.changeBytes(), amount(c.at("config.bytes", c.Assume.Organisations))),
 		Each:      busiest.Times(readers / float64(c.Size.Nodes)), Busiest: busiest, Who: fmt.Sprintf("a reader, %.0f nodes", readers),
-		Reads:  readers * (1/s.ReadGap.Seconds() + changes),
-		Over:   fmt.Sprintf("A reader fetches each new document whole, %s. The readers take deltas from the table where the writer stores them, which it does not yet: with them it would be %s/s.", amount(doc), amount(heads.Plus(deltas).Network)),
-		Mended: heads.Plus(deltas).Times(readers / float64(c.Size.Nodes)),
+		Reads: readers * (1/s.ReadGap.Seconds() + changes),
 	}
 }
 
--- a/internal/capacity/role_ledger.go
+++ b/internal/capacity/role_ledger.go
@@ -61,7 +61,7 @@
 	calling.Processor = processor(sent, c.per("ledger.bill")*float64(c.Size.Nodes))
 	share := f.batchers / float64(c.Size.Nodes)
 	return Role{
-		Name: "claims: work that may not be repeated", Plane: Control,
+		Name: "claims: work that may not be repeated", Plane: Control, PerRequest: true,
 		State:     fmt.Sprintf("at a batcher %s keys of the last two buckets of %v", short(keys), s.Layout.ClaimBucket),
 		Mechanism: fmt.Sprintf("append-only logs of conditional rows, %d for a table, one row each %.0f ms; each log is batched by the first node in rendezvous order; package ledger/claim", s.Layout.Shards, 1000*f.gap),
 		Each:      calling.Plus(batching.Times(share)), Busiest: calling.Plus(batching),
@@ -94,10 +94,12 @@
 }
 
 // Of package ledger: how many messages with bills a node has out at one time,
-// and, assumed, how long a row takes to be written.
+// and for how many seconds one node collects; and, assumed, how many seconds a
+// row takes to be written.
 const (
-	maxSends  = 4
-	rowWrites = 0.01 // seconds
+	maxSends     = 2
+	collectEpoch = 5
+	rowWrites    = 0.01
 )
 
 func (c *calc) billFigures(sends float64) billFigures {
@@ -142,9 +144,9 @@
 	mended := single.Plus(alone.Times(share))
 	mended.Processor = whole
 	return Role{
-		Name: "bills", Plane: Control,
+		Name: "bills", Plane: Control, PerRequest: true,
 		State:     fmt.Sprintf("at a collector %.0f bills of one gap", f.perDomain*f.gap),
-		Mechanism: fmt.Sprintf("a node sends its bills to its failure domain's collector, which changes every 30 s and writes a row each %.0f ms; package ledger/bill", 1000*f.gap),
+		Mechanism: fmt.Sprintf("a node sends its bills to its failure domain's collector, which changes every %d s and writes a row each %.0f ms; package ledger/bill", collectEpoch, 1000*f.gap),
 		Each:      each, Busiest: busiest, Who: "a collector", Mended: mended,
 		Writes: float64(c.Size.FailureDomains) / f.gap,
 		Over: fmt.Sprintf("Bills grow with requests: %.0f B each, %s/s at a node before any header, so that two passages (to the collector, to the table) are %.0f %% of the budget. %.1f messages a second carry %.1f bills each; one message out at a time in place of %d would carry more. The collector's part can only be spread, by more collectors and so more and smaller rows. The look for the collector costs %s of a core at %d nodes, as each message ranks copies of all members; a ranking kept until members change would cost next to nothing. Whether bills count as control should be asked.",
@@ -168,7 +170,7 @@
 	peak := perHour.Times(1 / s.Janitor.Seconds() / float64(c.Tables))
 	peak.Memory = c.memory(c.Size.Requests / float64(c.Tables) * c.Assume.DayMean * billBucket() * c.per("bill.heap"))
 	return Role{
-		Name: "settling of bills", Plane: Control,
+		Name: "settling of bills", Plane: Control, PerRequest: true,
 		State:     fmt.Sprintf("while it settles, all bills of one bucket of %v: %s", s.Layout.BillBucket, amount(bucketBytes)),
 		Mechanism: "one node in rendezvous order a minute deletes old claims and folds each closed bucket into one row; package ledger",
 		Each:      perHour.Times(1 / billBucket() / float64(c.Size.Nodes)),
--- a/internal/capacity/role_process.go
+++ b/internal/capacity/role_process.go
@@ -19,6 +19,21 @@
 	}
 }
 
+// timers is what an idle node takes beyond the roles that are measured by
+// themselves.
+func (c *calc) timers() Role {
+	idle := processor(1, c.per("node.idle"))
+	// The one engine of the measurement is asked once a second.
+	polls := processor(1, c.at("poll.report", docVersions))
+	known := processor(1, c.per("confsync.fleet")) + polls + processor(1, c.per("suspect.messages")/2*c.at("suspect.call", 0))
+	return Role{
+		Name: "timers", Plane: Control,
+		State:     "none",
+		Mechanism: fmt.Sprintf("each duty looks several times a second for what is due: an idle node takes %s of a core, of which %s are in other lines", cores(idle), cores(known)),
+		Each:      Cost{Processor: max(0, idle-known)},
+	}
+}
+
 func (c *calc) metrics() Role {
 	return Role{
 		Name: "metrics", Plane: Control,
@@ -31,7 +46,7 @@
 func (c *calc) addresses() Role {
 	rate := c.Size.perNode(c.Assume.Callers / c.Assume.AddressTTL)
 	return Role{
-		Name: "callers: which addresses to use", Plane: Control,
+		Name: "callers: which addresses to use", Plane: Control, PerRequest: true,
 		State:     "the members' states; nothing for each caller",
 		Mechanism: "GET /v1/addresses, answered from the node's own picture; package membership",
 		Each:      c.calls(rate, c.at("http.get", 0)+c.at("membership.addresses", float64(c.Size.Nodes)), c.Assume.AddressBytes),
--- a/internal/capacity/role_shared.go
+++ b/internal/capacity/role_shared.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+
+	"github.com/hickorybank/hickorybank/internal/rollout"
 )
 
 // ratePeriod is the time between two summaries of organisations' limits, in
@@ -31,24 +34,44 @@
 	}
 }
 
-// summaryPeriod is the time between two exchanges of summaries, in seconds.
-const summaryPeriod = 60.0
+// Of package choice/share, in seconds: how often a node of a large group
+// reports, a group's row is written and the others' are read, and holds are
+// read by one node of a group and by every node.
+const (
+	reportGap   = 15.0
+	archiveGap  = 60.0
+	scanGap     = 2.0
+	slowScanGap = 30.0
+)
 
+// summaries is the exchange of what nodes know of versions.
 func (c *calc) summaries() Role {
-	cells := float64(c.Size.Versions) * c.Assume.Classes
-	bytes := c.at("choice.summary.bytes", cells)
-	// Each version has its collector, to which a node sends that version's
-	// cells and gets the pool back: two summaries' bytes for each version.
-	exchange := c.peerCalls(0.5/summaryPeriod, 0.5/summaryPeriod, c.at("choice.merge", cells), 2*bytes)
+	versions, classes := float64(c.Size.Versions), c.Assume.Classes
+	cells := versions * classes
 	group := c.Size.perDomain()
-	busiest := c.peerCalls(0, group/summaryPeriod, c.at("choice.merge", cells)/float64(c.Size.Versions), 2*bytes/float64(c.Size.Versions))
+	// The versions' collectors, of which some have several.
+	collectors := group * (1 - math.Pow(1-1/group, versions))
+	each := cells / collectors
+	calls := collectors / reportGap
+	exchange := c.peerCalls(calls, calls, c.at("share.report", each), c.at("share.report.bytes", each))
 	own := Cost{Memory: c.memory(c.at("choice.heap", cells))}
+	collecting := c.peerCalls(0, group/reportGap, c.at("share.report", classes), c.at("share.report.bytes", classes))
+	collecting.Memory = c.memory(c.at("choice.collector.heap", group))
+	archives := versions * float64(c.Size.FailureDomains) / archiveGap
+	row := classes * c.per("choice.summary.bytes")
+	archive := c.calls(1/archiveGap, 0, float64(c.Size.FailureDomains)*c.at("table.get.bytes", row)).Plus(c.calls(1/archiveGap, 0, c.at("table.commit.bytes", row)))
+	shared := archive.Times(versions * float64(c.Size.FailureDomains) / float64(c.Size.Nodes))
+	scans := float64(c.Size.FailureDomains)/scanGap + float64(c.Size.Nodes)/slowScanGap
+	scanning := c.calls(scans/float64(c.Size.Nodes), c.at("table.get", headBytes), c.at("table.get.bytes", headBytes))
+	rest := own.Plus(shared).Plus(scanning)
 	return Role{
-		Name: "version choice: what is known of quality", Plane: Control,
-		State:     fmt.Sprintf("%.0f cells: %d versions by %.0f classes, with their scores' distribution", cells, c.Size.Versions, c.Assume.Classes),
-		Mechanism: fmt.Sprintf("cumulative summaries to a collector for each version in groups of a failure domain, every %.0f s (assumed: the exchange is not built yet); package choice", summaryPeriod),
-		Each:      exchange.Plus(own),
-		Busiest:   busiest.Plus(exchange).Plus(own).Plus(Cost{Memory: c.memory(c.at("choice.collector.heap", group))}), Who: "the collector of a version",
+		Name: "version choice: what is known of quality, and holds", Plane: Control,
+		State:     fmt.Sprintf("%.0f cells: %.0f versions by %.0f classes, with their scores' distribution", cells, versions, classes),
+		Mechanism: fmt.Sprintf("cumulative summaries every %.0f s to a collector for each version in groups of a failure domain, a row a minute for each version and group; package choice/share", reportGap),
+		Each:      exchange.Plus(rest), Busiest: exchange.Plus(rest).Plus(collecting).Plus(archive), Who: "the collector of a version more than others",
+		Writes: archives, Reads: archives + scans,
+		Over:   fmt.Sprintf("Each report and each answer holds every cell of the versions, %.0f B a cell, though most have hardly changed. With only the cells that got ratings since the last report (at two ratings a second in all, at most %.0f of %.0f in %.0f s) the exchange is a tenth.", c.per("choice.summary.bytes"), 2*reportGap, cells, reportGap),
+		Mended: exchange.Times(0.1).Plus(rest),
 	}
 }
 
@@ -68,15 +91,32 @@
 	}
 }
 
-// rollouts is one that is under way on most days.
+// watchers is how many nodes watch the row of roll-outs; package rollout.
+const watchers = 3
+
+// rollouts are brought about by one node at a time.
 func (c *calc) rollouts() Role {
-	writes := c.Assume.RolloutSteps / secondsPerDay
-	step := c.calls(writes, c.at("table.commit", headBytes), c.at("table.commit.bytes", headBytes))
+	s := rollout.Settings{}.WithDefaults()
+	runners := float64(c.Size.Runners)
+	row := c.at("rollout.row.bytes", runners)
+	renewal := 3 / s.Lease.Seconds()
+	writes := renewal + c.Assume.RolloutSteps/secondsPerDay
+	const questions = 2 // the state and the load
+	asking := c.calls(questions*s.ReadsPerSecond, c.at("poll.report", 2), c.at("poll.report.bytes", 2))
+	driving := asking.Plus(c.calls(writes, c.at("table.commit", row), c.at("table.commit.bytes", row)))
+	driving.Processor += processor(1, c.at("rollout.second", runners))
+	driving.Memory = c.memory(c.at("rollout.heap", runners))
+	watching := c.calls(renewal, c.at("table.get", row), c.at("table.get.bytes", row))
+	each := driving.Plus(watching.Times(watchers)).Times(1 / float64(c.Size.Nodes))
+	const loadSeconds = 60.0
+	half := runners * s.ServingPart
 	return Role{
 		Name: "roll-outs: the driver", Plane: Control,
-		State:     "one row a roll-out: stage, share, what was ordered where",
-		Mechanism: "any node drives, each step conditional on the last; package rollout. Only its rows are in these figures",
-		Each:      step.Times(1 / float64(c.Size.Nodes)), Busiest: step, Who: "the driver",
-		Writes: writes, Reads: writes,
+		State:     fmt.Sprintf("what each of %.0f engines has; one row of %s", runners, amount(row)),
+		Mechanism: fmt.Sprintf("one node holds the row by conditional writes, %d others watch it; it asks %.0f engines a second and lets %d load at a time; package rollout", watchers, s.ReadsPerSecond, s.LoadsAtOnce),
+		Each:      each, Busiest: driving, Who: "the driver",
+		Writes: writes, Reads: watchers * renewal,
+		Over:   fmt.Sprintf("The driver asks all engines by itself: a round takes %.0f s. With %d loads at a time and a minute each, a version that half of the engines are to have is there after %.0f hours. Met by taking the states from the load reports that all nodes ask for anyway, added up in each failure domain, and by a number of loads that follows the weight store's rate.", runners/s.ReadsPerSecond, s.LoadsAtOnce, half/float64(s.LoadsAtOnce)*loadSeconds/3600),
+		Mended: each,
 	}
 }
