--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -30,6 +30,7 @@
 	refreshed time.Duration
 	polls     polls
 	wanted    map[string]time.Duration
+	changes   []Change
 }
 
 // New returns a balancer that knows no upstream yet.
--- a/internal/balance/datadriven_test.go
+++ b/internal/balance/datadriven_test.go
@@ -71,6 +71,8 @@
 		}
 	case "slow": // id ms n: n requests there of that many milliseconds a token
 		s.slow(f[0], number(f[1]), number(f[2]))
+	case "changes":
+		return s.changes()
 	case "polls":
 		return s.polls(number(f[0]))
 	}
@@ -155,6 +157,15 @@
 	}
 }
 
+func (s *script) changes() string {
+	words := map[ChangeKind]string{Opened: "opened", Closed: "closed", Ejected: "ejected"}
+	var out strings.Builder
+	for _, c := range s.b.Changes() {
+		fmt.Fprintf(&out, "%s %s\n", c.VM.ID, words[c.Kind])
+	}
+	return out.String()
+}
+
 func (s *script) polls(n int) string {
 	var out []string
 	for range n {
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -40,6 +40,7 @@
 	case Succeeded:
 		if h.breaker.succeeded() && h.domain != nil {
 			h.domain.closed()
+			b.changed(h, Closed)
 		}
 		b.measure(s, r)
 	case Unreached, Broken:
@@ -60,6 +61,7 @@
 	jitter := float64(mix(b.settings.Seed, h.hash^uint64(now))>>11) / (1 << 53)
 	if h.breaker.failed(b.settings.Breaker, now, jitter) && h.domain != nil {
 		h.domain.opened(now)
+		b.changed(h, Opened)
 	}
 }
 
--- a/internal/balance/maintain.go
+++ b/internal/balance/maintain.go
@@ -77,6 +77,7 @@
 		h.outlier.recovered(now)
 		if room > 0 && (h.outlier.slow(b.settings.Outlier) || h.outlier.late >= lateRequests) {
 			h.outlier.eject(b.settings.Outlier, now)
+			b.changed(h, Ejected)
 			// It comes back slowly.
 			h.joined = h.outlier.until
 			room--
--- a/internal/suspect/datadriven_test.go
+++ b/internal/suspect/datadriven_test.go
@@ -135,6 +135,9 @@
 		for _, d := range r.Decisions {
 			s.show(d)
 		}
+		for range r.Convicted {
+			fmt.Fprintf(&s.out, "a request is convicted at %s\n", id)
+		}
 		for _, a := range r.Released {
 			fmt.Fprintf(&s.out, "%s may be told at %s\n", a, id)
 		}
--- a/internal/suspect/learn.go
+++ b/internal/suspect/learn.go
@@ -9,11 +9,15 @@
 // learn takes a record in and passes on what was new. from is the peer that
 // sent it, or empty.
 func (t *Tracker) learn(r Record, from string) {
+	_, before := t.store.get(r.Fingerprint).strikes()
 	c := t.store.merge(r, t.now)
 	e := t.store.get(r.Fingerprint)
 	if e == nil {
 		return
 	}
+	if _, proven := e.strikes(); before < convicting && proven >= convicting {
+		t.out.Convicted = append(t.out.Convicted, e.fingerprint)
+	}
 	if c.news {
 		t.tellAll(e, from, c.more)
 		t.speakUp(r.Fingerprint)
--- a/internal/suspect/ready.go
+++ b/internal/suspect/ready.go
@@ -1,5 +1,7 @@
 package suspect
 
+import "github.com/hickorybank/hickorybank/internal/request"
+
 // Ready is what a tracker wants done.
 type Ready struct {
 	// Messages are to be sent, each once; the tracker sends again what it
@@ -9,4 +11,7 @@
 	Decisions []Decision
 	// Released are attempts whose failure may now be told to the caller.
 	Released []string
+	// Convicted are requests that have been found to crash upstreams, here or
+	// at a peer.
+	Convicted []request.Fingerprint
 }
