--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,6 +19,7 @@
 	rest     []member // beyond the subset, in the order of looking at them
 	versions map[string]*pool
 	services map[string]*pool
+	shared   map[string]*sharedPool // by version
 	// unsure are the engines whose versions are not known yet.
 	unsure  pool
 	domains domains
@@ -42,6 +43,7 @@
 		hosts:    map[string]*host{},
 		versions: map[string]*pool{},
 		services: map[string]*pool{},
+		shared:   map[string]*sharedPool{},
 		domains:  domains{},
 		wanted:   map[string]time.Duration{},
 	}
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -110,6 +110,7 @@
 		b.domains.join(h)
 		b.sort(h)
 	}
+	b.share()
 	b.refresh(now)
 }
 
--- a/internal/balance/pool_load.go
+++ b/internal/balance/pool_load.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// PoolLoad is what the upstreams of one version or service reported together.
+// PoolLoad is what the upstreams of one pool reported together.
 type PoolLoad struct {
 	Running int
 	Queued  int
@@ -16,19 +16,15 @@
 // knownShare of a pool's upstreams must have reported lately: 1 of 4.
 const knownShare = 4
 
-// PoolLoad sums up the reports of the upstreams that a request of that version
-// or service may go to. Those whose report is too old count as the mean of the
+// PoolLoad sums up the reports of the shared pool of a version, or of a service's
+// upstreams. Those whose report is too old count as the mean of the
 // others: with many upstreams and few polls there are always some, and without
 // them the pool would seem smaller than it is.
 func (b *Balancer) PoolLoad(version, service string, now time.Time) PoolLoad {
 	t := b.since(now)
-	p := b.versions[version]
-	if service != "" {
-		p = b.services[service]
-	}
 	var l PoolLoad
 	var all, fresh int
-	for _, h := range p.known() {
+	for _, h := range b.poolHosts(version, service) {
 		if h.leaving() || h.breaker.open() {
 			continue
 		}
@@ -48,6 +44,16 @@
 	return l.scaled(all, fresh)
 }
 
+func (b *Balancer) poolHosts(version, service string) []*host {
+	if service != "" {
+		return b.services[service].known()
+	}
+	if p := b.shared[version]; p != nil {
+		return p.hosts
+	}
+	return nil
+}
+
 // pollCycles is how old a report may be: two rounds of polls, and MaxReportAge
 // at the least.
 func (b *Balancer) pollCycles() time.Duration {
--- a/internal/balance/sim/node.go
+++ b/internal/balance/sim/node.go
@@ -14,7 +14,6 @@
 	pollTick = 100 * time.Millisecond
 	// retryUnknown is when a caller comes back after a failure without a hint.
 	retryUnknown = time.Second
-	sharedPool   = "engines"
 )
 
 // node is one entry node.
@@ -108,7 +107,7 @@
 	if n.w.cfg.PoolPerVersion {
 		return j.class.Version
 	}
-	return sharedPool
+	return n.balance.PoolName(j.class.Version)
 }
 
 func (n *node) decide(list []admission.Decision) {
