--- /dev/null
+++ b/internal/choice/share/bench_test.go
@@ -0,0 +1,91 @@
+package share
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/choice"
+)
+
+// sender is a node that has seen 200 ratings and answers of one version in
+// each of some classes.
+func sender(name string, classes int) *choice.Chooser {
+	c := choice.New(choice.Settings{Node: name, Epoch: 1})
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1_800_000_000, 0)
+	for class := range classes {
+		for range 200 {
+			score := min(max(0.8+0.15*rng.NormFloat64(), 0), 1)
+			o := choice.Observation{Version: "drafter@3", Class: fmt.Sprintf("class-%d", class), Score: score, Again: score, HasAgain: true, Now: now}
+			c.Observe(o)
+			o.AfterShort = true
+			c.Observe(o)
+			c.ObserveAnswer(choice.Answer{Version: o.Version, Class: o.Class, Took: time.Second, InputTokens: 1000, OutputTokens: 300, Now: now})
+		}
+	}
+	return c
+}
+
+// steadyBytes is the size of a message on a connection that has carried such
+// messages before.
+func steadyBytes(b *testing.B, message any) float64 {
+	var buf bytes.Buffer
+	e := gob.NewEncoder(&buf)
+	for range 2 {
+		buf.Reset()
+		if err := e.Encode(message); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(buf.Len())
+}
+
+// BenchmarkReport is the collecting of one version from many nodes: the time
+// that one report takes the collector, the bytes of report and pool, and the
+// collector's memory.
+func BenchmarkReport(b *testing.B) {
+	for _, classes := range []int{1, 3} {
+		for _, nodes := range []int{2, 8, 32, 128} {
+			b.Run(fmt.Sprintf("classes=%d/nodes=%d", classes, nodes), func(b *testing.B) { benchReport(b, classes, nodes) })
+		}
+	}
+}
+
+func benchReport(b *testing.B, classes, nodes int) {
+	now := time.Unix(1_800_000_100, 0)
+	versions := []string{"drafter@3"}
+	before := heap()
+	collector := choice.New(choice.Settings{Node: "collector", Epoch: 1})
+	var reports []Report
+	for i := range nodes {
+		s := sender(fmt.Sprintf("entry-%05d", i), classes)
+		collector.Merge(s.Summary(versions...), now)
+		reports = append(reports, Report{Versions: versions, Summary: s.Summary(versions...)})
+	}
+	used := heap() - before
+	pool := collector.Pool(reports[0].Summary.Run(), versions, now.UnixNano())
+	reportBytes, poolBytes := steadyBytes(b, &reports[0]), steadyBytes(b, &pool)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r := &reports[i%nodes]
+		r.Summary.Seq++
+		collector.Merge(r.Summary, now)
+		pool = collector.Pool(r.Summary.Run(), versions, now.UnixNano())
+	}
+	b.ReportMetric(reportBytes, "report-bytes")
+	b.ReportMetric(poolBytes, "pool-bytes")
+	b.ReportMetric(float64(used)/float64(nodes), "heap-bytes/node")
+	runtime.KeepAlive(collector)
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/choice/share/settings.go
+++ b/internal/choice/share/settings.go
@@ -9,7 +9,7 @@
 	// table, and slowScanGap how often every node does, should that one have
 	// fallen out unnoticed.
 	scanGap     = 2 * time.Second
-	slowScanGap = 30 * time.Second
+	slowScanGap = time.Minute
 	// saveGap is how often what a group has seen of a version is written to
 	// the table, and read from the other groups.
 	saveGap = time.Minute
@@ -24,7 +24,7 @@
 	// reported every tick.
 	smallGroup  = 16
 	quickReport = time.Second
-	slowReport  = 15 * time.Second
+	slowReport  = time.Minute
 	// scanLimit bounds how many rows one reading of the table returns.
 	scanLimit = 256
 )
