Keep a young node that is cut off from taking itself for the majority

Cause: scenario fail_withdrawal_partition, red: an entry that was cut off from the platform and its peers within two seconds of its start went on admitting work for as long as one looked (15 s and 30 s), under a configuration that the others had replaced. Its log says why: "table is out of reach of most entry nodes: work goes on". The platform's list lags; the first one named only the node itself, and one of one is a majority. Ruled out: freshness counted wrongly (the proof's age was 0.15 s, by its own vote); the relays (the head could not be read). Now a process goes on in an outage only after it has had lists over 10 s. A deployment of one node still does (test). Red before: TestYoungNodeThatIsCutOff- Refuses and the scenario; green after. A crash is now looked for after any failed resumption: a dying process may take a connection and reset it, which was taken for a slow one.

--- a/internal/confsync/judging.go
+++ b/internal/confsync/judging.go
@@ -7,7 +7,10 @@
 func (c *Core) judge(round *survey, now time.Duration) {
 	// Without a list of the platform the majority of an unknown number of
 	// nodes is asked for: a node that knows only itself would be one.
-	if round.purpose != forOutage || c.listing.digest == 0 {
+	// The first lists of a process may lag behind nodes that start with it:
+	// one that was cut off early would be a majority of the few it knows, and
+	// go on under a configuration that all the others have replaced.
+	if round.purpose != forOutage || c.listing.digest == 0 || !c.rules.listSettled(c.listing.span()) {
 		return
 	}
 	count, oldest := 0, round.sent
--- a/internal/confsync/listing.go
+++ b/internal/confsync/listing.go
@@ -5,12 +5,15 @@
 // listing reads the platform's VM list, or takes it from peers.
 type listing struct {
 	digest uint64
-	// at is no later than the start of the read of the list.
-	at    time.Duration
-	busy  bool
-	token Token
-	sent  time.Duration
-	next  time.Duration
+	// at is no later than the start of the read of the list; firstAt is that
+	// of the first list that this process had.
+	at      time.Duration
+	firstAt time.Duration
+	had     bool
+	busy    bool
+	token   Token
+	sent    time.Duration
+	next    time.Duration
 }
 
 // standbyLists is after how many gaps without a list another reader of the
@@ -31,10 +34,21 @@
 	l.busy = false
 	if l.digest == 0 || l.sent > l.at {
 		l.digest = e.Digest
-		l.at = l.sent
+		l.take(l.sent)
 	}
 }
 
+func (l *listing) take(at time.Duration) {
+	l.at = at
+	if !l.had {
+		l.had = true
+		l.firstAt = at
+	}
+}
+
+// span is the time over which this process has had lists.
+func (l *listing) span() time.Duration { return l.at - l.firstAt }
+
 func (l *listing) failed(t Token) {
 	if l.busy && l.token == t {
 		l.busy = false
@@ -74,14 +88,14 @@
 		return
 	}
 	if r.ListDigest == l.digest {
-		l.at = at
+		l.take(at)
 		return
 	}
 	if r.List == nil || r.List.To != r.ListDigest {
 		return
 	}
 	l.digest = r.ListDigest
-	l.at = at
+	l.take(at)
 	c.decide(TakeList{List: *r.List})
 }
 
--- a/internal/confsync/rules.go
+++ b/internal/confsync/rules.go
@@ -11,6 +11,9 @@
 	upward func(applied, offered uint64) bool
 	// outageQuorum is how many of the electors must vote for an outage.
 	outageQuorum func(electors int) int
+	// listSettled says whether lists were known for long enough that the
+	// electors are known too.
+	listSettled func(span time.Duration) bool
 	// mayVote says whether this node may vote.
 	mayVote func(provedSinceStart bool) bool
 	// sinceStart says whether a proof is younger than this process.
@@ -25,6 +28,9 @@
 	confirmQuorum func(electors, fewest int) int
 }
 
+// listSettle is five reads of the list at its usual gap.
+const listSettle = 5 * DefaultListGap
+
 // driftDivisor widens the waits that must outlast a peer's by 1/20: clocks of
 // two machines run at rates that differ by far less.
 const driftDivisor = 20
@@ -43,6 +49,9 @@
 		// a revision, so that the highest revision among the voters is not
 		// older than any that was reported in force.
 		outageQuorum: majority,
+		// The platform's list lags; within this time it names every node that
+		// started before the process had its first one.
+		listSettled: func(span time.Duration) bool { return span >= listSettle },
 		// A process that started anew has forgotten what it confirmed. Once it
 		// has a proof of the table that is younger than itself, its revision is
 		// as new again.
--- a/internal/node/try.go
+++ b/internal/node/try.go
@@ -193,7 +193,7 @@
 		r.node.chooser.ObserveError(r.try.version, r.class.Name, time.Now())
 		return r.machine.Failed(r.try.attempt)
 	}
-	if resuming && lostStream(err) && !r.try.adopted {
+	if resuming && !r.try.adopted && (lostStream(err) || r.node.hasCrashed(r.try.vm, r.try.epoch)) {
 		r.node.suspects.crashed(r.try.vm.ID, r.try.epoch)
 		r.try.over = true
 	}
