Make the storm harsh enough to catch a guard that is missing

Strikes now come twice as often and by weight, services take their time and are killed too, 8 entries, and callers send again also when they heard "unknown".

--- a/scenario/load_request_test.go
+++ b/scenario/load_request_test.go
@@ -17,6 +17,9 @@
 	// none; a named one is cut to retryMost so that a scenario stays short.
 	retryGap  = 100 * time.Millisecond
 	retryMost = time.Second
+	// mostAgain is how often a caller sends that does not take "unknown" for
+	// an answer.
+	mostAgain = 4
 )
 
 // request sends one request until it has a final answer: again with the same
@@ -65,6 +68,9 @@
 		return last.retry == ""
 	case unknown:
 		r.clean = false
+		if l.options.again && r.arrivals < mostAgain {
+			return false
+		}
 		return last.retry == "" && began == nil
 	}
 	if last.unreached {
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -23,6 +23,9 @@
 	insist bool
 	// once: callers do not send a request again, whatever came of it.
 	once bool
+	// again: callers send a request again, a few times, also when they heard
+	// that it is not known what became of it.
+	again bool
 	// org, model and chatOnly narrow what is sent; empty ones are a mix.
 	org      string
 	model    string
--- a/scenario/storm_kind_test.go
+++ b/scenario/storm_kind_test.go
@@ -1,5 +1,7 @@
 package scenario
 
+import "math/rand/v2"
+
 // strikeKind is a kind of fault.
 type strikeKind int
 
@@ -12,6 +14,7 @@
 	engineKilled
 	engineFault
 	serviceFault
+	serviceKilled
 	platformFault
 	platformOutage
 	presetChanged
@@ -20,7 +23,28 @@
 
 var strikeNames = [strikeKinds]string{
 	"entry killed", "entry stopped", "entry frozen", "link cut", "link slow", "engine killed", "engine fault",
-	"service fault", "platform fault", "platform outage", "preset changed",
+	"service fault", "service killed", "platform fault", "platform outage", "preset changed",
+}
+
+// strikeWeights say how often a kind comes, against the others.
+var strikeWeights = [strikeKinds]int{
+	entryKilled: 5, entryStopped: 1, entryFrozen: 3, linkCut: 2, linkSlow: 1, engineKilled: 2, engineFault: 5,
+	serviceFault: 4, serviceKilled: 2, platformFault: 4, platformOutage: 2, presetChanged: 1,
+}
+
+// drawKind draws a kind by its weight.
+func drawKind(rng *rand.Rand) strikeKind {
+	sum := 0
+	for _, w := range strikeWeights {
+		sum += w
+	}
+	n := rng.IntN(sum)
+	for k, w := range strikeWeights {
+		if n -= w; n < 0 {
+			return strikeKind(k)
+		}
+	}
+	panic("the weights do not sum up")
 }
 
 func (k strikeKind) String() string { return strikeNames[k] }
--- a/scenario/storm_plan_test.go
+++ b/scenario/storm_plan_test.go
@@ -17,7 +17,7 @@
 }
 
 const (
-	strikeGap  = 0.4 // seconds between two strikes, at least; twice as many at most
+	strikeGap  = 0.2 // seconds between two strikes, at least; twice as many at most
 	strikeSpan = 4.0 // seconds that a strike lasts, at most
 )
 
@@ -29,7 +29,7 @@
 	var plan []strike
 	for at := gap; at < requests-span; at += gap + rng.IntN(gap) {
 		plan = append(plan, strike{
-			kind: strikeKind(rng.IntN(int(strikeKinds))), from: at,
+			kind: drawKind(rng), from: at,
 			until: at + 1 + rng.IntN(span), draw: rng.Uint64(),
 		})
 	}
--- a/scenario/storm_run_test.go
+++ b/scenario/storm_run_test.go
@@ -21,7 +21,8 @@
 
 	entries  []stormEntry
 	engines  []string
-	started  int        // entries and engines so far
+	services []string
+	started  int        // of all three so far
 	stopping []*process // told to stop
 	gone     []string   // VMs that the platform still lists
 	busy     map[string]bool
@@ -135,6 +136,15 @@
 	return s.cluster.startEntry(e.id, "--failure-domain", domain, "--address-ttl", "500ms")
 }
 
+// newService starts a service that takes its time, so that a strike finds calls
+// under way.
+func (s *storm) newService() error {
+	s.started++
+	id := fmt.Sprintf("service%d", s.started)
+	s.services = append(s.services, id)
+	return s.cluster.startService(id, testService, "--latency", "150ms")
+}
+
 func (s *storm) newEngine() error {
 	s.started++
 	id := fmt.Sprintf("engine%d", s.started)
--- a/scenario/storm_strike_test.go
+++ b/scenario/storm_strike_test.go
@@ -38,11 +38,13 @@
 	case linkCut, linkSlow:
 		return s.strikeLink(kind, rng)
 	case engineKilled:
-		return s.killEngine(rng)
+		return s.killUpstream(&s.engines, s.newEngine, rng)
 	case engineFault:
 		return s.faultAt(s.engines[rng.IntN(len(s.engines))], engineFaults[rng.IntN(len(engineFaults))])
 	case serviceFault:
-		return s.faultAt("service"+strconv.Itoa(1+rng.IntN(stormServices)), serviceFaults[rng.IntN(len(serviceFaults))])
+		return s.faultAt(s.services[rng.IntN(len(s.services))], serviceFaults[rng.IntN(len(serviceFaults))])
+	case serviceKilled:
+		return s.killUpstream(&s.services, s.newService, rng)
 	case platformFault:
 		return s.faultPlatform(platformBusy, platformFaults[rng.IntN(len(platformFaults))])
 	case platformOutage:
@@ -159,9 +161,10 @@
 	return heal, e.id + " and " + other, nil
 }
 
-func (s *storm) killEngine(rng *rand.Rand) (func() error, string, error) {
-	i := rng.IntN(len(s.engines))
-	id := s.engines[i]
+// killUpstream loses one of the upstreams and puts another in its place.
+func (s *storm) killUpstream(ids *[]string, replace func() error, rng *rand.Rand) (func() error, string, error) {
+	i := rng.IntN(len(*ids))
+	id := (*ids)[i]
 	if s.busy[id] {
 		return nil, "", nil
 	}
@@ -172,9 +175,9 @@
 	if err := s.cluster.kill(p); err != nil {
 		return nil, "", err
 	}
-	s.engines = slices.Delete(s.engines, i, i+1)
+	*ids = slices.Delete(*ids, i, i+1)
 	s.gone = append(s.gone, id)
-	return s.tryUnlist, id, s.newEngine()
+	return s.tryUnlist, id, replace()
 }
 
 func (s *storm) faultAt(id string, f jsonFault) (func() error, string, error) {
--- a/scenario/storm_test.go
+++ b/scenario/storm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"testing"
 	"time"
 
@@ -29,7 +28,7 @@
 	s := newStorm(c, *stormSeed, func(format string, args ...any) { t.Logf(format, args...) })
 	is.NoErr(s.build())
 
-	s.load = newLoad(c, loadOptions{name: "storm", rate: *stormRate, most: *stormRequests, seed: *stormSeed})
+	s.load = newLoad(c, loadOptions{name: "storm", rate: *stormRate, most: *stormRequests, seed: *stormSeed, again: true})
 	began := time.Now()
 	s.load.start()
 	t.Cleanup(s.load.abandon)
@@ -52,9 +51,9 @@
 var exampleDomains = []string{"manga", "bocagrande", "mamonal", "getsemani"}
 
 const (
-	stormEntries  = 6
-	stormEngines  = 4
-	stormServices = 2
+	stormEntries  = 8
+	stormEngines  = 5
+	stormServices = 3
 )
 
 // build starts everything.
@@ -69,8 +68,8 @@
 			return err
 		}
 	}
-	for i := range stormServices {
-		if err := c.startService(fmt.Sprintf("service%d", i+1), testService); err != nil {
+	for range stormServices {
+		if err := s.newService(); err != nil {
 			return err
 		}
 	}
