Use what upstreams report, clear suspects, and bound the reading of a body

Cause: the node used half of what its parts offer. A body that stops after one byte held its connection. Ruled out: holding a failure back until peers know of a crash, as the suspects' package offers: a request that is given up on gets its final answer at once. Not measured again: overload through processes.

--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -20,6 +20,8 @@
 	maxBody    = 4 << 20 // bytes
 	maxKey     = 128     // characters of an idempotency key
 	maxTimeout = time.Hour
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 30 * time.Second
 )
 
 // Headers of the interface.
@@ -49,6 +51,11 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Failure) {
+	// A body that never ends would hold its connection for ever. The limit
+	// ends with the body: a long answer must not be cut by it.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // not offered by test recorders
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/api/error.go
+++ b/internal/api/error.go
@@ -29,6 +29,7 @@
 	request.CodeUnknownModel:   http.StatusNotFound,
 	request.CodeNotAllowed:     http.StatusForbidden,
 	request.CodeWithdrawn:      http.StatusConflict,
+	request.CodeHeld:           http.StatusConflict,
 	request.CodeOverloaded:     http.StatusTooManyRequests,
 	request.CodeRateLimited:    http.StatusTooManyRequests,
 	request.CodeDeadline:       http.StatusGatewayTimeout,
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -205,21 +205,20 @@
 	if _, fresh := r.node.sync.Current(); !fresh {
 		return r.machine.Refused(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
 	}
-	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint())
-	if verdict.Verdict == suspect.Refuse {
-		return r.machine.Refused(request.CodeSuspect, verdict.RetryAfter, "upstreams crashed on this request")
-	}
 	pick, ok := r.node.upstreams.pick(balance.Request{
-		Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude, Alone: verdict.Verdict == suspect.RunAlone,
+		Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude, Alone: r.node.suspects.suspect(r.fingerprint()),
 	})
 	if !ok {
-		r.node.suspects.finished(r.id)
 		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+r.call.Service.Name+": "+string(pick.Shortage.Reason))
 	}
+	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint(), pick.VM.ID)
+	if verdict.Verdict == suspect.Refuse || !r.node.suspects.started(r.id, r.fingerprint(), pick.VM.ID) {
+		r.node.upstreams.done(pick.Token, balance.Result{Outcome: balance.Abandoned})
+		return r.machine.Refused(request.CodeSuspect, verdict.RetryAfter, "upstreams crashed on this request")
+	}
 	r.vm = pick.VM
 	r.epoch = r.node.upstreams.epoch(pick.VM.ID)
 	r.token = pick.Token
-	r.node.suspects.started(r.id, r.fingerprint(), pick.VM.ID)
 	return r.machine.Picked(pick.VM.ID)
 }
 
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -112,7 +112,7 @@
 func refusedPlan(r choice.Refusal) *request.Failure {
 	switch r {
 	case choice.RefuseHeld:
-		return request.Refuse(request.CodeWithdrawn, 0, "the session's version is held because it turned bad; begin a new session")
+		return request.Refuse(request.CodeHeld, 0, "the session's version is held because it turned bad; begin a new session")
 	case choice.RefuseUngranted:
 		return request.Refuse(request.CodeOverloaded, retrySoon, "no answer of the staged version is granted at present")
 	default:
@@ -123,6 +123,6 @@
 func (r *chatRun) admission() admission.Request {
 	return admission.Request{
 		ID: r.id, Org: r.call.Org.Name, Weight: r.call.Org.Weight, Kind: r.class.Kind,
-		Pool: r.plan.First, Deadline: r.deadline,
+		Pool: r.node.upstreams.pool(r.plan.First), Deadline: r.deadline,
 	}
 }
--- a/internal/node/crash.go
+++ b/internal/node/crash.go
@@ -22,6 +22,10 @@
 		n.suspects.crashed(vm.ID, epoch)
 		return
 	}
+	if err == nil {
+		n.suspects.completed(id)
+		return
+	}
 	n.suspects.finished(id)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,9 @@
 	n.duties.Go(func() { n.gate.watch(ctx) })
 	n.duties.Go(func() { n.suspects.run(ctx) })
 	n.duties.Go(func() { n.limits.run(ctx) })
-	n.duties.Go(func() { n.raters.run(ctx) })
+	for range raterWorkers {
+		n.duties.Go(func() { n.raters.run(ctx) })
+	}
 }
 
 // VM is this node as the platform's list should name it.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -80,6 +80,9 @@
 	if _, fail := n.admit(); fail != nil {
 		return []string{fail.Message}
 	}
+	if !n.upstreams.known() {
+		return []string{"no upstream has reported its load yet"}
+	}
 	return nil
 }
 
--- a/internal/node/raters.go
+++ b/internal/node/raters.go
@@ -10,11 +10,11 @@
 
 const (
 	raterRing    = 256
+	raterWorkers = 8 // a rating may take seconds
 	raterTimeout = 5 * time.Second
 )
 
-// raters has sampled answers rated, one after the other, away from the
-// callers' path.
+// raters has sampled answers rated away from the callers' path.
 type raters struct {
 	node *Node
 	ring chan sample
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -70,6 +70,7 @@
 	case membership.CloseIdle:
 		s.node.server.SetKeepAlivesEnabled(false)
 	case membership.Flush:
+		s.node.suspects.goodbye()
 		return s.flush(ctx)
 	case membership.Exit:
 		return true
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -8,6 +8,7 @@
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/request"
 	"github.com/hickorybank/hickorybank/internal/suspect"
+	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
 const (
@@ -74,11 +75,19 @@
 	}
 }
 
-// admit asks whether an attempt may run, and whether alone.
-func (s *suspects) admit(ctx context.Context, attempt string, f request.Fingerprint) suspect.Decision {
+// suspect says whether the request is known to have been at a crash, so that
+// its upstream must be one with little else to lose.
+func (s *suspects) suspect(f request.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Suspect(f)
+}
+
+// admit asks whether an attempt may run at an upstream, and whether alone.
+func (s *suspects) admit(ctx context.Context, attempt string, f request.Fingerprint, vm string) suspect.Decision {
 	decided := make(chan suspect.Decision, 1)
 	s.mu.Lock()
-	d := s.tracker.Admit(attempt, f, time.Now())
+	d := s.tracker.AdmitAt(attempt, f, vm, time.Now())
 	if d.Verdict == suspect.Wait {
 		s.waiting[attempt] = decided
 	}
@@ -96,10 +105,37 @@
 	}
 }
 
-func (s *suspects) started(attempt string, f request.Fingerprint, vm string) {
+// started says whether the attempt may still be sent: the node may have learned
+// of a crash, or have been paused, since it was admitted.
+func (s *suspects) started(attempt string, f request.Fingerprint, vm string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	may := s.tracker.Started(attempt, f, vm, time.Now())
+	s.flush()
+	return may
+}
+
+// completed tells that an attempt gave its whole answer, which clears it.
+func (s *suspects) completed(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Completed(attempt, time.Now())
+	s.flush()
+}
+
+func (s *suspects) observe(vm string, r upstream.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.tracker.Observe(vm, r.Epoch, now.Add(-time.Duration(r.AgeMillis)*time.Millisecond), now)
+	s.flush()
+}
+
+// goodbye tells the peers that nothing is in flight here any more.
+func (s *suspects) goodbye() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Started(attempt, f, vm, time.Now())
+	s.tracker.Goodbye(time.Now())
 	s.flush()
 }
 
--- a/internal/node/try.go
+++ b/internal/node/try.go
@@ -52,18 +52,18 @@
 	if fail := r.mayRun(d.Version); fail != nil {
 		return r.machine.Refused(fail.Code, fail.RetryAfter, fail.Message)
 	}
-	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint)
-	if verdict.Verdict == suspect.Refuse {
-		return r.crashes(verdict)
-	}
 	pick, ok := r.node.upstreams.pick(balance.Request{
 		Version: d.Version, PrefixHash: r.call.PrefixHash, Kind: r.class.Kind, Exclude: d.Exclude,
-		Alone: verdict.Verdict == suspect.RunAlone,
+		Alone: r.node.suspects.suspect(r.fingerprint),
 	})
 	if !ok {
-		r.node.suspects.finished(r.id)
 		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+d.Version+": "+string(pick.Shortage.Reason))
 	}
+	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint, pick.VM.ID)
+	if verdict.Verdict == suspect.Refuse {
+		r.node.upstreams.done(pick.Token, balance.Result{Outcome: balance.Abandoned})
+		return r.crashes(verdict)
+	}
 	r.try = &try{version: d.Version, vm: pick.VM, token: pick.Token, epoch: r.node.upstreams.epoch(pick.VM.ID), began: time.Now()}
 	return r.machine.Picked(pick.VM.ID)
 }
@@ -98,7 +98,9 @@
 	if err != nil {
 		return r.machine.Unsent(request.CodeBadRequest, 0, err.Error())
 	}
-	r.node.suspects.started(r.id, r.fingerprint, r.try.vm.ID)
+	if !r.node.suspects.started(r.id, r.fingerprint, r.try.vm.ID) {
+		return r.machine.Unsent(request.CodeSuspect, retrySoon, "the request is suspected of crashing upstreams and may not run at present")
+	}
 	if fail := r.mayRun(d.Version); fail != nil {
 		return r.machine.Unsent(fail.Code, fail.RetryAfter, fail.Message)
 	}
@@ -172,7 +174,11 @@
 		Version: t.version, Class: r.class.Name, Took: now.Sub(t.began),
 		InputTokens: chunk.Usage.InputTokens, OutputTokens: chunk.Usage.OutputTokens, Now: now,
 	})
-	if r.plan.Rate {
+	r.node.suspects.completed(r.id)
+	t.over = true
+	// A cascade has its first answer rated in any case; rating it here too
+	// would count it twice, also as evidence against its version.
+	if r.plan.Rate && (len(r.plan.Then) == 0 || r.short) {
 		r.node.raters.offer(sample{req: r.rateRequest(t.version, t.text.String()), again: r.plan.RateAgain, short: r.short})
 	}
 }
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/balance"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/platform"
@@ -72,6 +73,31 @@
 	return u.balancer.Pick(r)
 }
 
+// pool names the pool of upstreams that a version shares with others.
+func (u *upstreams) pool(version string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.balancer.PoolName(version)
+}
+
+// loads sums up what the upstreams of each pool reported.
+func (u *upstreams) loads(versions, services []string) map[string]admission.PoolLoad {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	loads := make(map[string]admission.PoolLoad, len(versions)+len(services))
+	for _, v := range versions {
+		name := u.balancer.PoolName(v)
+		if _, done := loads[name]; !done {
+			loads[name] = admission.PoolLoad(u.balancer.PoolLoad(v, "", now))
+		}
+	}
+	for _, s := range services {
+		loads[s] = admission.PoolLoad(u.balancer.PoolLoad("", s, now))
+	}
+	return loads
+}
+
 func (u *upstreams) firstToken(t balance.Token, after time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -96,6 +122,18 @@
 	return u.balancer.Status(time.Now())
 }
 
+// known says that some upstream has reported what it has, or that there is
+// none to report.
+func (u *upstreams) known() bool {
+	hosts := u.status()
+	for _, h := range hosts {
+		if h.ReportAge >= 0 {
+			return true
+		}
+	}
+	return len(hosts) == 0
+}
+
 // poll asks for load reports as the balancer wants them.
 func (u *upstreams) poll(ctx context.Context) {
 	slots := make(chan struct{}, pollsAtOnce)
@@ -107,6 +145,7 @@
 			return
 		case <-ticker.C:
 			u.ask(ctx, slots)
+			u.node.reportPools()
 		}
 	}
 }
@@ -172,6 +211,7 @@
 	restarted := u.epochs[vm.ID] != r.Epoch
 	u.epochs[vm.ID] = r.Epoch
 	u.mu.Unlock()
+	u.node.suspects.observe(vm.ID, r)
 	switch {
 	case r.Leaving:
 		u.node.members.Observe(vm.Addr, membership.SaidLeaving)
--- a/internal/request/failure.go
+++ b/internal/request/failure.go
@@ -15,6 +15,7 @@
 	CodeUnknownModel   Code = "model_not_found"
 	CodeNotAllowed     Code = "model_not_allowed"
 	CodeWithdrawn      Code = "version_withdrawn"
+	CodeHeld           Code = "version_held"
 	CodeOverloaded     Code = "overloaded"
 	CodeRateLimited    Code = "rate_limited"
 	CodeDeadline       Code = "deadline"
