--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -199,7 +199,7 @@
 // pick finds an upstream and checks, just before the sending, that new work
 // may begin under the configuration in force.
 func (r *callRun) pick(ctx context.Context, d lifecycle.PickService) []lifecycle.Decision {
-	if d.Retry && !r.node.gate.retryAllowed() {
+	if d.Retry && !r.node.retryAllowed() {
 		return r.machine.Refused(request.CodeOverloaded, retrySoon, "too many requests are being retried")
 	}
 	if _, fresh := r.node.sync.Current(); !fresh {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/request"
 )
@@ -147,6 +148,16 @@
 	}
 }
 
+func (n *Node) retryAllowed() bool {
+	if n.gate.retryAllowed() {
+		return true
+	}
+	if n.spentBudgets.allow(time.Now()) {
+		event.RetryBudgetSpent.Log(n.deps.Log)
+	}
+	return false
+}
+
 func (g *gate) retryAllowed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,8 +67,9 @@
 	adminListener net.Listener
 	adminServer   *http.Server
 
-	running  atomic.Int64
-	stopping *stopping
+	running      atomic.Int64
+	spentBudgets throttle
+	stopping     *stopping
 
 	listener net.Listener
 	server   *http.Server
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/request"
 	"github.com/hickorybank/hickorybank/internal/suspect"
@@ -67,6 +70,9 @@
 		default: // the ring is full; the tracker sends again what it misses
 		}
 	}
+	for _, f := range ready.Convicted {
+		event.SuspectConvicted.Log(s.node.deps.Log, slog.String("fingerprint", hex.EncodeToString(f[:])))
+	}
 	for _, d := range ready.Decisions {
 		if decided, ok := s.waiting[d.Attempt]; ok {
 			delete(s.waiting, d.Attempt)
@@ -94,17 +100,28 @@
 	s.flush()
 	s.mu.Unlock()
 	if d.Verdict != suspect.Wait {
-		return d
+		return s.told(d)
 	}
 	select {
 	case d = <-decided:
-		return d
+		return s.told(d)
 	case <-ctx.Done():
 		s.finished(attempt)
 		return suspect.Decision{Attempt: attempt, Verdict: suspect.Refuse, RetryAfter: retrySoon}
 	}
 }
 
+// told logs what became of a suspect.
+func (s *suspects) told(d suspect.Decision) suspect.Decision {
+	switch d.Verdict {
+	case suspect.RunAlone:
+		event.SuspectRunsAlone.Log(s.node.deps.Log, slog.String("request", d.Attempt))
+	case suspect.Refuse:
+		event.SuspectRefused.Log(s.node.deps.Log, slog.String("request", d.Attempt), slog.Bool("convicted", d.Convicted))
+	}
+	return d
+}
+
 // started says whether the attempt may still be sent: the node may have learned
 // of a crash, or have been paused, since it was admitted.
 func (s *suspects) started(attempt string, f request.Fingerprint, vm string) bool {
@@ -151,7 +168,8 @@
 func (s *suspects) crashed(vm string, epoch uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Crashed(suspect.CrashID{Upstream: vm, Epoch: epoch}, time.Now())
+	attempts := s.tracker.Crashed(suspect.CrashID{Upstream: vm, Epoch: epoch}, time.Now())
+	event.UpstreamCrashed.Log(s.node.deps.Log, slog.String("vm", vm), slog.Uint64("epoch", epoch), slog.Int("suspects", len(attempts)))
 	s.flush()
 }
 
--- a/internal/node/try.go
+++ b/internal/node/try.go
@@ -46,7 +46,7 @@
 // pick finds an upstream for the next attempt, after all that may forbid it.
 func (r *chatRun) pick(ctx context.Context, d lifecycle.Pick) []lifecycle.Decision {
 	r.endTry()
-	if d.Retry && !r.node.gate.retryAllowed() {
+	if d.Retry && !r.node.retryAllowed() {
 		return r.machine.Refused(request.CodeOverloaded, retrySoon, "too many requests are being retried")
 	}
 	if fail := r.mayRun(d.Version); fail != nil {
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/upstream"
@@ -27,6 +29,8 @@
 	balancer *balance.Balancer
 	epochs   map[string]uint64 // by VM
 	asking   map[string]bool
+
+	shortages throttle
 }
 
 func newUpstreams(n *Node) *upstreams {
@@ -69,8 +73,19 @@
 	r.Now = time.Now()
 	r.Random = rand.Uint64()
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.balancer.Pick(r)
+	pick, ok := u.balancer.Pick(r)
+	u.mu.Unlock()
+	if !ok && pick.Shortage.Reason != balance.AllTried {
+		u.tellShortage(r, pick.Shortage)
+	}
+	return pick, ok
+}
+
+func (u *upstreams) tellShortage(r balance.Request, s balance.Shortage) {
+	if !u.shortages.allow(r.Now) {
+		return
+	}
+	event.PoolShort.Log(u.node.deps.Log, slog.String("version", r.Version), slog.String("service", r.Service), slog.String("reason", string(s.Reason)))
 }
 
 // pool names the pool of upstreams that a version shares with others.
@@ -146,10 +161,27 @@
 		case <-ticker.C:
 			u.ask(ctx, slots)
 			u.node.reportPools()
+			u.tellChanges()
 		}
 	}
 }
 
+// tellChanges logs what has changed of upstreams.
+func (u *upstreams) tellChanges() {
+	u.mu.Lock()
+	changes := u.balancer.Changes()
+	u.mu.Unlock()
+	for _, c := range changes {
+		changeEvents[c.Kind].Log(u.node.deps.Log, slog.String("vm", c.VM.ID))
+	}
+}
+
+var changeEvents = map[balance.ChangeKind]event.Event{
+	balance.Opened:  event.BreakerOpened,
+	balance.Closed:  event.BreakerClosed,
+	balance.Ejected: event.UpstreamEjected,
+}
+
 func (u *upstreams) ask(ctx context.Context, slots chan struct{}) {
 	for _, vm := range u.due() {
 		select {
