--- a/internal/confsync/young_test.go
+++ b/internal/confsync/young_test.go
@@ -43,16 +43,16 @@
 	switch d := d.(type) {
 	case ReadHead:
 		if !n.table {
-			return ReadFailed{Token: d.Token}
+			return ReadFailed(d)
 		}
 		return HeadRead{Token: d.Token, Revision: 1}
 	case ReadList:
 		if !n.list {
-			return ListFailed{Token: d.Token}
+			return ListFailed(d)
 		}
 		return ListRead{Token: d.Token, Digest: 7}
 	case Fetch:
-		return Applied{Token: d.Token, Revision: d.Revision}
+		return Applied(d)
 	}
 	return nil
 }
