--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -16,7 +16,8 @@
 //	slow A B DURATION                 delay each piece of data between two processes
 //	fault ID JSON                     set faults at the platform's or an upstream's fault port
 //	limits JSON                       change the platform's limits of reads and writes a second
-//	leave ID                          mark a VM as leaving in the platform's list
+//	quality VERSION QUALITY           set the true quality of a version, which ratings show
+//	leave ID, unlist ID               mark a VM as leaving in the platform's list, drop it from there
 //	admin [-at ENTRY] ARG...          run hickorybank admin: bootstrap at the platform, the rest at an entry
 //	call [OPTION...] ENTRY ORG KEY MODEL TEXT
 //	                                  send a chat request
--- a/scenario/runs_test.go
+++ b/scenario/runs_test.go
@@ -1,8 +1,10 @@
 package scenario
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -116,6 +118,20 @@
 	return c.compareRuns(args[0], args[1], 0)
 }
 
+// lastRuns are the last few runs of WHAT; an attempt's name begins with the
+// time in which its request arrived.
+func lastRuns(runs []run, what string) []run {
+	const most = 8
+	var of []run
+	for _, r := range runs {
+		if r.of(what) {
+			of = append(of, r)
+		}
+	}
+	slices.SortStableFunc(of, func(a, b run) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	return of[max(0, len(of)-most):]
+}
+
 // compareRuns compares with a number, or with "some" for at least one.
 func (c *cluster) compareRuns(what, want string, before int) error {
 	runs, err := c.runs()
@@ -126,5 +142,5 @@
 	if want == "some" && n > 0 || want == strconv.Itoa(n) {
 		return nil
 	}
-	return eris.Errorf("%d runs of %s, not %s", n, what, want)
+	return eris.Errorf("%d runs of %s, not %s; the last are %+v", n, what, want, lastRuns(runs, what))
 }
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -29,6 +29,7 @@
 	"slow":        cmdSlow,
 	"fault":       cmdFault,
 	"limits":      cmdLimits,
+	"quality":     cmdQuality,
 	"admin":       cmdAdmin,
 	"call":        cmdCall,
 	"callservice": cmdCallService,
@@ -37,6 +38,7 @@
 	"load":        cmdLoad,
 	"mark":        cmdMark,
 	"leave":       cmdLeave,
+	"unlist":      cmdUnlist,
 	"await":       cmdAwait,
 	"expect":      cmdExpect,
 }
