--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -28,7 +28,7 @@
 //	load stop NAME [OPTION...]        end it and check every request of it
 //	mark NAME                         remember runs, refusals and load so far
 //	join NAME                         wait for a call in the background
-//	await CONDITION ARG...            wait for a condition, 30 s at most
+//	await CONDITION ARG...            wait for a condition, 30 s at most (for "ended": 2 min)
 //	expect MATTER ARG...              check what the calls brought about
 //
 // Options of a call: -stream, -as NAME (default "last"), -bg (in the
--- a/scenario/load_request_test.go
+++ b/scenario/load_request_test.go
@@ -34,6 +34,9 @@
 		if o.addr != "" {
 			r.arrivals++
 			r.last = l.caller.do(o)
+			if r.last.unreached {
+				addresses.lost(o.addr)
+			}
 			if l.final(&r, &o) || l.options.once {
 				return r
 			}
--- a/scenario/storm_run_test.go
+++ b/scenario/storm_run_test.go
@@ -26,6 +26,7 @@
 	stopping []*process // told to stop
 	gone     []string   // VMs that the platform still lists
 	busy     map[string]bool
+	losses   int // of entries since bills were held last
 	accepted int // revisions
 	counts   map[strikeKind]int
 }
