--- a/scenario/storm_exposed_test.go
+++ b/scenario/storm_exposed_test.go
@@ -13,8 +13,8 @@
 const mostLosses = 2
 
 const (
-	heldMetric    = "hickorybank_bills_held"
-	metricsLimit  = time.Second
+	heldMetric   = "hickorybank_bills_held"
+	metricsLimit = time.Second
 	metricsPath  = "/metrics" // needs no key
 )
 
