Tell a slow table from a lost peer, and a refused claim from a doubted one

Cause: measuring claims under each failure showed four faults. A new log took two reads one after the other: the floor is remembered for each shard, and any number of reads is harmless.

--- a/internal/ledger/batcher.go
+++ b/internal/ledger/batcher.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -27,6 +28,7 @@
 	calls conc.WaitGroup
 	// The fields below belong to the duty.
 	logs    map[key.Log]*openLog
+	floors  map[string]*claim.Floor // by the keys of their rows
 	dirty   map[*openLog]struct{}
 	waits   map[uint64]chan claim.Reply
 	number  uint64
@@ -44,7 +46,7 @@
 func newBatcher(s Settings, process string, st *store, log *slog.Logger) *batcher {
 	return &batcher{
 		settings: s, process: process, store: st, log: log, ring: newRing(),
-		logs: map[key.Log]*openLog{}, dirty: map[*openLog]struct{}{}, waits: map[uint64]chan claim.Reply{},
+		logs: map[key.Log]*openLog{}, floors: map[string]*claim.Floor{}, dirty: map[*openLog]struct{}{}, waits: map[uint64]chan claim.Reply{},
 	}
 }
 
@@ -81,7 +83,7 @@
 	settings := b.settings.log(name, b.process, now)
 	open := b.logs[name]
 	if open == nil {
-		open = &openLog{name: name, core: claim.NewLog(name, settings)}
+		open = &openLog{name: name, core: claim.NewLog(name, settings, b.floors[name.Floor()])}
 		b.logs[name] = open
 	}
 	open.core.SetGap(settings.MinGap)
@@ -120,12 +122,15 @@
 }
 
 func (b *batcher) read(open *openLog, read claim.Read) {
-	floor, err := b.store.floor(b.running, open.name)
-	var rows []claim.StoredRow
-	var more bool
-	if err == nil {
-		rows, more, err = b.store.claims(b.running, open.name, read.From)
-	}
+	var floor *claim.Floor
+	var floorErr error
+	var both conc.WaitGroup
+	if read.Floor {
+		both.Go(func() { floor, floorErr = b.store.floor(b.running, open.name) })
+	}
+	rows, more, err := b.store.claims(b.running, open.name, read.From)
+	both.Wait()
+	err = cmp.Or(err, floorErr)
 	b.back(open, func(now time.Time) {
 		if err != nil {
 			event.LedgerReadFailed.Log(b.log, slog.String("log", open.name.Prefix()), slog.Any("error", err))
@@ -133,6 +138,7 @@
 			return
 		}
 		open.core.RowsRead(floor, rows, more)
+		b.floors[open.name.Floor()] = open.core.Floor()
 	})
 }
 
--- a/internal/ledger/billing.go
+++ b/internal/ledger/billing.go
@@ -85,7 +85,7 @@
 	l := b.ledger
 	args := wire.CollectArgs{Bills: bill.Pack(bills)}
 	h := hedge[[]byte]{
-		after: l.settings.HedgeAfter, route: l.route, calls: &b.calls, final: allSafe,
+		after: l.settings.HedgeAfter, route: l.route, calls: &b.calls, alive: l.alive, final: allSafe,
 		ask: func(vm platform.VM) ([]byte, error) { return b.ask(vm, &args, bills) },
 	}
 	answers, _ := h.run(l.running, l.route.collectors(time.Now()))
--- a/internal/ledger/claim/bench_test.go
+++ b/internal/ledger/claim/bench_test.go
@@ -14,7 +14,7 @@
 func benchLog() *Log {
 	s := settings("w")
 	s.MinGap, s.MaxEntries, s.MaxBytes = 0, 10_000, 16<<20
-	return NewLog(key.Log{Kind: key.Timed, Shard: 1, Bucket: 7}, s)
+	return NewLog(key.Log{Kind: key.Timed, Shard: 1, Bucket: 7}, s, nil)
 }
 
 func benchEntry(i int, kind Kind) Entry {
@@ -38,7 +38,7 @@
 		r := l.Ready(now)
 		switch {
 		case r.Read != nil:
-			l.RowsRead(Floor{}, nil, false)
+			l.RowsRead(&Floor{}, nil, false)
 		case r.Create != nil:
 			l.WriteDone(now, fate.Applied)
 			if n := len(l.Ready(now).Replies); n != len(ops) {
--- a/internal/ledger/claim/decide.go
+++ b/internal/ledger/claim/decide.go
@@ -22,7 +22,7 @@
 	if l.flight == nil && len(l.pending) == 0 {
 		return
 	}
-	if !l.fresh {
+	if !l.fresh || l.floor == nil {
 		l.read(now, r)
 		return
 	}
@@ -44,7 +44,7 @@
 		l.launch()
 	}
 	l.busy = true
-	l.asked = now
+	l.asked = l.adds
 	l.writes.Took(now)
 	r.Create = &Create{Seq: l.flight.seq, Row: l.flight.row, Floor: l.floor.Version}
 }
@@ -55,9 +55,9 @@
 		return
 	}
 	l.busy = true
-	l.asked = now
+	l.asked = l.adds
 	l.reads.Took(now)
-	r.Read = &Read{From: l.next}
+	r.Read = &Read{From: l.next, Floor: l.floor == nil}
 }
 
 // judgePending answers what needs no writing.
@@ -88,16 +88,10 @@
 }
 
 // outdated says whether a verdict may have been overtaken by rows that another
-// process wrote: a retry would hear "running" long after the work was settled,
-// or a settlement would be rejected by a log that has not read its claim. The
-// other verdicts are final, or are written under the row's condition.
+// process wrote: a retry would hear "running" long after the work was settled.
+// The other verdicts are final, or are written under the row's condition.
 func (l *Log) outdated(v Verdict, op *Op) bool {
-	switch v {
-	case VerdictRunning, VerdictReused, VerdictRejected:
-		return l.asOf.Before(op.added)
-	default:
-		return false
-	}
+	return (v == VerdictRunning || v == VerdictReused) && l.asOf < op.added
 }
 
 // launch makes a batch of pending operations. Of several with one key only the
@@ -122,60 +116,3 @@
 	l.pending, l.judged = left, len(left)
 	l.flight = f
 }
-
-// expire answers the operations whose time is up: those that were never sent
-// are refused, those on their way are in doubt, and stay on their way.
-func (l *Log) expire(now time.Time) {
-	kept := l.pending[:0]
-	judged := l.judged
-	for i, op := range l.pending {
-		if now.Before(op.Deadline) {
-			kept = append(kept, op)
-			continue
-		}
-		if i < judged {
-			l.judged--
-		}
-		l.reply(&op, VerdictRefused, record{})
-	}
-	clear(l.pending[len(kept):])
-	l.pending = kept
-	l.expireFlight(now)
-}
-
-func (l *Log) expireFlight(now time.Time) {
-	if l.flight == nil {
-		return
-	}
-	kept := l.flight.ops[:0]
-	for _, op := range l.flight.ops {
-		if now.Before(op.Deadline) {
-			kept = append(kept, op)
-			continue
-		}
-		l.reply(&op, VerdictInDoubt, record{})
-	}
-	l.flight.ops = kept
-}
-
-// deadline is the next one of an operation.
-func (l *Log) deadline() time.Time {
-	var first time.Time
-	for i := range l.pending {
-		first = earliest(first, l.pending[i].Deadline)
-	}
-	if l.flight != nil {
-		for i := range l.flight.ops {
-			first = earliest(first, l.flight.ops[i].Deadline)
-		}
-	}
-	return first
-}
-
-// earliest takes a zero time for none.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
--- a/internal/ledger/claim/floor.go
+++ b/internal/ledger/claim/floor.go
@@ -2,13 +2,15 @@
 
 import "github.com/hickorybank/hickorybank/internal/ledger/key"
 
-// takeFloor takes what the shard says of its deleted rows.
-func (l *Log) takeFloor(floor Floor) {
-	l.floor = floor
+// takeFloor passes over what the shard says was deleted.
+func (l *Log) takeFloor() {
+	if l.floor == nil {
+		return
+	}
 	// The rows below the floor of an opaque shard were deleted because their
 	// keys are older than the window; nothing in them is still needed.
 	if l.name.Kind == key.Opaque {
-		l.next = max(l.next, floor.Seq)
+		l.next = max(l.next, l.floor.Seq)
 	}
 	if l.flight != nil && (l.deleted() || l.flight.seq < l.next) {
 		l.abort()
@@ -19,7 +21,7 @@
 // than the window. A deleted log looks empty: without this it would grant all
 // its keys again.
 func (l *Log) deleted() bool {
-	return l.name.Kind == key.Timed && l.floor.Bucket > l.name.Bucket
+	return l.name.Kind == key.Timed && l.floor != nil && l.floor.Bucket > l.name.Bucket
 }
 
 // abort gives up a flight whose place was deleted. No sending of it can take
--- a/internal/ledger/claim/floor_codec.go
+++ b/internal/ledger/claim/floor_codec.go
@@ -18,10 +18,10 @@
 }
 
 // DecodeFloor reads the floor from its row.
-func DecodeFloor(version uint64, data []byte) (Floor, error) {
+func DecodeFloor(version uint64, data []byte) (*Floor, error) {
 	var w wireFloor
 	if err := json.Unmarshal(data, &w); err != nil {
-		return Floor{}, eris.Wrap(err, "decode floor")
+		return nil, eris.Wrap(err, "decode floor")
 	}
-	return Floor{Version: version, Bucket: w.Bucket, Seq: w.Seq}, nil
+	return &Floor{Version: version, Bucket: w.Bucket, Seq: w.Seq}, nil
 }
--- a/internal/ledger/claim/harness_test.go
+++ b/internal/ledger/claim/harness_test.go
@@ -63,6 +63,15 @@
 	return f
 }
 
+// floorFor reads the floor if it was asked for.
+func (s *store) floorFor(name key.Log, read *Read) *Floor {
+	if !read.Floor {
+		return nil
+	}
+	f := s.floor(name)
+	return &f
+}
+
 // raise deletes the rows of all buckets below one.
 func (s *store) raise(name key.Log, bucket int64) {
 	txn := platform.Txn{Writes: []platform.Write{{Key: name.Floor(), Value: fmt.Append(nil, bucket)}}}
@@ -102,6 +111,6 @@
 func settings(writer string) LogSettings {
 	return LogSettings{
 		Writer: writer, MinGap: 10 * time.Millisecond, MaxGap: time.Second,
-		MaxEntries: 100, MaxBytes: 64 << 10,
+		MaxEntries: 100, MaxBytes: 64 << 10, FailAfter: 300 * time.Millisecond,
 	}
 }
--- a/internal/ledger/claim/index.go
+++ b/internal/ledger/claim/index.go
@@ -87,15 +87,14 @@
 	}
 }
 
+// judgeSettle has an entry written that does nothing, rather than reject it at
+// once: the log may have been deleted while it was read, and the conditions of
+// the write tell.
 func judgeSettle(e *Entry, r record, known bool) Verdict {
-	switch {
-	case !known || r.attempt != e.Attempt || r.phase == released:
-		return VerdictRejected
-	case r.phase == settled:
+	if known && r.attempt == e.Attempt && r.phase == settled {
 		return VerdictDone
-	default:
-		return verdictWrite
 	}
+	return verdictWrite
 }
 
 func (x *index) judgeRelease(e *Entry, r record, known bool) Verdict {
@@ -127,9 +126,10 @@
 	case KindClaim:
 		x.records[e.ID] = record{print: e.Print, attempt: e.Attempt, at: e.At, row: seq, node: x.intern(e.Node)}
 	case KindSettle:
-		r := x.records[e.ID]
-		r.phase, r.row = settled, seq
-		x.records[e.ID] = r
+		if r := x.records[e.ID]; r.attempt == e.Attempt && r.phase == claimed {
+			r.phase, r.row = settled, seq
+			x.records[e.ID] = r
+		}
 	case KindRelease:
 		x.release(e)
 	}
--- a/internal/ledger/claim/log.go
+++ b/internal/ledger/claim/log.go
@@ -18,14 +18,20 @@
 	settings LogSettings
 	name     key.Log
 	index    *index
-	floor    Floor
+	floor    *Floor // nil when it is not known
 	next     uint64 // the first row that was not read
 	fresh    bool   // no row is known to be missing
 	busy     bool   // a call is out
-	asked    time.Time
-	asOf     time.Time // when the index was last known to be the newest
-	writes   *pace.Pace
-	reads    *pace.Pace
+	// adds counts the operations; asked is the count when the call went out,
+	// and asOf the one at which the index was last known to be the newest. A
+	// clock would not do: what happens within one tick of it has an order too.
+	adds    uint64
+	asked   uint64
+	asOf    uint64
+	writes  *pace.Pace
+	reads   *pace.Pace
+	failing time.Time // since when no call has succeeded
+	failed  time.Time // when the last call failed
 
 	pending []Op
 	// judged is how many of pending were judged by the present index.
@@ -36,11 +42,13 @@
 	used    time.Time
 }
 
-// NewLog returns a log of which nothing was read yet.
-func NewLog(name key.Log, s LogSettings) *Log {
+// NewLog returns a log of which nothing was read yet. The floor may be one that
+// was read before, or nil; under an old one no write takes effect.
+func NewLog(name key.Log, s LogSettings, floor *Floor) *Log {
 	return &Log{
 		settings: s,
 		name:     name,
+		floor:    floor,
 		index:    newIndex(s.Window),
 		writes:   pace.New(s.MinGap, s.MaxGap),
 		reads:    pace.New(0, s.MaxGap),
@@ -51,10 +59,15 @@
 func (l *Log) Add(now time.Time, op Op) {
 	l.used = now
 	op.Entry.At = now.UnixMilli()
-	op.added = now
+	l.adds++
+	op.added = l.adds
+	op.came = now
 	l.pending = append(l.pending, op)
 }
 
+// Floor is the floor that the log goes by, or nil.
+func (l *Log) Floor() *Floor { return l.floor }
+
 // Idle says whether the log could be dropped from memory: nobody waits.
 func (l *Log) Idle() bool {
 	return !l.busy && l.flight == nil && len(l.pending) == 0 && len(l.replies) == 0
@@ -69,12 +82,17 @@
 // SetGap changes the least time between two writes.
 func (l *Log) SetGap(gap time.Duration) { l.writes.SetFloor(gap) }
 
-// RowsRead takes the result of a Read. More says that further rows may follow.
-func (l *Log) RowsRead(floor Floor, rows []StoredRow, more bool) {
+// RowsRead takes the result of a Read; the floor is nil if it was not asked
+// for. More says that further rows may follow.
+func (l *Log) RowsRead(floor *Floor, rows []StoredRow, more bool) {
 	l.busy = false
 	l.reads.Succeeded()
+	l.succeeded()
 	l.judged = 0
-	l.takeFloor(floor)
+	if floor != nil {
+		l.floor = floor
+	}
+	l.takeFloor()
 	for i := range rows {
 		l.take(&rows[i])
 	}
@@ -100,6 +118,7 @@
 func (l *Log) ReadFailed(now time.Time) {
 	l.busy = false
 	l.reads.Failed(now)
+	l.noteFailure(now)
 }
 
 // WriteDone takes the result of a Create.
@@ -108,19 +127,24 @@
 	switch f {
 	case fate.Applied:
 		l.writes.Succeeded()
+		l.succeeded()
 		l.judged = 0
 		l.asOf = l.asked
 		l.take(&StoredRow{Seq: l.flight.seq, Row: l.flight.row})
 	case fate.Conflict:
 		l.writes.Succeeded()
+		l.succeeded()
 		l.fresh = false
+		l.floor = nil // it may be the floor that failed the write
 	case fate.Refused:
 		l.writes.Failed(now)
+		l.noteFailure(now)
 		l.landUnlessDoubted()
 	case fate.Unanswered:
 		// The write may have taken effect, or may yet. The row tells whose
 		// it is by its writer and number, once there is one.
 		l.writes.Failed(now)
+		l.noteFailure(now)
 		l.flight.doubted = true
 		l.fresh = false
 	}
--- a/internal/ledger/claim/op.go
+++ b/internal/ledger/claim/op.go
@@ -11,7 +11,8 @@
 	// its node gave up would bar the key for nothing.
 	Deadline time.Time
 
-	added time.Time
+	added uint64
+	came  time.Time
 }
 
 // Verdict is what became of an operation.
--- a/internal/ledger/claim/ready.go
+++ b/internal/ledger/claim/ready.go
@@ -12,11 +12,11 @@
 	Seq uint64
 }
 
-// Read asks for the floor, and then for the rows from a number on. The floor
-// has to be read first: if rows are deleted after it, it changes, and a write
-// under the old one fails.
+// Read asks for the rows from a number on, and for the floor if that is not
+// known, in any order.
 type Read struct {
-	From uint64
+	From  uint64
+	Floor bool
 }
 
 // Create asks for a row to be created, under two conditions: that it is
--- a/internal/ledger/claim/script_test.go
+++ b/internal/ledger/claim/script_test.go
@@ -50,7 +50,7 @@
 func (s *script) run(t *testing.T, d *datadriven.TestData) {
 	switch d.Cmd {
 	case "process":
-		s.writer[d.CmdArgs[0].Key] = &writer{log: NewLog(s.name, settings(d.CmdArgs[0].Key))}
+		s.writer[d.CmdArgs[0].Key] = &writer{log: NewLog(s.name, settings(d.CmdArgs[0].Key), nil)}
 	case "claim", "settle", "release":
 		s.add(t, d)
 	case "time":
@@ -108,7 +108,7 @@
 	}
 	switch d.Cmd {
 	case "read":
-		w.log.RowsRead(s.store.floor(s.name), s.store.rows(s.name, w.read.From), false)
+		w.log.RowsRead(s.store.floorFor(s.name, w.read), s.store.rows(s.name, w.read.From), false)
 		w.read = nil
 	case "read-fails":
 		w.read = nil
@@ -145,7 +145,7 @@
 	}
 	if r.Read != nil {
 		w.read = r.Read
-		fmt.Fprintf(&s.out, "%s: reads from %d\n", id, r.Read.From)
+		fmt.Fprintf(&s.out, "%s: reads from %d, floor %t\n", id, r.Read.From, r.Read.Floor)
 	}
 	if r.Create != nil {
 		w.create = r.Create
--- a/internal/ledger/claim/settings.go
+++ b/internal/ledger/claim/settings.go
@@ -15,4 +15,7 @@
 	// MaxEntries and MaxBytes bound a row. A single entry always fits.
 	MaxEntries int
 	MaxBytes   int
+	// FailAfter is how long the table may fail before those who wait are
+	// told so.
+	FailAfter time.Duration
 }
--- a/internal/ledger/claim/sim_check_test.go
+++ b/internal/ledger/claim/sim_check_test.go
@@ -98,9 +98,9 @@
 	for _, n := range s.nodes {
 		n.paused = false
 		if n.read != nil {
-			from := n.read.From
+			read := n.read
 			n.read = nil
-			n.log.RowsRead(s.store.floor(s.name), s.store.rows(s.name, from), false)
+			n.log.RowsRead(s.store.floorFor(s.name, read), s.store.rows(s.name, read.From), false)
 		} else if n.create != nil {
 			txn := s.store.txn(s.name, n.create)
 			n.create = nil
--- a/internal/ledger/claim/sim_step_test.go
+++ b/internal/ledger/claim/sim_step_test.go
@@ -124,11 +124,16 @@
 		n.log.ReadFailed(s.now)
 		return
 	}
-	floor := s.store.floor(s.name)
-	if s.rng.IntN(10) == 0 {
-		s.land() // between the read of the floor and that of the rows
-	}
+	floor := s.store.floorFor(s.name, read)
 	rows := s.store.rows(s.name, read.From)
+	if s.rng.IntN(5) == 0 { // something happens between the two reads
+		s.between()
+		if s.rng.IntN(2) == 0 {
+			floor = s.store.floorFor(s.name, read)
+		} else {
+			rows = s.store.rows(s.name, read.From)
+		}
+	}
 	if cut := s.rng.IntN(3) + 1; len(rows) > cut {
 		n.log.RowsRead(floor, rows[:cut], true)
 		return
@@ -136,6 +141,15 @@
 	n.log.RowsRead(floor, rows, false)
 }
 
+func (s *sim) between() {
+	if s.rng.IntN(40) > 0 {
+		s.land()
+		return
+	}
+	s.deleted = true
+	s.store.raise(s.name, s.name.Bucket+1)
+}
+
 func (s *sim) endWrite(n *simNode) {
 	txn := s.store.txn(s.name, n.create)
 	n.create = nil
--- a/internal/ledger/claim/sim_test.go
+++ b/internal/ledger/claim/sim_test.go
@@ -97,10 +97,19 @@
 func (s *sim) boot(n *simNode) {
 	s.boots++
 	n.boot = fmt.Sprintf("n%d", s.boots)
-	n.log = NewLog(s.name, settings(n.boot))
+	n.log = NewLog(s.name, settings(n.boot), s.oldFloor())
 	n.read, n.create, n.paused = nil, nil, false
 }
 
+// oldFloor is what a process may know of the floor from before.
+func (s *sim) oldFloor() *Floor {
+	if s.rng.IntN(2) == 0 {
+		return nil
+	}
+	f := s.store.floor(s.name)
+	return &f
+}
+
 func (s *sim) run() error {
 	for step := 0; step < simSteps && s.wrong == nil; step++ {
 		s.step()
--- /dev/null
+++ b/internal/ledger/claim_waits_test.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/claim"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+)
+
+// A call that may not be repeated waits for its claim before its first byte
+// leaves. The test prints for how long under each failure, and what becomes of
+// the claims; those that fail must be free again when the platform is well.
+func TestClaimsUnderEachFailure(t *testing.T) {
+	calm := fault.Fault{DelayMS: 10}
+	for _, phase := range []struct {
+		name   string
+		table  fault.Fault
+		frozen []string
+	}{
+		{"all is well", calm, nil},
+		{"table slow, 1 s", fault.Fault{DelayMS: 1000}, nil},
+		{"table loses half of its answers", fault.Fault{DelayMS: 10, LoseAckFraction: 0.5}, nil},
+		{"table refuses half", fault.Fault{DelayMS: 10, RefuseFraction: 0.5}, nil},
+		{"table down", fault.Fault{Down: true}, nil},
+		{"three of eight nodes are frozen", calm, []string{"e3", "e4", "e5"}},
+	} {
+		inBubble(t, 8, func(is *is.I, c *cluster) {
+			c.fail(fault.Change{Table: &phase.table})
+			c.fabric.mu.Lock()
+			for _, id := range phase.frozen {
+				c.fabric.frozen[id] = make(chan struct{})
+			}
+			c.fabric.mu.Unlock()
+			load := &claimLoad{c: c, frozen: phase.frozen}
+			load.run()
+			load.print(t, phase.name)
+			c.fail(fault.Change{Table: &calm})
+			time.Sleep(10 * time.Second)
+			for _, r := range load.failed {
+				got, err := claimIn(c.ledgers["e0"], 10*time.Second, r)
+				is.NoErr(err)
+				is.Equal(got.State, claim.Granted) // the same attempt may ask again
+			}
+		})
+	}
+}
+
+type claimLoad struct {
+	c       *cluster
+	frozen  []string
+	mu      sync.Mutex
+	waits   []time.Duration
+	failed  []ClaimRequest
+	unknown int
+}
+
+func (p *claimLoad) run() {
+	var wg sync.WaitGroup
+	for i := range 400 {
+		vm := p.c.members[i%len(p.c.members)]
+		if !slices.Contains(p.frozen, vm.ID) {
+			wg.Go(func() { p.claim(p.c.ledgers[vm.ID]) })
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+func (p *claimLoad) claim(l *Ledger) {
+	r := claimOf(newKey(), uuid.NewString(), "body")
+	began := time.Now()
+	_, err := claimIn(l, 5*time.Second, r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waits = append(p.waits, time.Since(began))
+	if err != nil {
+		p.failed = append(p.failed, r)
+	}
+	if errors.Is(err, ErrClaimUnknown) {
+		p.unknown++
+	}
+}
+
+func (p *claimLoad) print(t *testing.T, name string) {
+	slices.Sort(p.waits)
+	at := func(part float64) time.Duration { return p.waits[int(part*float64(len(p.waits)-1))] }
+	t.Logf("%-32s p50 %v, p99 %v, worst %v; %d claims, %d failed, of these %d in doubt; %d lost races", name,
+		at(0.5), at(0.99), at(1), len(p.waits), len(p.failed), p.unknown, p.c.platform.Stats().Conflicts)
+}
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -30,7 +30,9 @@
 		Kind: claim.KindClaim, ID: key.NewID(r.Org, r.Key), Attempt: key.AttemptID(r.Attempt),
 		Print: r.Fingerprint, Node: l.process,
 	}
-	out := l.appendEntry(ctx, name, &e)
+	patient, cancel := context.WithTimeout(ctx, l.settings.ClaimPatience)
+	defer cancel()
+	out := l.appendEntry(patient, name, &e)
 	doubted := out.doubt && out.verdict != claim.VerdictGranted && out.verdict != claim.VerdictRefused
 	if doubted {
 		// The caller hears that it does not hold the key. A copy of the
--- a/internal/ledger/entries.go
+++ b/internal/ledger/entries.go
@@ -27,27 +27,26 @@
 		deadline = time.Now().Add(maxAppend)
 	}
 	h := hedge[wire.AppendReply]{
-		after: l.appends.hedgeAfter(l.settings.HedgeAfter), route: l.route, calls: &l.calls, final: finalReply,
+		after: l.settings.HedgeAfter, route: l.route, calls: &l.calls, alive: l.alive, final: finalReply,
 		ask: func(vm platform.VM) (wire.AppendReply, error) { return l.askAppend(vm, name, e, deadline) },
 	}
-	began := time.Now()
-	answers, open := h.run(ctx, l.route.batchers(began, name))
-	out := sumUp(answers, open)
-	if out.verdict != claim.VerdictRefused {
-		l.appends.observe(time.Since(began))
-	}
-	return out
+	answers, open := h.run(ctx, l.route.batchers(time.Now(), name))
+	return sumUp(answers, open)
 }
 
 const (
 	// maxAppend is how long an entry is tried when its context has no end.
 	maxAppend = 10 * time.Second
-	// grace is how much longer a batcher is listened to than it may take.
+	// margin is how much earlier a batcher gives up than its asker: so that
+	// "not written, for certain" still arrives, and is not taken for doubt.
+	margin = 200 * time.Millisecond
+	// grace is how much longer a batcher is listened to than it may take,
+	// before its connection counts as stuck.
 	grace = 500 * time.Millisecond
 )
 
 func (l *Ledger) askAppend(vm platform.VM, name key.Log, e *claim.Entry, deadline time.Time) (wire.AppendReply, error) {
-	wait := time.Until(deadline)
+	wait := max(0, time.Until(deadline)-margin)
 	if vm.ID == l.deps.Self.ID {
 		return l.appendHere(name, e, wait), nil
 	}
--- a/internal/ledger/fabric_test.go
+++ b/internal/ledger/fabric_test.go
@@ -236,6 +236,7 @@
 func inBubble(t *testing.T, n int, do func(is *is.I, c *cluster)) { bubble(t, n, false, do) }
 
 func bubble(t *testing.T, n int, broken bool, do func(is *is.I, c *cluster)) {
+	defer steady()()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, n, broken)
 		defer c.close()
@@ -256,8 +257,26 @@
 	return u.String()
 }
 
-func within(d time.Duration) context.Context {
+func claimIn(l *Ledger, d time.Duration, r ClaimRequest) (ClaimResult, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
-	_ = cancel // ends with its time, within the bubble
-	return ctx
+	defer cancel()
+	return l.Claim(ctx, r)
+}
+
+func settleIn(l *Ledger, d time.Duration, s Settlement) (Safety, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return l.Settle(ctx, s)
+}
+
+func releaseIn(l *Ledger, d time.Duration, r ReleaseRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return l.Release(ctx, r)
+}
+
+func billIn(l *Ledger, d time.Duration, b Bill) (Safety, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return l.Bill(ctx, b)
 }
--- a/internal/ledger/fleet_bench_test.go
+++ b/internal/ledger/fleet_bench_test.go
@@ -61,7 +61,7 @@
 	}
 	for i := range shards {
 		name := key.Log{Kind: key.Timed, Shard: i, Bucket: f.now.UnixMilli() / f.settings.Layout.ClaimBucket.Milliseconds()}
-		f.logs = append(f.logs, claim.NewLog(name, f.settings.log(name, fmt.Sprint("w", i), f.now)))
+		f.logs = append(f.logs, claim.NewLog(name, f.settings.log(name, fmt.Sprint("w", i), f.now), nil))
 	}
 	return f
 }
@@ -153,7 +153,7 @@
 func (f *fleet) batch(l *claim.Log) {
 	r := l.Ready(f.now)
 	if r.Read != nil {
-		l.RowsRead(claim.Floor{}, nil, false)
+		l.RowsRead(&claim.Floor{}, nil, false)
 	}
 	if r.Create != nil {
 		f.claimWrites++
--- a/internal/ledger/history_test.go
+++ b/internal/ledger/history_test.go
@@ -292,18 +292,18 @@
 	switch {
 	case out.unknown || out.refused || out.state == claim.Granted && rng.IntN(2) == 0:
 		h.rec.do(client, operation{"release", k, attempt}, func() output {
-			return output{unknown: l.Release(within(5*time.Second), ReleaseRequest{Org: "org", Key: k, Attempt: attempt}) != nil}
+			return output{unknown: releaseIn(l, 5*time.Second, ReleaseRequest{Org: "org", Key: k, Attempt: attempt}) != nil}
 		})
 	case out.state == claim.Granted:
 		h.rec.do(client, operation{"settle", k, attempt}, func() output {
-			_, err := l.Settle(within(5*time.Second), Settlement{Org: "org", Key: k, Attempt: attempt, Outcome: request.Completed, Answer: []byte(attempt)})
+			_, err := settleIn(l, 5*time.Second, Settlement{Org: "org", Key: k, Attempt: attempt, Outcome: request.Completed, Answer: []byte(attempt)})
 			return output{unknown: err != nil}
 		})
 	}
 }
 
 func (h *historyRun) claim(l *Ledger, k, attempt string) output {
-	r, err := l.Claim(within(5*time.Second), claimOf(k, attempt, "body"))
+	r, err := claimIn(l, 5*time.Second, claimOf(k, attempt, "body"))
 	if err != nil {
 		return output{refused: errors.Is(err, ErrNotClaimed), unknown: errors.Is(err, ErrClaimUnknown)}
 	}
--- a/internal/ledger/janitor_test.go
+++ b/internal/ledger/janitor_test.go
@@ -19,7 +19,7 @@
 func TestOldClaimsAreDeleted(t *testing.T) {
 	inBubble(t, 2, func(is *is.I, c *cluster) {
 		claimAs := func(id, k string) claim.State {
-			r, err := c.ledgers[id].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+			r, err := claimIn(c.ledgers[id], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			return r.State
 		}
@@ -47,12 +47,12 @@
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		k, late := newKey(), newKey()
 		b := billOf(k, 7)
-		_, err := c.ledgers["e0"].Bill(within(5*time.Second), b)
+		_, err := billIn(c.ledgers["e0"], 5*time.Second, b)
 		is.NoErr(err)
 		c.fail(fault.Change{Table: &fault.Fault{Down: true}})
 		dear := b
 		dear.Cost, dear.At = 9, b.At.Add(time.Second)
-		_, err = c.ledgers["e1"].Bill(within(5*time.Second), dear)
+		_, err = billIn(c.ledgers["e1"], 5*time.Second, dear)
 		is.NoErr(err)
 		c.fail(fault.Change{Table: &fault.Fault{}})
 
@@ -67,7 +67,7 @@
 			is.NoErr(err)
 			is.Equal(s, Summary{Revision: 1, Totals: want})
 		}
-		_, err = c.ledgers["e2"].Bill(within(5*time.Second), billOf(late, 1))
+		_, err = billIn(c.ledgers["e2"], 5*time.Second, billOf(late, 1))
 		is.NoErr(err)
 		s, err := c.ledgers["e3"].SettleBucket(context.Background(), bucket)
 		is.NoErr(err)
@@ -85,10 +85,10 @@
 	inBubble(t, 2, func(is *is.I, c *cluster) {
 		time.Sleep(23 * time.Hour) // the bubble begins at midnight
 		first := billOf("order", 7)
-		_, err := c.ledgers["e0"].Bill(within(5*time.Second), first)
+		_, err := billIn(c.ledgers["e0"], 5*time.Second, first)
 		is.NoErr(err)
 		time.Sleep(2 * time.Hour)
-		_, err = c.ledgers["e1"].Bill(within(5*time.Second), billOf("order", 9))
+		_, err = billIn(c.ledgers["e1"], 5*time.Second, billOf("order", 9))
 		is.NoErr(err)
 		is.Equal(c.settings.Layout.Bill("order", first.At).Kind, key.Opaque)
 		is.Equal(c.allBills("e0"), []Bill{first})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,6 +17,7 @@
 	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/ledger/claim"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/ledger/wire"
 	"github.com/hickorybank/hickorybank/internal/peer"
 	"github.com/hickorybank/hickorybank/internal/platform"
 )
@@ -39,7 +40,6 @@
 	later      *later
 	janitor    *janitor
 	stats      counters
-	appends    latency
 
 	duties  conc.WaitGroup
 	calls   conc.WaitGroup
@@ -188,6 +188,19 @@
 	}
 }
 
+// alive says whether a node answers at once, which needs no platform.
+func (l *Ledger) alive(vm platform.VM) bool {
+	if vm.ID == l.deps.Self.ID {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(l.running, aliveTimeout)
+	defer cancel()
+	return l.deps.Peers.Call(ctx, vm.Peer, methodAlive, &wire.AliveArgs{}, &wire.AliveReply{}) == nil
+}
+
+// aliveTimeout is long for a call that needs no waiting, also between regions.
+const aliveTimeout = 400 * time.Millisecond
+
 func (l *Ledger) call(ctx context.Context, vm platform.VM, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
 	defer cancel()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -32,23 +32,23 @@
 				k = newKey()
 			}
 			first := uuid.NewString()
-			r, err := c.ledgers["e0"].Claim(within(5*time.Second), claimOf(k, first, "body"))
+			r, err := claimIn(c.ledgers["e0"], 5*time.Second, claimOf(k, first, "body"))
 			is.NoErr(err)
 			is.Equal(r.State, claim.Granted)
-			r, err = c.ledgers["e1"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+			r, err = claimIn(c.ledgers["e1"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			is.Equal(r.State, claim.Running)
 			is.Equal(r.Record.Attempt, first)
-			r, err = c.ledgers["e1"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "other"))
+			r, err = claimIn(c.ledgers["e1"], 5*time.Second, claimOf(k, uuid.NewString(), "other"))
 			is.NoErr(err)
 			is.Equal(r.State, claim.KeyReused)
 			b := billOf(k, 7)
-			safety, err := c.ledgers["e0"].Settle(within(5*time.Second), Settlement{
+			safety, err := settleIn(c.ledgers["e0"], 5*time.Second, Settlement{
 				Org: "org", Key: k, Attempt: first, Outcome: request.Completed, Answer: []byte("yes"), Bill: &b,
 			})
 			is.NoErr(err)
 			is.Equal(safety, bill.InTable)
-			r, err = c.ledgers["e2"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+			r, err = claimIn(c.ledgers["e2"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			is.Equal(r.State, claim.Settled)
 			is.Equal(string(r.Record.Answer), "yes")
@@ -62,11 +62,11 @@
 	inBubble(t, 2, func(is *is.I, c *cluster) {
 		k := newKey()
 		time.Sleep(25 * time.Hour)
-		r, err := c.ledgers["e0"].Claim(within(time.Second), claimOf(k, uuid.NewString(), "body"))
+		r, err := claimIn(c.ledgers["e0"], time.Second, claimOf(k, uuid.NewString(), "body"))
 		is.NoErr(err)
 		is.Equal(r.State, claim.KeyTooOld)
 		ahead := keyAt(time.Now().Add(time.Hour))
-		r, err = c.ledgers["e0"].Claim(within(time.Second), claimOf(ahead, uuid.NewString(), "body"))
+		r, err = claimIn(c.ledgers["e0"], time.Second, claimOf(ahead, uuid.NewString(), "body"))
 		is.NoErr(err)
 		is.Equal(r.State, claim.KeyInvalid)
 	})
@@ -79,11 +79,11 @@
 func TestClaimOfLostNodeIsUnknown(t *testing.T) {
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		k := newKey()
-		_, err := c.ledgers["e0"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+		_, err := claimIn(c.ledgers["e0"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 		is.NoErr(err)
 		c.lose("e0")
 		ask := func() claim.State {
-			r, err := c.ledgers["e1"].Claim(within(10*time.Second), claimOf(k, uuid.NewString(), "body"))
+			r, err := claimIn(c.ledgers["e1"], 10*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			return r.State
 		}
@@ -102,10 +102,10 @@
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		c.storeDown(true)
 		r := claimOf(newKey(), uuid.NewString(), "body")
-		_, err := c.ledgers["e0"].Claim(within(2*time.Second), r)
+		_, err := claimIn(c.ledgers["e0"], 2*time.Second, r)
 		is.True(errors.Is(err, ErrNotClaimed) || errors.Is(err, ErrClaimUnknown))
 		c.storeDown(false)
-		got, err := c.ledgers["e0"].Claim(within(5*time.Second), r)
+		got, err := claimIn(c.ledgers["e0"], 5*time.Second, r)
 		is.NoErr(err)
 		is.Equal(got.State, claim.Granted)
 	})
@@ -117,11 +117,11 @@
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		c.fail(fault.Change{Table: &fault.Fault{LoseAcks: 1}})
 		k := newKey()
-		got, err := c.ledgers["e0"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+		got, err := claimIn(c.ledgers["e0"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 		is.NoErr(err)
 		is.Equal(got.State, claim.Granted)
 		is.Equal(c.platform.Stats().LostAcks, uint64(1))
-		got, err = c.ledgers["e3"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+		got, err = claimIn(c.ledgers["e3"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 		is.NoErr(err)
 		is.Equal(got.State, claim.Running)
 	})
@@ -142,10 +142,10 @@
 		for range 20 {
 			k := newKey()
 			keys = append(keys, k)
-			got, err := c.ledgers["e0"].Claim(within(8*time.Second), claimOf(k, uuid.NewString(), "body"))
+			got, err := claimIn(c.ledgers["e0"], 8*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			is.Equal(got.State, claim.Granted)
-			_, err = c.ledgers["e0"].Bill(within(8*time.Second), billOf(k, 1))
+			_, err = billIn(c.ledgers["e0"], 8*time.Second, billOf(k, 1))
 			is.NoErr(err)
 		}
 		c.fabric.mu.Lock()
@@ -154,7 +154,7 @@
 		close(thaw)
 		time.Sleep(20 * time.Second)
 		for _, k := range keys {
-			got, err := c.ledgers["e2"].Claim(within(8*time.Second), claimOf(k, uuid.NewString(), "body"))
+			got, err := claimIn(c.ledgers["e2"], 8*time.Second, claimOf(k, uuid.NewString(), "body"))
 			is.NoErr(err)
 			is.Equal(got.State, claim.Running)
 		}
@@ -172,7 +172,7 @@
 		}
 		c.fabric.mu.Unlock()
 		for range 10 {
-			got, err := c.ledgers["e0"].Claim(within(8*time.Second), claimOf(newKey(), uuid.NewString(), "body"))
+			got, err := claimIn(c.ledgers["e0"], 8*time.Second, claimOf(newKey(), uuid.NewString(), "body"))
 			is.NoErr(err)
 			is.Equal(got.State, claim.Granted)
 		}
@@ -186,7 +186,7 @@
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		c.storeDown(true)
 		for i := range 10 {
-			safety, err := c.ledgers["e0"].Bill(within(8*time.Second), billOf(fmt.Sprint("k", i), 1))
+			safety, err := billIn(c.ledgers["e0"], 8*time.Second, billOf(fmt.Sprint("k", i), 1))
 			is.NoErr(err)
 			is.Equal(safety, bill.InPeers)
 		}
@@ -203,12 +203,12 @@
 // there beside those in the table.
 func TestTableDownBillsGoToObjects(t *testing.T) {
 	inBubble(t, 4, func(is *is.I, c *cluster) {
-		safety, err := c.ledgers["e0"].Bill(within(8*time.Second), billOf(newKey(), 1))
+		safety, err := billIn(c.ledgers["e0"], 8*time.Second, billOf(newKey(), 1))
 		is.NoErr(err)
 		is.Equal(safety, bill.InTable)
 		c.fail(fault.Change{Table: &fault.Fault{Down: true}})
 		for range 5 {
-			safety, err = c.ledgers["e0"].Bill(within(8*time.Second), billOf(newKey(), 1))
+			safety, err = billIn(c.ledgers["e0"], 8*time.Second, billOf(newKey(), 1))
 			is.NoErr(err)
 			is.Equal(safety, bill.InObjects)
 		}
@@ -223,15 +223,17 @@
 func TestStoppingNodeLeavesBillsToPeers(t *testing.T) {
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		c.storeDown(true)
-		_, err := c.ledgers["e0"].Bill(within(8*time.Second), billOf(newKey(), 1))
+		_, err := billIn(c.ledgers["e0"], 8*time.Second, billOf(newKey(), 1))
 		is.NoErr(err)
-		err = c.ledgers["e0"].Close(within(3 * time.Second))
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		err = c.ledgers["e0"].Close(ctx)
 		is.True(err != nil) // says what is left
 		is.NoErr(c.ledgers["e0"].Close(context.Background()))
 		c.storeDown(false)
 		time.Sleep(5 * time.Second)
 		is.Equal(len(c.allBills("e1")), 1)
-		_, err = c.ledgers["e0"].Bill(within(time.Second), billOf(newKey(), 1))
+		_, err = billIn(c.ledgers["e0"], time.Second, billOf(newKey(), 1))
 		is.True(errors.Is(err, ErrUnsafe))
 	})
 }
@@ -240,7 +242,7 @@
 func TestBillThatNobodyTakesIsUnsafe(t *testing.T) {
 	inBubble(t, 1, func(is *is.I, c *cluster) {
 		c.storeDown(true)
-		_, err := c.ledgers["e0"].Bill(within(10*time.Second), billOf(newKey(), 1))
+		_, err := billIn(c.ledgers["e0"], 10*time.Second, billOf(newKey(), 1))
 		is.True(errors.Is(err, ErrUnsafe))
 	})
 }
@@ -250,16 +252,16 @@
 func TestSettlementFollowsAfterAnOutage(t *testing.T) {
 	inBubble(t, 4, func(is *is.I, c *cluster) {
 		k, attempt := newKey(), uuid.NewString()
-		_, err := c.ledgers["e0"].Claim(within(5*time.Second), claimOf(k, attempt, "body"))
+		_, err := claimIn(c.ledgers["e0"], 5*time.Second, claimOf(k, attempt, "body"))
 		is.NoErr(err)
 		c.storeDown(true)
 		b := billOf(k, 7)
-		safety, err := c.ledgers["e0"].Settle(within(8*time.Second), Settlement{Org: "org", Key: k, Attempt: attempt, Outcome: request.Completed, Answer: []byte("yes"), Bill: &b})
+		safety, err := settleIn(c.ledgers["e0"], 8*time.Second, Settlement{Org: "org", Key: k, Attempt: attempt, Outcome: request.Completed, Answer: []byte("yes"), Bill: &b})
 		is.NoErr(err)
 		is.Equal(safety, bill.InPeers)
 		c.storeDown(false)
 		time.Sleep(20 * time.Second)
-		got, err := c.ledgers["e1"].Claim(within(5*time.Second), claimOf(k, uuid.NewString(), "body"))
+		got, err := claimIn(c.ledgers["e1"], 5*time.Second, claimOf(k, uuid.NewString(), "body"))
 		is.NoErr(err)
 		is.Equal(got.State, claim.Settled)
 		is.Equal(string(got.Record.Answer), "yes")
@@ -276,12 +278,12 @@
 		c.storeDown(true)
 		for range 3 {
 			is.True(l.Ready())
-			safety, err := l.Bill(within(8*time.Second), billOf(newKey(), 1))
+			safety, err := billIn(l, 8*time.Second, billOf(newKey(), 1))
 			is.NoErr(err)
 			is.Equal(safety, bill.InPeers)
 		}
 		is.True(!l.Ready())
-		_, err := l.Bill(within(8*time.Second), billOf(newKey(), 1))
+		_, err := billIn(l, 8*time.Second, billOf(newKey(), 1))
 		is.True(errors.Is(err, ErrUnsafe))
 		c.storeDown(false)
 		time.Sleep(5 * time.Second)
--- a/internal/ledger/places_test.go
+++ b/internal/ledger/places_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"testing"
@@ -71,9 +70,7 @@
 		p.sent++
 		wg.Go(func() {
 			began := time.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			safety, _ := l.Bill(ctx, billOf(newKey(), 1))
+			safety, _ := billIn(l, 10*time.Second, billOf(newKey(), 1))
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.waits = append(p.waits, time.Since(began))
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -26,8 +26,11 @@
 	RunLimit time.Duration
 	// MaxAnswer is the longest answer kept with a settlement, in bytes.
 	MaxAnswer int
-	// HedgeAfter is how long one node is waited for before the next is asked.
+	// HedgeAfter is how long a batcher or collector may take before it is
+	// asked whether it lives.
 	HedgeAfter time.Duration
+	// ClaimPatience is how long a claim is tried before it is refused.
+	ClaimPatience time.Duration
 	// MaxWaiting and MaxHeld bound the bills in this node's memory: its own
 	// and its domain's, and those that it holds for others.
 	MaxWaiting int
@@ -49,7 +52,8 @@
 		Skew:                 5 * time.Minute,
 		RunLimit:             15 * time.Minute,
 		MaxAnswer:            8 << 10,
-		HedgeAfter:           700 * time.Millisecond,
+		HedgeAfter:           500 * time.Millisecond,
+		ClaimPatience:        4 * time.Second,
 		MaxWaiting:           100_000,
 		MaxHeld:              200_000,
 		MaxKeys:              100_000,
@@ -59,6 +63,7 @@
 
 const (
 	maxGap        = 250 * time.Millisecond
+	failAfter     = 500 * time.Millisecond
 	maxRowEntries = 2000
 	maxRowBytes   = 128 << 10
 	maxRowBills   = 5000
@@ -79,7 +84,9 @@
 }
 
 func (s Settings) log(name key.Log, writer string, now time.Time) claim.LogSettings {
-	settings := claim.LogSettings{Writer: writer, MaxGap: maxGap, MaxEntries: maxRowEntries, MaxBytes: maxRowBytes}
+	settings := claim.LogSettings{
+		Writer: writer, MaxGap: maxGap, MaxEntries: maxRowEntries, MaxBytes: maxRowBytes, FailAfter: failAfter,
+	}
 	half := s.ClaimWritesPerSecond / 2
 	if name.Kind == key.Opaque {
 		settings.Window = s.Window + s.Skew
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -106,10 +106,10 @@
 }
 
 // floor reads what a shard says of its deleted rows.
-func (s *store) floor(ctx context.Context, name key.Log) (claim.Floor, error) {
+func (s *store) floor(ctx context.Context, name key.Log) (*claim.Floor, error) {
 	row, err := s.get(ctx, name.Floor())
 	if err != nil || row.Version == 0 {
-		return claim.Floor{}, err
+		return new(claim.Floor), err
 	}
 	return claim.DecodeFloor(row.Version, row.Value)
 }
