--- a/internal/capacity/probe_ledger.go
+++ b/internal/capacity/probe_ledger.go
@@ -125,14 +125,14 @@
 }
 
 func newLog() *claim.Log {
-	return claim.NewLog(key.Log{Kind: key.Timed}, claim.LogSettings{Writer: "entry-00000/1", MaxEntries: 1 << 20, MaxBytes: 1 << 30})
+	return claim.NewLog(key.Log{Kind: key.Timed}, claim.LogSettings{Writer: "entry-00000/1", MaxEntries: 1 << 20, MaxBytes: 1 << 30}, nil)
 }
 
 // write takes the log's next row, encodes it and lets it take effect.
 func write(l *claim.Log, now time.Time) error {
 	r := l.Ready(now)
 	if r.Read != nil {
-		l.RowsRead(claim.Floor{}, nil, false)
+		l.RowsRead(new(claim.Floor), nil, false)
 		r = l.Ready(now)
 	}
 	if r.Create == nil {
@@ -169,7 +169,7 @@
 	rows := []claim.StoredRow{{Row: claim.Row{Entries: claimEntries(0, keys)}}}
 	v := m.Heap(func() any {
 		l := newLog()
-		l.RowsRead(claim.Floor{}, rows, false)
+		l.RowsRead(new(claim.Floor), rows, false)
 		return l
 	})
 	runtime.KeepAlive(rows)
@@ -189,7 +189,7 @@
 				err = failed
 				return
 			}
-			newLog().RowsRead(claim.Floor{}, []claim.StoredRow{{Row: read}}, false)
+			newLog().RowsRead(new(claim.Floor), []claim.StoredRow{{Row: read}}, false)
 		}
 	}), err
 }
