Read the whole request before a test peer closes

Cause: TestClassification failed once in a full run under load: the raw peer of the test closed its connection over unread bytes of the request, which resets it, and the reset overtook the whole answer. Nothing in the client; what is demanded of it is unchanged.

--- a/internal/platform/client/classify_test.go
+++ b/internal/platform/client/classify_test.go
@@ -17,10 +17,20 @@
 func say(text string) reply {
 	return func(_ int, conn net.Conn) bool {
 		_, _ = io.WriteString(conn, text)
+		drain(conn)
 		return false
 	}
 }
 
+// drain reads what the client has not yet been heard saying. A connection that
+// is closed over unread bytes is reset, and the reset may overtake the answer.
+func drain(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // hold keeps the connection and never answers.
 func hold(int, net.Conn) bool { return true }
 
