--- a/internal/ledger/janitor.go
+++ b/internal/ledger/janitor.go
@@ -22,18 +22,17 @@
 	maxDeletes = 500
 	// maxTidy bounds the transactions of one shard in one period.
 	maxTidy = 20
-	// settleBack is how many closed buckets are looked at for settling.
-	settleBack = 30
+	// settleBack is how far back closed buckets are looked at for settling.
+	settleBack = 48 * time.Hour
+	// maxSettle bounds the buckets settled in one period.
+	maxSettle = 20
 )
 
 // janitor is the duty that deletes claims older than the window and settles
 // closed buckets. It falls on one node a period; two at a time are harmless.
-type janitor struct {
-	ledger  *Ledger
-	settled map[key.Bucket]bool
-}
+type janitor struct{ ledger *Ledger }
 
-func newJanitor(l *Ledger) *janitor { return &janitor{ledger: l, settled: map[key.Bucket]bool{}} }
+func newJanitor(l *Ledger) *janitor { return &janitor{ledger: l} }
 
 // run is the duty.
 func (j *janitor) run(ctx context.Context) {
@@ -45,7 +44,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if j.ledger.route.janitor(now.UnixNano() / int64(every)) {
+			if j.ledger.route.janitor(now, now.UnixNano()/int64(every)) {
 				j.tidy(ctx, now)
 			}
 		}
@@ -62,20 +61,28 @@
 	}
 }
 
-// settle settles the newest closed buckets that this process has not seen
-// settled yet.
+// settle settles the closed buckets that have no summary yet.
 func (j *janitor) settle(ctx context.Context, now time.Time) error {
 	l := j.ledger
+	left := maxSettle
 	for _, kind := range []key.Kind{key.Timed, key.Opaque} {
-		back := l.settings.Window + time.Duration(settleBack)*l.settings.Layout.BillBucket
-		for _, b := range l.settings.Layout.Buckets(kind, now.Add(-back-l.settings.Window), now.Add(-l.settings.Window)) {
-			if j.settled[b] || now.Before(l.closes(b)) {
+		to := now.Add(-l.settings.Window)
+		buckets := l.settings.Layout.Buckets(kind, to.Add(-settleBack), to)
+		settled, err := l.store.summaries(ctx, buckets[0])
+		if err != nil {
+			return err
+		}
+		for _, b := range buckets {
+			if left == 0 || now.Before(l.closes(b)) {
+				break
+			}
+			if settled[b.Summary()] {
 				continue
 			}
 			if _, err := l.SettleBucket(ctx, b); err != nil {
 				return err
 			}
-			j.settled[b] = true
+			left--
 		}
 	}
 	return nil
--- a/internal/ledger/janitor_test.go
+++ b/internal/ledger/janitor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,6 +62,7 @@
 		is.True(errors.Is(err, ErrOpenBucket))
 		time.Sleep(27 * time.Hour)
 		is.Equal(len(c.platform.Dump(bucket.Summary()).Rows), 1)
+		is.Equal(len(c.platform.Dump(bucket.Previous().Summary()).Rows), 1) // one without bills
 		want := []Total{{Org: "org", Bills: 1, Cost: 7}}
 		for id := range c.ledgers {
 			s, err := c.ledgers[id].SettleBucket(context.Background(), bucket)
@@ -79,6 +81,28 @@
 	})
 }
 
+// A bucket holds more bills than a page may. The pages must give each bill
+// once, also if they are asked for at different nodes.
+func TestPagesGiveEachBillOnce(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		const bills = pageBills + 10
+		var wg sync.WaitGroup
+		for range bills {
+			wg.Go(func() { _, _ = billIn(c.ledgers["e0"], 5*time.Second, billOf(newKey(), 1)) })
+		}
+		wg.Wait()
+		q := BillQuery{From: time.Now().Add(-time.Hour), To: time.Now().Add(time.Hour)}
+		first, err := c.ledgers["e0"].Bills(context.Background(), q)
+		is.NoErr(err)
+		is.Equal(len(first.Bills), pageBills)
+		q.Cursor = first.Next
+		second, err := c.ledgers["e1"].Bills(context.Background(), q)
+		is.NoErr(err)
+		is.Equal(len(second.Bills), 10)
+		is.Equal(len(c.allBills("e1")), bills)
+	})
+}
+
 // A caller uses its own order numbers as keys and sends one again over
 // midnight. The two bills lie in two buckets, and are one bill of the first.
 func TestOpaqueKeyIsBilledOnceOverMidnight(t *testing.T) {
--- a/internal/ledger/key/bucket.go
+++ b/internal/ledger/key/bucket.go
@@ -17,7 +17,10 @@
 }
 
 // Summary is the key of the row that holds the bucket's totals.
-func (b Bucket) Summary() string { return fmt.Sprintf("settled/%c/%012d", b.Kind, b.Number) }
+func (b Bucket) Summary() string { return fmt.Sprintf("%s%012d", b.SummaryPrefix(), b.Number) }
+
+// SummaryPrefix is the beginning of the keys of the summaries of the kind.
+func (b Bucket) SummaryPrefix() string { return fmt.Sprintf("settled/%c/", b.Kind) }
 
 // Previous is the bucket before.
 func (b Bucket) Previous() Bucket { return Bucket{Kind: b.Kind, Number: b.Number - 1} }
--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,29 +10,39 @@
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 )
 
-// pageBuckets is how many buckets one page looks through at most, so that a
-// long span without bills does not read for ever.
-const pageBuckets = 200
+const (
+	// pageBuckets is how many buckets one page looks through at most, so that
+	// a long span without bills does not read for ever.
+	pageBuckets = 100
+	// pageBills is the most bills in a page.
+	pageBills = 2000
+)
 
-// Bills returns bills by their time. A page holds whole buckets, in order of
-// time, first those of keys that carry one.
+// Bills returns bills by their time. A page holds bills of one bucket; buckets
+// come in order of time, first those of keys that carry one.
 func (l *Ledger) Bills(ctx context.Context, q BillQuery) (BillPage, error) {
 	buckets := l.buckets(q)
-	at, err := position(q.Cursor, len(buckets))
+	at, err := parseCursor(q.Cursor)
 	if err != nil {
 		return BillPage{}, err
 	}
-	for n := 0; at < len(buckets) && n < pageBuckets; n++ {
-		bills, err := l.store.bills(ctx, buckets[at], l.settings.Window)
+	for n := 0; at.bucket < len(buckets) && n < pageBuckets; n++ {
+		bills, err := l.store.bills(ctx, buckets[at.bucket], l.settings.Window)
 		if err != nil {
 			return BillPage{}, err
 		}
-		at++
-		if bills = q.fitting(bills); len(bills) > 0 {
-			return BillPage{Bills: bills, Next: cursor(at, len(buckets))}, nil
+		bills = q.fitting(bills)
+		bills = bills[min(at.offset, len(bills)):]
+		if len(bills) > pageBills {
+			at.offset += pageBills
+			return BillPage{Bills: bills[:pageBills], Next: at.String()}, nil
+		}
+		at = cursor{bucket: at.bucket + 1}
+		if len(bills) > 0 {
+			return BillPage{Bills: bills, Next: at.next(len(buckets))}, nil
 		}
 	}
-	return BillPage{Next: cursor(at, len(buckets))}, nil
+	return BillPage{Next: at.next(len(buckets))}, nil
 }
 
 // Totals returns what each organisation has to pay, in order of their names.
@@ -79,24 +88,6 @@
 	return b.At
 }
 
-func position(text string, buckets int) (int, error) {
-	if text == "" {
-		return 0, nil
-	}
-	at, err := strconv.Atoi(text)
-	if err != nil || at < 0 || at > buckets {
-		return 0, eris.Errorf("no such cursor: %q", text)
-	}
-	return at, nil
-}
-
-func cursor(at, buckets int) string {
-	if at >= buckets {
-		return ""
-	}
-	return strconv.Itoa(at)
-}
-
 // bills reads the bills of a bucket, each once.
 func (s *store) bills(ctx context.Context, b key.Bucket, window time.Duration) ([]bill.Bill, error) {
 	all, err := s.rawBills(ctx, b)
--- a/internal/ledger/route.go
+++ b/internal/ledger/route.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"maps"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/event"
@@ -29,6 +31,7 @@
 	self    platform.VM
 	members func() []platform.VM
 	log     *slog.Logger
+	view    atomic.Pointer[view]
 
 	mu       sync.Mutex
 	suspects map[string]time.Time // until when, by id
@@ -41,36 +44,55 @@
 // batchers returns who should bring entries into a log: the members of any
 // failure domain, in order, and this node in the end.
 func (r *route) batchers(now time.Time, name key.Log) []platform.VM {
-	return r.withSelf(rank.First(name.Prefix(), r.usable(now, anywhere), candidates))
+	return r.withSelf(r.first(now, name.Prefix(), r.look(now).all, candidates))
 }
 
 // collectors returns who should collect this node's bills.
 func (r *route) collectors(now time.Time) []platform.VM {
 	duty := "collect/" + r.self.FailureDomain + "/" + strconv.FormatInt(now.UnixNano()/int64(epoch), 10)
-	here := func(vm platform.VM) bool { return vm.FailureDomain == r.self.FailureDomain }
-	return r.withSelf(rank.First(duty, r.usable(now, here), candidates))
+	return r.withSelf(r.first(now, duty, r.look(now).here, candidates))
 }
 
 // holders returns who should hold copies of a row, in order; there are more
 // than needed, for those that have no room or do not answer.
 func (r *route) holders(now time.Time, rowKey string) []platform.VM {
-	elsewhere := func(vm platform.VM) bool { return vm.FailureDomain != r.self.FailureDomain }
-	return rank.First("hold/"+rowKey, r.usable(now, elsewhere), 3*holdCopies)
+	return r.first(now, "hold/"+rowKey, r.look(now).elsewhere, 3*holdCopies)
 }
 
 // janitor says whether this node sees to old rows in this period.
-func (r *route) janitor(period int64) bool {
+func (r *route) janitor(now time.Time, period int64) bool {
 	duty := "janitor/" + strconv.FormatInt(period, 10)
-	return rank.First(duty, r.usable(time.Now(), anywhere), 1)[0].ID == r.self.ID
+	return r.first(now, duty, r.look(now).all, 1)[0].ID == r.self.ID
 }
 
 // domains is how many failure domains the members are in.
-func (r *route) domains() int {
-	seen := map[string]struct{}{r.self.FailureDomain: {}}
-	for _, vm := range r.members() {
-		seen[vm.FailureDomain] = struct{}{}
+func (r *route) domains() int { return r.look(time.Now()).domains }
+
+// look returns the members as they are, or were a moment ago: to sort out all
+// members for each message would cost a large fleet's nodes most of what they
+// may spend.
+func (r *route) look(now time.Time) *view {
+	v := r.view.Load()
+	if v == nil || now.Sub(v.at) > viewAge {
+		v = newView(now, r.self, r.members())
+		r.view.Store(v)
 	}
-	return len(seen)
+	return v
+}
+
+// first returns the first of a group, without those under suspicion.
+func (r *route) first(now time.Time, duty string, group []platform.VM, n int) []platform.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.suspects, func(_ string, until time.Time) bool { return !now.Before(until) })
+	ranked := rank.First(duty, group, n+len(r.suspects))
+	usable := ranked[:0]
+	for _, vm := range ranked {
+		if _, ok := r.suspects[vm.ID]; !ok && len(usable) < n {
+			usable = append(usable, vm)
+		}
+	}
+	return usable
 }
 
 func (r *route) find(id string) (platform.VM, bool) {
@@ -85,29 +107,6 @@
 	return platform.VM{}, false
 }
 
-func anywhere(platform.VM) bool { return true }
-
-// usable returns the members that fit, and this node if it does.
-func (r *route) usable(now time.Time, fits func(platform.VM) bool) []platform.VM {
-	members := r.members()
-	usable := make([]platform.VM, 0, len(members)+1)
-	if fits(r.self) {
-		usable = append(usable, r.self)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, vm := range members {
-		if vm.ID == r.self.ID || vm.Peer == "" || vm.State == platform.Leaving || !fits(vm) {
-			continue
-		}
-		if until, ok := r.suspects[vm.ID]; ok && now.Before(until) {
-			continue
-		}
-		usable = append(usable, vm)
-	}
-	return usable
-}
-
 // withSelf ends the order with this node, which can do everything itself.
 func (r *route) withSelf(order []platform.VM) []platform.VM {
 	for i := range order {
@@ -126,11 +125,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	if until, ok := r.suspects[vm.ID]; !ok || until.Before(now) {
+	if _, ok := r.suspects[vm.ID]; !ok {
 		event.LedgerPeerSuspect.Log(r.log, slog.String("peer", vm.ID))
 	}
-	r.suspects[vm.ID] = now.Add(suspicion)
+	r.suspects[vm.ID] = time.Now().Add(suspicion)
 }
 
 // answered notes that a peer answered.
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -45,7 +45,7 @@
 // of which the ledger uses at most 300.
 func DefaultSettings() Settings {
 	return Settings{
-		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: time.Hour},
+		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: 5 * time.Minute},
 		ClaimWritesPerSecond: 150,
 		BillWritesPerSecond:  150,
 		Window:               24 * time.Hour,
--- a/internal/ledger/summary.go
+++ b/internal/ledger/summary.go
@@ -80,3 +80,22 @@
 	event.LedgerSettled.Log(l.deps.Log, slog.String("bucket", b.String()), slog.Uint64("revision", s.Revision))
 	return nil
 }
+
+// summaries returns the keys of the summaries from a bucket on.
+func (s *store) summaries(ctx context.Context, from key.Bucket) (map[string]bool, error) {
+	all := map[string]bool{}
+	after := from.Previous().Summary()
+	for {
+		rows, err := s.scan(ctx, from.SummaryPrefix(), after, scanRows)
+		if err != nil {
+			return nil, eris.Wrap(err, "read summaries")
+		}
+		for _, row := range rows {
+			all[row.Key] = true
+			after = row.Key
+		}
+		if len(rows) < scanRows {
+			return all, nil
+		}
+	}
+}
