--- a/internal/ledger/storm_test.go
+++ b/internal/ledger/storm_test.go
@@ -68,8 +68,9 @@
 func (s *storm) run(_ *is.I, c *cluster) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(stormTime)
-	wg.Go(func() { s.kill(c, end) })
-	wg.Go(func() { s.breakStores(c, end) })
+	killing, breaking := rand.New(rand.NewPCG(s.rng.Uint64(), 8)), rand.New(rand.NewPCG(s.rng.Uint64(), 9))
+	wg.Go(func() { s.kill(c, end, killing) })
+	wg.Go(func() { s.breakStores(c, end, breaking) })
 	for time.Now().Before(end) {
 		id := fmt.Sprintf("e%d", s.rng.IntN(8))
 		wg.Go(func() { s.bill(c, id) })
@@ -106,8 +107,7 @@
 	}
 }
 
-func (s *storm) kill(c *cluster, end time.Time) {
-	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 8))
+func (s *storm) kill(c *cluster, end time.Time, rng *rand.Rand) {
 	for time.Now().Before(end) {
 		time.Sleep(s.kind.apart + time.Duration(rng.Int64N(int64(s.kind.more))))
 		victims := rng.Perm(len(c.members))[:s.kind.together]
@@ -134,8 +134,7 @@
 	}
 }
 
-func (s *storm) breakStores(c *cluster, end time.Time) {
-	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 9))
+func (s *storm) breakStores(c *cluster, end time.Time, rng *rand.Rand) {
 	for time.Now().Before(end) {
 		faults := []fault.Fault{{}, {Down: true}, {OneWay: true}, {DelayMS: 1000}, {LoseAckFraction: 0.5}, {RefuseFraction: 0.5}, {Down: true}}
 		table, objects := faults[rng.IntN(len(faults))], faults[rng.IntN(len(faults))]
