Count idle connections between nodes as they are closed

Cause: the capacity model still said that no connection is ever closed for being idle, though package peer closes them after a minute since. Ruled out: that the minute alone meets the budget: all nodes call a batcher of claims within its minute, each over a connection of its own.

--- a/internal/capacity/role_process.go
+++ b/internal/capacity/role_process.go
@@ -7,6 +7,9 @@
 	"github.com/hickorybank/hickorybank/internal/telemetry"
 )
 
+// idleSeconds is after how many seconds package peer closes an idle connection.
+const idleSeconds = 60
+
 const telemetryBound = telemetry.DefaultRequests
 
 // process is what any process of the program takes.
@@ -64,21 +67,26 @@
 	}
 }
 
-// connections between peers stay open once they were used; nothing closes
-// those that are idle.
+// connections between peers are closed when they were idle for a minute, so
+// that a node has those that it used within the last one.
 func (c *calc) connections() Role {
 	nodes := float64(c.Size.Nodes)
 	end := c.per("peer.connection.heap") / 2
-	// Parent and children, ring of suspects both ways, the collectors of some
-	// epochs, holders of limits.
+	// Parent and children, ring of suspects both ways, collectors of a minute,
+	// batchers of two minutes' logs, holders of limits.
+	const family, buckets = 5, 2
 	ring := 2 * math.Floor(math.Log2(nodes)+1)
-	used := 5 + ring + 2*c.Assume.ActiveOrganisations*c.Assume.Limited + 8
+	collectors := min(idleSeconds/collectEpoch, c.Size.perDomain())
+	batchers := buckets * c.claimFigures().batchers
+	domains := float64(c.Size.FailureDomains)
+	used := family + ring + collectors + batchers + 2*c.Assume.ActiveOrganisations*c.Assume.Limited
 	return Role{
 		Name: "connections between nodes", Plane: Control,
 		State:     fmt.Sprintf("%s of heap and stack for each end", amount(end)),
-		Mechanism: fmt.Sprintf("net/rpc over kept TCP connections, about %.0f in use at a time; package peer", used),
-		Each:      Cost{Memory: c.memory(used * end)}, Busiest: Cost{Memory: c.memory(2 * nodes * end)}, Who: "a node that has called and was called by all others once",
-		Over:   fmt.Sprintf("Collectors, batchers and holders change, so that a node meets all %.0f others in time, and no connection is ever closed for being idle: %s. Met by closing those that were idle for a minute.", nodes, amount(c.memory(2*nodes*end))),
+		Mechanism: fmt.Sprintf("net/rpc over TCP connections that are closed when idle for a minute, about %.0f at a time; package peer", used),
+		Each:      Cost{Memory: c.memory(used * end)},
+		Busiest:   Cost{Memory: c.memory((used + nodes) * end)}, Who: "a batcher of claims, which all nodes call in its minute",
+		Over:   fmt.Sprintf("All %.0f nodes that have claims call a log's batcher by themselves, so that it holds a connection from each for its minute and the next. Met by passing claims through the failure domain's collector, as bills are: %.0f connections then.", nodes, domains),
 		Mended: Cost{Memory: c.memory(used * end)},
 	}
 }
