State the stand-in platform's limits once

Cause: the settings of the stand-in's server repeated every field of the state behind it, with its comment, and copied them one by one. Ruled out: one type for both; where to listen is the server's alone. Checks of the tests are unchanged, only their literals name the embedded settings. Run: go test ./internal/standin/platform/..., green.

--- a/internal/capacity/probe_platform.go
+++ b/internal/capacity/probe_platform.go
@@ -11,6 +11,7 @@
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/platform/client"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
 
 // platformProbes measure calls of the platform. The stand-in's part is in the
@@ -70,7 +71,7 @@
 }
 
 func newPlatform(row []byte) (*standin.Server, error) {
-	s, err := standin.New(standin.Settings{Listen: "127.0.0.1:0", FaultListen: "127.0.0.1:0", Seed: 1}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s, err := standin.New(standin.Settings{Listen: "127.0.0.1:0", FaultListen: "127.0.0.1:0", Settings: memory.Settings{Seed: 1}}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/dev/deployment.go
+++ b/internal/cli/dev/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/hickorybank/hickorybank/internal/node"
 	platformclient "github.com/hickorybank/hickorybank/internal/platform/client"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
 
@@ -76,8 +77,11 @@
 
 func (d *Deployment) startPlatform() error {
 	server, err := standin.New(standin.Settings{
-		Listen: freePort, FaultListen: freePort, WritesPerSecond: writesPerSecond, ReadsPerSecond: readsPerSecond,
-		VMListLag: listLag, Seed: d.settings.Seed, RatingNoise: ratingNoise,
+		Listen: freePort, FaultListen: freePort,
+		Settings: memory.Settings{
+			WritesPerSecond: writesPerSecond, ReadsPerSecond: readsPerSecond,
+			VMListLag: listLag, Seed: d.settings.Seed, RatingNoise: ratingNoise,
+		},
 	}, d.log)
 	if err != nil {
 		return err
--- a/internal/cli/standin_platform.go
+++ b/internal/cli/standin_platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/cli/setting"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
 
 const standinHelp = `Run a stand-in for an outside system, for trials and tests.`
@@ -35,8 +36,10 @@
 	log := c.logger(c.env)
 	server, err := standin.New(standin.Settings{
 		Listen: c.Listen, FaultListen: c.FaultListen,
-		WritesPerSecond: c.Writes.Get(), ReadsPerSecond: c.Reads.Get(),
-		VMListLag: c.ListLag.Get(), Seed: c.Seed.Uint64(), RatingNoise: c.Noise.Get(),
+		Settings: memory.Settings{
+			WritesPerSecond: c.Writes.Get(), ReadsPerSecond: c.Reads.Get(),
+			VMListLag: c.ListLag.Get(), Seed: c.Seed.Uint64(), RatingNoise: c.Noise.Get(),
+		},
 	}, log)
 	if err != nil {
 		return err
--- a/internal/standin/platform/faultport_test.go
+++ b/internal/standin/platform/faultport_test.go
@@ -19,7 +19,7 @@
 
 func TestRetryAfterHeader(t *testing.T) {
 	is := is.New(t)
-	server, c := start(t, standin.Settings{WritesPerSecond: 0.4})
+	server, c := start(t, standin.Settings{Settings: memory.Settings{WritesPerSecond: 0.4}})
 	_, err := c.Commit(t.Context(), put("a", "x"))
 	is.NoErr(err)
 	body := strings.NewReader(`{"conditions":[],"writes":[]}`)
@@ -63,7 +63,7 @@
 
 func TestVersionGoesBad(t *testing.T) {
 	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{DefaultQuality: 0.9})
+	c, ctl := startWithFaults(t, standin.Settings{Settings: memory.Settings{DefaultQuality: 0.9}})
 	ctx := t.Context()
 	score, err := c.Rate(ctx, platform.RateRequest{Version: "v", Class: "draft"})
 	is.NoErr(err)
@@ -76,7 +76,7 @@
 
 func TestVMListLag(t *testing.T) {
 	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{VMListLag: time.Minute})
+	c, ctl := startWithFaults(t, standin.Settings{Settings: memory.Settings{VMListLag: time.Minute}})
 	ctx := t.Context()
 	is.NoErr(c.RegisterVM(ctx, platform.VM{ID: "vm-1", Role: platform.RoleEntry, Addr: "127.0.0.1:1"}))
 	list, err := c.VMs().List(ctx)
--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -110,7 +110,7 @@
 
 func TestRateLimit(t *testing.T) {
 	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{WritesPerSecond: 0.001})
+	c, ctl := startWithFaults(t, standin.Settings{Settings: memory.Settings{WritesPerSecond: 0.001}})
 	ctx := t.Context()
 	_, err := c.Commit(ctx, put("a", "x"))
 	is.NoErr(err)
@@ -134,7 +134,7 @@
 // loader must not take the part for the whole.
 func TestWeightsCutOff(t *testing.T) {
 	is := is.New(t)
-	c, ctl := startWithFaults(t, standin.Settings{WeightBytes: 1 << 20})
+	c, ctl := startWithFaults(t, standin.Settings{Settings: memory.Settings{WeightBytes: 1 << 20}})
 	ctx := t.Context()
 	n, err := c.FetchWeights(ctx, "family/v1")
 	is.NoErr(err)
--- a/internal/standin/platform/lifecycle_test.go
+++ b/internal/standin/platform/lifecycle_test.go
@@ -13,11 +13,12 @@
 	"github.com/hickorybank/hickorybank/internal/platform"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
 
 func TestSettingsAreCheckedTogether(t *testing.T) {
 	is := is.New(t)
-	_, err := standin.New(standin.Settings{WritesPerSecond: -1, VMListLag: -1, DefaultQuality: 3}, nil)
+	_, err := standin.New(standin.Settings{Settings: memory.Settings{WritesPerSecond: -1, VMListLag: -1, DefaultQuality: 3}}, nil)
 	is.True(err != nil)
 	for _, field := range []string{"Listen", "WritesPerSecond", "VMListLag", "DefaultQuality"} {
 		is.True(strings.Contains(err.Error(), field))
--- a/internal/standin/platform/linearizable_test.go
+++ b/internal/standin/platform/linearizable_test.go
@@ -17,6 +17,7 @@
 	"github.com/hickorybank/hickorybank/internal/platform/client"
 	standin "github.com/hickorybank/hickorybank/internal/standin/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 )
 
 // op is one call on one row: a read, or a conditional write of a value that no
@@ -132,7 +133,7 @@
 // was told must fit one order of all calls: a write told as refused or as a
 // conflict must not show up, and one told as applied must not vanish.
 func TestCommitsAreLinearizable(t *testing.T) {
-	server, _ := start(t, standin.Settings{Seed: 11})
+	server, _ := start(t, standin.Settings{Settings: memory.Settings{Seed: 11}})
 	faults := fault.Fault{
 		LoseAckFraction: 0.1,
 		DropFraction:    0.05,
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -51,7 +51,7 @@
 	return &Server{
 		settings: s,
 		log:      log,
-		state:    memory.New(memory.WithSettings(s.state())),
+		state:    memory.New(memory.WithSettings(s.Settings)),
 		base:     base,
 		stop:     stop,
 	}, nil
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"math"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,39 +24,8 @@
 	// FaultListen is the host and port of the fault interface; empty means
 	// none.
 	FaultListen string
-	// WritesPerSecond bounds table commits and object puts together; 0 means
-	// no bound.
-	WritesPerSecond float64
-	// ReadsPerSecond bounds table and object reads together; 0 means no bound.
-	ReadsPerSecond float64
-	// VMListLag is how old the VM list's answers are.
-	VMListLag time.Duration
-	// Seed decides the rating's noise and the faults given by fractions.
-	Seed uint64
-	// RatingNoise is the standard deviation of a rating.
-	RatingNoise float64
-	// DefaultQuality is the quality of versions that were given none; 0 means
-	// memory.DefaultQuality.
-	DefaultQuality float64
-	// WeightBytes is the size of one version's weights; 0 means
-	// memory.DefaultWeightBytes.
-	WeightBytes int64
-	// WeightBytesPerSecond bounds all weight downloads together; 0 means no
-	// bound.
-	WeightBytesPerSecond int64
-}
-
-func (s Settings) state() memory.Settings {
-	return memory.Settings{
-		WritesPerSecond:      s.WritesPerSecond,
-		ReadsPerSecond:       s.ReadsPerSecond,
-		VMListLag:            s.VMListLag,
-		Seed:                 s.Seed,
-		RatingNoise:          s.RatingNoise,
-		DefaultQuality:       s.DefaultQuality,
-		WeightBytes:          s.WeightBytes,
-		WeightBytesPerSecond: s.WeightBytesPerSecond,
-	}
+	// Settings are the platform's limits and manners.
+	memory.Settings
 }
 
 // Validate names every impossible setting.
