Keep connections open for a while after a stopping node refuses

Cause: in the moment in which a stopping entry began to refuse it closed all connections that it took for idle. A request that was on its way over one of them met a closed connection: its caller, which holds an old address for good, saw "server closed idle connection" or EOF and no answer, though it was not run. Now each answer after that moment names the end of its connection, and only connections that nobody used for 2 s are closed.

Ruled out: requests under way (net/http counts them as busy), and connections accepted before their first byte (Shutdown waits for them).

A planned stop takes up to 2 s longer.

--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -20,6 +20,9 @@
 	// ListTime is the same for peers that could not be told, and learn it
 	// from the platform's list.
 	ListTime time.Duration
+	// LingerTime is how long connections stay open for an answer "not run"
+	// after new requests are refused.
+	LingerTime time.Duration
 }
 
 // The defaults.
@@ -30,6 +33,7 @@
 	DefaultLongestSuspect = time.Minute
 	DefaultTellTime       = 2 * time.Second
 	DefaultListTime       = 15 * time.Second
+	DefaultLingerTime     = 2 * time.Second
 )
 
 // WithDefaults returns the settings with every zero replaced by its default.
@@ -40,6 +44,7 @@
 	setDefault(&s.LongestSuspect, DefaultLongestSuspect)
 	setDefault(&s.TellTime, DefaultTellTime)
 	setDefault(&s.ListTime, DefaultListTime)
+	setDefault(&s.LingerTime, DefaultLingerTime)
 	return s
 }
 
--- a/internal/membership/stop_step.go
+++ b/internal/membership/stop_step.go
@@ -8,8 +8,8 @@
 	// LeaveAddresses: tell the peers, and name this node in no answer.
 	// [PeersTold] or [PeersMissed] answers it.
 	LeaveAddresses StopStep = iota + 1
-	// RefuseNew: refuse new requests, not run, and close connections after
-	// their answer.
+	// RefuseNew: refuse new requests, not run, and name the end of the
+	// connection in each answer.
 	RefuseNew
 	// CloseIdle: close connections without a request.
 	CloseIdle
--- a/internal/membership/stopping.go
+++ b/internal/membership/stopping.go
@@ -15,7 +15,7 @@
 	telling
 	// waiting: answers that name this node may still be held by callers.
 	waiting
-	// draining: no request begins, some run.
+	// draining: no request begins, some run, or connections linger.
 	draining
 	// flushing: nothing runs, bills may be on their way.
 	flushing
@@ -32,7 +32,10 @@
 	ordered  time.Time
 	// until is when the last answer that names this node has run out.
 	until time.Time
-	next  time.Time // of the next flush
+	// linger is when connections without a request may be closed.
+	linger     time.Time
+	idleClosed bool
+	next       time.Time // of the next flush
 }
 
 // NewStopping returns the state machine of a node that serves.
@@ -72,6 +75,15 @@
 	s.until = lastAnswer.Add(s.settings.AnswerTTL)
 }
 
+// closeIdle is the step that closes connections, once.
+func (s *Stopping) closeIdle() []StopStep {
+	if s.idleClosed {
+		return nil
+	}
+	s.idleClosed = true
+	return []StopStep{CloseIdle}
+}
+
 func (s *Stopping) advance(now time.Time, running int) []StopStep {
 	var steps []StopStep
 	// The word that the peers were told may never come; then they learn it
@@ -81,11 +93,17 @@
 	}
 	if s.phase == waiting && !now.Before(s.until) {
 		s.phase = draining
-		steps = append(steps, RefuseNew, CloseIdle)
+		s.linger = now.Add(s.settings.LingerTime)
+		steps = append(steps, RefuseNew)
 	}
-	if s.phase == draining && running == 0 {
+	// It guards against a request that is on its way over a connection which
+	// this node takes for idle: its caller sees the connection break without
+	// an answer. Whoever still sends meanwhile hears "not run" and that the
+	// connection ends, so only connections that nobody uses are left to close.
+	if s.phase == draining && running == 0 && !now.Before(s.linger) {
 		s.phase = flushing
 		s.next = now
+		steps = append(steps, s.closeIdle()...)
 	}
 	if s.phase == flushing && !now.Before(s.next) {
 		s.next = now.Add(flushRetry)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,7 +229,7 @@
 func (n *Node) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	n.server = &http.Server{Handler: api.New(n), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	n.server = &http.Server{Handler: n.stopping.closing(api.New(n)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	n.duties.Go(func() { _ = n.server.Serve(n.listener) }) // returns when closed
 	n.registerGauges()
 	n.serveOperators()
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,18 @@
 	return false
 }
 
+// closing names the end of the connection in each answer while new requests
+// are refused, so that its caller does not use it again. Connections are not
+// closed under requests that are on their way.
+func (s *stopping) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.refusesNew() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *stopping) leave(ctx context.Context) bool {
 	s.node.members.MarkLeaving(s.node.settings.ID)
 	if s.node.sync.AnnounceLeaving(ctx) > 0 {
