Say what a version's engines have room for

Cause: the choice of a version does not know which versions have engines. A version that no engine has loaded, or only one of eighteen, gets the work of all (scenario fail_version_not_loaded: "no upstream" beside idle engines).

The balancer now says for each version how many usable engines have it, whether that is not known yet, and the part of the requests that it has room for. A version gives way only when its engines are full and fuller than the rest; when there is more work than it has places, a node also keeps its own work on it to its own part of all work, since reports lag. When all engines of a version are lost at once it has no room until one answers a poll; then one request probes.

Ruled out: shedding by reported load alone. With a lag of 4 s and requests of 20 s it overshoots by the arrivals of the lag, several times the places (reckoned, not run).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -21,7 +21,9 @@
 	services map[string]*pool
 	shared   map[string]*sharedPool // by version
 	// unsure are the engines whose versions are not known yet.
-	unsure  pool
+	unsure pool
+	// engines are those whose versions are known.
+	engines pool
 	domains domains
 
 	slots slots
@@ -78,6 +80,7 @@
 	h.report.take(r, h.inFlight, at)
 	if r.Leaving {
 		h.leaves(t)
+		b.refresh(t)
 	} else {
 		h.stays(at)
 	}
@@ -102,5 +105,6 @@
 func (b *Balancer) Leaving(vmID string, now time.Time) {
 	if h := b.hosts[vmID]; h != nil {
 		h.leaves(b.since(now))
+		b.refresh(b.since(now))
 	}
 }
--- a/internal/balance/breaker.go
+++ b/internal/balance/breaker.go
@@ -15,6 +15,9 @@
 	until   time.Duration
 	pause   time.Duration
 	probing bool
+	// heard says that the upstream has answered a poll since it opened or a
+	// probe failed.
+	heard bool
 }
 
 func (b *breaker) open() bool { return b.until != 0 }
@@ -52,6 +55,7 @@
 		return false
 	}
 	b.pause = s.OpenFor
+	b.heard = false
 	b.until = now + spread(b.pause, jitter)
 	return true
 }
@@ -63,6 +67,7 @@
 		return
 	}
 	b.probing = false
+	b.heard = false
 	b.pause = min(2*b.pause, s.MaxOpenFor)
 	b.until = now + spread(b.pause, jitter)
 }
@@ -72,9 +77,11 @@
 
 // alive lets the next probe through at once: the upstream has answered a poll.
 func (b *breaker) alive(now time.Duration) {
-	if b.open() && b.until > now {
-		b.until = now
+	if !b.open() {
+		return
 	}
+	b.heard = true
+	b.until = min(b.until, now)
 }
 
 // spread keeps many nodes from probing at one moment: jitter is in [0,1).
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -16,6 +16,7 @@
 		return Pick{Shortage: b.shortage(p, now)}, false
 	}
 	h.inFlight++
+	p.inFlight++
 	h.breaker.taken()
 	if r.Alone {
 		h.isolated++
--- a/internal/balance/datadriven_test.go
+++ b/internal/balance/datadriven_test.go
@@ -18,6 +18,7 @@
 	now    time.Duration
 	random uint64
 	tokens map[string]Pick
+	begun  []Token
 }
 
 func TestScenarios(t *testing.T) {
@@ -73,6 +74,23 @@
 		s.slow(f[0], number(f[1]), number(f[2]))
 	case "changes":
 		return s.changes()
+	case "load": // id running version...
+		s.b.Report(f[0], upstream.LoadReport{Running: number(f[1]), Limit: 8, Versions: f[2:]}, s.time())
+	case "unreached": // id n: n polls that the upstream did not answer
+		for range number(f[1]) {
+			s.b.PollFailed(f[0], s.time())
+		}
+	case "room": // version...
+		return s.room(f)
+	case "begin": // version n: n attempts that stay in flight
+		for range number(f[1]) {
+			s.random++
+			if p, ok := s.b.Pick(Request{Version: f[0], Now: s.time(), Random: mix(7, s.random)}); ok {
+				s.begun = append(s.begun, p.Token)
+			}
+		}
+	case "end": // outcome: all that were begun
+		s.end(f[0])
 	case "polls":
 		return s.polls(number(f[0]))
 	}
@@ -143,9 +161,17 @@
 	return out.String()
 }
 
+var outcomes = map[string]Outcome{"ok": Succeeded, "unreached": Unreached, "declined": Declined, "missing": MissingVersion, "broken": Broken}
+
+func (s *script) end(outcome string) {
+	for _, t := range s.begun {
+		s.b.Done(t, Result{Outcome: outcomes[outcome]}, s.time())
+	}
+	s.begun = nil
+}
+
 func (s *script) done(name, outcome string) {
-	words := map[string]Outcome{"ok": Succeeded, "unreached": Unreached, "declined": Declined, "missing": MissingVersion, "broken": Broken}
-	s.b.Done(s.tokens[name].Token, Result{Outcome: words[outcome], FirstToken: 100 * time.Millisecond, Latency: time.Second, Tokens: 20}, s.time())
+	s.b.Done(s.tokens[name].Token, Result{Outcome: outcomes[outcome], FirstToken: 100 * time.Millisecond, Latency: time.Second, Tokens: 20}, s.time())
 }
 
 func (s *script) slow(id string, ms, n int) {
@@ -157,6 +183,15 @@
 	}
 }
 
+func (s *script) room(versions []string) string {
+	var out strings.Builder
+	for _, v := range versions {
+		r := s.b.Room(v, s.time())
+		fmt.Fprintf(&out, "%s: %d engines, unsure %v, share %.2f\n", v, r.Engines, r.Unsure, r.Share)
+	}
+	return out.String()
+}
+
 func (s *script) changes() string {
 	words := map[ChangeKind]string{Opened: "opened", Closed: "closed", Ejected: "ejected"}
 	var out strings.Builder
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -26,6 +26,7 @@
 	at := b.since(now)
 	h := s.host
 	h.inFlight--
+	s.pool.inFlight--
 	if s.alone {
 		h.isolated--
 	}
@@ -41,6 +42,7 @@
 		if h.breaker.succeeded() && h.domain != nil {
 			h.domain.closed()
 			b.changed(h, Closed)
+			b.refresh(now)
 		}
 		b.measure(s, r)
 	case Unreached, Broken:
@@ -62,6 +64,7 @@
 	if h.breaker.failed(b.settings.Breaker, now, jitter) && h.domain != nil {
 		h.domain.opened(now)
 		b.changed(h, Opened)
+		b.refresh(now)
 	}
 }
 
--- a/internal/balance/maintain.go
+++ b/internal/balance/maintain.go
@@ -27,12 +27,18 @@
 func (b *Balancer) refresh(now time.Duration) {
 	b.refreshed = now
 	for _, p := range b.versions {
-		p.refresh(now, b.settings.MaxReportAge)
+		b.refreshEngines(p, now)
 	}
 	for _, p := range b.services {
 		p.refresh(now, b.settings.MaxReportAge)
 	}
-	b.unsure.refresh(now, b.settings.MaxReportAge)
+	b.refreshEngines(&b.unsure, now)
+	b.refreshEngines(&b.engines, now)
+}
+
+func (b *Balancer) refreshEngines(p *pool, now time.Duration) {
+	p.refresh(now, b.settings.MaxReportAge)
+	b.survey(p, now)
 }
 
 // countLate counts each upstream's requests that wait far too long for their
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -105,6 +105,7 @@
 		p.hosts = p.hosts[:0]
 	}
 	b.unsure.hosts = b.unsure.hosts[:0]
+	b.engines.hosts = b.engines.hosts[:0]
 	clear(b.domains)
 	for _, h := range b.order {
 		b.domains.join(h)
@@ -122,7 +123,9 @@
 	}
 	if !h.known {
 		b.unsure.hosts = append(b.unsure.hosts, h)
+		return
 	}
+	b.engines.hosts = append(b.engines.hosts, h)
 	for _, v := range h.versions {
 		p := poolOf(b.versions, v)
 		p.hosts = append(p.hosts, h)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -9,7 +9,12 @@
 	// meanOthers and meanLimit are over the hosts' reports.
 	meanOthers float64
 	meanLimit  float64
-	typical    typical
+	// inFlight are this node's attempts that were picked from the pool;
+	// surveyed were so when places was counted.
+	inFlight int
+	surveyed int
+	places   places
+	typical  typical
 }
 
 // refresh recomputes the means over the pool's reports.
