Choose among versions that engines have room for

Cause: the cheapest version that meets the target was taken also when no engine had it or its only engine was full.

A request now comes with what there is room for, one entry for each version. Versions without an engine are left out, those with room for a part of the requests take that part, and the rest goes to the next cheapest mix that meets the target. If what has room would miss the target the request waits for what is full: late is better than bad. When nobody knows anything yet, or no engine has any of them, all are planned with as before. A session on a version without an engine is refused, not run, before a grant of a staged version is spent.

--- a/internal/choice/call.go
+++ b/internal/choice/call.go
@@ -16,8 +16,11 @@
 	*Chooser
 	req   Request
 	draws draws
-	// usable are the versions that are serving and not held, by their index.
+	// usable are the versions to plan with, by their index: serving, not
+	// held, and with room for this request as far as there is any.
 	usable uint64
+	// waiting are usable and those that this request would have to wait for.
+	waiting uint64
 	// least is the held version that is the least bad; nil when none is held.
 	least *versionView
 }
@@ -47,8 +50,8 @@
 // to be exposed, if any.
 func (c *call) sort() *versionView {
 	var exposed *versionView
-	var spared uint64
-	for _, name := range c.req.Versions {
+	var usable, spared rooms
+	for at, name := range c.req.Versions {
 		i, ok := c.view.index[name]
 		if !ok || i >= mostVersions {
 			continue
@@ -58,21 +61,32 @@
 		case v.state.held():
 			c.least = c.better(c.least, v)
 		case v.config.State == config.Staged:
-			if c.due(v) {
+			if c.room(at).Engines > 0 && c.due(v) {
 				exposed = v
 			}
 		case !c.spared(v.state):
-			c.usable |= 1 << i
+			usable.add(i, c.room(at), c.spill(at))
 		default:
-			spared |= 1 << i
+			spared.add(i, c.room(at), c.spill(at))
 		}
 	}
-	if c.usable == 0 {
-		c.usable = spared
+	if usable.loaded == 0 && spared.loaded != 0 || usable.all == 0 {
+		usable = spared
 	}
+	c.usable = usable.best()
+	c.waiting = c.usable | usable.loaded
 	return exposed
 }
 
+// spill draws whether a version that has room for a part of its requests has
+// room for this one. A version that has room for all needs no draw.
+func (c *call) spill(at int) float64 {
+	if c.room(at).Share >= 1 {
+		return 0
+	}
+	return c.draws.next()
+}
+
 // spared says that a version under suspicion is left out of this request. It
 // gets few until its ratings have cleared it or it is held: answers that are
 // begun before their forerunners' ratings have come would only be more bad ones.
--- a/internal/choice/mix.go
+++ b/internal/choice/mix.go
@@ -8,6 +8,7 @@
 
 // mix takes the cheapest mix of ways whose expected quality meets the target.
 func (c *call) mix() Plan {
+	c.stayAtTarget()
 	f := c.frontier(c.key(c.mayCascade()), c.req.Now)
 	if p, ok := c.explore(f); ok {
 		return p
@@ -30,6 +31,18 @@
 	return p
 }
 
+// stayAtTarget lets a request wait for a version that is full when all that
+// have room would miss the target: full engines make answers late, not bad.
+func (c *call) stayAtTarget() {
+	if c.usable == c.waiting {
+		return
+	}
+	wanted := c.req.Org.Target(c.req.Class.Name)
+	if c.frontier(c.key(c.mayCascade()), c.req.Now).Best().Quality < wanted {
+		c.usable = c.waiting
+	}
+}
+
 func (c *call) key(cascades bool) planKey {
 	return planKey{class: c.req.Class.Name, versions: c.usable, cascades: cascades}
 }
--- a/internal/choice/pinned.go
+++ b/internal/choice/pinned.go
@@ -10,6 +10,9 @@
 		return Plan{Refusal: RefuseNoVersion}
 	}
 	v := &c.view.versions[i]
+	if c.room(0).none() {
+		return Plan{Refusal: RefuseNoEngine}
+	}
 	p := Plan{First: name}
 	c.fixed(c.mean(v))
 	if v.state.held() {
--- a/internal/choice/refusal.go
+++ b/internal/choice/refusal.go
@@ -16,4 +16,7 @@
 	// RefuseUngranted: the session's version is staged, and no answer of it
 	// is granted before its ratings are in. It may be tried again later.
 	RefuseUngranted Refusal = "version_not_granted"
+	// RefuseNoEngine: no engine can run the session's version at present. A
+	// session is not moved; it may be tried again later.
+	RefuseNoEngine Refusal = "version_without_engine"
 )
--- a/internal/choice/request.go
+++ b/internal/choice/request.go
@@ -18,7 +18,10 @@
 	// Pinned says that a session or the caller fixed the version, which is
 	// then the only one in Versions.
 	Pinned bool
-	Now    time.Time
+	// Rooms are what there is room for, one for each of Versions. When it is
+	// empty nothing is known, and every version counts as having room.
+	Rooms []Room
+	Now   time.Time
 	// Slack is the time left until the deadline.
 	Slack time.Duration
 	// Random is a uniformly drawn number; it decides between mixed plans,
--- a/internal/choice/script_test.go
+++ b/internal/choice/script_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -114,6 +115,7 @@
 			req.Versions = strings.Split(s.text(d, "versions", ""), "/")
 		}
 		req.Pinned = d.HasArg("pinned")
+		req.Rooms = s.rooms(d, req.Versions)
 		req.Slack = time.Duration(s.number(d, "slack", 120)) * time.Second
 		p := s.chooser.Choose(req)
 		counts[describe(p)]++
@@ -132,6 +134,30 @@
 	return strings.Join(lines, "\n")
 }
 
+// rooms are all versions' unless said: version/engines/percent, or unsure in
+// place of both.
+func (s *script) rooms(d *datadriven.TestData, versions []string) []Room {
+	if !d.HasArg("room") {
+		return nil
+	}
+	rooms := make([]Room, len(versions))
+	for i := range rooms {
+		rooms[i] = Room{Engines: 18, Share: 1}
+	}
+	for _, text := range s.list(d, "room") {
+		f := strings.Split(text, "/")
+		i := slices.Index(versions, f[0])
+		if f[1] == "unsure" {
+			rooms[i] = Room{Unsure: true}
+			continue
+		}
+		rooms[i].Engines, _ = strconv.Atoi(f[1])
+		percent, _ := strconv.Atoi(f[2])
+		rooms[i].Share = float64(percent) / 100
+	}
+	return rooms
+}
+
 func describe(p Plan) string {
 	if p.Refusal != RefuseNone {
 		return "refused " + string(p.Refusal)
@@ -168,6 +194,15 @@
 	return fallback
 }
 
+func (s *script) list(d *datadriven.TestData, key string) []string {
+	for _, arg := range d.CmdArgs {
+		if arg.Key == key {
+			return arg.Vals
+		}
+	}
+	return nil
+}
+
 func (s *script) text(d *datadriven.TestData, key, fallback string) string {
 	d.MaybeScanArgs(s.t, key, &fallback)
 	return fallback
