Give the choice of a version what its engines have room for

A caller bound to a version without an engine now hears so at once, with Retry-After, before anything waits for admission.

--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -19,6 +19,8 @@
 	// freshRetry is when a node that refuses for want of a fresh
 	// configuration may be tried again.
 	freshRetry = time.Second
+	// engineRetry is when an engine may have a version that none has now.
+	engineRetry = 5 * time.Second
 )
 
 // Chat runs model work.
@@ -73,7 +75,7 @@
 	}
 	deadline := now.Add(timeout(call.Timeout, t.class))
 	plan := n.chooser.Choose(choice.Request{
-		Snapshot: snapshot, Org: call.Org, Class: t.class, Versions: t.versions, Pinned: t.pinned,
+		Snapshot: snapshot, Org: call.Org, Class: t.class, Versions: t.versions, Pinned: t.pinned, Rooms: n.upstreams.rooms(t.versions),
 		Now: now, Slack: deadline.Sub(now), Random: rand.Uint64(),
 	})
 	if plan.Refusal != choice.RefuseNone {
@@ -115,6 +117,8 @@
 		return request.Refuse(request.CodeHeld, 0, "the session's version is held because it turned bad; begin a new session")
 	case choice.RefuseUngranted:
 		return request.Refuse(request.CodeOverloaded, retrySoon, "no answer of the staged version is granted at present")
+	case choice.RefuseNoEngine:
+		return request.Refuse(request.CodeNoUpstream, engineRetry, "no engine can run the version at present, and the request is bound to it")
 	default:
 		return request.Refuse(request.CodeNotAllowed, 0, "no version may serve the request")
 	}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -9,6 +9,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/platform"
@@ -95,6 +96,18 @@
 	return u.balancer.PoolName(version)
 }
 
+// rooms says what there is room for, one entry for each version.
+func (u *upstreams) rooms(versions []string) []choice.Room {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	rooms := make([]choice.Room, len(versions))
+	for i, v := range versions {
+		rooms[i] = choice.Room(u.balancer.Room(v, now))
+	}
+	return rooms
+}
+
 // loads sums up what the upstreams of each pool reported.
 func (u *upstreams) loads(versions, services []string) map[string]admission.PoolLoad {
 	u.mu.Lock()
