--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
 var policies = []PolicyName{PolicyRoundRobin, PolicyRandom, PolicyLeastLoaded, PolicyTwoChoices, PolicyAffinity}
@@ -109,3 +110,30 @@
 		})
 	}
 }
+
+// BenchmarkRoom asks for the room of 24 versions on 64 engines, as for each
+// request that may run on any of them.
+func BenchmarkRoom(b *testing.B) {
+	const versions = 24
+	balancer := New(Settings{SelfID: "self", SelfDomain: "d"})
+	var vms []platform.VM
+	var names []string
+	for i := range versions {
+		names = append(names, fmt.Sprintf("v@%d", i))
+	}
+	for i := range 64 {
+		id := fmt.Sprint(i)
+		vms = append(vms, platform.VM{ID: id, Role: platform.RoleEngine, Addr: id, FailureDomain: "d", State: platform.Live})
+	}
+	balancer.SetMembers(vms, Place{Count: 1}, epoch)
+	for i := range vms {
+		balancer.Report(vms[i].ID, upstream.LoadReport{Limit: 16, Versions: names[:1+i%versions]}, epoch)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := epoch.Add(time.Duration(i) * 17 * time.Millisecond)
+		for _, name := range names {
+			balancer.Room(name, now)
+		}
+	}
+}
