--- a/internal/balance/sim/config.go
+++ b/internal/balance/sim/config.go
@@ -62,6 +62,9 @@
 	Crash
 	// Declining refuses each request until the end, at once.
 	Declining
+	// Failing breaks off the part Factor of the requests, at once, while load
+	// reports stay good.
+	Failing
 )
 
 // Fault happens to some engines from From to Until.
--- a/internal/balance/sim/merge.go
+++ b/internal/balance/sim/merge.go
@@ -28,6 +28,8 @@
 	r.Attempts += o.Attempts
 	r.Admitted += o.Admitted
 	r.Broken += o.Broken
+	r.ToStruck += o.ToStruck
+	r.WhileStruck += o.WhileStruck
 	for i := range r.AskedByOrg {
 		r.AskedByOrg[i] += o.AskedByOrg[i]
 		r.AnsweredByOrg[i] += o.AnsweredByOrg[i]
--- a/internal/balance/sim/node.go
+++ b/internal/balance/sim/node.go
@@ -151,6 +151,7 @@
 	j.attempts++
 	j.token = pick.Token
 	j.server = n.w.byID[pick.VM.ID]
+	n.w.result.sent(j.server)
 	j.sent = n.w.now
 	j.first = 0
 	s, try := j.server, j.tries
--- a/internal/balance/sim/result.go
+++ b/internal/balance/sim/result.go
@@ -17,6 +17,10 @@
 	// attempts that broke off.
 	Admitted int
 	Broken   int
+	// ToStruck are the attempts sent to upstreams while a fault lasted there,
+	// WhileStruck all attempts meanwhile at upstreams of the same kind.
+	ToStruck    int
+	WhileStruck int
 	// AskedByOrg and AnsweredByOrg count model requests from the warm-up on.
 	AskedByOrg    []int
 	AnsweredByOrg []int
@@ -89,6 +93,27 @@
 	return float64(attempts) / float64(usual)
 }
 
+// sent counts an attempt that goes to an upstream.
+func (r *Result) sent(s *server) {
+	if !s.w.struck(s.engine == nil) {
+		return
+	}
+	r.WhileStruck++
+	if s.struck {
+		r.ToStruck++
+	}
+}
+
+// struck says whether a fault lasts at an upstream of that kind.
+func (w *world) struck(service bool) bool {
+	for _, s := range w.servers {
+		if s.struck && (s.engine == nil) == service {
+			return true
+		}
+	}
+	return false
+}
+
 // asked counts a caller's request.
 func (r *Result) asked(j *job) {
 	r.of(j).Requests++
--- a/internal/balance/sim/run.go
+++ b/internal/balance/sim/run.go
@@ -47,6 +47,7 @@
 }
 
 func (s *server) strike(f Fault) {
+	s.struck = true
 	switch f.Kind {
 	case Slow:
 		s.setSlow(f.Factor)
@@ -54,6 +55,8 @@
 		s.crash()
 	case Declining:
 		s.declining = true
+	case Failing:
+		s.failing = f.Factor
 	}
 }
 
@@ -69,6 +72,7 @@
 }
 
 func (s *server) recover(f Fault) {
+	s.struck = false
 	switch f.Kind {
 	case Slow:
 		s.setSlow(1)
@@ -76,5 +80,7 @@
 		s.down = false
 	case Declining:
 		s.declining = false
+	case Failing:
+		s.failing = 0
 	}
 }
--- a/internal/balance/sim/table.go
+++ b/internal/balance/sim/table.go
@@ -25,6 +25,7 @@
 		{Name: "polls", About: "load reports asked for", write: pollsTable},
 		{Name: "gray", About: "one engine of 18 is 8 times as slow for two minutes, or one service of 4 50 times", write: grayTable},
 		{Name: "domain", About: "all engines of a failure domain are lost for a minute", write: domainTable},
+		{Name: "failing", About: "upstreams fail in several ways for two minutes", write: failingTable},
 		{Name: "overload", About: "a minute of 1, 2 and 5 times the capacity", write: overloadTable},
 		{Name: "fairness", About: "a large organisation sends ten times as much", write: fairnessTable},
 		{Name: "storm", About: "all engines decline for ten seconds and everyone retries", write: stormTable},
--- a/internal/balance/sim/upstream.go
+++ b/internal/balance/sim/upstream.go
@@ -27,8 +27,12 @@
 	busy    int
 	waiting []*job
 
+	// struck is set while a fault lasts.
+	struck    bool
 	down      bool
 	declining bool
+	// failing is the part of the requests that break at once.
+	failing float64
 }
 
 func newEngine(w *world, vm platform.VM, domain int, seed uint64) (*server, error) {
@@ -47,6 +51,8 @@
 		s.w.reply(j, unreached)
 	case s.declining:
 		s.w.reply(j, declined)
+	case s.failing > 0 && s.w.random.Float64() < s.failing:
+		s.w.reply(j, broken)
 	case s.engine == nil:
 		s.serve(j)
 	default:
