Find upstreams and failure domains that fail a part of their requests

Cause: an upstream that breaks off a part of its requests while its health and load reports are good never fails often enough in a row for its breaker, and as its requests end early it seems idle and draws more work than the others. One that breaks off all was probed after each good poll, since a good poll cut the breaker's pause.

Requests now add up a likelihood ratio of failing often; at 6 nats and three times the failures of the pool's median upstream it is ejected like a slow one. The same sum over a failure domain, with failures at half of its upstreams, makes it used last. A good poll cuts the pause only if the upstream could not be reached before.

Ruled out: a moving share of failures with a bound: one failure among the first ten requests would eject (reckoned). A comparison with the pool's mean: the mean holds the domain's failures (reckoned).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -97,7 +97,7 @@
 		return
 	}
 	h.poll.answered(t)
-	b.failed(h, t)
+	b.failed(h, unreachable, t)
 }
 
 // Leaving tells that an upstream takes no new work, by its own word. It holds
--- a/internal/balance/breaker.go
+++ b/internal/balance/breaker.go
@@ -18,8 +18,20 @@
 	// heard says that the upstream has answered a poll since it opened or a
 	// probe failed.
 	heard bool
+	// last is how the last request or poll failed.
+	last failure
 }
 
+// failure is a way in which a request or poll fails.
+type failure int
+
+const (
+	// unreachable: nothing was heard of the upstream.
+	unreachable failure = iota
+	// brokenOff: the upstream was reached, and its answer broke off.
+	brokenOff
+)
+
 func (b *breaker) open() bool { return b.until != 0 }
 
 // allows says whether a request may go through, perhaps as the probe.
@@ -45,8 +57,9 @@
 }
 
 // failed returns whether it opened a closed breaker.
-func (b *breaker) failed(s BreakerSettings, now time.Duration, jitter float64) bool {
+func (b *breaker) failed(s BreakerSettings, f failure, now time.Duration, jitter float64) bool {
 	b.failures++
+	b.last = f
 	if b.open() {
 		b.reopen(s, now, jitter)
 		return false
@@ -75,13 +88,18 @@
 // abandoned tells that a request ended without saying anything of the upstream.
 func (b *breaker) abandoned() { b.probing = false }
 
-// alive lets the next probe through at once: the upstream has answered a poll.
+// alive takes in that the upstream has answered a poll. If it could not be
+// reached before, it is back, and the next probe may go at once. If it was
+// reached and broke its answers off, its polls were good all the time: they
+// say nothing, and without the pause each of them would cost a request.
 func (b *breaker) alive(now time.Duration) {
 	if !b.open() {
 		return
 	}
 	b.heard = true
-	b.until = min(b.until, now)
+	if b.last == unreachable {
+		b.until = min(b.until, now)
+	}
 }
 
 // spread keeps many nodes from probing at one moment: jitter is in [0,1).
--- a/internal/balance/datadriven_test.go
+++ b/internal/balance/datadriven_test.go
@@ -70,6 +70,10 @@
 				s.b.Done(p.Token, Result{Outcome: Unreached}, s.time())
 			}
 		}
+	case "mixed": // k n id...: n requests to each, every k-th of which breaks off
+		for _, id := range f[2:] {
+			s.mixed(id, number(f[0]), number(f[1]))
+		}
 	case "slow": // id ms n: n requests there of that many milliseconds a token
 		s.slow(f[0], number(f[1]), number(f[2]))
 	case "changes":
@@ -174,6 +178,20 @@
 	s.b.Done(s.tokens[name].Token, Result{Outcome: outcomes[outcome], FirstToken: 100 * time.Millisecond, Latency: time.Second, Tokens: 20}, s.time())
 }
 
+func (s *script) mixed(id string, k, n int) {
+	for i := range n {
+		p, ok := s.pickAt(id)
+		if !ok {
+			continue
+		}
+		r := Result{FirstToken: 100 * time.Millisecond, Latency: time.Second, Tokens: 20}
+		if i%k == k-1 {
+			r = Result{Outcome: Broken, Latency: 10 * time.Millisecond}
+		}
+		s.b.Done(p.Token, r, s.time())
+	}
+}
+
 func (s *script) slow(id string, ms, n int) {
 	gap := time.Duration(ms) * time.Millisecond
 	for range n {
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -44,9 +44,14 @@
 			b.changed(h, Closed)
 			b.refresh(now)
 		}
+		h.ended(false)
 		b.measure(s, r)
-	case Unreached, Broken:
-		b.failed(h, now)
+	case Unreached:
+		h.ended(true)
+		b.failed(h, unreachable, now)
+	case Broken:
+		h.ended(true)
+		b.failed(h, brokenOff, now)
 	case Declined:
 		h.fullUntil = now + fullFor
 		h.breaker.abandoned()
@@ -59,9 +64,9 @@
 	}
 }
 
-func (b *Balancer) failed(h *host, now time.Duration) {
+func (b *Balancer) failed(h *host, f failure, now time.Duration) {
 	jitter := float64(mix(b.settings.Seed, h.hash^uint64(now))>>11) / (1 << 53)
-	if h.breaker.failed(b.settings.Breaker, now, jitter) && h.domain != nil {
+	if h.breaker.failed(b.settings.Breaker, f, now, jitter) && h.domain != nil {
 		h.domain.opened(now)
 		b.changed(h, Opened)
 		b.refresh(now)
--- a/internal/balance/maintain.go
+++ b/internal/balance/maintain.go
@@ -22,6 +22,7 @@
 	b.refresh(now)
 	b.countLate(now)
 	b.ejectSlow(now)
+	b.domains.ejectFailing(b.order, b.settings.Outlier, now)
 }
 
 func (b *Balancer) refresh(now time.Duration) {
@@ -81,7 +82,7 @@
 			continue
 		}
 		h.outlier.recovered(now)
-		if room > 0 && (h.outlier.slow(b.settings.Outlier) || h.outlier.late >= lateRequests) {
+		if room > 0 && (h.outlier.slow(b.settings.Outlier) || h.outlier.late >= lateRequests || p.failing(h)) {
 			h.outlier.eject(b.settings.Outlier, now)
 			b.changed(h, Ejected)
 			// It comes back slowly.
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -106,7 +106,7 @@
 	}
 	b.unsure.hosts = b.unsure.hosts[:0]
 	b.engines.hosts = b.engines.hosts[:0]
-	clear(b.domains)
+	b.domains.restart()
 	for _, h := range b.order {
 		b.domains.join(h)
 		b.sort(h)
--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -42,9 +42,11 @@
 	first logMean
 	gap   logMean
 	// late counts requests at one time without a first piece for too long.
-	late  int
-	until time.Duration
-	pause time.Duration
+	late int
+	// failing is how often requests break there.
+	failing failing
+	until   time.Duration
+	pause   time.Duration
 }
 
 func (o *outlier) ejected(now time.Duration) bool { return now < o.until }
@@ -64,6 +66,7 @@
 	o.until = now + o.pause
 	o.first = logMean{}
 	o.gap = logMean{}
+	o.failing = failing{}
 }
 
 // recovered forgets earlier ejections once an upstream has been good for as
