--- a/internal/balance/breaker.go
+++ b/internal/balance/breaker.go
@@ -15,8 +15,23 @@
 	until   time.Duration
 	pause   time.Duration
 	probing bool
+	// heard says that the upstream has answered a poll since it opened or a
+	// probe failed.
+	heard bool
+	// last is how the last request or poll failed.
+	last failure
 }
 
+// failure is a way in which a request or poll fails.
+type failure int
+
+const (
+	// unreachable: nothing was heard of the upstream.
+	unreachable failure = iota
+	// brokenOff: the upstream was reached, and its answer broke off.
+	brokenOff
+)
+
 func (b *breaker) open() bool { return b.until != 0 }
 
 // allows says whether a request may go through, perhaps as the probe.
@@ -42,8 +57,9 @@
 }
 
 // failed returns whether it opened a closed breaker.
-func (b *breaker) failed(s BreakerSettings, now time.Duration, jitter float64) bool {
+func (b *breaker) failed(s BreakerSettings, f failure, now time.Duration, jitter float64) bool {
 	b.failures++
+	b.last = f
 	if b.open() {
 		b.reopen(s, now, jitter)
 		return false
@@ -52,6 +68,7 @@
 		return false
 	}
 	b.pause = s.OpenFor
+	b.heard = false
 	b.until = now + spread(b.pause, jitter)
 	return true
 }
@@ -63,6 +80,7 @@
 		return
 	}
 	b.probing = false
+	b.heard = false
 	b.pause = min(2*b.pause, s.MaxOpenFor)
 	b.until = now + spread(b.pause, jitter)
 }
@@ -70,10 +88,17 @@
 // abandoned tells that a request ended without saying anything of the upstream.
 func (b *breaker) abandoned() { b.probing = false }
 
-// alive lets the next probe through at once: the upstream has answered a poll.
+// alive takes in that the upstream has answered a poll. If it could not be
+// reached before, it is back, and the next probe may go at once. If it was
+// reached and broke its answers off, its polls were good all the time: they
+// say nothing, and without the pause each of them would cost a request.
 func (b *breaker) alive(now time.Duration) {
-	if b.open() && b.until > now {
-		b.until = now
+	if !b.open() {
+		return
+	}
+	b.heard = true
+	if b.last == unreachable {
+		b.until = min(b.until, now)
 	}
 }
 
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -26,6 +26,7 @@
 	at := b.since(now)
 	h := s.host
 	h.inFlight--
+	s.pool.inFlight--
 	if s.alone {
 		h.isolated--
 	}
@@ -41,10 +42,16 @@
 		if h.breaker.succeeded() && h.domain != nil {
 			h.domain.closed()
 			b.changed(h, Closed)
+			b.refresh(now)
 		}
+		h.ended(false)
 		b.measure(s, r)
-	case Unreached, Broken:
-		b.failed(h, now)
+	case Unreached:
+		h.ended(true)
+		b.failed(h, unreachable, now)
+	case Broken:
+		h.ended(true)
+		b.failed(h, brokenOff, now)
 	case Declined:
 		h.fullUntil = now + fullFor
 		h.breaker.abandoned()
@@ -57,11 +64,12 @@
 	}
 }
 
-func (b *Balancer) failed(h *host, now time.Duration) {
+func (b *Balancer) failed(h *host, f failure, now time.Duration) {
 	jitter := float64(mix(b.settings.Seed, h.hash^uint64(now))>>11) / (1 << 53)
-	if h.breaker.failed(b.settings.Breaker, now, jitter) && h.domain != nil {
+	if h.breaker.failed(b.settings.Breaker, f, now, jitter) && h.domain != nil {
 		h.domain.opened(now)
 		b.changed(h, Opened)
+		b.refresh(now)
 	}
 }
 
--- a/internal/balance/maintain.go
+++ b/internal/balance/maintain.go
@@ -22,17 +22,24 @@
 	b.refresh(now)
 	b.countLate(now)
 	b.ejectSlow(now)
+	b.domains.ejectFailing(b.order, b.settings.Outlier, now)
 }
 
 func (b *Balancer) refresh(now time.Duration) {
 	b.refreshed = now
 	for _, p := range b.versions {
-		p.refresh(now, b.settings.MaxReportAge)
+		b.refreshEngines(p, now)
 	}
 	for _, p := range b.services {
 		p.refresh(now, b.settings.MaxReportAge)
 	}
-	b.unsure.refresh(now, b.settings.MaxReportAge)
+	b.refreshEngines(&b.unsure, now)
+	b.refreshEngines(&b.engines, now)
+}
+
+func (b *Balancer) refreshEngines(p *pool, now time.Duration) {
+	p.refresh(now, b.settings.MaxReportAge)
+	b.survey(p, now)
 }
 
 // countLate counts each upstream's requests that wait far too long for their
@@ -75,7 +82,7 @@
 			continue
 		}
 		h.outlier.recovered(now)
-		if room > 0 && (h.outlier.slow(b.settings.Outlier) || h.outlier.late >= lateRequests) {
+		if room > 0 && (h.outlier.slow(b.settings.Outlier) || h.outlier.late >= lateRequests || p.failing(h)) {
 			h.outlier.eject(b.settings.Outlier, now)
 			b.changed(h, Ejected)
 			// It comes back slowly.
