Start replaced VMs of the ledger's storm on one goroutine

Cause: the storm's new planned stops started their replacement on a goroutine of their own, while another read the map of ledgers: with -race "DATA RACE" in TestBillsSurviveAStormOfLostVMs (the test's map, not the ledger's). Stops still run beside the losses; replacements start after both.

Nothing is checked less.

--- a/internal/ledger/storm_test.go
+++ b/internal/ledger/storm_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
@@ -118,7 +117,8 @@
 		victims, stopped := order[:s.kind.together], order[s.kind.together:][:s.kind.planned]
 		var stops sync.WaitGroup
 		for _, n := range stopped {
-			stops.Go(func() { s.replace(c, c.members[n]) })
+			l := c.ledgers[c.members[n].ID]
+			stops.Go(func() { stopPlanned(l) })
 		}
 		for _, n := range victims {
 			s.mark(c.members[n].ID, true)
@@ -132,23 +132,22 @@
 			s.mark(c.members[n].ID, false)
 		}
 		stops.Wait()
+		for _, n := range stopped {
+			s.mu.Lock()
+			c.start(c.members[n])
+			s.mu.Unlock()
+		}
 	}
 }
 
 // stopLimit is less than the stores may be down.
 const stopLimit = 15 * time.Second
 
-// replace stops a node as planned. What it answered counts.
-func (s *storm) replace(c *cluster, vm platform.VM) {
-	s.mu.Lock()
-	l := c.ledgers[vm.ID]
-	s.mu.Unlock()
+// stopPlanned ends a node that may still answer; what it answers counts.
+func stopPlanned(l *Ledger) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	_ = l.Close(ctx) // it says what it leaves to others
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.start(vm)
 }
 
 func (s *storm) mark(id string, dead bool) {
