Read bills at a bounded pace, page by page, and fold small objects

Cause: while the table is down each row of bills is an object. A listing read all objects of a bucket at once, was refused by the platform's limit of reads, and began anew with the next try.

Ruled out: retries alone, which take the reads that requests need; a cursor within a bucket, since a bill may be there twice; folds in the table, which take of its writes. A listed object that was not there ended a listing with no bills and no error; that is an error now.

Folded by the janitor, 1,000 objects take fewer than 10 reads of objects instead of 1,001; more that come late are read beside. TestListingSaysThatTheStoreRefuses: a store that is down is said so within the operator's 15 s.

--- a/internal/ledger/janitor.go
+++ b/internal/ledger/janitor.go
@@ -28,8 +28,8 @@
 	maxSettle = 20
 )
 
-// janitor is the duty that deletes claims older than the window and settles
-// closed buckets. It falls on one node a period; two at a time are harmless.
+// janitor is the duty that deletes claims older than the window, settles closed
+// buckets and folds small objects. It falls on one node a period; two at a time are harmless.
 type janitor struct{ ledger *Ledger }
 
 func newJanitor(l *Ledger) *janitor { return &janitor{ledger: l} }
@@ -56,6 +56,9 @@
 	if err == nil {
 		err = j.settle(ctx, now)
 	}
+	if err == nil {
+		err = j.foldSome(ctx, now)
+	}
 	if err != nil && ctx.Err() == nil {
 		event.LedgerJanitorLate.Log(j.ledger.deps.Log, slog.Any("error", err))
 	}
--- a/internal/ledger/key/bucket.go
+++ b/internal/ledger/key/bucket.go
@@ -16,6 +16,15 @@
 	return fmt.Sprintf("%s%s/%010d", b.Prefix(), writer, seq)
 }
 
+// FoldPrefix is the beginning of the keys of the bucket's folds, each an object
+// with the bills of many.
+func (b Bucket) FoldPrefix() string { return fmt.Sprintf("folded/%c/%012d/", b.Kind, b.Number) }
+
+// Fold is the key of a process's fold.
+func (b Bucket) Fold(process string, number uint64) string {
+	return fmt.Sprintf("%s%s/%010d", b.FoldPrefix(), process, number)
+}
+
 // Summary is the key of the row that holds the bucket's totals.
 func (b Bucket) Summary() string { return fmt.Sprintf("%s%012d", b.SummaryPrefix(), b.Number) }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,8 @@
 	billing    *billing
 	later      *later
 	janitor    *janitor
+	reader     *billReader
+	folds      atomic.Uint64 // numbers of this process's folds
 	stats      counters
 
 	duties  conc.WaitGroup
@@ -67,6 +69,7 @@
 	l.billing = newBilling(l)
 	l.later = &later{try: l.tryLater}
 	l.janitor = newJanitor(l)
+	l.reader = newBillReader(l.store, s.Window)
 	return l
 }
 
@@ -224,7 +227,8 @@
 	return Stats{
 		Claims: l.stats.claims.Load(), Granted: l.stats.granted.Load(), Bills: l.stats.bills.Load(),
 		TableWrites: l.store.writes.Load(), TableReads: l.store.reads.Load(), ObjectPuts: l.store.puts.Load(),
-		Conflicts: l.store.conflicts.Load(), LostAcks: l.store.lostAcks.Load(),
+		ObjectReads: l.store.objectReads.Load(),
+		Conflicts:   l.store.conflicts.Load(), LostAcks: l.store.lostAcks.Load(),
 		Held: int(l.collecting.held.Load()), Waiting: int(l.collecting.waiting.Load()),
 	}
 }
--- a/internal/ledger/pace/pace.go
+++ b/internal/ledger/pace/pace.go
@@ -7,6 +7,9 @@
 	growth = 2
 	// shrink is the part of the gap above the floor that a success leaves.
 	shrink = 0.7
+	// steady is the same for a pace that seeks what a store allows: it takes
+	// some 35 successes to try a gap again that was refused.
+	steady = 0.98
 	// firstBackoff is the gap after a refusal when the floor is lower.
 	firstBackoff = 20 * time.Millisecond
 )
@@ -18,11 +21,20 @@
 	ceil  time.Duration
 	gap   time.Duration
 	next  time.Time
+	// shrink is the part of the gap above the floor that a success leaves.
+	shrink float64
 }
 
 // New returns a pace with the least and the widest gap.
 func New(floor, ceil time.Duration) *Pace {
-	return &Pace{floor: floor, ceil: max(floor, ceil), gap: floor}
+	return &Pace{floor: floor, ceil: max(floor, ceil), gap: floor, shrink: shrink}
+}
+
+// NewSteady returns a pace that narrows slowly: each refusal costs others, too.
+func NewSteady(floor, ceil time.Duration) *Pace {
+	p := New(floor, ceil)
+	p.shrink = steady
+	return p
 }
 
 // SetFloor changes the least gap, as the number of writers changes.
@@ -50,7 +62,7 @@
 
 // Succeeded notes that a write was answered.
 func (p *Pace) Succeeded() {
-	p.gap = p.floor + time.Duration(float64(p.gap-p.floor)*shrink)
+	p.gap = p.floor + time.Duration(float64(p.gap-p.floor)*p.shrink)
 }
 
 // Gap is the present gap.
--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 )
 
@@ -16,18 +14,29 @@
 	pageBuckets = 100
 	// pageBills is the most bills in a page.
 	pageBills = 2000
+	// pageTime is how long a page reads.
+	pageTime = 5 * time.Second
 )
 
 // Bills returns bills by their time. A page holds bills of one bucket; buckets
-// come in order of time, first those of keys that carry one.
+// come in order of time, first those of keys that carry one. A page ends after a
+// while, then it may be empty and not the last: this node remembers what it has
+// read, so that the next one goes on from there. The error is [ErrReading].
 func (l *Ledger) Bills(ctx context.Context, q BillQuery) (BillPage, error) {
 	buckets := l.buckets(q)
 	at, err := parseCursor(q.Cursor)
 	if err != nil {
 		return BillPage{}, err
 	}
+	until := time.Now().Add(pageTime)
 	for n := 0; at.bucket < len(buckets) && n < pageBuckets; n++ {
-		bills, err := l.store.bills(ctx, buckets[at.bucket], l.settings.Window)
+		if time.Now().After(until) {
+			break
+		}
+		bills, err := l.reader.bills(ctx, buckets[at.bucket], until)
+		if errors.Is(err, errPageOver) {
+			break
+		}
 		if err != nil {
 			return BillPage{}, err
 		}
@@ -87,78 +96,3 @@
 	}
 	return b.At
 }
-
-// bills reads the bills of a bucket, each once.
-func (s *store) bills(ctx context.Context, b key.Bucket, window time.Duration) ([]bill.Bill, error) {
-	all, err := s.rawBills(ctx, b)
-	if err != nil {
-		return nil, err
-	}
-	if b.Kind == key.Timed {
-		return bill.Merge(all, window), nil
-	}
-	// A repetition of an opaque key may stand in the bucket before.
-	before, err := s.rawBills(ctx, b.Previous())
-	if err != nil {
-		return nil, err
-	}
-	merged := bill.Merge(append(before, all...), window)
-	return of(b, merged), nil
-}
-
-// of keeps the bills of an opaque bucket.
-func of(b key.Bucket, bills []bill.Bill) []bill.Bill {
-	var kept []bill.Bill
-	for _, one := range bills {
-		if (key.Layout{}).Bill(one.Key, one.At) == b {
-			kept = append(kept, one)
-		}
-	}
-	return kept
-}
-
-// rawBills reads all rows and objects of a bucket.
-func (s *store) rawBills(ctx context.Context, b key.Bucket) ([]bill.Bill, error) {
-	all, err := s.tableBills(ctx, b)
-	if err != nil {
-		return nil, err
-	}
-	keys, err := s.objects.List(ctx, b.Prefix())
-	if err != nil {
-		return nil, eris.Wrap(err, "list bills among the objects")
-	}
-	for _, k := range keys {
-		value, ok, err := s.objects.Get(ctx, k)
-		if err != nil || !ok {
-			return nil, eris.Wrap(err, "get bills from "+k)
-		}
-		bills, err := bill.Decode(value)
-		if err != nil {
-			return nil, eris.Wrap(err, "object "+k)
-		}
-		all = append(all, bills...)
-	}
-	return all, nil
-}
-
-func (s *store) tableBills(ctx context.Context, b key.Bucket) ([]bill.Bill, error) {
-	var all []bill.Bill
-	after := ""
-	for {
-		rows, err := s.scan(ctx, b.Prefix(), after, scanRows)
-		if err != nil {
-			return nil, eris.Wrap(err, "scan bills")
-		}
-		for _, row := range rows {
-			bills, err := bill.Decode(row.Value)
-			if err != nil {
-				return nil, eris.Wrap(err, "row "+row.Key)
-			}
-			all = append(all, bills...)
-		}
-		if len(rows) < scanRows {
-			return all, nil
-		}
-		after = rows[len(rows)-1].Key
-	}
-}
--- /dev/null
+++ b/internal/ledger/reading_test.go
@@ -0,0 +1,121 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
+	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
+)
+
+// outage leaves a bucket with n bills, each an object of its own.
+func outage(is *is.I, c *cluster, n int) key.Bucket {
+	var bucket key.Bucket
+	for i := range n {
+		b := billOf(newKey(), 1)
+		bucket = c.settings.Layout.Bill(b.Key, b.At)
+		row := bill.Row{Bucket: bucket, Writer: "lost", Seq: uint64(i), Bills: bill.Pack([]bill.Bill{b})}
+		_, err := c.ledgers["e0"].store.putBills(context.Background(), row)
+		is.NoErr(err)
+	}
+	return bucket
+}
+
+func (c *cluster) readLimit(perSecond float64) {
+	err := c.platform.SetLimits(memory.LimitsChange{ReadsPerSecond: &perSecond})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// The table was down for long, and the bills of that time are many small
+// objects. In the morning an operator lists the bills and hears "over the rate
+// limit", again and again: all objects of a bucket were read at once, and the
+// next try began from the first again.
+func TestBillsOfAnOutageAreListedAtThePlatformsPace(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		outage(is, c, 1000)
+		c.readLimit(80)
+		q := BillQuery{From: time.Now().Add(-time.Hour), To: time.Now().Add(time.Hour)}
+		listed := map[string]int{}
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second) // as for operators
+			page, err := c.ledgers["e0"].Bills(ctx, q)
+			cancel()
+			is.NoErr(err)
+			for _, b := range page.Bills {
+				listed[b.Key]++
+			}
+			if q.Cursor = page.Next; page.Next == "" {
+				break
+			}
+		}
+		is.Equal(len(listed), 1000)
+	})
+}
+
+// The store is down, and an operator lists the bills. The answer has to say so
+// in time, not to be an empty list or a caller's time-out.
+func TestListingSaysThatTheStoreRefuses(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		outage(is, c, 10)
+		c.fail(fault.Change{Objects: &fault.Fault{Down: true}})
+		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+		defer cancel()
+		_, err := c.ledgers["e0"].Bills(ctx, BillQuery{From: time.Now().Add(-time.Hour), To: time.Now().Add(time.Hour)})
+		is.True(errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnknown))
+		is.True(errors.Is(err, ErrReading))
+		is.NoErr(ctx.Err())
+	})
+}
+
+// After an outage a bucket has a thousand small objects for ever, and each
+// listing reads them all. The janitor folds them, once; bills that come later
+// still count, and a bill that is there twice counts once.
+func TestSmallObjectsAreFolded(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		bucket := outage(is, c, 1000)
+		time.Sleep(2 * time.Hour)
+		l := c.ledgers["e0"]
+		read := func() uint64 {
+			before := l.Stats().ObjectReads
+			bills, err := l.reader.bills(context.Background(), bucket, time.Time{})
+			is.NoErr(err)
+			is.Equal(len(bills), 1000)
+			return l.Stats().ObjectReads - before
+		}
+		is.True(read() < 10)
+		folds, err := c.platform.Objects().List(context.Background(), bucket.FoldPrefix())
+		is.NoErr(err)
+		is.True(len(folds) >= 2)
+		for i := range 3 { // some were put again, as rows of another writer
+			one, err := l.reader.bills(context.Background(), bucket, time.Time{})
+			is.NoErr(err)
+			_, err = l.store.putBills(context.Background(), bill.Row{Bucket: bucket, Writer: fmt.Sprint("late", i), Bills: bill.Pack(one[:5])})
+			is.NoErr(err)
+		}
+		is.True(read() < 13)
+		var open key.Bucket
+		for i := range minFold {
+			b := billOf(fmt.Sprint("order-", i), 1)
+			open = c.settings.Layout.Bill(b.Key, b.At)
+			_, err = l.store.putBills(context.Background(), bill.Row{Bucket: open, Writer: "lost", Seq: uint64(i), Bills: bill.Pack([]bill.Bill{b})})
+			is.NoErr(err)
+		}
+		time.Sleep(2 * time.Hour)
+		after, err := c.platform.Objects().List(context.Background(), bucket.FoldPrefix())
+		is.NoErr(err)
+		is.Equal(after, folds) // a few objects are not worth another
+		opaque, err := c.platform.Objects().List(context.Background(), open.FoldPrefix())
+		is.NoErr(err)
+		is.Equal(len(opaque), 1) // a day's bucket is folded before it closes
+	})
+}
--- a/internal/ledger/stats.go
+++ b/internal/ledger/stats.go
@@ -8,6 +8,8 @@
 	TableWrites uint64
 	TableReads  uint64
 	ObjectPuts  uint64
+	// ObjectReads counts objects that were read, and lists of them.
+	ObjectReads uint64
 	// Conflicts counts claim batches that lost a race.
 	Conflicts uint64
 	// LostAcks counts writes whose answer was lost.
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -29,11 +29,13 @@
 	table   platform.Table
 	objects platform.Objects
 
-	writes    atomic.Uint64
-	reads     atomic.Uint64
-	puts      atomic.Uint64
-	conflicts atomic.Uint64
-	lostAcks  atomic.Uint64
+	writes atomic.Uint64
+	reads  atomic.Uint64
+	puts   atomic.Uint64
+	// objectReads counts objects and lists of them.
+	objectReads atomic.Uint64
+	conflicts   atomic.Uint64
+	lostAcks    atomic.Uint64
 }
 
 // createClaims writes a row of a claim log, if its conditions hold.
@@ -80,6 +82,32 @@
 	return fate.Applied, nil
 }
 
+// putFold writes a fold.
+func (s *store) putFold(ctx context.Context, name string, f *bill.Fold) error {
+	value, err := f.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	s.puts.Add(1)
+	return s.objects.Put(ctx, name, value)
+}
+
+func (s *store) getObject(ctx context.Context, name string) ([]byte, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s.objectReads.Add(1)
+	return s.objects.Get(ctx, name)
+}
+
+func (s *store) listObjects(ctx context.Context, prefix string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s.objectReads.Add(1)
+	return s.objects.List(ctx, prefix)
+}
+
 func (s *store) commit(ctx context.Context, txn platform.Txn) (fate.Fate, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/internal/ledger/summary.go
+++ b/internal/ledger/summary.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return Summary{}, eris.Wrap(err, "read summary")
 	}
-	bills, err := l.store.bills(ctx, b, l.settings.Window)
+	bills, err := l.reader.bills(ctx, b, time.Time{})
 	if err != nil {
 		return Summary{}, err
 	}
