Read and write the pieces of a stream without encoding/json

Pieces in the engines' usual form are cut by hand and anything else is left to encoding/json; events are put together from an opening made once. The end chunk and the end mark go out in one write.

--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -3,15 +3,11 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/request"
 )
 
-// eventOverhead is room for an event's field names and its number.
-const eventOverhead = 40
-
 // streamSink sends an answer as server-sent events. A stream that fails ends
 // in an error event and never in the normal end mark, so that no caller takes
 // a part for the whole.
@@ -19,6 +15,8 @@
 	w       http.ResponseWriter
 	flusher *http.ResponseController
 	head    completion
+	opening []byte
+	out     []byte // the last event's, to be used again
 	begun   bool
 	first   bool
 }
@@ -37,54 +35,55 @@
 	s.w.Header().Set("Cache-Control", "no-cache")
 	s.w.WriteHeader(http.StatusOK)
 	s.head = completion{ID: completionID(), Object: objectChunk, Created: time.Now().Unix(), Model: h.Version}
+	s.opening = openingOf(s.head)
 	s.begun = true
 }
 
 // Text sends one piece. Its number is the event's id, with which the caller
 // says where to read on.
 func (s *streamSink) Text(seq int, text string) error {
-	delta := &content{Content: text}
+	out := appendID(s.out[:0], seq)
+	out = append(out, s.opening...)
 	if s.first {
-		delta.Role = roleAssistant
+		out = append(out, `"role":"`+roleAssistant+`",`...)
 		s.first = false
 	}
-	return s.send(seq, choice{Delta: delta}, nil)
+	out = append(out, `"content":`...)
+	out = appendText(out, text)
+	s.out = append(out, "},\"finish_reason\":null}]}\n\n"...)
+	return s.send(s.out)
 }
 
-func (s *streamSink) send(seq int, c choice, u *usage) error {
-	chunk := s.head
-	chunk.Choices = []choice{c}
-	chunk.Usage = u
-	data, err := json.Marshal(chunk)
+// openingOf is what all pieces of a stream have before their text.
+func openingOf(c completion) []byte {
+	c.Choices = []choice{}
+	data, err := json.Marshal(c)
 	if err != nil {
-		return err
+		panic(err) // plain strings and numbers
 	}
-	return s.event(seq, data)
+	return append(data[:len(data)-len("]}")], `{"index":0,"delta":{`...)
 }
 
-// event sends one event; a number of 0 gives it no id.
-func (s *streamSink) event(seq int, data []byte) error {
-	out := make([]byte, 0, len(data)+eventOverhead)
-	if seq > 0 {
-		out = append(out, "id: "...)
-		out = strconv.AppendInt(out, int64(seq), 10)
-		out = append(out, '\n')
-	}
-	out = append(out, "data: "...)
-	out = append(out, data...)
-	out = append(out, "\n\n"...)
+func (s *streamSink) send(out []byte) error {
 	if _, err := s.w.Write(out); err != nil {
 		return err
 	}
 	return s.flusher.Flush()
 }
 
+// finish sends the end in one piece, since nothing comes between.
 func (s *streamSink) finish(a request.Answer) {
 	reason := a.FinishReason
-	if s.send(0, choice{Delta: &content{}, FinishReason: &reason}, usageOf(a)) != nil {
+	chunk := s.head
+	chunk.Choices = []choice{{Delta: &content{}, FinishReason: &reason}}
+	chunk.Usage = usageOf(a)
+	data, err := json.Marshal(chunk)
+	if err != nil {
 		return
 	}
-	_ = s.event(0, []byte("[DONE]")) // the caller may have gone; nothing is left to do
+	out := appendEvent(s.out[:0], 0, data)
+	out = appendEvent(out, 0, []byte("[DONE]"))
+	_ = s.send(out) // the caller may have gone; nothing is left to do
 }
 
 func (s *streamSink) fail(f *request.Failure) {
@@ -97,5 +96,5 @@
 	if err != nil {
 		return
 	}
-	_ = s.event(0, data) // the caller may have gone; nothing is left to do
+	_ = s.send(appendEvent(nil, 0, data)) // the caller may have gone; nothing is left to do
 }
--- a/internal/upstream/client/decoder.go
+++ b/internal/upstream/client/decoder.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -34,9 +33,10 @@
 // decoder reads pieces from server-sent events. An event counts only once the
 // empty line that ends it has come, so that a cut event is never a piece.
 type decoder struct {
-	scan *bufio.Scanner
-	data []byte
-	name string
+	scan   *bufio.Scanner
+	data   []byte
+	name   string
+	pieces pieces
 }
 
 func newDecoder(r io.Reader) *decoder {
@@ -86,8 +86,8 @@
 	if d.name == errorEvent {
 		return upstream.Chunk{}, &StreamError{Message: string(d.data)}
 	}
-	var c upstream.Chunk
-	if err := json.Unmarshal(d.data, &c); err != nil {
+	c, err := d.pieces.parse(d.data)
+	if err != nil {
 		return upstream.Chunk{}, eris.Wrap(err, "piece")
 	}
 	return c, nil
