Count refusals by organisation, class and reason; tell a stream's cost

Cause: what ended at the door (no key, malformed, too large, unknown path …) was counted nowhere, and what the router refused only by its code. The price of an answer stood only in a header of whole answers, which a stream sends before the price is known.

Every failure that was not run passes one place in the API and is counted as hickorybank_refusals_total. Labels are names of the configuration or "unknown", reasons a fixed set, 1,024 triples before "other". A stream ends with usage and cost, in the finishing chunk or, with stream_options.include_usage, in a chunk without choices; the whole answer has the same field. Histograms are unchanged.

Ruled out: a label from the caller's own words, which anybody could multiply. Not counted: what net/http itself turns away before a handler runs.

--- a/internal/api/chat.go
+++ b/internal/api/chat.go
@@ -11,7 +11,7 @@
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id identity) {
 	call, stream, fail := chatCall(w, r, id)
 	if fail != nil {
-		writeFailure(w, fail)
+		s.refuse(w, refusalOf(call, true), fail)
 		return
 	}
 	if stream {
@@ -22,33 +22,35 @@
 }
 
 func chatCall(w http.ResponseWriter, r *http.Request, id identity) (ChatCall, bool, *request.Failure) {
+	call := ChatCall{Org: id.org, Snapshot: id.snapshot, Class: r.Header.Get(headerClass)}
 	body, fail := readBody(w, r)
 	if fail != nil {
-		return ChatCall{}, false, fail
+		return call, false, fail
 	}
-	call, stream, fail := decodeChat(body)
+	stream, fail := call.decode(body)
 	if fail != nil {
-		return ChatCall{}, false, fail
+		return call, false, fail
 	}
 	if call.Key, fail = keyOf(r); fail != nil {
-		return ChatCall{}, false, fail
+		return call, false, fail
 	}
 	if call.Timeout, fail = timeoutOf(r); fail != nil {
-		return ChatCall{}, false, fail
+		return call, false, fail
 	}
-	call.Org = id.org
-	call.Snapshot = id.snapshot
-	call.Class = r.Header.Get(headerClass)
 	call.Session = r.Header.Get(headerSession)
 	call.WantSession = r.Header.Get(headerWantSession) != ""
 	return call, stream, nil
 }
 
+func refusalOf(call ChatCall, atDoor bool) Refusal {
+	return Refusal{Org: call.Org, Snapshot: call.Snapshot, Class: call.Class, Model: call.Model, AtDoor: atDoor}
+}
+
 func (s *Server) chatWhole(w http.ResponseWriter, r *http.Request, call ChatCall) {
 	sink := new(wholeSink)
 	answer, err := s.router.Chat(r.Context(), call, sink)
 	if err != nil {
-		writeFailure(w, asFailure(err))
+		s.refuse(w, refusalOf(call, false), asFailure(err))
 		return
 	}
 	sink.setHeaders(w.Header(), answer)
@@ -57,9 +59,10 @@
 
 func (s *Server) chatStream(w http.ResponseWriter, r *http.Request, call ChatCall) {
 	sink := newStreamSink(w)
+	sink.usageApart = call.UsageApart
 	answer, err := s.router.Chat(r.Context(), call, sink)
 	if err != nil {
-		sink.fail(asFailure(err))
+		s.fail(sink, refusalOf(call, false), asFailure(err))
 		return
 	}
 	sink.finish(answer)
--- a/internal/api/completion.go
+++ b/internal/api/completion.go
@@ -16,8 +16,19 @@
 	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage,omitempty"`
+	// Own is what the router adds to the form of the API.
+	Own *own `json:"hickorybank,omitempty"`
 }
 
+// own is what a caller of the router learns of an answer.
+type own struct {
+	Version string `json:"version"`
+	// CostMicros is in micro-units of currency.
+	CostMicros int64 `json:"cost_micros"`
+}
+
+func ownOf(a request.Answer) *own { return &own{Version: a.Version, CostMicros: a.Cost} }
+
 type choice struct {
 	Index        int      `json:"index"`
 	Message      *content `json:"message,omitempty"`
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -46,8 +46,12 @@
 	Text string `json:"text"`
 }
 
-func bad(text string) *request.Failure {
-	return request.Refuse(request.CodeBadRequest, 0, text)
+func bad(text string) *request.Failure { return badFor(request.ReasonMalformed, text) }
+
+func badFor(why request.Reason, text string) *request.Failure {
+	f := request.Refuse(request.CodeBadRequest, 0, text)
+	f.Reason = why
+	return f
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Failure) {
@@ -59,10 +63,10 @@
 	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBody), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, bad("the body is larger than " + strconv.Itoa(maxBody) + " bytes")
+		return nil, badFor(request.ReasonTooLarge, "the body is larger than "+strconv.Itoa(maxBody)+" bytes")
 	}
 	if err != nil {
-		return nil, bad("the body could not be read: " + err.Error())
+		return nil, badFor(request.ReasonUnread, "the body could not be read: "+err.Error())
 	}
 	return body, nil
 }
@@ -81,34 +85,39 @@
 	return body.Bytes(), err
 }
 
-// decodeChat reads a chat request's body. Fields that the router does not know
-// pass through to the engine.
-func decodeChat(body []byte) (ChatCall, bool, *request.Failure) {
-	var call ChatCall
+// decode reads a chat request's body and says whether its answer is to be
+// streamed. Fields that the router does not know pass through to the engine.
+func (call *ChatCall) decode(body []byte) (stream bool, fail *request.Failure) {
 	fields, fail := fieldsOf(body)
 	if fail != nil {
-		return call, false, fail
+		return false, fail
 	}
-	var stream bool
 	if raw, ok := fields["stream"]; ok && json.Unmarshal(raw, &stream) != nil {
-		return call, false, bad("stream: must be true or false")
+		return false, bad("stream: must be true or false")
 	}
 	if json.Unmarshal(fields["model"], &call.Model) != nil || call.Model == "" {
-		return call, false, bad("model: must be the name of a model, version or class")
+		return false, bad("model: must be the name of a model, version or class")
 	}
 	messages, ok := messagesOf(fields["messages"])
 	if !ok || len(messages) == 0 {
-		return call, false, bad("messages: must be a list with at least one message")
+		return false, bad("messages: must be a list with at least one message")
 	}
 	prompt, fail := promptOf(messages)
 	if fail != nil {
-		return call, false, fail
+		return false, fail
 	}
 	call.Fields = fields
 	call.Prompt = prompt
 	call.PrefixHash = prefixHash(messages)
 	call.Body = body
-	return call, stream, nil
+	call.UsageApart = usageApart(fields["stream_options"])
+	return stream, nil
+}
+
+// usageApart takes anything but a clear wish as none, as engines do.
+func usageApart(raw json.RawMessage) bool {
+	options, _ := request.Object(raw)
+	return string(options["include_usage"]) == "true"
 }
 
 // fieldsOf checks the body once as a whole and then only cuts it up; what is
--- a/internal/api/door_test.go
+++ b/internal/api/door_test.go
@@ -81,6 +81,9 @@
 			is.True(detail.Type != "")
 			is.True(strings.Contains(detail.Message, c.part)) // says what is wrong
 			is.Equal(b.reached(), 0)
+			is.Equal(len(b.refused), 1) // counted, once
+			is.Equal(b.refused[0].Code, c.code)
+			is.True(b.refused[0].AtDoor)
 		})
 	}
 }
--- a/internal/api/fuzz_test.go
+++ b/internal/api/fuzz_test.go
@@ -44,7 +44,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, _, fail := decodeChat(body)
+	var again ChatCall
+	_, fail := again.decode(body)
 	if fail != nil || again.Model != "dues@1" || again.Prompt != call.Prompt {
 		t.Fatal("the engine would read something else:", fail)
 	}
--- a/internal/api/harness_test.go
+++ b/internal/api/harness_test.go
@@ -23,8 +23,11 @@
 	calls    []ServiceCall
 	readsOn  []ReadOnCall
 	failure  *request.Failure
+	refused  []Refusal
 }
 
+func (b *backend) Refused(r Refusal) { b.refused = append(b.refused, r) }
+
 func (b *backend) Snapshot() *config.Snapshot { return b.snapshot }
 
 func (b *backend) Chat(_ context.Context, call ChatCall, sink request.Sink) (request.Answer, error) {
--- a/internal/api/read_on.go
+++ b/internal/api/read_on.go
@@ -19,13 +19,13 @@
 func (s *Server) readOn(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) {
 	after, fail := afterOf(r)
 	if fail != nil {
-		writeFailure(w, fail)
+		s.refuse(w, Refusal{Org: id.org, Snapshot: id.snapshot, AtDoor: true}, fail)
 		return
 	}
 	sink := newStreamSink(w)
 	answer, err := s.router.ReadOn(r.Context(), ReadOnCall{Org: id.org, Token: p.ByName("token"), After: after}, sink)
 	if err != nil {
-		sink.fail(asFailure(err))
+		s.fail(sink, Refusal{Org: id.org, Snapshot: id.snapshot}, asFailure(err))
 		return
 	}
 	sink.finish(answer)
--- /dev/null
+++ b/internal/api/refusal_test.go
@@ -0,0 +1,61 @@
+package api
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+// An organisation says that its requests are refused and the operator's page
+// shows nothing: what ends at the door was counted nowhere, and what the router
+// refused only by its code, without whose it was.
+func TestRefusalsNameOrganisationClassAndReason(t *testing.T) {
+	chat := "/v1/chat/completions"
+	cases := []struct {
+		name, path, body, org, class, model string
+		headers                             []header
+		atDoor                              bool
+		reason                              request.Reason
+	}{
+		{"no key", chat, goodChat, "", "", "", []header{{"Authorization", ""}}, true, "invalid_api_key"},
+		{"nowhere", "/v2/x", goodChat, "", "", "", nil, true, request.ReasonUnknownPath},
+		{"malformed", chat, "{", "cartagena", "draft", "", []header{{headerClass, "draft"}}, true, request.ReasonMalformed},
+		{"too large", chat, strings.Repeat(" ", maxBody+1), "cartagena", "", "", nil, true, request.ReasonTooLarge},
+		{"no messages", chat, `{"model":"dues@1"}`, "cartagena", "", "dues@1", nil, true, request.ReasonMalformed},
+		{"undeclared", "/v1/services/billing/x", "", "cartagena", "", "", nil, true, request.ReasonUndeclared},
+		{"call too large", "/v1/services/billing/settlements", strings.Repeat("x", maxBody+1), "cartagena", "settle", "", nil, true, request.ReasonTooLarge},
+		{"over the limit", chat, goodChat, "cartagena", "", "draft", nil, false, "rate_limited"},
+		{"stream over the limit", chat, `{"stream":true,` + goodChat[1:], "cartagena", "", "draft", nil, false, "rate_limited"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBackend(t)
+			b.failure = request.Refuse(request.CodeRateLimited, 0, "why")
+			send(b, "POST", c.path, c.body, c.headers...)
+			is.Equal(len(b.refused), 1)
+			got := b.refused[0]
+			org := ""
+			if got.Org != nil {
+				org = got.Org.Name
+			}
+			is.Equal(org, c.org)
+			is.Equal(got.Class, c.class)
+			is.Equal(got.Model, c.model)
+			is.Equal(got.AtDoor, c.atDoor)
+			is.Equal(got.Reason, c.reason)
+		})
+	}
+}
+
+// What may have run is no refusal.
+func TestFailureInDoubtIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	b.failure = &request.Failure{Code: request.CodeUpstreamFailed, Outcome: request.Unknown}
+	send(b, "POST", "/v1/chat/completions", goodChat)
+	is.Equal(len(b.refused), 0)
+}
--- a/internal/api/router.go
+++ b/internal/api/router.go
@@ -19,6 +19,8 @@
 	ReadOn(ctx context.Context, call ReadOnCall, sink request.Sink) (request.Answer, error)
 	// Service runs a call of a plain service.
 	Service(ctx context.Context, call ServiceCall) (upstream.ServiceAnswer, error)
+	// Refused counts a request that was refused and not run.
+	Refused(r Refusal)
 	// Addresses returns the entry addresses that a caller should use.
 	Addresses(caller string) Addresses
 }
@@ -32,11 +34,14 @@
 	Class       string // empty: derived from Model
 	Session     string // token of an earlier answer, or empty
 	WantSession bool
-	Timeout     time.Duration // 0: the class's deadline
-	Fields      request.Fields
-	Prompt      string
-	PrefixHash  uint64
-	Body        []byte
+	// UsageApart asks for a chunk of its own with the usage at a stream's
+	// end, as stream_options.include_usage does.
+	UsageApart bool
+	Timeout    time.Duration // 0: the class's deadline
+	Fields     request.Fields
+	Prompt     string
+	PrefixHash uint64
+	Body       []byte
 }
 
 // ReadOnCall asks for the rest of a stream.
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -29,8 +29,8 @@
 	for _, method := range serviceMethods {
 		s.mux.Handle(method, "/v1/services/:service/*path", s.caller(s.service))
 	}
-	s.mux.NotFound = http.HandlerFunc(notFound)
-	s.mux.MethodNotAllowed = http.HandlerFunc(notFound)
+	s.mux.NotFound = http.HandlerFunc(s.notFound)
+	s.mux.MethodNotAllowed = http.HandlerFunc(s.notFound)
 	return s
 }
 
@@ -50,22 +50,22 @@
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		snapshot := s.router.Snapshot()
 		if snapshot == nil {
-			writeFailure(w, request.Refuse(request.CodeNotFresh, notReadyRetry, "no configuration is in force here yet"))
+			s.refuse(w, Refusal{AtDoor: true}, request.Refuse(request.CodeNotFresh, notReadyRetry, "no configuration is in force here yet"))
 			return
 		}
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		org := snapshot.OrganisationByKey(key)
 		if !ok || org == nil {
-			writeFailure(w, request.Refuse(request.CodeUnauthorised, 0, "Authorization: a known bearer key is needed"))
+			s.refuse(w, Refusal{Snapshot: snapshot, AtDoor: true}, request.Refuse(request.CodeUnauthorised, 0, "Authorization: a known bearer key is needed"))
 			return
 		}
 		next(w, r, p, identity{snapshot: snapshot, org: org})
 	}
 }
 
-func notFound(w http.ResponseWriter, r *http.Request) {
-	f := request.Refuse(request.CodeBadRequest, 0, "there is no "+r.Method+" "+r.URL.Path)
-	status, body := newErrorBody(f)
-	_ = status
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	f := badFor(request.ReasonUnknownPath, "there is no "+r.Method+" "+r.URL.Path)
+	s.count(Refusal{Snapshot: s.router.Snapshot(), AtDoor: true}, f)
+	_, body := newErrorBody(f)
 	writeJSON(w, http.StatusNotFound, body)
 }
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -16,12 +16,12 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity) {
 	call, fail := serviceCall(w, r, p, id)
 	if fail != nil {
-		writeFailure(w, fail)
+		s.refuse(w, Refusal{Org: id.org, Snapshot: id.snapshot, Class: classOfCall(call), AtDoor: true}, fail)
 		return
 	}
 	answer, err := s.router.Service(r.Context(), call)
 	if err != nil {
-		writeFailure(w, asFailure(err))
+		s.refuse(w, Refusal{Org: id.org, Snapshot: id.snapshot, Class: classOfCall(call)}, asFailure(err))
 		return
 	}
 	copyHeader(w.Header(), answer.Header)
@@ -49,25 +49,30 @@
 	if fail != nil {
 		return ServiceCall{}, fail
 	}
-	key, fail := keyOf(r)
-	if fail != nil {
-		return ServiceCall{}, fail
+	call := ServiceCall{Org: id.org, Snapshot: id.snapshot, Service: service, Call: declared}
+	if call.Key, fail = keyOf(r); fail != nil {
+		return call, fail
 	}
-	timeout, fail := timeoutOf(r)
-	if fail != nil {
-		return ServiceCall{}, fail
+	if call.Timeout, fail = timeoutOf(r); fail != nil {
+		return call, fail
 	}
 	body, fail := readBody(w, r)
 	if fail != nil {
-		return ServiceCall{}, fail
+		return call, fail
+	}
+	call.Request = upstream.ServiceCall{
+		Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
+		ContentType: r.Header.Get("Content-Type"), Body: body,
+	}
+	return call, nil
+}
+
+// classOfCall is empty for a call that was not found to be a declared one.
+func classOfCall(call ServiceCall) string {
+	if call.Call == nil {
+		return ""
 	}
-	return ServiceCall{
-		Org: id.org, Snapshot: id.snapshot, Service: service, Call: declared, Key: key, Timeout: timeout,
-		Request: upstream.ServiceCall{
-			Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
-			ContentType: r.Header.Get("Content-Type"), Body: body,
-		},
-	}, nil
+	return call.Call.Class
 }
 
 func declaredCall(id identity, name, method, path string) (*config.Service, *config.Call, *request.Failure) {
@@ -80,7 +85,7 @@
 	}
 	declared := service.Call(method, path)
 	if declared == nil {
-		return nil, nil, bad("service " + name + " declares no call " + method + " " + path)
+		return nil, nil, badFor(request.ReasonUndeclared, "service "+name+" declares no call "+method+" "+path)
 	}
 	return service, declared, nil
 }
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -18,7 +18,9 @@
 	opening []byte
 	out     []byte // the last event's, to be used again
 	begun   bool
-	first   bool
+	// usageApart puts the usage into a chunk of its own.
+	usageApart bool
+	first      bool
 }
 
 func newStreamSink(w http.ResponseWriter) *streamSink {
@@ -73,19 +75,38 @@
 
 // finish sends the end in one piece, since nothing comes between.
 func (s *streamSink) finish(a request.Answer) {
-	reason := a.FinishReason
-	chunk := s.head
-	chunk.Choices = []choice{{Delta: &content{}, FinishReason: &reason}}
-	chunk.Usage = usageOf(a)
-	data, err := json.Marshal(chunk)
-	if err != nil {
-		return
+	out := s.out[:0]
+	for _, chunk := range s.endOf(a) {
+		data, err := json.Marshal(chunk)
+		if err != nil {
+			return
+		}
+		out = appendEvent(out, 0, data)
 	}
-	out := appendEvent(s.out[:0], 0, data)
 	out = appendEvent(out, 0, []byte("[DONE]"))
 	_ = s.send(out) // the caller may have gone; nothing is left to do
 }
 
+// endOf is the last chunk, or the last two: a caller that asked for the usage
+// reads it from a chunk without choices.
+func (s *streamSink) endOf(a request.Answer) []completion {
+	reason := a.FinishReason
+	last := s.head
+	last.Choices = []choice{{Delta: &content{}, FinishReason: &reason}}
+	if !s.usageApart {
+		return []completion{withUsage(last, a)}
+	}
+	apart := s.head
+	apart.Choices = []choice{}
+	return []completion{last, withUsage(apart, a)}
+}
+
+func withUsage(c completion, a request.Answer) completion {
+	c.Usage = usageOf(a)
+	c.Own = ownOf(a)
+	return c
+}
+
 func (s *streamSink) fail(f *request.Failure) {
 	if !s.begun {
 		writeFailure(s.w, f)
--- a/internal/api/whole.go
+++ b/internal/api/whole.go
@@ -53,6 +53,7 @@
 		Model:   a.Version,
 		Choices: []choice{{Message: &content{Role: roleAssistant, Content: s.text.String()}, FinishReason: &reason}},
 		Usage:   usageOf(a),
+		Own:     ownOf(a),
 	}
 }
 
--- a/internal/capacity/relayrouter.go
+++ b/internal/capacity/relayrouter.go
@@ -38,6 +38,9 @@
 	return request.Answer{}, eris.New("nothing is read on here")
 }
 
+// Refused implements [api.Router].
+func (r *relayRouter) Refused(api.Refusal) {}
+
 // Addresses implements [api.Router].
 func (r *relayRouter) Addresses(string) api.Addresses { return api.Addresses{} }
 
--- a/internal/request/failure.go
+++ b/internal/request/failure.go
@@ -38,6 +38,29 @@
 	Outcome Outcome
 	// RetryAfter tells the caller when to come back; 0 says not to.
 	RetryAfter time.Duration
+	// Reason tells apart for operators what has one code; empty where the
+	// code says all.
+	Reason Reason
+}
+
+// Reason is why a request was refused, for operators.
+type Reason string
+
+// The reasons of what has the code bad_request.
+const (
+	ReasonMalformed   Reason = "malformed"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonUnread      Reason = "body_unread"
+	ReasonUnknownPath Reason = "unknown_path"
+	ReasonUndeclared  Reason = "undeclared_call"
+)
+
+// Why is the reason, or else the code.
+func (f *Failure) Why() Reason {
+	if f.Reason != "" {
+		return f.Reason
+	}
+	return Reason(f.Code)
 }
 
 // Error returns the message with its code and outcome.
--- a/internal/telemetry/bounds.go
+++ b/internal/telemetry/bounds.go
@@ -8,6 +8,8 @@
 	Versions int
 	// Codes is how many failure codes.
 	Codes int
+	// Refusals is how many triples of organisation, class and reason.
+	Refusals int
 }
 
 // The defaults suit ten organisations with six classes many times over.
@@ -15,6 +17,7 @@
 	DefaultRequests = 512
 	DefaultVersions = 128
 	DefaultCodes    = 64
+	DefaultRefusals = 1024
 )
 
 func (b Bounds) withDefaults() Bounds {
@@ -27,6 +30,9 @@
 	if b.Codes == 0 {
 		b.Codes = DefaultCodes
 	}
+	if b.Refusals == 0 {
+		b.Refusals = DefaultRefusals
+	}
 	return b
 }
 
--- a/internal/telemetry/set.go
+++ b/internal/telemetry/set.go
@@ -14,6 +14,7 @@
 	requests *family[requestLabels, *Request]
 	versions *family[string, *outcomeCounters]
 	codes    *family[request.Code, *metrics.Counter]
+	refusals *family[refusalLabels, *metrics.Counter]
 }
 
 // New returns an empty set.
@@ -23,6 +24,7 @@
 	s.requests = newFamily(b.Requests, func(l requestLabels) *Request { return newRequest(s, l) }, requestLabels.other)
 	s.versions = newFamily(b.Versions, s.newVersion, func(string) string { return other })
 	s.codes = newFamily(b.Codes, s.newCode, func(request.Code) request.Code { return other })
+	s.refusals = newFamily(b.Refusals, s.newRefusal, refusalLabels.other)
 	return s
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -67,13 +67,14 @@
 // counts together, and nothing is lost from the sums.
 func TestLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
-	s := New(Bounds{Requests: 3, Versions: 2, Codes: 2})
+	s := New(Bounds{Requests: 3, Versions: 2, Codes: 2, Refusals: 5})
 	var all conc.WaitGroup
 	for worker := range 4 {
 		all.Go(func() {
 			for i := range 100 {
 				name := fmt.Sprint(worker, "-", i)
 				s.Request(name, "draft").Observe(&Observation{Outcome: request.Completed, Version: name, Code: request.Code(name)})
+				s.Refused(name, "draft", request.ReasonTooLarge)
 			}
 		})
 	}
@@ -84,6 +85,8 @@
 	is.Equal(strings.Count(got, "hickorybank_failures_total{"), 2+1)
 	is.True(strings.Contains(got, `hickorybank_requests_total{organisation="other",class="draft",outcome="completed"} 397`))
 	is.True(strings.Contains(got, `hickorybank_failures_total{code="other"} 398`))
+	is.Equal(strings.Count(got, "hickorybank_refusals_total{"), 5+1)
+	is.True(strings.Contains(got, `hickorybank_refusals_total{organisation="other",class="other",reason="too_large"} 395`))
 }
 
 func TestObservingAllocatesNothing(t *testing.T) {
