Send pieces that are here already together

Cause: each piece was flushed by itself, also when the engine's next ones lay in the buffer already: a write to the caller for each.

A piece is written and the caller's connection flushed before anything that may take time: before the next piece is read, unless a whole event of it is in the buffer, and before every decision that is not a piece. Nothing waits for a piece that has not come. A caller that has gone is found out at the flush; what was decided, such as the bill, is done all the same.

BenchmarkPath/burst64 is for this; its figures are not taken yet.

--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -41,7 +41,7 @@
 	s.begun = true
 }
 
-// Text sends one piece. Its number is the event's id, with which the caller
+// Text takes one piece. Its number is the event's id, with which the caller
 // says where to read on.
 func (s *streamSink) Text(seq int, text string) error {
 	out := appendID(s.out[:0], seq)
@@ -53,9 +53,13 @@
 	out = append(out, `"content":`...)
 	out = appendText(out, text)
 	s.out = append(out, "},\"finish_reason\":null}]}\n\n"...)
-	return s.send(s.out)
+	_, err := s.w.Write(s.out)
+	return err
 }
 
+// Flush sends the pieces that were taken.
+func (s *streamSink) Flush() error { return s.flusher.Flush() }
+
 // openingOf is what all pieces of a stream have before their text.
 func openingOf(c completion) []byte {
 	c.Choices = []choice{}
@@ -70,7 +74,7 @@
 	if _, err := s.w.Write(out); err != nil {
 		return err
 	}
-	return s.flusher.Flush()
+	return s.Flush()
 }
 
 // finish sends the end in one piece, since nothing comes between.
--- a/internal/api/whole.go
+++ b/internal/api/whole.go
@@ -29,6 +29,9 @@
 	return nil
 }
 
+// Flush does nothing: the answer goes out in one piece.
+func (s *wholeSink) Flush() error { return nil }
+
 func (s *wholeSink) setHeaders(h http.Header, a request.Answer) {
 	setHead(h, s.head)
 	h.Set(headerCost, strconv.FormatInt(a.Cost, 10))
--- a/internal/capacity/relayrouter.go
+++ b/internal/capacity/relayrouter.go
@@ -66,6 +66,11 @@
 
 func follow(chat *lifecycle.Chat, stream upstream.Stream, sink request.Sink) (request.Answer, error) {
 	for {
+		if !stream.Ready() {
+			if err := sink.Flush(); err != nil {
+				return request.Answer{}, err
+			}
+		}
 		chunk, err := stream.Next()
 		if err == io.EOF {
 			return request.Answer{}, io.ErrUnexpectedEOF
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -40,6 +40,7 @@
 	machine *lifecycle.Chat
 	try     *try // the attempt in flight
 	begun   bool
+	waiting bool // pieces that were taken have not been sent
 	short   bool // an earlier answer fell short
 	last    admission.Sample
 	answer  request.Answer
@@ -91,6 +92,15 @@
 }
 
 func (r *chatRun) do(ctx context.Context, d lifecycle.Decision) []lifecycle.Decision {
+	if _, ok := d.(lifecycle.Emit); !ok && !r.flush() {
+		// What was decided is done all the same: it may be the bill.
+		gone := r.machine.CallerGone()
+		return append(r.carryOut(ctx, d), gone...)
+	}
+	return r.carryOut(ctx, d)
+}
+
+func (r *chatRun) carryOut(ctx context.Context, d lifecycle.Decision) []lifecycle.Decision {
 	switch d := d.(type) {
 	case lifecycle.Pick:
 		return r.pick(ctx, d)
@@ -119,9 +129,21 @@
 	if r.sink.Text(d.Seq, d.Text) != nil {
 		return r.machine.CallerGone()
 	}
+	r.waiting = true
 	return nil
 }
 
+// flush sends the pieces that wait; it is false when the caller has gone. It
+// must come before whatever may take time: pieces are held together only while
+// the next one is here already.
+func (r *chatRun) flush() bool {
+	if !r.waiting {
+		return true
+	}
+	r.waiting = false
+	return r.sink.Flush() == nil
+}
+
 func (r *chatRun) begin(version string) {
 	if r.begun {
 		return
--- a/internal/node/path_bench_test.go
+++ b/internal/node/path_bench_test.go
@@ -24,6 +24,7 @@
 	name   string
 	pieces int
 	stream bool
+	burst  bool // the pieces come as fast as they can
 	call   bool // of a plain service
 }
 
@@ -37,6 +38,7 @@
 		{name: "whole16", pieces: 16},
 		{name: "stream16", pieces: 16, stream: true},
 		{name: "stream64", pieces: 64, stream: true},
+		{name: "burst64", pieces: 64, stream: true, burst: true},
 	} {
 		b.Run(w.name, func(b *testing.B) { measurePath(b, w) })
 	}
@@ -45,7 +47,7 @@
 func measurePath(b *testing.B, w way) {
 	turns := make([]chan struct{}, pathCallers)
 	for i := range turns {
-		if w.stream {
+		if w.stream && !w.burst {
 			turns[i] = make(chan struct{}, 1)
 		}
 	}
--- a/internal/node/try.go
+++ b/internal/node/try.go
@@ -133,6 +133,9 @@
 
 // read takes the next piece.
 func (r *chatRun) read(ctx context.Context) []lifecycle.Decision {
+	if !r.try.stream.Ready() && !r.flush() {
+		return r.machine.CallerGone()
+	}
 	chunk, err := r.try.stream.Next()
 	if err != nil {
 		return r.broke(ctx, err, false)
--- a/internal/request/sink.go
+++ b/internal/request/sink.go
@@ -8,9 +8,11 @@
 	Streams() bool
 	// Begin tells which version answers and the caller's tokens.
 	Begin(h Head)
-	// Text passes on one piece with its number in the attempt. An error says
-	// that the caller has gone.
+	// Text takes one piece with its number in the attempt. An error says that
+	// the caller has gone.
 	Text(seq int, text string) error
+	// Flush sends the pieces that were taken.
+	Flush() error
 }
 
 // Head is what goes before an answer.
--- /dev/null
+++ b/internal/upstream/client/decoder_ready_test.go
@@ -0,0 +1,28 @@
+package client
+
+import (
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A caller waits for a piece that the router has: held back because a next one
+// is thought to be here, of which only a part has come.
+func TestOnlyAWholeEventIsReady(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, "id: 1\ndata: {\"seq\":1}\n\nid: 2\ndata: {\"seq\":2}\n\nid: 3\ndata: {\"seq\":3}\n")
+		_, _ = io.WriteString(w, "\n")
+	}()
+	d := newDecoder(r)
+	for seq, ready := range []bool{true, false, false} {
+		is.Equal(d.ready(), seq == 1) // nothing is read ahead at first
+		c, err := d.next()
+		is.NoErr(err)
+		is.Equal(c.Seq, seq+1)
+		is.Equal(d.ready(), ready)
+	}
+	is.NoErr(r.Close())
+}
--- a/internal/upstream/client/stream.go
+++ b/internal/upstream/client/stream.go
@@ -43,6 +43,9 @@
 	return c, nil
 }
 
+// Ready says that Next will not wait.
+func (s *stream) Ready() bool { return s.done || s.dec.ready() }
+
 // Close releases the connection; it does not cancel the attempt. After a whole
 // answer the connection goes back to the pool, for which the end of the body
 // has to be read; an engine that never sends it costs the connection.
--- a/internal/upstream/engines.go
+++ b/internal/upstream/engines.go
@@ -19,6 +19,9 @@
 type Stream interface {
 	// Next returns the next piece. After the piece with Done there is none.
 	Next() (Chunk, error)
+	// Ready says that Next will not wait. It may be false although it would
+	// not.
+	Ready() bool
 	// Close releases the connection; it does not cancel the attempt.
 	Close() error
 }
