Make the pace of a node's reads of bills a setting

Cause: the scenarios' check reads all bills through a ledger of its own within 5 s; at the fixed pace of 100 reads a second it could read no more than some 390 objects beside the empty buckets. It reads the stand-in past its limits, so it takes its own pace. Nothing else changes: the default is 100 a second.

--- a/internal/ledger/bill_reader.go
+++ b/internal/ledger/bill_reader.go
@@ -23,8 +23,8 @@
 	read    *readObjects
 }
 
-func newBillReader(s *store, window time.Duration) *billReader {
-	return &billReader{store: s, reading: newReading(), window: window, read: newReadObjects()}
+func newBillReader(s *store, settings Settings) *billReader {
+	return &billReader{store: s, reading: newReading(settings.BillReadsPerSecond), window: settings.Window, read: newReadObjects()}
 }
 
 // bills reads the bills of a bucket, each once. The error is errPageOver if that
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -69,7 +69,7 @@
 	l.billing = newBilling(l)
 	l.later = &later{try: l.tryLater}
 	l.janitor = newJanitor(l)
-	l.reader = newBillReader(l.store, s.Window)
+	l.reader = newBillReader(l.store, s)
 	return l
 }
 
--- a/internal/ledger/reading.go
+++ b/internal/ledger/reading.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// readGap is the least time between the reads of bills by one node. They
-	// are nobody's that waits for an answer, so they take a small part of what
-	// the platform allows.
-	readGap = 10 * time.Millisecond
 	// maxReadGap is the widest gap, for a store that keeps refusing.
 	maxReadGap = 500 * time.Millisecond
 	// readPatience is for how long a read is tried. With pageTime it must stay
@@ -35,7 +31,9 @@
 	pace *pace.Pace
 }
 
-func newReading() *reading { return &reading{pace: pace.NewSteady(readGap, maxReadGap)} }
+func newReading(perSecond float64) *reading {
+	return &reading{pace: pace.NewSteady(gap(1, perSecond), maxReadGap)}
+}
 
 // try makes a read until it succeeds, the patience is over, or ctx ends.
 func (r *reading) try(ctx context.Context, read func(ctx context.Context) error) error {
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -18,6 +18,10 @@
 	ClaimWritesPerSecond float64
 	// BillWritesPerSecond bounds the writes for bills, of all nodes together.
 	BillWritesPerSecond float64
+	// BillReadsPerSecond bounds a node's reads of bills, by operators and for
+	// settling. Nobody's answer waits for them, so they take a small part of
+	// what the platform allows.
+	BillReadsPerSecond float64
 	// Window is how long a key is kept; an older key is refused.
 	Window time.Duration
 	// Skew is how far clocks may lie apart.
@@ -48,6 +52,7 @@
 		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: 5 * time.Minute},
 		ClaimWritesPerSecond: 150,
 		BillWritesPerSecond:  150,
+		BillReadsPerSecond:   100,
 		Window:               24 * time.Hour,
 		Skew:                 5 * time.Minute,
 		RunLimit:             15 * time.Minute,
--- a/scenario/store_test.go
+++ b/scenario/store_test.go
@@ -44,7 +44,9 @@
 	}
 	client := platformclient.New("http://" + p.addrs.Main)
 	defer client.Close()
-	reader := ledger.New(ledger.DefaultSettings(), ledger.Deps{Table: client, Objects: client.Objects(), Log: slog.New(slog.DiscardHandler)})
+	settings := ledger.DefaultSettings()
+	settings.BillReadsPerSecond = 1e6 // the check itself is no part of the scenario
+	reader := ledger.New(settings, ledger.Deps{Table: client, Objects: client.Objects(), Log: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithTimeout(context.Background(), billsLimit)
 	defer cancel()
 	now := time.Now()
