Let a digest of the body tell bills with one key apart

Cause: a bill was keyed by organisation and request key. The same key with another body for a request that needs no claim ran again, and was not billed again.

Weighed: refusing the second body needs a look before each request, so a claim (a write) for each; a digest in the bill costs 8 B a bill. 32 bits would let a caller find two bodies that share one by some 2^16 hashes, 64 bits by 2^32.

A node that does not know digests may bill the same request during a replacement of all nodes: a bill without a digest does not count beside one with it. Rows without digests read as before.

Also: a fold merged its bills. An opaque key repeated after 20 and 40 hours is one bill, but two if the first two were merged first. Folds now leave out only bills that are equal in all.

Red with the digest left out of the order, and with Distinct as Merge: TestAnotherBodyIsAnotherBill, TestDistinctLeavesRepetitionsToMerge; green now. FuzzDecode 10 s, no finding.

--- a/internal/ledger/bill/bill.go
+++ b/internal/ledger/bill/bill.go
@@ -6,8 +6,11 @@
 type Bill struct {
 	Org string
 	// Key is the request's key, unique within the organisation.
-	Key   string
-	Class string
+	Key string
+	// Digest tells bodies with one key apart, for requests that need no claim;
+	// see [DigestOf]. It is 0 where the key alone is enough.
+	Digest uint64
+	Class  string
 	// Version is the model version that served the request; empty for a
 	// plain service, which Service names.
 	Version string
--- a/internal/ledger/bill/columns.go
+++ b/internal/ledger/bill/columns.go
@@ -1,6 +1,7 @@
 package bill
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,14 +23,19 @@
 	IDs    []byte
 	Keys   []string
 	Opaque []bool
-	Costs  []int64
-	In     []int64
-	Out    []int64
-	Base   int64 // milliseconds since 1970
-	After  []int64
+	// Digests are 8 bytes for each bill, or none if no bill has one.
+	Digests []byte
+	Costs   []int64
+	In      []int64
+	Out     []int64
+	Base    int64 // milliseconds since 1970
+	After   []int64
 }
 
-const uuidSize = len(uuid.UUID{})
+const (
+	uuidSize   = len(uuid.UUID{})
+	digestSize = 8
+)
 
 // errColumns says that the columns do not fit each other.
 var errColumns = eris.New("malformed bills")
@@ -54,6 +60,7 @@
 	c.Versions = append(c.Versions, c.name(b.Version, names))
 	c.Services = append(c.Services, c.name(b.Service, names))
 	c.addKey(b.Key)
+	c.addDigest(b.Digest)
 	c.Costs = append(c.Costs, b.Cost)
 	c.In = append(c.In, b.InputTokens)
 	c.Out = append(c.Out, b.OutputTokens)
@@ -81,6 +88,22 @@
 	c.IDs = append(c.IDs, u[:]...)
 }
 
+func (c *Columns) addDigest(digest uint64) {
+	if digest == 0 && len(c.Digests) == 0 {
+		return
+	}
+	before := (len(c.Orgs) - 1) * digestSize
+	c.Digests = append(c.Digests, make([]byte, before-len(c.Digests))...)
+	c.Digests = binary.BigEndian.AppendUint64(c.Digests, digest)
+}
+
+func (c *Columns) digest(i int) uint64 {
+	if len(c.Digests) == 0 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(c.Digests[i*digestSize:])
+}
+
 // Len is the number of bills.
 func (c *Columns) Len() int { return len(c.Orgs) }
 
@@ -101,6 +124,7 @@
 		b.Org, b.Class = c.Names[c.Orgs[i]], c.Names[c.Classes[i]]
 		b.Version, b.Service = c.Names[c.Versions[i]], c.Names[c.Services[i]]
 		b.Cost, b.InputTokens, b.OutputTokens = c.Costs[i], c.In[i], c.Out[i]
+		b.Digest = c.digest(i)
 		b.At = time.UnixMilli(c.Base + c.After[i]).UTC()
 	}
 	return bills, nil
@@ -118,7 +142,8 @@
 			return false
 		}
 	}
-	return len(c.Opaque) == n && c.keysFit()
+	digests := len(c.Digests) == 0 || len(c.Digests) == n*digestSize
+	return len(c.Opaque) == n && digests && c.keysFit()
 }
 
 func (c *Columns) keysFit() bool {
--- a/internal/ledger/folding.go
+++ b/internal/ledger/folding.go
@@ -84,7 +84,7 @@
 		bills = append(bills, more...)
 		n++
 	}
-	bills = bill.Merge(bills, l.settings.Window)
+	bills = bill.Distinct(bills)
 	fold := bill.Fold{Covers: keys[:n], Bills: bill.Pack(bills)}
 	name := b.Fold(l.process, l.folds.Add(1))
 	if err := l.store.putFold(ctx, name, &fold); err != nil {
