Give bills the digest of their request's body

Chat requests and calls that need no claim pass the digest of their body on where the key is their caller's; a stream's token carries it, so that reading on through another entry is still one bill. The ledger does the rest.

--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -262,6 +262,7 @@
 
 func (r *callRun) bill(ctx context.Context) {
 	b := r.billOf()
+	b.Digest = billDigest(r.call.Key, r.fingerprint()) // no claim tells bodies apart
 	r.background(ctx, billTimeout, func(ctx context.Context) callEvent {
 		_, err := r.node.ledger.Bill(ctx, b)
 		return func() []lifecycle.Decision { return r.machine.Billed(err == nil) }
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -81,10 +81,11 @@
 	if plan.Refusal != choice.RefuseNone {
 		return nil, refusedPlan(plan.Refusal)
 	}
+	fingerprint := request.NewFingerprint(call.Org.Name, call.Body)
 	return &chatRun{
 		node: n, call: call, sink: sink, class: t.class, plan: plan, session: session,
 		id: uuid.Must(uuid.NewV7()).String(), arrived: now, deadline: deadline,
-		fingerprint: request.NewFingerprint(call.Org.Name, call.Body),
+		fingerprint: fingerprint, digest: billDigest(call.Key, fingerprint),
 	}, nil
 }
 
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -10,6 +10,7 @@
 	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/ledger"
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/lifecycle"
 	"github.com/hickorybank/hickorybank/internal/request"
 )
@@ -36,6 +37,7 @@
 	cached      int
 	deadline    time.Time
 	fingerprint request.Fingerprint
+	digest      uint64 // of the bill
 
 	machine *lifecycle.Chat
 	try     *try // the attempt in flight
@@ -177,7 +179,7 @@
 }
 
 func (r *chatRun) billOf(d lifecycle.Bill) ledger.Bill {
-	b := ledger.Bill{Org: r.call.Org.Name, Key: r.key(), Class: r.class.Name, Version: d.Version, At: time.Now()}
+	b := ledger.Bill{Org: r.call.Org.Name, Key: r.key(), Digest: r.digest, Class: r.class.Name, Version: d.Version, At: time.Now()}
 	all := r.spent
 	all.add(r, d.Runs)
 	b.Cost = all.cost
@@ -193,6 +195,15 @@
 	return r.id
 }
 
+// billDigest tells bodies with one key of a caller's apart; other keys are of one
+// request only.
+func billDigest(key string, f request.Fingerprint) uint64 {
+	if key == "" {
+		return 0
+	}
+	return bill.DigestOf(f)
+}
+
 // tokensPerPrice is how many tokens a version's cost is given for.
 const tokensPerPrice = 1000
 
--- a/internal/node/read_on.go
+++ b/internal/node/read_on.go
@@ -27,7 +27,7 @@
 	all := r.spent
 	all.add(r, r.machine.Runs())
 	text, err := streamtoken.Seal(r.node.sealer, streamtoken.Token{
-		Org: r.call.Org.Name, Key: r.key(), Class: r.class.Name, Version: r.try.version,
+		Org: r.call.Org.Name, Key: r.key(), Digest: r.digest, Class: r.class.Name, Version: r.try.version,
 		Attempt: r.try.attempt, VM: r.try.vm.ID, Session: session,
 		Started: time.Now().Unix(), SpentCost: all.cost, SpentInput: all.input, SpentOutput: all.output,
 	})
@@ -73,6 +73,7 @@
 	return &chatRun{
 		node: n, sink: sink, class: class, arrived: now, deadline: now.Add(timeout(0, class)),
 		call:    api.ChatCall{Org: call.Org, Snapshot: snapshot, Key: token.Key},
+		digest:  token.Digest,
 		plan:    choice.Plan{First: token.Version},
 		session: openedSession{version: token.Version, token: token.Session},
 		spent:   spent{cost: token.SpentCost, input: token.SpentInput, output: token.SpentOutput},
--- a/internal/streamtoken/token.go
+++ b/internal/streamtoken/token.go
@@ -22,8 +22,10 @@
 
 // Token finds a stream and bills it.
 type Token struct {
-	Org     string `json:"o"`
-	Key     string `json:"k"`
+	Org string `json:"o"`
+	Key string `json:"k"`
+	// Digest is that of the bill; see package ledger/bill.
+	Digest  uint64 `json:"d,omitempty"`
 	Class   string `json:"c"`
 	Version string `json:"v"`
 	Attempt string `json:"a"`
