Settle buckets row by row, in parts of bounded memory

Cause: settling read a bucket whole into one node, some 260 B a bill: 6.3 GB at full size.

Weighed: all at once; rows cut by key hash at the collectors (as many times the writes); rows split into objects by hash and merged part by part (written and read once more); hashes of keys, in parts if there are too many. Taken: the last.

A part is a step and its totals a row, created if absent; any node does the next, twice does no harm, and the summary replaces the parts in one transaction. The summary's version is read before the bills, as before, so that an older reading loses the race.

Tests: parts add up to the whole for any bills (red with the correction of repeated keys left out: keys counted up to three times), a large bucket settled by three nodes of which one is lost, a part that comes after the summary.

Not done: buckets of opaque keys and listings are still read whole.

--- a/internal/ledger/janitor.go
+++ b/internal/ledger/janitor.go
@@ -24,7 +24,7 @@
 	maxTidy = 20
 	// settleBack is how far back closed buckets are looked at for settling.
 	settleBack = 48 * time.Hour
-	// maxSettle bounds the buckets settled in one period.
+	// maxSettle bounds the buckets, or parts of them, settled in one period.
 	maxSettle = 20
 )
 
@@ -82,10 +82,11 @@
 			if settled[b.Summary()] {
 				continue
 			}
-			if _, err := l.SettleBucket(ctx, b); err != nil {
-				return err
+			for done := false; !done && left > 0; left-- {
+				if done, err = l.settleStep(ctx, b); err != nil {
+					return err
+				}
 			}
-			left--
 		}
 	}
 	return nil
--- a/internal/ledger/key/bucket.go
+++ b/internal/ledger/key/bucket.go
@@ -28,6 +28,13 @@
 // Summary is the key of the row that holds the bucket's totals.
 func (b Bucket) Summary() string { return fmt.Sprintf("%s%012d", b.SummaryPrefix(), b.Number) }
 
+// PartPrefix is the beginning of the keys of the rows that hold the totals of the
+// bucket's parts, until all are there.
+func (b Bucket) PartPrefix() string { return fmt.Sprintf("settling/%c/%012d/", b.Kind, b.Number) }
+
+// Part is the key of the row of a part.
+func (b Bucket) Part(number uint64) string { return fmt.Sprintf("%s%06d", b.PartPrefix(), number) }
+
 // SummaryPrefix is the beginning of the keys of the summaries of the kind.
 func (b Bucket) SummaryPrefix() string { return fmt.Sprintf("settled/%c/", b.Kind) }
 
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -41,6 +41,9 @@
 	MaxHeld    int
 	// MaxKeys bounds the keys of claim logs kept in memory.
 	MaxKeys int
+	// MaxSettleKeys bounds the keys held in memory while bills are settled; a
+	// bucket with more is cut into parts. A key takes 24 to 38 B.
+	MaxSettleKeys int
 	// Janitor is how often old claims are deleted and old bills settled.
 	Janitor time.Duration
 }
@@ -62,6 +65,7 @@
 		MaxWaiting:           100_000,
 		MaxHeld:              200_000,
 		MaxKeys:              100_000,
+		MaxSettleKeys:        4_000_000,
 		Janitor:              time.Minute,
 	}
 }
--- /dev/null
+++ b/internal/ledger/settling.go
@@ -0,0 +1,160 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+)
+
+const (
+	// maxPartBits bounds the parts of a bucket to 128, fewer than scanRows.
+	maxPartBits = 7
+	// repeatedShare is the share of a part's keys that may be there more than
+	// once: of these the bills are held.
+	repeatedShare = 1.0 / 8
+)
+
+// part is the bills of a bucket whose keys' hashes begin with some bits.
+type part struct {
+	bits   int
+	number uint64
+}
+
+func (p part) has(hash uint64) bool { return p.bits == 0 || hash>>(64-p.bits) == p.number }
+
+// count is in how many parts the bucket is cut.
+func (p part) count() uint64 { return 1 << p.bits }
+
+// errPartFull says that a part has more keys than may be held.
+var errPartFull = eris.New("the part has too many bills")
+
+// settling adds up a part of a bucket, row by row. It holds a hash for each key
+// and the row where it stood first, no bills: all are added as they come. The
+// rows where a key stood more than once are read again, its bills taken off, and
+// those that count added.
+type settling struct {
+	part part
+	most int // keys
+	sum  *totals
+
+	rows     []source
+	first    map[uint64]uint32 // rows, by hash
+	repeated map[uint64]struct{}
+	again    map[uint32]struct{}
+}
+
+func newSettling(p part, most int) *settling {
+	return &settling{
+		part: p, most: most, sum: newTotals(),
+		first: map[uint64]uint32{}, repeated: map[uint64]struct{}{}, again: map[uint32]struct{}{},
+	}
+}
+
+func hashOf(b *bill.Bill) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(b.Org) // a hash takes all
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(b.Key)
+	return h.Sum64()
+}
+
+// take adds the bills of a row.
+func (s *settling) take(from source, bills []bill.Bill) error {
+	row := uint32(len(s.rows))
+	s.rows = append(s.rows, from)
+	for i := range bills {
+		hash := hashOf(&bills[i])
+		if !s.part.has(hash) {
+			continue
+		}
+		s.sum.add(bills[i : i+1])
+		first, ok := s.first[hash]
+		if !ok {
+			s.first[hash] = row
+			continue
+		}
+		s.repeated[hash] = struct{}{}
+		s.again[first] = struct{}{}
+		s.again[row] = struct{}{}
+	}
+	if len(s.first) > s.most || float64(len(s.repeated)) > float64(s.most)*repeatedShare {
+		return errPartFull
+	}
+	return nil
+}
+
+// correct puts right what keys with several bills add up to; read reads a row
+// again.
+func (s *settling) correct(read func(source) ([]bill.Bill, error)) error {
+	var all []bill.Bill
+	for row := range s.again {
+		bills, err := read(s.rows[row])
+		if err != nil {
+			return err
+		}
+		for _, b := range bills {
+			hash := hashOf(&b)
+			if _, ok := s.repeated[hash]; ok && s.part.has(hash) {
+				all = append(all, b)
+			}
+		}
+	}
+	s.sum.takeOff(all)
+	s.sum.add(bill.Merge(all, 0)) // keys of timed buckets need no window
+	return nil
+}
+
+// settlePart adds up one part of a bucket of timed keys.
+func (l *Ledger) settlePart(ctx context.Context, b key.Bucket, p part, most int) ([]Total, error) {
+	s := newSettling(p, most)
+	if err := l.reader.each(ctx, b, s.take); err != nil {
+		return nil, err
+	}
+	err := s.correct(func(from source) ([]bill.Bill, error) { return l.reader.again(ctx, from) })
+	return s.sum.list(), err
+}
+
+// settleFirst adds up the first part of a bucket, cut as finely as it must be.
+// All who read the same bills cut alike.
+func (l *Ledger) settleFirst(ctx context.Context, b key.Bucket) (part, []Total, error) {
+	for bits := 0; ; bits++ {
+		p := part{bits: bits}
+		sum, err := l.settlePart(ctx, b, p, l.settings.MaxSettleKeys)
+		if !eris.Is(err, errPartFull) || bits == maxPartBits {
+			return p, sum, err
+		}
+	}
+}
+
+// settleWhole adds up a bucket, part by part.
+func (l *Ledger) settleWhole(ctx context.Context, b key.Bucket) ([]Total, error) {
+	if b.Kind == key.Opaque {
+		return l.settleOpaque(ctx, b)
+	}
+	p, sum, err := l.settleFirst(ctx, b)
+	for p.number++; err == nil && p.number < p.count(); p.number++ {
+		var more []Total
+		more, err = l.settleNext(ctx, b, p)
+		sum = addTotals(sum, more)
+	}
+	return sum, err
+}
+
+// settleNext adds up a part after the first, which may be somewhat larger.
+func (l *Ledger) settleNext(ctx context.Context, b key.Bucket, p part) ([]Total, error) {
+	return l.settlePart(ctx, b, p, 2*l.settings.MaxSettleKeys)
+}
+
+func addTotals(all ...[]Total) []Total {
+	sum := newTotals()
+	for _, t := range slices.Concat(all...) {
+		sum.plus(t)
+	}
+	return sum.list()
+}
--- /dev/null
+++ b/internal/ledger/settling_test.go
@@ -0,0 +1,176 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hickorybank/hickorybank/internal/ledger/bill"
+	"github.com/hickorybank/hickorybank/internal/ledger/key"
+)
+
+// fill leaves a bucket with bills in rows of the table and in objects, some of
+// them in several rows with other amounts.
+func fill(is *is.I, c *cluster, n int) key.Bucket {
+	l := c.ledgers["e0"]
+	var bucket key.Bucket
+	var before []Bill
+	for row := range n / 20 {
+		bills := append([]Bill(nil), before[:len(before)/2]...)
+		for i := range bills {
+			bills[i].Cost, bills[i].At = 99, bills[i].At.Add(time.Second)
+		}
+		for i := range 20 {
+			b := billOf(newKey(), int64(row+i))
+			b.Org = fmt.Sprint("org", i%3)
+			bucket = c.settings.Layout.Bill(b.Key, b.At)
+			bills = append(bills, b, b)
+		}
+		r := bill.Row{Bucket: bucket, Writer: "w", Seq: uint64(row), Bills: bill.Pack(bills)}
+		_, err := l.store.createBills(context.Background(), r)
+		is.NoErr(err)
+		if row%3 == 0 {
+			_, err = l.store.putBills(context.Background(), r)
+			is.NoErr(err)
+		}
+		before = bills[len(bills)-40:]
+	}
+	return bucket
+}
+
+// A closed bucket had 24 million bills at full size, and the node that settled
+// it held them all, 6.3 GB. Cut into parts that hold few keys each, done by
+// whichever nodes have their turn, some of which are lost halfway, it must add
+// up to the same.
+func TestLargeBucketIsSettledInParts(t *testing.T) {
+	inBubble(t, 4, func(is *is.I, c *cluster) {
+		bucket := fill(is, c, 1000)
+		for _, l := range c.ledgers {
+			l.settings.MaxSettleKeys = 60
+		}
+		l := c.ledgers["e0"]
+		bills, err := l.reader.bills(context.Background(), bucket, time.Time{})
+		is.NoErr(err)
+		is.Equal(len(bills), 1000)
+		want := newTotals()
+		want.add(bills)
+		_, to := c.settings.Layout.Span(bucket)
+		time.Sleep(time.Until(to.Add(c.settings.Window + c.settings.RunLimit + c.settings.Skew)))
+		nodes := map[string]bool{}
+		steps := 0
+		for done := false; !done; steps++ {
+			id := fmt.Sprintf("e%d", 1+steps%3)
+			nodes[id] = true
+			done, err = c.ledgers[id].settleStep(context.Background(), bucket)
+			is.NoErr(err)
+			if steps == 3 {
+				c.lose("e1")
+				c.start(c.members[1]).settings.MaxSettleKeys = 60
+			}
+		}
+		is.True(steps >= 1000/60)
+		is.Equal(len(nodes), 3)
+		is.Equal(len(c.platform.Dump(bucket.PartPrefix()).Rows), 0)
+		s, err := l.SettleBucket(context.Background(), bucket)
+		is.NoErr(err)
+		is.Equal(s, Summary{Revision: 1, Totals: want.list()})
+		_, err = billIn(l, time.Second, Bill{Org: "org0", Key: keyAt(to.Add(-time.Second)), Cost: 5, At: time.Now()})
+		is.NoErr(err)
+		s, err = l.SettleBucket(context.Background(), bucket)
+		is.NoErr(err)
+		is.Equal(s.Revision, uint64(2))
+		is.Equal(s.Totals[0].Bills, want.list()[0].Bills+1)
+	})
+}
+
+// Two nodes do the same step at one time, and one of them ends the bucket
+// between the steps of the other. It is settled once.
+func TestPartsSettledTwiceCountOnce(t *testing.T) {
+	inBubble(t, 2, func(is *is.I, c *cluster) {
+		bucket := fill(is, c, 200)
+		a, b := c.ledgers["e0"], c.ledgers["e1"]
+		a.settings.MaxSettleKeys, b.settings.MaxSettleKeys = 60, 60
+		p, sum, err := a.settleFirst(context.Background(), bucket)
+		is.NoErr(err)
+		for done := false; !done; {
+			done, err = b.settleStep(context.Background(), bucket)
+			is.NoErr(err)
+		}
+		is.NoErr(a.writePart(context.Background(), bucket, p, sum)) // the summary bars it
+		is.Equal(len(c.platform.Dump(bucket.PartPrefix()).Rows), 0)
+		is.Equal(len(c.platform.Dump(bucket.Summary()).Rows), 1)
+	})
+}
+
+// However bills are spread over rows, and however many parts they are cut into,
+// they add up to what a reader of all of them finds, and no part holds more keys
+// than it may.
+func TestPartsAddUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		var rows [][]Bill
+		var all []Bill
+		for range rapid.IntRange(0, 8).Draw(t, "rows") {
+			bills := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Bill {
+				return Bill{
+					Org: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "org"), Key: fmt.Sprintf("018bcfe5-687b-7000-8000-0000000000%02d", rapid.IntRange(0, 30).Draw(t, "key")),
+					Cost: rapid.Int64Range(0, 9).Draw(t, "cost"), Digest: rapid.Uint64Range(0, 2).Draw(t, "digest"), At: time.UnixMilli(rapid.Int64Range(0, 9).Draw(t, "at")).UTC(),
+				}
+			}), 0, 12).Draw(t, "bills")
+			rows = append(rows, bills)
+			all = append(all, bills...)
+		}
+		bits := rapid.IntRange(0, 3).Draw(t, "bits")
+		var sum []Total
+		for p := (part{bits: bits}); p.number < p.count(); p.number++ {
+			s := newSettling(p, 1000)
+			for i, bills := range rows {
+				is.NoErr(s.take(source{name: fmt.Sprint(i)}, bills))
+			}
+			is.NoErr(s.correct(func(from source) ([]Bill, error) {
+				var i int
+				_, err := fmt.Sscan(from.name, &i)
+				return append([]Bill(nil), rows[i]...), err
+			}))
+			sum = addTotals(sum, s.sum.list())
+		}
+		want := newTotals()
+		want.add(bill.Merge(all, 24*time.Hour))
+		is.Equal(sum, want.list())
+	})
+}
+
+// BenchmarkSettling is what a key costs while a bucket is settled, in memory and
+// processor time.
+func BenchmarkSettling(b *testing.B) {
+	for _, n := range []int{39_000, 390_000, 4_000_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			row := make([]Bill, 1000)
+			for b.Loop() {
+				before := heap()
+				s := newSettling(part{}, n)
+				for i := range n {
+					row[i%len(row)] = Bill{Org: "org", Key: fmt.Sprint("018bcfe5-687b-7000-8000-", i), Cost: 1}
+					if i%len(row) == len(row)-1 {
+						_ = s.take(source{name: "bills/t/000000000000/entry-17~f47ac10b/0000000001"}, row)
+					}
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/key")
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/key")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/ledger/summary.go
+++ b/internal/ledger/summary.go
@@ -34,17 +34,15 @@
 	if time.Now().Before(l.closes(b)) {
 		return Summary{}, ErrOpenBucket
 	}
-	row, err := l.store.get(ctx, b.Summary())
+	row, err := l.store.get(ctx, b.Summary()) // before the bills: so an older reading loses the race
 	if err != nil {
 		return Summary{}, eris.Wrap(err, "read summary")
 	}
-	bills, err := l.reader.bills(ctx, b, time.Time{})
+	sum, err := l.settleWhole(ctx, b)
 	if err != nil {
 		return Summary{}, err
 	}
-	sum := newTotals()
-	sum.add(bills)
-	next := Summary{Revision: 1, Totals: sum.list()}
+	next := Summary{Revision: 1, Totals: sum}
 	if row.Version != 0 {
 		var present Summary
 		if err := json.Unmarshal(row.Value, &present); err != nil {
@@ -55,7 +53,7 @@
 		}
 		next.Revision = present.Revision + 1
 	}
-	return next, l.writeSummary(ctx, b, row.Version, next)
+	return next, l.writeSummary(ctx, b, row.Version, next, nil)
 }
 
 // closes is when no bill can come into the bucket any more, but for one that
@@ -65,15 +63,22 @@
 	return to.Add(l.settings.Window + l.settings.RunLimit + l.settings.Skew)
 }
 
-func (l *Ledger) writeSummary(ctx context.Context, b key.Bucket, version uint64, s Summary) error {
+// writeSummary writes a summary over the version that it follows. Parts that it
+// is made of must be there still, and go with it.
+func (l *Ledger) writeSummary(ctx context.Context, b key.Bucket, version uint64, s Summary, parts []platform.Row) error {
 	value, err := json.Marshal(s)
 	if err != nil {
 		return eris.Wrap(err, "encode summary")
 	}
-	f, _ := l.store.commit(ctx, platform.Txn{
+	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: b.Summary(), Version: version}},
 		Writes:     []platform.Write{{Key: b.Summary(), Value: value}},
-	})
+	}
+	for _, row := range parts {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+	}
+	f, _ := l.store.commit(ctx, txn)
 	if f != fate.Applied {
 		return eris.New("summary was not written: " + f.String())
 	}
--- a/internal/ledger/totals.go
+++ b/internal/ledger/totals.go
@@ -13,17 +13,32 @@
 
 func (t *totals) add(bills []Bill) {
 	for i := range bills {
-		b := &bills[i]
-		sum := t.byOrg[b.Org]
-		sum.Org = b.Org
-		sum.Bills++
-		sum.Cost += b.Cost
-		sum.InputTokens += b.InputTokens
-		sum.OutputTokens += b.OutputTokens
-		t.byOrg[b.Org] = sum
+		t.plus(totalOf(&bills[i]))
 	}
 }
 
+// takeOff takes bills off that were added.
+func (t *totals) takeOff(bills []Bill) {
+	for i := range bills {
+		one := totalOf(&bills[i])
+		t.plus(Total{Org: one.Org, Bills: -one.Bills, Cost: -one.Cost, InputTokens: -one.InputTokens, OutputTokens: -one.OutputTokens})
+	}
+}
+
+func totalOf(b *Bill) Total {
+	return Total{Org: b.Org, Bills: 1, Cost: b.Cost, InputTokens: b.InputTokens, OutputTokens: b.OutputTokens}
+}
+
+func (t *totals) plus(one Total) {
+	sum := t.byOrg[one.Org]
+	sum.Org = one.Org
+	sum.Bills += one.Bills
+	sum.Cost += one.Cost
+	sum.InputTokens += one.InputTokens
+	sum.OutputTokens += one.OutputTokens
+	t.byOrg[one.Org] = sum
+}
+
 func (t *totals) list() []Total {
 	return slices.SortedFunc(maps.Values(t.byOrg), func(a, b Total) int { return cmp.Compare(a.Org, b.Org) })
 }
