Hold eight bytes a key while a bucket is settled

Cause: a map of hashes took up to 38 B a key, so that only 4 million fitted into some 150 MB, and at full size a bucket was read eight times, once for each part.

Now sorted cells of some bits of the hash and the row's number. Keys that share the bits are read again like repeated ones, which costs a read and changes no sum. Repeated keys are put right some at a time, also if all are repeated, as after an outage in which a store took rows without saying so; before that the cut went on until they fitted or failed.

--- a/internal/ledger/bill_stream.go
+++ b/internal/ledger/bill_stream.go
@@ -145,6 +145,36 @@
 	}
 }
 
+// fewRows are read one by one; more take less if all are gone through.
+const fewRows = 200
+
+// rows reads some rows of a bucket again.
+func (r *billReader) rows(ctx context.Context, b key.Bucket, some map[source]struct{}, take func([]bill.Bill)) error {
+	left := len(some)
+	one := func(from source, bills []bill.Bill) error {
+		if _, ok := some[from]; ok {
+			left--
+			take(bills)
+		}
+		return nil
+	}
+	if left > fewRows {
+		if err := r.each(ctx, b, one); err != nil {
+			return err
+		}
+	} else {
+		for from := range some {
+			if err := r.one(ctx, from, one); err != nil {
+				return err
+			}
+		}
+	}
+	if left > 0 {
+		return eris.Errorf("%d rows that were read are not there", left)
+	}
+	return nil
+}
+
 func (r *billReader) row(ctx context.Context, name string) ([]bill.Bill, error) {
 	var row platform.Row
 	err := r.reading.try(ctx, func(ctx context.Context) error {
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -42,7 +42,7 @@
 	// MaxKeys bounds the keys of claim logs kept in memory.
 	MaxKeys int
 	// MaxSettleKeys bounds the keys held in memory while bills are settled; a
-	// bucket with more is cut into parts. A key takes 24 to 38 B.
+	// bucket with more is cut into parts. A key takes 8 to 14 B.
 	MaxSettleKeys int
 	// Janitor is how often old claims are deleted and old bills settled.
 	Janitor time.Duration
@@ -65,7 +65,7 @@
 		MaxWaiting:           100_000,
 		MaxHeld:              200_000,
 		MaxKeys:              100_000,
-		MaxSettleKeys:        4_000_000,
+		MaxSettleKeys:        16_000_000,
 		Janitor:              time.Minute,
 	}
 }
--- a/internal/ledger/settling.go
+++ b/internal/ledger/settling.go
@@ -14,9 +14,9 @@
 const (
 	// maxPartBits bounds the parts of a bucket to 128, fewer than scanRows.
 	maxPartBits = 7
-	// repeatedShare is the share of a part's keys that may be there more than
-	// once: of these the bills are held.
-	repeatedShare = 1.0 / 8
+	// repeatedShare is the share of a part's keys of which the bills are held at
+	// one time, if they are there more than once.
+	repeatedShare = 1.0 / 32
 )
 
 // part is the bills of a bucket whose keys' hashes begin with some bits.
@@ -33,27 +33,20 @@
 // errPartFull says that a part has more keys than may be held.
 var errPartFull = eris.New("the part has too many bills")
 
-// settling adds up a part of a bucket, row by row. It holds a hash for each key
-// and the row where it stood first, no bills: all are added as they come. The
-// rows where a key stood more than once are read again, its bills taken off, and
-// those that count added.
+// settling adds up a part of a bucket, row by row. It holds a few bytes for each
+// key, no bills: all are added as they come. The rows where a key stands that is
+// there more than once are read again, its bills taken off, and those that count
+// added.
 type settling struct {
 	part part
 	most int // keys
 	sum  *totals
 
-	rows     []source
-	first    map[uint64]uint32 // rows, by hash
-	repeated map[uint64]struct{}
-	again    map[uint32]struct{}
+	rows []source
+	keys keyIndex
 }
 
-func newSettling(p part, most int) *settling {
-	return &settling{
-		part: p, most: most, sum: newTotals(),
-		first: map[uint64]uint32{}, repeated: map[uint64]struct{}{}, again: map[uint32]struct{}{},
-	}
-}
+func newSettling(p part, most int) *settling { return &settling{part: p, most: most, sum: newTotals()} }
 
 func hashOf(b *bill.Bill) uint64 {
 	var h xxhash.Digest
@@ -69,45 +62,65 @@
 	row := uint32(len(s.rows))
 	s.rows = append(s.rows, from)
 	for i := range bills {
-		hash := hashOf(&bills[i])
-		if !s.part.has(hash) {
-			continue
+		if hash := hashOf(&bills[i]); s.part.has(hash) {
+			s.sum.add(bills[i : i+1])
+			s.keys.add(hash, row)
 		}
-		s.sum.add(bills[i : i+1])
-		first, ok := s.first[hash]
-		if !ok {
-			s.first[hash] = row
-			continue
-		}
-		s.repeated[hash] = struct{}{}
-		s.again[first] = struct{}{}
-		s.again[row] = struct{}{}
 	}
-	if len(s.first) > s.most || float64(len(s.repeated)) > float64(s.most)*repeatedShare {
+	if s.keys.count > s.most {
 		return errPartFull
 	}
+	if len(s.rows) >= maxRows {
+		return eris.New("the bucket has too many rows")
+	}
 	return nil
 }
 
-// correct puts right what keys with several bills add up to; read reads a row
-// again.
-func (s *settling) correct(read func(source) ([]bill.Bill, error)) error {
-	var all []bill.Bill
-	for row := range s.again {
-		bills, err := read(s.rows[row])
-		if err != nil {
-			return err
-		}
-		for _, b := range bills {
-			hash := hashOf(&b)
-			if _, ok := s.repeated[hash]; ok && s.part.has(hash) {
-				all = append(all, b)
+// reread hands the bills of some rows over once more.
+type reread func(rows map[source]struct{}, take func([]bill.Bill)) error
+
+// correct puts right what keys with several bills add up to, some of them at a
+// time: after an outage it may be all.
+func (s *settling) correct(read reread) error {
+	again := &repeats{of: s, keys: map[repeatedKey]struct{}{}, rows: map[source]struct{}{}}
+	for cell := range s.keys.cells {
+		s.keys.repeated(cell, again.add)
+		if float64(len(again.keys)) > float64(s.most)*repeatedShare {
+			if err := again.settle(read); err != nil {
+				return err
 			}
 		}
 	}
-	s.sum.takeOff(all)
-	s.sum.add(bill.Merge(all, 0)) // keys of timed buckets need no window
-	return nil
+	return again.settle(read)
+}
+
+// repeats are some keys with several bills, and the rows that these are in.
+type repeats struct {
+	of   *settling
+	keys map[repeatedKey]struct{}
+	rows map[source]struct{}
+}
+
+func (r *repeats) add(key repeatedKey, row uint32) {
+	r.keys[key] = struct{}{}
+	r.rows[r.of.rows[row]] = struct{}{}
+}
+
+func (r *repeats) settle(read reread) error {
+	var all []bill.Bill
+	err := read(r.rows, func(bills []bill.Bill) {
+		for i := range bills {
+			hash := hashOf(&bills[i])
+			if _, ok := r.keys[repeatedKeyOf(hash)]; ok && r.of.part.has(hash) {
+				all = append(all, bills[i])
+			}
+		}
+	})
+	r.of.sum.takeOff(all)
+	r.of.sum.add(bill.Merge(all, 0)) // keys of timed buckets need no window
+	clear(r.keys)
+	clear(r.rows)
+	return err
 }
 
 // settlePart adds up one part of a bucket of timed keys.
@@ -116,7 +129,7 @@
 	if err := l.reader.each(ctx, b, s.take); err != nil {
 		return nil, err
 	}
-	err := s.correct(func(from source) ([]bill.Bill, error) { return l.reader.again(ctx, from) })
+	err := s.correct(func(rows map[source]struct{}, take func([]bill.Bill)) error { return l.reader.rows(ctx, b, rows, take) })
 	return s.sum.list(), err
 }
 
