Model the settling of bills in parts

The mechanism changed: hashes of keys in parts of at most 16 million, in place of all bills of a bucket. Bytes and time of a key are those of -bench Settling.

--- a/internal/capacity/role_ledger.go
+++ b/internal/capacity/role_ledger.go
@@ -157,26 +157,42 @@
 // billBucket is the span of bills that are settled together.
 func billBucket() float64 { return ledgerSettings().Layout.BillBucket.Seconds() }
 
+// Of package ledger: how many rows a scan reads, and, measured by its benchmark
+// of settling, what a key takes while a bucket is added up: bytes and
+// nanoseconds.
+const (
+	settleScanRows = 200
+	settleKeyBytes = 9
+	settleKeyTime  = 350
+)
+
 // settling is the janitor: one node a minute deletes old claims and settles
-// closed buckets of bills.
+// closed buckets of bills, row by row, in as many parts as bound the memory.
 func (c *calc) settling() Role {
 	f := c.billFigures(maxSends)
 	s := ledgerSettings()
-	const scanRows = 1000
+	tables := float64(c.Tables)
 	rows := float64(c.Size.FailureDomains) / f.gap * billBucket()
-	bucketBytes := c.Size.Requests * c.Assume.DayMean * billBucket() * c.per("bill.bytes") * base64Growth
+	keys := c.Size.Requests * c.Assume.DayMean * billBucket()
+	parts := math.Exp2(math.Max(0, math.Ceil(math.Log2(keys/tables/float64(s.MaxSettleKeys)))))
+	bucketBytes := keys * c.per("bill.bytes") * base64Growth
 	shards := float64((s.Layout.Shards + s.Layout.OpaqueShards) * c.Tables)
-	perHour := Cost{Network: bucketBytes, Messages: 2 * rows / scanRows, Processor: processor(1, c.Size.Requests*c.Assume.DayMean*billBucket()*c.per("bill.pack"))}
-	peak := perHour.Times(1 / s.Janitor.Seconds() / float64(c.Tables))
-	peak.Memory = c.memory(c.Size.Requests / float64(c.Tables) * c.Assume.DayMean * billBucket() * c.per("bill.heap"))
+	// A part reads the bucket whole and keeps its own keys.
+	perPart := Cost{Network: bucketBytes, Messages: 2 * rows / settleScanRows, Processor: processor(1, keys*(c.per("bill.pack")+settleKeyTime/parts))}
+	perBucket := perPart.Times(parts)
+	peak := perPart.Times(1 / s.Janitor.Seconds() / tables)
+	held := keys / tables / parts
+	peak.Memory = c.memory(held * settleKeyBytes)
+	bounded := float64(s.MaxSettleKeys) / (c.Size.Requests / tables * c.Assume.DayMean)
 	return Role{
 		Name: "settling of bills", Plane: Control, PerRequest: true,
-		State:     fmt.Sprintf("while it settles, all bills of one bucket of %v: %s", s.Layout.BillBucket, amount(bucketBytes)),
-		Mechanism: "one node in rendezvous order a minute deletes old claims and folds each closed bucket into one row; package ledger",
-		Each:      perHour.Times(1 / billBucket() / float64(c.Size.Nodes)),
-		Busiest:   peak, Who: "the janitor while it settles a bucket",
-		Reads: rows/scanRows/billBucket() + 2*shards/s.Janitor.Seconds(), Writes: 1/billBucket() + shards/3600,
-		Mended: perHour.Times(1 / billBucket() / float64(c.Size.Nodes)),
-		Over:   fmt.Sprintf("A bucket is read whole into one node: %.0f million bills. Met by buckets of seconds in place of %v, or by adding up rows one by one instead of holding them.", c.Size.Requests/float64(c.Tables)*c.Assume.DayMean*billBucket()/1e6, s.Layout.BillBucket),
+		State:     fmt.Sprintf("while it settles, hashes of the keys of a part of a bucket of %v: %.1f million; the bucket has %s", s.Layout.BillBucket, held/1e6, amount(bucketBytes)),
+		Mechanism: fmt.Sprintf("one node in rendezvous order a minute deletes old claims and adds closed buckets up, row by row; a bucket of more than %.0f million keys in parts, here %.0f, each a step of any node; package ledger", float64(s.MaxSettleKeys)/1e6, parts),
+		Each:      perBucket.Times(1 / billBucket() / float64(c.Size.Nodes)),
+		Busiest:   peak, Who: "the janitor while it settles a part",
+		Reads:  parts*rows/settleScanRows/billBucket() + 2*shards/s.Janitor.Seconds(),
+		Writes: (1+parts)/billBucket() + shards/3600,
+		Mended: perPart.Times(1 / billBucket() / float64(c.Size.Nodes)),
+		Over:   fmt.Sprintf("Each part reads the bucket whole: %.0f parts read it %.0f times. Buckets of up to %.0f s have one part, at this rate.", parts, parts, bounded),
 	}
 }
