Move rows of settled bills out of the table

Cause: raw rows of bills stayed in the table for ever.

48 h after its bucket has closed, and if it is settled, a row is put into a fold with others and deleted. Weighed for the late writer: a floor as for claims would refuse a bill that has nowhere else to go; since readers merge folds and rows, it needs no condition of its own. The deletion has those of the rows and of the summary as they were read. Readers read the table before they list the folds.

Also: the cut of a large bucket follows from its number of bills. Before, it was tried twice as fine until the first part fitted, and a later part that was larger by chance failed for good (seen once: "the part has too many bills"). And a node reads bills 200 times a second at most, in place of 100, as 7 days of closed buckets now take some 6,000 reads.

Red: without reading folds of closed buckets TestOldRowsAreMovedOutOfTheTable lists other bills than before; with the folds listed before the table TestReaderFindsRowsThatAreMovedMeanwhile finds 2510 of 5000. Green now; scenario fail_bills_after_outage green.

--- a/internal/event/ledger.go
+++ b/internal/event/ledger.go
@@ -16,6 +16,7 @@
 	LedgerRejected     = define(1309, slog.LevelError, "a settlement was rejected: its attempt does not hold the key")
 	LedgerSettled      = define(1310, slog.LevelInfo, "a bucket of bills was settled")
 	LedgerJanitorLate  = define(1311, slog.LevelWarn, "old claims or bills could not be seen to")
+	LedgerPruned       = define(1314, slog.LevelInfo, "old rows of bills were moved from the table to the object store")
 	LedgerFolded       = define(1313, slog.LevelInfo, "small objects of bills were folded into one")
 	LedgerPeerSuspect  = define(1312, slog.LevelWarn, "a peer does not answer the ledger; others are asked for a while")
 )
--- a/internal/ledger/bill_reader.go
+++ b/internal/ledger/bill_reader.go
@@ -21,10 +21,17 @@
 	reading *reading
 	window  time.Duration
 	read    *readObjects
+	closes  func(key.Bucket) time.Time
+}
+
+// folded says whether a bucket may have folds: small objects that were folded
+// are still there, and rows of the table are folded long after it has closed.
+func (r *billReader) folded(b key.Bucket, objects int) bool {
+	return objects >= minFold || !time.Now().Before(r.closes(b))
 }
 
 func newBillReader(s *store, settings Settings) *billReader {
-	return &billReader{store: s, reading: newReading(settings.BillReadsPerSecond), window: settings.Window, read: newReadObjects()}
+	return &billReader{store: s, reading: newReading(settings.BillReadsPerSecond), window: settings.Window, read: newReadObjects(), closes: settings.closes}
 }
 
 // bills reads the bills of a bucket, each once. The error is errPageOver if that
@@ -59,11 +66,13 @@
 
 // raw reads all rows and objects of a bucket.
 func (r *billReader) raw(ctx context.Context, b key.Bucket, until time.Time) ([]bill.Bill, error) {
-	fromObjects, err := r.objects(ctx, b, until)
+	// The table first: rows that are folded and deleted meanwhile are found in
+	// their folds.
+	fromTable, err := r.table(ctx, b)
 	if err != nil {
 		return nil, err
 	}
-	fromTable, err := r.table(ctx, b)
+	fromObjects, err := r.objects(ctx, b, until)
 	return append(fromTable, fromObjects...), err
 }
 
@@ -121,10 +130,10 @@
 }
 
 // uncovered lists the objects of a bucket that no fold covers, and reads the
-// folds. Only many objects were ever folded.
+// folds.
 func (r *billReader) uncovered(ctx context.Context, b key.Bucket, progress *bucketObjects) ([]string, error) {
 	keys, err := r.list(ctx, b.Prefix())
-	if err != nil || len(keys) < minFold {
+	if err != nil || !r.folded(b, len(keys)) {
 		return keys, err
 	}
 	folds, err := r.list(ctx, b.FoldPrefix())
--- a/internal/ledger/bill_stream.go
+++ b/internal/ledger/bill_stream.go
@@ -26,7 +26,8 @@
 
 // each hands over the rows of a bucket one after the other: those of the table,
 // the folds, and the objects that no fold covers. No more than a page of rows is
-// in memory.
+// in memory. The table comes first: rows that are folded and deleted meanwhile
+// are found in their folds.
 func (r *billReader) each(ctx context.Context, b key.Bucket, take func(source, []bill.Bill) error) error {
 	if err := r.eachRow(ctx, b, take); err != nil {
 		return err
@@ -80,7 +81,7 @@
 
 // eachFold returns the objects that the folds cover.
 func (r *billReader) eachFold(ctx context.Context, b key.Bucket, objects int, take func(source, []bill.Bill) error) (map[string]bool, error) {
-	if objects < minFold {
+	if !r.folded(b, objects) {
 		return nil, nil
 	}
 	covered := map[string]bool{}
@@ -145,6 +146,9 @@
 	}
 }
 
+// errRowMoved says that a row of the table was moved into a fold since it was read.
+var errRowMoved = eris.New("a row was moved meanwhile")
+
 // fewRows are read one by one; more take less if all are gone through.
 const fewRows = 200
 
@@ -170,7 +174,7 @@
 		}
 	}
 	if left > 0 {
-		return eris.Errorf("%d rows that were read are not there", left)
+		return errRowMoved
 	}
 	return nil
 }
@@ -183,7 +187,7 @@
 		return err
 	})
 	if err == nil && row.Version == 0 {
-		err = eris.New("it was read and is not there")
+		err = errRowMoved
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "read "+name)
--- a/internal/ledger/janitor.go
+++ b/internal/ledger/janitor.go
@@ -29,7 +29,8 @@
 )
 
 // janitor is the duty that deletes claims older than the window, settles closed
-// buckets and folds small objects. It falls on one node a period; two at a time are harmless.
+// buckets, folds small objects and moves old bills out of the table. It falls on
+// one node a period; two at a time are harmless.
 type janitor struct{ ledger *Ledger }
 
 func newJanitor(l *Ledger) *janitor { return &janitor{ledger: l} }
@@ -59,6 +60,9 @@
 	if err == nil {
 		err = j.foldSome(ctx, now)
 	}
+	if err == nil {
+		err = j.prune(ctx, now)
+	}
 	if err != nil && ctx.Err() == nil {
 		event.LedgerJanitorLate.Log(j.ledger.deps.Log, slog.Any("error", err))
 	}
--- a/internal/ledger/key/bucket.go
+++ b/internal/ledger/key/bucket.go
@@ -1,6 +1,11 @@
 package key
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
 
 // Bucket names the bills that are settled together.
 type Bucket struct {
@@ -11,6 +16,19 @@
 // Prefix is the beginning of the keys of the bucket's rows and objects.
 func (b Bucket) Prefix() string { return fmt.Sprintf("bills/%c/%012d/", b.Kind, b.Number) }
 
+// BillsPrefix is the beginning of the keys of all rows of a kind, those of older
+// buckets first.
+func BillsPrefix(kind Kind) string { return fmt.Sprintf("bills/%c/", kind) }
+
+// BucketOfRow returns the bucket that a row's key names.
+func BucketOfRow(row string) (Bucket, error) {
+	var b Bucket
+	if _, err := fmt.Sscanf(row, "bills/%c/%d/", &b.Kind, &b.Number); err != nil || !strings.HasPrefix(row, b.Prefix()) {
+		return Bucket{}, eris.Errorf("no row of bills: %q", row)
+	}
+	return b, nil
+}
+
 // Row is the key of a writer's row.
 func (b Bucket) Row(writer string, seq uint64) string {
 	return fmt.Sprintf("%s%s/%010d", b.Prefix(), writer, seq)
--- a/internal/ledger/key_index.go
+++ b/internal/ledger/key_index.go
@@ -9,7 +9,6 @@
 	// cells are split by the last bits of the hash, so that each grows and is
 	// sorted by itself; the first bits are alike in a part.
 	cells [1 << cellBits][]uint64
-	count int
 }
 
 const (
@@ -21,7 +20,6 @@
 func (x *keyIndex) add(hash uint64, row uint32) {
 	cell := &x.cells[hash&(1<<cellBits-1)]
 	*cell = append(*cell, hash>>cellBits<<rowBits|uint64(row))
-	x.count++
 }
 
 // repeated calls found for each place where a key of a cell stands that is there
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -44,6 +44,9 @@
 	// MaxSettleKeys bounds the keys held in memory while bills are settled; a
 	// bucket with more is cut into parts. A key takes 8 to 14 B.
 	MaxSettleKeys int
+	// PruneAfter is for how long the rows of a closed bucket stay in the table;
+	// then they are moved to the object store. More than Skew.
+	PruneAfter time.Duration
 	// Janitor is how often old claims are deleted and old bills settled.
 	Janitor time.Duration
 }
@@ -55,7 +58,7 @@
 		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: 5 * time.Minute},
 		ClaimWritesPerSecond: 150,
 		BillWritesPerSecond:  150,
-		BillReadsPerSecond:   100,
+		BillReadsPerSecond:   200,
 		Window:               24 * time.Hour,
 		Skew:                 5 * time.Minute,
 		RunLimit:             15 * time.Minute,
@@ -66,6 +69,7 @@
 		MaxHeld:              200_000,
 		MaxKeys:              100_000,
 		MaxSettleKeys:        16_000_000,
+		PruneAfter:           48 * time.Hour,
 		Janitor:              time.Minute,
 	}
 }
--- a/internal/ledger/settling.go
+++ b/internal/ledger/settling.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,8 +33,12 @@
 // count is in how many parts the bucket is cut.
 func (p part) count() uint64 { return 1 << p.bits }
 
-// errPartFull says that a part has more keys than may be held.
-var errPartFull = eris.New("the part has too many bills")
+// partFullError says that a part has more bills than may be held.
+type partFullError struct{ bills int }
+
+func (e *partFullError) Error() string {
+	return fmt.Sprintf("the part has too many bills, %d", e.bills)
+}
 
 // settling adds up a part of a bucket, row by row. It holds a few bytes for each
 // key, no bills: all are added as they come. The rows where a key stands that is
@@ -42,8 +49,9 @@
 	most int // keys
 	sum  *totals
 
-	rows []source
-	keys keyIndex
+	rows  []source
+	keys  keyIndex
+	bills int // also those that are more than may be held
 }
 
 func newSettling(p part, most int) *settling { return &settling{part: p, most: most, sum: newTotals()} }
@@ -62,14 +70,15 @@
 	row := uint32(len(s.rows))
 	s.rows = append(s.rows, from)
 	for i := range bills {
-		if hash := hashOf(&bills[i]); s.part.has(hash) {
+		hash := hashOf(&bills[i])
+		if !s.part.has(hash) {
+			continue
+		}
+		if s.bills++; s.bills <= s.most {
 			s.sum.add(bills[i : i+1])
 			s.keys.add(hash, row)
 		}
 	}
-	if s.keys.count > s.most {
-		return errPartFull
-	}
 	if len(s.rows) >= maxRows {
 		return eris.New("the bucket has too many rows")
 	}
@@ -82,6 +91,9 @@
 // correct puts right what keys with several bills add up to, some of them at a
 // time: after an outage it may be all.
 func (s *settling) correct(read reread) error {
+	if s.bills > s.most {
+		return &partFullError{s.bills}
+	}
 	again := &repeats{of: s, keys: map[repeatedKey]struct{}{}, rows: map[source]struct{}{}}
 	for cell := range s.keys.cells {
 		s.keys.repeated(cell, again.add)
@@ -123,8 +135,21 @@
 	return err
 }
 
+// maxSettleTries bounds the tries at a part whose rows are moved meanwhile.
+const maxSettleTries = 3
+
 // settlePart adds up one part of a bucket of timed keys.
-func (l *Ledger) settlePart(ctx context.Context, b key.Bucket, p part, most int) ([]Total, error) {
+func (l *Ledger) settlePart(ctx context.Context, b key.Bucket, p part, most int) (sum []Total, err error) {
+	for range maxSettleTries {
+		sum, err = l.addPart(ctx, b, p, most)
+		if !eris.Is(err, errRowMoved) {
+			break
+		}
+	}
+	return sum, err
+}
+
+func (l *Ledger) addPart(ctx context.Context, b key.Bucket, p part, most int) ([]Total, error) {
 	s := newSettling(p, most)
 	if err := l.reader.each(ctx, b, s.take); err != nil {
 		return nil, err
@@ -133,16 +158,18 @@
 	return s.sum.list(), err
 }
 
-// settleFirst adds up the first part of a bucket, cut as finely as it must be.
-// All who read the same bills cut alike.
+// settleFirst adds up the first part of a bucket, cut as finely as its number of
+// bills asks for. All who read the same bills cut alike.
 func (l *Ledger) settleFirst(ctx context.Context, b key.Bucket) (part, []Total, error) {
-	for bits := 0; ; bits++ {
-		p := part{bits: bits}
-		sum, err := l.settlePart(ctx, b, p, l.settings.MaxSettleKeys)
-		if !eris.Is(err, errPartFull) || bits == maxPartBits {
-			return p, sum, err
-		}
+	var p part
+	sum, err := l.settlePart(ctx, b, p, l.settings.MaxSettleKeys)
+	var full *partFullError
+	if !errors.As(err, &full) {
+		return p, sum, err
 	}
+	p.bits = min(maxPartBits, bits.Len(uint((full.bills-1)/l.settings.MaxSettleKeys)))
+	sum, err = l.settleNext(ctx, b, p)
+	return p, sum, err
 }
 
 // settleWhole adds up a bucket, part by part.
@@ -159,7 +186,7 @@
 	return sum, err
 }
 
-// settleNext adds up a part after the first, which may be somewhat larger.
+// settleNext adds up one of several parts, of which some are somewhat larger.
 func (l *Ledger) settleNext(ctx context.Context, b key.Bucket, p part) ([]Total, error) {
 	return l.settlePart(ctx, b, p, 2*l.settings.MaxSettleKeys)
 }
--- a/internal/ledger/summary.go
+++ b/internal/ledger/summary.go
@@ -58,9 +58,11 @@
 
 // closes is when no bill can come into the bucket any more, but for one that
 // was held for longer than the window.
-func (l *Ledger) closes(b key.Bucket) time.Time {
-	_, to := l.settings.Layout.Span(b)
-	return to.Add(l.settings.Window + l.settings.RunLimit + l.settings.Skew)
+func (l *Ledger) closes(b key.Bucket) time.Time { return l.settings.closes(b) }
+
+func (s Settings) closes(b key.Bucket) time.Time {
+	_, to := s.Layout.Span(b)
+	return to.Add(s.Window + s.RunLimit + s.Skew)
 }
 
 // writeSummary writes a summary over the version that it follows. Parts that it
