--- a/internal/capacity/role_ledger.go
+++ b/internal/capacity/role_ledger.go
@@ -179,7 +179,11 @@
 	shards := float64((s.Layout.Shards + s.Layout.OpaqueShards) * c.Tables)
 	// A part reads the bucket whole and keeps its own keys.
 	perPart := Cost{Network: bucketBytes, Messages: 2 * rows / settleScanRows, Processor: processor(1, keys*(c.per("bill.pack")+settleKeyTime/parts))}
-	perBucket := perPart.Times(parts)
+	// Each row is read once more, and put into a fold of a page of rows, in place
+	// of which they are deleted.
+	pages := rows / settleScanRows
+	pruning := Cost{Network: 2 * bucketBytes, Messages: 6 * pages, Processor: processor(2, keys*c.per("bill.pack"))}
+	perBucket := perPart.Times(parts).Plus(pruning)
 	peak := perPart.Times(1 / s.Janitor.Seconds() / tables)
 	held := keys / tables / parts
 	peak.Memory = c.memory(held * settleKeyBytes)
@@ -187,12 +191,12 @@
 	return Role{
 		Name: "settling of bills", Plane: Control, PerRequest: true,
 		State:     fmt.Sprintf("while it settles, hashes of the keys of a part of a bucket of %v: %.1f million; the bucket has %s", s.Layout.BillBucket, held/1e6, amount(bucketBytes)),
-		Mechanism: fmt.Sprintf("one node in rendezvous order a minute deletes old claims and adds closed buckets up, row by row; a bucket of more than %.0f million keys in parts, here %.0f, each a step of any node; package ledger", float64(s.MaxSettleKeys)/1e6, parts),
+		Mechanism: fmt.Sprintf("one node in rendezvous order a minute deletes old claims and adds closed buckets up, row by row; a bucket of more than %.0f million keys in parts, here %.0f, each a step of any node, and moves rows to the object store after %v; package ledger", float64(s.MaxSettleKeys)/1e6, parts, s.PruneAfter),
 		Each:      perBucket.Times(1 / billBucket() / float64(c.Size.Nodes)),
 		Busiest:   peak, Who: "the janitor while it settles a part",
-		Reads:  parts*rows/settleScanRows/billBucket() + 2*shards/s.Janitor.Seconds(),
-		Writes: (1+parts)/billBucket() + shards/3600,
-		Mended: perPart.Times(1 / billBucket() / float64(c.Size.Nodes)),
+		Reads:  (parts+2)*pages/billBucket() + 2*shards/s.Janitor.Seconds(),
+		Writes: (1+parts+2*pages)/billBucket() + shards/3600,
+		Mended: perPart.Plus(pruning).Times(1 / billBucket() / float64(c.Size.Nodes)),
 		Over:   fmt.Sprintf("Each part reads the bucket whole: %.0f parts read it %.0f times. Buckets of up to %.0f s have one part, at this rate.", parts, parts, bounded),
 	}
 }
