--- a/internal/ledger/janitor.go
+++ b/internal/ledger/janitor.go
@@ -24,12 +24,13 @@
 	maxTidy = 20
 	// settleBack is how far back closed buckets are looked at for settling.
 	settleBack = 48 * time.Hour
-	// maxSettle bounds the buckets settled in one period.
+	// maxSettle bounds the buckets, or parts of them, settled in one period.
 	maxSettle = 20
 )
 
 // janitor is the duty that deletes claims older than the window, settles closed
-// buckets and folds small objects. It falls on one node a period; two at a time are harmless.
+// buckets, folds small objects and moves old bills out of the table. It falls on
+// one node a period; two at a time are harmless.
 type janitor struct{ ledger *Ledger }
 
 func newJanitor(l *Ledger) *janitor { return &janitor{ledger: l} }
@@ -59,6 +60,9 @@
 	if err == nil {
 		err = j.foldSome(ctx, now)
 	}
+	if err == nil {
+		err = j.prune(ctx, now)
+	}
 	if err != nil && ctx.Err() == nil {
 		event.LedgerJanitorLate.Log(j.ledger.deps.Log, slog.Any("error", err))
 	}
@@ -82,10 +86,11 @@
 			if settled[b.Summary()] {
 				continue
 			}
-			if _, err := l.SettleBucket(ctx, b); err != nil {
-				return err
+			for done := false; !done && left > 0; left-- {
+				if done, err = l.settleStep(ctx, b); err != nil {
+					return err
+				}
 			}
-			left--
 		}
 	}
 	return nil
--- a/internal/ledger/settings.go
+++ b/internal/ledger/settings.go
@@ -18,6 +18,10 @@
 	ClaimWritesPerSecond float64
 	// BillWritesPerSecond bounds the writes for bills, of all nodes together.
 	BillWritesPerSecond float64
+	// BillReadsPerSecond bounds a node's reads of bills, by operators and for
+	// settling. Nobody's answer waits for them, so they take a small part of
+	// what the platform allows.
+	BillReadsPerSecond float64
 	// Window is how long a key is kept; an older key is refused.
 	Window time.Duration
 	// Skew is how far clocks may lie apart.
@@ -37,6 +41,12 @@
 	MaxHeld    int
 	// MaxKeys bounds the keys of claim logs kept in memory.
 	MaxKeys int
+	// MaxSettleKeys bounds the keys held in memory while bills are settled; a
+	// bucket with more is cut into parts. A key takes 8 to 14 B.
+	MaxSettleKeys int
+	// PruneAfter is for how long the rows of a closed bucket stay in the table;
+	// then they are moved to the object store. More than Skew.
+	PruneAfter time.Duration
 	// Janitor is how often old claims are deleted and old bills settled.
 	Janitor time.Duration
 }
@@ -48,6 +58,7 @@
 		Layout:               key.Layout{Shards: 4, OpaqueShards: 16, ClaimBucket: time.Minute, BillBucket: 5 * time.Minute},
 		ClaimWritesPerSecond: 150,
 		BillWritesPerSecond:  150,
+		BillReadsPerSecond:   200,
 		Window:               24 * time.Hour,
 		Skew:                 5 * time.Minute,
 		RunLimit:             15 * time.Minute,
@@ -57,6 +68,8 @@
 		MaxWaiting:           100_000,
 		MaxHeld:              200_000,
 		MaxKeys:              100_000,
+		MaxSettleKeys:        16_000_000,
+		PruneAfter:           48 * time.Hour,
 		Janitor:              time.Minute,
 	}
 }
@@ -75,6 +88,10 @@
 	refreshGap    = time.Second
 	silence       = 3 * time.Second
 	holdCopies    = 2
+	// claimBurst and billBurst are how many writes all logs of one minute, and
+	// all collectors, may save up together.
+	claimBurst = 16
+	billBurst  = 32
 )
 
 // gap is the least time between the writes of one of several writers that
@@ -83,6 +100,15 @@
 	return time.Duration(float64(writers) / perSecond * float64(time.Second))
 }
 
+// billGap is the gap of one collector of several, and how many writes it may
+// save up. Each turn of the duty brings collectors with what they saved up while
+// it was not theirs, so that is taken off what goes at a gap.
+func (s Settings) billGap(collectors int) (time.Duration, int) {
+	burst := billBurst / max(1, collectors)
+	saved := float64(burst*collectors) / epoch.Seconds()
+	return gap(collectors, max(s.BillWritesPerSecond-saved, s.BillWritesPerSecond/2)), burst
+}
+
 func (s Settings) log(name key.Log, writer string, now time.Time) claim.LogSettings {
 	settings := claim.LogSettings{
 		Writer: writer, MaxGap: maxGap, MaxEntries: maxRowEntries, MaxBytes: maxRowBytes, FailAfter: failAfter,
@@ -91,6 +117,7 @@
 	if name.Kind == key.Opaque {
 		settings.Window = s.Window + s.Skew
 		settings.MinGap = gap(s.Layout.OpaqueShards, half)
+		settings.Burst = claimBurst / s.Layout.OpaqueShards
 		return settings
 	}
 	// Old buckets only get settlements, so each is written the more seldom
@@ -98,6 +125,7 @@
 	// meant for the newest.
 	age := max(0, now.UnixMilli()/s.Layout.ClaimBucket.Milliseconds()-name.Bucket)
 	settings.MinGap = gap(s.Layout.Shards, half) * time.Duration(min(1+age, maxAge))
+	settings.Burst = claimBurst / s.Layout.Shards / int(min(1+age, maxAge))
 	return settings
 }
 
@@ -105,8 +133,9 @@
 const maxAge = 5
 
 func (s Settings) collector(writer string) bill.CollectorSettings {
+	least, burst := s.billGap(1)
 	return bill.CollectorSettings{
-		Writer: writer, Layout: s.Layout, MinGap: gap(1, s.BillWritesPerSecond), MaxGap: maxGap,
+		Writer: writer, Layout: s.Layout, MinGap: least, MaxGap: maxGap, Burst: burst,
 		MaxBatch: maxRowBills, MaxFlights: maxFlights, MaxWaiting: s.MaxWaiting,
 		TableGrace: tableGrace, ObjectGrace: objectGrace, GiveUp: giveUp,
 		Probe: probeGap, Refresh: refreshGap, Copies: holdCopies,
