Give each process of a scenario a loopback address of its own

Cause: all processes and relays of a scenario listened at 127.0.0.1. A caller or a node that still knows the address of a process which is gone then meets a stranger, who answers. VMs have addresses of their own, so the product need not tell such strangers apart; the check counted what they answered.

The check is as strict as it was: nothing that was counted is left out.

--- a/scenario/cmd_start_test.go
+++ b/scenario/cmd_start_test.go
@@ -7,8 +7,6 @@
 	"github.com/hickorybank/hickorybank/internal/example"
 )
 
-const freePort = "127.0.0.1:0"
-
 func (c *cluster) platformFor(ts *testscript.TestScript, id string) string {
 	url, err := c.platformURL(id)
 	ts.Check(err)
@@ -53,7 +51,7 @@
 // more flags come after them and so win.
 
 func (c *cluster) startPlatform(more ...string) error {
-	args := []string{"standin", "platform", "--listen", freePort, "--list-lag", "100ms"}
+	args := []string{"standin", "platform", "--listen", freshListen(), "--list-lag", "100ms"}
 	_, err := c.start(platformID, append(args, more...)...)
 	return err
 }
@@ -64,7 +62,7 @@
 		return err
 	}
 	args := []string{
-		"standin", "upstream", "--id", id, "--listen", freePort, "--failure-domain", "manga", "--platform", url,
+		"standin", "upstream", "--id", id, "--listen", freshListen(), "--failure-domain", "manga", "--platform", url,
 		"--serve", "dues@1", "--serve", "dues@2", "--serve", "lines@1", "--serve", "lines@2",
 	}
 	_, err = c.start(id, append(args, more...)...)
@@ -78,7 +76,7 @@
 	}
 	args := []string{
 		"standin", "upstream", "--kind", "service", "--id", id, "--service", name,
-		"--listen", freePort, "--failure-domain", "manga", "--platform", url,
+		"--listen", freshListen(), "--failure-domain", "manga", "--platform", url,
 	}
 	_, err = c.start(id, append(args, more...)...)
 	return err
@@ -89,9 +87,10 @@
 	if err != nil {
 		return err
 	}
+	listen := freshListen()
 	args := []string{
-		"entry", "--id", id, "--listen", freePort, "--failure-domain", "manga", "--platform", url, "--register",
-		"--admin-listen", freePort, "--operator-key-hash", "operator=" + config.HashKey(example.OperatorKey),
+		"entry", "--id", id, "--listen", listen, "--failure-domain", "manga", "--platform", url, "--register",
+		"--peer-listen", listen, "--admin-listen", listen, "--operator-key-hash", "operator=" + config.HashKey(example.OperatorKey),
 	}
 	_, err = c.start(id, append(args, more...)...)
 	return err
