--- a/scenario/load_report_test.go
+++ b/scenario/load_report_test.go
@@ -22,11 +22,12 @@
 	// codes counts the reasons of what did not complete.
 	codes    map[string]int
 	examples []string
+	named    map[string]int // examples of each thing that is wrong
 	notes    []string
 }
 
-// maxExamples is how many wrong requests a report names.
-const maxExamples = 20
+// maxExamples is how many requests a report names for each thing that is wrong.
+const maxExamples = 10
 
 type requestKey struct{ org, key string }
 
@@ -60,7 +61,7 @@
 }
 
 func newReport(records []record, e evidence) report {
-	p := report{codes: map[string]int{}}
+	p := report{codes: map[string]int{}, named: map[string]int{}}
 	for _, r := range records {
 		p.add(r, e)
 	}
@@ -76,16 +77,16 @@
 		p.notes = append(p.notes, fmt.Sprintf("cut: %s %s", r.order.key, r.last))
 	}
 	if len(r.faults) > 0 {
-		p.example(r, r.faults[0].Error())
+		p.example(r, "foreign", r.faults[0].Error())
 	}
 	bills, runs := e.bills[requestKey{r.order.org, r.order.key}], e.runs(r.order)
 	if r.order.method == "POST" && runs > 1 {
 		p.Doubled++
-		p.example(r, fmt.Sprintf("ran %d times", runs))
+		p.example(r, "doubled", fmt.Sprintf("ran %d times", runs))
 	}
 	if bills > 1 {
 		p.Overbilled++
-		p.example(r, fmt.Sprintf("%d bills", bills))
+		p.example(r, "overbilled", fmt.Sprintf("%d bills", bills))
 	}
 	p.outcome(r, bills, runs)
 }
@@ -99,25 +100,26 @@
 		p.Completed++
 		if bills == 0 {
 			p.Unbilled++
-			p.example(r, "no bill")
+			p.example(r, "unbilled", "no bill")
 		}
 	case notRun:
 		p.NotRun++
 		if r.clean && runs+bills > 0 {
 			p.FalseNot++
-			p.example(r, fmt.Sprintf("ran %d times, %d bills", runs, bills))
+			p.example(r, "falsely not run", fmt.Sprintf("ran %d times, %d bills", runs, bills))
 		}
 	case unknown:
 		p.Unknown++
 	default:
 		p.GaveUp++
-		p.example(r, fmt.Sprintf("no answer after %d arrivals", r.arrivals))
+		p.example(r, "gave up", fmt.Sprintf("no answer after %d arrivals", r.arrivals))
 	}
 }
 
-func (p *report) example(r record, what string) {
-	if len(p.examples) < maxExamples {
-		head := fmt.Sprintf("%s %s %s %s: %s: %s", r.order.org, r.order.key, r.order.model, r.order.path, what, r.last)
+func (p *report) example(r record, wrong, what string) {
+	p.named[wrong]++
+	if p.named[wrong] <= maxExamples {
+		head := fmt.Sprintf("%s: %s %s %s %s: %s: %s", wrong, r.order.org, r.order.key, r.order.model, r.order.path, what, r.last)
 		p.examples = append(p.examples, head+strings.Join(r.history, "\n"))
 	}
 }
