--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -109,6 +109,11 @@
 	return out
 }
 
+// upstreams are the stand-in upstreams that run.
+func (c *cluster) upstreams() []*process {
+	return slices.DeleteFunc(c.all(), func(p *process) bool { return !p.upstream() || !p.running() })
+}
+
 // kill ends a process at once.
 func (c *cluster) kill(p *process) error {
 	err := c.keepRuns(p)
--- a/scenario/cmd_limits_test.go
+++ b/scenario/cmd_limits_test.go
@@ -21,14 +21,8 @@
 }
 
 func (c *cluster) limits(change memory.LimitsChange) error {
-	p, err := c.process(platformID)
-	if err != nil {
+	return c.control(func(ctx context.Context, client *control.Client) error {
+		_, err := client.SetLimits(ctx, change)
 		return err
-	}
-	client := control.New("http://" + p.addrs.Faults)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), dumpLimit)
-	defer cancel()
-	_, err = client.SetLimits(ctx, change)
-	return err
+	})
 }
--- a/scenario/conditions_admin_test.go
+++ b/scenario/conditions_admin_test.go
@@ -58,10 +58,7 @@
 		return errUsage
 	}
 	var have []string
-	for _, p := range c.all() {
-		if p.id == platformID || p.addrs.Faults == "" || !p.running() {
-			continue
-		}
+	for _, p := range c.upstreams() {
 		versions, err := fetchVersions(p.addrs.Main)
 		if err != nil {
 			return err
--- a/scenario/conditions_lost_test.go
+++ b/scenario/conditions_lost_test.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"encoding/json"
-	"net/http"
 	"strconv"
 	"strings"
 
@@ -25,15 +23,12 @@
 		return err
 	}
 	crashes := 0
-	for _, p := range c.all() {
-		if p.id == platformID || p.addrs.Faults == "" || !p.running() {
-			continue
-		}
-		n, err := fetchCrashes(p)
+	for _, p := range c.upstreams() {
+		counts, err := fetchCounts(p)
 		if err != nil {
 			return eris.Wrap(err, p.id)
 		}
-		crashes += n
+		crashes += counts.Crashes
 	}
 	if crashes < 1 || crashes > most {
 		return eris.Errorf("%d crashes, not 1 to %d", crashes, most)
@@ -41,21 +36,6 @@
 	return nil
 }
 
-func fetchCrashes(p *process) (int, error) {
-	resp, err := runsClient.Get("http://" + p.addrs.Faults + "/counts")
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, eris.Errorf("status %s", resp.Status)
-	}
-	var counts struct {
-		Crashes int `json:"crashes"`
-	}
-	return counts.Crashes, json.NewDecoder(resp.Body).Decode(&counts)
-}
-
 // expectAtMost: WHAT N: WHAT ran N times or fewer.
 func expectAtMost(c *cluster, args []string) error {
 	if len(args) != 2 {
--- a/scenario/mark_test.go
+++ b/scenario/mark_test.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"encoding/json"
-	"net/http"
 	"strconv"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -30,39 +28,18 @@
 	for name, l := range c.loads {
 		m.calls[name] = l.begun.Load()
 	}
-	for _, p := range c.all() {
-		if p.id == platformID || p.addrs.Faults == "" || !p.running() {
-			continue
-		}
-		n, err := fetchDeclined(p)
+	for _, p := range c.upstreams() {
+		counts, err := fetchCounts(p)
 		if err != nil {
 			return m, err
 		}
-		m.declined[p.id] = n
+		m.declined[p.id] = counts.Declined
 	}
 	var err error
 	m.runs, err = c.runs()
 	return m, err
 }
 
-// upstreamCounts is the part of an upstream's counts that scenarios use.
-type upstreamCounts struct {
-	Declined int `json:"declined"`
-}
-
-func fetchDeclined(p *process) (int, error) {
-	resp, err := runsClient.Get("http://" + p.addrs.Faults + "/counts")
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, eris.Errorf("status %s", resp.Status)
-	}
-	var counts upstreamCounts
-	return counts.Declined, json.NewDecoder(resp.Body).Decode(&counts)
-}
-
 func (c *cluster) marked(name string) (mark, error) {
 	m, ok := c.marks[name]
 	if !ok {
@@ -97,11 +74,11 @@
 	if err != nil {
 		return err
 	}
-	n, err := fetchDeclined(p)
+	counts, err := fetchCounts(p)
 	if err != nil {
 		return err
 	}
-	if n -= m.declined[p.id]; strconv.Itoa(n) != args[2] {
+	if n := counts.Declined - m.declined[p.id]; strconv.Itoa(n) != args[2] {
 		return eris.Errorf("%s has turned away %d requests, not %s", p.id, n, args[2])
 	}
 	return nil
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// upstream says whether this is a stand-in upstream.
+func (p *process) upstream() bool { return p.id != platformID && p.addrs.Faults != "" }
+
 // exitCode is that of an ended process; -1 when a signal ended it.
 func (p *process) exitCode() int { return p.cmd.ProcessState.ExitCode() }
 
--- a/scenario/runs_test.go
+++ b/scenario/runs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,10 +41,7 @@
 	c.mu.Lock()
 	all := append([]run(nil), c.pastRuns...)
 	c.mu.Unlock()
-	for _, p := range c.all() {
-		if p.id == platformID || p.addrs.Faults == "" || !p.running() {
-			continue
-		}
+	for _, p := range c.upstreams() {
 		runs, err := fetchRuns(p)
 		if err != nil {
 			return nil, eris.Wrap(err, p.id)
@@ -59,7 +55,7 @@
 // the scenario's evidence and live in the process. Its port is closed first,
 // so that no run begins unseen.
 func (c *cluster) keepRuns(p *process) error {
-	if p.id == platformID || p.addrs.Faults == "" || !p.running() || c.isFrozen(p.id) {
+	if !p.upstream() || !p.running() || c.isFrozen(p.id) {
 		return nil
 	}
 	if err := c.fault(p.id, `{"down":true}`); err != nil {
@@ -76,16 +72,8 @@
 }
 
 func fetchRuns(p *process) ([]run, error) {
-	resp, err := runsClient.Get("http://" + p.addrs.Faults + "/runs")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("status %s", resp.Status)
-	}
 	var page runPage
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	if err := readJSON("http://"+p.addrs.Faults+"/runs", &page); err != nil {
 		return nil, err
 	}
 	for i := range page.Runs {
--- a/scenario/store_test.go
+++ b/scenario/store_test.go
@@ -24,15 +24,13 @@
 
 // dump reads the platform's store past its limits and faults.
 func (c *cluster) dump(prefix string) (memory.Dump, error) {
-	p, err := c.process(platformID)
-	if err != nil {
-		return memory.Dump{}, err
-	}
-	client := control.New("http://" + p.addrs.Faults)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), dumpLimit)
-	defer cancel()
-	return client.Dump(ctx, prefix)
+	var dump memory.Dump
+	err := c.control(func(ctx context.Context, client *control.Client) error {
+		var err error
+		dump, err = client.Dump(ctx, prefix)
+		return err
+	})
+	return dump, err
 }
 
 // bills reads the bills as operators see them: each key once, wherever the
