Report only the cells that have changed

Cause: each report and each answer held every cell of its versions, though many had not changed. Found on the way: a summary replaced all that was kept of its run, so a report of one version alone, as a suspect's are each second, took the run's other versions out of the sums; and rows of several versions of one group took each other's place.

A store now keeps the latest of each cell. A report holds the cells that changed since the summary of which the collecting node last said that it lacks nothing, an answer those that others changed since the pool that its asker has. Both sides say what they have, not what they were sent, so lost, repeated, late and reordered messages are harmless; a collecting node that is new or has forgotten says that it has less, and gets the rest at once. Times of different nodes' clocks are compared no more. An answer's duration and tokens alone count as a change only when a tenth of the cell's answers is new.

Red: TestReportOfOneVersionKeepsTheOthers, weight 0 instead of 1.

--- a/internal/capacity/probe_share.go
+++ b/internal/capacity/probe_share.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/choice"
-	"github.com/hickorybank/hickorybank/internal/choice/share"
 )
 
 // shareProbes measure the exchange of what nodes know of versions.
@@ -26,18 +25,17 @@
 type shareReceiver struct{ chooser *choice.Chooser }
 
 // Report takes in a summary and answers with what all others have seen.
-func (s shareReceiver) Report(r *share.Report, pool *choice.Pool) error {
-	s.chooser.Merge(r.Summary, start)
-	*pool = s.chooser.Pool(r.Summary.Run(), r.Versions, start.Add(time.Second).UnixNano())
+func (s shareReceiver) Report(r *choice.Report, pool *choice.Pool) error {
+	*pool = s.chooser.Answer(*r, start.Add(time.Second))
 	return nil
 }
 
 func reportExchange(cells int) exchange {
 	collector := newChooser("entry-00000", cells)
 	collector.Merge(newChooser("entry-00002", cells).Summary(), start)
-	report := &share.Report{Versions: versionsOf(cells), Summary: newChooser("entry-00001", cells).Summary()}
+	report := newChooser("entry-00001", cells).Report(versionsOf(cells))
 	return exchange{
-		name: "Choice", receiver: shareReceiver{collector}, method: "Report", args: report,
+		name: "Choice", receiver: shareReceiver{collector}, method: "Report", args: &report,
 		reply: func() any { return new(choice.Pool) },
 	}
 }
--- a/internal/choice/archive.go
+++ b/internal/choice/archive.go
@@ -42,6 +42,7 @@
 	s.restored = cells
 	for _, entry := range cells {
 		s.sawClass(entry.Key.Class)
+		c.stamps.mark(entry.Key, quality.Run{})
 	}
 }
 
--- a/internal/choice/chooser.go
+++ b/internal/choice/chooser.go
@@ -18,6 +18,7 @@
 	mu      sync.Mutex
 	book    *quality.Book
 	store   *quality.Store
+	stamps  stamps
 	states  map[string]*state
 	ratings ratings
 	raised  []Hold
@@ -36,6 +37,7 @@
 		settings: s,
 		book:     quality.NewBook(quality.Run{Node: s.Node, Epoch: s.Epoch}),
 		store:    quality.NewStore(),
+		stamps:   stamps{cells: make(map[quality.Key]stamp)},
 		states:   make(map[string]*state),
 		stranded: make(map[string]struct{}),
 		balances: make(map[balanceKey]*balance),
--- a/internal/choice/exchange.go
+++ b/internal/choice/exchange.go
@@ -13,8 +13,12 @@
 func (c *Chooser) Summary(versions ...string) Summary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.summary(versions, func(quality.Key) bool { return true })
+}
+
+func (c *Chooser) summary(versions []string, include func(quality.Key) bool) Summary {
 	sum := Summary{Summary: c.book.Summary(func(key quality.Key) bool {
-		return len(versions) == 0 || slices.Contains(versions, key.Version)
+		return (len(versions) == 0 || slices.Contains(versions, key.Version)) && include(key)
 	})}
 	for _, s := range c.sorted() {
 		if len(versions) == 0 || slices.Contains(versions, s.name) {
@@ -30,15 +34,20 @@
 func (c *Chooser) Merge(sum Summary, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if sum.Run() == c.run() || !c.store.Merge(sum.Summary) {
+	c.merge(sum, now)
+}
+
+func (c *Chooser) merge(sum Summary, now time.Time) {
+	if sum.Run() == c.run() {
 		return
 	}
-	for _, entry := range sum.Cells {
-		c.state(entry.Key.Version).sawClass(entry.Key.Class)
-	}
+	c.store.MergeEach(sum.Summary, func(key quality.Key) {
+		c.state(key.Version).sawClass(key.Class)
+		c.stamps.mark(key, sum.Run())
+	})
 	for _, e := range sum.Evidence {
 		s := c.state(e.Version)
-		s.merge(sum.Run(), e)
+		s.merge(sum.Run(), sum.Seq, e)
 		c.judge(s, "", now)
 	}
 }
--- a/internal/choice/observe.go
+++ b/internal/choice/observe.go
@@ -24,7 +24,9 @@
 
 // note takes the score into the estimates.
 func (c *Chooser) note(o Observation) {
-	cell := c.book.Cell(quality.Key{Version: o.Version, Class: o.Class})
+	key := quality.Key{Version: o.Version, Class: o.Class}
+	cell := c.book.Cell(key)
+	c.stamps.mark(key, c.run())
 	now := o.Now.UnixNano()
 	if o.AfterShort {
 		cell.AddRescue(o.Score, c.short(o), now)
@@ -79,7 +81,11 @@
 	defer c.mu.Unlock()
 	s := c.state(a.Version)
 	s.sawClass(a.Class)
-	cell := c.book.Cell(quality.Key{Version: a.Version, Class: a.Class})
+	key := quality.Key{Version: a.Version, Class: a.Class}
+	cell, news := c.book.AnswerCell(key)
+	if news {
+		c.stamps.mark(key, c.run())
+	}
 	cell.AddAnswer(a.Took, a.InputTokens, a.OutputTokens, a.Now.UnixNano())
 	s.add(detect.Evidence{Errors: detect.AnswerEvidence})
 }
--- a/internal/choice/quality/book.go
+++ b/internal/choice/quality/book.go
@@ -8,13 +8,42 @@
 	seq   uint64
 	cells map[Key]*Cell
 	keys  []Key
+	// changed is in which summary the latest change of a cell is first.
+	changed map[Key]uint64
+	// answers are those of a cell since its latest change.
+	answers map[Key]float64
 }
 
+// newsShare is the share of a cell's answers that must be new for their
+// durations and tokens to count as a change: they are known well long before,
+// and each answer would else make its cell one that every peer is told of.
+const newsShare = 0.1
+
 // NewBook returns an empty book of a run.
-func NewBook(run Run) *Book { return &Book{run: run, cells: make(map[Key]*Cell)} }
+func NewBook(run Run) *Book {
+	return &Book{run: run, cells: make(map[Key]*Cell), changed: make(map[Key]uint64), answers: make(map[Key]float64)}
+}
 
-// Cell returns the cell of that key, which it makes when there is none.
+// Cell returns the cell of that key to be changed, and makes it when there is
+// none.
 func (b *Book) Cell(key Key) *Cell {
+	b.changed[key] = b.seq + 1
+	b.answers[key] = 0
+	return b.cell(key)
+}
+
+// AnswerCell returns the cell of that key for one more answer to be counted. It
+// says whether that is news to peers.
+func (b *Book) AnswerCell(key Key) (*Cell, bool) {
+	cell := b.cell(key)
+	b.answers[key]++
+	if b.answers[key] <= newsShare*cell.Took.Weight {
+		return cell, false
+	}
+	return b.Cell(key), true
+}
+
+func (b *Book) cell(key Key) *Cell {
 	cell, ok := b.cells[key]
 	if !ok {
 		cell = new(Cell)
@@ -24,6 +53,10 @@
 	return cell
 }
 
+// Changed returns the number of the first summary that holds the cell's latest
+// change.
+func (b *Book) Changed(key Key) uint64 { return b.changed[key] }
+
 // Add adds what this run has seen of a cell to total.
 func (b *Book) Add(total *Cell, key Key) {
 	if cell, ok := b.cells[key]; ok {
@@ -51,6 +84,8 @@
 			return false
 		}
 		delete(b.cells, key)
+		delete(b.changed, key)
+		delete(b.answers, key)
 		return true
 	})
 }
--- a/internal/choice/quality/store.go
+++ b/internal/choice/quality/store.go
@@ -5,38 +5,64 @@
 	"slices"
 )
 
-// MaxRuns bounds how many runs' summaries a [Store] keeps. A group has at most
-// some tens of nodes; the rest are runs that have ended and decay.
+// MaxRuns bounds how many runs a [Store] keeps. A group has at most some tens
+// of nodes; the rest are runs that have ended and decay.
 const MaxRuns = 256
 
 // forgotten is the weight of ratings below which an ended run is dropped.
 const forgotten = 0.5
 
-// Store keeps the latest summary of each run. What a run has seen stays when
-// its node is gone, until it has decayed.
+// Store keeps the latest cells of each run. What a run has seen stays when its
+// node is gone, until it has decayed.
 type Store struct {
-	runs []Summary // in the order of their runs, so that sums do not depend on the order of merging
+	runs []seen // in the order of their runs, so that sums do not depend on the order of merging
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store { return new(Store) }
 
-// Merge keeps the summary unless a later one of the same run is known; it says
-// whether it was kept. The order in which summaries come does not matter.
+// Merge keeps those cells of the summary of which no later ones of the same run
+// are known; it says whether there are any. Neither the order in which
+// summaries come nor how the cells are spread over them matters.
 func (s *Store) Merge(sum Summary) bool {
-	at, known := slices.BinarySearchFunc(s.runs, sum.Run(), Summary.compare)
-	if known && s.runs[at].Seq >= sum.Seq {
-		return false
-	}
-	if known {
-		s.runs[at] = sum
-		return true
+	kept := false
+	s.MergeEach(sum, func(Key) { kept = true })
+	return kept
+}
+
+// MergeEach merges and calls did for each cell that it keeps.
+func (s *Store) MergeEach(sum Summary, did func(Key)) {
+	run := s.of(sum.Run())
+	for _, entry := range sum.Cells {
+		if run.take(entry, sum.Seq) {
+			did(entry.Key)
+		}
 	}
-	s.runs = slices.Insert(s.runs, at, sum)
 	if len(s.runs) > MaxRuns {
 		s.dropLightest()
 	}
-	return true
+}
+
+// Complete notes that with the summary of the given number every cell of the
+// version that had changed since the base has come, and returns up to which
+// summary of the run nothing is missing. When that is less than the base, the
+// store has lost or never had what was sent before.
+func (s *Store) Complete(run Run, version string, base, seq uint64) uint64 {
+	r := s.of(run)
+	have := r.complete[version]
+	if base <= have && seq > have {
+		r.complete[version] = seq
+	}
+	return r.complete[version]
+}
+
+// of returns the run, which it adds when it is not known.
+func (s *Store) of(run Run) *seen {
+	at, known := slices.BinarySearchFunc(s.runs, run, seen.compare)
+	if !known {
+		s.runs = slices.Insert(s.runs, at, seen{run: run, complete: map[string]uint64{}})
+	}
+	return &s.runs[at]
 }
 
 // Len is how many runs are known.
@@ -45,7 +71,7 @@
 // Add adds what the runs to be included have seen of a cell to total.
 func (s *Store) Add(total *Cell, key Key, include func(Run) bool) {
 	for i := range s.runs {
-		if include(s.runs[i].Run()) {
+		if include(s.runs[i].run) {
 			s.runs[i].add(total, key)
 		}
 	}
@@ -53,7 +79,7 @@
 
 // Forget drops the runs whose ratings have decayed to nothing.
 func (s *Store) Forget(now int64) {
-	s.runs = slices.DeleteFunc(s.runs, func(sum Summary) bool { return sum.weight(now) < forgotten })
+	s.runs = slices.DeleteFunc(s.runs, func(r seen) bool { return r.weight(now) < forgotten })
 }
 
 func (s *Store) dropLightest() {
@@ -72,9 +98,7 @@
 func (s *Store) latest() int64 {
 	var at int64
 	for i := range s.runs {
-		for j := range s.runs[i].Cells {
-			at = max(at, s.runs[i].Cells[j].Cell.At)
-		}
+		at = max(at, s.runs[i].latest())
 	}
 	return at
 }
--- a/internal/choice/share/bench_test.go
+++ b/internal/choice/share/bench_test.go
@@ -61,21 +61,20 @@
 	versions := []string{"drafter@3"}
 	before := heap()
 	collector := choice.New(choice.Settings{Node: "collector", Epoch: 1})
-	var reports []Report
+	var reports []choice.Report
 	for i := range nodes {
 		s := sender(fmt.Sprintf("entry-%05d", i), classes)
 		collector.Merge(s.Summary(versions...), now)
-		reports = append(reports, Report{Versions: versions, Summary: s.Summary(versions...)})
+		reports = append(reports, s.Report(versions))
 	}
 	used := heap() - before
-	pool := collector.Pool(reports[0].Summary.Run(), versions, now.UnixNano())
+	pool := collector.Answer(reports[0], now)
 	reportBytes, poolBytes := steadyBytes(b, &reports[0]), steadyBytes(b, &pool)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		r := &reports[i%nodes]
 		r.Summary.Seq++
-		collector.Merge(r.Summary, now)
-		pool = collector.Pool(r.Summary.Run(), versions, now.UnixNano())
+		pool = collector.Answer(*r, now)
 	}
 	b.ReportMetric(reportBytes, "report-bytes")
 	b.ReportMetric(poolBytes, "pool-bytes")
--- a/internal/choice/share/reports.go
+++ b/internal/choice/share/reports.go
@@ -10,12 +10,6 @@
 	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
-// Report is a node's summary of some versions, for the node that collects them.
-type Report struct {
-	Versions []string
-	Summary  choice.Summary
-}
-
 // reports sends the summaries of the versions to their collectors and takes
 // the pools that come back.
 type reports struct {
@@ -81,15 +75,22 @@
 	r.archive.want(version)
 }
 
-// call sends one report. A lost call or answer needs no care: the next report
-// holds all that this one does.
+// call sends one report, and another at once to a collector that turns out to
+// lack what was told to the one before it. A lost call or answer needs no care:
+// the next report holds all that this one does.
 func (r *reports) call(ctx context.Context, b batch) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	report := Report{Versions: b.versions, Summary: r.deps.Chooser.Summary(b.versions...)}
-	var pool choice.Pool
-	if r.deps.Peers.Call(ctx, b.to.Peer, methodReport, &report, &pool) == nil {
+	for range 2 {
+		report := r.deps.Chooser.Report(b.versions)
+		var pool choice.Pool
+		if r.deps.Peers.Call(ctx, b.to.Peer, methodReport, &report, &pool) != nil {
+			return
+		}
 		r.deps.Chooser.TakePool(pool)
+		if !report.Lacks(pool) {
+			return
+		}
 	}
 }
 
--- a/internal/choice/share/service.go
+++ b/internal/choice/share/service.go
@@ -11,11 +11,8 @@
 type service struct{ share *Share }
 
 // Report takes in a peer's summary and answers with what all others have seen.
-func (s *service) Report(r *Report, pool *choice.Pool) error {
-	now := time.Now()
-	chooser := s.share.deps.Chooser
-	chooser.Merge(r.Summary, now)
-	*pool = chooser.Pool(r.Summary.Run(), r.Versions, now.UnixNano())
+func (s *service) Report(r *choice.Report, pool *choice.Pool) error {
+	*pool = s.share.deps.Chooser.Answer(*r, time.Now())
 	return nil
 }
 
--- a/internal/choice/sim/node.go
+++ b/internal/choice/sim/node.go
@@ -99,10 +99,9 @@
 		if other == n || len(versions) == 0 {
 			continue
 		}
-		sum := n.chooser.Summary(versions...)
-		other.chooser.Merge(sum, now)
+		pool := other.chooser.Answer(n.chooser.Report(versions), now)
 		other.spread()
-		n.chooser.TakePool(other.chooser.Pool(sum.Run(), versions, now.UnixNano()))
+		n.chooser.TakePool(pool)
 	}
 	for _, version := range n.chooser.Wants(now) {
 		n.chooser.Grant(version, n.run.grant(version), now)
--- a/internal/choice/state.go
+++ b/internal/choice/state.go
@@ -21,9 +21,12 @@
 	// peers is the highest statistic in the collecting node's pool.
 	peers float64
 	// seen is the evidence of merged runs that is already in pooled.
-	seen map[quality.Run]VersionEvidence
+	seen map[quality.Run]seenEvidence
 	// pool stands in place of merged summaries when set.
-	pool  *pooled
+	pool *pooled
+	// base is the number of the last summary of which the collecting node
+	// has said that it lacks nothing.
+	base  uint64
 	purse exposure.Purse
 	// wanted is set when a request would have been exposed with a grant.
 	wanted bool
@@ -35,14 +38,24 @@
 	classes []string
 }
 
+// seenEvidence is a run's evidence as of its summary of that number.
+type seenEvidence struct {
+	detect.Evidence
+	seq uint64
+}
+
 // pooled is what others have seen of a version.
 type pooled struct {
 	at    int64
 	cells []quality.Entry
+	// from is the run that made it, and stamp up to which of its changes it
+	// is complete.
+	from  quality.Run
+	stamp uint64
 }
 
 func newState(name string) *state {
-	return &state{name: name, seen: make(map[quality.Run]VersionEvidence)}
+	return &state{name: name, seen: make(map[quality.Run]seenEvidence)}
 }
 
 func (s *state) held() bool { return s.hold.Term > 0 && !s.hold.Lifted }
@@ -68,12 +81,12 @@
 // merge takes in a peer's evidence of this term. What a run saw before it was
 // first heard of here does not count: it may be long past, and another node
 // that collected then has judged it.
-func (s *state) merge(run quality.Run, e VersionEvidence) {
-	if e.Term != s.hold.Term {
+func (s *state) merge(run quality.Run, seq uint64, e VersionEvidence) {
+	earlier, known := s.seen[run]
+	if e.Term != s.hold.Term || known && earlier.seq >= seq {
 		return
 	}
-	earlier, known := s.seen[run]
-	s.seen[run] = e
+	s.seen[run] = seenEvidence{Evidence: e.Evidence, seq: seq}
 	if known {
 		s.pooled.Add(e.Minus(earlier.Evidence))
 	}
