Follow reports of changed cells in the capacity model

Reports shrink to 42 %; answers hardly: with 41 others at two ratings a second each cell is changed by someone each minute. What would mend more is to let only each fifth answer hold cells, 2.72 kB/s.

--- a/internal/capacity/role_shared.go
+++ b/internal/capacity/role_shared.go
@@ -53,9 +53,16 @@
 	collectors := group * (1 - math.Pow(1-1/group, versions))
 	each := cells / collectors
 	calls := collectors / reportGap
-	exchange := c.peerCalls(calls, calls, c.at("share.report", each), c.at("share.report.bytes", each))
+	const ratings = 2.0 // a second at a node, at most; package choice
+	changed := min(1, ratings*reportGap/cells)
+	answered := min(1, (group-1)*changed)
+	sent := each * (changed + answered) / 2 // the mean of both ways
+	exchange := c.peerCalls(calls, calls, c.at("share.report", sent), c.at("share.report.bytes", sent))
+	const answerEvery = 5 // reports, if met
+	rarer := each * (changed + answered/answerEvery) / 2
 	own := Cost{Memory: c.memory(c.at("choice.heap", cells))}
-	collecting := c.peerCalls(0, group/reportGap, c.at("share.report", classes), c.at("share.report.bytes", classes))
+	collected := classes * (changed + answered) / 2
+	collecting := c.peerCalls(0, group/reportGap, c.at("share.report", collected), c.at("share.report.bytes", collected))
 	collecting.Memory = c.memory(c.at("choice.collector.heap", group))
 	archives := versions * float64(c.Size.FailureDomains) / archiveGap
 	row := classes * c.per("choice.summary.bytes")
@@ -64,16 +71,15 @@
 	scans := float64(c.Size.FailureDomains)/scanGap + float64(c.Size.Nodes)/slowScanGap
 	scanning := c.calls(scans/float64(c.Size.Nodes), c.at("table.get", headBytes), c.at("table.get.bytes", headBytes))
 	rest := own.Plus(shared).Plus(scanning)
-	const ratings = 2.0 // a second at a node, at most; package choice
-	changed := min(1, ratings*reportGap/cells)
 	return Role{
 		Name: "version choice: what is known of quality, and holds", Plane: Control,
 		State:     fmt.Sprintf("%.0f cells: %.0f versions by %.0f classes, with their scores' distribution", cells, versions, classes),
-		Mechanism: fmt.Sprintf("cumulative summaries every %.0f s to a collector for each version in groups of a failure domain, a row a minute for each version and group; package choice/share", reportGap),
+		Mechanism: fmt.Sprintf("the changed cells every %.0f s to a collector for each version in groups of a failure domain, a row a minute for each version and group; package choice/share", reportGap),
 		Each:      exchange.Plus(rest), Busiest: exchange.Plus(rest).Plus(collecting).Plus(archive), Who: "the collector of a version more than others",
 		Writes: archives, Reads: archives + scans,
-		Over:   fmt.Sprintf("Each report and each answer holds every cell of the versions, %.0f B a cell, though many have not changed. With only the cells that got ratings since the last report, at most %.0f of %.0f in %.0f s, it is %.0f %% of that.", c.per("choice.summary.bytes"), changed*cells, cells, reportGap, 100*changed),
-		Mended: exchange.Times(changed).Plus(rest),
+		Over: fmt.Sprintf("A report holds the cells that got ratings since the last, at most %.0f of %.0f in %.0f s, an answer those that others' ratings changed: %.0f %% of them, %.0f B a cell. Met if only each %dth answer held cells.",
+			changed*cells, cells, reportGap, 100*answered, c.per("choice.summary.bytes"), answerEvery),
+		Mended: c.peerCalls(calls, calls, c.at("share.report", rarer), c.at("share.report.bytes", rarer)).Plus(rest),
 	}
 }
 
