Say of a version without engines what the requests no longer show

Cause: requests go past a version that no engine can run, so the refusal that logged event 1604 does not come; an operator would not learn of it.

--- a/internal/choice/room.go
+++ b/internal/choice/room.go
@@ -12,8 +12,8 @@
 	Share float64
 }
 
-// none says that no engine can run the version now.
-func (r Room) none() bool { return r.Engines == 0 && !r.Unsure }
+// None says that no engine can run the version now.
+func (r Room) None() bool { return r.Engines == 0 && !r.Unsure }
 
 // rooms sorts the versions that may be used by what there is room for.
 type rooms struct {
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -32,6 +32,7 @@
 	asking   map[string]bool
 
 	shortages throttle
+	roomless  throttle
 }
 
 func newUpstreams(n *Node) *upstreams {
@@ -96,7 +97,9 @@
 	return u.balancer.PoolName(version)
 }
 
-// rooms says what there is room for, one entry for each version.
+// rooms says what there is room for, one entry for each version. A version
+// that no engine can run is told of here: no request is sent there any more
+// whose refusal would tell.
 func (u *upstreams) rooms(versions []string) []choice.Room {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -104,6 +107,9 @@
 	rooms := make([]choice.Room, len(versions))
 	for i, v := range versions {
 		rooms[i] = choice.Room(u.balancer.Room(v, now))
+		if rooms[i].None() && u.roomless.allow(now) {
+			event.PoolShort.Log(u.node.deps.Log, slog.String("version", v), slog.String("reason", "no usable engine has it"))
+		}
 	}
 	return rooms
 }
