Let a node that woke try the table, and hear of the fleet, before it goes on

Cause: a node took the age of its proof for an outage of the table. One that ran alone, was paused while others joined, and woke, had an old proof and a list that named only itself; it made itself a grant before its first read of the table came back, and a queued request ran on a withdrawn version.

Now an outage is what a try saw: a read of the head, or for a node that does not read a call to a peer, that began when the proof was older than the gap between two reads, after the last stall of this process (a gap of 4 ticks between two steps) and after the last read that was answered. A table that gives no answer is seen after half a read gap, not at the read's timeout. And after a gap of 20 ticks the lists count anew, as after a start: a majority is counted again after 10 s of lists, or when a voter whose own list has settled has the same list.

The random run now lets three of four schedules have settled lists before the faults, and one in six is a small fleet that is paused while others join.

--- a/internal/confsync/core.go
+++ b/internal/confsync/core.go
@@ -23,6 +23,8 @@
 	known  knowledge
 	// renewedAt is when a younger proof, or a newer revision, last came.
 	renewedAt time.Duration
+	waking    waking
+	trying    trying
 	reading   reading
 	listing   listing
 	pulling   pulling
@@ -40,6 +42,7 @@
 	c.roster = newRoster(self)
 	c.known.rules = &c.rules
 	c.known.started = now
+	c.waking = waking{last: now, stalledAt: now}
 	c.reading = newReading(c.settings.Seed^score("read", self.ID), now)
 	c.notices = notices{}
 	return c
@@ -49,6 +52,7 @@
 // slice is valid until the next step.
 func (c *Core) Step(now time.Duration, e Event) []Decision {
 	c.out = c.out[:0]
+	c.noteStep(now)
 	c.handle(now, e)
 	c.drive(now)
 	return c.out
@@ -79,7 +83,7 @@
 	case HeadRead:
 		c.headRead(now, e)
 	case ReadFailed:
-		c.reading.failed(e.Token)
+		c.readFailed(e.Token)
 	case ListRead:
 		c.listing.read(e)
 	case ListFailed:
@@ -162,13 +166,6 @@
 	return !c.reading.proved || now-c.reading.provedAt > 2*c.settings.ReadGap
 }
 
-// seesOutage says that this node could get no proof of the table for longer
-// than three reads. It is below the bound, so that a majority can say so
-// before the first node has to refuse work.
-func (c *Core) seesOutage(now time.Duration) bool {
-	return c.known.tableAge(now) > 3*c.settings.ReadGap
-}
-
 // isReader says whether this node reads the table for its failure domain.
 func (c *Core) isReader(now time.Duration) bool {
 	return !c.stopping && c.roster.rank(now) < c.settings.Readers
--- a/internal/confsync/listing.go
+++ b/internal/confsync/listing.go
@@ -10,6 +10,8 @@
 	at      time.Duration
 	firstAt time.Duration
 	had     bool
+	// vouched is the digest of a list that is as good as if it had settled.
+	vouched uint64
 	busy    bool
 	token   Token
 	sent    time.Duration
@@ -46,6 +48,14 @@
 	}
 }
 
+// distrust counts the lists anew, as if this process had started now.
+func (l *listing) distrust(now time.Duration) {
+	l.vouched = 0
+	if l.had {
+		l.firstAt = now
+	}
+}
+
 // span is the time over which this process has had lists.
 func (l *listing) span() time.Duration { return l.at - l.firstAt }
 
--- a/internal/confsync/pulling.go
+++ b/internal/confsync/pulling.go
@@ -131,6 +131,9 @@
 	c.known.learn(r.Revision, now)
 	table := c.proofFrom(r.Table, sent, now)
 	newer := c.hearTable(table, now)
+	if !newer {
+		c.pullFailed(now)
+	}
 	granted := c.hearGrant(c.proofFrom(r.Grant, sent, now), now)
 	c.takeUpdate(r.Update)
 	c.takeList(r, sent)
@@ -155,6 +158,7 @@
 		return
 	}
 	p.busy = false
+	c.pullFailed(now)
 	c.roster.down.add(p.peer.ID, now)
 	c.tryNext(now)
 }
--- a/internal/confsync/reading.go
+++ b/internal/confsync/reading.go
@@ -51,7 +51,11 @@
 	return 0, false
 }
 
-func (r *reading) failed(t Token) { r.take(t) }
+func (c *Core) readFailed(t Token) {
+	if at, ok := c.reading.take(t); ok {
+		c.trying.fail(at)
+	}
+}
 
 // begin notes a read that starts now and spreads the next one.
 func (r *reading) begin(t Token, now, gap time.Duration) {
@@ -80,7 +84,7 @@
 		return c.settings.ReadGap, true
 	}
 	alone := max(c.settings.ReadGap, time.Duration(len(c.roster.domain))*rescueGap)
-	return alone, c.seesOutage(now)
+	return alone, c.isStale(now)
 }
 
 // headRead takes an answer of the table. Its proof holds from the start of the
--- a/internal/confsync/rules.go
+++ b/internal/confsync/rules.go
@@ -14,6 +14,12 @@
 	// listSettled says whether lists were known for long enough that the
 	// electors are known too.
 	listSettled func(span time.Duration) bool
+	// woke says whether a gap between two steps makes what is known of the
+	// fleet old.
+	woke func(gap time.Duration) bool
+	// sawOutage says whether an old proof is an outage, by whether a try for a
+	// younger one was in vain.
+	sawOutage func(triedInVain bool) bool
 	// mayVote says whether this node may vote.
 	mayVote func(provedSinceStart bool) bool
 	// sinceStart says whether a proof is younger than this process.
@@ -52,6 +58,15 @@
 		// The platform's list lags; within this time it names every node that
 		// started before the process had its first one.
 		listSettled: func(span time.Duration) bool { return span >= listSettle },
+		// While a process is paused others may join. Its list names the fleet
+		// of before, and it would take itself and the few it knows for the
+		// majority: callers would be served under a configuration that the
+		// others replaced meanwhile. It counts its lists as after a start.
+		woke: func(gap time.Duration) bool { return gap > wakeGap },
+		// A process that was paused has an old proof although the table is
+		// well. It would vote, and a lone one go on under a configuration that
+		// was replaced, instead of reading the table first.
+		sawOutage: func(triedInVain bool) bool { return triedInVain },
 		// A process that started anew has forgotten what it confirmed. Once it
 		// has a proof of the table that is younger than itself, its revision is
 		// as new again.
--- a/internal/confsync/script_test.go
+++ b/internal/confsync/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -106,7 +107,7 @@
 }
 
 func (s *scenario) without(t *testing.T, d *datadriven.TestData) {
-	for _, g := range guards {
+	for _, g := range slices.Concat(guards, coveredGuards) {
 		if g.name == d.CmdArgs[0].Key {
 			g.remove(&s.rules)
 			return
--- a/internal/confsync/sim_faults_test.go
+++ b/internal/confsync/sim_faults_test.go
@@ -23,11 +23,18 @@
 	}
 	w.vms.lag = w.between(0, 3*time.Second)
 	w.table.stored = append(w.table.stored, 0)
+	if w.random.IntN(6) == 0 {
+		w.growthRun()
+		return w
+	}
 	nodes, domains := 3+w.random.IntN(6), 1+w.random.IntN(4)
 	for i := range nodes {
 		w.addNode(fmt.Sprintf("n%d", i), fmt.Sprintf("d%d", i%domains))
 	}
 	w.run(w.vms.lag + w.between(2*time.Second, 4*time.Second))
+	if w.random.IntN(4) > 0 {
+		w.run(listSettle) // from here on nodes may judge votes
+	}
 	w.net.side, w.net.noTable = map[string]int{}, map[string]bool{}
 	for range 1 + w.random.IntN(4) {
 		w.kinds = append(w.kinds, w.random.IntN(faultKinds))
@@ -39,11 +46,15 @@
 		w.nextFault(end)
 	}
 	w.nextChange(end)
+	w.finish(end)
+	return w
+}
+
+func (w *world) finish(end time.Duration) {
 	w.runUntil(end)
 	w.heal()
 	w.run(settleTime)
 	w.checkSettled()
-	return w
 }
 
 // nextMove splits the fleet, one side without the table, and moves nodes from
@@ -96,7 +107,7 @@
 		if w.now >= end || w.reported >= revision {
 			return
 		}
-		if n.dead {
+		if n.dead || n.paused {
 			n = w.anyNode()
 		}
 		n.askConfirm(revision)
--- a/internal/confsync/sim_guards_test.go
+++ b/internal/confsync/sim_guards_test.go
@@ -34,6 +34,9 @@
 	{name: "proof-since-start", remove: func(r *rules) {
 		r.sinceStart = func(time.Duration, time.Duration) bool { return true }
 	}},
+	{name: "list-after-waking", remove: func(r *rules) {
+		r.woke = func(time.Duration) bool { return false }
+	}},
 	{name: "vote-binds", remove: func(r *rules) {
 		r.promise = func(time.Duration) time.Duration { return 0 }
 	}},
@@ -45,6 +48,14 @@
 	}},
 }
 
+// coveredGuards are those whose loss another guard makes up for in the random
+// run; scripts take both away.
+var coveredGuards = []guard{
+	{name: "try-first", remove: func(r *rules) {
+		r.sawOutage = func(bool) bool { return true }
+	}},
+}
+
 // Each guard of the protocol is there for a failure that a user would see.
 // Without the guard the randomised run must find that failure; a guard whose
 // loss nobody notices is not proved by that run.
--- a/internal/confsync/surveying.go
+++ b/internal/confsync/surveying.go
@@ -51,7 +51,7 @@
 // shouldSurvey leaves the survey to the readers, whose grants go down the
 // tree; a node that hears nothing from it asks for itself.
 func (c *Core) shouldSurvey(now time.Duration) bool {
-	if now < c.surveys.next || !c.seesOutage(now) {
+	if now < c.surveys.next || !c.isStale(now) {
 		return false
 	}
 	youngest, ok := c.known.youngest()
--- a/internal/confsync/voting.go
+++ b/internal/confsync/voting.go
@@ -42,6 +42,6 @@
 	}
 	return NodeStatus{
 		ID: c.self.ID, Revision: c.known.applied, Confirmed: c.confirmed(now), Vote: vote,
-		Fewest: c.surveys.electors.fewest(now),
+		Fewest: c.surveys.electors.fewest(now), List: c.settledList(),
 	}
 }
--- a/internal/confsync/wire.go
+++ b/internal/confsync/wire.go
@@ -66,6 +66,9 @@
 	Vote bool
 	// Fewest is the least number of entry nodes that the node knew of late.
 	Fewest int
+	// List is the digest of the VM list by which the node counts a majority, 0
+	// while it may be too old for that.
+	List uint64
 	// Age is how long before the receipt of the call the node said so.
 	Age time.Duration
 }
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -13,6 +13,10 @@
  * operator is told "in force" when a majority has confirmed the revision and
  * it is older than the bound.
  *
+ * Node 0 may have been the whole fleet, and asleep since before the others were
+ * started: it knows only itself then, until it has had lists for a while, or a
+ * peer that did not sleep has the same list.
+ *
  * Faults: an answer is late or lost; the acknowledgement of a change is lost; a
  * node is paused anywhere, or starts again with nothing. Time may advance
  * between any two steps; instants are kept as ages, which end at the bound, so
@@ -30,6 +34,7 @@
  *   VOTE_AFTER_RESTART   a node votes that has forgotten what it confirmed
  *   OLD_PROOF_PROVES     a proof from before a node's start lets it vote
  *   NO_PROMISE           a vote does not bind
+ *   TRUST_OLD_LIST       a node that wakes counts its majority by the list of before
  *   CONFIRM_AT_ONCE      a restarted node forgets that its votes bind
  *   NO_SETTLE            "in force" does not wait for the bound
  * States (-D), which the checker must reach:
@@ -102,6 +107,7 @@
 Node node[N];
 
 byte lates = LATE, rounds = ROUNDS, restarts = 1;
+bool asleep, alone;    /* node 0 sleeps; it knows of no other node */
 byte since;            /* age of the change, at most BOUND */
 bool inForce;
 byte confirmed;        /* nodes that have confirmed revision 2, as bits */
@@ -110,10 +116,16 @@
 #define WRONG(x) (node[x].rev < 2 && FRESH(x))
 #define COUNT(m) ((m & 1) + ((m >> 1) & 1) + ((m >> 2) & 1))
 #ifdef MINORITY_OUTAGE
-#define QUORUM 1
+#define QUORUM(x) 1
+#else
+#define QUORUM(x) ((x) == 0 && alone -> 1 : 2)
+#endif
+#ifdef TRUST_OLD_LIST
+#define KNOWS(x) true
 #else
-#define QUORUM 2
+#define KNOWS(x) ((x) != 0 || !alone)
 #endif
+#define AWAKE(x) ((x) != 0 || !asleep)
 #ifdef VOTE_AFTER_RESTART
 #define MAYVOTE(x) (node[x].rev > 0)
 #else
@@ -191,13 +203,17 @@
 proctype Entry(byte n)
 {
 	byte p, r, age;
+	if
+	:: n == 0 -> asleep = false          /* it wakes, at any time */
+	:: else
+	fi;
 end:	do
 	/* read the head, or ask a peer; the answer may stay on its way */
 	:: d_step { true -> r = head; age = 0; hear(n) }
 	:: d_step { !node[n].late && lates > 0 -> lates--;
 		node[n].late = true; node[n].ansRev = head; node[n].ansAge = 0 }
-	:: d_step { node[(n + 1) % N].rev > 0 -> r = node[(n + 1) % N].rev; age = node[(n + 1) % N].proof; hear(n) }
-	:: d_step { node[(n + 2) % N].rev > 0 -> r = node[(n + 2) % N].rev; age = node[(n + 2) % N].proof; hear(n) }
+	:: d_step { AWAKE((n + 1) % N) && node[(n + 1) % N].rev > 0 -> r = node[(n + 1) % N].rev; age = node[(n + 1) % N].proof; hear(n) }
+	:: d_step { AWAKE((n + 2) % N) && node[(n + 2) % N].rev > 0 -> r = node[(n + 2) % N].rev; age = node[(n + 2) % N].proof; hear(n) }
 	/* a late answer comes, or is lost */
 	:: atomic { node[n].late ->
 		if
@@ -206,6 +222,7 @@
 		fi;
 		node[n].late = false; node[n].ansRev = 0; node[n].ansAge = 0 }
 	/* ask for votes */
+	:: d_step { n == 0 && alone -> alone = false }   /* the list names the others */
 	:: d_step { node[n].voted == 0 && rounds > 0 && FIRST(n) && MAYVOTE(n) -> rounds--; vote(n, n) }
 	:: atomic { node[n].voted != 0 ->
 		if
@@ -213,10 +230,10 @@
 		:: p = (n + 2) % N
 		fi;
 		if
-		:: MAYVOTE(p) && !(node[n].voted & (1 << p)) -> vote(p, n)
+		:: AWAKE(p) && MAYVOTE(p) && !(node[n].voted & (1 << p)) -> vote(p, n)
 		:: else
 		fi; p = 0 }
-	:: d_step { COUNT(node[n].voted) >= QUORUM -> r = node[n].votedRev; apply(n); r = 0;
+	:: d_step { COUNT(node[n].voted) >= QUORUM(n) && KNOWS(n) -> r = node[n].votedRev; apply(n); r = 0;
 		if
 		:: node[n].votedRev == node[n].rev && node[n].sent < node[n].grant -> node[n].grant = node[n].sent
 		:: else
@@ -226,7 +243,7 @@
 #endif
 		endRound(n) }
 	/* a new process in its place */
-	:: d_step { restarts > 0 && n == 0 -> restarts--; endRound(n);
+	:: d_step { restarts > 0 && n == 0 && !alone -> restarts--; endRound(n);
 		node[n].rev = 0; node[n].proof = BOUND; node[n].grant = BOUND; node[n].up = 0; node[n].proved = false;
 		node[n].binds = 0; node[n].promised = 0; node[n].late = false; node[n].ansRev = 0; node[n].ansAge = 0 }
 	od
@@ -288,7 +305,7 @@
 		:: x = 2
 		fi;
 		if
-		:: CONFIRMS(x) == 2 -> confirmed = confirmed | (1 << x)
+		:: AWAKE(x) && CONFIRMS(x) == 2 -> confirmed = confirmed | (1 << x)
 		:: else
 		fi; x = 0 }
 	:: atomic { !inForce && COUNT(confirmed) >= 2 && SETTLED -> inForce = true; confirmed = 0;
@@ -312,7 +329,11 @@
 			node[i].rev = 1; node[i].proved = true;
 			node[i].up = BOUND; run Entry(i)
 		}
-		i = 0
+		i = 0;
+		if
+		:: asleep = true; alone = true
+		:: skip
+		fi
 	}
 }
 
