Work out the cost of the VM list with conditional reads

Cause: the model charged one whole read every 2 s to one reader of each failure domain. Now a question of 350 B every 2 s and the whole list at each edit, at both readers of a failure domain: the second one reads each change too, which the model had left out.

--- a/internal/capacity/role_config.go
+++ b/internal/capacity/role_config.go
@@ -104,17 +104,20 @@
 		Processor: processor(edits, c.listChange()),
 		Memory:    c.memory(c.at("balance.heap", vms) + c.at("membership.heap", vms) + c.at("list.bytes", vms)),
 	}
-	// The reader decodes the list, and encodes it to see whether it changed.
-	reading := c.calls(1/s.ListGap.Seconds(), 1.5*c.at("list.decode", vms), c.at("list.bytes", vms))
-	domains := float64(c.Size.FailureDomains)
+	// A changed list comes whole; the reader decodes it, and encodes it for its
+	// children. The second reader of a failure domain asks less often, but
+	// reads each change too.
+	whole := c.calls(edits, 1.5*c.at("list.decode", vms), c.at("list.bytes", vms))
+	readers := float64(c.Size.FailureDomains * s.Readers)
 	const nothingNewer = 350 // bytes of a question and of the answer that nothing is newer
 	asking := c.calls(1/s.ListGap.Seconds(), c.at("table.get", 0), nothingNewer)
+	reading := asking.Plus(whole)
 	return Role{
 		Name: "the VM list", Plane: Control,
 		State:     fmt.Sprintf("%d VMs with their addresses and failure domains", c.Size.VMs()),
-		Mechanism: fmt.Sprintf("one reader a failure domain reads the list every %v, edits go down the tree; packages confsync, membership, balance", s.ListGap),
-		Each:      own.Plus(reading.Times(domains / float64(c.Size.Nodes))), Busiest: own.Plus(reading), Who: fmt.Sprintf("the list's reader, %d nodes", c.Size.FailureDomains),
-		Over:   fmt.Sprintf("The platform's list comes whole, %.1f MB each time. Met if it answers “nothing newer” or edits, or is cut by failure domain; reading it less often does not do: once a minute is still %.0f kB/s.", c.at("list.bytes", vms)/megabyte, c.at("list.bytes", vms)/60/kilobyte),
-		Mended: own.Plus(asking.Times(domains / float64(c.Size.Nodes))),
+		Mechanism: fmt.Sprintf("one reader a failure domain asks every %v whether the list changed, by its entity tag, another stands by, and edits go down the tree; packages confsync, membership, balance", s.ListGap),
+		Each:      own.Plus(reading.Times(readers / float64(c.Size.Nodes))), Busiest: own.Plus(reading), Who: fmt.Sprintf("the list's readers, %.0f nodes", readers),
+		Over:   fmt.Sprintf("A list that changed comes whole, %.1f MB, every %.0f s: %.0f kB/s at a reader. Met if the nodes of a failure domain take turns at it, or the platform sends edits.", c.at("list.bytes", vms)/megabyte, 1/edits, whole.Network/kilobyte),
+		Mended: own.Plus(asking.Times(readers / float64(c.Size.Nodes))),
 	}
 }
