Let decoded VMs share the names that many of them have

Cause: decoding the list makes a string of each role, service, failure domain and state, and the members' picture and the balancer's order keep them.

--- a/internal/confsync/vmlist.go
+++ b/internal/confsync/vmlist.go
@@ -21,6 +21,7 @@
 // newVMList sorts and encodes a list; its digest names it.
 func newVMList(vms []platform.VM) (*vmList, error) {
 	l := &vmList{VMs: slices.Clone(vms)}
+	shareNames(l.VMs)
 	slices.SortFunc(l.VMs, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
 	raw, err := json.Marshal(l)
 	if err != nil {
@@ -40,5 +41,26 @@
 	if xxhash.Sum64(a.raw) != a.tag {
 		return nil, eris.New("VM list does not have its digest")
 	}
+	shareNames(l.VMs)
 	return l, nil
 }
+
+// shareNames lets VMs share the names that many of them have. Decoding makes a
+// string of each, which the members' picture and the balancer's order keep.
+func shareNames(vms []platform.VM) {
+	names := map[string]string{}
+	share := func(name string) string {
+		if known, ok := names[name]; ok {
+			return known
+		}
+		names[name] = name
+		return name
+	}
+	for i := range vms {
+		vm := &vms[i]
+		vm.Role = platform.Role(share(string(vm.Role)))
+		vm.Service = share(vm.Service)
+		vm.FailureDomain = share(vm.FailureDomain)
+		vm.State = platform.VMState(share(string(vm.State)))
+	}
+}
