--- a/internal/node/stop_conn_test.go
+++ b/internal/node/stop_conn_test.go
@@ -62,12 +62,7 @@
 	half := len(keptAsk) / 2
 	_, err := io.WriteString(kept.conn, keptAsk[:half])
 	is.NoErr(err)
-	var stop conc.WaitGroup
-	defer stop.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	stop.Go(func() { _ = n.Close(ctx) })
-	f.await("the node refuses", n.stopping.refusesNew)
+	f.stopBehind(n)
 	f.await("the bills are flushed", func() bool { return !n.ledger.Ready() })
 	_, err = io.WriteString(kept.conn, keptAsk[half:])
 	is.NoErr(err)
@@ -86,12 +81,7 @@
 	f := newFleet(t, fleetSize{nodes: 1})
 	n := f.lone()
 	kept := newKeptCaller(t, n)
-	var stop conc.WaitGroup
-	defer stop.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	stop.Go(func() { _ = n.Close(ctx) })
-	f.await("the node refuses", n.stopping.refusesNew)
+	f.stopBehind(n)
 	_, err := io.WriteString(kept.conn, keptAsk)
 	is.NoErr(err)
 	res, _, err := kept.read()
@@ -158,6 +148,19 @@
 	}
 }
 
+// stopBehind orders a planned stop and returns when the node refuses new work.
+func (f *fleet) stopBehind(n *Node) {
+	f.t.Helper()
+	var stop conc.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	f.t.Cleanup(func() {
+		cancel()
+		stop.Wait()
+	})
+	stop.Go(func() { _ = n.Close(ctx) })
+	f.await("the node refuses", n.stopping.refusesNew)
+}
+
 // lone takes the only node out of the fleet, for a test that stops it itself.
 func (f *fleet) lone() *Node {
 	n := f.nodes[0]
