Let readers of one bucket wait for each other without a mutex

Cause: two that read the same bucket, such as a listing and the janitor that folds it, read it once, the second waiting on a mutex that was kept through paced reads. Such a wait cannot be called off, and in virtual time it stops the clock.

TestTwoListingsOfABucket brings it about.

--- a/internal/ledger/bill_reader.go
+++ b/internal/ledger/bill_reader.go
@@ -101,8 +101,11 @@
 // objects reads the bills among a bucket's objects: those of its folds, and
 // those of the objects that no fold covers.
 func (r *billReader) objects(ctx context.Context, b key.Bucket, until time.Time) ([]bill.Bill, error) {
-	progress := r.read.of(b)
-	defer progress.mu.Unlock()
+	progress, err := r.read.of(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	defer progress.release()
 	keys, err := r.uncovered(ctx, b, progress)
 	if err != nil {
 		return nil, err
--- a/internal/ledger/folding.go
+++ b/internal/ledger/folding.go
@@ -52,9 +52,12 @@
 // foldBucket folds the objects of a bucket that no fold covers yet. Two nodes
 // may do it at one time: their folds hold the same bills.
 func (l *Ledger) foldBucket(ctx context.Context, b key.Bucket) error {
-	progress := l.reader.read.of(b)
+	progress, err := l.reader.read.of(ctx, b)
+	if err != nil {
+		return err
+	}
 	left, err := l.reader.uncovered(ctx, b, progress)
-	progress.mu.Unlock()
+	progress.release()
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/read_objects.go
+++ b/internal/ledger/read_objects.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -27,23 +28,31 @@
 
 func newReadObjects() *readObjects { return &readObjects{buckets: map[key.Bucket]*bucketObjects{}} }
 
-// bucketObjects is what was read of a bucket. Its lock is held while it is read
-// on: two that list the same bucket read it once.
+// bucketObjects is what was read of a bucket. Its turn is kept while it is read
+// on: two that list the same bucket read it once. That takes long, so who waits for
+// the turn can be called off, which a mutex cannot.
 type bucketObjects struct {
-	mu      sync.Mutex
+	turn    chan struct{}
 	used    time.Time // guarded by the lock of readObjects
 	bills   map[string][]bill.Bill
 	folds   map[string]bool
 	covered map[string]bool
 }
 
-// of returns what was read of a bucket, locked.
-func (r *readObjects) of(b key.Bucket) *bucketObjects {
+// of returns what was read of a bucket, when it is the caller's turn.
+func (r *readObjects) of(ctx context.Context, b key.Bucket) (*bucketObjects, error) {
 	one := r.find(b, time.Now())
-	one.mu.Lock()
-	return one
+	select {
+	case one.turn <- struct{}{}:
+		return one, nil
+	case <-ctx.Done():
+		return nil, &readError{ctx.Err()}
+	}
 }
 
+// release ends the caller's turn.
+func (o *bucketObjects) release() { <-o.turn }
+
 func (r *readObjects) find(b key.Bucket, now time.Time) *bucketObjects {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,7 +64,7 @@
 	one := r.buckets[b]
 	if one == nil {
 		r.makeRoom()
-		one = &bucketObjects{bills: map[string][]bill.Bill{}, folds: map[string]bool{}, covered: map[string]bool{}}
+		one = &bucketObjects{turn: make(chan struct{}, 1), bills: map[string][]bill.Bill{}, folds: map[string]bool{}, covered: map[string]bool{}}
 		r.buckets[b] = one
 	}
 	one.used = now
--- a/internal/ledger/reading_test.go
+++ b/internal/ledger/reading_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
@@ -119,3 +120,27 @@
 		is.Equal(len(opaque), 1) // a day's bucket is folded before it closes
 	})
 }
+
+// Two operators list the same bucket at one time, and the janitor folds it. One
+// waits for the other, and must not wait for longer than it may: it hung on a
+// mutex that was kept through paced reads.
+func TestTwoListingsOfABucket(t *testing.T) {
+	inBubble(t, 1, func(is *is.I, c *cluster) {
+		bucket := outage(is, c, 500)
+		reader := c.ledgers["e0"].reader
+		var lists conc.WaitGroup
+		for range 2 {
+			lists.Go(func() {
+				bills, err := reader.bills(context.Background(), bucket, time.Time{})
+				is.NoErr(err)
+				is.Equal(len(bills), 500)
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := reader.bills(ctx, bucket, time.Time{})
+		is.True(errors.Is(err, ErrReading))
+		lists.Wait()
+	})
+}
