Let the number of loads follow the weight store's rate

Cause: four loads at a time, whatever the store bears. A version that half of 10,000 engines are to have is there after 21 hours.

Change: pace, a core of its own, finds the number by trying: doubles while that brings clearly more loads a second, goes back when it does not, halves when loads come to nothing; at most 1/16 of the live engines and 128. A row with more than 16 orders is written with its renewals only. Reads of engines with an order take at most half of all reads, or else what is known of the others grows too old.

Not done of the matter: summaries in each failure domain (a round still takes 200 s); serving capacity is kept by the bound, not by measured load.

--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -26,8 +26,8 @@
 	d := &round{
 		record:  r,
 		taken:   map[*engine]bool{},
-		loads:   m.settings.LoadsAtOnce - loads - m.tally.loadsSeen,
-		unloads: m.settings.LoadsAtOnce - (before - loads),
+		loads:   m.loadsAtOnce() - loads - m.tally.loadsSeen,
+		unloads: m.mostLoads() - (before - loads),
 	}
 	for _, v := range m.short() {
 		m.decideLoads(d, v)
@@ -68,6 +68,7 @@
 		d.loads--
 		c.come(e.domain)
 	}
+	m.pace.round.full = m.pace.round.full || c.missing() > 0
 }
 
 // add puts an order in hand.
--- a/internal/rollout/fleet.go
+++ b/internal/rollout/fleet.go
@@ -44,10 +44,16 @@
 	// sentAt is when it was last sent from here; out says that it is not
 	// answered. taken is set by the engine's acknowledgement.
 	sentAt time.Time
-	out    bool
-	taken  bool
+	// began is when the load that runs now was first ordered; noted says that its
+	// end was taken into the pace.
+	began time.Time
+	noted bool
+	out   bool
+	taken bool
 }
 
+func (h *hand) loads() bool { return h.pending.Action == upstream.LoadVersion }
+
 func (e *engine) forget() {
 	e.seen, e.tried, e.idleAt = time.Time{}, time.Time{}, time.Time{}
 	e.asked, e.out = time.Time{}, false
@@ -70,7 +76,9 @@
 	// leave, also when they cannot be reached. A lost failure domain must not
 	// lower the demand on the others.
 	wantedOn int
+	live     int
 	next     int // of the round of reads
+	nextHand int // of the round of reads of engines with an order in hand
 }
 
 // set takes a new view and keeps what is known of engines that stay.
@@ -83,7 +91,7 @@
 	f.engines = make([]*engine, 0, len(view.Engines))
 	f.byID = make(map[string]*engine, len(view.Engines))
 	f.domains = map[string]int{}
-	f.wantedOn = 0
+	f.wantedOn, f.live = 0, 0
 	for i := range view.Engines {
 		f.add(&view.Engines[i], old[view.Engines[i].ID])
 	}
@@ -104,6 +112,9 @@
 	if !e.leaving {
 		f.wantedOn++
 	}
+	if e.live {
+		f.live++
+	}
 	f.engines = append(f.engines, e)
 	f.byID[e.id] = e
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -9,6 +9,8 @@
 	self     string
 	run      string
 	guards   guards
+	// few orders in hand are written at once; see waitsForRenewal.
+	few int
 
 	now   time.Time
 	out   []Action
@@ -18,6 +20,7 @@
 	fleet fleet
 	tally tally
 	row   row
+	pace  pace
 
 	// takenAt is when this node took the row, or woke from a pause. Nothing is
 	// decided until all live engines were asked since.
@@ -54,7 +57,8 @@
 // NewMachine returns the machine of one process on the VM self. Run must be
 // different for each process.
 func NewMachine(s Settings, self, run string) *Machine {
-	return &Machine{settings: s.WithDefaults(), self: self, run: run, rank: -1}
+	s = s.WithDefaults()
+	return &Machine{settings: s, self: self, run: run, few: fewOrders, rank: -1, pace: pace{limit: s.LoadsAtOnce}}
 }
 
 // Step takes an event and returns what is to be done, in order. Now must carry
@@ -136,7 +140,7 @@
 	}
 	m.count()
 	m.send()
-	if m.row.busy {
+	if m.row.busy || m.waitsForRenewal() {
 		return
 	}
 	next, changed := m.next()
@@ -147,4 +151,11 @@
 	m.renew(next)
 }
 
+// waitsForRenewal bounds the bytes that a long row costs: what changes in it
+// goes with the next renewal.
+func (m *Machine) waitsForRenewal() bool {
+	long := len(m.row.record.Orders) > m.few
+	return long && !m.row.unsure && m.now.Sub(m.row.wroteAt) < m.settings.Lease/renewals
+}
+
 func (m *Machine) do(a Action) { m.out = append(m.out, a) }
--- a/internal/rollout/next.go
+++ b/internal/rollout/next.go
@@ -12,7 +12,10 @@
 	r := m.row.record
 	r.Orders = make([]Pending, 0, len(m.row.record.Orders)+m.settings.LoadsAtOnce)
 	for i := range m.row.record.Orders {
-		if p := &m.row.record.Orders[i]; !m.finished(p) && !m.abandoned(p) {
+		p := &m.row.record.Orders[i]
+		if m.finished(p) {
+			m.noteLoaded(m.fleet.byID[p.Engine])
+		} else if !m.abandoned(p) {
 			r.Orders = append(r.Orders, *p)
 		}
 	}
@@ -83,6 +86,7 @@
 	}
 	gone := m.lost(e) || m.unwanted(e)
 	if gone {
+		m.noteVain(e)
 		m.doubtAt = m.now
 		e.avoidUntil = m.now.Add(m.settings.Patience)
 	}
--- a/internal/rollout/read.go
+++ b/internal/rollout/read.go
@@ -7,18 +7,14 @@
 	"github.com/hickorybank/hickorybank/internal/config"
 )
 
-// readEngines asks engines for their state: those with an order in hand first,
-// the others in turn, at most Settings.ReadsPerSecond.
+// readEngines asks engines for their state, at most Settings.ReadsPerSecond:
+// those with an order in hand first, the others in turn.
 func (m *Machine) readEngines() {
 	if m.plan == nil {
 		return
 	}
 	m.fillCredit()
-	for _, e := range m.fleet.engines {
-		if e.hand != nil && m.credit >= 1 {
-			m.readEngine(e, m.settings.Tick)
-		}
-	}
+	m.readHands()
 	gap := m.settings.SeenFor / 4
 	for range m.fleet.engines {
 		if m.credit < 1 {
@@ -30,6 +26,25 @@
 	}
 }
 
+// readHands leaves half of the reads to the other engines: what is known of
+// them must not grow too old to count while many loads run.
+func (m *Machine) readHands() {
+	left := max(1, m.credit/2)
+	for range m.fleet.engines {
+		if left < 1 || m.credit < 1 {
+			return
+		}
+		e := m.fleet.engines[m.fleet.nextHand%len(m.fleet.engines)]
+		m.fleet.nextHand++
+		if e.hand == nil {
+			continue
+		}
+		before := m.credit
+		m.readEngine(e, m.settings.Tick)
+		left -= before - m.credit
+	}
+}
+
 func (m *Machine) fillCredit() {
 	if m.ticked.IsZero() {
 		m.ticked = m.now
--- a/internal/rollout/row.go
+++ b/internal/rollout/row.go
@@ -5,6 +5,9 @@
 // renewals is how often a holder writes the row in the time of a lease.
 const renewals = 3
 
+// fewOrders in hand are written at once; changes of more wait for the renewal.
+const fewOrders = 16
+
 // row is what this node knows of the table's row.
 type row struct {
 	// known says that the row was read; version and record are of then, or of
@@ -143,6 +146,7 @@
 	m.takenAt = m.now
 	m.doubtAt = time.Time{}
 	m.confirmed = 0
+	m.pace = pace{limit: m.settings.LoadsAtOnce}
 	for _, e := range m.fleet.engines {
 		e.hand = nil
 		e.forget()
--- a/internal/rollout/seeds_norace_test.go
+++ b/internal/rollout/seeds_norace_test.go
@@ -8,4 +8,6 @@
 	guardSeeds = 1_000
 	// stepStride tries each step.
 	stepStride = 1
+	// largest is the size of the fleet to come, in engines.
+	largest = 10_000
 )
--- a/internal/rollout/seeds_race_test.go
+++ b/internal/rollout/seeds_race_test.go
@@ -8,4 +8,5 @@
 	seeds      = 300
 	guardSeeds = 100
 	stepStride = 7
+	largest    = 2_500 // engines
 )
--- a/internal/rollout/send.go
+++ b/internal/rollout/send.go
@@ -33,6 +33,10 @@
 
 func (m *Machine) sendTo(e *engine) {
 	h := e.hand
+	m.noteVain(e)
+	if h.began.IsZero() {
+		h.began = m.now
+	}
 	h.sentAt, h.out = m.now, true
 	before := m.row.proof.Add(m.settings.ProofFor)
 	revision := m.plan.revision
--- a/internal/rollout/settings.go
+++ b/internal/rollout/settings.go
@@ -9,6 +9,8 @@
 // Values of settings that are left at zero.
 const (
 	DefaultLoadsAtOnce    = 4
+	DefaultLoadsAtMost    = 128
+	DefaultLoadsPart      = 1.0 / 16
 	DefaultMinEngines     = 2
 	DefaultServingPart    = 0.5
 	DefaultReadsPerSecond = 50
@@ -23,9 +25,13 @@
 
 // Settings bound what a Driver does; zero fields take the defaults.
 type Settings struct {
-	// LoadsAtOnce is how many engines load a version at one time; as many
-	// unloads may be in hand beside them.
+	// LoadsAtOnce is how many engines load a version at one time until it was
+	// seen how many the weight store bears.
 	LoadsAtOnce int
+	// LoadsAtMost and LoadsPart, of the live engines, bound that number; it may
+	// be LoadsAtOnce in any case. As many unloads may be in hand beside them.
+	LoadsAtMost int
+	LoadsPart   float64
 	// MinEngines is the least number of engines that a version with a share
 	// wants, whatever its share.
 	MinEngines int
@@ -60,6 +66,8 @@
 // WithDefaults returns the settings with zero fields filled in.
 func (s Settings) WithDefaults() Settings {
 	fill(&s.LoadsAtOnce, DefaultLoadsAtOnce)
+	fill(&s.LoadsAtMost, DefaultLoadsAtMost)
+	fill(&s.LoadsPart, DefaultLoadsPart)
 	fill(&s.MinEngines, DefaultMinEngines)
 	fill(&s.ServingPart, DefaultServingPart)
 	fill(&s.ReadsPerSecond, DefaultReadsPerSecond)
@@ -83,10 +91,12 @@
 // Validate reports the first setting that cannot be used.
 func (s Settings) Validate() error {
 	switch {
-	case s.LoadsAtOnce < 1, s.MinEngines < 1, s.Slots < 0:
+	case s.LoadsAtOnce < 1, s.LoadsAtMost < 1, s.MinEngines < 1, s.Slots < 0:
 		return eris.New("roll-outs: a count is too small")
 	case !(s.ServingPart > 0 && s.ServingPart <= 1):
 		return eris.New("roll-outs: ServingPart is not above 0 and at most 1")
+	case !(s.LoadsPart > 0 && s.LoadsPart <= 1):
+		return eris.New("roll-outs: LoadsPart is not above 0 and at most 1")
 	case !(s.ReadsPerSecond > 0):
 		return eris.New("roll-outs: ReadsPerSecond is not above 0")
 	case min(s.Tick, s.CallTimeout, s.Patience, s.SeenFor, s.DrainFor) <= 0:
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -89,8 +89,12 @@
 	return e.hand != nil && e.hand.version == version && e.hand.pending.Action == upstream.UnloadVersion
 }
 
-// seenFor stretches with the fleet: a state counts for two rounds of reads.
+// seenFor stretches with the fleet: a state counts for two rounds of reads, of
+// which half may go to engines with an order in hand.
 func (m *Machine) seenFor() time.Duration {
 	round := time.Duration(float64(len(m.fleet.engines)) / m.settings.ReadsPerSecond * float64(time.Second))
+	if len(m.row.record.Orders) > m.few {
+		round *= 2
+	}
 	return max(m.settings.SeenFor, 2*round)
 }
--- a/internal/rollout/world_node_test.go
+++ b/internal/rollout/world_node_test.go
@@ -39,6 +39,9 @@
 	n.down = false
 	n.machine = NewMachine(n.w.settings, n.id, fmt.Sprintf("%s.%d", n.id, n.starts))
 	n.machine.guards = n.w.guards
+	if n.w.few > 0 {
+		n.machine.few = n.w.few
+	}
 	if len(n.w.revisions) > 0 {
 		n.revision = n.w.latest()
 	}
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -17,6 +17,7 @@
 type world struct {
 	settings Settings
 	guards   guards
+	few      int // orders that are written at once; 0 is as usual
 	random   *rand.Rand
 	start    time.Time
 	now      time.Time
