Serve bare connections for tests and measurements in one place

Cause: four servers over bare TCP stood four times: in the tests of the upstreams' and of the platform's client, in those of the node, and in the capacity probes. Ruled out: one server for all their answers; what they answer differs and stays. No check is changed: the n-th request is still counted when its header comes, and seen requests when they came whole.

--- a/internal/capacity/probe_node.go
+++ b/internal/capacity/probe_node.go
@@ -76,7 +76,7 @@
 	if _, _, err := admin.NewStore(r.store).Put(ctx, 0, document(fleetOrgs), "capacity"); err != nil {
 		return err
 	}
-	return r.store.RegisterVM(ctx, platform.VM{ID: "engine-00000", Role: platform.RoleEngine, Addr: r.engine.addr(), FailureDomain: domainName(0), State: platform.Live})
+	return r.store.RegisterVM(ctx, platform.VM{ID: "engine-00000", Role: platform.RoleEngine, Addr: r.engine.Addr(), FailureDomain: domainName(0), State: platform.Live})
 }
 
 func (r *nodeRig) add(i int) error {
@@ -128,7 +128,7 @@
 		})
 	}
 	all.Wait()
-	r.engine.close()
+	r.engine.Close()
 }
 
 func measureNode(m Meter, tokens int) (float64, error) {
--- a/internal/capacity/probe_stream.go
+++ b/internal/capacity/probe_stream.go
@@ -53,7 +53,7 @@
 		return nil, eris.Wrap(err, "listen")
 	}
 	r := &streamRig{engine: engine, engines: client.NewEngines(client.Options{})}
-	r.server = &http.Server{Handler: api.New(&relayRouter{snapshot: snapshot, engines: r.engines, addr: engine.addr()})}
+	r.server = &http.Server{Handler: api.New(&relayRouter{snapshot: snapshot, engines: r.engines, addr: engine.Addr()})}
 	r.serving.Go(func() { _ = r.server.Serve(listener) }) // returns when closed
 	for i := range callers {
 		c, err := newRawCaller(listener.Addr().String(), versionName0, i, pieces, turns[i])
@@ -71,7 +71,7 @@
 	_ = r.server.Close()
 	r.serving.Wait()
 	r.engines.Close()
-	r.engine.close()
+	r.engine.Close()
 }
 
 func measureStream(m Meter, tokens int) (float64, error) {
--- a/internal/capacity/rawengine.go
+++ b/internal/capacity/rawengine.go
@@ -1,15 +1,13 @@
 package capacity
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 
-	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
+	"github.com/hickorybank/hickorybank/internal/rawhttp"
 )
 
 // rawEngine answers chat requests over bare TCP with as little processor time
@@ -17,61 +15,30 @@
 // of an answer when the caller of that attempt has had the one before: then
 // each piece is read and written by itself, as it is with a gap between tokens.
 type rawEngine struct {
-	listener net.Listener
-	pieces   int
-	turns    turns
-	duties   conc.WaitGroup
+	*rawhttp.Server
+	pieces int
+	turns  turns
 }
 
 func newRawEngine(pieces int, t turns) (*rawEngine, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	e := &rawEngine{pieces: pieces, turns: t}
+	server, err := rawhttp.Listen(e)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen")
+		return nil, err
 	}
-	e := &rawEngine{listener: listener, pieces: pieces, turns: t}
-	e.duties.Go(e.accept)
+	e.Server = server
 	return e, nil
 }
 
-func (e *rawEngine) addr() string { return e.listener.Addr().String() }
+// Head lets every body be read.
+func (e *rawEngine) Head(net.Conn, *http.Request) bool { return true }
 
-// close ends the engine; its callers must have closed their connections.
-func (e *rawEngine) close() {
-	_ = e.listener.Close()
-	e.duties.Wait()
-}
-
-func (e *rawEngine) accept() {
-	for {
-		conn, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
-		e.duties.Go(func() { e.serve(conn) })
-	}
-}
-
-func (e *rawEngine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
-		}
-		if req.Method == http.MethodGet {
-			err = report(conn)
-		} else {
-			err = e.answer(conn, req.Header.Get("X-Attempt-Id"), e.turns.of(body))
-		}
-		if err != nil {
-			return
-		}
+// Answer reports the load to whoever asks, and streams to whoever sends.
+func (e *rawEngine) Answer(conn net.Conn, req *http.Request, body []byte) error {
+	if req.Method == http.MethodGet {
+		return report(conn)
 	}
+	return e.answer(conn, req.Header.Get("X-Attempt-Id"), e.turns.of(body))
 }
 
 const (
--- a/internal/platform/client/classify_test.go
+++ b/internal/platform/client/classify_test.go
@@ -108,7 +108,7 @@
 func TestNobodyListens(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t, hold)
-	p.close()
+	p.Close()
 	client := New(p.url())
 	defer client.Close()
 	_, err := client.Commit(t.Context(), platform.Txn{})
--- a/internal/upstream/client/reach_test.go
+++ b/internal/upstream/client/reach_test.go
@@ -42,12 +42,12 @@
 			})
 			client := NewServices(Options{})
 			defer client.Close()
-			_, err := client.Do(context.Background(), s.addr(), upstream.ServiceCall{Method: http.MethodGet, Path: "/", Key: "first"})
+			_, err := client.Do(context.Background(), s.Addr(), upstream.ServiceCall{Method: http.MethodGet, Path: "/", Key: "first"})
 			is.NoErr(err)
-			_, err = client.Do(context.Background(), s.addr(), call)
+			_, err = client.Do(context.Background(), s.Addr(), call)
 			is.Equal(reachOf(t, err), upstream.MaybeRun)
 			is.Equal(s.times("k"), 1)
-			is.Equal(s.connCount(), 1) // the second call took the idle connection
+			is.Equal(s.Conns(), 1) // the second call took the idle connection
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	var ok, notSent, maybe int
 	for i := range 2000 {
 		key := fmt.Sprint("k", i)
-		_, err := client.Do(context.Background(), s.addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Key: key, Body: []byte("x")})
+		_, err := client.Do(context.Background(), s.Addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Key: key, Body: []byte("x")})
 		seen := s.times(key)
 		is.True(seen <= 1)
 		switch {
@@ -115,7 +115,7 @@
 	})
 	impatient := NewServices(Options{HeaderTimeout: 20 * time.Millisecond})
 	defer impatient.Close()
-	_, err := impatient.Do(context.Background(), silent.addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	_, err := impatient.Do(context.Background(), silent.Addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
 	is.Equal(reachOf(t, err), upstream.MaybeRun)
 	ctx, cancel := context.WithCancel(context.Background())
 	breaking := newRawServer(t, func(_ net.Conn, _ string, _ int) bool {
@@ -124,7 +124,7 @@
 	})
 	client := NewServices(Options{})
 	defer client.Close()
-	_, err = client.Do(ctx, breaking.addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	_, err = client.Do(ctx, breaking.Addr(), upstream.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
 	is.Equal(reachOf(t, err), upstream.MaybeRun)
 }
 
@@ -137,7 +137,7 @@
 	})
 	client := NewServices(Options{})
 	defer client.Close()
-	_, err := client.Do(context.Background(), s.addr(), upstream.ServiceCall{Method: http.MethodGet, Path: "/"})
+	_, err := client.Do(context.Background(), s.Addr(), upstream.ServiceCall{Method: http.MethodGet, Path: "/"})
 	is.Equal(reachOf(t, err), upstream.MaybeRun)
 }
 
@@ -172,7 +172,7 @@
 			})
 			client := NewEngines(Options{})
 			defer client.Close()
-			_, err := client.Start(context.Background(), s.addr(), upstream.Attempt{ID: "a", Body: []byte("{}")})
+			_, err := client.Start(context.Background(), s.Addr(), upstream.Attempt{ID: "a", Body: []byte("{}")})
 			is.Equal(reachOf(t, err), c.want)
 			if c.cause != nil {
 				is.True(errors.Is(err, c.cause))
