--- a/internal/node/path_bench_test.go
+++ b/internal/node/path_bench_test.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/rawhttp"
 )
 
 // pathCallers are fewer than a pool's first limit, so that none waits.
@@ -52,7 +51,7 @@
 		}
 	}
 	u := newBareUpstream(b, w.pieces, turns)
-	b.Cleanup(u.close) // runs after the fleet's, which lets the connections go
+	b.Cleanup(u.Close) // runs after the fleet's, which lets the connections go
 	f := newFleet(b, fleetSize{nodes: 1})
 	for _, vm := range []platform.VM{u.vm(platform.RoleEngine, "bare"), u.vm(platform.RoleService, "bareservice")} {
 		if err := f.store.RegisterVM(context.Background(), vm); err != nil {
@@ -60,15 +59,18 @@
 		}
 	}
 	f.await("the node knows the upstream", func() bool { return f.knows(f.nodes[0], fleetSize{nodes: 1, engines: 1, services: 1}) })
-	relay := newBareRelay(b, u.addr())
+	relay, err := rawhttp.NewRelay(u.Addr())
+	if err != nil {
+		b.Fatal(err)
+	}
 	var nodeTime, relayTime, bareTime time.Duration
 	b.ResetTimer()
 	// In turns, so that other load on the machine meets all three alike.
 	const rounds = 4
 	n := max(b.N/rounds/pathCallers, 1)
 	for range rounds {
-		bareTime += w.measure(b, u.addr(), turns, n)
-		relayTime += w.measure(b, relay.listener.Addr().String(), turns, n)
+		bareTime += w.measure(b, u.Addr(), turns, n)
+		relayTime += w.measure(b, relay.Addr(), turns, n)
 		nodeTime += w.measure(b, f.nodes[0].Addr(), turns, n)
 	}
 	b.StopTimer()
@@ -78,19 +80,18 @@
 	b.ReportMetric(each(relayTime-bareTime), "relay-cpu-µs")
 	b.ReportMetric(each(bareTime), "sockets-cpu-µs")
 	b.ReportMetric(each(nodeTime-bareTime)/each(relayTime-bareTime), "to-relay")
-	relay.close()
+	relay.Close()
 }
 
 // measure returns the processor time of n answers for each caller.
 func (w way) measure(b *testing.B, addr string, turns []chan struct{}, n int) time.Duration {
-	callers := make([]*bareCaller, pathCallers)
+	callers := make([]*rawhttp.Caller, pathCallers)
 	for i := range callers {
-		conn, err := net.Dial("tcp", addr)
-		if err != nil {
+		callers[i] = &rawhttp.Caller{Ask: []byte(w.ask(i)), Turn: turns[i], Rest: w.pieces - 1}
+		if err := callers[i].Dial(addr); err != nil {
 			b.Fatal(err)
 		}
-		defer func() { _ = conn.Close() }()
-		callers[i] = &bareCaller{conn: conn, in: bufio.NewReader(conn), ask: []byte(w.ask(i)), turn: turns[i], rest: w.pieces - 1}
+		defer callers[i].Close()
 	}
 	var failed atomic.Pointer[error]
 	began := processorTime(b)
@@ -98,7 +99,7 @@
 	for _, c := range callers {
 		all.Go(func() {
 			for range n {
-				if err := c.run(); err != nil {
+				if err := c.Run(); err != nil {
 					failed.Store(&err)
 					return
 				}
--- a/internal/node/piece_test.go
+++ b/internal/node/piece_test.go
@@ -1,15 +1,14 @@
 package node
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
+	"github.com/hickorybank/hickorybank/internal/rawhttp"
 )
 
 // An instructor sees a draft stand still. The engine sends each piece only when
@@ -21,15 +20,14 @@
 	const pieces = 8
 	turn := make(chan struct{}, 1)
 	u := newBareUpstream(t, pieces, []chan struct{}{turn})
-	t.Cleanup(u.close)
+	t.Cleanup(u.Close)
 	f := newFleet(t, fleetSize{nodes: 1})
 	is.NoErr(f.store.RegisterVM(context.Background(), u.vm(platform.RoleEngine, "bare")))
 	f.await("the node knows the engine", func() bool { return f.knows(f.nodes[0], fleetSize{nodes: 1, engines: 1}) })
-	conn, err := net.Dial("tcp", f.nodes[0].Addr())
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	is.NoErr(conn.SetDeadline(time.Now().Add(waitLimit)))
 	w := way{pieces: pieces, stream: true}
-	c := bareCaller{conn: conn, in: bufio.NewReader(conn), ask: []byte(w.ask(0)), turn: turn, rest: pieces - 1}
-	is.NoErr(c.run())
+	c := rawhttp.Caller{Ask: []byte(w.ask(0)), Turn: turn, Rest: pieces - 1}
+	is.NoErr(c.Dial(f.nodes[0].Addr()))
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(waitLimit)))
+	is.NoErr(c.Run())
 }
