Balance: the others' load is a mean where requests are short

Cause: a load report, half a second old and more, was taken as what others have at an upstream until the next one came, although its requests end within 95 ms. What it said beyond the mean was chance, and a node that went by it flooded one engine and left another idle. Now the difference between the newest report and a moving mean of the reports (5 s) counts as long as requests last at that upstream, by this node's own attempts, each counted by its length: with long requests the newest report says all, with short ones the mean does. The half-life of 3 s towards the pool's mean stays as it was.

--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -45,6 +45,7 @@
 			b.refresh(now)
 		}
 		h.ended(false)
+		h.hold.add(now - s.started)
 		b.measure(s, r)
 	case Unreached:
 		h.ended(true)
--- a/internal/balance/host.go
+++ b/internal/balance/host.go
@@ -33,6 +33,7 @@
 	leavingSince  time.Duration
 
 	report  report
+	hold    hold
 	poll    pollState
 	breaker breaker
 	outlier outlier
@@ -44,6 +45,11 @@
 
 func (h *host) leaving() bool { return h.leavingByList || h.leavingByWord }
 
+// others is the load there that did not come from this node.
+func (h *host) others(now time.Duration) float64 {
+	return h.report.others.load(now, h.hold.mean())
+}
+
 // tier orders the upstreams that a request may be sent to; a later tier is
 // used only when all earlier ones are empty.
 type tier int
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -11,11 +11,11 @@
 )
 
 // load is how full an upstream is, from what this node has in flight there
-// and what others had by its last report; an aged report counts for less and
+// and what others have by its reports; with their age they count for less and
 // the pool's mean for more.
 func (b *Balancer) load(p *pool, h *host, now time.Duration) float64 {
 	w := h.report.weight(now, b.settings.MaxReportAge)
-	others := w*h.report.others + (1-w)*p.meanOthers
+	others := w*h.others(now) + (1-w)*p.meanOthers
 	return (float64(h.inFlight) + others + 1) / b.capacity(p, h, now)
 }
 
--- a/internal/balance/places.go
+++ b/internal/balance/places.go
@@ -17,7 +17,9 @@
 func (p places) fullness() float64 { return p.work / p.limit }
 
 // survey counts the pool's places. The last report of an upstream counts
-// whatever its age: one that gives none any more soon has an open breaker.
+// whatever its age: one that gives none any more soon has an open breaker. It is
+// taken at its word, not as a mean: a version is to give way, and to come back,
+// with the next report, and the chance in the reports of a pool adds up to less.
 func (b *Balancer) survey(p *pool, now time.Duration) {
 	p.places = places{}
 	p.surveyed = p.inFlight
@@ -31,7 +33,7 @@
 		}
 		p.places.engines++
 		p.places.limit += b.capacity(p, h, now)
-		p.places.work += float64(h.inFlight) + h.report.others
+		p.places.work += float64(h.inFlight) + h.report.others.newest
 		p.places.own += float64(h.inFlight)
 	}
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -23,7 +23,7 @@
 	var n, limits int
 	for _, h := range p.hosts {
 		if h.report.weight(now, maxAge) > 0 {
-			others += h.report.others
+			others += h.others(now)
 			n++
 		}
 		if h.report.limit > 0 {
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -20,8 +20,8 @@
 	running int
 	queued  int
 	own     int // in flight from this node when it came
-	// others is the load that did not come from this node.
-	others float64
+	// others is what did not come from this node.
+	others others
 	limit  float64
 }
 
@@ -32,7 +32,7 @@
 	r.running = l.Running
 	r.queued = l.Queued
 	r.own = min(own, l.Running+l.Queued)
-	r.others = float64(max(0, l.Running+l.Queued-own))
+	r.others.take(float64(max(0, l.Running+l.Queued-own)), at)
 	r.limit = float64(l.Limit)
 }
 
