Model limits of organisations with collectors of failure domains

Cause: internal/capacity described the direct way: 12.4 kB/s and 0.199 % at an average node, 501 kB/s and 8.34 % at a holder.

Not in it: a collector's look for what is due, four times a second, which has no probe.

--- a/internal/capacity/role_process.go
+++ b/internal/capacity/role_process.go
@@ -73,13 +73,14 @@
 	nodes := float64(c.Size.Nodes)
 	end := c.per("peer.connection.heap") / 2
 	// Parent and children, ring of suspects both ways, collectors of a minute,
-	// batchers of two minutes' logs, holders of limits.
-	const family, buckets = 5, 2
+	// batchers of two minutes' logs, the collector of limits, and its and the
+	// holders' ends of asking for the domains' shares.
+	const family, buckets, limitEnds = 5, 2, 2
 	ring := 2 * math.Floor(math.Log2(nodes)+1)
 	collectors := min(idleSeconds/collectEpoch, c.Size.perDomain())
 	batchers := buckets * c.claimFigures().batchers
 	domains := float64(c.Size.FailureDomains)
-	used := family + ring + collectors + batchers + 2*c.Assume.ActiveOrganisations*c.Assume.Limited
+	used := family + ring + collectors + batchers + 1 + limitEnds*c.Assume.Organisations*c.Assume.Limited*domains/nodes
 	return Role{
 		Name: "connections between nodes", Plane: Control,
 		State:     fmt.Sprintf("%s of heap and stack for each end", amount(end)),
--- a/internal/capacity/role_shared.go
+++ b/internal/capacity/role_shared.go
@@ -7,30 +7,55 @@
 	"github.com/hickorybank/hickorybank/internal/rollout"
 )
 
-// ratePeriod is the time between two summaries of organisations' limits, in
-// seconds; package admission.
-const ratePeriod = 1.0
+// Of package admission, in seconds: how often a node tells its failure domain's
+// collector of its organisations, and a collector a holder of one.
+const (
+	collectGap = 2.0
+	sumGap     = 3.0
+)
 
+// limits is the exchange of shares. A domain's collector asks for all limited
+// organisations that are active at any of its nodes; a holder of one hears of
+// it from each collector.
 func (c *calc) limits() Role {
 	limited := c.Assume.ActiveOrganisations * c.Assume.Limited
-	ns, bytes := c.at("limits.exchange", 1), c.at("limits.exchange.bytes", 1)
-	all := float64(c.Size.Nodes)
-	computing := processor(1/ratePeriod, c.at("admission.summaries", all)*limited/activeOrgs)
-	own := Cost{Processor: computing, Memory: c.memory(limited * c.at("admission.holder.heap", all) * c.Assume.Organisations / all / c.Assume.ActiveOrganisations)}
-	holding := processor(all/ratePeriod, c.at("admission.summarise", all))
-	busiest := c.peerCalls(limited/ratePeriod, all/ratePeriod, ns, bytes).Plus(own).Plus(Cost{Processor: holding, Memory: c.memory(c.at("admission.holder.heap", all))})
-	// A node tells its failure domain's one node of all its organisations.
-	const mendedPeriod = 10.0
-	up := c.peerCalls(1/mendedPeriod, 1/mendedPeriod, c.at("limits.exchange", limited), c.at("limits.exchange.bytes", limited))
-	byDomain := c.peerCalls(limited/ratePeriod/10, float64(c.Size.FailureDomains)/ratePeriod/10, ns, bytes)
+	known := c.Assume.Organisations * c.Assume.Limited
+	group, domains := c.Size.perDomain(), float64(c.Size.FailureDomains)
+	telling := func(made, answered, orgs float64) Cost {
+		return c.peerCalls(made/collectGap, answered/collectGap, c.at("limits.exchange", orgs), c.at("limits.exchange.bytes", orgs))
+	}
+	asking := func(made, answered float64) Cost {
+		return c.peerCalls(made/sumGap, answered/sumGap, c.at("limits.exchange", 1), c.at("limits.exchange.bytes", 1))
+	}
+	// The collector's books are like a holder's, with the domain's nodes.
+	dividing := Cost{
+		Processor: processor(group*limited/collectGap, c.at("admission.summarise", group)),
+		Memory:    c.memory(known * c.at("admission.holder.heap", group)),
+	}
+	holding := Cost{
+		Processor: processor(domains/sumGap, c.at("admission.summarise", domains)),
+		Memory:    c.memory(c.at("admission.holder.heap", domains)),
+	}
+	reckoning := Cost{Processor: processor(1/collectGap, c.at("admission.summaries", 2)*limited/activeOrgs)}
+	own := telling(1, 0, limited).Plus(reckoning)
+	collecting := telling(0, group, limited).Plus(asking(known, 0)).Plus(dividing)
+	holders := asking(0, domains).Plus(holding)
+	nodes := float64(c.Size.Nodes)
+	each := own.Plus(collecting.Times(domains / nodes)).Plus(holders.Times(known / nodes))
+	// The nodes of a domain name only what changed, a fifth, and holders are of
+	// groups of organisations, 16 in all.
+	const changing, groups = 0.2, 16.0
+	few := telling(0, group, changing*limited)
+	grouped := c.peerCalls(groups/sumGap, 0, c.at("limits.exchange", known/groups), c.at("limits.exchange.bytes", known/groups))
+	mended := telling(1, 0, changing*limited).Plus(reckoning).Plus(few.Plus(grouped).Plus(dividing).Times(domains / nodes)).Plus(holders.Times(known / nodes))
 	return Role{
 		Name: "limits of organisations", Plane: Control,
-		State:     fmt.Sprintf("shares of %.0f limited organisations that are active here", limited),
-		Mechanism: "a holder for each organisation by rendezvous hash divides its limit by demand every second; package admission",
-		Each:      c.peerCalls(limited/ratePeriod, limited/ratePeriod, ns, bytes).Plus(own), Busiest: busiest,
-		Who:    "the holder of an organisation that every node serves",
-		Over:   fmt.Sprintf("A message for each active limited organisation and second. Met if summaries are added up in each failure domain first and exchanged every 10 s: the holder then answers %.1f calls a second, %.1f kB/s.", float64(c.Size.FailureDomains)/ratePeriod/10, byDomain.Network/kilobyte),
-		Mended: up.Plus(own.Times(1 / mendedPeriod)),
+		State:     fmt.Sprintf("shares of %.0f limited organisations that are active here; at a collector, of %.0f and %.0f nodes", limited, known, group),
+		Mechanism: fmt.Sprintf("a message of all organisations each %.0f s to the failure domain's collector, which asks each organisation's holder each %.0f s and divides the domain's share; package admission", collectGap, sumGap),
+		Each:      each, Busiest: own.Plus(collecting), Who: "a failure domain's collector",
+		Over: fmt.Sprintf("The collector hears of %.0f organisations from each of %.0f nodes and asks %.0f holders one by one. Met in part if nodes named only what changed (a fifth, say) and holders were of %.0f groups of organisations: %.1f kB/s at a collector then.",
+			limited, group, known, groups, few.Plus(grouped).Network/kilobyte),
+		Mended: mended,
 	}
 }
 
