--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -36,12 +36,18 @@
 }
 
 func (g *gate) setSnapshot(s *config.Snapshot, limits []admission.Limit) {
+	g.setLimits(limits)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.SetLimits(limits, time.Now())
 	g.queue.SetDeferDeferrable(s.Preset().DeferDeferrable)
 }
 
+func (g *gate) setLimits(limits []admission.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.SetLimits(limits, time.Now())
+}
+
 func (g *gate) summaries(now time.Time) []admission.Summary {
 	g.mu.Lock()
 	defer g.mu.Unlock()
