Measure the capacity page's slopes anew

Cause: the points were from before pieces went without encoding/json, the look for a collector was kept for half a second, reports held changed cells only, and limits went through collectors.

--- a/internal/capacity/role_ledger.go
+++ b/internal/capacity/role_ledger.go
@@ -149,7 +149,7 @@
 		Mechanism: fmt.Sprintf("a node sends its bills to its failure domain's collector, which changes every %d s and writes a row each %.0f ms; package ledger/bill", collectEpoch, 1000*f.gap),
 		Each:      each, Busiest: busiest, Who: "a collector", Mended: mended,
 		Writes: float64(c.Size.FailureDomains) / f.gap,
-		Over: fmt.Sprintf("Bills grow with requests: %.0f B each, %s/s at a node before any header, so that two passages (to the collector, to the table) are %.0f %% of the budget. %.1f messages a second carry %.1f bills each; one message out at a time in place of %d would carry more. The collector's part can only be spread, by more collectors and so more and smaller rows. The look for the collector costs %s of a core at %d nodes, as each message ranks copies of all members; a ranking kept until members change would cost next to nothing. Whether bills count as control should be asked.",
+		Over: fmt.Sprintf("Bills grow with requests: %.0f B each, %s/s at a node before any header, so that two passages (to the collector, to the table) are %.0f %% of the budget. %.1f messages a second carry %.1f bills each; one message out at a time in place of %d would carry more. The collector's part can only be spread, by more collectors and so more and smaller rows. The look for the collector costs %s of a core at %d nodes: the members seen are ranked twice a second, and no longer for each message. Whether bills count as control should be asked.",
 			c.per("bill.bytes"), amount(f.perNode*c.per("bill.bytes")), 200*f.perNode*c.per("bill.bytes")/c.Budget.Network, f.messages, f.bills, maxSends, cores(finding), c.Size.Nodes),
 	}
 }
