Join the fault ports of the two stand-in upstreams

Ruled out: joining ChangeFaults too; what each puts into effect differs. Before: the handlers twice, 45 lines each; after: once, in host.FaultPort, with the same paths and messages. Run: go test -race ./internal/standin/engine/... ./internal/standin/service, green; no test is changed.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -18,8 +18,9 @@
 )
 
 // limits exchanges summaries and shares of the organisations' rate limits with
-// the nodes that hold them, in large failure domains through a collector. A node that cannot reach a holder falls back to a
-// conservative share, so that the limit holds over all nodes.
+// the nodes that hold them, in large failure domains through a collector. A node
+// that cannot reach a holder falls back to a conservative share, so that the
+// limit holds over all nodes.
 type limits struct {
 	node *Node
 
--- a/internal/standin/engine/faultport.go
+++ b/internal/standin/engine/faultport.go
@@ -3,52 +3,21 @@
 import (
 	"log/slog"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
 )
 
 func (s *Server) faultRoutes() http.Handler {
-	r := httprouter.New()
-	r.GET("/faults", s.getFaults)
-	r.POST("/faults", s.postFaults)
-	r.GET("/runs", s.getRuns)
-	r.GET("/counts", s.getCounts)
-	return r
-}
-
-func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	host.WriteJSON(w, s.Faults())
-}
-
-// postFaults changes the faults that the body names; the others stay.
-func (s *Server) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := host.ReadBody(w, r)
-	if err == nil {
-		err = s.ChangeFaults(func(f *Faults) error { return f.merge(body) })
-	}
-	if err != nil {
-		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	host.WriteJSON(w, s.Faults())
-}
-
-func (s *Server) getRuns(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	after, err := number(r.URL.Query().Get("after"), strconv.Atoi)
-	if err != nil {
-		http.Error(w, "after is no run number", http.StatusBadRequest)
-		return
-	}
-	host.WriteJSON(w, s.Runs(after))
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	host.WriteJSON(w, s.Counts())
+	return host.FaultPort{
+		Faults: func() any { return s.Faults() },
+		Change: func(body []byte) error {
+			return s.ChangeFaults(func(f *Faults) error { return f.merge(body) })
+		},
+		Runs:   func(after int) any { return s.Runs(after) },
+		Counts: func() any { return s.Counts() },
+	}.Routes()
 }
 
 // Faults returns the present faults.
--- a/internal/standin/service/faultport.go
+++ b/internal/standin/service/faultport.go
@@ -4,9 +4,6 @@
 	"bytes"
 	"log/slog"
 	"net/http"
-	"strconv"
-
-	"github.com/julienschmidt/httprouter"
 
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
@@ -14,53 +11,18 @@
 )
 
 func (s *Server) faultRoutes() http.Handler {
-	r := httprouter.New()
-	r.GET("/faults", s.getFaults)
-	r.POST("/faults", s.postFaults)
-	r.GET("/runs", s.getRuns)
-	r.GET("/doubles", s.getDoubles)
-	r.GET("/counts", s.getCounts)
+	r := host.FaultPort{
+		Faults: func() any { return s.Faults() },
+		Change: func(body []byte) error {
+			return s.ChangeFaults(func(f *Faults) error { return host.Decode(bytes.NewReader(body), f) })
+		},
+		Runs:   func(after int) any { return s.Runs(after) },
+		Counts: func() any { return s.Counts() },
+	}.Routes()
+	r.GET("/doubles", host.Tell(func() any { return s.Doubles() }))
 	return r
 }
 
-func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	host.WriteJSON(w, s.Faults())
-}
-
-// postFaults changes the faults that the body names; the others stay.
-func (s *Server) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := host.ReadBody(w, r)
-	if err == nil {
-		err = s.ChangeFaults(func(f *Faults) error { return host.Decode(bytes.NewReader(body), f) })
-	}
-	if err != nil {
-		http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	host.WriteJSON(w, s.Faults())
-}
-
-func (s *Server) getRuns(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	after := 0
-	if text := r.URL.Query().Get("after"); text != "" {
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			http.Error(w, "after is no run number", http.StatusBadRequest)
-			return
-		}
-		after = n
-	}
-	host.WriteJSON(w, s.Runs(after))
-}
-
-func (s *Server) getDoubles(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	host.WriteJSON(w, s.Doubles())
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	host.WriteJSON(w, s.Counts())
-}
-
 // Faults returns the present faults.
 func (s *Server) Faults() Faults {
 	s.mu.Lock()
