Say one wrong field or setting as one

Cause: "1 fields are wrong" and "1 settings cannot be used", met on a walk through the commands as a newcomer. Before: plural for one; after: "a field is wrong", "a setting cannot be used"; more than one as it was. Run: go test ./internal/admin ./internal/cli ./internal/cli/setting, green.

--- a/internal/admin/failure.go
+++ b/internal/admin/failure.go
@@ -85,7 +85,11 @@
 }
 
 func invalid(faults []config.Fault) *Failure {
-	f := fail(http.StatusUnprocessableEntity, CodeInvalid, "nothing was changed: %d fields are wrong", len(faults))
+	wrong := "a field is wrong"
+	if len(faults) != 1 {
+		wrong = fmt.Sprintf("%d fields are wrong", len(faults))
+	}
+	f := fail(http.StatusUnprocessableEntity, CodeInvalid, "nothing was changed: %s", wrong)
 	f.Faults = faults
 	f.Outcome = NotApplied
 	return f
--- a/internal/cli/setting/fault.go
+++ b/internal/cli/setting/fault.go
@@ -30,7 +30,11 @@
 // Error lists all faults, one a line.
 func (f Faults) Error() string {
 	lines := make([]string, 0, len(f)+1)
-	lines = append(lines, fmt.Sprintf("%d settings cannot be used:", len(f)))
+	head := "a setting cannot be used:"
+	if len(f) != 1 {
+		head = fmt.Sprintf("%d settings cannot be used:", len(f))
+	}
+	lines = append(lines, head)
 	for _, fault := range f {
 		lines = append(lines, "  "+fault.String())
 	}
