--- a/internal/capacity/probe_node.go
+++ b/internal/capacity/probe_node.go
@@ -137,16 +137,7 @@
 		return 0, err
 	}
 	defer r.close()
-	if err := r.callers.run(1); err != nil {
-		return 0, err
-	}
-	var failed error
-	v := m.CPU(func(n int) {
-		if err := r.callers.run(n); err != nil {
-			failed = err
-		}
-	})
-	return v / nodeCallers, failed
+	return r.callers.measure(m)
 }
 
 func measureIdle(m Meter, nodes int) (float64, error) {
--- a/internal/capacity/probe_stream.go
+++ b/internal/capacity/probe_stream.go
@@ -80,14 +80,5 @@
 		return 0, err
 	}
 	defer r.close()
-	if err := r.callers.run(1); err != nil {
-		return 0, err
-	}
-	var failed error
-	v := m.CPU(func(n int) {
-		if err := r.callers.run(n); err != nil {
-			failed = err
-		}
-	})
-	return v / callers, failed
+	return r.callers.measure(m)
 }
--- a/internal/capacity/rawcallers.go
+++ b/internal/capacity/rawcallers.go
@@ -30,6 +30,21 @@
 	return first
 }
 
+// measure returns the processor time of one answer, in nanoseconds. The first
+// answers, which open connections, are left out.
+func (cs rawCallers) measure(m Meter) (float64, error) {
+	if err := cs.run(1); err != nil {
+		return 0, err
+	}
+	var failed error
+	v := m.CPU(func(n int) {
+		if err := cs.run(n); err != nil {
+			failed = err
+		}
+	})
+	return v / float64(len(cs)), failed
+}
+
 func (cs rawCallers) close() {
 	for _, c := range cs {
 		c.close()
--- a/internal/platform/client/resend_test.go
+++ b/internal/platform/client/resend_test.go
@@ -61,11 +61,7 @@
 	defer client.Close()
 	for range 2 {
 		resp, err := client.http.Get(p.url())
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			is.NoErr(err)
-			is.NoErr(resp.Body.Close())
-		}
+		discard(is, resp, err)
 	}
 	is.Equal(p.seen(), 3)
 }
@@ -85,11 +81,18 @@
 		is.True(req.GetBody == nil)
 		req.Header.Set("Idempotency-Key", "k")
 		resp, err := client.http.Do(req)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			is.NoErr(err)
-			is.NoErr(resp.Body.Close())
-		}
+		discard(is, resp, err)
 	}
 	is.Equal(p.seen(), 2)
 }
+
+// discard reads an answer to its end, if there is one.
+func discard(is *is.I, resp *http.Response, err error) {
+	is.Helper()
+	if err != nil {
+		return
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
