Serve the users' platform: routes, upstreams by record, one pipeline

Cause: the product could only be reached by its own door, over a platform interface of its own stand-ins; nothing ran on the users' platform.

--- /dev/null
+++ b/internal/canary/evidence.go
@@ -0,0 +1,37 @@
+package canary
+
+import (
+	"math"
+	"time"
+)
+
+// evidence is a sequential test of one route's answers: it sums the log
+// likelihood of "worse by excess" against "as the old version", and never
+// falls below zero, so that a version that turns bad late is found as fast.
+type evidence struct {
+	seen       RouteCount
+	base, bad  float64 // the old version's recent answers
+	ratedAt    time.Time
+	likelihood float64
+}
+
+// add takes the counts so far and the time.
+func (e *evidence) add(c RouteCount, now time.Time) {
+	if !e.ratedAt.IsZero() {
+		f := math.Exp2(-float64(now.Sub(e.ratedAt)) / float64(baseHalfLife))
+		e.base *= f
+		e.bad *= f
+	}
+	e.ratedAt = now
+	e.base += float64(max(c.Base-e.seen.Base, 0))
+	e.bad += float64(max(c.BaseBad-e.seen.BaseBad, 0))
+	bad := float64(max(c.NewBad-e.seen.NewBad, 0))
+	good := max(float64(max(c.New-e.seen.New, 0))-bad, 0)
+	e.seen = c
+	usual := min(max((e.bad+1)/(e.base+8), leastBase), 0.7)
+	worse := usual + excess*(1-usual)
+	e.likelihood += bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
+	e.likelihood = max(e.likelihood, 0)
+}
+
+func (e *evidence) convicts() bool { return e.likelihood >= convictAt }
--- /dev/null
+++ b/internal/canary/tally.go
@@ -0,0 +1,29 @@
+package canary
+
+// Tally is what one node has counted for one order. Its counts only grow, so a
+// later one replaces an earlier one, in whatever order they arrive.
+type Tally struct {
+	Service  string
+	Revision uint64
+	// Node and Born name one run of a node.
+	Node string
+	Born int64
+	// Routes are the counts for each route.
+	Routes []RouteCount
+	// Requests is how many requests the service had since the order, and
+	// Exposed how many of them went to the new version.
+	Requests, Exposed int64
+	// OldInFlight is how many attempts run on the old version now.
+	OldInFlight int
+	// Verdict is what the node knows of the order's end.
+	Verdict Verdict
+	// Seq grows with each tally of the node.
+	Seq uint64
+}
+
+// RouteCount are one route's answers by version.
+type RouteCount struct {
+	Route         string
+	New, NewBad   int64
+	Base, BaseBad int64
+}
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -24,11 +24,19 @@
 	err io.Writer
 }
 
+// Extra is a command that the caller of [Main] adds: the command line knows
+// nothing of it.
+type Extra struct {
+	Name, Short, Long string
+	// Data is a struct with flags that implements [flags.Commander].
+	Data flags.Commander
+}
+
 // Main parses the arguments, runs the command and returns the exit code: 0
 // when it did its work, 1 when it failed, 2 when the command line or a setting
 // is wrong.
-func Main(args []string, out, errOut io.Writer) int {
-	_, err := newParser(&env{out: out, err: errOut}).ParseArgs(args)
+func Main(args []string, out, errOut io.Writer, extra ...Extra) int {
+	_, err := newParser(&env{out: out, err: errOut}, extra...).ParseArgs(args)
 	var flagErr *flags.Error
 	var faults setting.Faults
 	switch {
--- a/internal/cli/parser.go
+++ b/internal/cli/parser.go
@@ -21,13 +21,16 @@
 	sub   []command
 }
 
-func newParser(e *env) *flags.Parser {
+func newParser(e *env, extra ...Extra) *flags.Parser {
 	parser := flags.NewNamedParser("hickorybank", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = about
 	parser.CommandHandler = execute
 	for _, c := range commands(e) {
 		add(parser.Command, c)
 	}
+	for _, x := range extra {
+		add(parser.Command, command{name: x.Name, short: x.Short, long: x.Long, data: x.Data})
+	}
 	return parser
 }
 
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fleet is the set of upstreams that a node knows.
+type Fleet struct {
+	settings Settings
+	byID     map[string]*Upstream
+	services map[string][]*Upstream
+}
+
+// New returns an empty fleet.
+func New(s Settings) *Fleet {
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}}
+}
+
+// SetNodes tells how many nodes send to the same upstreams.
+func (f *Fleet) SetNodes(n int) { f.settings.Nodes = max(n, 1) }
+
+// Put adds an upstream or takes its new record. It reports whether anything
+// that routing uses has changed.
+func (f *Fleet) Put(r Record) bool {
+	known := f.byID[r.ID]
+	if known == nil {
+		u := &Upstream{Record: r}
+		f.byID[r.ID] = u
+		f.enlist(u)
+		return true
+	}
+	if known.Record.same(&r) {
+		return false
+	}
+	if known.Service != r.Service {
+		f.delist(known)
+		known.Service = r.Service
+		f.enlist(known)
+	}
+	known.Record = r
+	return true
+}
+
+// Drop forgets an upstream that the table no longer lists.
+func (f *Fleet) Drop(id string) bool {
+	u := f.byID[id]
+	if u == nil {
+		return false
+	}
+	// Requests that run there still hold it; it takes no new ones.
+	u.Draining = true
+	f.delist(u)
+	delete(f.byID, id)
+	return true
+}
+
+// Replace takes a complete list: upstreams that it lacks are dropped. It
+// returns the IDs whose records changed.
+func (f *Fleet) Replace(all []Record) []string {
+	var changed []string
+	listed := make(map[string]bool, len(all))
+	for _, r := range all {
+		listed[r.ID] = true
+		if f.Put(r) {
+			changed = append(changed, r.ID)
+		}
+	}
+	for id := range f.byID {
+		if !listed[id] {
+			f.Drop(id)
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
+// Records returns all records, in order of their IDs.
+func (f *Fleet) Records() []Record {
+	all := make([]Record, 0, len(f.byID))
+	for _, u := range f.byID {
+		all = append(all, u.Record)
+	}
+	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Get returns the upstream of an ID, or nil.
+func (f *Fleet) Get(id string) *Upstream { return f.byID[id] }
+
+// Begin counts an attempt that is sent to u.
+func (f *Fleet) Begin(u *Upstream) { u.inFlight++ }
+
+// End counts the end of an attempt at u.
+func (f *Fleet) End(u *Upstream, result Result, now time.Time) {
+	u.inFlight--
+	switch result {
+	case Served:
+		u.decay(now)
+		u.attempts++
+		u.misses = 0
+	case Failed:
+		u.decay(now)
+		u.attempts++
+		u.failures++
+	case Unreached:
+		u.decay(now)
+		u.attempts++
+		u.failures++
+		u.misses++
+		u.ejected = now.Add(min(ejectBase<<min(u.misses-1, 8), ejectMost))
+	}
+}
+
+// Report takes an upstream's own word on its load.
+func (f *Fleet) Report(u *Upstream, running, waiting int, now time.Time) {
+	u.reported = max(float64(running+waiting-u.inFlight), 0)
+	u.reportedAt = now
+}
+
+func (f *Fleet) enlist(u *Upstream) {
+	list := append(f.services[u.Service], u)
+	slices.SortFunc(list, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+	f.services[u.Service] = list
+}
+
+func (f *Fleet) delist(u *Upstream) {
+	list := f.services[u.Service]
+	if i := slices.Index(list, u); i >= 0 {
+		f.services[u.Service] = slices.Delete(slices.Clone(list), i, i+1)
+	}
+}
+
+// Versions returns the versions of a service's upstreams.
+func (f *Fleet) Versions(service string) []string {
+	var all []string
+	for _, u := range f.services[service] {
+		if !slices.Contains(all, u.Version) {
+			all = append(all, u.Version)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/record.go
@@ -0,0 +1,38 @@
+package fleet
+
+import "time"
+
+// Record is what an upstream says of itself in the table.
+type Record struct {
+	// ID names one start of the upstream; a restart has another.
+	ID string
+	// Service is what it offers.
+	Service string
+	// Addr is its IP and port; an address may be used again by another service.
+	Addr   string
+	Domain string
+	// Version is the version of its software or weights.
+	Version string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Draining upstreams take no new work.
+	Draining bool
+	// Cold is how much longer it stays slow after its start.
+	Cold time.Duration
+	// Models are those that its engine has loaded; empty for plain services.
+	Models []string
+}
+
+// same tells whether two records differ in nothing that routing uses.
+func (r *Record) same(o *Record) bool {
+	if r.ID != o.ID || r.Service != o.Service || r.Addr != o.Addr || r.Domain != o.Domain ||
+		r.Version != o.Version || r.Slots != o.Slots || r.Draining != o.Draining || len(r.Models) != len(o.Models) {
+		return false
+	}
+	for i := range r.Models {
+		if r.Models[i] != o.Models[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/upstream.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// Upstream is one upstream and what this node has seen of it.
+type Upstream struct {
+	Record
+
+	inFlight   int
+	reported   float64 // running and waiting there, from all nodes, less this node's own
+	reportedAt time.Time
+	failures   float64
+	attempts   float64
+	ratedAt    time.Time
+	misses     int
+	ejected    time.Time // left alone until then
+}
+
+// InFlight is how many attempts of this node run there.
+func (u *Upstream) InFlight() int { return u.inFlight }
+
+// load is the estimated share of the slots in use; over 1 is a queue.
+func (u *Upstream) load(now time.Time) float64 {
+	return (float64(u.inFlight) + u.others(now)) / float64(max(u.Slots, 1))
+}
+
+func (u *Upstream) others(now time.Time) float64 {
+	if u.reportedAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(u.reportedAt) - loadFresh
+	if age <= 0 {
+		return u.reported
+	}
+	return u.reported * math.Exp2(-float64(age)/float64(4*loadFresh))
+}
+
+// errorShare is the recent share of failed attempts, pulled towards none while
+// there are few.
+func (u *Upstream) errorShare(now time.Time) float64 {
+	u.decay(now)
+	return u.failures / (u.attempts + 2)
+}
+
+func (u *Upstream) decay(now time.Time) {
+	if !u.ratedAt.IsZero() {
+		f := math.Exp2(-float64(now.Sub(u.ratedAt)) / float64(errorHalfLife))
+		u.failures *= f
+		u.attempts *= f
+	}
+	u.ratedAt = now
+}
+
+// ready tells whether new work may be sent there now.
+func (u *Upstream) ready(now time.Time) bool {
+	return !u.Draining && !now.Before(u.ejected)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/fleet"
+)
+
+// attempt is one sending of a request to one upstream.
+type attempt struct {
+	job *job
+	up  *fleet.Upstream
+	// version and revision are those of the upstream and of the roll-out when
+	// the attempt began.
+	version  string
+	revision uint64
+	began    time.Time
+	ended    bool
+	// ranBefore tells whether an earlier attempt may have run.
+	ranBefore bool
+}
+
+// choose picks an upstream for the job's next attempt.
+func (n *Node) choose(j *job) *fleet.Upstream {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rule := n.canary.Rule(j.service, j.hash, now)
+	want := fleet.Want{
+		Service: j.service, Version: rule.Version, NotVersion: rule.Not, Model: j.wantedModel(),
+		Part: j.part(), Tried: j.tried, Seed: j.hash ^ uint64(n.born) ^ uint64(len(j.tried)),
+	}
+	if rule == (canary.Rule{}) {
+		want.NotVersion = n.unorderedVersion(j.service, now)
+	}
+	if rule.Part > 0 {
+		ofVersion, _ := n.fleet.Count(j.service, rule.Version, now)
+		want.Most = max(1, int(rule.Part*float64(ofVersion)+0.5))
+	}
+	up := n.fleet.Choose(want, now)
+	if up == nil && rule.Version != "" {
+		// The version has nobody for it: any other that may serve is better
+		// than none.
+		want.Version, want.Most = "", 0
+		up = n.fleet.Choose(want, now)
+	}
+	return up
+}
+
+func (j *job) wantedModel() string {
+	if j.model != "" {
+		return j.model
+	}
+	return j.ask.Model
+}
+
+// begin counts an attempt.
+func (n *Node) begin(j *job, up *fleet.Upstream) *attempt {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Begin(up)
+	n.canary.Sent(j.service, up.Version, j.arrived == 0)
+	return &attempt{job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now, ranBefore: j.mayHaveRun}
+}
+
+// end counts the attempt's end, once.
+func (a *attempt) end(result fleet.Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	n := a.job.node
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.End(a.up, result, now)
+	n.canary.Ended(a.job.service, a.version, a.revision)
+}
+
+// answered tells the roll-out how the attempt went.
+func (a *attempt) answered(failed bool, pace time.Duration) {
+	n := a.job.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.canary.Answered(canary.Answer{
+		Service: a.job.service, Version: a.version, Route: a.job.route.Name, Model: a.job.wantedModel(),
+		Failed: failed, Pace: pace,
+	})
+}
+
+// report takes an upstream's word on its load.
+func (n *Node) report(up *fleet.Upstream, r Reply) {
+	if !r.HasLoad {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Report(up, r.Running, r.Waiting, time.Now())
+}
+
+// misdirected forgets an upstream whose address is another's.
+func (n *Node) misdirected(up *fleet.Upstream) {
+	n.pool.Forget(up.Addr)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Drop(up.ID)
+}
+
+func (n *Node) blocked(print uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.guard.Blocked(print)
+}
+
+// first counts a request for its service's retry budget.
+func (n *Node) first(service string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.budget(service, len(n.roster.Alive(now))).First(now)
+}
+
+// allowRetry takes a further attempt from the service's retry budget.
+func (n *Node) allowRetry(service string) bool {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.budget(service, len(n.roster.Alive(now))).Allow(now)
+}
+
+// crashProbe bounds the look whether an upstream that broke off still listens.
+const crashProbe = 200 * time.Millisecond
+
+// suspectCrash finds out whether an upstream that broke off has crashed: then
+// nobody listens at its address. A request that runs at a crash is struck; an
+// upstream that only broke one connection strikes nobody.
+func (n *Node) suspectCrash(j *job, up *fleet.Upstream) {
+	c, err := net.DialTimeout("tcp4", up.Addr, crashProbe)
+	if err == nil {
+		_ = c.Close() // it was only opened to see whether somebody listens
+		return
+	}
+	now := time.Now()
+	n.mu.Lock()
+	fresh := n.guard.Add(crashguard.Strike{Fingerprint: j.print, Upstream: up.ID}, now)
+	strikes := n.guard.Strikes(j.print)
+	n.mu.Unlock()
+	n.pool.Forget(up.Addr)
+	if fresh {
+		n.event(event.ForwardStrike, j, slog.String("upstream", up.ID), slog.Int("strikes", strikes))
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow_fleet.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/fleet"
+)
+
+// followFleet reads the list of upstreams again and again.
+func (n *Node) followFleet(ctx context.Context) {
+	every := time.Duration(fleetPoll * float64(n.settings.Drain))
+	failures := 0
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := n.readFleet(ctx)
+		if err != nil && ctx.Err() == nil {
+			failures++
+		} else {
+			failures = 0
+		}
+		n.dropLapsed(time.Now())
+		wait := every - time.Since(began)
+		if failures > 0 {
+			wait = min(retryCall<<min(failures-1, 4), mostRetryCall)
+		}
+		if !pause(ctx, max(wait, time.Millisecond)) {
+			return
+		}
+	}
+}
+
+func (n *Node) readFleet(ctx context.Context) error {
+	n.mu.Lock()
+	after := n.list.revision
+	n.mu.Unlock()
+	began := time.Now()
+	change, err := n.fetchFleet(ctx, after)
+	back := n.sourceResult("upstreams", err)
+	if err != nil {
+		return err
+	}
+	n.applyFleet(change, began, back)
+	return nil
+}
+
+func (n *Node) fetchFleet(ctx context.Context, after uint64) (FleetChange, error) {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	change, err := n.source.Fleet(ctx, after)
+	if errors.Is(err, ErrCompacted) {
+		return n.source.Fleet(ctx, 0)
+	}
+	return change, err
+}
+
+// applyFleet takes a reading of the list that began at a time.
+func (n *Node) applyFleet(c FleetChange, at time.Time, back bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.Revision < n.list.revision {
+		return // a peer's or an earlier reading arrived late
+	}
+	lapsing := back || time.Since(n.sources.since) < lapseGrace && !n.sources.down
+	first := n.list.revision == 0
+	n.list.revision = c.Revision
+	n.list.readAt = at
+	listed := map[string]bool{}
+	for _, r := range c.Put {
+		listed[r.ID] = true
+		delete(n.list.gone, r.ID)
+		n.putUpstream(r, first)
+	}
+	drop := c.Drop
+	if c.Whole {
+		for _, r := range n.fleet.Records() {
+			if !listed[r.ID] {
+				drop = append(drop, r.ID)
+			}
+		}
+	}
+	n.dropUpstreams(drop, lapsing && !first)
+}
+
+func (n *Node) putUpstream(r fleet.Record, first bool) {
+	if !n.fleet.Put(r) {
+		return
+	}
+	if first {
+		n.admitVersion(r.Service, r.Version)
+	}
+	event.FleetChanged.Log(n.log, slog.String("upstream", r.ID), slog.String("service", r.Service), slog.String("addr", r.Addr),
+		slog.String("version", r.Version), slog.Bool("draining", r.Draining), slog.Uint64("revision", n.list.revision))
+}
+
+// dropUpstreams forgets upstreams that are no longer listed; while the table
+// has only just come back, they are kept for a while.
+//
+// It guards against a table that lost its entries while it was away: without
+// it every upstream would vanish at once although all live. Those that do are
+// listed again within lapseGrace.
+func (n *Node) dropUpstreams(ids []string, lapsing bool) {
+	until := time.Now().Add(lapseGrace)
+	kept := 0
+	for _, id := range ids {
+		if !lapsing {
+			n.dropUpstream(id)
+			continue
+		}
+		if n.list.gone[id].IsZero() && n.fleet.Get(id) != nil {
+			n.list.gone[id] = until
+			kept++
+		}
+	}
+	if kept > 0 {
+		event.FleetKept.Log(n.log, slog.Int("upstreams", kept), slog.Uint64("revision", n.list.revision))
+	}
+}
+
+func (n *Node) dropUpstream(id string) {
+	u := n.fleet.Get(id)
+	if u == nil {
+		return
+	}
+	n.fleet.Drop(id)
+	event.FleetGone.Log(n.log, slog.String("upstream", id), slog.String("service", u.Service), slog.Uint64("revision", n.list.revision))
+}
+
+// dropLapsed forgets kept upstreams that were not listed again in time.
+func (n *Node) dropLapsed(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sources.down {
+		return
+	}
+	var ids []string
+	for id, until := range n.list.gone {
+		if !now.Before(until) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		delete(n.list.gone, id)
+		n.dropUpstream(id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/follow_rollouts.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/event"
+)
+
+// followRollouts weighs the evidence on new versions and records verdicts.
+func (n *Node) followRollouts(ctx context.Context) {
+	next := map[string]time.Time{}
+	for pause(ctx, tickEvery) {
+		for _, d := range n.weigh(time.Now()) {
+			if d.Made {
+				event.VersionDecided.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
+					slog.String("verdict", d.Verdict.String()), slog.Float64("likelihood", d.Likelihood),
+					slog.String("route", d.Route), slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision))
+				n.exchangeAll(ctx)
+			}
+			if time.Now().Before(next[d.Order.Service]) {
+				continue
+			}
+			if !n.record(ctx, d) {
+				next[d.Order.Service] = time.Now().Add(mostRetryCall)
+			}
+		}
+		n.announce(ctx, next)
+	}
+}
+
+func (n *Node) weigh(now time.Time) []canary.Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.canary.Forget(func(node string, born int64) bool { return n.roster.Lives(node, born, now) })
+	return n.canary.Tick(now, func(service, version string) (int, int) { return n.fleet.Count(service, version, now) })
+}
+
+// record writes a verdict. The first node in order that lives writes; others
+// come later, and find it done.
+func (n *Node) record(ctx context.Context, d canary.Decision) bool {
+	if !d.Made && !n.writes(time.Now()) {
+		return false
+	}
+	return n.write(ctx, d.Order, d.Verdict)
+}
+
+func (n *Node) write(ctx context.Context, o canary.Order, v canary.Verdict) bool {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	stands, err := n.source.Record(ctx, o, v)
+	n.sourceResult("record", err)
+	if err != nil {
+		event.VersionUnrecorded.Log(n.log, slog.String("service", o.Service), slog.String("verdict", v.String()), slog.String("err", err.Error()))
+		return false
+	}
+	event.VersionRecorded.Log(n.log, slog.String("service", o.Service), slog.String("target", o.Target),
+		slog.String("verdict", stands.String()), slog.Uint64("revision", o.Revision))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.canary.Decide(o.Service, o.Revision, stands, true)
+	n.announced[o.Service] = max(n.announced[o.Service], o.Revision)
+	return true
+}
+
+// announce records that an order is under way.
+func (n *Node) announce(ctx context.Context, next map[string]time.Time) {
+	now := time.Now()
+	var due []canary.Order
+	n.mu.Lock()
+	first := n.roster.Alive(now)[0].ID == n.settings.ID
+	for _, o := range n.orders {
+		if first && n.announced[o.Service] < o.Revision && n.canary.Open(o.Service) && !now.Before(next[o.Service]) {
+			due = append(due, o.Order)
+		}
+	}
+	n.mu.Unlock()
+	for _, o := range due {
+		if !n.write(ctx, o, canary.Open) {
+			next[o.Service] = time.Now().Add(mostRetryCall)
+		}
+	}
+}
+
+// writes tells whether this node is the first that lives, and so the one that
+// writes what any could.
+func (n *Node) writes(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Alive(now)[0].ID == n.settings.ID
+}
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+)
+
+// event logs a decision on a request with what decided it.
+func (n *Node) event(e event.Event, j *job, attrs ...slog.Attr) {
+	all := make([]slog.Attr, 0, len(attrs)+8)
+	all = append(all, slog.String("request", j.ask.ID))
+	if j.route != nil {
+		all = append(all, slog.String("route", j.route.Name))
+	}
+	if j.org != "" {
+		all = append(all, slog.String("organisation", j.org))
+	}
+	if j.table != nil {
+		all = append(all, slog.Int64("config", j.table.Version))
+	}
+	all = append(all,
+		slog.Int64("after_ms", time.Since(j.start).Milliseconds()),
+		slog.Int("attempts", j.arrived),
+		slog.Bool("may_have_run", j.mayHaveRun))
+	all = append(all, attrs...)
+	e.Log(n.log, all...)
+}
+
+// observe counts a request's end.
+func (j *job) observe(status int) {
+	kind := "none"
+	if j.route != nil {
+		kind = j.route.Kind.String()
+	}
+	org := j.org
+	if org == "" {
+		org = "none"
+	}
+	m := j.node.metrics
+	m.Counter("hickorybank_forwarded_total", "kind", kind, "status", strconv.Itoa(status)).Inc()
+	m.Histogram("hickorybank_forwarded_seconds", "organisation", org, "kind", kind).UpdateDuration(j.start)
+}
--- /dev/null
+++ b/internal/gateway/node.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/cascade"
+	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/exchange"
+	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/route"
+	"github.com/hickorybank/hickorybank/internal/telemetry"
+)
+
+// Node is one running gateway.
+type Node struct {
+	settings Settings
+	dialect  Dialect
+	source   Source
+	log      *slog.Logger
+	metrics  *telemetry.Set
+	pool     *exchange.Pool
+	peers    *gossip.Client
+	policy   *cascade.Policy
+	born     int64
+
+	config   atomic.Pointer[configuration]
+	stopping atomic.Bool
+	stopped  chan struct{}
+	// active counts callers' requests under way, bodies the bytes they hold.
+	active atomic.Int64
+	bodies atomic.Int64
+
+	// mu guards the cores below.
+	mu      sync.Mutex
+	fleet   *fleet.Fleet
+	canary  *canary.Canary
+	guard   *crashguard.Guard
+	roster  *gossip.Roster
+	budgets map[string]*admission.RetryBudget
+	list    fleetState
+	held    map[string]time.Time // versions that nobody ordered, and when they were first seen
+	known   map[string]bool      // versions that may serve
+	sources sourceState
+	orders  []gossip.Order
+	// started is when the newest roll-out of a service began, announced the
+	// newest revision that is recorded as under way.
+	started   map[string]time.Time
+	announced map[string]uint64
+	// recorded are the members that the table listed when this node joined.
+	recorded []gossip.Member
+	// peerConfig is the version of the configuration that a peer told last.
+	peerConfig map[string]int64
+}
+
+// configuration is the one in force, as it was read and as it is used.
+type configuration struct {
+	*route.Table
+	raw []byte
+	at  time.Time
+}
+
+// fleetState is what the node knows of the upstreams' list.
+type fleetState struct {
+	revision uint64
+	readAt   time.Time
+	// gone are upstreams that vanished while the table was away, and until
+	// when they are kept.
+	gone map[string]time.Time
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Dialect Dialect
+	Source  Source
+	Log     *slog.Logger
+	Metrics *telemetry.Set
+}
+
+// New returns a node that is not yet running.
+func New(s Settings, d Deps) *Node {
+	born := time.Now().UnixNano()
+	return &Node{
+		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
+		pool:    exchange.NewPool(exchange.Settings{}),
+		peers:   gossip.NewClient(),
+		policy:  cascade.New(cascade.Settings{Accept: s.Accept}),
+		born:    born,
+		stopped: make(chan struct{}),
+		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
+		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack}, s.ID, born),
+		guard:   crashguard.New(),
+		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
+		budgets: map[string]*admission.RetryBudget{},
+		list:    fleetState{gone: map[string]time.Time{}},
+		held:    map[string]time.Time{},
+		known:   map[string]bool{},
+		started: map[string]time.Time{}, announced: map[string]uint64{},
+		peerConfig: map[string]int64{},
+	}
+}
+
+// Ready tells whether the node can serve: it knows a configuration and the
+// upstreams, and is not stopping.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() || n.config.Load() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list.revision > 0
+}
+
+// ReadyHandler answers whether the node is ready.
+func (n *Node) ReadyHandler() http.Handler {
+	return telemetry.Readyz(func() []string {
+		if n.Ready() {
+			return nil
+		}
+		return []string{"not ready"}
+	})
+}
+
+// Addresses returns where callers of a failure domain should connect, and for
+// how long they may keep the answer.
+func (n *Node) Addresses(domain string) ([]string, time.Duration) {
+	now := time.Now()
+	n.mu.Lock()
+	alive := n.roster.Alive(now)
+	n.mu.Unlock()
+	var all []string
+	for _, m := range alive {
+		if m.Ready && !m.Leaving && m.Front != "" {
+			all = append(all, m.Front)
+		}
+	}
+	return all, n.settings.AddressTTL
+}
+
+// budget returns the retry budget of a service; the caller holds mu.
+//
+// All nodes share one bound over a window: each spends its part of the ratio,
+// of its own requests, and an equal part of the slack, without a call.
+func (n *Node) budget(service string, nodes int) *admission.RetryBudget {
+	b := n.budgets[service]
+	if b == nil {
+		b = admission.NewRetryBudget(admission.RetrySettings{
+			Ratio:     n.settings.RetryRatio * retryPart,
+			Burst:     max(n.settings.RetrySlack*retryPart/float64(max(nodes, 1)), 1),
+			PerSecond: 1e-3,
+		})
+		n.budgets[service] = b
+	}
+	return b
+}
+
+// retryPart is the part of the retry bound that is used: requests near a
+// window's edge count in one window at their node and in another at upstreams.
+const retryPart = 0.85
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+)
+
+// refusal is a final answer of the router's own.
+type refusal struct {
+	status int
+	reason string
+	text   string
+	// retryAfter tells the caller when to come back; 0 for no word on it.
+	retryAfter time.Duration
+}
+
+var (
+	notYet       = &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", text: "this node does not know the configuration yet", retryAfter: unknownRetryAfter}
+	unknownRoute = &refusal{status: http.StatusNotFound, reason: "unknown_route", text: "no route for this host and path"}
+	unknownKey   = &refusal{status: http.StatusUnauthorized, reason: "unknown_key", text: "the key is not known"}
+	suspectWork  = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "this request crashed the upstreams that ran it", retryAfter: suspectRetryAfter}
+	noUpstream   = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
+	notInTime    = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
+	turnedAway   = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
+	broken       = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
+	tooLate      = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
+)
+
+// suspectRetryAfter is long: nothing about the request will change soon.
+const suspectRetryAfter = 30 * time.Second
+
+// promises tells whether a status says that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// refuse sends the router's own final answer at once. A status that promises
+// that nothing has run is replaced where that is not certain.
+func (j *job) refuse(ref *refusal) {
+	if j.mayHaveRun && promises(ref.status) {
+		ref = broken
+	}
+	j.outcome = ref.reason
+	h := j.w.Header()
+	if id := j.ask.ID; id != "" {
+		h.Set(j.node.dialect.IDField(), id)
+	}
+	if ref.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	body, err := json.Marshal(struct {
+		Error  string `json:"error"`
+		Reason string `json:"reason"`
+		Ran    string `json:"outcome"`
+	}{ref.text, ref.reason, outcomeOf(j.mayHaveRun)})
+	if err != nil {
+		panic(err) // three texts always encode
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(ref.status)
+	_, _ = j.w.Write(body) // the caller may have gone
+	e := event.ForwardRefused
+	if j.mayHaveRun {
+		e = event.ForwardFailed
+	}
+	j.node.event(e, j, slog.Int("status", ref.status), slog.String("reason", ref.reason))
+	j.observe(ref.status)
+}
+
+func outcomeOf(mayHaveRun bool) string {
+	if mayHaveRun {
+		return "unknown"
+	}
+	return "not_run"
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/gossip"
+)
+
+// Run serves until ctx ends, then stops gracefully. directory answers callers
+// that ask where to connect, and ready the platform's question.
+func (n *Node) Run(ctx context.Context, directory, ready http.Handler) error {
+	if n.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(n.settings.MemoryMB) * (1 << 20)))
+	}
+	front, err := n.listen(n.settings.Front)
+	if err != nil {
+		return err
+	}
+	peer, err := n.listen(n.settings.Peer)
+	if err != nil {
+		return err
+	}
+	peers, err := gossip.NewServer(peer, n)
+	if err != nil {
+		return eris.Wrap(err, "peers")
+	}
+	conns := &connections{node: n}
+	servers := []*http.Server{conns.server(http.HandlerFunc(n.ServeHTTP))}
+	listeners := []net.Listener{front}
+	for _, extra := range []struct {
+		addr    string
+		handler http.Handler
+	}{{n.settings.Directory, directory}, {n.settings.Ready, ready}, {n.settings.Metrics, n.metricsRouter()}} {
+		if extra.addr == "" {
+			continue
+		}
+		l, err := n.listen(extra.addr)
+		if err != nil {
+			return err
+		}
+		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, ErrorLog: quietLog})
+		listeners = append(listeners, l)
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	var duties conc.WaitGroup
+	for i := range servers {
+		duties.Go(func() { _ = servers[i].Serve(listeners[i]) }) // ends when it is closed
+	}
+	duties.Go(peers.Serve)
+	duties.Go(func() { n.followFleet(work) })
+	duties.Go(func() { n.followOrders(work) })
+	duties.Go(func() { n.followRollouts(work) })
+	duties.Go(func() { n.followPeers(work) })
+	duties.Go(func() { n.sweep(work) })
+	event.ForwardStarted.Log(n.log, slog.String("node", n.settings.ID), slog.String("addr", n.settings.Front), slog.String("peer", n.settings.Peer), slog.Int64("born", n.born))
+	<-ctx.Done()
+	n.stop(work, conns)
+	stopWork()
+	for _, s := range servers {
+		_ = s.Close() // what could be finished has been
+	}
+	peers.Close()
+	n.peers.Close()
+	n.pool.Close()
+	duties.Wait()
+	event.ForwardStopped.Log(n.log, slog.String("node", n.settings.ID))
+	return nil
+}
+
+const (
+	// sideHeaderTimeout and sideIdleTimeout bound callers of the directory,
+	// readiness and metrics, who ask every second or so.
+	sideHeaderTimeout = 5 * time.Second
+	sideIdleTimeout   = 30 * time.Second
+)
+
+func (n *Node) listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	return l, nil
+}
+
+func (n *Node) metricsRouter() http.Handler {
+	r := httprouter.New()
+	r.Handler(http.MethodGet, "/metrics", n.metrics.Handler())
+	return r
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	for pause(ctx, sweepEvery) {
+		n.pool.Sweep(time.Now())
+	}
+}
+
+// stop lets callers move away, and the work that is under way end.
+//
+// Callers go on with an old answer of the directory for some times its time to
+// live. A node that closed at once would break their requests; so it serves
+// them, says on each answer that the connection ends, and goes when nobody is
+// left or its grace is over.
+func (n *Node) stop(ctx context.Context, conns *connections) {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.mu.Lock()
+	n.roster.Beat(false, true)
+	n.mu.Unlock()
+	event.ForwardStopping.Log(n.log, slog.Int64("active", n.active.Load()), slog.Int64("connections", conns.open.Load()))
+	n.exchangeAll(ctx)
+	moved := ttlTimes*n.settings.AddressTTL + stopQuiet
+	last := n.settings.Grace - stopQuiet
+	for {
+		age := time.Since(began)
+		idle := n.active.Load() == 0
+		if age >= last || idle && (age >= moved || age >= n.settings.AddressTTL && conns.open.Load() == 0) {
+			return
+		}
+		if !pause(ctx, waitStep) {
+			return
+		}
+	}
+}
+
+// connections counts callers' connections and bounds their idle time.
+type connections struct {
+	node *Node
+	open atomic.Int64
+}
+
+func (c *connections) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleMark,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          quietLog,
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				c.open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				c.open.Add(-1)
+			}
+		},
+	}
+}
+
+const (
+	// headerTimeout bounds the reading of a request's head; callers stay well
+	// within it.
+	headerTimeout = 10 * time.Second
+	// idleMark stands for the configuration's idle time in the server.
+	idleMark = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+)
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,103 @@
+package gateway
+
+import "time"
+
+// Settings of a node.
+type Settings struct {
+	// ID is the node's name; Domain and Region are where it is.
+	ID, Domain, Region string
+	// Front, Ready, Directory, Peer and Metrics are the addresses to listen
+	// on; empty for none.
+	Front, Ready, Directory, Peer, Metrics string
+	// Seeds are peers' addresses to begin with; they may be stale.
+	Seeds []string
+	// MemoryMB is the process's memory; 0 for no bound.
+	MemoryMB int
+	// Sockets is how many connections the process may have; 0 for no bound.
+	Sockets int
+
+	// Apply is how soon a change must be in force.
+	Apply time.Duration
+	// Drain is how soon a leaving upstream must get nothing more.
+	Drain time.Duration
+	// Grace is how long a stop may take.
+	Grace time.Duration
+	// AddressTTL is how long callers may keep an answer of the directory.
+	AddressTTL time.Duration
+	// RetryRatio and RetrySlack bound further attempts over all nodes, as a
+	// share of the requests and a number in RetryWindow.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// ExposeShare and ExposeSlack bound the requests that a version in doubt
+	// may get.
+	ExposeShare, ExposeSlack float64
+	// Session is how long requests of a session may be apart.
+	Session time.Duration
+	// Accept is the confidence from which a small model's answer is taken.
+	Accept int
+}
+
+const (
+	// fleetPoll is the part of Drain at which the upstreams' list is read: two
+	// reads fit in, should one be lost.
+	fleetPoll = 0.45
+	// ordersWait is how long a read of operators' changes waits for one. A
+	// connection that has fallen silent costs at most this and callSlack.
+	ordersWait = 2500 * time.Millisecond
+	// callSlack is added to what a call of the table may take.
+	callSlack = 600 * time.Millisecond
+	// retryCall is the pause after a failed call of the table.
+	retryCall = 250 * time.Millisecond
+	// mostRetryCall bounds that pause.
+	mostRetryCall = time.Second
+	// lapseGrace is how long upstreams that vanished while the table was away
+	// are kept: those that live are listed again by then.
+	lapseGrace = 2 * time.Second
+	// gossipEvery is the pause between exchanges with peers.
+	gossipEvery = 400 * time.Millisecond
+	// gossipWidth is how many peers are told in each.
+	gossipWidth = 2
+	// tickEvery is the pause between looks at roll-outs.
+	tickEvery = 250 * time.Millisecond
+	// sweepEvery is the pause between looks at idle connections.
+	sweepEvery = time.Second
+	// eventStall is how long a stream may stay silent before it goes on at
+	// another upstream, as a multiple of the pause that is on time.
+	eventStall = 2.5
+	// firstStall bounds the wait for a stream's first event, as a multiple of
+	// the route's goal.
+	firstStall = 1.5
+	// waitPart is the part of the route's goal that a request waits for an
+	// upstream when none is to be had.
+	waitPart = 0.12
+	// waitStep is the pause between looks for an upstream.
+	waitStep = 25 * time.Millisecond
+	// refusedRetryAfter is when a refused caller may come back: upstreams that
+	// crash are back within seconds, a full one has room within one.
+	refusedRetryAfter = 500 * time.Millisecond
+	// unknownRetryAfter is when to come back to a node that does not know the
+	// configuration yet.
+	unknownRetryAfter = 300 * time.Millisecond
+	// onceMaxIdle bounds the idle time of a kept connection that carries work
+	// which is not idempotent.
+	onceMaxIdle = time.Second
+	// wholeMost is the largest answer that is held until it is whole; a longer
+	// one is passed on as it comes.
+	wholeMost = 512 << 10
+	// defaultTimeout bounds requests of routes without a time limit.
+	defaultTimeout = 30 * time.Second
+	// stopQuiet is how long before the end of the grace a stopping node lets
+	// go of the work that is left.
+	stopQuiet = 300 * time.Millisecond
+	// firstLook is how long callers may go on with an old answer of the
+	// directory, as a multiple of its time to live.
+	ttlTimes = 3
+	// memoryPart is the part of the process's memory that the runtime may use
+	// before it collects garbage harder.
+	memoryPart = 0.7
+	// bodiesPart is the part of the memory that bodies in flight may use.
+	bodiesPart = 0.25
+	// newVersionHold is how long upstreams of a version that nobody ordered
+	// are left alone: the order may be on its way.
+	newVersionHold = 3 * time.Second
+)
--- /dev/null
+++ b/internal/gossip/peer.go
@@ -0,0 +1,173 @@
+package gossip
+
+import (
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+const (
+	// callTimeout bounds one exchange. Connections between nodes may fall
+	// silent without a reset; only a time-out shows it.
+	callTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = 400 * time.Millisecond
+	// service is the name of the net/rpc service.
+	service = "Gossip"
+)
+
+var errTimeout = errors.New("peer did not answer in time")
+
+// Exchanger answers a peer's message with this node's own.
+type Exchanger interface {
+	Exchange(in Message) Message
+}
+
+// Server answers peers.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// handler is the net/rpc service.
+type handler struct{ to Exchanger }
+
+// Exchange is the method that peers call.
+func (h *handler) Exchange(in Message, out *Message) error {
+	*out = h.to.Exchange(in)
+	return nil
+}
+
+// NewServer serves peers on a listener.
+func NewServer(l net.Listener, to Exchanger) (*Server, error) {
+	s := &Server{listener: l, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	if err := s.rpc.RegisterName(service, &handler{to}); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Serve accepts peers until the listener is closed.
+func (s *Server) Serve() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	s.rpc.ServeConn(c)
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Close stops serving.
+func (s *Server) Close() {
+	_ = s.listener.Close() // the node stops
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close() // the node stops
+	}
+}
+
+// Client calls peers and keeps a connection to each that it has called lately.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*peerConn
+}
+
+type peerConn struct {
+	rpc  *rpc.Client
+	used time.Time
+}
+
+const (
+	// keepConn is how long an unused connection to a peer is kept.
+	keepConn = 20 * time.Second
+)
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{conns: map[string]*peerConn{}} }
+
+// Exchange sends a message to a peer and returns its answer.
+func (c *Client) Exchange(addr string, in Message) (Message, error) {
+	conn, err := c.conn(addr)
+	if err != nil {
+		return Message{}, err
+	}
+	var out Message
+	call := conn.Go(service+".Exchange", in, &out, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-timer.C:
+		err = errTimeout
+	}
+	if err != nil {
+		c.drop(addr, conn)
+		return Message{}, err
+	}
+	return out, nil
+}
+
+func (c *Client) conn(addr string) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for a, p := range c.conns {
+		if a != addr && now.Sub(p.used) > keepConn {
+			_ = p.rpc.Close() // unused
+			delete(c.conns, a)
+		}
+	}
+	if p := c.conns[addr]; p != nil {
+		p.used = now
+		return p.rpc, nil
+	}
+	c.mu.Unlock()
+	nc, err := net.DialTimeout("tcp4", addr, dialTimeout)
+	c.mu.Lock()
+	if err != nil {
+		return nil, err
+	}
+	p := &peerConn{rpc: rpc.NewClient(nc), used: now}
+	if old := c.conns[addr]; old != nil {
+		_ = old.rpc.Close() // replaced by the newer one
+	}
+	c.conns[addr] = p
+	return p.rpc, nil
+}
+
+func (c *Client) drop(addr string, conn *rpc.Client) {
+	_ = conn.Close() // it failed
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.conns[addr]; p != nil && p.rpc == conn {
+		delete(c.conns, addr)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, p := range c.conns {
+		_ = p.rpc.Close() // the node stops
+		delete(c.conns, addr)
+	}
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,89 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table is one version of the configuration, whole and immutable.
+type Table struct {
+	// Version grows with each change.
+	Version int64
+	Limits  Limits
+	// Keyed tells whether requests need an organisation's key at all.
+	Keyed bool
+
+	byHost   map[string][]*Route
+	services map[string]*Service
+	byKey    map[string]*Organisation
+}
+
+// New builds a table. The routes of a host are kept with the longest prefix
+// first, so that the first match is the one that counts.
+func New(version int64, limits Limits, routes []Route, services []Service, orgs []Organisation) *Table {
+	t := &Table{
+		Version: version, Limits: limits, Keyed: len(orgs) > 0,
+		byHost:   map[string][]*Route{},
+		services: map[string]*Service{},
+		byKey:    map[string]*Organisation{},
+	}
+	for i := range routes {
+		host := canonicalHost(routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &routes[i])
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range services {
+		t.services[services[i].Name] = &services[i]
+	}
+	for i := range orgs {
+		for _, key := range orgs[i].Keys {
+			t.byKey[key] = &orgs[i]
+		}
+	}
+	return t
+}
+
+// Match returns the route of a host and a raw path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns the names of all services, sorted.
+func (t *Table) Services() []string {
+	var names []string
+	for name := range t.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Holder returns the organisation that holds the key, or nil.
+func (t *Table) Holder(key string) *Organisation {
+	if key == "" {
+		return nil
+	}
+	return t.byKey[key]
+}
+
+// Hosts returns how many hosts have routes.
+func (t *Table) Hosts() int { return len(t.byHost) }
+
+// canonicalHost drops the port and the case of a Host header.
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
