Stop taking connections once callers had time to move; idle time by configuration

Ruled out: streams sent within 3 s of the signal, which ended in time. Now the listener and idle connections close after the directory's time to live.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -8,6 +8,7 @@
 	ForwardStarted    = define(1900, slog.LevelInfo, "gateway is serving")
 	ForwardStopping   = define(1901, slog.LevelInfo, "gateway is stopping")
 	ForwardStopped    = define(1902, slog.LevelInfo, "gateway has stopped")
+	ForwardCut        = define(1904, slog.LevelWarn, "stop's grace is over; work under way was cut off")
 	ForwardReloaded   = define(1903, slog.LevelInfo, "settings were read again")
 	ForwardAnswered   = define(1910, slog.LevelInfo, "forwarded request was answered")
 	ForwardRefused    = define(1911, slog.LevelInfo, "forwarded request was refused; it has not run")
--- a/internal/gateway/follow_fleet.go
+++ b/internal/gateway/follow_fleet.go
@@ -73,7 +73,7 @@
 	for _, r := range c.Put {
 		listed[r.ID] = true
 		delete(n.list.gone, r.ID)
-		n.putUpstream(r, first)
+		n.putUpstream(r)
 	}
 	drop := c.Drop
 	if c.Whole {
@@ -86,13 +86,11 @@
 	n.dropUpstreams(drop, lapsing && !first)
 }
 
-func (n *Node) putUpstream(r fleet.Record, first bool) {
+func (n *Node) putUpstream(r fleet.Record) {
 	if !n.fleet.Put(r) {
 		return
 	}
-	if first {
-		n.admitVersion(r.Service, r.Version)
-	}
+	n.meetVersion(r.Service, r.Version, time.Now())
 	event.FleetChanged.Log(n.log, slog.String("upstream", r.ID), slog.String("service", r.Service), slog.String("addr", r.Addr),
 		slog.String("version", r.Version), slog.Bool("draining", r.Draining), slog.Uint64("revision", n.list.revision))
 }
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -216,13 +216,12 @@
 	if in.FleetRevision <= n.list.revision || !n.sources.down && n.list.revision > 0 {
 		return
 	}
-	first := n.list.revision == 0
 	n.list.revision = in.FleetRevision
 	n.list.readAt = time.Now().Add(-in.FleetAge)
 	listed := map[string]bool{}
 	for _, r := range in.Fleet {
 		listed[r.ID] = true
-		n.putUpstream(r, first)
+		n.putUpstream(r)
 	}
 	for _, r := range n.fleet.Records() {
 		if !listed[r.ID] {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -45,8 +45,12 @@
 	roster  *gossip.Roster
 	budgets map[string]*admission.RetryBudget
 	list    fleetState
-	held    map[string]time.Time // versions that nobody ordered, and when they were first seen
-	known   map[string]bool      // versions that may serve
+	// held are versions that nobody has ordered, and when they were first
+	// listed; known are those that may serve; served is when a service's first
+	// upstream was listed.
+	held    map[string]time.Time
+	known   map[string]bool
+	served  map[string]time.Time
 	sources sourceState
 	orders  []gossip.Order
 	// started is when the newest roll-out of a service began, announced the
@@ -100,7 +104,7 @@
 		budgets: map[string]*admission.RetryBudget{},
 		list:    fleetState{gone: map[string]time.Time{}},
 		held:    map[string]time.Time{},
-		known:   map[string]bool{},
+		known:   map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
 		peerConfig: map[string]int64{},
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,7 +37,7 @@
 	}
 	conns := &connections{node: n}
 	servers := []*http.Server{conns.server(http.HandlerFunc(n.ServeHTTP))}
-	listeners := []net.Listener{front}
+	listeners := []net.Listener{&idleListener{front, n.idleLimit}}
 	for _, extra := range []struct {
 		addr    string
 		handler http.Handler
@@ -66,7 +66,7 @@
 	duties.Go(func() { n.sweep(work) })
 	event.ForwardStarted.Log(n.log, slog.String("node", n.settings.ID), slog.String("addr", n.settings.Front), slog.String("peer", n.settings.Peer), slog.Int64("born", n.born))
 	<-ctx.Done()
-	n.stop(work, conns)
+	n.stop(work, servers[0], conns)
 	stopWork()
 	for _, s := range servers {
 		_ = s.Close() // what could be finished has been
@@ -108,11 +108,13 @@
 
 // stop lets callers move away, and the work that is under way end.
 //
-// Callers go on with an old answer of the directory for some times its time to
-// live. A node that closed at once would break their requests; so it serves
-// them, says on each answer that the connection ends, and goes when nobody is
-// left or its grace is over.
-func (n *Node) stop(ctx context.Context, conns *connections) {
+// Callers go on with an old answer of the directory for a while. A node that
+// closed at once would break their requests; so it first serves them as
+// before, and says on each answer that the connection ends. After the
+// directory's time to live it takes no new connections and closes idle ones:
+// a request that came later could not end within the grace. It goes when no
+// work is left or its grace is over.
+func (n *Node) stop(ctx context.Context, front *http.Server, conns *connections) {
 	began := time.Now()
 	n.stopping.Store(true)
 	n.mu.Lock()
@@ -120,18 +122,17 @@
 	n.mu.Unlock()
 	event.ForwardStopping.Log(n.log, slog.Int64("active", n.active.Load()), slog.Int64("connections", conns.open.Load()))
 	n.exchangeAll(ctx)
-	moved := ttlTimes*n.settings.AddressTTL + stopQuiet
-	last := n.settings.Grace - stopQuiet
-	for {
-		age := time.Since(began)
-		idle := n.active.Load() == 0
-		if age >= last || idle && (age >= moved || age >= n.settings.AddressTTL && conns.open.Load() == 0) {
-			return
-		}
+	closeAt := min(n.settings.AddressTTL+stopMargin, n.settings.Grace/3)
+	for time.Since(began) < closeAt && (time.Since(began) < n.settings.AddressTTL || conns.open.Load() > 0) {
 		if !pause(ctx, waitStep) {
 			return
 		}
 	}
+	over, cancel := context.WithTimeout(ctx, n.settings.Grace-stopQuiet-time.Since(began))
+	defer cancel()
+	if err := front.Shutdown(over); err != nil {
+		event.ForwardCut.Log(n.log, slog.Int64("active", n.active.Load()), slog.String("err", err.Error()))
+	}
 }
 
 // connections counts callers' connections and bounds their idle time.
@@ -162,8 +163,11 @@
 	// headerTimeout bounds the reading of a request's head; callers stay well
 	// within it.
 	headerTimeout = 10 * time.Second
-	// idleMark stands for the configuration's idle time in the server.
-	idleMark = 60 * time.Second
+	// idleMark stands for the configuration's idle time in the server; it is
+	// longer than any deadline of a request.
+	idleMark = 1000 * time.Hour
+	// defaultIdle is the idle time where the configuration gives none.
+	defaultIdle = 60 * time.Second
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 64 << 10
 )
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -89,9 +89,9 @@
 	// stopQuiet is how long before the end of the grace a stopping node lets
 	// go of the work that is left.
 	stopQuiet = 300 * time.Millisecond
-	// firstLook is how long callers may go on with an old answer of the
-	// directory, as a multiple of its time to live.
-	ttlTimes = 3
+	// stopMargin is added to the directory's time to live before a stopping
+	// node takes no more connections.
+	stopMargin = 600 * time.Millisecond
 	// memoryPart is the part of the process's memory that the runtime may use
 	// before it collects garbage harder.
 	memoryPart = 0.7
