Keep vanished upstreams only at the first reading after an outage

Ruled out: slow polling; the list was read every 0.9 s. Entries that lapsed while the table was away are missing at the first reading; later ones have left.

--- a/internal/gateway/follow_fleet.go
+++ b/internal/gateway/follow_fleet.go
@@ -40,11 +40,12 @@
 	n.mu.Unlock()
 	began := time.Now()
 	change, err := n.fetchFleet(ctx, after)
-	back := n.sourceResult("upstreams", err)
+	n.sourceResult("upstreams", err)
 	if err != nil {
+		n.missedFleet()
 		return err
 	}
-	n.applyFleet(change, began, back)
+	n.applyFleet(change, began)
 	return nil
 }
 
@@ -58,15 +59,22 @@
 	return change, err
 }
 
+// missedFleet notes that the list could not be read.
+func (n *Node) missedFleet() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.list.missed = true
+}
+
 // applyFleet takes a reading of the list that began at a time.
-func (n *Node) applyFleet(c FleetChange, at time.Time, back bool) {
+func (n *Node) applyFleet(c FleetChange, at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	lapsing := n.list.missed && n.list.revision > 0
+	n.list.missed = false
 	if c.Revision < n.list.revision {
 		return // a peer's or an earlier reading arrived late
 	}
-	lapsing := back || time.Since(n.sources.since) < lapseGrace && !n.sources.down
-	first := n.list.revision == 0
 	n.list.revision = c.Revision
 	n.list.readAt = at
 	listed := map[string]bool{}
@@ -83,7 +91,7 @@
 			}
 		}
 	}
-	n.dropUpstreams(drop, lapsing && !first)
+	n.dropUpstreams(drop, lapsing)
 }
 
 func (n *Node) putUpstream(r fleet.Record) {
@@ -95,12 +103,13 @@
 		slog.String("version", r.Version), slog.Bool("draining", r.Draining), slog.Uint64("revision", n.list.revision))
 }
 
-// dropUpstreams forgets upstreams that are no longer listed; while the table
-// has only just come back, they are kept for a while.
+// dropUpstreams forgets upstreams that are no longer listed; those that lapsed
+// are kept for a while.
 //
 // It guards against a table that lost its entries while it was away: without
 // it every upstream would vanish at once although all live. Those that do are
-// listed again within lapseGrace.
+// listed again within lapseGrace. Only the first reading after an outage can
+// show such a loss: what vanishes later has left.
 func (n *Node) dropUpstreams(ids []string, lapsing bool) {
 	until := time.Now().Add(lapseGrace)
 	kept := 0
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -74,6 +74,8 @@
 type fleetState struct {
 	revision uint64
 	readAt   time.Time
+	// missed is set when the last reading failed.
+	missed bool
 	// gone are upstreams that vanished while the table was away, and until
 	// when they are kept.
 	gone map[string]time.Time
--- a/internal/gateway/source_state.go
+++ b/internal/gateway/source_state.go
@@ -14,9 +14,8 @@
 	since time.Time
 }
 
-// sourceResult notes how a call of the table went; it reports whether the
-// table was away until now.
-func (n *Node) sourceResult(call string, err error) (back bool) {
+// sourceResult notes how a call of the table went.
+func (n *Node) sourceResult(call string, err error) {
 	now := time.Now()
 	n.mu.Lock()
 	was := n.sources
@@ -29,7 +28,5 @@
 		event.SourceLost.Log(n.log, slog.String("call", call), slog.String("err", err.Error()))
 	case err == nil && was.down:
 		event.SourceBack.Log(n.log, slog.String("call", call), slog.Duration("away", now.Sub(was.since)))
-		return true
 	}
-	return false
 }
