--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,15 +123,16 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.budget(service, len(n.roster.Alive(now))).First(now)
+	n.budget(service, now).Request(now)
 }
 
-// allowRetry takes a further attempt from the service's retry budget.
-func (n *Node) allowRetry(service string) bool {
+// allowRetry takes a further attempt from the service's retry budget, less a
+// part that stays for others.
+func (n *Node) allowRetry(service string, reserve float64) bool {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.budget(service, len(n.roster.Alive(now))).Allow(now)
+	return n.budget(service, now).Allow(now, reserve)
 }
 
 // crashProbe bounds the look whether an upstream that broke off still listens.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -49,7 +49,9 @@
 	model string
 	// failed is an upstream's failure to pass on when nothing better comes.
 	failed *held
-	// reached is how many upstreams could not be connected to.
+	// paid is set when the next attempt has been taken from the retry budget.
+	paid bool
+	// unreached is how many upstreams could not be connected to.
 	unreached int
 	outcome   string
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -43,7 +43,7 @@
 	canary  *canary.Canary
 	guard   *crashguard.Guard
 	roster  *gossip.Roster
-	budgets map[string]*admission.RetryBudget
+	budgets map[string]*admission.WindowBudget
 	list    fleetState
 	// held are versions that nobody has ordered, and when they were first
 	// listed; known are those that may serve; served is when a service's first
@@ -103,7 +103,7 @@
 		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack}, s.ID, born),
 		guard:   crashguard.New(),
 		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
-		budgets: map[string]*admission.RetryBudget{},
+		budgets: map[string]*admission.WindowBudget{},
 		list:    fleetState{gone: map[string]time.Time{}},
 		held:    map[string]time.Time{},
 		known:   map[string]bool{}, served: map[string]time.Time{},
@@ -153,19 +153,26 @@
 //
 // All nodes share one bound over a window: each spends its part of the ratio,
 // of its own requests, and an equal part of the slack, without a call.
-func (n *Node) budget(service string, nodes int) *admission.RetryBudget {
+func (n *Node) budget(service string, now time.Time) *admission.WindowBudget {
+	slack := n.settings.RetrySlack * retryPart / float64(max(len(n.roster.Alive(now)), 1))
 	b := n.budgets[service]
 	if b == nil {
-		b = admission.NewRetryBudget(admission.RetrySettings{
-			Ratio:     n.settings.RetryRatio * retryPart,
-			Burst:     max(n.settings.RetrySlack*retryPart/float64(max(nodes, 1)), 1),
-			PerSecond: 1e-3,
+		b = admission.NewWindowBudget(admission.WindowSettings{
+			Ratio:  n.settings.RetryRatio * retryPart,
+			Window: n.settings.RetryWindow,
 		})
 		n.budgets[service] = b
 	}
+	b.SetSlack(slack)
 	return b
 }
 
-// retryPart is the part of the retry bound that is used: requests near a
-// window's edge count in one window at their node and in another at upstreams.
-const retryPart = 0.85
+const (
+	// retryPart is the part of the retry bound that is used: requests near a
+	// window's edge count in one window at their node and in another at
+	// upstreams.
+	retryPart = 0.85
+	// escalationReserve is the part of the budget that attempts at a larger
+	// model leave to attempts after a failure.
+	escalationReserve = 0.15
+)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -132,11 +132,12 @@
 // attempt sends the request to one upstream. It returns true when the request
 // has its final answer, false when another attempt may be made.
 func (j *job) attempt(up *fleet.Upstream) bool {
-	if j.arrived > 0 && !j.node.allowRetry(j.service) {
+	if j.arrived > 0 && !j.paid && !j.node.allowRetry(j.service, 0) {
 		j.sent = max(j.route.MaxAttempts, 1) // no more attempts
 		j.node.event(event.ForwardAttempt, j, slog.String("reason", "retry_budget"))
 		return false
 	}
+	j.paid = false
 	a := j.node.begin(j, up)
 	ctx, cancel := j.attemptContext()
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,17 +86,14 @@
 		return ""
 	}
 	next := j.node.policy.Next(cascade.State{Models: j.route.Models, Attempts: j.left()}, j.model, reply.Confidence)
-	if next == "" || !j.node.mayEscalate(j, next) {
+	if next == "" || !j.node.allowRetry(j.service, escalationReserve) {
+		// Without a further attempt the small model's answer is all there is.
 		return ""
 	}
+	j.paid = true
 	return next
 }
 
-// mayEscalate tells whether some upstream could run the larger model now.
-func (n *Node) mayEscalate(j *job, model string) bool {
-	return time.Until(j.deadline) > 0
-}
-
 // stallAt is when a silent stream is given up for another upstream; the zero
 // time where there is no other way.
 func (j *job) stallAt(events int) time.Time {
