Read the table once for a group of nodes, and tell news where it differs

Now a group's first member reads and tells; a node that has not heard reads itself. Members are told where the hash differs.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -13,11 +13,16 @@
 	born     int64
 	rollouts map[string]*rollout
 	paces    map[paceKey]*pace
+	pins     pins
+	// bad are the versions that were rolled back, by service.
+	bad map[string][]string
 }
 
 // New returns a canary of one run of a node.
 func New(s Settings, node string, born int64) *Canary {
-	return &Canary{settings: s, node: node, born: born, rollouts: map[string]*rollout{}, paces: map[paceKey]*pace{}}
+	return &Canary{settings: s, node: node, born: born, rollouts: map[string]*rollout{}, paces: map[paceKey]*pace{},
+		bad:  map[string][]string{},
+		pins: pins{keep: s.Session, seen: map[uint64]time.Time{}}}
 }
 
 // Take takes an order; started is when it began. It reports whether the order
@@ -27,6 +32,10 @@
 	if known != nil && known.order.Revision >= o.Revision {
 		return false
 	}
+	if known != nil && known.verdict == RolledBack {
+		c.bad[o.Service] = append(c.bad[o.Service], known.order.Target)
+	}
+	c.bad[o.Service] = slices.DeleteFunc(c.bad[o.Service], func(v string) bool { return v == o.Target })
 	c.rollouts[o.Service] = &rollout{
 		order: o, started: started,
 		own:    Tally{Service: o.Service, Revision: o.Revision, Node: c.node, Born: c.born},
@@ -54,28 +63,41 @@
 type Rule struct {
 	// Version is the only version that may serve; empty for any.
 	Version string
-	// Not is a version that may not serve.
-	Not string
+	// Not are versions that may not serve.
+	Not []string
 	// Part is the part of the version's upstreams to use; 0 for all. A canary
 	// uses few, so that they are as busy as they will be later.
 	Part float64
 }
 
-// Rule returns the rule for a request whose session has this hash.
-func (c *Canary) Rule(service string, hash uint64, now time.Time) Rule {
+// Caller is who asks: a session, or a request of its own.
+type Caller struct {
+	// Hash places the session or the request.
+	Hash uint64
+	// Session tells whether others with the same hash may follow.
+	Session bool
+}
+
+// Rule returns the rule for a caller's request.
+func (c *Canary) Rule(service string, caller Caller, now time.Time) Rule {
+	inTrial := float64(caller.Hash%shareScale) < c.settings.ShareBound*canaryPart*shareScale
+	pinned := caller.Session && inTrial && c.pins.has(caller.Hash, now)
 	r := c.rollouts[service]
-	if r == nil {
-		return Rule{}
+	old := r == nil || r.verdict == Open && (now.Sub(r.started) < pinHold || r.grown.IsZero() && pinned)
+	if caller.Session && inTrial && old {
+		c.pins.note(caller.Hash, now)
 	}
-	switch r.verdict {
-	case Completed:
+	switch {
+	case r == nil:
+		return Rule{}
+	case old:
+		return Rule{Not: c.without(service, r)}
+	case r.verdict == Completed:
 		return Rule{Version: r.order.Target}
-	case RolledBack:
-		return Rule{Not: r.order.Target}
 	}
 	share := r.share(c.settings, now)
-	if float64(hash%shareScale) >= share*shareScale || c.overexposed(r, share) {
-		return Rule{Not: r.order.Target}
+	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r, share) {
+		return Rule{Not: c.without(service, r)}
 	}
 	if share >= 1 {
 		share = 0
@@ -83,6 +105,12 @@
 	return Rule{Version: r.order.Target, Part: share}
 }
 
+// without returns the versions that the old version's requests keep away from:
+// the one on trial, and those that were rolled back before.
+func (c *Canary) without(service string, r *rollout) []string {
+	return append([]string{r.order.Target}, c.bad[service]...)
+}
+
 // overexposed tells whether this node's part of the new version's requests is
 // near the bound.
 //
@@ -163,10 +191,13 @@
 	}
 }
 
-// Tallies returns this node's counts of all orders, for its peers.
-func (c *Canary) Tallies() []Tally {
+// Tallies returns this node's counts of the orders under way, for its peers.
+func (c *Canary) Tallies(now time.Time) []Tally {
 	var all []Tally
 	for _, r := range c.rollouts {
+		if r.done(now) {
+			continue
+		}
 		r.own.Seq++
 		t := r.own
 		t.Verdict = r.verdict
@@ -182,9 +213,12 @@
 
 // Known returns the newest tally of every run of a node for all orders, this
 // node's included: peers pass on what they have heard.
-func (c *Canary) Known() []Tally {
-	all := c.Tallies()
+func (c *Canary) Known(now time.Time) []Tally {
+	all := c.Tallies(now)
 	for _, r := range c.rollouts {
+		if r.done(now) {
+			continue
+		}
 		for _, t := range r.peers {
 			all = append(all, t)
 		}
@@ -235,14 +269,23 @@
 	Answers    int64
 }
 
+// View is what a node sees beside the answers.
+type View struct {
+	// Count is how many upstreams of a version, and of all, are ready.
+	Count func(service, version string) (ofVersion, all int)
+	// Whole tells whether the node hears the tallies of all nodes: only then
+	// does no work in its sight mean no work at all.
+	Whole bool
+}
+
 // Tick weighs the evidence and returns the verdicts that the platform's table
-// does not hold yet. targets is how many upstreams of a version are ready.
-func (c *Canary) Tick(now time.Time, targets func(service, version string) (ofVersion, all int)) []Decision {
+// does not hold yet.
+func (c *Canary) Tick(now time.Time, view View) []Decision {
 	var out []Decision
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
 		if r.verdict == Open {
-			d.Made = c.weigh(r, &d, now, targets)
+			d.Made = c.weigh(r, &d, now, view)
 		}
 		if r.verdict != Open && !r.written {
 			d.Verdict = r.verdict
@@ -253,7 +296,7 @@
 	return out
 }
 
-func (c *Canary) weigh(r *rollout, d *Decision, now time.Time, targets func(service, version string) (int, int)) bool {
+func (c *Canary) weigh(r *rollout, d *Decision, now time.Time, view View) bool {
 	for route, sum := range r.total() {
 		e := r.tests[route]
 		if e == nil {
@@ -272,7 +315,7 @@
 	if r.verdict != Open {
 		return true
 	}
-	ofVersion, all := targets(r.order.Service, r.order.Target)
+	ofVersion, all := view.Count(r.order.Service, r.order.Target)
 	if r.grown.IsZero() && r.watched(now) && d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all {
 		r.grown = now
 	}
@@ -281,7 +324,7 @@
 	}
 	full := now.Sub(r.grown) >= time.Duration(len(growth))*step
 	late := now.Sub(r.started) >= time.Duration(latePart*float64(r.order.Limit))
-	if full && (late || r.oldInFlight() == 0) {
+	if full && view.Whole && (late || r.oldInFlight() == 0) {
 		r.verdict = Completed
 		return true
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -99,3 +99,8 @@
 	}
 	return n
 }
+
+// done tells whether everybody has had time to hear of the verdict.
+func (r *rollout) done(now time.Time) bool {
+	return r.verdict != Open && r.written && now.Sub(r.started) > r.order.Limit+doneAfter
+}
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -9,6 +9,8 @@
 	ShareBound float64
 	// Slack is the number of requests that it may get beyond the share.
 	Slack float64
+	// Session is the longest pause between requests of a session.
+	Session time.Duration
 }
 
 const (
@@ -24,6 +26,9 @@
 	watchPart = 0.5
 	// settle is added to that part, for nodes that learned of the order late.
 	settle = 500 * time.Millisecond
+	// pinHold is how long nobody goes to the new version after the order: all
+	// nodes learn of the order and of the sessions under way meanwhile.
+	pinHold = 2500 * time.Millisecond
 	// step is the time between two growths of the share; a bad version shows
 	// well within it at the rate of a growing share.
 	step = 900 * time.Millisecond
@@ -48,6 +53,8 @@
 	slowTimes = 3.0
 	// slowLeast is the least delay that counts as slow at all.
 	slowLeast = 60 * time.Millisecond
+	// doneAfter is how long after its limit an ended roll-out is told of.
+	doneAfter = 30 * time.Second
 	// shareScale is the resolution of hashed shares.
 	shareScale = 10000
 )
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -12,8 +12,8 @@
 	Service string
 	// Version is the version that may serve; empty for any.
 	Version string
-	// NotVersion is a version that may not serve.
-	NotVersion string
+	// NotVersions are versions that may not serve.
+	NotVersions []string
 	// Model is the model to run; empty for plain services.
 	Model string
 	// Part is the prompt part that a cache may hold; empty for none.
@@ -82,7 +82,7 @@
 	if w.Version != "" && u.Version != w.Version {
 		return false
 	}
-	if w.NotVersion != "" && u.Version == w.NotVersion {
+	if slices.Contains(w.NotVersions, u.Version) {
 		return false
 	}
 	return w.Model == "" || len(u.Models) == 0 || slices.Contains(u.Models, w.Model)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,8 +115,7 @@
 
 // Report takes an upstream's own word on its load.
 func (f *Fleet) Report(u *Upstream, running, waiting int, now time.Time) {
-	u.reported = max(float64(running+waiting-u.inFlight), 0)
-	u.reportedAt = now
+	u.heard(running, waiting, now)
 }
 
 func (f *Fleet) enlist(u *Upstream) {
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Load is an upstream's own word on its load, as some node heard it.
+type Load struct {
+	ID               string
+	Running, Waiting int
+	// Age is how long ago it was heard.
+	Age time.Duration
+}
+
+// tellFor is how long a word on load is told on.
+const tellFor = 1500 * time.Millisecond
+
+// Loads returns the latest words on load that are worth telling.
+func (f *Fleet) Loads(now time.Time) []Load {
+	var all []Load
+	for _, u := range f.byID {
+		age := now.Sub(u.heardAt)
+		if u.heardAt.IsZero() || age > tellFor {
+			continue
+		}
+		all = append(all, Load{ID: u.ID, Running: u.running, Waiting: u.waiting, Age: age})
+	}
+	slices.SortFunc(all, func(a, b Load) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+// TakeLoads takes what a peer heard, where it is newer.
+func (f *Fleet) TakeLoads(loads []Load, now time.Time) {
+	for _, l := range loads {
+		u := f.byID[l.ID]
+		at := now.Add(-l.Age)
+		if u != nil && at.After(u.heardAt) {
+			u.heard(l.Running, l.Waiting, at)
+		}
+	}
+}
+
+// Hash is the same on nodes that have the same list.
+func (f *Fleet) Hash() uint64 {
+	var sum uint64
+	for _, u := range f.byID {
+		drain := "+"
+		if u.Draining {
+			drain = "-"
+		}
+		sum ^= xxhash.Sum64String(u.ID + " " + u.Addr + " " + u.Service + " " + u.Version + " " + drain)
+	}
+	return sum
+}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -9,14 +9,17 @@
 type Upstream struct {
 	Record
 
-	inFlight   int
-	reported   float64 // running and waiting there, from all nodes, less this node's own
-	reportedAt time.Time
-	failures   float64
-	attempts   float64
-	ratedAt    time.Time
-	misses     int
-	ejected    time.Time // left alone until then
+	inFlight int
+	// running and waiting are the upstream's latest word on its load, heard at
+	// heardAt; reported is what of it other nodes sent.
+	running, waiting int
+	heardAt          time.Time
+	reported         float64
+	failures         float64
+	attempts         float64
+	ratedAt          time.Time
+	misses           int
+	ejected          time.Time // left alone until then
 }
 
 // InFlight is how many attempts of this node run there.
@@ -28,16 +31,22 @@
 }
 
 func (u *Upstream) others(now time.Time) float64 {
-	if u.reportedAt.IsZero() {
+	if u.heardAt.IsZero() {
 		return 0
 	}
-	age := now.Sub(u.reportedAt) - loadFresh
+	age := now.Sub(u.heardAt) - loadFresh
 	if age <= 0 {
 		return u.reported
 	}
 	return u.reported * math.Exp2(-float64(age)/float64(4*loadFresh))
 }
 
+// heard takes the upstream's word on its load.
+func (u *Upstream) heard(running, waiting int, at time.Time) {
+	u.running, u.waiting, u.heardAt = running, waiting, at
+	u.reported = max(float64(running+waiting-u.inFlight), 0)
+}
+
 // errorShare is the recent share of failed attempts, pulled towards none while
 // there are few.
 func (u *Upstream) errorShare(now time.Time) float64 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,13 +30,13 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	rule := n.canary.Rule(j.service, j.hash, now)
+	rule := n.canary.Rule(j.service, canary.Caller{Hash: j.hash, Session: j.ask.Session != ""}, now)
 	want := fleet.Want{
-		Service: j.service, Version: rule.Version, NotVersion: rule.Not, Model: j.wantedModel(),
+		Service: j.service, Version: rule.Version, NotVersions: rule.Not, Model: j.wantedModel(),
 		Part: j.part(), Tried: j.tried, Seed: j.hash ^ uint64(n.born) ^ uint64(len(j.tried)),
 	}
-	if rule == (canary.Rule{}) {
-		want.NotVersion = n.unorderedVersion(j.service, now)
+	if v := n.unorderedVersion(j.service, now); v != "" && rule.Version != v {
+		want.NotVersions = append(want.NotVersions, v)
 	}
 	if rule.Part > 0 {
 		ofVersion, _ := n.fleet.Count(j.service, rule.Version, now)
--- a/internal/gateway/follow_fleet.go
+++ b/internal/gateway/fleet_changes.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -11,54 +9,6 @@
 	"github.com/hickorybank/hickorybank/internal/fleet"
 )
 
-// followFleet reads the list of upstreams again and again.
-func (n *Node) followFleet(ctx context.Context) {
-	every := time.Duration(fleetPoll * float64(n.settings.Drain))
-	failures := 0
-	for ctx.Err() == nil {
-		began := time.Now()
-		err := n.readFleet(ctx)
-		if err != nil && ctx.Err() == nil {
-			failures++
-		} else {
-			failures = 0
-		}
-		n.dropLapsed(time.Now())
-		wait := every - time.Since(began)
-		if failures > 0 {
-			wait = min(retryCall<<min(failures-1, 4), mostRetryCall)
-		}
-		if !pause(ctx, max(wait, time.Millisecond)) {
-			return
-		}
-	}
-}
-
-func (n *Node) readFleet(ctx context.Context) error {
-	n.mu.Lock()
-	after := n.list.revision
-	n.mu.Unlock()
-	began := time.Now()
-	change, err := n.fetchFleet(ctx, after)
-	n.sourceResult("upstreams", err)
-	if err != nil {
-		n.missedFleet()
-		return err
-	}
-	n.applyFleet(change, began)
-	return nil
-}
-
-func (n *Node) fetchFleet(ctx context.Context, after uint64) (FleetChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
-	defer cancel()
-	change, err := n.source.Fleet(ctx, after)
-	if errors.Is(err, ErrCompacted) {
-		return n.source.Fleet(ctx, 0)
-	}
-	return change, err
-}
-
 // missedFleet notes that the list could not be read.
 func (n *Node) missedFleet() {
 	n.mu.Lock()
@@ -66,8 +16,8 @@
 	n.list.missed = true
 }
 
-// applyFleet takes a reading of the list that began at a time.
-func (n *Node) applyFleet(c FleetChange, at time.Time) {
+// applyFleet takes a reading of the list.
+func (n *Node) applyFleet(c FleetChange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	lapsing := n.list.missed && n.list.revision > 0
@@ -76,25 +26,31 @@
 		return // a peer's or an earlier reading arrived late
 	}
 	n.list.revision = c.Revision
-	n.list.readAt = at
 	listed := map[string]bool{}
 	for _, r := range c.Put {
 		listed[r.ID] = true
-		delete(n.list.gone, r.ID)
 		n.putUpstream(r)
 	}
 	drop := c.Drop
 	if c.Whole {
-		for _, r := range n.fleet.Records() {
-			if !listed[r.ID] {
-				drop = append(drop, r.ID)
-			}
-		}
+		drop = append(drop, n.unlisted(listed)...)
 	}
 	n.dropUpstreams(drop, lapsing)
 }
 
+// unlisted returns the known upstreams that a complete list lacks.
+func (n *Node) unlisted(listed map[string]bool) []string {
+	var ids []string
+	for _, r := range n.fleet.Records() {
+		if !listed[r.ID] {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
 func (n *Node) putUpstream(r fleet.Record) {
+	delete(n.list.gone, r.ID)
 	if !n.fleet.Put(r) {
 		return
 	}
@@ -129,6 +85,7 @@
 }
 
 func (n *Node) dropUpstream(id string) {
+	delete(n.list.gone, id)
 	u := n.fleet.Get(id)
 	if u == nil {
 		return
@@ -152,7 +109,6 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		delete(n.list.gone, id)
 		n.dropUpstream(id)
 	}
 }
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -13,6 +13,7 @@
 func (n *Node) followRollouts(ctx context.Context) {
 	next := map[string]time.Time{}
 	for pause(ctx, tickEvery) {
+		n.feedSettling(ctx)
 		for _, d := range n.weigh(time.Now()) {
 			if d.Made {
 				event.VersionDecided.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
@@ -34,21 +35,47 @@
 func (n *Node) weigh(now time.Time) []canary.Decision {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.canary.Forget(func(node string, born int64) bool { return n.roster.Lives(node, born, now) })
-	return n.canary.Tick(now, func(service, version string) (int, int) { return n.fleet.Count(service, version, now) })
+	n.canary.Forget(n.roster.Lives)
+	return n.canary.Tick(now, canary.View{
+		Count: func(service, version string) (int, int) { return n.fleet.Count(service, version, now) },
+		Whole: n.roster.Group()[0].ID == n.settings.ID,
+	})
+}
+
+// feedSettling tells this node's group and the other readers what it knows
+// more often while a roll-out is under way.
+func (n *Node) feedSettling(ctx context.Context) {
+	now := time.Now()
+	n.mu.Lock()
+	due := n.canary.Settling(now) && now.Sub(n.fedAt) >= settlingEvery
+	if !due {
+		due = len(n.orders) > 0 && now.Sub(n.fedAt) >= n.readEvery()
+	}
+	if due {
+		n.fedAt = now
+	}
+	settling := n.canary.Settling(now)
+	n.mu.Unlock()
+	if !due {
+		return
+	}
+	n.feedReaders(ctx)
+	if settling {
+		n.feedGroup(ctx)
+	}
 }
 
 // record writes a verdict. The first node in order that lives writes; others
 // come later, and find it done.
 func (n *Node) record(ctx context.Context, d canary.Decision) bool {
-	if !d.Made && !n.writes(time.Now()) {
+	if !d.Made && !n.writes() {
 		return false
 	}
 	return n.write(ctx, d.Order, d.Verdict)
 }
 
 func (n *Node) write(ctx context.Context, o canary.Order, v canary.Verdict) bool {
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	stands, err := n.source.Record(ctx, o, v)
 	n.sourceResult("record", err)
@@ -70,7 +97,7 @@
 	now := time.Now()
 	var due []canary.Order
 	n.mu.Lock()
-	first := n.roster.Alive(now)[0].ID == n.settings.ID
+	first := n.roster.Alive()[0].ID == n.settings.ID
 	for _, o := range n.orders {
 		if first && n.announced[o.Service] < o.Revision && n.canary.Open(o.Service) && !now.Before(next[o.Service]) {
 			due = append(due, o.Order)
@@ -86,8 +113,8 @@
 
 // writes tells whether this node is the first that lives, and so the one that
 // writes what any could.
-func (n *Node) writes(now time.Time) bool {
+func (n *Node) writes() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.roster.Alive(now)[0].ID == n.settings.ID
+	return n.roster.Alive()[0].ID == n.settings.ID
 }
--- /dev/null
+++ b/internal/gateway/messages.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/gossip"
+)
+
+// Exchange answers a peer's message.
+func (n *Node) Exchange(in gossip.Message) gossip.Message {
+	n.take(in)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.compose(in.From)
+	out.Members = n.membersFor(in.RosterHash)
+	out.Tallies = n.canary.Tallies(time.Now())
+	if in.Proof.Age < 0 || in.Proof.Age > n.readEvery()*2 {
+		n.tellFleet(&out, in.From) // the sender can't read the table itself
+	}
+	return out
+}
+
+// message is the usual news for a peer.
+func (n *Node) message(to gossip.Member) gossip.Message {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.compose(to.ID)
+	m.Tallies = n.canary.Tallies(time.Now())
+	return m
+}
+
+// feedMessage is what a reader tells its group and other readers.
+func (n *Node) feedMessage(to gossip.Member) gossip.Message {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.compose(to.ID)
+	m.Tallies = n.canary.Known(now)
+	n.tellFleet(&m, to.ID)
+	return m
+}
+
+// compose is what every message has; the caller holds mu.
+func (n *Node) compose(to string) gossip.Message {
+	now := time.Now()
+	m := gossip.Message{
+		From: n.settings.ID, Born: n.born,
+		RosterHash: n.roster.Hash(),
+		Loads:      n.fleet.Loads(now),
+		Pins:       n.canary.Pins(now),
+		Strikes:    n.guard.Known(now),
+		Proof:      gossip.Proof{Age: noProof, FleetHash: n.fleet.Hash()},
+	}
+	if !n.list.provenAt.IsZero() {
+		m.Proof.Age = now.Sub(n.list.provenAt)
+		m.Proof.FleetRevision = n.list.revision
+		m.Proof.OrdersRevision = n.list.orders
+	}
+	peer, heard := n.told[to]
+	if !heard {
+		m.Members = n.roster.Known(now)
+	}
+	if c := n.config.Load(); c != nil {
+		m.ConfigVersion = c.Version
+		if heard && peer.config < c.Version {
+			m.Config = c.raw
+		}
+	}
+	for _, o := range n.orders {
+		o.Age = now.Sub(n.started[o.Service])
+		m.Orders = append(m.Orders, o)
+	}
+	return m
+}
+
+// noProof is the age of a proof where there is none.
+const noProof = -time.Nanosecond
+
+// membersFor returns the members where a peer does not know the same.
+func (n *Node) membersFor(hash uint64) []gossip.Member {
+	if hash == n.roster.Hash() {
+		return nil
+	}
+	return n.roster.Known(time.Now())
+}
+
+// tellFleet adds the list of upstreams if the peer has another; the caller
+// holds mu.
+func (n *Node) tellFleet(m *gossip.Message, to string) {
+	if n.list.revision > 0 && n.told[to].fleetHash != m.Proof.FleetHash {
+		m.Fleet = n.fleet.Records()
+	}
+}
+
+// take takes what a peer tells; it reports whether the peer lacks something
+// that this node has.
+func (n *Node) take(in gossip.Message) (lacks bool) {
+	now := time.Now()
+	if len(in.Config) > 0 {
+		n.applyConfig(in.Config, in.From)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told[in.From] = told{config: in.ConfigVersion, fleetHash: in.Proof.FleetHash}
+	n.takeMembers(in, now)
+	for _, o := range in.Orders {
+		n.takeOrder(o.Order, o.Age, in.From)
+	}
+	n.canary.TakePins(in.Pins, now)
+	for _, t := range in.Tallies {
+		if n.canary.Merge(t) {
+			event.VersionDecided.Log(n.log, slog.String("service", t.Service), slog.String("verdict", t.Verdict.String()),
+				slog.Uint64("revision", t.Revision), slog.String("from", in.From))
+		}
+	}
+	for _, s := range in.Strikes {
+		n.guard.Add(s, now)
+	}
+	n.fleet.TakeLoads(in.Loads, now)
+	n.takeProof(in, now)
+	c := n.config.Load()
+	return in.RosterHash != n.roster.Hash() && len(in.Members) > 0 || c != nil && in.ConfigVersion < c.Version
+}
+
+func (n *Node) takeMembers(in gossip.Message, now time.Time) {
+	n.roster.Answered(in.From)
+	for _, m := range n.roster.Merge(in.Members, now) {
+		event.PeerChanged.Log(n.log, slog.String("peer", m.ID), slog.String("from", in.From),
+			slog.Bool("ready", m.Ready), slog.Bool("leaving", m.Leaving), slog.Bool("dead", m.Dead), slog.Uint64("beat", m.Beat))
+	}
+	n.fleet.SetNodes(len(n.roster.Alive()))
+}
+
+// takeProof takes a peer's newer reading of the table, once this node has all
+// that the reading saw.
+//
+// A list is taken whole from a newer reading only: an older one could bring
+// back an upstream that has left.
+func (n *Node) takeProof(in gossip.Message, now time.Time) {
+	if in.Proof.Age < 0 || in.Proof.FleetRevision == 0 {
+		return
+	}
+	at := now.Add(-in.Proof.Age)
+	if !at.After(n.list.provenAt) {
+		return
+	}
+	if len(in.Fleet) > 0 && in.Proof.FleetRevision >= n.list.revision {
+		n.takeFleet(in)
+	}
+	c := n.config.Load()
+	if c == nil || c.Version != in.ConfigVersion || n.fleet.Hash() != in.Proof.FleetHash {
+		return
+	}
+	n.list.provenAt = at
+	n.list.revision = max(n.list.revision, in.Proof.FleetRevision)
+	n.list.orders = max(n.list.orders, in.Proof.OrdersRevision)
+}
+
+func (n *Node) takeFleet(in gossip.Message) {
+	n.list.revision = in.Proof.FleetRevision
+	listed := map[string]bool{}
+	for _, r := range in.Fleet {
+		listed[r.ID] = true
+		n.putUpstream(r)
+	}
+	for _, id := range n.unlisted(listed) {
+		n.dropUpstream(id)
+	}
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -52,15 +52,18 @@
 	known   map[string]bool
 	served  map[string]time.Time
 	sources sourceState
-	orders  []gossip.Order
+	// readAt is when this node last read the table, fedAt when it last told
+	// others beside a reading.
+	readAt, fedAt time.Time
+	orders        []gossip.Order
 	// started is when the newest roll-out of a service began, announced the
 	// newest revision that is recorded as under way.
 	started   map[string]time.Time
 	announced map[string]uint64
 	// recorded are the members that the table listed when this node joined.
 	recorded []gossip.Member
-	// peerConfig is the version of the configuration that a peer told last.
-	peerConfig map[string]int64
+	// told is what peers told last of what they have.
+	told map[string]told
 }
 
 // configuration is the one in force, as it was read and as it is used.
@@ -70,17 +73,27 @@
 	at  time.Time
 }
 
-// fleetState is what the node knows of the upstreams' list.
+// fleetState is what the node knows of the table.
 type fleetState struct {
-	revision uint64
-	readAt   time.Time
-	// missed is set when the last reading failed.
+	// revision and orders are the revisions of the upstreams' list and of the
+	// operators' changes that the node has taken.
+	revision, orders uint64
+	// provenAt is when the latest reading began that the node has taken, its
+	// own or its reader's.
+	provenAt time.Time
+	// missed is set when the last own reading of the list failed.
 	missed bool
 	// gone are upstreams that vanished while the table was away, and until
 	// when they are kept.
 	gone map[string]time.Time
 }
 
+// told is what a peer has of the configuration and of the upstreams' list.
+type told struct {
+	config    int64
+	fleetHash uint64
+}
+
 // Deps are what a node works with.
 type Deps struct {
 	Dialect Dialect
@@ -100,7 +113,7 @@
 		born:    born,
 		stopped: make(chan struct{}),
 		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
-		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack}, s.ID, born),
+		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session}, s.ID, born),
 		guard:   crashguard.New(),
 		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
 		budgets: map[string]*admission.WindowBudget{},
@@ -108,7 +121,7 @@
 		held:    map[string]time.Time{},
 		known:   map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
-		peerConfig: map[string]int64{},
+		told: map[string]told{},
 	}
 }
 
@@ -136,9 +149,8 @@
 // Addresses returns where callers of a failure domain should connect, and for
 // how long they may keep the answer.
 func (n *Node) Addresses(domain string) ([]string, time.Duration) {
-	now := time.Now()
 	n.mu.Lock()
-	alive := n.roster.Alive(now)
+	alive := n.roster.Alive()
 	n.mu.Unlock()
 	var all []string
 	for _, m := range alive {
@@ -154,7 +166,7 @@
 // All nodes share one bound over a window: each spends its part of the ratio,
 // of its own requests, and an equal part of the slack, without a call.
 func (n *Node) budget(service string, now time.Time) *admission.WindowBudget {
-	slack := n.settings.RetrySlack * retryPart / float64(max(len(n.roster.Alive(now)), 1))
+	slack := n.settings.RetrySlack * retryPart / float64(max(len(n.roster.Alive()), 1))
 	b := n.budgets[service]
 	if b == nil {
 		b = admission.NewWindowBudget(admission.WindowSettings{
--- a/internal/gateway/follow_orders.go
+++ b/internal/gateway/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
@@ -11,43 +10,27 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// followOrders keeps up with what operators change.
-func (n *Node) followOrders(ctx context.Context) {
-	var after uint64
-	failures := 0
-	for ctx.Err() == nil {
-		change, err := n.fetchOrders(ctx, after)
-		if ctx.Err() != nil {
-			return
-		}
-		n.sourceResult("orders", err)
-		if err != nil {
-			if errors.Is(err, ErrCompacted) {
-				after = 0
-			}
-			failures++
-			if !pause(ctx, min(retryCall<<min(failures-1, 4), mostRetryCall)) {
-				return
-			}
-			continue
-		}
-		failures = 0
-		if after == 0 {
-			n.recallRollouts(ctx, change.Rollouts)
-		}
-		n.takeOrders(change.Rollouts)
-		if change.Config != nil {
-			n.applyConfig(change.Config, "table")
-		}
-		after = change.Revision
+// takeOrdersChange takes what operators have changed; first is set when the
+// whole was read.
+func (n *Node) takeOrdersChange(ctx context.Context, c OrdersChange, first bool) {
+	if first {
+		n.recallRollouts(ctx, c.Rollouts)
+	}
+	n.mu.Lock()
+	for _, o := range c.Rollouts {
+		n.takeOrder(o, 0, fromTable)
 	}
+	n.mu.Unlock()
+	if c.Config != nil {
+		n.applyConfig(c.Config, fromTable)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.list.orders = max(n.list.orders, c.Revision)
 }
 
-func (n *Node) fetchOrders(ctx context.Context, after uint64) (OrdersChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, ordersWait+callSlack)
-	defer cancel()
-	return n.source.Orders(ctx, after, ordersWait)
-}
+// fromTable names the table as the source of news in logs.
+const fromTable = "table"
 
 // applyConfig puts a configuration in force if it is newer than the present
 // one; versions only grow in the life of a process.
@@ -72,7 +55,7 @@
 	if len(orders) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	states, err := n.source.Rollouts(ctx)
 	n.sourceResult("rollouts", err)
@@ -84,21 +67,13 @@
 	for _, o := range orders {
 		for _, s := range states {
 			if s.Order.Service == o.Service && s.Order.Revision == o.Revision {
-				n.takeOrder(o, s.Age, "table")
+				n.takeOrder(o, s.Age, fromTable)
 				n.canary.Decide(o.Service, o.Revision, s.Verdict, true)
 			}
 		}
 	}
 }
 
-func (n *Node) takeOrders(orders []canary.Order) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, o := range orders {
-		n.takeOrder(o, 0, "table")
-	}
-}
-
 // takeOrder takes a roll-out that has been under way for a time; the caller
 // holds mu.
 func (n *Node) takeOrder(o canary.Order, age time.Duration, from string) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,8 +59,7 @@
 		duties.Go(func() { _ = servers[i].Serve(listeners[i]) }) // ends when it is closed
 	}
 	duties.Go(peers.Serve)
-	duties.Go(func() { n.followFleet(work) })
-	duties.Go(func() { n.followOrders(work) })
+	duties.Go(func() { n.followTable(work) })
 	duties.Go(func() { n.followRollouts(work) })
 	duties.Go(func() { n.followPeers(work) })
 	duties.Go(func() { n.sweep(work) })
@@ -118,7 +117,7 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	n.mu.Lock()
-	n.roster.Beat(false, true)
+	n.roster.SetSelf(false, true)
 	n.mu.Unlock()
 	event.ForwardStopping.Log(n.log, slog.Int64("active", n.active.Load()), slog.Int64("connections", conns.open.Load()))
 	n.exchangeAll(ctx)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,25 +38,29 @@
 }
 
 const (
-	// fleetPoll is the part of Drain at which the upstreams' list is read: two
-	// reads fit in, should one be lost.
-	fleetPoll = 0.45
-	// ordersWait is how long a read of operators' changes waits for one. A
-	// connection that has fallen silent costs at most this and callSlack.
-	ordersWait = 2500 * time.Millisecond
-	// callSlack is added to what a call of the table may take.
-	callSlack = 600 * time.Millisecond
+	// readPart is the part of the bounds on changes at which a group's reader
+	// reads the table: two readings fit in, should one be lost.
+	readPart = 0.45
+	// ownReadPart is how much longer a node waits for its reader before it
+	// reads the table itself.
+	ownReadPart = 1.4
+	// callTimeout bounds a call of the table, which answers within some
+	// milliseconds; connections may fall silent without a reset.
+	callTimeout = 600 * time.Millisecond
 	// retryCall is the pause after a failed call of the table.
 	retryCall = 250 * time.Millisecond
 	// mostRetryCall bounds that pause.
 	mostRetryCall = time.Second
+	// feedWidth is how many of its group a reader tells at the same time.
+	feedWidth = 8
+	// settlingEvery is the pause between a reader's news to its group while a
+	// roll-out begins.
+	settlingEvery = 350 * time.Millisecond
 	// lapseGrace is how long upstreams that vanished while the table was away
 	// are kept: those that live are listed again by then.
 	lapseGrace = 2 * time.Second
 	// gossipEvery is the pause between exchanges with peers.
-	gossipEvery = 400 * time.Millisecond
-	// gossipWidth is how many peers are told in each.
-	gossipWidth = 2
+	gossipEvery = 600 * time.Millisecond
 	// tickEvery is the pause between looks at roll-outs.
 	tickEvery = 250 * time.Millisecond
 	// sweepEvery is the pause between looks at idle connections.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -10,29 +10,43 @@
 
 // Message is what one node tells another, both ways of an exchange.
 type Message struct {
-	From    string
-	Members []Member
+	From string
+	Born int64
+	// RosterHash tells whether both know the same members; Members are told
+	// where they don't.
+	RosterHash uint64
+	Members    []Member
 	// ConfigVersion is the version of the configuration in force at the
 	// sender; 0 for none.
 	ConfigVersion int64
 	// Config is that configuration as the table holds it, where the receiver
 	// is known to have an older one.
 	Config []byte
-	// Fleet is the list of upstreams as of FleetRevision, told where the
-	// receiver asked for it. FleetAge is how long ago it was read.
-	Fleet         []fleet.Record
-	FleetRevision uint64
-	FleetAge      time.Duration
-	// WantFleet asks the receiver for its list: the sender cannot read the
-	// table.
-	WantFleet bool
+	// Proof tells how fresh the sender's knowledge of the table is.
+	Proof Proof
+	// Fleet is the list of upstreams, told where the receiver has another.
+	Fleet []fleet.Record
+	// Loads are upstreams' latest words on their load.
+	Loads []fleet.Load
 	// Orders are the roll-outs that the sender knows, Tallies the counts.
 	Orders  []Order
 	Tallies []canary.Tally
+	// Pins are sessions that stay on the old version.
+	Pins []canary.Pin
 	// Strikes are requests that crashed upstreams.
 	Strikes []crashguard.Strike
 }
 
+// Proof is a reading of the table, by the sender or by whom it heard from.
+type Proof struct {
+	// Age is how long ago the reading began; negative for none.
+	Age time.Duration
+	// FleetRevision and OrdersRevision are the revisions that it read.
+	FleetRevision, OrdersRevision uint64
+	// FleetHash tells whether the receiver has the same list.
+	FleetHash uint64
+}
+
 // Order is a roll-out and how long it has been under way.
 type Order struct {
 	canary.Order
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -1,25 +1,34 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// aliveFor is how long a member counts as alive after its last beat was
-	// heard: a beat takes a few exchanges to reach every node.
-	aliveFor = 3 * time.Second
-	// forgetAfter is when a silent member is dropped.
+	// forgetAfter is when a dead member is dropped.
 	forgetAfter = 60 * time.Second
+	// missesToDie is how many calls in a row a member may leave unanswered.
+	missesToDie = 2
+	// groupSize is how many members share one reader of the table.
+	groupSize = 24
 )
 
 type entry struct {
 	Member
-	heard time.Time
+	misses int
+	died   time.Time
 }
 
 // Roster is what a node knows of its peers.
+//
+// Entries change only when a member's state does, so that two nodes which
+// agree find it out by a hash. A member that does not answer is marked dead by
+// whoever calls it; the mark spreads, and the member lifts it if it lives.
 type Roster struct {
 	self    Member
 	members map[string]*entry
@@ -27,17 +36,22 @@
 
 // NewRoster returns a roster that knows only its own node.
 func NewRoster(self Member) *Roster {
+	self.Beat = 1
 	return &Roster{self: self, members: map[string]*entry{}}
 }
 
 // Self returns this node's own entry.
 func (r *Roster) Self() Member { return r.self }
 
-// Beat counts on this node's own beat and takes its state.
-func (r *Roster) Beat(ready, leaving bool) {
+// SetSelf takes this node's own state; it reports whether that changed.
+func (r *Roster) SetSelf(ready, leaving bool) bool {
+	if r.self.Ready == ready && r.self.Leaving == leaving {
+		return false
+	}
 	r.self.Beat++
 	r.self.Ready = ready
 	r.self.Leaving = leaving
+	return true
 }
 
 // Merge takes what a peer knows. It returns the members that are new or have
@@ -45,49 +59,71 @@
 func (r *Roster) Merge(news []Member, now time.Time) []Member {
 	var changed []Member
 	for _, m := range news {
-		if m.ID == r.self.ID || m.ID == "" {
+		if m.ID == r.self.ID {
+			r.refute(m)
 			continue
 		}
 		old := r.members[m.ID]
-		if old != nil && (m.Born < old.Born || m.Born == old.Born && m.Beat <= old.Beat) {
+		if m.ID == "" || old == nil && m.Dead || old != nil && !m.newer(&old.Member) {
 			continue
 		}
-		heard := now.Add(-m.Age)
-		if old != nil && old.Born == m.Born && heard.Before(old.heard) {
-			heard = old.heard
+		e := &entry{Member: m}
+		if m.Dead {
+			e.died = now
 		}
-		wasAlive := old != nil && now.Sub(old.heard) < aliveFor
-		if old == nil || !wasAlive || old.Born != m.Born || old.Ready != m.Ready || old.Leaving != m.Leaving {
-			changed = append(changed, m)
-		}
-		m.Age = 0
-		r.members[m.ID] = &entry{m, heard}
+		r.members[m.ID] = e
+		changed = append(changed, m)
 	}
 	return changed
 }
 
-// Known returns all members that are worth telling of, this node first.
+// refute lifts a mark of death from this node's own entry.
+func (r *Roster) refute(m Member) {
+	if m.Born == r.self.Born && m.Dead && m.Beat >= r.self.Beat {
+		r.self.Beat = m.Beat + 1
+	}
+}
+
+// Known returns all members, this node first.
 func (r *Roster) Known(now time.Time) []Member {
 	all := []Member{r.self}
 	for id, e := range r.members {
-		age := now.Sub(e.heard)
-		if age > forgetAfter {
+		if e.Dead && now.Sub(e.died) > forgetAfter {
 			delete(r.members, id)
 			continue
 		}
-		m := e.Member
-		m.Age = age
-		all = append(all, m)
+		all = append(all, e.Member)
 	}
 	slices.SortFunc(all[1:], byID)
 	return all
 }
 
-// Alive returns the members that live, this node included.
-func (r *Roster) Alive(now time.Time) []Member {
+// Hash is the same on nodes that know the same.
+func (r *Roster) Hash() uint64 {
+	var sum uint64
+	add := func(m *Member) {
+		b := make([]byte, 0, 64)
+		b = append(b, m.ID...)
+		b = binary.LittleEndian.AppendUint64(b, uint64(m.Born))
+		b = binary.LittleEndian.AppendUint64(b, m.Beat)
+		if m.Dead {
+			b = append(b, 1)
+		}
+		sum ^= xxhash.Sum64(b)
+	}
+	add(&r.self)
+	for _, e := range r.members {
+		add(&e.Member)
+	}
+	return sum
+}
+
+// Alive returns the members that live, this node included, in order of their
+// IDs.
+func (r *Roster) Alive() []Member {
 	all := []Member{r.self}
 	for _, e := range r.members {
-		if now.Sub(e.heard) < aliveFor {
+		if !e.Dead {
 			all = append(all, e.Member)
 		}
 	}
@@ -96,25 +132,74 @@
 }
 
 // Others returns the members that live, without this node.
-func (r *Roster) Others(now time.Time) []Member {
-	return slices.DeleteFunc(r.Alive(now), func(m Member) bool { return m.ID == r.self.ID })
+func (r *Roster) Others() []Member {
+	return slices.DeleteFunc(r.Alive(), func(m Member) bool { return m.ID == r.self.ID })
 }
 
 // Lives tells whether a run of a node lives.
-func (r *Roster) Lives(node string, born int64, now time.Time) bool {
+func (r *Roster) Lives(node string, born int64) bool {
 	if node == r.self.ID {
 		return born == r.self.Born
 	}
 	e := r.members[node]
-	return e != nil && e.Born == born && now.Sub(e.heard) < aliveFor
+	return e != nil && e.Born == born && !e.Dead
 }
 
-// Unreached notes that a member did not answer; it is then not alive until its
-// beat is heard again from somebody.
-func (r *Roster) Unreached(id string, now time.Time) {
+// Answered notes that a member answered.
+func (r *Roster) Answered(id string) {
 	if e := r.members[id]; e != nil {
-		e.heard = now.Add(-aliveFor)
+		e.misses = 0
+	}
+}
+
+// Unreached notes that a member did not answer; it reports whether the member
+// now counts as dead and did not before.
+func (r *Roster) Unreached(id string, now time.Time) bool {
+	e := r.members[id]
+	if e == nil {
+		return false
+	}
+	e.misses++
+	if e.Dead || e.misses < missesToDie {
+		return false
+	}
+	e.Dead = true
+	e.died = now
+	return true
+}
+
+// Groups returns the members that live in groups of neighbours, each with its
+// reader first: the member that reads the table for the group. All nodes that
+// know the same members agree on them.
+func (r *Roster) Groups() [][]Member {
+	all := r.Alive()
+	slices.SortFunc(all, func(a, b Member) int {
+		if c := strings.Compare(a.Domain, b.Domain); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	count := (len(all) + groupSize - 1) / groupSize
+	var groups [][]Member
+	for i := range count {
+		group := slices.Clone(all[i*len(all)/count : (i+1)*len(all)/count])
+		reader := slices.IndexFunc(group, func(m Member) bool { return m.Ready && !m.Leaving })
+		if reader > 0 {
+			group[0], group[reader] = group[reader], group[0]
+		}
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// Group returns this node's own group.
+func (r *Roster) Group() []Member {
+	for _, group := range r.Groups() {
+		if slices.ContainsFunc(group, func(m Member) bool { return m.ID == r.self.ID }) {
+			return group
+		}
 	}
+	return []Member{r.self}
 }
 
 func byID(a, b Member) int { return strings.Compare(a.ID, b.ID) }
