Weigh a sample of the upstreams, drawn by lot

Cause: with shared words on load every node chose the same least loaded upstream until the next word.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,25 +33,51 @@
 func (f *Fleet) Choose(w Want, now time.Time) *Upstream {
 	var best *Upstream
 	var bestCost float64
-	holders := f.holders(w, now)
+	able := f.able(&w, now)
+	holders := holders(&w, able)
+	for _, u := range append(sample(able, w.Seed, sampleSize), holders...) {
+		c := f.cost(u, &w, holders, now)
+		if best == nil || c < bestCost {
+			best, bestCost = u, c
+		}
+	}
+	return best
+}
+
+// able returns the upstreams that may take the attempt now.
+func (f *Fleet) able(w *Want, now time.Time) []*Upstream {
+	var able []*Upstream
 	seen := 0
 	for _, u := range f.services[w.Service] {
-		if !fits(u, &w) || !u.ready(now) {
+		if !fits(u, w) || !u.ready(now) {
 			continue
 		}
 		seen++
 		if w.Most > 0 && seen > w.Most {
 			break
 		}
-		if slices.Contains(w.Tried, u.ID) {
-			continue
-		}
-		c := f.cost(u, &w, holders, now)
-		if best == nil || c < bestCost {
-			best, bestCost = u, c
+		if !slices.Contains(w.Tried, u.ID) {
+			able = append(able, u)
 		}
 	}
-	return best
+	return able
+}
+
+// sample returns some of the upstreams, others for each seed.
+//
+// All nodes hear the same late words on load. If each took the least loaded of
+// all, they would all send there until the next word comes; among a few drawn
+// by lot the load evens out instead.
+func sample(all []*Upstream, seed uint64, size int) []*Upstream {
+	if len(all) <= size {
+		return slices.Clone(all)
+	}
+	drawn := make([]*Upstream, 0, size+affinityWidth)
+	for i := range uint64(size) {
+		seed = mix(seed + i + 1)
+		drawn = append(drawn, all[seed%uint64(len(all))])
+	}
+	return drawn
 }
 
 // Count returns how many upstreams of a version are ready, and how many of
@@ -91,7 +118,7 @@
 // holders are the upstreams to which requests with the same prompt part go, by
 // rendezvous hashing: all nodes agree on them without talking, and few parts
 // move when an upstream comes or goes.
-func (f *Fleet) holders(w Want, now time.Time) []*Upstream {
+func holders(w *Want, able []*Upstream) []*Upstream {
 	if w.Part == "" {
 		return nil
 	}
@@ -100,22 +127,10 @@
 		rank uint64
 	}
 	var top []ranked
-	for _, u := range f.services[w.Service] {
-		if !fits(u, &w) || u.Draining {
-			continue
-		}
+	for _, u := range able {
 		top = append(top, ranked{u, xxhash.Sum64String(u.ID + "/" + w.Model + "/" + w.Part)})
 	}
-	slices.SortFunc(top, func(a, b ranked) int {
-		switch {
-		case a.rank > b.rank:
-			return -1
-		case a.rank < b.rank:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortFunc(top, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	var out []*Upstream
 	for _, r := range top[:min(len(top), affinityWidth)] {
 		out = append(out, r.u)
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -22,6 +22,9 @@
 	// loadFresh is how long a load report counts in full; it halves after each
 	// further span. Engines report some hundred milliseconds late.
 	loadFresh = 500 * time.Millisecond
+	// sampleSize is how many upstreams are weighed for an attempt, beside the
+	// holders of its prompt part.
+	sampleSize = 5
 	// affinityWidth is how many upstreams share one prompt part: a second one
 	// takes over where the first is loaded.
 	affinityWidth = 2
