Place attempts by the work that waits; keep lapsed upstreams by each node's own gap

Cause: (1) attempts were placed by their number, though reading prompts is what holds a batch up; affinity outweighed twelve requests. Now the cost is the work that waits plus the prompt's uncached tokens; kept upstreams are not told, and a peer with unbroken readings ends the keeping.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -17,8 +17,12 @@
 	NotVersions []string
 	// Model is the model to run; empty for plain services.
 	Model string
-	// Part is the prompt part that a cache may hold; empty for none.
-	Part string
+	// Weight is the model's work for a token, 1 for the largest.
+	Weight float64
+	// Tokens is the prompt's size; 0 for plain services.
+	Tokens int
+	// Parts are the prompt's parts in order that others may share.
+	Parts []Part
 	// Tried are the IDs of upstreams that this request was sent to.
 	Tried []string
 	// Most bounds how many upstreams of the service, in a fixed order, may be
@@ -28,6 +32,12 @@
 	Seed uint64
 }
 
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
 // Choose returns the upstream with the least cost for the attempt, or nil when
 // none may take it.
 func (f *Fleet) Choose(w Want, now time.Time) *Upstream {
@@ -115,20 +125,21 @@
 	return w.Model == "" || len(u.Models) == 0 || slices.Contains(u.Models, w.Model)
 }
 
-// holders are the upstreams to which requests with the same prompt part go, by
-// rendezvous hashing: all nodes agree on them without talking, and few parts
-// move when an upstream comes or goes.
+// holders are the upstreams to which requests with the same last shared part
+// go, by rendezvous hashing: all nodes agree on them without talking, and few
+// parts move when an upstream comes or goes.
 func holders(w *Want, able []*Upstream) []*Upstream {
-	if w.Part == "" {
+	if len(w.Parts) == 0 {
 		return nil
 	}
+	part := w.Parts[len(w.Parts)-1].ID
 	type ranked struct {
 		u    *Upstream
 		rank uint64
 	}
 	var top []ranked
 	for _, u := range able {
-		top = append(top, ranked{u, xxhash.Sum64String(u.ID + "/" + w.Model + "/" + w.Part)})
+		top = append(top, ranked{u, xxhash.Sum64String(u.ID + "/" + w.Model + "/" + part)})
 	}
 	slices.SortFunc(top, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	var out []*Upstream
@@ -138,23 +149,48 @@
 	return out
 }
 
-// cost is what sending to u would cost, in shares of its slots.
+// cost is how long the attempt would wait at u, in the work of a mean attempt:
+// the work that waits there, its own, and a share for a batch that fills up.
+//
+// Reading prompts is what holds a batch up; requests that only generate hardly
+// slow each other down until the slots are full.
 func (f *Fleet) cost(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
-	c := u.load(now)
-	c += errorPenalty * u.errorShare(now)
+	mean := f.meanWork(w)
+	c := u.waitingWork(mean, now) + f.work(u, w, holders, now)
+	load := u.load(now)
+	c += mean * (fillWeight*load + fullWeight*max(load-1, 0))
+	c *= 1 + errorPenalty*u.errorShare(now)
 	if u.Domain != f.settings.Domain {
-		c += remotePenalty
+		c += remotePenalty * mean
 	}
 	if u.Cold > 0 {
-		c += affinityGain
-	}
-	if i := slices.Index(holders, u); i >= 0 {
-		c -= affinityGain / float64(i+1)
+		c += coldPenalty * mean
 	}
 	// Ties go different ways on different requests: nodes that all see the
 	// same reports would otherwise all send to the same upstream.
-	tie := xxhash.Sum64String(u.ID) ^ w.Seed
-	return c + float64(mix(tie)>>54)/1e6
+	tie := mix(xxhash.Sum64String(u.ID) ^ w.Seed)
+	return c + mean*tieWeight*float64(tie>>11)/(1<<53)
+}
+
+// work is what an attempt costs u: the prompt's tokens that it has not cached,
+// by the model's weight. A plain call counts as one.
+func (f *Fleet) work(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+	if w.Tokens == 0 {
+		return 1
+	}
+	kept := float64(u.cached(w, now))
+	if i := slices.Index(holders, u); i >= 0 {
+		kept = max(kept, holderKeeps/float64(i+1)*float64(sharedTokens(w)))
+	}
+	return max(float64(w.Tokens)-kept, leastTokens) * max(w.Weight, leastWeight)
+}
+
+func sharedTokens(w *Want) int {
+	n := 0
+	for _, p := range w.Parts {
+		n += p.Tokens
+	}
+	return n
 }
 
 // mix spreads the bits of a seed.
@@ -162,5 +198,7 @@
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
 	return x
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,11 +11,13 @@
 	settings Settings
 	byID     map[string]*Upstream
 	services map[string][]*Upstream
+	// means are the usual work of an attempt at each service.
+	means map[string]float64
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}}
 }
 
 // SetNodes tells how many nodes send to the same upstreams.
@@ -31,6 +33,7 @@
 		f.enlist(u)
 		return true
 	}
+	known.kept = false
 	if known.Record.same(&r) {
 		return false
 	}
@@ -56,31 +59,24 @@
 	return true
 }
 
-// Replace takes a complete list: upstreams that it lacks are dropped. It
-// returns the IDs whose records changed.
-func (f *Fleet) Replace(all []Record) []string {
-	var changed []string
-	listed := make(map[string]bool, len(all))
-	for _, r := range all {
-		listed[r.ID] = true
-		if f.Put(r) {
-			changed = append(changed, r.ID)
-		}
-	}
-	for id := range f.byID {
-		if !listed[id] {
-			f.Drop(id)
-			changed = append(changed, id)
-		}
+// Keep marks an upstream that the table no longer lists but may list again; it
+// goes on serving. It reports whether the upstream was listed until now.
+func (f *Fleet) Keep(id string) bool {
+	u := f.byID[id]
+	if u == nil || u.kept {
+		return false
 	}
-	return changed
+	u.kept = true
+	return true
 }
 
-// Records returns all records, in order of their IDs.
+// Records returns the records that the table lists, in order of their IDs.
 func (f *Fleet) Records() []Record {
 	all := make([]Record, 0, len(f.byID))
 	for _, u := range f.byID {
-		all = append(all, u.Record)
+		if !u.kept {
+			all = append(all, u.Record)
+		}
 	}
 	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	return all
@@ -89,11 +85,9 @@
 // Get returns the upstream of an ID, or nil.
 func (f *Fleet) Get(id string) *Upstream { return f.byID[id] }
 
-// Begin counts an attempt that is sent to u.
-func (f *Fleet) Begin(u *Upstream) { u.inFlight++ }
-
 // End counts the end of an attempt at u.
-func (f *Fleet) End(u *Upstream, result Result, now time.Time) {
+func (f *Fleet) End(u *Upstream, w *Work, result Result, now time.Time) {
+	f.Started(u, w)
 	u.inFlight--
 	switch result {
 	case Served:
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -44,10 +44,13 @@
 	}
 }
 
-// Hash is the same on nodes that have the same list.
+// Hash is the same on nodes whose tables listed the same.
 func (f *Fleet) Hash() uint64 {
 	var sum uint64
 	for _, u := range f.byID {
+		if u.kept {
+			continue
+		}
 		drain := "+"
 		if u.Draining {
 			drain = "-"
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -19,21 +19,40 @@
 	ejectMost = 4 * time.Second
 	// errorHalfLife is how fast past failures are forgotten.
 	errorHalfLife = 4 * time.Second
-	// loadFresh is how long a load report counts in full; it halves after each
-	// further span. Engines report some hundred milliseconds late.
-	loadFresh = 500 * time.Millisecond
+	// loadFresh is how long a word on load counts in full: engines report some
+	// hundred milliseconds late, and half of their waiting requests have begun
+	// by then. It halves after each loadHalfLife more.
+	loadFresh    = 200 * time.Millisecond
+	loadHalfLife = 400 * time.Millisecond
 	// sampleSize is how many upstreams are weighed for an attempt, beside the
 	// holders of its prompt part.
 	sampleSize = 5
 	// affinityWidth is how many upstreams share one prompt part: a second one
 	// takes over where the first is loaded.
 	affinityWidth = 2
-	// affinityGain is the load, as a share of the slots, that a cached prompt
-	// part outweighs.
-	affinityGain = 0.25
-	// remotePenalty is the load, as a share of the slots, that staying in the
-	// failure domain outweighs.
-	remotePenalty = 0.02
-	// errorPenalty is what a share of failed attempts counts as load.
-	errorPenalty = 1.5
+	// holderKeeps is the part of a prompt's shared tokens that the upstream to
+	// which all nodes send the part is taken to have cached.
+	holderKeeps = 0.8
+	// fillWeight is what a full batch slows an attempt by, in mean attempts,
+	// fullWeight what each further batch of waiting requests does.
+	fillWeight = 1.0
+	fullWeight = 20.0
+	// remotePenalty is the work, in mean attempts, that staying in the failure
+	// domain outweighs.
+	remotePenalty = 0.05
+	// coldPenalty is the work that an upstream which has just started outweighs.
+	coldPenalty = 1.0
+	// errorPenalty is how much a share of failed attempts lengthens the wait.
+	errorPenalty = 4.0
+	// tieWeight spreads attempts among upstreams that cost about the same.
+	tieWeight = 0.05
+	// meanGain is the weight of a new attempt in the mean work.
+	meanGain = 0.02
+	// leastTokens and leastWeight keep an attempt's work above nothing.
+	leastTokens = 64
+	leastWeight = 0.05
+	// partMemory is how long a part is taken to stay cached after its last
+	// use, mostParts how many are remembered for an upstream.
+	partMemory = 8 * time.Second
+	mostParts  = 4096
 )
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -9,17 +9,28 @@
 type Upstream struct {
 	Record
 
+	// kept is set while the table does not list it, but may again.
+	kept bool
+
 	inFlight int
 	// running and waiting are the upstream's latest word on its load, heard at
 	// heardAt; reported is what of it other nodes sent.
 	running, waiting int
 	heardAt          time.Time
 	reported         float64
-	failures         float64
-	attempts         float64
-	ratedAt          time.Time
-	misses           int
-	ejected          time.Time // left alone until then
+	// othersWaiting is how many requests of other nodes had not begun then.
+	othersWaiting float64
+	// pending is the work of this node's attempts whose answers have not
+	// begun, waitingOwn their number.
+	pending    float64
+	waitingOwn int
+	// parts are the prompt parts that this node has lately sent.
+	parts    map[partKey]time.Time
+	failures float64
+	attempts float64
+	ratedAt  time.Time
+	misses   int
+	ejected  time.Time // left alone until then
 }
 
 // InFlight is how many attempts of this node run there.
@@ -30,21 +41,25 @@
 	return (float64(u.inFlight) + u.others(now)) / float64(max(u.Slots, 1))
 }
 
-func (u *Upstream) others(now time.Time) float64 {
+func (u *Upstream) others(now time.Time) float64 { return u.reported * u.freshness(now) }
+
+// freshness is how much the last word on load still counts.
+func (u *Upstream) freshness(now time.Time) float64 {
 	if u.heardAt.IsZero() {
 		return 0
 	}
 	age := now.Sub(u.heardAt) - loadFresh
 	if age <= 0 {
-		return u.reported
+		return 1
 	}
-	return u.reported * math.Exp2(-float64(age)/float64(4*loadFresh))
+	return math.Exp2(-float64(age) / float64(loadHalfLife))
 }
 
 // heard takes the upstream's word on its load.
 func (u *Upstream) heard(running, waiting int, at time.Time) {
 	u.running, u.waiting, u.heardAt = running, waiting, at
 	u.reported = max(float64(running+waiting-u.inFlight), 0)
+	u.othersWaiting = max(float64(waiting-u.waitingOwn), 0)
 }
 
 // errorShare is the recent share of failed attempts, pulled towards none while
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,18 +23,17 @@
 	ended    bool
 	// ranBefore tells whether an earlier attempt may have run.
 	ranBefore bool
+	// work is what the attempt costs its upstream.
+	work *fleet.Work
 }
 
-// choose picks an upstream for the job's next attempt.
-func (n *Node) choose(j *job) *fleet.Upstream {
+// choose picks an upstream for the job's next attempt, and counts it.
+func (n *Node) choose(j *job) *attempt {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	rule := n.canary.Rule(j.service, canary.Caller{Hash: j.hash, Session: j.ask.Session != ""}, now)
-	want := fleet.Want{
-		Service: j.service, Version: rule.Version, NotVersions: rule.Not, Model: j.wantedModel(),
-		Part: j.part(), Tried: j.tried, Seed: j.hash ^ uint64(n.born) ^ uint64(len(j.tried)),
-	}
+	want := j.want(rule)
 	if v := n.unorderedVersion(j.service, now); v != "" && rule.Version != v {
 		want.NotVersions = append(want.NotVersions, v)
 	}
@@ -49,7 +48,48 @@
 		want.Version, want.Most = "", 0
 		up = n.fleet.Choose(want, now)
 	}
-	return up
+	if up == nil {
+		return nil
+	}
+	n.canary.Sent(j.service, up.Version, j.arrived == 0)
+	return &attempt{
+		job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now,
+		ranBefore: j.mayHaveRun, work: n.fleet.Begin(up, &want, now),
+	}
+}
+
+// want is what the job's next attempt asks of an upstream.
+func (j *job) want(rule canary.Rule) fleet.Want {
+	w := fleet.Want{
+		Service: j.service, Version: rule.Version, NotVersions: rule.Not, Model: j.wantedModel(),
+		Weight: j.weight(), Tokens: j.ask.TokensIn, Tried: j.tried,
+		Seed: j.hash ^ uint64(j.node.born) ^ uint64(j.start.UnixNano()) ^ uint64(len(j.tried)),
+	}
+	// The last part is the request's own.
+	for _, p := range j.ask.Parts[:max(len(j.ask.Parts)-1, 0)] {
+		w.Parts = append(w.Parts, fleet.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return w
+}
+
+// weight is the wanted model's work for a token, by its cost, as a share of the
+// dearest's.
+func (j *job) weight() float64 {
+	s := j.table.Service(j.service)
+	if s == nil || s.Engine == nil {
+		return 1
+	}
+	own, most := 0.0, 0.0
+	for _, m := range s.Engine.Models {
+		most = max(most, m.Cost)
+		if m.Name == j.wantedModel() {
+			own = m.Cost
+		}
+	}
+	if own == 0 || most == 0 {
+		return 1
+	}
+	return own / most
 }
 
 func (j *job) wantedModel() string {
@@ -59,14 +99,12 @@
 	return j.ask.Model
 }
 
-// begin counts an attempt.
-func (n *Node) begin(j *job, up *fleet.Upstream) *attempt {
-	now := time.Now()
+// started notes that the attempt's answer has begun.
+func (a *attempt) started() {
+	n := a.job.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Begin(up)
-	n.canary.Sent(j.service, up.Version, j.arrived == 0)
-	return &attempt{job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now, ranBefore: j.mayHaveRun}
+	n.fleet.Started(a.up, a.work)
 }
 
 // end counts the attempt's end, once.
@@ -79,7 +117,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.End(a.up, result, now)
+	n.fleet.End(a.up, a.work, result, now)
 	n.canary.Ended(a.job.service, a.version, a.revision)
 }
 
--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,19 +10,11 @@
 	"github.com/hickorybank/hickorybank/internal/fleet"
 )
 
-// missedFleet notes that the list could not be read.
-func (n *Node) missedFleet() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.list.missed = true
-}
-
 // applyFleet takes a reading of the list.
 func (n *Node) applyFleet(c FleetChange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	lapsing := n.list.missed && n.list.revision > 0
-	n.list.missed = false
+	lapsing := n.wasAway(time.Now())
 	if c.Revision < n.list.revision {
 		return // a peer's or an earlier reading arrived late
 	}
@@ -38,6 +31,16 @@
 	n.dropUpstreams(drop, lapsing)
 }
 
+// wasAway tells whether this node has had no proof of the table for so long
+// that upstreams' entries may have lapsed; the caller holds mu.
+func (n *Node) wasAway(now time.Time) bool {
+	return !n.list.provenAt.IsZero() && now.Sub(n.list.provenAt) > awayTimes*n.readEvery()
+}
+
+// awayTimes is how many readings in a row have to fail before upstreams that
+// vanish may have lapsed: entries outlive a shorter outage.
+const awayTimes = 2
+
 // unlisted returns the known upstreams that a complete list lacks.
 func (n *Node) unlisted(listed map[string]bool) []string {
 	var ids []string
@@ -65,7 +68,8 @@
 // It guards against a table that lost its entries while it was away: without
 // it every upstream would vanish at once although all live. Those that do are
 // listed again within lapseGrace. Only the first reading after an outage can
-// show such a loss: what vanishes later has left.
+// show such a loss: what vanishes later has left. Kept upstreams are not told
+// to peers: a peer that has had the table all the while knows that they left.
 func (n *Node) dropUpstreams(ids []string, lapsing bool) {
 	until := time.Now().Add(lapseGrace)
 	kept := 0
@@ -74,7 +78,7 @@
 			n.dropUpstream(id)
 			continue
 		}
-		if n.list.gone[id].IsZero() && n.fleet.Get(id) != nil {
+		if n.fleet.Keep(id) {
 			n.list.gone[id] = until
 			kept++
 		}
@@ -101,14 +105,17 @@
 	if n.sources.down {
 		return
 	}
-	var ids []string
-	for id, until := range n.list.gone {
-		if !now.Before(until) {
-			ids = append(ids, id)
+	for _, id := range slices.Sorted(maps.Keys(n.list.gone)) {
+		if !now.Before(n.list.gone[id]) {
+			n.dropUpstream(id)
 		}
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
+}
+
+// dropKept forgets all kept upstreams: a peer has had the table while this
+// node had not, so that what vanished has left.
+func (n *Node) dropKept() {
+	for _, id := range slices.Sorted(maps.Keys(n.list.gone)) {
 		n.dropUpstream(id)
 	}
 }
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -33,7 +33,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		n.dropLapsed(time.Now())
 	}
 }
 
@@ -55,7 +54,7 @@
 	}
 	due := n.list.provenAt.Add(wait)
 	if failures > 0 {
-		backoff := min(retryCall<<min(failures-1, 4), mostRetryCall)
+		backoff := min(retryCall<<min(failures-1, 4), mostRetryRead)
 		if again := n.readAt.Add(backoff); again.After(due) {
 			due = again
 		}
@@ -87,24 +86,29 @@
 		n.takeOrdersChange(ctx, o.change, ordersAfter == 0)
 	}
 	if err != nil {
-		n.missedFleet()
 		return false
 	}
 	n.applyFleet(change)
 	if o.err != nil {
 		return false
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.proven(began)
 	return true
 }
 
-// proven notes that what the node knows of the table is as of a time.
+// proven notes that what the node knows of the table is as of a time; the
+// caller holds mu.
 func (n *Node) proven(at time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if at.After(n.list.provenAt) {
-		n.list.provenAt = at
+	if !at.After(n.list.provenAt) {
+		return
+	}
+	if n.list.provenAt.IsZero() || at.Sub(n.list.provenAt) > awayTimes*n.readEvery() {
+		n.list.awayFrom = n.list.provenAt
+		n.list.steadySince = at
 	}
+	n.list.provenAt = at
 }
 
 func (n *Node) fetchFleet(ctx context.Context, after uint64) (FleetChange, error) {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -43,6 +43,8 @@
 	mayHaveRun bool
 	// begun is set when the caller has been sent a part of the answer.
 	begun bool
+	// firstAfter is when the caller was sent the first part of the answer.
+	firstAfter time.Duration
 	// lastEvent is the last event that the caller has received.
 	lastEvent string
 	// model is the model of the next attempt; empty to leave the caller's.
@@ -113,17 +115,3 @@
 	j.service = pickService(j.route, j.hash)
 	j.print = crashguard.Fingerprint(j.org, path, j.body)
 }
-
-// part is the prompt part by which requests that share their beginning are
-// brought together: the last one that others share too.
-func (j *job) part() string {
-	p := j.ask.Parts
-	switch len(p) {
-	case 0:
-		return ""
-	case 1:
-		return p[0].ID
-	default:
-		return p[len(p)-2].ID
-	}
-}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -55,6 +55,7 @@
 	}
 	if !n.list.provenAt.IsZero() {
 		m.Proof.Age = now.Sub(n.list.provenAt)
+		m.Proof.Steady = now.Sub(n.list.steadySince)
 		m.Proof.FleetRevision = n.list.revision
 		m.Proof.OrdersRevision = n.list.orders
 	}
@@ -142,6 +143,9 @@
 	if in.Proof.Age < 0 || in.Proof.FleetRevision == 0 {
 		return
 	}
+	if now.Add(-in.Proof.Steady).Before(n.list.awayFrom) {
+		n.dropKept()
+	}
 	at := now.Add(-in.Proof.Age)
 	if !at.After(n.list.provenAt) {
 		return
@@ -153,7 +157,7 @@
 	if c == nil || c.Version != in.ConfigVersion || n.fleet.Hash() != in.Proof.FleetHash {
 		return
 	}
-	n.list.provenAt = at
+	n.proven(at)
 	n.list.revision = max(n.list.revision, in.Proof.FleetRevision)
 	n.list.orders = max(n.list.orders, in.Proof.OrdersRevision)
 }
@@ -165,7 +169,5 @@
 		listed[r.ID] = true
 		n.putUpstream(r)
 	}
-	for _, id := range n.unlisted(listed) {
-		n.dropUpstream(id)
-	}
+	n.dropUpstreams(n.unlisted(listed), n.wasAway(time.Now()))
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -81,8 +81,9 @@
 	// provenAt is when the latest reading began that the node has taken, its
 	// own or its reader's.
 	provenAt time.Time
-	// missed is set when the last own reading of the list failed.
-	missed bool
+	// steadySince is when the node's readings without a gap began, awayFrom
+	// the last reading before that gap.
+	steadySince, awayFrom time.Time
 	// gone are upstreams that vanished while the table was away, and until
 	// when they are kept.
 	gone map[string]time.Time
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,12 +28,12 @@
 		j.model = j.node.policy.First(cascade.State{Models: j.route.Models, Attempts: j.left()})
 	}
 	for {
-		up := j.findUpstream()
-		if up == nil {
+		a := j.findUpstream()
+		if a == nil {
 			j.giveUp()
 			return
 		}
-		if j.attempt(up) {
+		if j.attempt(a) {
 			return
 		}
 		if j.ctx.Err() != nil {
@@ -87,14 +87,14 @@
 
 // findUpstream chooses an upstream for the next attempt. It waits a little
 // when there is none: one may be back at once.
-func (j *job) findUpstream() *fleet.Upstream {
+func (j *job) findUpstream() *attempt {
 	until := j.start.Add(time.Duration(waitPart * float64(j.route.Goal)))
 	for {
 		if j.ctx.Err() != nil || !j.mayTry() {
 			return nil
 		}
-		if up := j.node.choose(j); up != nil {
-			return up
+		if a := j.node.choose(j); a != nil {
+			return a
 		}
 		if !time.Now().Before(until) && !j.begun {
 			return nil
@@ -131,14 +131,15 @@
 
 // attempt sends the request to one upstream. It returns true when the request
 // has its final answer, false when another attempt may be made.
-func (j *job) attempt(up *fleet.Upstream) bool {
+func (j *job) attempt(a *attempt) bool {
 	if j.arrived > 0 && !j.paid && !j.node.allowRetry(j.service, 0) {
 		j.sent = max(j.route.MaxAttempts, 1) // no more attempts
+		a.end(fleet.Abandoned)
 		j.node.event(event.ForwardAttempt, j, slog.String("reason", "retry_budget"))
 		return false
 	}
 	j.paid = false
-	a := j.node.begin(j, up)
+	up := a.up
 	ctx, cancel := j.attemptContext()
 	defer cancel()
 	j.tried = append(j.tried, up.ID)
@@ -150,6 +151,7 @@
 	j.arrived++
 	j.sent++
 	j.mayHaveRun = true
+	a.started()
 	reply := j.node.dialect.Reply(resp.Status, resp.Header)
 	j.node.report(up, reply)
 	if reply.NotRun {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -102,6 +102,7 @@
 func (n *Node) sweep(ctx context.Context) {
 	for pause(ctx, sweepEvery) {
 		n.pool.Sweep(time.Now())
+		n.dropLapsed(time.Now())
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,7 +49,10 @@
 	callTimeout = 600 * time.Millisecond
 	// retryCall is the pause after a failed call of the table.
 	retryCall = 250 * time.Millisecond
-	// mostRetryCall bounds that pause.
+	// mostRetryRead bounds that pause for readings: a node that can reach the
+	// table again should know it well before it has to keep all bounds.
+	mostRetryRead = 400 * time.Millisecond
+	// mostRetryCall bounds it for other calls.
 	mostRetryCall = time.Second
 	// feedWidth is how many of its group a reader tells at the same time.
 	feedWidth = 8
@@ -57,14 +60,16 @@
 	// roll-out begins.
 	settlingEvery = 350 * time.Millisecond
 	// lapseGrace is how long upstreams that vanished while the table was away
-	// are kept: those that live are listed again by then.
-	lapseGrace = 2 * time.Second
+	// are kept from the first reading on: those that live are listed again
+	// within two seconds of the table's return, which was before the reading.
+	lapseGrace = 1800 * time.Millisecond
 	// gossipEvery is the pause between exchanges with peers.
 	gossipEvery = 600 * time.Millisecond
 	// tickEvery is the pause between looks at roll-outs.
 	tickEvery = 250 * time.Millisecond
-	// sweepEvery is the pause between looks at idle connections.
-	sweepEvery = time.Second
+	// sweepEvery is the pause between looks at idle connections and at
+	// upstreams that are kept for a while.
+	sweepEvery = 300 * time.Millisecond
 	// eventStall is how long a stream may stay silent before it goes on at
 	// another upstream, as a multiple of the pause that is on time.
 	eventStall = 2.5
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,7 +69,7 @@
 			break
 		}
 	}
-	return j.streamed(a, resp, end, err, pace(first, last, count))
+	return j.streamed(a, resp, reply, end, err, pace(first, last, count))
 }
 
 // pace is the mean pause between a stream's events; 0 where there were few.
@@ -116,6 +116,7 @@
 		copyHeader(j.w.Header(), resp.Header)
 		j.w.WriteHeader(resp.Status)
 		j.begun = true
+		j.firstAfter = time.Since(j.start)
 	}
 	if _, err := j.w.Write(events); err != nil {
 		return err
@@ -127,7 +128,7 @@
 }
 
 // streamed ends an attempt at a stream.
-func (j *job) streamed(a *attempt, resp *exchange.Response, end streamEnd, err error, p time.Duration) bool {
+func (j *job) streamed(a *attempt, resp *exchange.Response, reply Reply, end streamEnd, err error, p time.Duration) bool {
 	switch {
 	case end == endWhole:
 		a.end(fleet.Served)
@@ -138,7 +139,8 @@
 		}
 		j.outcome = "answered"
 		j.node.event(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.up.ID),
-			slog.String("model", j.model), slog.String("last_event", j.lastEvent))
+			slog.String("model", j.model), slog.String("last_event", j.lastEvent),
+			slog.Int64("first_ms", j.firstAfter.Milliseconds()), slog.Int("tokens_in", j.ask.TokensIn), slog.Int("confidence", reply.Confidence))
 		j.observe(resp.Status)
 		return true
 	case end == endCaller || j.r.Context().Err() != nil:
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -41,6 +41,8 @@
 type Proof struct {
 	// Age is how long ago the reading began; negative for none.
 	Age time.Duration
+	// Steady is how long the sender has had such readings without a gap.
+	Steady time.Duration
 	// FleetRevision and OrdersRevision are the revisions that it read.
 	FleetRevision, OrdersRevision uint64
 	// FleetHash tells whether the receiver has the same list.
