--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,11 +13,12 @@
 	services map[string][]*Upstream
 	// means are the usual work of an attempt at each service.
 	means map[string]float64
+	paces map[string]pace
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, paces: map[string]pace{}}
 }
 
 // SetNodes tells how many nodes send to the same upstreams.
@@ -87,7 +88,7 @@
 
 // End counts the end of an attempt at u.
 func (f *Fleet) End(u *Upstream, w *Work, result Result, now time.Time) {
-	f.Started(u, w)
+	f.release(u, w)
 	u.inFlight--
 	switch result {
 	case Served:
