--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -26,22 +26,12 @@
 	Models []string
 	// Attempts is how many attempts are left, the next one included.
 	Attempts int
-	// Wait is how long the largest model's answer is expected to take to
-	// begin, as a share of the time left for an answer on time.
-	Wait float64
 }
 
-// Largest is the largest model.
-func (s *State) Largest() string { return s.Models[len(s.Models)-1] }
-
-// directWait is the wait, as a share of the time left, above which a small
-// model is not asked first: its answer and a larger one after it would be late.
-const directWait = 0.45
-
 // First returns the model of the first attempt.
 func (p *Policy) First(s State) string {
-	if s.Attempts < 2 || s.Wait > directWait {
-		return s.Largest()
+	if s.Attempts < 2 {
+		return s.Models[len(s.Models)-1]
 	}
 	return s.Models[0]
 }
@@ -50,8 +40,9 @@
 // this confidence; empty when the answer is taken. Attempts is how many are
 // left after this one.
 func (p *Policy) Next(s State, model string, confidence int) string {
-	if s.Attempts < 1 || model == s.Largest() || confidence >= p.settings.Accept {
+	largest := s.Models[len(s.Models)-1]
+	if s.Attempts < 1 || model == largest || confidence >= p.settings.Accept {
 		return ""
 	}
-	return s.Largest()
+	return largest
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,12 +13,11 @@
 	services map[string][]*Upstream
 	// means are the usual work of an attempt at each service.
 	means map[string]float64
-	paces map[string]pace
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, paces: map[string]pace{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}}
 }
 
 // SetNodes tells how many nodes send to the same upstreams.
@@ -88,7 +87,7 @@
 
 // End counts the end of an attempt at u.
 func (f *Fleet) End(u *Upstream, w *Work, result Result, now time.Time) {
-	f.release(u, w)
+	f.Started(u, w)
 	u.inFlight--
 	switch result {
 	case Served:
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -6,16 +6,11 @@
 type Work struct {
 	amount float64
 	begun  bool
-	// service, sent and expected are what its wait is learned from.
-	service        string
-	sent           time.Time
-	expected, mean float64
 }
 
 // Begin counts an attempt that is sent to u.
 func (f *Fleet) Begin(u *Upstream, w *Want, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
-	expected, mean := f.expected(u, w, now), f.meanWork(w)
 	u.inFlight++
 	u.waitingOwn++
 	u.pending += amount
@@ -25,20 +20,11 @@
 		m = amount
 	}
 	f.means[w.Service] = m + meanGain*(amount-m)
-	return &Work{amount: amount, service: w.Service, sent: now, expected: expected, mean: mean}
+	return &Work{amount: amount}
 }
 
 // Started counts the begin of an attempt's answer: its prompt has been read.
-func (f *Fleet) Started(u *Upstream, w *Work, now time.Time) {
-	if w.begun {
-		return
-	}
-	f.learn(w.service, w.expected, w.mean, now.Sub(w.sent))
-	f.release(u, w)
-}
-
-// release takes an attempt's work off its upstream.
-func (f *Fleet) release(u *Upstream, w *Work) {
+func (f *Fleet) Started(u *Upstream, w *Work) {
 	if w.begun {
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,27 +58,6 @@
 	}
 }
 
-// wait predicts how long an attempt at a model would wait for its answer to
-// begin, as a share of the time left for an answer on time; 0 where too little
-// is known.
-func (n *Node) wait(j *job, model string) float64 {
-	now := time.Now()
-	left := j.route.Goal - now.Sub(j.start)
-	if left <= 0 {
-		return 1
-	}
-	ask := *j
-	ask.model = model
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	rule := n.canary.Rule(j.service, canary.Caller{Hash: j.hash, Session: j.ask.Session != ""}, now)
-	wait, ok := n.fleet.Predict(ask.want(rule), now)
-	if !ok {
-		return 0
-	}
-	return wait.Seconds() / left.Seconds()
-}
-
 // want is what the job's next attempt asks of an upstream.
 func (j *job) want(rule canary.Rule) fleet.Want {
 	w := fleet.Want{
@@ -125,7 +104,7 @@
 	n := a.job.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Started(a.up, a.work, time.Now())
+	n.fleet.Started(a.up, a.work)
 }
 
 // end counts the attempt's end, once.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,9 +25,7 @@
 	}
 	j.node.first(j.service)
 	if len(j.route.Models) > 0 && j.ask.AnyModel {
-		state := cascade.State{Models: j.route.Models, Attempts: j.left()}
-		state.Wait = j.node.wait(j, state.Largest())
-		j.model = j.node.policy.First(state)
+		j.model = j.node.policy.First(cascade.State{Models: j.route.Models, Attempts: j.left()})
 	}
 	for {
 		a := j.findUpstream()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,8 +85,7 @@
 	if j.model == "" || j.begun || !reply.HasConfidence {
 		return ""
 	}
-	state := cascade.State{Models: j.route.Models, Attempts: j.left()}
-	next := j.node.policy.Next(state, j.model, reply.Confidence)
+	next := j.node.policy.Next(cascade.State{Models: j.route.Models, Attempts: j.left()}, j.model, reply.Confidence)
 	if next == "" || !j.node.allowRetry(j.service, escalationReserve) {
 		// Without a further attempt the small model's answer is all there is.
 		return ""
