Shift to a new version late, within the bound even if it turns out bad

Ruled out: slow telling between nodes. Now all sessions go to it only when what it will have had by the time limit stays within the bound; one in doubt is rolled back.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -96,7 +96,7 @@
 		return Rule{Version: r.order.Target}
 	}
 	share := r.share(c.settings, now)
-	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r, share) {
+	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r) {
 		return Rule{Not: c.without(service, r)}
 	}
 	if share >= 1 {
@@ -116,8 +116,8 @@
 //
 // It guards against a few large sessions that are hashed to the new version:
 // they would lift its share of the requests above its share of the sessions.
-func (c *Canary) overexposed(r *rollout, share float64) bool {
-	if share > c.settings.ShareBound {
+func (c *Canary) overexposed(r *rollout) bool {
+	if !r.grown.IsZero() {
 		return false
 	}
 	allowed := c.settings.ShareBound*capPart*float64(r.own.Requests) + c.settings.Slack/shareOfSlack
@@ -201,6 +201,9 @@
 		r.own.Seq++
 		t := r.own
 		t.Verdict = r.verdict
+		if !r.grown.IsZero() {
+			t.Shifted, t.ShiftAge = true, now.Sub(r.grown)
+		}
 		for _, n := range r.counts {
 			t.Routes = append(t.Routes, *n)
 		}
@@ -228,7 +231,7 @@
 
 // Merge takes a peer's tally. It reports whether it brought a verdict that was
 // not known.
-func (c *Canary) Merge(t Tally) bool {
+func (c *Canary) Merge(t Tally, now time.Time) bool {
 	r := c.rollouts[t.Service]
 	if r == nil || r.order.Revision != t.Revision || t.Node == c.node && t.Born == c.born {
 		return false
@@ -238,6 +241,9 @@
 		return false
 	}
 	r.peers[key] = t
+	if t.Shifted && r.grown.IsZero() {
+		r.grown = now.Add(-t.ShiftAge)
+	}
 	if t.Verdict == Open || r.verdict != Open {
 		return false
 	}
@@ -263,6 +269,8 @@
 	Verdict Verdict
 	// Made is set when this call made the verdict.
 	Made bool
+	// Shift is set when this call began to shift all sessions.
+	Shift bool
 	// Likelihood is the evidence against the version at its worst route.
 	Likelihood float64
 	Route      string
@@ -278,8 +286,8 @@
 	Whole bool
 }
 
-// Tick weighs the evidence and returns the verdicts that the platform's table
-// does not hold yet.
+// Tick weighs the evidence and returns what has begun and the verdicts that the
+// platform's table does not hold yet.
 func (c *Canary) Tick(now time.Time, view View) []Decision {
 	var out []Decision
 	for _, r := range c.rollouts {
@@ -287,8 +295,8 @@
 		if r.verdict == Open {
 			d.Made = c.weigh(r, &d, now, view)
 		}
-		if r.verdict != Open && !r.written {
-			d.Verdict = r.verdict
+		d.Verdict = r.verdict
+		if r.verdict != Open && !r.written || d.Shift {
 			out = append(out, d)
 		}
 	}
@@ -315,20 +323,28 @@
 	if r.verdict != Open {
 		return true
 	}
+	if !view.Whole {
+		return false
+	}
 	ofVersion, all := view.Count(r.order.Service, r.order.Target)
-	if r.grown.IsZero() && r.watched(now) && d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all {
+	enough := d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all
+	switch {
+	case !r.grown.IsZero():
+	case d.Likelihood >= doubtAt && !now.Before(r.end(c.settings)):
+		r.verdict = RolledBack
+		return true
+	case enough && d.Likelihood < doubtAt && r.mayShift(c.settings, now):
 		r.grown = now
+		d.Shift = true
 	}
 	if r.grown.IsZero() || r.share(c.settings, now) < 1 {
 		return false
 	}
-	full := now.Sub(r.grown) >= time.Duration(len(growth))*step
-	late := now.Sub(r.started) >= time.Duration(latePart*float64(r.order.Limit))
-	if full && view.Whole && (late || r.oldInFlight() == 0) {
-		r.verdict = Completed
-		return true
+	if r.oldInFlight() > 0 && now.Before(r.end(c.settings)) {
+		return false
 	}
-	return false
+	r.verdict = Completed
+	return true
 }
 
 // Open tells whether the service has an order under way.
--- a/internal/canary/order.go
+++ b/internal/canary/order.go
@@ -7,6 +7,9 @@
 	Service string
 	Target  string
 	Limit   time.Duration
+	// Late is how much earlier than it was learned of the order may have been
+	// given.
+	Late time.Duration
 	// Revision orders the orders of one service.
 	Revision uint64
 }
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -22,7 +22,8 @@
 	verdict Verdict
 	// written is set when the platform's table holds the verdict.
 	written bool
-	grown   time.Time // when the share began to grow; zero in the watch
+	// grown is when all sessions began to be shifted; zero in the watch.
+	grown time.Time
 }
 
 // runKey names one run of a node.
@@ -72,14 +73,42 @@
 		return 0
 	case r.grown.IsZero():
 		return s.ShareBound * canaryPart
+	case now.Sub(r.grown) < halfFor:
+		return 0.5
 	default:
-		return growth[min(int(now.Sub(r.grown)/step), len(growth)-1)]
+		return 1
+	}
+}
+
+// end is when the verdict should be recorded.
+func (r *rollout) end(s Settings) time.Time {
+	return r.started.Add(r.order.Limit - r.order.Late - s.Lag - recordTime)
+}
+
+// mayShift tells whether all sessions may go to the new version now: the watch
+// is over, and the requests that it will have had by the time limit stay
+// within the bound even if it turns out bad.
+func (r *rollout) mayShift(s Settings, now time.Time) bool {
+	age := now.Sub(r.started)
+	if age < time.Duration(watchPart*float64(r.order.Limit)) || age <= 0 {
+		return false
 	}
+	requests, exposed := r.exposure()
+	rate := requests / age.Seconds()
+	left := max((r.order.Limit - age).Seconds(), 0)
+	bound := s.ShareBound*rate*r.order.Limit.Seconds() + s.Slack
+	return exposed+rate*left <= shiftPart*bound
 }
 
-// watched tells whether the watch is over.
-func (r *rollout) watched(now time.Time) bool {
-	return now.Sub(r.started) >= time.Duration(watchPart*float64(r.order.Limit))+settle
+// exposure sums the requests of all nodes since the order, and those that went
+// to the new version.
+func (r *rollout) exposure() (requests, exposed float64) {
+	requests, exposed = float64(r.own.Requests), float64(r.own.Exposed)
+	for _, t := range r.peers {
+		requests += float64(t.Requests)
+		exposed += float64(t.Exposed)
+	}
+	return requests, exposed
 }
 
 // answers is how many answers of the new version all nodes have seen.
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -11,33 +11,39 @@
 	Slack float64
 	// Session is the longest pause between requests of a session.
 	Session time.Duration
+	// Lag is how late a node may learn of an order.
+	Lag time.Duration
 }
 
 const (
-	// canaryPart is the part of the bound that the canary share uses: hashed
-	// sessions differ in size, so the share of requests strays from the share
-	// of sessions.
-	canaryPart = 0.5
+	// canaryPart is the part of the bound that the canary share uses. The rest
+	// is for the time between the shift of all sessions and the time limit: a
+	// version may be bad in a way that no answer has shown yet, and counts
+	// against the bound until then.
+	canaryPart = 0.3
 	// capPart is the part of the bound at which a node stops sending to the
 	// new version while it is in doubt.
-	capPart = 0.8
-	// watchPart is the part of the time limit in which the share stays as it
-	// is: sessions do not change their version then.
+	capPart = 0.6
+	// shiftPart is the part of the bound that is used when all sessions have
+	// been shifted by the time limit.
+	shiftPart = 0.93
+	// watchPart is the part of the time limit before which no session changes
+	// its version.
 	watchPart = 0.5
-	// settle is added to that part, for nodes that learned of the order late.
-	settle = 500 * time.Millisecond
 	// pinHold is how long nobody goes to the new version after the order: all
 	// nodes learn of the order and of the sessions under way meanwhile.
 	pinHold = 2500 * time.Millisecond
-	// step is the time between two growths of the share; a bad version shows
-	// well within it at the rate of a growing share.
-	step = 900 * time.Millisecond
-	// latePart is the part of the time limit after which the roll-out is
-	// completed although old work is still under way.
-	latePart = 0.85
 	// leastAnswers is how many answers of the new version must be in before
 	// its share grows.
-	leastAnswers = 15
+	leastAnswers = 10
+	// recordTime is kept for writing the verdict before the time limit.
+	recordTime = 600 * time.Millisecond
+	// halfFor is how long half of the sessions go to the new version before
+	// all do: caches and connections are cold there.
+	halfFor = 400 * time.Millisecond
+	// doubtAt is the likelihood ratio from which a version is not taken into
+	// use: should the time limit come, it is rolled back.
+	doubtAt = 1.0
 	// convictAt is the log likelihood ratio at which a version counts as bad:
 	// one good version in a thousand is turned away by chance.
 	convictAt = 6.9
@@ -58,6 +64,3 @@
 	// shareScale is the resolution of hashed shares.
 	shareScale = 10000
 )
-
-// growth are the shares after the watch, a step apart.
-var growth = []float64{0.25, 0.6, 1}
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -1,5 +1,7 @@
 package canary
 
+import "time"
+
 // Tally is what one node has counted for one order. Its counts only grow, so a
 // later one replaces an earlier one, in whatever order they arrive.
 type Tally struct {
@@ -15,6 +17,9 @@
 	Requests, Exposed int64
 	// OldInFlight is how many attempts run on the old version now.
 	OldInFlight int
+	// Shifted is set when the node shifts all sessions, since ShiftAge.
+	Shifted  bool
+	ShiftAge time.Duration
 	// Verdict is what the node knows of the order's end.
 	Verdict Verdict
 	// Seq grows with each tally of the node.
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -30,6 +30,7 @@
 	PeerLost          = define(1951, slog.LevelInfo, "peer does not answer")
 	VersionOrdered    = define(1960, slog.LevelInfo, "roll-out of a version was ordered")
 	VersionDecided    = define(1961, slog.LevelInfo, "roll-out of a version was decided")
+	VersionShifts     = define(1964, slog.LevelInfo, "all sessions go to the new version")
 	VersionRecorded   = define(1962, slog.LevelInfo, "roll-out's state was recorded")
 	VersionUnrecorded = define(1963, slog.LevelWarn, "roll-out's state could not be recorded yet")
 	LogLinesDropped   = define(1970, slog.LevelWarn, "log lines were dropped")
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -15,6 +15,13 @@
 	for pause(ctx, tickEvery) {
 		n.feedSettling(ctx)
 		for _, d := range n.weigh(time.Now()) {
+			if d.Shift {
+				event.VersionShifts.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
+					slog.Float64("likelihood", d.Likelihood), slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision))
+				n.feedReaders(ctx)
+				n.feedGroup(ctx)
+				continue
+			}
 			if d.Made {
 				event.VersionDecided.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
 					slog.String("verdict", d.Verdict.String()), slog.Float64("likelihood", d.Likelihood),
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -37,9 +37,7 @@
 }
 
 // readEvery is the pause between a reader's readings.
-func (n *Node) readEvery() time.Duration {
-	return time.Duration(readPart * float64(min(n.settings.Drain, n.settings.Apply)))
-}
+func (n *Node) readEvery() time.Duration { return n.settings.readEvery() }
 
 // nextReading is when this node should read the table.
 func (n *Node) nextReading(failures int) time.Time {
@@ -48,11 +46,10 @@
 	if n.list.provenAt.IsZero() && failures == 0 {
 		return time.Time{}
 	}
-	wait := n.readEvery()
-	if n.roster.Group()[0].ID != n.settings.ID {
-		wait = time.Duration(ownReadPart * float64(wait))
+	due := n.list.provenAt // a reader's own call waits for changes
+	if !n.reads() {
+		due = due.Add(time.Duration(ownReadPart * float64(n.readEvery())))
 	}
-	due := n.list.provenAt.Add(wait)
 	if failures > 0 {
 		backoff := min(retryCall<<min(failures-1, 4), mostRetryRead)
 		if again := n.readAt.Add(backoff); again.After(due) {
@@ -62,36 +59,38 @@
 	return due
 }
 
+// reads tells whether this node reads the table for its group; the caller
+// holds mu.
+func (n *Node) reads() bool { return n.roster.Group()[0].ID == n.settings.ID }
+
 // readTable reads what has changed in the table; it reports whether it could.
+// A reader first waits for operators' changes, so that it learns of them at
+// once; the list of upstreams changes all the time and is read at its pace.
 func (n *Node) readTable(ctx context.Context) bool {
-	began := time.Now()
 	n.mu.Lock()
-	n.readAt = began
-	fleetAfter, ordersAfter := n.list.revision, n.list.orders
+	n.readAt = time.Now()
+	ordersAfter := n.list.orders
+	wait := time.Duration(0)
+	if n.reads() && ordersAfter > 0 && !n.sources.down {
+		wait = n.readEvery()
+	}
 	n.mu.Unlock()
-	type result struct {
-		change OrdersChange
-		err    error
+	orders, err := n.fetchOrders(ctx, ordersAfter, wait)
+	n.sourceResult("orders", err)
+	if err != nil {
+		return false
 	}
-	orders := make(chan result, 1)
-	go func() {
-		change, err := n.fetchOrders(ctx, ordersAfter)
-		orders <- result{change, err}
-	}()
+	n.takeOrdersChange(ctx, orders, ordersAfter == 0, wait > 0)
+	began := time.Now()
+	n.mu.Lock()
+	fleetAfter := n.list.revision
+	n.mu.Unlock()
 	change, err := n.fetchFleet(ctx, fleetAfter)
 	n.sourceResult("upstreams", err)
-	o := <-orders
-	n.sourceResult("orders", o.err)
-	if o.err == nil {
-		n.takeOrdersChange(ctx, o.change, ordersAfter == 0)
-	}
 	if err != nil {
 		return false
 	}
 	n.applyFleet(change)
-	if o.err != nil {
-		return false
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.proven(began)
@@ -121,12 +120,12 @@
 	return change, err
 }
 
-func (n *Node) fetchOrders(ctx context.Context, after uint64) (OrdersChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (n *Node) fetchOrders(ctx context.Context, after uint64, wait time.Duration) (OrdersChange, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	change, err := n.source.Orders(ctx, after)
+	change, err := n.source.Orders(ctx, after, wait)
 	if errors.Is(err, ErrCompacted) {
-		return n.source.Orders(ctx, 0)
+		return n.source.Orders(ctx, 0, 0)
 	}
 	return change, err
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -111,7 +111,7 @@
 	}
 	n.canary.TakePins(in.Pins, now)
 	for _, t := range in.Tallies {
-		if n.canary.Merge(t) {
+		if n.canary.Merge(t, now) {
 			event.VersionDecided.Log(n.log, slog.String("service", t.Service), slog.String("verdict", t.Verdict.String()),
 				slog.Uint64("revision", t.Revision), slog.String("from", in.From))
 		}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -114,7 +114,7 @@
 		born:    born,
 		stopped: make(chan struct{}),
 		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
-		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session}, s.ID, born),
+		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, born),
 		guard:   crashguard.New(),
 		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
 		budgets: map[string]*admission.WindowBudget{},
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -11,13 +11,16 @@
 )
 
 // takeOrdersChange takes what operators have changed; first is set when the
-// whole was read.
-func (n *Node) takeOrdersChange(ctx context.Context, c OrdersChange, first bool) {
+// whole was read, waited when the call waited for the change.
+func (n *Node) takeOrdersChange(ctx context.Context, c OrdersChange, first, waited bool) {
 	if first {
 		n.recallRollouts(ctx, c.Rollouts)
 	}
 	n.mu.Lock()
 	for _, o := range c.Rollouts {
+		if !waited && !n.list.provenAt.IsZero() {
+			o.Late = min(time.Since(n.list.provenAt), mostLate)
+		}
 		n.takeOrder(o, 0, fromTable)
 	}
 	n.mu.Unlock()
@@ -29,6 +32,9 @@
 	n.list.orders = max(n.list.orders, c.Revision)
 }
 
+// mostLate bounds how late an order is taken to have been learned of.
+const mostLate = 3 * time.Second
+
 // fromTable names the table as the source of news in logs.
 const fromTable = "table"
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,11 @@
 	Accept int
 }
 
+// readEvery is the pause between a reader's readings of the table.
+func (s *Settings) readEvery() time.Duration {
+	return time.Duration(readPart * float64(min(s.Drain, s.Apply)))
+}
+
 const (
 	// readPart is the part of the bounds on changes at which a group's reader
 	// reads the table: two readings fit in, should one be lost.
@@ -44,6 +49,9 @@
 	// ownReadPart is how much longer a node waits for its reader before it
 	// reads the table itself.
 	ownReadPart = 1.4
+	// orderLag is how late a node usually learns of an order: the reader's call
+	// answers at once, and it tells its group.
+	orderLag = 300 * time.Millisecond
 	// callTimeout bounds a call of the table, which answers within some
 	// milliseconds; connections may fall silent without a reset.
 	callTimeout = 600 * time.Millisecond
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -45,8 +45,9 @@
 	// Fleet returns the changes of the upstreams' list after a revision; 0
 	// returns the whole list.
 	Fleet(ctx context.Context, after uint64) (FleetChange, error)
-	// Orders returns operators' changes after a revision; 0 returns everything.
-	Orders(ctx context.Context, after uint64) (OrdersChange, error)
+	// Orders waits up to wait for operators' changes after a revision; 0 returns
+	// everything at once.
+	Orders(ctx context.Context, after uint64, wait time.Duration) (OrdersChange, error)
 	// Rollouts returns the recorded states of roll-outs.
 	Rollouts(ctx context.Context) ([]RolloutState, error)
 	// Record writes a roll-out's state if nobody has ended the order before;
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
@@ -42,7 +43,7 @@
 		return false
 	}
 	a.end(fleet.Served)
-	a.answered(false, 0)
+	a.answered(false, time.Since(a.began))
 	j.deliver(h)
 	return true
 }
