--- a/internal/admission/window_budget.go
+++ b/internal/admission/window_budget.go
@@ -56,16 +56,6 @@
 	return true
 }
 
-// Free is the part of the budget that is left, 0 to 1.
-func (b *WindowBudget) Free(now time.Time) float64 {
-	requests, attempts := b.sums(now)
-	most := b.settings.Ratio*requests + b.settings.Slack
-	if most <= 0 {
-		return 0
-	}
-	return min(max(1-attempts/most, 0), 1)
-}
-
 func (b *WindowBudget) sums(now time.Time) (requests, attempts float64) {
 	newest := b.number(now)
 	for _, s := range b.slots {
--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -26,39 +26,16 @@
 	Models []string
 	// Attempts is how many attempts are left, the next one included.
 	Attempts int
-	// Free is the part of the retry budget that is left, 0 to 1.
-	Free float64
-	// Queue is the work that waits at the upstream for the largest model, in
-	// mean attempts.
-	Queue float64
-	// Draw is a number from 0 to 1, drawn for the request.
-	Draw float64
 }
 
-const (
-	// scarce is the part of the retry budget below which some requests are
-	// asked of the largest model at once.
-	scarce = 0.3
-	// calmQueue is the queue up to which they are: beyond it, the largest
-	// model's work would lengthen the queue that it waits in.
-	calmQueue = 1.0
-)
-
 // First returns the model of the first attempt.
 func (p *Policy) First(s State) string {
-	if s.Attempts < 2 || p.direct(s) {
+	if s.Attempts < 2 {
 		return s.Models[len(s.Models)-1]
 	}
 	return s.Models[0]
 }
 
-// direct tells whether the largest model should answer at once: a small one's
-// unsure answer could not be replaced, as failures elsewhere have used the
-// retry budget up.
-func (p *Policy) direct(s State) bool {
-	return s.Free < scarce && s.Queue <= calmQueue && s.Draw >= s.Free/scarce
-}
-
 // Next returns the model that should answer in place of one which answers with
 // this confidence; empty when the answer is taken. Attempts is how many are
 // left after this one.
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -41,17 +41,6 @@
 	return max(float64(w.Tokens)*w.Weight, 1)
 }
 
-// Queue is how much work waits at the upstream that would be chosen, in mean
-// attempts; ok is false where there is none.
-func (f *Fleet) Queue(w Want, now time.Time) (queue float64, ok bool) {
-	u := f.Choose(w, now)
-	if u == nil {
-		return 0, false
-	}
-	mean := f.meanWork(&w)
-	return u.waitingWork(mean, now) / mean, true
-}
-
 // waitingWork is the estimated work that waits at u: this node's own, and that
 // of others by u's last word.
 func (u *Upstream) waitingWork(mean float64, now time.Time) float64 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,7 +32,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	rule := n.canary.Rule(j.service, j.caller(), now)
+	rule := n.canary.Rule(j.service, canary.Caller{Hash: j.hash, Session: j.ask.Session != ""}, now)
 	want := j.want(rule)
 	if v := n.unorderedVersion(j.service, now); v != "" && rule.Version != v {
 		want.NotVersions = append(want.NotVersions, v)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/route"
 )
@@ -107,11 +106,6 @@
 	return r.Shares[0].Service
 }
 
-// caller is who asks, as roll-outs see it.
-func (j *job) caller() canary.Caller {
-	return canary.Caller{Hash: j.hash, Session: j.ask.Session != ""}
-}
-
 func (j *job) identify(path string) {
 	key := j.ask.Session
 	if key == "" {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,7 +25,7 @@
 	}
 	j.node.first(j.service)
 	if len(j.route.Models) > 0 && j.ask.AnyModel {
-		j.model = j.node.policy.First(j.cascadeState())
+		j.model = j.node.policy.First(cascade.State{Models: j.route.Models, Attempts: j.left()})
 	}
 	for {
 		a := j.findUpstream()
@@ -43,24 +43,6 @@
 	}
 }
 
-// cascadeState is what decides on the first model.
-func (j *job) cascadeState() cascade.State {
-	s := cascade.State{Models: j.route.Models, Attempts: j.left(), Draw: float64(j.hash%drawScale) / drawScale}
-	ask := *j
-	ask.model = s.Models[len(s.Models)-1]
-	now := time.Now()
-	n := j.node
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	s.Free = n.budget(j.service, now).Free(now)
-	rule := n.canary.Rule(j.service, j.caller(), now)
-	s.Queue, _ = n.fleet.Queue(ask.want(rule), now)
-	return s
-}
-
-// drawScale is the resolution of numbers drawn from hashes.
-const drawScale = 1000
-
 // giveUp sends the final answer of a request for which nothing more is tried.
 func (j *job) giveUp() {
 	switch {
