Let refused callers return spread out, the urgent first, and later to a node that knows nothing

Cause: callers try only once more; told to return after 0.3 s to processes that had just started while the table was silent, they were refused again and lost. Ruled out: refusals for want of upstreams (none in that span).

--- /dev/null
+++ b/internal/gateway/come_back_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Upstreams crash at the peak, and a thousand callers are refused within a
+// moment. Those of urgent work return first, and the others after them, spread
+// out, instead of all at once.
+func TestRefusedCallersReturnInOrder(t *testing.T) {
+	is := is.New(t)
+	const usual = time.Second
+	perTenth := map[int]int{}
+	var latestUrgent, earliestLeast time.Duration = 0, time.Hour
+	for i := range 1000 {
+		draw := float64(i) / 1000
+		urgent, least := comeBack(usual, 0, draw), comeBack(usual, 3, draw)
+		latestUrgent = max(latestUrgent, urgent)
+		earliestLeast = min(earliestLeast, least)
+		perTenth[int(urgent/(100*time.Millisecond))]++
+	}
+	is.True(latestUrgent < earliestLeast)
+	for tenth, count := range perTenth {
+		if count > 201 {
+			t.Errorf("%d callers return within the same tenth of a second (%d)", count, tenth)
+		}
+	}
+	is.True(comeBack(usual, 100, 1) <= 3*usual)
+	is.Equal(comeBack(usual, -1, 0), usual)
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,7 +16,8 @@
 	status int
 	reason string
 	text   string
-	// retryAfter tells the caller when to come back; 0 for no word on it.
+	// retryAfter is when the caller should usually come back; 0 for no word on
+	// it.
 	retryAfter time.Duration
 }
 
@@ -51,7 +53,8 @@
 		h.Set(j.node.dialect.IDField(), id)
 	}
 	if ref.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', -1, 64))
+		after := comeBack(ref.retryAfter, j.priority, rand.Float64())
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error  string `json:"error"`
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -89,12 +89,12 @@
 	waitPart = 0.12
 	// waitStep is the pause between looks for an upstream.
 	waitStep = 25 * time.Millisecond
-	// refusedRetryAfter is when a refused caller may come back: upstreams that
-	// crash are back within seconds, a full one has room within one.
-	refusedRetryAfter = 500 * time.Millisecond
+	// refusedRetryAfter is when a refused caller should come back: a full
+	// upstream has room within a second, and callers try only a few times.
+	refusedRetryAfter = 600 * time.Millisecond
 	// unknownRetryAfter is when to come back to a node that does not know the
-	// configuration yet.
-	unknownRetryAfter = 300 * time.Millisecond
+	// configuration yet: it is read within a second of the table's return.
+	unknownRetryAfter = 1200 * time.Millisecond
 	// onceMaxIdle bounds the idle time of a kept connection that carries work
 	// which is not idempotent.
 	onceMaxIdle = time.Second
