--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func record(id string) Record {
+	return Record{ID: id, Service: "s", Addr: id + ":1", Version: "v1", Domain: "d0", Slots: 8}
+}
+
+func some(count int) *Fleet {
+	f := New(Settings{Domain: "d0"})
+	for i := range count {
+		f.Put(record(fmt.Sprintf("u%d", i)))
+	}
+	return f
+}
+
+// Whatever happens to upstreams, an attempt goes only to one that may take it,
+// and when all attempts have ended nothing is counted any more.
+func TestChoiceKeepsToWhatMayServe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New(Settings{Domain: "d0"})
+		now := time.Unix(1000, 0)
+		type open struct {
+			u *Upstream
+			w *Work
+		}
+		var running []open
+		id := rapid.IntRange(0, 5)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			name := fmt.Sprintf("u%d", id.Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				r := record(name)
+				r.Draining = rapid.Bool().Draw(t, "draining")
+				r.Version = fmt.Sprintf("v%d", rapid.IntRange(1, 2).Draw(t, "version"))
+				r.Service = rapid.SampledFrom([]string{"s", "other"}).Draw(t, "service")
+				f.Put(r)
+			case 1:
+				f.Drop(name)
+			case 2:
+				f.Keep(name)
+			case 3:
+				w := Want{Service: "s", Model: "m", Weight: 1, Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens"), Seed: rapid.Uint64().Draw(t, "seed"),
+					Tried: []string{"u0"}, NotVersions: []string{"v2"}}
+				u := f.Choose(w, now)
+				if u == nil {
+					continue
+				}
+				if u.Draining || u.Service != "s" || u.Version != "v1" || u.ID == "u0" || now.Before(u.ejected) || f.Get(u.ID) != u {
+					t.Fatalf("%+v may not serve", u)
+				}
+				running = append(running, open{u, f.Begin(u, &w, now)})
+			case 4:
+				if len(running) > 0 {
+					o := running[0]
+					running = running[1:]
+					f.Started(o.u, o.w)
+					f.End(o.u, o.w, Result(rapid.IntRange(0, 4).Draw(t, "result")), now)
+				}
+			}
+		}
+		for _, o := range running {
+			f.End(o.u, o.w, Served, now)
+		}
+		for _, u := range f.byID {
+			if u.inFlight != 0 || u.waitingOwn != 0 || u.pending > 1e-6 {
+				t.Fatalf("%s still counts %d, %d, %v", u.ID, u.inFlight, u.waitingOwn, u.pending)
+			}
+		}
+	})
+}
+
+// An upstream can't be reached: it is left alone for a while, longer each
+// time, and tried again.
+func TestUnreachedUpstreamIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	f := some(1)
+	now := time.Unix(1000, 0)
+	w := Want{Service: "s"}
+	for misses := range 6 {
+		u := f.Choose(w, now)
+		is.True(u != nil)
+		f.End(u, f.Begin(u, &w, now), Unreached, now)
+		is.Equal(f.Choose(w, now), nil)
+		left := min(ejectBase<<misses, ejectMost)
+		is.Equal(f.Choose(w, now.Add(left-1)), nil)
+		now = now.Add(left)
+	}
+	u := f.Choose(w, now)
+	f.End(u, f.Begin(u, &w, now), Served, now)
+	is.True(f.Choose(w, now) != nil)
+	is.Equal(u.misses, 0)
+}
+
+// A runner fails part of its requests although its health looks good. Others
+// get the work while any has room.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := some(3)
+	now := time.Unix(1000, 0)
+	bad := f.Get("u1")
+	w := Want{Service: "s"}
+	for range 6 {
+		f.End(bad, f.Begin(bad, &w, now), Failed, now)
+	}
+	for seed := range uint64(50) {
+		w.Seed = seed
+		is.True(f.Choose(w, now) != bad)
+	}
+}
+
+// Requests with the same last shared part go to the same few upstreams from
+// every node, and spread when those are busy.
+func TestSharedPartsMeet(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 8000, Parts: []Part{{"p1", 500}, {"p2", 5000}}}
+	chosen := map[string]bool{}
+	for node := range uint64(6) {
+		f := some(18)
+		for seed := range uint64(20) {
+			w.Seed = node<<32 | seed
+			chosen[f.Choose(w, now).ID] = true
+		}
+	}
+	is.True(len(chosen) <= affinityWidth)
+	f := some(18)
+	busy := map[string]bool{}
+	for range 40 {
+		w.Seed++
+		u := f.Choose(w, now)
+		busy[u.ID] = true
+		f.Begin(u, &w, now)
+	}
+	is.True(len(busy) > affinityWidth)
+}
+
+// Two nodes that were told the same list agree, whatever each keeps for a
+// while beside it.
+func TestKeptUpstreamsAreNotListed(t *testing.T) {
+	is := is.New(t)
+	a, b := some(4), some(3)
+	is.True(a.Hash() != b.Hash())
+	is.True(a.Keep("u3"))
+	is.True(!a.Keep("u3"))
+	is.True(!a.Keep("u9"))
+	is.Equal(a.Hash(), b.Hash())
+	is.Equal(len(a.Records()), 3)
+	w := Want{Service: "s", Tried: []string{"u0", "u1", "u2"}}
+	is.Equal(a.Choose(w, time.Unix(1000, 0)).ID, "u3") // it still serves
+	a.Put(record("u3"))
+	is.Equal(len(a.Records()), 4)
+	is.True(slices.Equal(a.Versions("s"), []string{"v1"}))
+}
+
+// Words on load go from node to node; an older one changes nothing.
+func TestNewestWordOnLoadCounts(t *testing.T) {
+	is := is.New(t)
+	a, b := some(2), some(2)
+	now := time.Unix(1000, 0)
+	a.Report(a.Get("u0"), 6, 2, now)
+	b.Report(b.Get("u0"), 1, 0, now.Add(-time.Second))
+	b.TakeLoads(a.Loads(now), now)
+	is.Equal(b.Get("u0").running, 6)
+	b.TakeLoads([]Load{{ID: "u0", Running: 9, Age: time.Minute}, {ID: "gone"}}, now)
+	is.Equal(b.Get("u0").running, 6)
+	is.Equal(len(b.Loads(now.Add(tellFor+time.Millisecond))), 0)
+	ofVersion, all := b.Count("s", "v1", now)
+	is.Equal(ofVersion, 2)
+	is.Equal(all, 2)
+	is.True(b.Idle("s", now))
+}
--- /dev/null
+++ b/internal/fleet/replay_world_test.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// replay is a load pattern played in virtual time over the cores of a few
+// nodes and upstreams that read prompts one after the other.
+type replay struct {
+	nodes     []*Fleet
+	upstreams map[string]*simUpstream
+	events    eventQueue
+	now       time.Time
+	rnd       *rand.Rand
+	choose    chooser
+	waits     []wait
+	lost      int
+}
+
+// wait is how long a request waited for its answer to begin.
+type wait struct {
+	at   time.Time
+	took time.Duration
+}
+
+// chooser picks an upstream for an attempt; tests compare several.
+type chooser func(r *replay, node int, w Want) *Upstream
+
+// simUpstream is one upstream as it really is.
+type simUpstream struct {
+	readUntil        time.Time // when the prompts sent so far have been read
+	running, waiting int
+	down             time.Time // it is gone until then
+	parts            map[string]time.Time
+	epoch            int
+}
+
+const (
+	simNodes     = 6
+	simUpstreams = 18
+	simSlots     = 48
+	// readRate is the tokens that an upstream reads in a second, at weight 1.
+	readRate = 22000.0
+	// answerTime is how long an answer takes once it has begun.
+	answerTime = 1500 * time.Millisecond
+	// newsTime is how often nodes tell each other upstreams' loads.
+	newsTime = 900 * time.Millisecond
+	// partStays is how long an upstream keeps a part.
+	partStays = 6 * time.Second
+)
+
+// demand is one request of a pattern.
+type demand struct {
+	tokens int
+	weight float64
+	part   string
+	shared int
+}
+
+func newReplay(seed uint64, choose chooser) *replay {
+	r := &replay{upstreams: map[string]*simUpstream{}, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 7)), choose: choose}
+	for range simNodes {
+		f := New(Settings{Domain: "d0"})
+		for i := range simUpstreams {
+			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: simSlots})
+		}
+		r.nodes = append(r.nodes, f)
+	}
+	for i := range simUpstreams {
+		r.upstreams[fmt.Sprintf("u%02d", i)] = &simUpstream{parts: map[string]time.Time{}}
+	}
+	r.after(newsTime, r.news)
+	return r
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, k int) bool { return q[i].at.Before(q[k].at) }
+func (q eventQueue) Swap(i, k int)      { q[i], q[k] = q[k], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func (r *replay) after(d time.Duration, do func()) { heap.Push(&r.events, event{r.now.Add(d), do}) }
+
+// news shares upstreams' words on load among the nodes.
+func (r *replay) news() {
+	for _, from := range r.nodes {
+		loads := from.Loads(r.now)
+		for _, to := range r.nodes {
+			if to != from {
+				to.TakeLoads(loads, r.now)
+			}
+		}
+	}
+	r.after(newsTime, r.news)
+}
+
+// arrivals plays a pattern: rate is the requests a second at a time from the
+// start, draw what the next one is.
+func (r *replay) arrivals(length time.Duration, rate func(at time.Duration) float64, draw func(at time.Duration) demand) {
+	start := r.now
+	end := start.Add(length)
+	var next func()
+	next = func() {
+		at := r.now.Sub(start)
+		r.request(draw(at), r.now, nil)
+		r.after(time.Duration(r.rnd.ExpFloat64()/rate(at)*float64(time.Second)), next)
+	}
+	r.after(0, next)
+	for len(r.events) > 0 && r.events[0].at.Before(end) {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.do()
+	}
+}
+
+// request sends a demand from one of the nodes; tried are upstreams that were
+// found dead.
+func (r *replay) request(d demand, since time.Time, tried []string) {
+	node := r.rnd.IntN(len(r.nodes))
+	f := r.nodes[node]
+	w := Want{Service: "s", Model: "m", Weight: d.weight, Tokens: d.tokens, Seed: r.rnd.Uint64(), Tried: tried}
+	if d.part != "" {
+		w.Parts = []Part{{ID: d.part, Tokens: d.shared}}
+	}
+	u := r.choose(r, node, w)
+	if u == nil {
+		r.lost++
+		return
+	}
+	work := f.Begin(u, &w, r.now)
+	sim := r.upstreams[u.ID]
+	if r.now.Before(sim.down) {
+		f.End(u, work, Unreached, r.now)
+		r.request(d, since, append(slices.Clone(tried), u.ID))
+		return
+	}
+	r.serve(f, u, work, sim, d, since)
+}
+
+func (r *replay) serve(f *Fleet, u *Upstream, work *Work, sim *simUpstream, d demand, since time.Time) {
+	tokens := d.tokens
+	if d.part != "" && r.now.Sub(sim.parts[d.part]) < partStays {
+		tokens -= d.shared
+	}
+	sim.parts[d.part] = r.now
+	begin := sim.readUntil
+	if begin.Before(r.now) {
+		begin = r.now
+	}
+	sim.readUntil = begin.Add(time.Duration(float64(tokens) * d.weight / readRate * float64(time.Second)))
+	sim.waiting++
+	epoch := sim.epoch
+	r.after(sim.readUntil.Sub(r.now), func() {
+		if sim.epoch != epoch { // it crashed meanwhile
+			f.End(u, work, Unreached, r.now)
+			r.request(d, since, []string{u.ID})
+			return
+		}
+		sim.waiting--
+		sim.running++
+		f.Started(u, work)
+		f.Report(u, sim.running, sim.waiting, r.now)
+		r.waits = append(r.waits, wait{since, r.now.Sub(since)})
+		r.after(answerTime, func() {
+			if sim.epoch == epoch {
+				sim.running--
+			}
+			f.End(u, work, Served, r.now)
+		})
+	})
+}
+
+// crash takes upstreams down for a time.
+func (r *replay) crash(count int, at, length time.Duration) {
+	r.after(at, func() {
+		for i := range count {
+			sim := r.upstreams[fmt.Sprintf("u%02d", i)]
+			*sim = simUpstream{down: r.now.Add(length), parts: map[string]time.Time{}, epoch: sim.epoch + 1}
+		}
+	})
+}
+
+// quantile is the wait that a share of the requests stays within, among those
+// that came in a span of the pattern.
+func (r *replay) quantile(share float64, from, to time.Duration) time.Duration {
+	start := time.Unix(1000, 0)
+	var all []time.Duration
+	for _, w := range r.waits {
+		if at := w.at.Sub(start); at >= from && at < to {
+			all = append(all, w.took)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(int(share*float64(len(all))), len(all)-1)]
+}
+
+// The ways to choose that are compared.
+var (
+	byWork chooser = func(r *replay, node int, w Want) *Upstream { return r.nodes[node].Choose(w, r.now) }
+	// byOwnCount takes the upstream with the fewest attempts of the node.
+	byOwnCount chooser = func(r *replay, node int, w Want) *Upstream {
+		var best *Upstream
+		for _, u := range r.nodes[node].able(&w, r.now) {
+			if best == nil || u.InFlight() < best.InFlight() {
+				best = u
+			}
+		}
+		return best
+	}
+	// byLoadOfAll takes the upstream with the least reported load of all.
+	byLoadOfAll chooser = func(r *replay, node int, w Want) *Upstream {
+		var best *Upstream
+		for _, u := range r.nodes[node].able(&w, r.now) {
+			if best == nil || u.load(r.now) < best.load(r.now) {
+				best = u
+			}
+		}
+		return best
+	}
+)
