--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -32,7 +33,7 @@
 // stream passes a stream's events on as they come, whole ones only. It returns
 // true when the request has its final answer, false when the stream should go
 // on at another upstream.
-func (j *job) stream(a *attempt, resp *exchange.Response, reply Reply) bool {
+func (j *job) stream(ctx context.Context, a *attempt, resp *exchange.Response, reply Reply) bool {
 	defer resp.Close()
 	if next := j.escalate(reply); next != "" {
 		j.node.event(event.ForwardEscalated, j, slog.String("upstream", a.up.ID), slog.String("model", j.model),
@@ -50,6 +51,7 @@
 			break
 		}
 		chunk, id, n, e := s.next()
+		a.heard()
 		if len(chunk) > 0 {
 			last = time.Now()
 			if count == 0 {
@@ -69,6 +71,9 @@
 			break
 		}
 	}
+	if errors.Is(context.Cause(ctx), errDark) {
+		err = errDark
+	}
 	return j.streamed(a, resp, reply, end, err, pace(first, last, count))
 }
 
@@ -153,12 +158,15 @@
 		}
 		return false
 	}
-	a.end(fleet.Failed)
-	a.answered(true, p)
-	reason := "broke"
-	if isTimeout(err) {
+	result, reason := fleet.Failed, "broke"
+	switch {
+	case errors.Is(err, errDark):
+		result, reason = fleet.Unreached, "dark"
+	case isTimeout(err):
 		reason = "silent"
 	}
+	a.end(result)
+	a.answered(true, p)
 	resp.Close()
 	j.node.event(event.ForwardResumed, j, slog.String("upstream", a.up.ID), slog.String("reason", reason),
 		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent))
@@ -172,6 +180,6 @@
 }
 
 func isTimeout(err error) bool {
-	t, ok := err.(interface{ Timeout() bool })
-	return ok && t.Timeout()
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
 }
