--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,8 +23,6 @@
 	ended    bool
 	// ranBefore tells whether an earlier attempt may have run.
 	ranBefore bool
-	// dog watches the upstream's machine; nil where that is no use.
-	dog *watchdog
 	// work is what the attempt costs its upstream.
 	work *fleet.Work
 }
@@ -101,13 +99,6 @@
 	return j.ask.Model
 }
 
-// heard notes that the upstream has sent something.
-func (a *attempt) heard() {
-	if a.dog != nil {
-		a.dog.Heard()
-	}
-}
-
 // started notes that the attempt's answer has begun.
 func (a *attempt) started() {
 	n := a.job.node
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -142,22 +141,17 @@
 	j.paid = false
 	up := a.up
 	ctx, cancel := j.attemptContext()
-	defer cancel(nil)
-	if j.route.Repeatable() && j.left() > 1 {
-		a.dog = watch(up.Addr, dialOnce, cancel)
-		defer a.dog.Stop()
-	}
+	defer cancel()
 	j.tried = append(j.tried, up.ID)
 	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(up))
 	if failure != nil {
-		j.failedAttempt(a, failure, context.Cause(ctx))
+		j.failedAttempt(a, failure)
 		return false
 	}
 	j.arrived++
 	j.sent++
 	j.mayHaveRun = true
 	a.started()
-	a.heard()
 	reply := j.node.dialect.Reply(resp.Status, resp.Header)
 	j.node.report(up, reply)
 	if reply.NotRun {
@@ -165,28 +159,25 @@
 		return false
 	}
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
-		return j.stream(ctx, a, resp, reply)
+		return j.stream(a, resp, reply)
 	}
 	return j.whole(a, resp)
 }
 
 // attemptContext bounds an attempt so that time is left for another one, where
-// the route allows one. A stream watches its own pauses.
-func (j *job) attemptContext() (context.Context, context.CancelCauseFunc) {
-	ctx, cancel := context.WithCancelCause(j.ctx)
-	if j.route.Kind == route.Stream || !j.route.Repeatable() || j.left() < 2 {
-		return ctx, cancel
+// the route allows one.
+func (j *job) attemptContext() (context.Context, context.CancelFunc) {
+	if !j.route.Repeatable() || j.left() < 2 {
+		return context.WithCancel(j.ctx)
 	}
-	timer := time.AfterFunc(time.Until(j.deadline)/2, func() { cancel(errHalfTime) })
-	return ctx, func(cause error) {
-		timer.Stop()
-		cancel(cause)
+	left := time.Until(j.deadline)
+	if j.route.Kind == route.Stream {
+		// Only the head is bounded here; the stream watches its own pauses.
+		return context.WithCancel(j.ctx)
 	}
+	return context.WithTimeout(j.ctx, left/2)
 }
 
-// errHalfTime says that an attempt took half of the time that was left.
-var errHalfTime = errors.New("half of the time left is over")
-
 // request is what is sent to an upstream.
 func (j *job) request(up *fleet.Upstream) *exchange.Request {
 	_, target := rawTarget(j.r)
@@ -210,16 +201,15 @@
 }
 
 // failedAttempt notes an attempt that brought no answer.
-func (j *job) failedAttempt(a *attempt, f *exchange.Failure, cause error) {
+func (j *job) failedAttempt(a *attempt, f *exchange.Failure) {
 	result := fleet.Unreached
 	switch {
-	case errors.Is(cause, errDark):
 	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
 		result = fleet.Abandoned
 	case f.Reason == exchange.Cancelled || f.Reason == exchange.Garbled:
 		result = fleet.Failed
 	}
-	if f.Sent {
+	if f.Sent || f.Reason == exchange.Cancelled && f.Sent {
 		j.arrived++
 		j.sent++
 		j.mayHaveRun = true
@@ -230,11 +220,8 @@
 	if f.Sent && f.Reason == exchange.Broken {
 		j.node.suspectCrash(j, a.up)
 	}
-	attrs := []slog.Attr{slog.String("upstream", a.up.ID), slog.String("reason", string(f.Reason)), slog.Bool("sent", f.Sent), slog.String("err", f.Err.Error())}
-	if cause != nil {
-		attrs = append(attrs, slog.String("cause", cause.Error()))
-	}
-	j.node.event(event.ForwardAttempt, j, attrs...)
+	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", string(f.Reason)),
+		slog.Bool("sent", f.Sent), slog.String("err", f.Err.Error()))
 }
 
 // turnedAway notes an attempt that the upstream did not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -33,7 +32,7 @@
 // stream passes a stream's events on as they come, whole ones only. It returns
 // true when the request has its final answer, false when the stream should go
 // on at another upstream.
-func (j *job) stream(ctx context.Context, a *attempt, resp *exchange.Response, reply Reply) bool {
+func (j *job) stream(a *attempt, resp *exchange.Response, reply Reply) bool {
 	defer resp.Close()
 	if next := j.escalate(reply); next != "" {
 		j.node.event(event.ForwardEscalated, j, slog.String("upstream", a.up.ID), slog.String("model", j.model),
@@ -51,7 +50,6 @@
 			break
 		}
 		chunk, id, n, e := s.next()
-		a.heard()
 		if len(chunk) > 0 {
 			last = time.Now()
 			if count == 0 {
@@ -71,9 +69,6 @@
 			break
 		}
 	}
-	if errors.Is(context.Cause(ctx), errDark) {
-		err = errDark
-	}
 	return j.streamed(a, resp, reply, end, err, pace(first, last, count))
 }
 
@@ -158,15 +153,12 @@
 		}
 		return false
 	}
-	result, reason := fleet.Failed, "broke"
-	switch {
-	case errors.Is(err, errDark):
-		result, reason = fleet.Unreached, "dark"
-	case isTimeout(err):
+	a.end(fleet.Failed)
+	a.answered(true, p)
+	reason := "broke"
+	if isTimeout(err) {
 		reason = "silent"
 	}
-	a.end(result)
-	a.answered(true, p)
 	resp.Close()
 	j.node.event(event.ForwardResumed, j, slog.String("upstream", a.up.ID), slog.String("reason", reason),
 		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent))
@@ -180,6 +172,6 @@
 }
 
 func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
 }
