--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -28,6 +28,7 @@
 	pool     *exchange.Pool
 	peers    *gossip.Client
 	policy   *cascade.Policy
+	dropped  func() int64
 	born     int64
 
 	config   atomic.Pointer[configuration]
@@ -101,12 +102,18 @@
 	Source  Source
 	Log     *slog.Logger
 	Metrics *telemetry.Set
+	// Dropped is how many log lines were dropped so far; nil where none are.
+	Dropped func() int64
 }
 
 // New returns a node that is not yet running.
 func New(s Settings, d Deps) *Node {
 	born := time.Now().UnixNano()
+	if d.Dropped == nil {
+		d.Dropped = func() int64 { return 0 }
+	}
 	return &Node{
+		dropped:  d.Dropped,
 		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
 		pool:    exchange.NewPool(exchange.Settings{}),
 		peers:   gossip.NewClient(),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -100,7 +100,12 @@
 }
 
 func (n *Node) sweep(ctx context.Context) {
+	told := int64(0)
 	for pause(ctx, sweepEvery) {
+		if dropped := n.dropped(); dropped > told {
+			event.LogLinesDropped.Log(n.log, slog.Int64("lines", dropped-told))
+			told = dropped
+		}
 		n.pool.Sweep(time.Now())
 		n.dropLapsed(time.Now())
 	}
