--- /dev/null
+++ b/internal/canary/rule.go
@@ -0,0 +1,71 @@
+package canary
+
+import "time"
+
+// Rule is which versions may serve a request of a service.
+type Rule struct {
+	// Version is the only version that may serve; empty for any.
+	Version string
+	// Not are versions that may not serve.
+	Not []string
+	// Part is the part of the version's upstreams to use; 0 for all. A canary
+	// uses few, so that they are as busy as they will be later.
+	Part float64
+}
+
+// Caller is who asks: a session, or a request of its own.
+type Caller struct {
+	// Hash places the session or the request.
+	Hash uint64
+	// Session tells whether others with the same hash may follow.
+	Session bool
+}
+
+// Rule returns the rule for a caller's request.
+func (c *Canary) Rule(service string, caller Caller, now time.Time) Rule {
+	inTrial := float64(caller.Hash%shareScale) < c.settings.ShareBound*canaryPart*shareScale
+	pinned := caller.Session && inTrial && c.pins.has(caller.Hash, now)
+	r := c.rollouts[service]
+	old := r == nil || r.verdict == Open && (now.Sub(r.started) < pinHold || r.watched(now) && pinned)
+	if caller.Session && inTrial && old {
+		c.pins.note(caller.Hash, now)
+	}
+	switch {
+	case r == nil:
+		return Rule{}
+	case old:
+		return Rule{Not: c.without(service, r)}
+	case r.verdict == Completed:
+		return Rule{Version: r.order.Target}
+	}
+	share := r.share(c.settings, now)
+	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r) {
+		return Rule{Not: c.without(service, r)}
+	}
+	if share >= 1 {
+		share = 0
+	}
+	return Rule{Version: r.order.Target, Part: share}
+}
+
+// without returns the versions that the old version's requests keep away from:
+// the one on trial, and those that were rolled back before.
+func (c *Canary) without(service string, r *rollout) []string {
+	return append([]string{r.order.Target}, c.bad[service]...)
+}
+
+// overexposed tells whether this node's part of the new version's requests is
+// near the bound.
+//
+// It guards against a few large sessions that are hashed to the new version:
+// they would lift its share of the requests above its share of the sessions.
+func (c *Canary) overexposed(r *rollout) bool {
+	if !r.grown.IsZero() {
+		return false
+	}
+	allowed := c.settings.ShareBound*capPart*float64(r.own.Requests) + c.settings.Slack/shareOfSlack
+	return float64(r.own.Exposed) > allowed
+}
+
+// shareOfSlack is the part of the slack that a single node may use.
+const shareOfSlack = 12
--- /dev/null
+++ b/internal/canary/tell.go
@@ -0,0 +1,79 @@
+package canary
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Tallies returns this node's counts of the orders under way, for its peers.
+func (c *Canary) Tallies(now time.Time) []Tally {
+	var all []Tally
+	for _, r := range c.rollouts {
+		if r.done(now) {
+			continue
+		}
+		r.own.Seq++
+		t := r.own
+		t.Verdict = r.verdict
+		if !r.grown.IsZero() {
+			t.Shifted, t.ShiftAge = true, now.Sub(r.grown)
+		}
+		for _, n := range r.counts {
+			t.Routes = append(t.Routes, *n)
+		}
+		slices.SortFunc(t.Routes, func(a, b RouteCount) int { return strings.Compare(a.Route, b.Route) })
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b Tally) int { return strings.Compare(a.Service, b.Service) })
+	return all
+}
+
+// Known returns the newest tally of every run of a node for all orders, this
+// node's included: peers pass on what they have heard.
+func (c *Canary) Known(now time.Time) []Tally {
+	all := c.Tallies(now)
+	for _, r := range c.rollouts {
+		if r.done(now) {
+			continue
+		}
+		for _, t := range r.peers {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
+// Merge takes a peer's tally. It reports whether it brought a verdict that was
+// not known.
+func (c *Canary) Merge(t Tally, now time.Time) bool {
+	r := c.rollouts[t.Service]
+	if r == nil || r.order.Revision != t.Revision || t.Node == c.node && t.Born == c.born {
+		return false
+	}
+	key := runKey{t.Node, t.Born}
+	if old, ok := r.peers[key]; ok && old.Seq >= t.Seq {
+		return false
+	}
+	r.peers[key] = t
+	if t.Shifted && r.grown.IsZero() {
+		r.grown = now.Add(-t.ShiftAge)
+	}
+	if t.Verdict == Open || r.verdict != Open {
+		return false
+	}
+	r.verdict = t.Verdict
+	return true
+}
+
+// Forget drops the work in flight of a node that is gone: it has none.
+func (c *Canary) Forget(alive func(node string, born int64) bool) {
+	for _, r := range c.rollouts {
+		for key, t := range r.peers {
+			if t.OldInFlight > 0 && !alive(key.node, key.born) {
+				t.OldInFlight = 0
+				r.peers[key] = t
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/canary/weigh.go
@@ -0,0 +1,92 @@
+package canary
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Decision is a verdict that is to be written.
+type Decision struct {
+	Order   Order
+	Verdict Verdict
+	// Made is set when this call made the verdict.
+	Made bool
+	// Shift is set when this call began to shift all sessions.
+	Shift bool
+	// Likelihood is the evidence against the version at its worst route.
+	Likelihood float64
+	Route      string
+	Answers    int64
+}
+
+// View is what a node sees beside the answers.
+type View struct {
+	// Count is how many upstreams of a version, and of all, are ready.
+	Count func(service, version string) (ofVersion, all int)
+	// Whole tells whether the node hears the tallies of all nodes: only then
+	// does no work in its sight mean no work at all.
+	Whole bool
+}
+
+// Tick weighs the evidence and returns what has begun and the verdicts that the
+// platform's table does not hold yet.
+func (c *Canary) Tick(now time.Time, view View) []Decision {
+	var out []Decision
+	for _, r := range c.rollouts {
+		d := Decision{Order: r.order}
+		if r.verdict == Open {
+			d.Made = c.weigh(r, &d, now, view)
+		}
+		d.Verdict = r.verdict
+		if r.verdict != Open && !r.written || d.Shift {
+			out = append(out, d)
+		}
+	}
+	slices.SortFunc(out, func(a, b Decision) int { return strings.Compare(a.Order.Service, b.Order.Service) })
+	return out
+}
+
+func (c *Canary) weigh(r *rollout, d *Decision, now time.Time, view View) bool {
+	for route, sum := range r.total() {
+		e := r.tests[route]
+		if e == nil {
+			e = &evidence{}
+			r.tests[route] = e
+		}
+		e.add(sum, now)
+		if e.likelihood > d.Likelihood {
+			d.Likelihood, d.Route = e.likelihood, route
+		}
+		if e.convicts() {
+			r.verdict = RolledBack
+		}
+	}
+	d.Answers = r.answers()
+	if r.verdict != Open {
+		return true
+	}
+	if !view.Whole {
+		return false
+	}
+	ofVersion, all := view.Count(r.order.Service, r.order.Target)
+	enough := d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all
+	switch {
+	case !r.grown.IsZero():
+	case d.Likelihood >= doubtAt && !now.Before(r.end(c.settings)):
+		r.verdict = RolledBack
+		return true
+	case enough && d.Likelihood < doubtAt && r.mayShift(c.settings, now):
+		r.grown = now
+		d.Shift = true
+	}
+	if r.grown.IsZero() || r.share(c.settings, now) < 1 {
+		return false
+	}
+	proved := now.Sub(r.grown) >= proveFor && r.oldInFlight() == 0
+	if !proved && now.Before(r.end(c.settings)) {
+		return false
+	}
+	r.verdict = Completed
+	return true
+}
--- a/internal/canary/world_test.go
+++ b/internal/canary/world_test.go
@@ -28,10 +28,9 @@
 	moved int
 	// requests, exposed, badAnswers count what the service saw since the order.
 	requests, exposed, badAnswers int
-	// convicted is when the first node turned away from the version.
-	convicted time.Time
-	done      Verdict
-	doneAt    time.Duration
+	// done is the verdict that was recorded, doneAt when after the order.
+	done   Verdict
+	doneAt time.Duration
 }
 
 type servedBy struct {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -105,16 +105,6 @@
 	return ofVersion, all
 }
 
-// Idle tells whether some upstream of the service has a free slot.
-func (f *Fleet) Idle(service string, now time.Time) bool {
-	for _, u := range f.services[service] {
-		if u.ready(now) && u.load(now) < 1 {
-			return true
-		}
-	}
-	return false
-}
-
 func fits(u *Upstream, w *Want) bool {
 	if w.Version != "" && u.Version != w.Version {
 		return false
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,9 +20,6 @@
 	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}}
 }
 
-// SetNodes tells how many nodes send to the same upstreams.
-func (f *Fleet) SetNodes(n int) { f.settings.Nodes = max(n, 1) }
-
 // Put adds an upstream or takes its new record. It reports whether anything
 // that routing uses has changed.
 func (f *Fleet) Put(r Record) bool {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -177,5 +177,4 @@
 	ofVersion, all := b.Count("s", "v1", now)
 	is.Equal(ofVersion, 2)
 	is.Equal(all, 2)
-	is.True(b.Idle("s", now))
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -6,8 +6,6 @@
 type Settings struct {
 	// Domain is this node's failure domain.
 	Domain string
-	// Nodes is how many nodes send to the same upstreams; at least 1.
-	Nodes int
 }
 
 const (
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -131,7 +131,6 @@
 		event.PeerChanged.Log(n.log, slog.String("peer", m.ID), slog.String("from", in.From),
 			slog.Bool("ready", m.Ready), slog.Bool("leaving", m.Leaving), slog.Bool("dead", m.Dead), slog.Uint64("beat", m.Beat))
 	}
-	n.fleet.SetNodes(len(n.roster.Alive()))
 }
 
 // takeProof takes a peer's newer reading of the table, once this node has all
