--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,8 +13,6 @@
 	Seeds []string
 	// MemoryMB is the process's memory; 0 for no bound.
 	MemoryMB int
-	// Sockets is how many connections the process may have; 0 for no bound.
-	Sockets int
 
 	// Apply is how soon a change must be in force.
 	Apply time.Duration
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -59,16 +59,6 @@
 // Service returns the service of a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services returns the names of all services, sorted.
-func (t *Table) Services() []string {
-	var names []string
-	for name := range t.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Holder returns the organisation that holds the key, or nil.
 func (t *Table) Holder(key string) *Organisation {
 	if key == "" {
@@ -77,9 +67,6 @@
 	return t.byKey[key]
 }
 
-// Hosts returns how many hosts have routes.
-func (t *Table) Hosts() int { return len(t.byHost) }
-
 // canonicalHost drops the port and the case of a Host header.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -46,10 +46,8 @@
 	is.Equal(tab.Holder("k2").Name, "org")
 	is.Equal(tab.Holder(""), nil)
 	is.Equal(tab.Holder("k3"), nil)
-	is.Equal(tab.Services(), []string{"s1", "s2"})
 	is.True(tab.Service("s1") != nil)
 	is.Equal(tab.Service("s3"), nil)
-	is.Equal(tab.Hosts(), 2)
 }
 
 func TestWhatMayBeRepeated(t *testing.T) {
