--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -33,17 +33,19 @@
 	// pinHold is how long nobody goes to the new version after the order: all
 	// nodes learn of the order and of the sessions under way meanwhile.
 	pinHold = 2500 * time.Millisecond
-	// leastAnswers is how many answers of the new version must be in before
-	// its share grows.
-	leastAnswers = 10
+	// leastAnswers is how many answers of the new version must be in before all
+	// sessions go to it: of a version that fails two in five, eighteen answers
+	// show fewer than two failures once in a thousand times.
+	leastAnswers = 18
 	// recordTime is kept for writing the verdict before the time limit.
 	recordTime = 600 * time.Millisecond
 	// halfFor is how long half of the sessions go to the new version before
 	// all do: caches and connections are cold there.
 	halfFor = 400 * time.Millisecond
 	// doubtAt is the likelihood ratio from which a version is not taken into
-	// use: should the time limit come, it is rolled back.
-	doubtAt = 1.0
+	// use: should the time limit come, it is rolled back. A single bad answer
+	// weighs at most 2.0, and is no reason.
+	doubtAt = 2.2
 	// proveFor is how long all sessions go to a new version before the old one
 	// is given up, if the time limit leaves as much: what shows only under the
 	// whole load shows by then.
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -73,7 +73,9 @@
 	enough := d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all
 	switch {
 	case !r.grown.IsZero():
-	case d.Likelihood >= doubtAt && !now.Before(r.end(c.settings)):
+	case !now.Before(r.end(c.settings)):
+		// In doubt, or with too few answers to tell, the old version stays: the
+		// operator can order the new one again.
 		r.verdict = RolledBack
 		return true
 	case enough && d.Likelihood < doubtAt && r.mayShift(c.settings, now):
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,8 @@
 	revision uint64
 	began    time.Time
 	ended    bool
+	// told is set when the roll-out has been told of the answer.
+	told bool
 	// ranBefore tells whether an earlier attempt may have run.
 	ranBefore bool
 	// work is what the attempt costs its upstream.
@@ -123,6 +125,7 @@
 
 // answered tells the roll-out how the attempt went.
 func (a *attempt) answered(failed bool, pace time.Duration) {
+	a.told = true
 	n := a.job.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,13 @@
 	mostEvent = 1 << 20
 )
 
+// paceEvents is after how many events a stream's pace is told to the roll-out.
+//
+// It guards against a version that is slow: its streams take many times as
+// long, and told only at their end, they would convict it when all sessions
+// had long moved to it.
+const paceEvents = 6
+
 // streamEnd is how the reading of a stream ended.
 type streamEnd int
 
@@ -56,6 +63,9 @@
 				first = last
 			}
 			count += n
+			if count >= paceEvents && !a.told {
+				a.answered(false, pace(first, last, count))
+			}
 			if e := j.send(resp, chunk, id); e != nil {
 				end, err = endCaller, e
 				break
@@ -132,7 +142,9 @@
 	switch {
 	case end == endWhole:
 		a.end(fleet.Served)
-		a.answered(false, p)
+		if !a.told {
+			a.answered(false, p)
+		}
 		if !j.begun {
 			copyHeader(j.w.Header(), resp.Header)
 			j.w.WriteHeader(resp.Status)
