--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -38,7 +38,7 @@
 	// show fewer than two failures once in a thousand times.
 	leastAnswers = 18
 	// recordTime is kept for writing the verdict before the time limit.
-	recordTime = 600 * time.Millisecond
+	recordTime = 900 * time.Millisecond
 	// halfFor is how long half of the sessions go to the new version before
 	// all do: caches and connections are cold there.
 	halfFor = 400 * time.Millisecond
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -22,6 +22,8 @@
 	ShiftAge time.Duration
 	// Verdict is what the node knows of the order's end.
 	Verdict Verdict
+	// Written is set when the platform's table holds the verdict.
+	Written bool
 	// Seq grows with each tally of the node.
 	Seq uint64
 }
--- a/internal/canary/tell.go
+++ b/internal/canary/tell.go
@@ -15,7 +15,7 @@
 		}
 		r.own.Seq++
 		t := r.own
-		t.Verdict = r.verdict
+		t.Verdict, t.Written = r.verdict, r.written
 		if !r.grown.IsZero() {
 			t.Shifted, t.ShiftAge = true, now.Sub(r.grown)
 		}
@@ -59,11 +59,15 @@
 	if t.Shifted && r.grown.IsZero() {
 		r.grown = now.Add(-t.ShiftAge)
 	}
-	if t.Verdict == Open || r.verdict != Open {
+	if t.Verdict == Open {
 		return false
 	}
-	r.verdict = t.Verdict
-	return true
+	was := r.verdict
+	if was == Open || t.Written && !r.written {
+		r.verdict = t.Verdict
+	}
+	r.written = r.written || t.Written
+	return was != r.verdict
 }
 
 // Forget drops the work in flight of a node that is gone: it has none.
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
 // followRollouts weighs the evidence on new versions and records verdicts.
@@ -31,8 +33,10 @@
 			if time.Now().Before(next[d.Order.Service]) {
 				continue
 			}
-			if !n.record(ctx, d) {
-				next[d.Order.Service] = time.Now().Add(mostRetryCall)
+			if d.Made || !time.Now().Before(n.turn(d.Order)) {
+				if !n.write(ctx, d.Order, d.Verdict) {
+					next[d.Order.Service] = time.Now().Add(mostRetryCall)
+				}
 			}
 		}
 		n.announce(ctx, next)
@@ -72,15 +76,31 @@
 	}
 }
 
-// record writes a verdict. The first node in order that lives writes; others
-// come later, and find it done.
-func (n *Node) record(ctx context.Context, d canary.Decision) bool {
-	if !d.Made && !n.writes() {
-		return false
+// turn is when this node may write a verdict that another made: the nodes
+// follow one after the other, in order of their IDs, until one has written.
+//
+// It guards against a table that turns away just the node that decided: the
+// verdict would not be recorded while all others could.
+func (n *Node) turn(o canary.Order) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := turnKey{o.Service, o.Revision}
+	if n.heard[key].IsZero() {
+		n.heard[key] = time.Now()
 	}
-	return n.write(ctx, d.Order, d.Verdict)
+	rank := slices.IndexFunc(n.roster.Alive(), func(m gossip.Member) bool { return m.ID == n.settings.ID })
+	return n.heard[key].Add(time.Duration(rank+1) * turnStep)
+}
+
+// turnKey names a verdict on one order.
+type turnKey struct {
+	service  string
+	revision uint64
 }
 
+// turnStep is the time between the turns of two nodes.
+const turnStep = 100 * time.Millisecond
+
 func (n *Node) write(ctx context.Context, o canary.Order, v canary.Verdict) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -117,11 +137,3 @@
 		}
 	}
 }
-
-// writes tells whether this node is the first that lives, and so the one that
-// writes what any could.
-func (n *Node) writes() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Alive()[0].ID == n.settings.ID
-}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -61,6 +61,8 @@
 	// newest revision that is recorded as under way.
 	started   map[string]time.Time
 	announced map[string]uint64
+	// heard is when a verdict that another node made was first known here.
+	heard map[turnKey]time.Time
 	// recorded are the members that the table listed when this node joined.
 	recorded []gossip.Member
 	// told is what peers told last of what they have.
@@ -129,7 +131,7 @@
 		held:    map[string]time.Time{},
 		known:   map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
-		told: map[string]told{},
+		told: map[string]told{}, heard: map[turnKey]time.Time{},
 	}
 }
 
--- a/internal/platform/client/call.go
+++ b/internal/platform/client/call.go
@@ -98,13 +98,26 @@
 	if what.known != "" {
 		req.Header.Set("If-None-Match", what.known)
 	}
-	if what.body != nil {
-		req.Body = onceBody{bytes.NewReader(what.body)}
-		req.ContentLength = int64(len(what.body))
+	if what.body == nil {
+		return req, nil
 	}
-	return req, nil
+	req.ContentLength = int64(len(what.body))
+	if what.write {
+		req.Body = onceBody{bytes.NewReader(what.body)}
+		return req, nil
+	}
+	req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(what.body)), nil }
+	req.Body, err = req.GetBody()
+	// A read may be sent again. Without this mark net/http does not, as it is a
+	// POST, and a read on a kept connection that the platform is just closing
+	// fails although the platform is well. An empty list is not sent.
+	req.Header[idempotencyKey] = nil
+	return req, err
 }
 
+// idempotencyKey marks requests that net/http may send again.
+const idempotencyKey = "X-Idempotency-Key"
+
 var errTooLong = errors.New("answer too long")
 
 func readBody(body io.Reader) ([]byte, error) {
--- a/internal/platform/client/resend_test.go
+++ b/internal/platform/client/resend_test.go
@@ -41,6 +41,27 @@
 	is.Equal(p.seen(), 2)
 }
 
+// The platform closes a kept connection while a read goes out on it. The read
+// failed although the platform was well, now and then in a busy run; it is sent
+// again on another connection.
+func TestReadIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, func(n int, conn net.Conn) bool {
+		if n == 2 {
+			return false
+		}
+		_, err := io.WriteString(conn, keptAlive)
+		return err == nil
+	})
+	client := New(p.url())
+	defer client.Close()
+	for range 2 {
+		_, err := client.Get(t.Context(), "a")
+		is.NoErr(err)
+	}
+	is.Equal(p.seen(), 3)
+}
+
 func TestPutIsNeverSentTwice(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t, answerFirst)
