--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -17,32 +17,39 @@
 	for pause(ctx, tickEvery) {
 		n.feedSettling(ctx)
 		for _, d := range n.weigh(time.Now()) {
-			if d.Shift {
-				event.VersionShifts.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
-					slog.Float64("likelihood", d.Likelihood), slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision))
-				n.feedReaders(ctx)
-				n.feedGroup(ctx)
-				continue
-			}
-			if d.Made {
-				event.VersionDecided.Log(n.log, slog.String("service", d.Order.Service), slog.String("target", d.Order.Target),
-					slog.String("verdict", d.Verdict.String()), slog.Float64("likelihood", d.Likelihood),
-					slog.String("route", d.Route), slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision))
-				n.exchangeAll(ctx)
-			}
-			if time.Now().Before(next[d.Order.Service]) {
-				continue
-			}
-			if d.Made || !time.Now().Before(n.turn(d.Order)) {
-				if !n.write(ctx, d.Order, d.Verdict) {
-					next[d.Order.Service] = time.Now().Add(mostRetryCall)
-				}
-			}
+			n.follow(ctx, d, next)
 		}
 		n.announce(ctx, next)
 	}
 }
 
+// follow acts on a decision; next is when a service's state may be written
+// again after a failed try.
+func (n *Node) follow(ctx context.Context, d canary.Decision, next map[string]time.Time) {
+	attrs := []slog.Attr{
+		slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("verdict", d.Verdict.String()),
+		slog.Float64("likelihood", d.Likelihood), slog.String("route", d.Route),
+		slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision),
+	}
+	if d.Shift {
+		event.VersionShifts.Log(n.log, attrs...)
+		n.feedReaders(ctx)
+		n.feedGroup(ctx)
+		return
+	}
+	if d.Made {
+		event.VersionDecided.Log(n.log, attrs...)
+		n.exchangeAll(ctx)
+	}
+	now := time.Now()
+	if now.Before(next[d.Order.Service]) || !d.Made && now.Before(n.turn(d.Order)) {
+		return
+	}
+	if !n.write(ctx, d.Order, d.Verdict) {
+		next[d.Order.Service] = now.Add(mostRetryCall)
+	}
+}
+
 func (n *Node) weigh(now time.Time) []canary.Decision {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -105,16 +105,12 @@
 	}
 }
 
-// mayTry tells whether another attempt is allowed, and takes it from the retry
-// budget if some upstream has been sent the request.
+// mayTry tells whether the route allows another attempt.
 func (j *job) mayTry() bool {
 	if j.unreached > mostUnreached || j.left() <= 0 {
 		return false
 	}
-	if j.mayHaveRun && !j.route.Repeatable() {
-		return false
-	}
-	return true
+	return !j.mayHaveRun || j.route.Repeatable()
 }
 
 // pause waits; it returns false if ctx ended meanwhile.
@@ -164,18 +160,13 @@
 	return j.whole(a, resp)
 }
 
-// attemptContext bounds an attempt so that time is left for another one, where
-// the route allows one.
+// attemptContext bounds an attempt at a whole answer so that time is left for
+// another one, where the route allows one. A stream watches its own pauses.
 func (j *job) attemptContext() (context.Context, context.CancelFunc) {
-	if !j.route.Repeatable() || j.left() < 2 {
+	if j.route.Kind == route.Stream || !j.route.Repeatable() || j.left() < 2 {
 		return context.WithCancel(j.ctx)
 	}
-	left := time.Until(j.deadline)
-	if j.route.Kind == route.Stream {
-		// Only the head is bounded here; the stream watches its own pauses.
-		return context.WithCancel(j.ctx)
-	}
-	return context.WithTimeout(j.ctx, left/2)
+	return context.WithTimeout(j.ctx, time.Until(j.deadline)/2)
 }
 
 // request is what is sent to an upstream.
@@ -209,7 +200,7 @@
 	case f.Reason == exchange.Cancelled || f.Reason == exchange.Garbled:
 		result = fleet.Failed
 	}
-	if f.Sent || f.Reason == exchange.Cancelled && f.Sent {
+	if f.Sent {
 		j.arrived++
 		j.sent++
 		j.mayHaveRun = true
@@ -229,7 +220,7 @@
 	h := readHeld(resp)
 	resp.Close()
 	a.end(fleet.Full)
-	j.mayHaveRun = j.ranBefore(a)
+	j.mayHaveRun = a.ranBefore
 	if resp.Status == http.StatusMisdirectedRequest {
 		// The address belongs to another upstream now: this one is gone.
 		j.node.misdirected(a.up)
@@ -242,6 +233,3 @@
 		j.sent = max(j.route.MaxAttempts, 1)
 	}
 }
-
-// ranBefore tells whether an earlier attempt may have run.
-func (j *job) ranBefore(a *attempt) bool { return a.ranBefore }
