--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -50,6 +50,10 @@
 // admit checks all that can be checked before the body is read.
 func (j *job) admit() *refusal {
 	n := j.node
+	// The caller's ID is known before anything is decided: whoever looks into a
+	// refusal afterwards has nothing else to go by.
+	ask, unsound := n.dialect.Read(j.r.Header)
+	j.ask = ask
 	j.table = n.config.Load()
 	if j.table == nil || !n.knowsUpstreams() {
 		return notYet
@@ -59,11 +63,9 @@
 	if j.route == nil {
 		return unknownRoute
 	}
-	ask, err := n.dialect.Read(j.r.Header)
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "bad_request", text: err.Error()}
+	if unsound != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "bad_request", text: unsound.Error()}
 	}
-	j.ask = ask
 	if ref := j.authorise(); ref != nil {
 		return ref
 	}
