Let requests wait a little for a node that has just started

Ruled out: a shorter Retry-After (the callers have no further try), calls of the store in quicker succession (each is priced, 70 nodes call at once). Now the request is read and waits a tenth of its caller's time, two seconds at most. TestRequestWaitsForANodeThatHasJustStarted was red before (24 s, did not wait) and is green.

--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -22,14 +22,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{node: n, w: w, r: r, start: time.Now()}
-	if ref := j.admit(); ref != nil {
-		j.refuse(ref)
-		return
+	defer func() { n.bodies.Add(-int64(len(j.body))) }()
+	ref := j.admit()
+	if ref == notYet {
+		ref = j.awaitTable()
 	}
-	if !j.readBody() {
+	if ref == nil {
+		ref = j.readBody()
+	}
+	if ref != nil {
+		j.refuse(ref)
 		return
 	}
-	defer n.bodies.Add(-int64(len(j.body)))
 	path, _ := rawTarget(r)
 	j.identify(path)
 	var cancel context.CancelFunc
@@ -106,17 +110,19 @@
 	return nil
 }
 
-// readBody reads the whole body, within the limits of the configuration and of
-// the process's memory; it reports whether the request goes on.
-func (j *job) readBody() bool {
-	n := j.node
-	limit := j.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
+// readBody reads the whole body, once, within the limits of the configuration
+// and of the process's memory.
+func (j *job) readBody() *refusal {
+	limit := j.mostBody()
+	if j.bodyRead {
+		if int64(len(j.body)) > limit {
+			return bodyTooLarge
+		}
+		return nil
 	}
+	n := j.node
 	if n.overfull(j.r.ContentLength) {
-		j.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "memory", text: "too many bodies are under way", retryAfter: refusedRetryAfter})
-		return false
+		return tooManyBodies
 	}
 	rc := http.NewResponseController(j.w)
 	if err := rc.SetReadDeadline(j.deadline); err != nil {
@@ -127,15 +133,22 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		j.refuse(&refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", text: "body is too large"})
-		return false
+		return bodyTooLarge
 	case err != nil:
 		n.event(event.ForwardLeft, j, slog.String("at", "body"), slog.String("err", err.Error()))
 		panic(http.ErrAbortHandler) // the request never arrived whole: there is nobody to answer
 	}
-	j.body = body
+	j.body, j.bodyRead = body, true
 	n.bodies.Add(int64(len(body)))
-	return true
+	return nil
+}
+
+// mostBody is the largest body that is read.
+func (j *job) mostBody() int64 {
+	if j.table == nil || j.table.Limits.BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return j.table.Limits.BodyBytes
 }
 
 // defaultBodyBytes bounds a body where the configuration does not.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -24,6 +24,7 @@
 	org      string
 	ask      Ask
 	body     []byte
+	bodyRead bool
 	start    time.Time
 	deadline time.Time
 	priority int
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -146,6 +146,9 @@
 	return n.list.revision > 0
 }
 
+// Active is how many callers' requests are under way.
+func (n *Node) Active() int64 { return n.active.Load() }
+
 // ReadyHandler answers whether the node is ready.
 func (n *Node) ReadyHandler() http.Handler {
 	return telemetry.Readyz(func() []string {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -22,15 +22,17 @@
 }
 
 var (
-	notYet       = &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", text: "this node does not know the configuration yet", retryAfter: unknownRetryAfter}
-	unknownRoute = &refusal{status: http.StatusNotFound, reason: "unknown_route", text: "no route for this host and path"}
-	unknownKey   = &refusal{status: http.StatusUnauthorized, reason: "unknown_key", text: "the key is not known"}
-	suspectWork  = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "this request crashed the upstreams that ran it", retryAfter: suspectRetryAfter}
-	noUpstream   = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
-	notInTime    = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
-	turnedAway   = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
-	broken       = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
-	tooLate      = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
+	notYet        = &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", text: "this node does not know the configuration yet", retryAfter: unknownRetryAfter}
+	unknownRoute  = &refusal{status: http.StatusNotFound, reason: "unknown_route", text: "no route for this host and path"}
+	unknownKey    = &refusal{status: http.StatusUnauthorized, reason: "unknown_key", text: "the key is not known"}
+	bodyTooLarge  = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", text: "body is too large"}
+	tooManyBodies = &refusal{status: http.StatusServiceUnavailable, reason: "memory", text: "too many bodies are under way", retryAfter: refusedRetryAfter}
+	suspectWork   = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "this request crashed the upstreams that ran it", retryAfter: suspectRetryAfter}
+	noUpstream    = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
+	notInTime     = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
+	turnedAway    = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
+	broken        = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
+	tooLate       = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
 )
 
 // suspectRetryAfter is long: nothing about the request will change soon.
