Give a version on trial several times its share of the upstreams

All its bad answers were slow streams: five nodes saw the same pause of 549 ms within a millisecond, as one long prompt held up all of one upstream's answers. The trial's 2.9 % of the sessions had two of sixty upstreams, which leaves placing no choice: 6 of 55 answers slow, against 93 of 2,414 of the old version's. Ruled out: counting slow answers of one upstream and second once (still in doubt: several upstreams stalled), a longer measure of the pace (stalls last seconds). TestTrialLeavesAChoiceOfUpstreams was red with the old share.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -185,3 +185,20 @@
 	c.Forget(func(_ string, born int64) bool { return born == 2 }) // the earlier run is gone, with its work
 	is.Equal(r.oldInFlight(), 2)
 }
+
+// A good version is turned away: its answers stall more often than the old
+// one's, because its sessions are confined to one or two upstreams, where a long
+// prompt holds up all of them. A version on trial has several times its share of
+// the upstreams, and all of them once all sessions come.
+func TestTrialLeavesAChoiceOfUpstreams(t *testing.T) {
+	is := is.New(t)
+	c := New(testSettings, "n1", 1)
+	now := time.Unix(1000, 0)
+	is.True(c.Take(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, now))
+	rule := c.Rule(serviceName, Caller{Hash: 0}, now.Add(3*time.Second))
+	is.Equal(rule.Version, newVersion)
+	is.True(rule.Part >= 3*testSettings.ShareBound*canaryPart)
+	is.True(rule.Part < 0.5)
+	is.True(c.Decide(serviceName, 1, Completed, true))
+	is.Equal(c.Rule(serviceName, Caller{Hash: 0}, now.Add(4*time.Second)).Part, 0.0)
+}
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -8,8 +8,7 @@
 	Version string
 	// Not are versions that may not serve.
 	Not []string
-	// Part is the part of the version's upstreams to use; 0 for all. A canary
-	// uses few, so that they are as busy as they will be later.
+	// Part is the part of the version's upstreams to use; 0 for all.
 	Part float64
 }
 
@@ -42,10 +41,22 @@
 	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r) {
 		return Rule{Not: c.without(service, r)}
 	}
-	if share >= 1 {
-		share = 0
+	return Rule{Version: r.order.Target, Part: partOf(share)}
+}
+
+// partOf is the part of the new version's upstreams that serve a share of the
+// sessions.
+//
+// As many as its share would be as busy as they will be later. But one or two
+// upstreams leave no choice where to place an attempt: their answers stall
+// behind long prompts more often than the old version's, and a good version
+// would be turned away for it. With more, they are calmer than later; what shows
+// only under load is watched for after the shift.
+func partOf(share float64) float64 {
+	if part := trialSpread * share; part < 1 {
+		return part
 	}
-	return Rule{Version: r.order.Target, Part: share}
+	return 0
 }
 
 // without returns the versions that the old version's requests keep away from:
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -26,6 +26,10 @@
 	// Requests that were sent since the last news come on top.
 	capPart   = 0.6
 	slackPart = 0.5
+	// trialSpread is how many times its share of the upstreams a version on
+	// trial uses: seven of sixty in place of two, three of eighteen in place of
+	// one.
+	trialSpread = 4.0
 	// shiftPart is the part of the bound that is used when all sessions have
 	// been shifted by the time limit.
 	shiftPart = 0.93
@@ -67,7 +71,7 @@
 	// forgotten: trouble that hits both versions must not convict the new one.
 	baseHalfLife = 3 * time.Second
 	// slowTimes is how many times the usual pace an answer may take.
-	slowTimes = 3.0
+	slowTimes = 4.0
 	// slowLeast is the least delay that counts as slow at all.
 	slowLeast = 60 * time.Millisecond
 	// doneAfter is how long after its limit an ended roll-out is told of.
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -17,7 +17,9 @@
 	// Likelihood is the evidence against the version at its worst route.
 	Likelihood float64
 	Route      string
-	Answers    int64
+	// Counts are the answers of that route, Answers all of the new version's.
+	Counts  RouteCount
+	Answers int64
 }
 
 // View is what a node sees beside the answers.
@@ -56,7 +58,7 @@
 		}
 		e.add(sum, now)
 		if e.likelihood > d.Likelihood {
-			d.Likelihood, d.Route = e.likelihood, route
+			d.Likelihood, d.Route, d.Counts = e.likelihood, route, sum
 		}
 		if e.convicts() {
 			r.verdict = RolledBack
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -29,7 +29,8 @@
 	attrs := []slog.Attr{
 		slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("verdict", d.Verdict.String()),
 		slog.Float64("likelihood", d.Likelihood), slog.String("route", d.Route),
-		slog.Int64("answers", d.Answers), slog.Uint64("revision", d.Order.Revision),
+		slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
+		slog.Int64("old", d.Counts.Base), slog.Int64("old_bad", d.Counts.BaseBad), slog.Uint64("revision", d.Order.Revision),
 	}
 	if d.Shift {
 		event.VersionShifts.Log(n.log, attrs...)
