Read short work first at upstreams, and move attempts that wait too long

The most urgent kind, which has the long prompts, even went first. Ruled out: upstreams of different speed (the slowest pauses change places), a hot prompt part (the parts differ). Now attempts are ranked by their work and priority, and one that has waited four times as long as its like, by a running median, goes to another upstream, within half of the retry budget. A median, not a mean: with a mean, one stuck attempt made a node as patient with the next.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -163,12 +163,16 @@
 }
 
 // work is what an attempt costs u: the prompt's tokens that it has not cached,
-// by the model's weight. A plain call counts as one.
+// by the model's weight. A plain call counts as one. With no u, nothing is
+// taken to be cached.
 func (f *Fleet) work(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
 	if w.Tokens == 0 {
 		return 1
 	}
-	kept := float64(u.cached(w, now))
+	kept := 0.0
+	if u != nil {
+		kept = float64(u.cached(w, now))
+	}
 	if i := slices.Index(holders, u); i >= 0 {
 		kept = max(kept, holderKeeps/float64(i+1)*float64(sharedTokens(w)))
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,11 +13,13 @@
 	services map[string][]*Upstream
 	// means are the usual work of an attempt at each service.
 	means map[string]float64
+	// delays are how long attempts of each kind have lately waited.
+	delays map[delayKey]*delay
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}}
 }
 
 // Put adds an upstream or takes its new record. It reports whether anything
@@ -84,7 +86,7 @@
 
 // End counts the end of an attempt at u.
 func (f *Fleet) End(u *Upstream, w *Work, result Result, now time.Time) {
-	f.Started(u, w)
+	f.unqueue(u, w)
 	u.inFlight--
 	switch result {
 	case Served:
@@ -95,6 +97,9 @@
 		u.decay(now)
 		u.attempts++
 		u.failures++
+	case Moved:
+		f.waited(w, now)
+		f.blocked(u, w, now)
 	case Unreached:
 		u.decay(now)
 		u.attempts++
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 				if len(running) > 0 {
 					o := running[0]
 					running = running[1:]
-					f.Started(o.u, o.w)
+					f.Started(o.u, o.w, now)
 					f.End(o.u, o.w, Result(rapid.IntRange(0, 4).Draw(t, "result")), now)
 				}
 			}
--- a/internal/fleet/replay_test.go
+++ b/internal/fleet/replay_test.go
@@ -131,15 +131,16 @@
 func play(p pattern, choose chooser) outcome {
 	var o outcome
 	for seed := range uint64(plays) {
-		r := newReplay(seed, choose)
+		r := newReplay(seed, simNodes, choose)
+		r.patient = true
 		if p.crash > 0 {
 			r.crash(p.crash, peakFrom, peakTo-peakFrom)
 		}
 		r.arrivals(patternLength, p.rate, func(at time.Duration) demand { return p.draw(r.rnd, at) })
 		const share = 0.95
-		o.before += r.quantile(share, 3*time.Second, peakFrom) / plays
-		o.peak += r.quantile(share, peakFrom, peakTo) / plays
-		o.later += r.quantile(share, peakTo+4*time.Second, patternLength-2*time.Second) / plays
+		o.before += r.quantile(share, 3*time.Second, peakFrom, nil) / plays
+		o.peak += r.quantile(share, peakFrom, peakTo, nil) / plays
+		o.later += r.quantile(share, peakTo+4*time.Second, patternLength-2*time.Second, nil) / plays
 		o.lost += r.lost
 	}
 	return o
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -19,24 +19,49 @@
 	choose    chooser
 	waits     []wait
 	lost      int
+	// ranked upstreams read what has the lower rank first; patient nodes never
+	// move an attempt.
+	ranked, patient bool
+	moves           int
 }
 
 // wait is how long a request waited for its answer to begin.
 type wait struct {
 	at   time.Time
 	took time.Duration
+	d    demand
 }
 
 // chooser picks an upstream for an attempt; tests compare several.
 type chooser func(r *replay, node int, w Want) *Upstream
 
-// simUpstream is one upstream as it really is.
+// simUpstream is one upstream as it really is: it reads one prompt at a time.
 type simUpstream struct {
-	readUntil        time.Time // when the prompts sent so far have been read
-	running, waiting int
-	down             time.Time // it is gone until then
-	parts            map[string]time.Time
-	epoch            int
+	queue   []*simJob
+	reading *simJob
+	running int
+	down    time.Time // it is gone until then
+	parts   map[string]time.Time
+	epoch   int
+}
+
+// simJob is an attempt at an upstream.
+type simJob struct {
+	node  *Fleet
+	up    *Upstream
+	work  *Work
+	want  Want
+	d     demand
+	since time.Time
+	rank  int
+	moved bool
+}
+
+func (u *simUpstream) waiting() int {
+	if u.reading == nil {
+		return len(u.queue)
+	}
+	return len(u.queue) + 1
 }
 
 const (
@@ -61,9 +86,9 @@
 	shared int
 }
 
-func newReplay(seed uint64, choose chooser) *replay {
+func newReplay(seed uint64, nodes int, choose chooser) *replay {
 	r := &replay{upstreams: map[string]*simUpstream{}, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 7)), choose: choose}
-	for range simNodes {
+	for range nodes {
 		f := New(Settings{Domain: "d0"})
 		for i := range simUpstreams {
 			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: simSlots})
@@ -143,66 +168,106 @@
 		r.lost++
 		return
 	}
-	work := f.Begin(u, &w, r.now)
+	usual := f.Delay(&w, r.now)
+	job := &simJob{node: f, up: u, want: w, d: d, since: since, rank: f.Rank(&w, 0)}
+	job.work = f.Begin(u, &w, r.now)
 	sim := r.upstreams[u.ID]
 	if r.now.Before(sim.down) {
-		f.End(u, work, Unreached, r.now)
-		r.request(d, since, append(slices.Clone(tried), u.ID))
+		r.again(job, Unreached)
 		return
 	}
-	r.serve(f, u, work, sim, d, since)
+	sim.queue = append(sim.queue, job)
+	r.read(sim)
+	if usual > 0 && len(tried) == 0 && !r.patient {
+		r.after(max(4*usual, 300*time.Millisecond), func() { r.move(sim, job) })
+	}
+}
+
+// again sends a job whose attempt ended without an answer to another upstream.
+func (r *replay) again(job *simJob, result Result) {
+	job.node.End(job.up, job.work, result, r.now)
+	r.request(job.d, job.since, append(slices.Clone(job.want.Tried), job.up.ID))
+}
+
+// move takes a job that still waits to another upstream.
+func (r *replay) move(sim *simUpstream, job *simJob) {
+	i := slices.Index(sim.queue, job)
+	if i < 0 {
+		return // it is being read, or has been
+	}
+	sim.queue = slices.Delete(sim.queue, i, i+1)
+	r.moves++
+	r.again(job, Moved)
 }
 
-func (r *replay) serve(f *Fleet, u *Upstream, work *Work, sim *simUpstream, d demand, since time.Time) {
-	tokens := d.tokens
-	if d.part != "" && r.now.Sub(sim.parts[d.part]) < partStays {
-		tokens -= d.shared
+// read begins to read the next prompt.
+func (r *replay) read(sim *simUpstream) {
+	if sim.reading != nil || len(sim.queue) == 0 {
+		return
+	}
+	next := 0
+	for i, job := range sim.queue {
+		if r.ranked && job.rank < sim.queue[next].rank {
+			next = i
+		}
 	}
-	sim.parts[d.part] = r.now
-	begin := sim.readUntil
-	if begin.Before(r.now) {
-		begin = r.now
+	job := sim.queue[next]
+	sim.queue = slices.Delete(sim.queue, next, next+1)
+	sim.reading = job
+	tokens := job.d.tokens
+	if job.d.part != "" && r.now.Sub(sim.parts[job.d.part]) < partStays {
+		tokens -= job.d.shared
 	}
-	sim.readUntil = begin.Add(time.Duration(float64(tokens) * d.weight / readRate * float64(time.Second)))
-	sim.waiting++
+	sim.parts[job.d.part] = r.now
 	epoch := sim.epoch
-	r.after(sim.readUntil.Sub(r.now), func() {
-		if sim.epoch != epoch { // it crashed meanwhile
-			f.End(u, work, Unreached, r.now)
-			r.request(d, since, []string{u.ID})
-			return
+	r.after(time.Duration(float64(tokens)*job.d.weight/readRate*float64(time.Second)), func() {
+		if sim.epoch == epoch {
+			r.answer(sim, job)
 		}
-		sim.waiting--
-		sim.running++
-		f.Started(u, work)
-		f.Report(u, sim.running, sim.waiting, r.now)
-		r.waits = append(r.waits, wait{since, r.now.Sub(since)})
-		r.after(answerTime, func() {
-			if sim.epoch == epoch {
-				sim.running--
-			}
-			f.End(u, work, Served, r.now)
-		})
 	})
 }
 
+// answer begins the answer to a prompt that has been read.
+func (r *replay) answer(sim *simUpstream, job *simJob) {
+	sim.reading = nil
+	sim.running++
+	job.node.Started(job.up, job.work, r.now)
+	job.node.Report(job.up, sim.running, sim.waiting(), r.now)
+	r.waits = append(r.waits, wait{job.since, r.now.Sub(job.since), job.d})
+	epoch := sim.epoch
+	r.after(answerTime, func() {
+		if sim.epoch == epoch {
+			sim.running--
+		}
+		job.node.End(job.up, job.work, Served, r.now)
+	})
+	r.read(sim)
+}
+
 // crash takes upstreams down for a time.
 func (r *replay) crash(count int, at, length time.Duration) {
 	r.after(at, func() {
 		for i := range count {
 			sim := r.upstreams[fmt.Sprintf("u%02d", i)]
+			lost := sim.queue
+			if sim.reading != nil {
+				lost = append(lost, sim.reading)
+			}
 			*sim = simUpstream{down: r.now.Add(length), parts: map[string]time.Time{}, epoch: sim.epoch + 1}
+			for _, job := range lost {
+				r.again(job, Unreached)
+			}
 		}
 	})
 }
 
 // quantile is the wait that a share of the requests stays within, among those
-// that came in a span of the pattern.
-func (r *replay) quantile(share float64, from, to time.Duration) time.Duration {
+// that came in a span of the pattern and that which picks; nil picks all.
+func (r *replay) quantile(share float64, from, to time.Duration, which func(d demand) bool) time.Duration {
 	start := time.Unix(1000, 0)
 	var all []time.Duration
 	for _, w := range r.waits {
-		if at := w.at.Sub(start); at >= from && at < to {
+		if at := w.at.Sub(start); at >= from && at < to && (which == nil || which(w.d)) {
 			all = append(all, w.took)
 		}
 	}
--- a/internal/fleet/result.go
+++ b/internal/fleet/result.go
@@ -13,6 +13,8 @@
 	Unreached
 	// Full attempts were turned away, not run.
 	Full
+	// Moved attempts had waited far longer than usual and went elsewhere.
+	Moved
 	// Abandoned attempts were given up by this node or its caller; they tell
 	// nothing of the upstream.
 	Abandoned
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -44,6 +44,9 @@
 	errorPenalty = 4.0
 	// tieWeight spreads attempts among upstreams that cost about the same.
 	tieWeight = 0.05
+	// delayStep is by which part a wait moves the usual one: it follows a change
+	// of four times within ten attempts.
+	delayStep = 0.15
 	// meanGain is the weight of a new attempt in the mean work.
 	meanGain = 0.02
 	// leastTokens and leastWeight keep an attempt's work above nothing.
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -6,6 +6,8 @@
 type Work struct {
 	amount float64
 	begun  bool
+	key    delayKey
+	sentAt time.Time
 }
 
 // Begin counts an attempt that is sent to u.
@@ -20,11 +22,19 @@
 		m = amount
 	}
 	f.means[w.Service] = m + meanGain*(amount-m)
-	return &Work{amount: amount}
+	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now}
 }
 
 // Started counts the begin of an attempt's answer: its prompt has been read.
-func (f *Fleet) Started(u *Upstream, w *Work) {
+func (f *Fleet) Started(u *Upstream, w *Work, now time.Time) {
+	if !w.begun {
+		f.waited(w, now)
+	}
+	f.unqueue(u, w)
+}
+
+// unqueue takes an attempt from those whose answers have not begun.
+func (f *Fleet) unqueue(u *Upstream, w *Work) {
 	if w.begun {
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,8 +25,14 @@
 	told bool
 	// ranBefore tells whether an earlier attempt may have run.
 	ranBefore bool
-	// work is what the attempt costs its upstream.
+	// work is what the attempt costs its upstream, rank its place in the
+	// upstream's queue.
 	work *fleet.Work
+	rank int
+	// want is what was asked of the upstream, usual how long such an attempt
+	// usually waits for its answer to begin; 0 where that is not known.
+	want  fleet.Want
+	usual time.Duration
 }
 
 // choose picks an upstream for the job's next attempt, and counts it.
@@ -55,7 +61,7 @@
 	}
 	n.canary.Sent(j.service, up.Version, j.arrived == 0)
 	return &attempt{
-		job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now,
+		job: j, up: up, rank: n.fleet.Rank(&want, j.priority), want: want, usual: n.fleet.Delay(&want, now), version: up.Version, revision: n.canary.Revision(j.service), began: now,
 		ranBefore: j.mayHaveRun, work: n.fleet.Begin(up, &want, now),
 	}
 }
@@ -106,7 +112,7 @@
 	n := a.job.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Started(a.up, a.work)
+	n.fleet.Started(a.up, a.work, time.Now())
 }
 
 // end counts the attempt's end, once.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -45,8 +45,9 @@
 	Model string
 	// LastEvent is the event after which the stream goes on.
 	LastEvent string
-	// Priority ranks the request at the upstream, 0 first; negative for none.
-	Priority int
+	// Rank is the request's place in the upstream's queue, 0 first; negative for
+	// none.
+	Rank int
 }
 
 // Reply is what an upstream's headers say of its answer.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -139,9 +139,11 @@
 	ctx, cancel := j.attemptContext()
 	defer cancel()
 	j.tried = append(j.tried, up.ID)
-	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(up))
+	watch := a.patience(cancel)
+	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(a))
+	moved := watch.end()
 	if failure != nil {
-		j.failedAttempt(a, failure)
+		j.failedAttempt(a, failure, moved)
 		return false
 	}
 	j.arrived++
@@ -170,14 +172,14 @@
 }
 
 // request is what is sent to an upstream.
-func (j *job) request(up *fleet.Upstream) *exchange.Request {
+func (j *job) request(a *attempt) *exchange.Request {
 	_, target := rawTarget(j.r)
 	order := Order{
-		Instance: up.ID, Organisation: j.org, Left: time.Until(j.deadline),
-		Model: j.model, LastEvent: j.lastEvent, Priority: j.priority,
+		Instance: a.up.ID, Organisation: j.org, Left: time.Until(j.deadline),
+		Model: j.model, LastEvent: j.lastEvent, Rank: a.rank,
 	}
 	if j.route.Kind != route.Stream {
-		order.Priority = -1
+		order.Rank = -1
 	}
 	req := &exchange.Request{
 		Method: j.r.Method, Target: target, Host: j.r.Host,
@@ -192,9 +194,13 @@
 }
 
 // failedAttempt notes an attempt that brought no answer.
-func (j *job) failedAttempt(a *attempt, f *exchange.Failure) {
+func (j *job) failedAttempt(a *attempt, f *exchange.Failure, moved bool) {
 	result := fleet.Unreached
+	reason := string(f.Reason)
 	switch {
+	case f.Reason == exchange.Cancelled && moved:
+		result, reason = fleet.Moved, "waited_too_long"
+		j.paid = true
 	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
 		result = fleet.Abandoned
 	case f.Reason == exchange.Cancelled || f.Reason == exchange.Garbled:
@@ -211,7 +217,7 @@
 	if f.Sent && f.Reason == exchange.Broken {
 		j.node.suspectCrash(j, a.up)
 	}
-	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", string(f.Reason)),
+	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", reason),
 		slog.Bool("sent", f.Sent), slog.String("err", f.Err.Error()))
 }
 
