Record a verdict before peers are told of it

The deciding node first told its peers, of which a third was cut off from it; each takes a time-out of 0.4 to 0.7 s. The same loop also fed its group before it weighed anything. Ruled out: the shift itself (it came as late as the bound on bad versions demands), the turns of other nodes (the table answered them 429). Telling is a duty of its own now.

--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -15,7 +15,6 @@
 func (n *Node) followRollouts(ctx context.Context) {
 	next := map[string]time.Time{}
 	for pause(ctx, tickEvery) {
-		n.feedSettling(ctx)
 		for _, d := range n.weigh(time.Now()) {
 			n.follow(ctx, d, next)
 		}
@@ -34,13 +33,12 @@
 	}
 	if d.Shift {
 		event.VersionShifts.Log(n.log, attrs...)
-		n.feedReaders(ctx)
-		n.feedGroup(ctx)
+		n.tellSoon()
 		return
 	}
 	if d.Made {
 		event.VersionDecided.Log(n.log, attrs...)
-		n.exchangeAll(ctx)
+		n.tellSoon()
 	}
 	now := time.Now()
 	if now.Before(next[d.Order.Service]) || !d.Made && now.Before(n.turn(d.Order)) {
@@ -61,29 +59,6 @@
 	})
 }
 
-// feedSettling tells this node's group and the other readers what it knows
-// more often while a roll-out is under way.
-func (n *Node) feedSettling(ctx context.Context) {
-	now := time.Now()
-	n.mu.Lock()
-	due := n.canary.Settling(now) && now.Sub(n.fedAt) >= settlingEvery
-	if !due {
-		due = len(n.orders) > 0 && now.Sub(n.fedAt) >= n.readEvery()
-	}
-	if due {
-		n.fedAt = now
-	}
-	settling := n.canary.Settling(now)
-	n.mu.Unlock()
-	if !due {
-		return
-	}
-	n.feedReaders(ctx)
-	if settling {
-		n.feedGroup(ctx)
-	}
-}
-
 // turn is when this node may write a verdict that another made: the nodes
 // follow one after the other, in order of their IDs, until one has written.
 //
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -67,6 +67,8 @@
 	recorded []gossip.Member
 	// told is what peers told last of what they have.
 	told map[string]told
+	// urgent asks the duty that tells other nodes of roll-outs to do so at once.
+	urgent chan struct{}
 }
 
 // configuration is the one in force, as it was read and as it is used.
@@ -132,6 +134,7 @@
 		known:   map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
 		told: map[string]told{}, heard: map[turnKey]time.Time{},
+		urgent: make(chan struct{}, 1),
 	}
 }
 
