End the test of early verdicts at once when it fails

Cause: with the guard out the test reported its failure and then waited for a connection that it had already taken, until go test's own limit of ten minutes. Now it ends at the failure. Nothing else changes; red in 0.7 s with the old order.

--- a/internal/gateway/follow_rollouts_test.go
+++ b/internal/gateway/follow_rollouts_test.go
@@ -63,7 +63,7 @@
 	is.Equal(<-source.recorded, canary.Completed)
 	select {
 	case <-called:
-		t.Error("a peer was told before the verdict was recorded")
+		t.Fatal("a peer was told before the verdict was recorded")
 	default:
 	}
 	ctx, cancel := context.WithCancel(t.Context())
