Ask no upstream whose address another has taken over

A new ID at a known address now ends the old one, and one that answered as another stays known but is not asked, so that lists still agree. TestReplacedUpstreamIsNotAsked (old code: does not compile; the new ID was chosen as often as the old one).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,12 +22,13 @@
 	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}}
 }
 
-// Put adds an upstream or takes its new record. It reports whether anything
-// that routing uses has changed.
-func (f *Fleet) Put(r Record) bool {
+// Put adds an upstream or takes its new record, as read at a time. It reports
+// whether anything that routing uses has changed.
+func (f *Fleet) Put(r Record, now time.Time) bool {
 	known := f.byID[r.ID]
 	if known == nil {
-		u := &Upstream{Record: r}
+		u := &Upstream{Record: r, since: now}
+		f.replace(u)
 		f.byID[r.ID] = u
 		f.enlist(u)
 		return true
@@ -45,6 +46,29 @@
 	return true
 }
 
+// replace marks the upstream whose address a newer one has taken over.
+//
+// It guards against attempts at upstreams that crashed: until their entries
+// lapse they are listed beside those that have come back under new IDs, and
+// each node would be turned away by each address once, at the cost of the retry
+// budget. Of two that were first read together, either may be the newer.
+func (f *Fleet) replace(u *Upstream) {
+	for _, old := range f.byID {
+		if old.Addr == u.Addr && old.since.Before(u.since) {
+			old.replaced = true
+		}
+	}
+}
+
+// Misdirected marks an upstream whose address has answered that it is not that
+// one: it has ended, though it is listed until its entry lapses. It stays known,
+// so that nodes which do not know of this yet agree on the list.
+func (f *Fleet) Misdirected(id string) {
+	if u := f.byID[id]; u != nil {
+		u.replaced = true
+	}
+}
+
 // Drop forgets an upstream that the table no longer lists.
 func (f *Fleet) Drop(id string) bool {
 	u := f.byID[id]
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 func some(count int) *Fleet {
 	f := New(Settings{Domain: "d0"})
 	for i := range count {
-		f.Put(record(fmt.Sprintf("u%d", i)))
+		f.Put(record(fmt.Sprintf("u%d", i)), time.Unix(900, 0))
 	}
 	return f
 }
@@ -43,7 +43,7 @@
 				r.Draining = rapid.Bool().Draw(t, "draining")
 				r.Version = fmt.Sprintf("v%d", rapid.IntRange(1, 2).Draw(t, "version"))
 				r.Service = rapid.SampledFrom([]string{"s", "other"}).Draw(t, "service")
-				f.Put(r)
+				f.Put(r, now)
 			case 1:
 				f.Drop(name)
 			case 2:
@@ -157,7 +157,7 @@
 	is.Equal(len(a.Records()), 3)
 	w := Want{Service: "s", Tried: []string{"u0", "u1", "u2"}}
 	is.Equal(a.Choose(w, time.Unix(1000, 0)).ID, "u3") // it still serves
-	a.Put(record("u3"))
+	a.Put(record("u3"), time.Unix(1000, 0))
 	is.Equal(len(a.Records()), 4)
 	is.True(slices.Equal(a.Versions("s"), []string{"v1"}))
 }
@@ -178,3 +178,43 @@
 	is.Equal(ofVersion, 2)
 	is.Equal(all, 2)
 }
+
+// An upstream crashes and is back under a new ID at its address, while its old
+// entry has not lapsed. Callers' requests went to the old ID, were turned away,
+// and used up the retry budget: once for each node and upstream. Of two entries
+// that were read together nobody can tell which is the older; an upstream that
+// turned an attempt away as another's is not asked again.
+func TestReplacedUpstreamIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	read := time.Unix(1000, 0)
+	f := New(Settings{Domain: "d0"})
+	at := func(id string) Record {
+		r := record(id)
+		r.Addr = "10.0.0.1:1"
+		return r
+	}
+	f.Put(at("old"), read)
+	w := Want{Service: "s"}
+	is.Equal(f.Choose(w, read).ID, "old")
+	hash := f.Hash()
+	f.Put(at("new"), read.Add(time.Second))
+	for seed := range uint64(20) {
+		w.Seed = seed
+		is.Equal(f.Choose(w, read.Add(time.Second)).ID, "new")
+	}
+	is.True(f.Hash() != hash)
+	is.Equal(len(f.Records()), 2) // it is listed until its entry lapses
+
+	both := New(Settings{Domain: "d0"})
+	both.Put(at("one"), read)
+	both.Put(at("two"), read)
+	listed := both.Hash()
+	is.True(both.Choose(w, read) != nil)
+	both.Misdirected("one")
+	both.Misdirected("nobody")
+	for seed := range uint64(20) {
+		w.Seed = seed
+		is.Equal(both.Choose(w, read).ID, "two")
+	}
+	is.Equal(both.Hash(), listed) // nodes that do not know of it agree on the list
+}
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -91,7 +91,7 @@
 	for range nodes {
 		f := New(Settings{Domain: "d0"})
 		for i := range simUpstreams {
-			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: simSlots})
+			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: simSlots}, r.now)
 		}
 		r.nodes = append(r.nodes, f)
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -11,6 +11,10 @@
 
 	// kept is set while the table does not list it, but may again.
 	kept bool
+	// since is when it was first read; replaced is set when another upstream
+	// answers at its address: this one has ended.
+	since    time.Time
+	replaced bool
 
 	inFlight int
 	// running and waiting are the upstream's latest word on its load, heard at
@@ -80,5 +84,5 @@
 
 // ready tells whether new work may be sent there now.
 func (u *Upstream) ready(now time.Time) bool {
-	return !u.Draining && !now.Before(u.ejected)
+	return !u.Draining && !u.replaced && !now.Before(u.ejected)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,7 @@
 	n.pool.Forget(up.Addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Drop(up.ID)
+	n.fleet.Misdirected(up.ID)
 }
 
 func (n *Node) blocked(print uint64) bool {
--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -14,7 +14,8 @@
 func (n *Node) applyFleet(c FleetChange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	lapsing := n.wasAway(time.Now())
+	now := time.Now()
+	lapsing := n.wasAway(now)
 	if c.Revision < n.list.revision {
 		return // a peer's or an earlier reading arrived late
 	}
@@ -22,7 +23,7 @@
 	listed := map[string]bool{}
 	for _, r := range c.Put {
 		listed[r.ID] = true
-		n.putUpstream(r)
+		n.putUpstream(r, now)
 	}
 	drop := c.Drop
 	if c.Whole {
@@ -52,12 +53,12 @@
 	return ids
 }
 
-func (n *Node) putUpstream(r fleet.Record) {
+func (n *Node) putUpstream(r fleet.Record, now time.Time) {
 	delete(n.list.gone, r.ID)
-	if !n.fleet.Put(r) {
+	if !n.fleet.Put(r, now) {
 		return
 	}
-	n.meetVersion(r.Service, r.Version, time.Now())
+	n.meetVersion(r.Service, r.Version, now)
 	event.FleetChanged.Log(n.log, slog.String("upstream", r.ID), slog.String("service", r.Service), slog.String("addr", r.Addr),
 		slog.String("version", r.Version), slog.Bool("draining", r.Draining), slog.Uint64("revision", n.list.revision))
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -162,11 +162,12 @@
 }
 
 func (n *Node) takeFleet(in gossip.Message) {
+	now := time.Now()
 	n.list.revision = in.Proof.FleetRevision
 	listed := map[string]bool{}
 	for _, r := range in.Fleet {
 		listed[r.ID] = true
-		n.putUpstream(r)
+		n.putUpstream(r, now)
 	}
-	n.dropUpstreams(n.unlisted(listed), n.wasAway(time.Now()))
+	n.dropUpstreams(n.unlisted(listed), n.wasAway(now))
 }
