Ask for more confidence where upstreams have time, and spend a short budget on the least sure

And when upstreams have crashed, the retry budget went to whoever came first: up to 23 % of the answers were a small model's with a confidence below 45. Now the confidence asked for falls from 60 (5 less for each step of priority) to 45 while the usual wait for the largest model grows from 0.03 to 0.1 of the route's goal, larger models leave the more of the budget the surer the answer, and 0.92 of the bound is used. Each choice is logged with the confidence asked for; an answer that is kept for want of budget is event 1924.

--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -7,11 +7,16 @@
 // gives the figures that it comes from.
 package cascade
 
+import "math"
+
 // Settings of a [Policy].
 type Settings struct {
-	// Accept is the confidence, 0 to 100, from which a small model's answer is
-	// taken.
+	// Accept is the confidence, 0 to 100, from which a small model's answer to
+	// the most urgent work is taken where upstreams have time for a larger one.
 	Accept int
+	// AcceptBusy is the confidence that is enough where they have not: 45 to 60
+	// win the same on days with much trouble.
+	AcceptBusy int
 }
 
 // Policy decides on models.
@@ -26,6 +31,50 @@
 	Models []string
 	// Attempts is how many attempts are left, the next one included.
 	Attempts int
+	// Priority is the request's rank, 0 the most urgent.
+	Priority int
+	// Wait is how long a usual request waits for the largest model, as a part of
+	// the time in which the route wants its answer to begin.
+	Wait float64
+}
+
+const (
+	// calmWait and busyWait are the waits between which the demand on a small
+	// model's confidence falls.
+	calmWait = 0.03
+	busyWait = 0.1
+	// acceptStep is by how much it falls with each step of priority: less
+	// urgent work is worth less of a larger model's price.
+	acceptStep = 5
+	mostSteps  = 2
+)
+
+// Accept is the confidence from which a small model's answer is taken.
+func (p *Policy) Accept(s State) int {
+	spare := min(max((busyWait-s.Wait)/(busyWait-calmWait), 0), 1)
+	lower := acceptStep * min(max(s.Priority, 0), mostSteps)
+	calm := max(p.settings.Accept-lower, p.settings.AcceptBusy)
+	return p.settings.AcceptBusy + int(math.Round(spare*float64(calm-p.settings.AcceptBusy)))
+}
+
+const (
+	// leastReserve is the part of the retry budget that a larger model's answer
+	// leaves to attempts after a failure, where the small one's was least sure.
+	leastReserve = 0.1
+	// sureReserve is what it leaves more for each point of confidence. At a
+	// confidence of 60 two thirds of the budget remain, of which a calm day uses
+	// half.
+	sureReserve = 0.004
+)
+
+// Reserve is the part of the retry budget, 0 to 1, that a larger model's answer
+// in place of one with this confidence leaves to others.
+//
+// It guards against a budget that is spent in the order of requests when
+// upstreams have crashed: answers that are probably good would be replaced, and
+// those that are probably poor kept.
+func Reserve(confidence int) float64 {
+	return leastReserve + sureReserve*float64(min(max(confidence, 0), 100))
 }
 
 // First returns the model of the first attempt.
@@ -41,7 +90,7 @@
 // left after this one.
 func (p *Policy) Next(s State, model string, confidence int) string {
 	largest := s.Models[len(s.Models)-1]
-	if s.Attempts < 1 || model == largest || confidence >= p.settings.Accept {
+	if s.Attempts < 1 || model == largest || confidence >= p.Accept(s) {
 		return ""
 	}
 	return largest
--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -1,14 +1,18 @@
 package cascade
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/admission"
 )
 
 func TestChoiceOfModels(t *testing.T) {
 	is := is.New(t)
-	p := New(Settings{Accept: 45})
+	p := New(Settings{Accept: 45, AcceptBusy: 45})
 	three := []string{"small", "middle", "large"}
 	is.Equal(p.First(State{Models: three, Attempts: 3}), "small")
 	is.Equal(p.First(State{Models: three, Attempts: 1}), "large") // nothing could replace a small one's answer
@@ -31,3 +35,62 @@
 		}
 	}
 }
+
+// A draft was answered by a small model that was not sure, while larger ones
+// had time; or the larger model was asked although every upstream was busy, and
+// the answer came late. How sure is sure enough follows from the wait for the
+// largest model and from the request's priority.
+func TestConfidenceAskedFor(t *testing.T) {
+	p := New(Settings{Accept: 60, AcceptBusy: 45})
+	tests := []struct {
+		name     string
+		priority int
+		wait     float64
+		want     int
+	}{
+		{"calm, most urgent", 0, 0, 60},
+		{"calm, less urgent", 1, 0.02, 55},
+		{"calm, least urgent", 7, 0.03, 50},
+		{"between, most urgent", 0, 0.05, 56},
+		{"busy, most urgent", 0, 0.1, 45},
+		{"busy beyond all, least urgent", 9, 5, 45},
+		{"no priority known", -1, 0, 60},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := State{Models: []string{"small", "large"}, Attempts: 1, Priority: test.priority, Wait: test.wait}
+			is.Equal(p.Next(s, "small", test.want), "")
+			is.Equal(p.Next(s, "small", test.want-1), "large")
+		})
+	}
+}
+
+// Half of the upstreams crash, and repeats take most of the retry budget. For
+// ten seconds users got small models' answers that were as good as guessed,
+// while answers that were probably good were replaced. What is left of the
+// budget goes to the least sure.
+func TestScarceBudgetGoesToTheLeastSure(t *testing.T) {
+	kept := func(reserve func(confidence int) float64) (poor int) {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		now := time.Unix(1000, 0)
+		b := admission.NewWindowBudget(admission.WindowSettings{Ratio: 0.8, Slack: 3, Window: 10 * time.Second})
+		for i := range 3000 {
+			now = now.Add(20 * time.Millisecond)
+			b.Request(now)
+			if i%2 == 0 {
+				b.Allow(now, 0) // a repeat after a crash
+			}
+			confidence := rnd.IntN(130) // a third is sure
+			if confidence < 60 && !b.Allow(now, reserve(confidence)) && confidence < 30 {
+				poor++
+			}
+		}
+		return poor
+	}
+	same, graded := kept(func(int) float64 { return 0.15 }), kept(Reserve)
+	t.Logf("poor answers kept: %d by order, %d by confidence", same, graded)
+	if graded > same*7/10 {
+		t.Errorf("%d poor answers kept, %d in the order of requests", graded, same)
+	}
+}
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -19,6 +19,7 @@
 	ForwardEscalated  = define(1921, slog.LevelInfo, "smaller model was unsure; a larger one answers")
 	ForwardResumed    = define(1922, slog.LevelInfo, "stream goes on at another upstream")
 	ForwardStrike     = define(1923, slog.LevelWarn, "upstream crashed while it ran a request")
+	ForwardUnsure     = define(1924, slog.LevelInfo, "smaller model was unsure; its answer is kept, as the retry budget is short")
 	FleetChanged      = define(1930, slog.LevelInfo, "upstream's record changed")
 	FleetGone         = define(1931, slog.LevelInfo, "upstream is no longer listed")
 	FleetKept         = define(1932, slog.LevelWarn, "upstreams vanished while the table was away; they are kept for a while")
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -121,7 +121,7 @@
 		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
 		pool:    exchange.NewPool(exchange.Settings{}),
 		peers:   gossip.NewClient(),
-		policy:  cascade.New(cascade.Settings{Accept: s.Accept}),
+		policy:  cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
 		born:    born,
 		stopped: make(chan struct{}),
 		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
@@ -195,12 +195,7 @@
 	return b
 }
 
-const (
-	// retryPart is the part of the retry bound that is used: requests near a
-	// window's edge count in one window at their node and in another at
-	// upstreams.
-	retryPart = 0.85
-	// escalationReserve is the part of the budget that attempts at a larger
-	// model leave to attempts after a failure.
-	escalationReserve = 0.15
-)
+// retryPart is the part of the retry bound that is used: requests near a
+// window's edge count in one window at their node and in another at upstreams,
+// and a node that restarts does not know what it spent before.
+const retryPart = 0.92
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,9 +41,7 @@
 // on at another upstream.
 func (j *job) stream(a *attempt, resp *exchange.Response, reply Reply) bool {
 	defer resp.Close()
-	if next := j.escalate(reply); next != "" {
-		j.node.event(event.ForwardEscalated, j, slog.String("upstream", a.up.ID), slog.String("model", j.model),
-			slog.String("next", next), slog.Int("confidence", reply.Confidence))
+	if next := j.escalate(a, reply); next != "" {
 		a.end(fleet.Served)
 		j.model = next
 		return false
@@ -91,19 +89,41 @@
 }
 
 // escalate returns the model that should answer in place of this one, if any.
-func (j *job) escalate(reply Reply) string {
+func (j *job) escalate(a *attempt, reply Reply) string {
 	if j.model == "" || j.begun || !reply.HasConfidence {
 		return ""
 	}
-	next := j.node.policy.Next(cascade.State{Models: j.route.Models, Attempts: j.left()}, j.model, reply.Confidence)
-	if next == "" || !j.node.allowRetry(j.service, escalationReserve) {
+	state := j.cascadeState()
+	next := j.node.policy.Next(state, j.model, reply.Confidence)
+	if next == "" {
+		return ""
+	}
+	attrs := []slog.Attr{
+		slog.String("upstream", a.up.ID), slog.String("model", j.model), slog.String("next", next),
+		slog.Int("confidence", reply.Confidence), slog.Int("asked", j.node.policy.Accept(state)),
+	}
+	if !j.node.allowRetry(j.service, cascade.Reserve(reply.Confidence)) {
 		// Without a further attempt the small model's answer is all there is.
+		j.node.event(event.ForwardUnsure, j, attrs...)
 		return ""
 	}
+	j.node.event(event.ForwardEscalated, j, attrs...)
 	j.paid = true
 	return next
 }
 
+// cascadeState is where the request stands for the choice of its model.
+func (j *job) cascadeState() cascade.State {
+	s := cascade.State{Models: j.route.Models, Attempts: j.left(), Priority: j.priority}
+	if j.route.Goal > 0 {
+		n := j.node
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		s.Wait = n.fleet.UsualDelay(j.service, s.Models[len(s.Models)-1]).Seconds() / j.route.Goal.Seconds()
+	}
+	return s
+}
+
 // stallAt is when a silent stream is given up for another upstream; the zero
 // time where there is no other way.
 func (j *job) stallAt(events int) time.Time {
