--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -87,17 +87,6 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
-// Allocations returns the heap allocations of one repetition.
-func (m Meter) Allocations(run func(n int)) float64 {
-	const n = 200
-	run(1)
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	run(n)
-	runtime.ReadMemStats(&after)
-	return float64(after.Mallocs-before.Mallocs) / n
-}
-
 // Heap returns the live heap of what build returns, in bytes.
 func (m Meter) Heap(build func() any) float64 {
 	before := liveHeap()
--- a/internal/platform/client/conn.go
+++ b/internal/platform/client/conn.go
@@ -31,8 +31,8 @@
 			}
 			return &conn{Conn: raw}, nil
 		},
-		MaxIdleConns:        o.connections,
-		MaxIdleConnsPerHost: o.connections,
+		MaxIdleConns:        DefaultConnections,
+		MaxIdleConnsPerHost: DefaultConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
--- a/internal/platform/client/option.go
+++ b/internal/platform/client/option.go
@@ -14,8 +14,7 @@
 )
 
 type options struct {
-	timeout     time.Duration
-	connections int
+	timeout time.Duration
 }
 
 // Option changes a new Client.
@@ -27,11 +26,6 @@
 	return func(o *options) { o.timeout = d }
 }
 
-// WithConnections sets how many idle connections are kept.
-func WithConnections(n int) Option {
-	return func(o *options) { o.connections = n }
-}
-
 func defaults() options {
-	return options{timeout: DefaultTimeout, connections: DefaultConnections}
+	return options{timeout: DefaultTimeout}
 }
