--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -54,7 +54,6 @@
 	d     demand
 	since time.Time
 	rank  int
-	moved bool
 }
 
 func (u *simUpstream) waiting() int {
