Remember sessions until news of them has arrived

A node that had heard of a session five seconds ago took it for over while another had just served it. Sessions are remembered for two seconds more.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -21,7 +21,7 @@
 func New(s Settings, node string, born int64) *Canary {
 	return &Canary{settings: s, node: node, born: born, rollouts: map[string]*rollout{}, paces: map[paceKey]*pace{},
 		bad:  map[string][]string{},
-		pins: pins{keep: s.Session, seen: map[uint64]time.Time{}}}
+		pins: pins{keep: s.Session + pinNews, seen: map[uint64]time.Time{}}}
 }
 
 // Take takes an order; started is when it began. It reports whether the order
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -202,3 +202,22 @@
 	is.True(c.Decide(serviceName, 1, Completed, true))
 	is.Equal(c.Rule(serviceName, Caller{Hash: 0}, now.Add(4*time.Second)).Part, 0.0)
 }
+
+// A caller's session moves to the version on trial and back. It is under way at
+// two nodes: one has just served it, and the other, which has not heard of that
+// yet, takes it for over because it last heard of it longer ago than a session's
+// longest pause.
+func TestSessionStaysPinnedUntilNewsOfIt(t *testing.T) {
+	is := is.New(t)
+	a, b := New(testSettings, "n1", 1), New(testSettings, "n2", 1)
+	began := time.Unix(1000, 0)
+	caller := Caller{Hash: 0, Session: true}
+	a.Rule(serviceName, caller, began) // under way before the order
+	order := Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}
+	is.True(a.Take(order, began))
+	is.True(b.Take(order, began))
+	b.TakePins(a.Pins(began.Add(time.Second)), began.Add(time.Second))
+	nearly := began.Add(testSettings.Session - 200*time.Millisecond)
+	is.Equal(a.Rule(serviceName, caller, nearly).Version, "")
+	is.Equal(b.Rule(serviceName, caller, nearly.Add(400*time.Millisecond)).Version, "")
+}
--- a/internal/canary/pins.go
+++ b/internal/canary/pins.go
@@ -16,7 +16,8 @@
 // request of it may come to any node, so sessions that were under way before
 // the trial are told to all nodes before it begins.
 type pins struct {
-	// keep is how long a session is remembered: the longest pause within one.
+	// keep is how long a session is remembered: the longest pause within one,
+	// and until a node has heard that another has just served it.
 	keep time.Duration
 	seen map[uint64]time.Time
 }
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -39,6 +39,9 @@
 	// pinHold is how long nobody goes to the new version after the order: all
 	// nodes learn of the order and of the sessions under way meanwhile.
 	pinHold = 2500 * time.Millisecond
+	// pinNews is how late a node may hear that another has served a session: two
+	// rounds of news, one of which may be lost.
+	pinNews = 2 * time.Second
 	// leastAnswers is how many answers of the new version must be in before all
 	// sessions go to it: of a version that fails two in five, eighteen answers
 	// show fewer than two failures once in a thousand times.
