Let evidence against a version on trial stand for a second

The old version's ends in the same moment were not yet told. Ruled out: a version that crashes (the old version's upstreams crashed as well). TestUpstreamsThatCrashConvictNoVersion was red without the wait. A version that goes on failing is rolled back as before; the tests of exposure are unchanged and green.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -221,3 +221,46 @@
 	is.Equal(a.Rule(serviceName, caller, nearly).Version, "")
 	is.Equal(b.Rule(serviceName, caller, nearly.Add(400*time.Millisecond)).Version, "")
 }
+
+// A quarter of all upstreams crashes, among them three of the seven that a good
+// version on trial uses. Their streams end at once, and the version was rolled
+// back for it. A version that goes on failing is still rolled back.
+func TestUpstreamsThatCrashConvictNoVersion(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		bad     bool // it fails a third from then on
+		verdict Verdict
+	}{{"crash", false, Open}, {"crash, then failing", true, RolledBack}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(testSettings, "n1", 1)
+			now := time.Unix(1000, 0)
+			view := View{Count: func(string, string) (int, int) { return 60, 120 }}
+			is.True(c.Take(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, now))
+			answer := func(version string, failed bool) {
+				c.Answered(Answer{Service: serviceName, Version: version, Route: "r", Model: "m", Failed: failed})
+			}
+			for range 480 {
+				answer(oldVersion, false)
+			}
+			for i := range 15 {
+				answer(newVersion, i >= 10)
+			}
+			now = now.Add(7 * time.Second)
+			c.Tick(now, view)
+			for i := range 12 { // three seconds
+				now = now.Add(tickOfTest)
+				for range 40 {
+					answer(oldVersion, false)
+				}
+				answer(newVersion, test.bad && i%2 == 0)
+				answer(newVersion, false)
+				c.Tick(now, view)
+			}
+			is.Equal(c.rollouts[serviceName].verdict, test.verdict)
+		})
+	}
+}
+
+// tickOfTest is the pause between two looks at the evidence.
+const tickOfTest = 250 * time.Millisecond
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -13,6 +13,9 @@
 	base, bad  float64 // the old version's recent answers
 	ratedAt    time.Time
 	likelihood float64
+	// overAt is when the likelihood last rose over the mark at which a version
+	// counts as bad; zero while it is below.
+	overAt time.Time
 }
 
 // add takes the counts so far and the time.
@@ -32,9 +35,27 @@
 	worse := usual + excess*(1-usual)
 	e.likelihood += bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
 	e.likelihood = max(e.likelihood, 0)
+	switch {
+	case e.likelihood < convictAt:
+		e.overAt = time.Time{}
+	case e.overAt.IsZero():
+		e.overAt = now
+	}
 }
 
-func (e *evidence) convicts() bool { return e.likelihood >= convictAt }
+// convicts tells whether the version counts as bad.
+//
+// It guards against upstreams that crash: they take all their answers with them
+// in one moment, which is no evidence against their version. A bad version goes
+// on failing, so that the likelihood stays where it is; the good answers of a
+// second take it down again otherwise. Where most answers are bad, and once all
+// sessions go to the version, nothing is waited for.
+func (e *evidence) convicts(now time.Time, trial bool) bool {
+	if e.overAt.IsZero() {
+		return false
+	}
+	return !trial || 2*e.seen.NewBad > e.seen.New || now.Sub(e.overAt) >= persistFor
+}
 
 // longRun is the old version's share of bad answers since the order, pulled
 // towards a tenth while there are few.
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -65,6 +65,10 @@
 	// convictAt is the log likelihood ratio at which a version counts as bad:
 	// one good version in a thousand is turned away by chance.
 	convictAt = 6.9
+	// persistFor is how long the evidence has to stand before it counts, where
+	// not most answers are bad: about as long as news of the old version's
+	// answers in the same moment may take.
+	persistFor = time.Second
 	// excess is the share of bad answers, above the old version's, that the
 	// test looks for.
 	excess = 0.2
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -60,7 +60,7 @@
 		if e.likelihood > d.Likelihood {
 			d.Likelihood, d.Route, d.Counts = e.likelihood, route, sum
 		}
-		if e.convicts() {
+		if e.convicts(now, r.grown.IsZero()) {
 			r.verdict = RolledBack
 		}
 	}
