--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -14,8 +14,7 @@
 	// Accept is the confidence, 0 to 100, from which a small model's answer to
 	// the most urgent work is taken where upstreams have time for a larger one.
 	Accept int
-	// AcceptBusy is the confidence that is enough where they have not: 45 to 60
-	// win the same on days with much trouble.
+	// AcceptBusy is the confidence that is enough where they have not.
 	AcceptBusy int
 }
 
@@ -31,7 +30,7 @@
 	Models []string
 	// Attempts is how many attempts are left, the next one included.
 	Attempts int
-	// Priority is the request's rank, 0 the most urgent.
+	// Priority is how urgent the request is, 0 the most.
 	Priority int
 	// Wait is how long a usual request waits for the largest model, as a part of
 	// the time in which the route wants its answer to begin.
@@ -40,7 +39,8 @@
 
 const (
 	// calmWait and busyWait are the waits between which the demand on a small
-	// model's confidence falls.
+	// model's confidence falls: a calm deployment stays below the one, and one
+	// that has lost a quarter of its upstreams comes to the other.
 	calmWait = 0.03
 	busyWait = 0.1
 	// acceptStep is by how much it falls with each step of priority: less
