--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -51,6 +51,31 @@
 	}
 }
 
+// The bound on a version that may be bad is tight, and answers by two models
+// use it up faster. A good version without any doubt was rolled back at its time
+// limit, because its requests fitted into the bound only at that moment.
+func TestGoodVersionIsCompletedWhereTheBoundIsTight(t *testing.T) {
+	completed := 0
+	tight := testSettings
+	tight.ShareBound, tight.Slack = 0.0975, 10
+	for seed := range uint64(seeds) {
+		w := newWorld(seed, 6)
+		w.bound(tight)
+		w.further = 1.0
+		w.run()
+		if w.done == Completed && w.doneAt < limit {
+			completed++
+		}
+		if allowed := tight.ShareBound*float64(w.requests) + tight.Slack; float64(w.exposed) > allowed {
+			t.Errorf("seed %d: %d of %d requests went to the new version, %.0f allowed", seed, w.exposed, w.requests, allowed)
+		}
+	}
+	t.Logf("completed in %d of %d", completed, seeds)
+	if completed < seeds*9/10 {
+		t.Errorf("completed in %d of %d", completed, seeds)
+	}
+}
+
 // checkExposure holds a world to the bound on a version that may be bad.
 func checkExposure(t *testing.T, seed uint64, w *world) {
 	t.Helper()
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -48,6 +48,10 @@
 	leastAnswers = 18
 	// recordTime is kept for writing the verdict before the time limit.
 	recordTime = 900 * time.Millisecond
+	// shiftGrace is how much later than the record's time a version without doubt
+	// may still be taken into use: where the bound is tight its requests fit in
+	// only then, and half a second is left for the record.
+	shiftGrace = 300 * time.Millisecond
 	// halfFor is how long half of the sessions go to the new version before
 	// all do: caches and connections are cold there.
 	halfFor = 400 * time.Millisecond
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -73,16 +73,21 @@
 	}
 	ofVersion, all := view.Count(r.order.Service, r.order.Target)
 	enough := d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all
+	good := enough && d.Likelihood < doubtAt
+	end := r.end(c.settings)
+	if good {
+		end = end.Add(shiftGrace) // only the bound on its requests is in the way
+	}
 	switch {
 	case !r.grown.IsZero():
-	case !now.Before(r.end(c.settings)):
+	case good && r.mayShift(c.settings, now):
+		r.grown = now
+		d.Shift = true
+	case !now.Before(end):
 		// In doubt, or with too few answers to tell, the old version stays: the
 		// operator can order the new one again.
 		r.verdict = RolledBack
 		return true
-	case enough && d.Likelihood < doubtAt && r.mayShift(c.settings, now):
-		r.grown = now
-		d.Shift = true
 	}
 	if r.grown.IsZero() || r.share(c.settings, now) < 1 {
 		return false
--- a/internal/canary/world_test.go
+++ b/internal/canary/world_test.go
@@ -74,6 +74,13 @@
 	return w
 }
 
+// bound gives the nodes other settings.
+func (w *world) bound(s Settings) {
+	for i := range w.nodes {
+		w.nodes[i] = New(s, fmt.Sprintf("n%d", i), 1)
+	}
+}
+
 // run plays from before the order until after its time limit.
 func (w *world) run() {
 	const tick = time.Second / perSecond
