--- a/internal/fleet/delay.go
+++ b/internal/fleet/delay.go
@@ -42,7 +42,9 @@
 }
 
 // UsualDelay is how long an attempt of the usual work for a model waits until
-// its answer begins; 0 where that is not known.
+// its answer begins; 0 where that is not known. Waits are counted for an
+// attempt's own work and as much again as is usual before it: twice the mean
+// for a usual one.
 func (f *Fleet) UsualDelay(service, model string) time.Duration {
 	d := f.delays[delayKey{service, model}]
 	if d == nil {
