Let nodes tell each other what they have under way at each upstream

Cause: with 76 nodes before 112 upstreams of 12 slots a node sends a hundredth of what an upstream gets, and the upstreams' own words come with the beginning of an answer: one that reads a long prompt, or is full, says nothing while it matters.

Change: each node tells its group's reader what it has under way, by upstream, five times a second, readers exchange their groups' sums, and each node hears the sum: about 4.5 KB/s a node with 112 upstreams, whatever the number of nodes. Where the news is late, the upstreams' own words count as before.

--- a/internal/fleet/replay_test.go
+++ b/internal/fleet/replay_test.go
@@ -131,7 +131,7 @@
 func play(p pattern, choose chooser) outcome {
 	var o outcome
 	for seed := range uint64(plays) {
-		r := newReplay(seed, simNodes, choose)
+		r := newReplay(seed, usualSite, choose)
 		r.patient = true
 		if p.crash > 0 {
 			r.crash(p.crash, peakFrom, peakTo-peakFrom)
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -11,6 +11,7 @@
 // replay is a load pattern played in virtual time over the cores of a few
 // nodes and upstreams that read prompts one after the other.
 type replay struct {
+	site      site
 	nodes     []*Fleet
 	upstreams map[string]*simUpstream
 	events    eventQueue
@@ -64,11 +65,7 @@
 }
 
 const (
-	simNodes     = 6
-	simUpstreams = 18
-	simSlots     = 48
-	// readRate is the tokens that an upstream reads in a second, at weight 1.
-	readRate = 22000.0
+	simNodes = 6
 	// answerTime is how long an answer takes once it has begun.
 	answerTime = 1500 * time.Millisecond
 	// newsTime is how often nodes tell each other upstreams' loads.
@@ -77,6 +74,18 @@
 	partStays = 6 * time.Second
 )
 
+// site is what a pattern is played on.
+type site struct {
+	nodes, upstreams, slots int
+	// readRate is the tokens that an upstream reads in a second, at weight 1.
+	readRate float64
+	// flights is how often nodes hear what all have under way; 0 for never.
+	flights time.Duration
+}
+
+// usualSite is what most patterns are played on.
+var usualSite = site{nodes: simNodes, upstreams: 18, slots: 48, readRate: 22000}
+
 // demand is one request of a pattern.
 type demand struct {
 	tokens int
@@ -85,19 +94,22 @@
 	shared int
 }
 
-func newReplay(seed uint64, nodes int, choose chooser) *replay {
-	r := &replay{upstreams: map[string]*simUpstream{}, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 7)), choose: choose}
-	for range nodes {
+func newReplay(seed uint64, at site, choose chooser) *replay {
+	r := &replay{site: at, upstreams: map[string]*simUpstream{}, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 7)), choose: choose}
+	for range at.nodes {
 		f := New(Settings{Domain: "d0"})
-		for i := range simUpstreams {
-			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: simSlots}, r.now)
+		for i := range at.upstreams {
+			f.Put(Record{ID: fmt.Sprintf("u%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%4), Version: "v1", Slots: at.slots}, r.now)
 		}
 		r.nodes = append(r.nodes, f)
 	}
-	for i := range simUpstreams {
+	for i := range at.upstreams {
 		r.upstreams[fmt.Sprintf("u%02d", i)] = &simUpstream{parts: map[string]time.Time{}}
 	}
 	r.after(newsTime, r.news)
+	if at.flights > 0 {
+		r.after(at.flights, r.flights)
+	}
 	return r
 }
 
@@ -134,6 +146,21 @@
 	r.after(newsTime, r.news)
 }
 
+// flights tells all nodes what all had under way half a round before.
+func (r *replay) flights() {
+	all := make([]Flight, len(r.nodes))
+	for i, f := range r.nodes {
+		all[i] = f.Flight()
+	}
+	sum := Sum(all...)
+	r.after(r.site.flights/2, func() {
+		for i, f := range r.nodes {
+			f.TakeFlight(sum, all[i], r.now)
+		}
+	})
+	r.after(r.site.flights, r.flights)
+}
+
 // arrivals plays a pattern: rate is the requests a second at a time from the
 // start, draw what the next one is.
 func (r *replay) arrivals(length time.Duration, rate func(at time.Duration) float64, draw func(at time.Duration) demand) {
@@ -201,7 +228,7 @@
 
 // read begins to read the next prompt.
 func (r *replay) read(sim *simUpstream) {
-	if sim.reading != nil || len(sim.queue) == 0 {
+	if sim.reading != nil || len(sim.queue) == 0 || sim.running >= r.site.slots {
 		return
 	}
 	next := 0
@@ -219,7 +246,7 @@
 	}
 	sim.parts[job.d.part] = r.now
 	epoch := sim.epoch
-	r.after(time.Duration(float64(tokens)*job.d.weight/readRate*float64(time.Second)), func() {
+	r.after(time.Duration(float64(tokens)*job.d.weight/r.site.readRate*float64(time.Second)), func() {
 		if sim.epoch == epoch {
 			r.answer(sim, job)
 		}
@@ -237,6 +264,7 @@
 	r.after(answerTime, func() {
 		if sim.epoch == epoch {
 			sim.running--
+			r.read(sim)
 		}
 		job.node.End(job.up, job.work, Served, r.now)
 	})
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -22,6 +22,9 @@
 	// by then. It halves after each loadHalfLife more.
 	loadFresh    = 200 * time.Millisecond
 	loadHalfLife = 400 * time.Millisecond
+	// flightFresh is how long what other nodes have told of their work counts;
+	// it comes several times in that time.
+	flightFresh = 700 * time.Millisecond
 	// sampleSize is how many upstreams are weighed for an attempt, beside the
 	// holders of its prompt part.
 	sampleSize = 5
@@ -35,6 +38,9 @@
 	// fullWeight what each further batch of waiting requests does.
 	fillWeight = 1.0
 	fullWeight = 20.0
+	// rereadWeight is the work of a token of a shared part that is read again,
+	// whatever the model, in tokens of the largest model.
+	rereadWeight = 1.0
 	// remotePenalty is the work, in mean attempts, that staying in the failure
 	// domain outweighs.
 	remotePenalty = 0.05
--- a/internal/fleet/stuck_test.go
+++ b/internal/fleet/stuck_test.go
@@ -21,10 +21,12 @@
 type promptWaits struct{ short, long time.Duration }
 
 func playLongPrompts(ranked, patient bool) promptWaits {
-	const manyNodes, share, rate = 48, 0.95, 70.0
+	const share, rate = 0.95, 70.0
+	at := usualSite
+	at.nodes = 48
 	var w promptWaits
 	for seed := range uint64(plays) {
-		r := newReplay(seed, manyNodes, byWork)
+		r := newReplay(seed, at, byWork)
 		r.ranked, r.patient = ranked, patient
 		r.arrivals(patternLength, func(time.Duration) float64 { return rate }, func(time.Duration) demand { return withLongPrompts(r) })
 		from, to := 3*time.Second, patternLength-2*time.Second
@@ -63,7 +65,7 @@
 func TestNothingIsMovedWhenAllAreSlow(t *testing.T) {
 	moves, requests := 0, 0
 	for seed := range uint64(plays) {
-		r := newReplay(seed, simNodes, byWork)
+		r := newReplay(seed, usualSite, byWork)
 		r.ranked = true
 		r.arrivals(patternLength, times(2.2), func(time.Duration) demand {
 			requests++
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -24,6 +24,10 @@
 	reported         float64
 	// othersWaiting is how many requests of other nodes had not begun then.
 	othersWaiting float64
+	// othersFlight and othersPending are the attempts of other nodes there and
+	// the work of those whose answers have not begun, as told at flightAt.
+	othersFlight, othersPending float64
+	flightAt                    time.Time
 	// pending is the work of this node's attempts whose answers have not
 	// begun, waitingOwn their number.
 	pending    float64
@@ -45,7 +49,18 @@
 	return (float64(u.inFlight) + u.others(now)) / float64(max(u.Slots, 1))
 }
 
-func (u *Upstream) others(now time.Time) float64 { return u.reported * u.freshness(now) }
+// others is how many attempts of other nodes are taken to run or wait there.
+func (u *Upstream) others(now time.Time) float64 {
+	if u.told(now) {
+		return u.othersFlight
+	}
+	return u.reported * u.freshness(now)
+}
+
+// told tells whether other nodes have lately told what they have under way.
+func (u *Upstream) told(now time.Time) bool {
+	return !u.flightAt.IsZero() && now.Sub(u.flightAt) <= flightFresh
+}
 
 // freshness is how much the last word on load still counts.
 func (u *Upstream) freshness(now time.Time) float64 {
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -54,6 +54,9 @@
 // waitingWork is the estimated work that waits at u: this node's own, and that
 // of others by u's last word.
 func (u *Upstream) waitingWork(mean float64, now time.Time) float64 {
+	if u.told(now) {
+		return u.pending + u.othersPending
+	}
 	return u.pending + mean*u.othersWaiting*u.freshness(now)
 }
 
--- /dev/null
+++ b/internal/gateway/follow_flights.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/gossip"
+)
+
+// flightsEvery is the pause between a node's reports of what it has under way.
+const flightsEvery = 200 * time.Millisecond
+
+// followFlights tells the reader of this node's group what it has under way, and
+// hears what all nodes have. Without an answer the upstreams' own words count.
+func (n *Node) followFlights(ctx context.Context) {
+	for pause(ctx, flightsEvery) {
+		n.mu.Lock()
+		own := n.fleet.Flight()
+		groups := n.roster.Groups()
+		reader := n.roster.Group()[0]
+		n.mu.Unlock()
+		if reader.ID == n.settings.ID {
+			n.tellReaders(own, groups)
+			continue
+		}
+		if reader.Peer == "" {
+			continue
+		}
+		all, err := n.peers.Flights(reader.Peer, gossip.FlightReport{From: n.settings.ID, Flight: own})
+		if err != nil {
+			continue // the reader's loss is noticed by the usual news
+		}
+		n.mu.Lock()
+		n.fleet.TakeFlight(all.Flight, own, time.Now())
+		n.mu.Unlock()
+	}
+}
+
+// tellReaders exchanges the sum over this reader's group with the readers of the
+// other groups.
+func (n *Node) tellReaders(own fleet.Flight, groups [][]gossip.Member) {
+	now := time.Now()
+	n.mu.Lock()
+	n.board.Post(gossip.FlightReport{From: n.settings.ID, Flight: own}, now)
+	report := gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.board.Group(now)}
+	n.mu.Unlock()
+	work := pool.New().WithMaxGoroutines(feedWidth)
+	for _, g := range groups {
+		if g[0].ID == n.settings.ID || g[0].Peer == "" {
+			continue
+		}
+		work.Go(func() {
+			if theirs, err := n.peers.Flights(g[0].Peer, report); err == nil {
+				n.mu.Lock()
+				n.board.Post(theirs, time.Now())
+				n.mu.Unlock()
+			}
+		})
+	}
+	work.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.TakeFlight(n.board.All(time.Now()), own, time.Now())
+}
+
+// Flights answers a peer's report of what it has under way.
+func (n *Node) Flights(in gossip.FlightReport) gossip.FlightReport {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Post(in, now)
+	if in.Group {
+		return gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.board.Group(now)}
+	}
+	return gossip.FlightReport{From: n.settings.ID, Flight: n.board.All(now)}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -63,6 +63,7 @@
 	duties.Go(func() { n.followRollouts(work) })
 	duties.Go(func() { n.tellRollouts(work) })
 	duties.Go(func() { n.followPeers(work) })
+	duties.Go(func() { n.followFlights(work) })
 	duties.Go(func() { n.sweep(work) })
 	event.ForwardStarted.Log(n.log, slog.String("node", n.settings.ID), slog.String("addr", n.settings.Front), slog.String("peer", n.settings.Peer), slog.Int64("born", n.born))
 	<-ctx.Done()
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -23,6 +23,9 @@
 // Exchanger answers a peer's message with this node's own.
 type Exchanger interface {
 	Exchange(in Message) Message
+	// Flights takes a report; it returns the sum over all groups to a member,
+	// and over this node's group to another group's reader.
+	Flights(in FlightReport) FlightReport
 }
 
 // Server answers peers.
@@ -43,6 +46,12 @@
 	return nil
 }
 
+// Flights is the method by which peers report what they have under way.
+func (h *handler) Flights(in FlightReport, out *FlightReport) error {
+	*out = h.to.Flights(in)
+	return nil
+}
+
 // NewServer serves peers on a listener.
 func NewServer(l net.Listener, to Exchanger) (*Server, error) {
 	s := &Server{listener: l, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
@@ -104,12 +113,21 @@
 
 // Exchange sends a message to a peer and returns its answer.
 func (c *Client) Exchange(addr string, in Message) (Message, error) {
+	return call[Message](c, addr, "Exchange", in)
+}
+
+// Flights sends a report to a peer and returns its answer.
+func (c *Client) Flights(addr string, in FlightReport) (FlightReport, error) {
+	return call[FlightReport](c, addr, "Flights", in)
+}
+
+// call calls a method of a peer that answers in kind.
+func call[T any](c *Client, addr, method string, in T) (out T, err error) {
 	conn, err := c.conn(addr)
 	if err != nil {
-		return Message{}, err
+		return out, err
 	}
-	var out Message
-	call := conn.Go(service+".Exchange", in, &out, make(chan *rpc.Call, 1))
+	call := conn.Go(service+"."+method, in, &out, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(callTimeout)
 	defer timer.Stop()
 	select {
@@ -120,7 +138,7 @@
 	}
 	if err != nil {
 		c.drop(addr, conn)
-		return Message{}, err
+		return *new(T), err
 	}
 	return out, nil
 }
--- a/internal/gossip/peer_test.go
+++ b/internal/gossip/peer_test.go
@@ -17,6 +17,8 @@
 	return in
 }
 
+func (echo) Flights(in FlightReport) FlightReport { return in }
+
 // A peer answers, its connection breaks, and it is called again.
 func TestExchangeOverABrokenConnection(t *testing.T) {
 	is := is.New(t)
