Keep prompts with shared parts where the parts are, whatever the model

Cause: once nodes know the load of all upstreams, they spread work by it: a small model reads a prompt in no time, so that its upstream matters little to the request, and every upstream came to read every shared part.

Change: a token of a shared part that would be read again counts as one of the largest model, beside the attempt's own work.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -105,6 +105,18 @@
 	return ofVersion, all
 }
 
+// ServiceLoad is the share of the slots in use at the upstreams of a version.
+func (f *Fleet) ServiceLoad(service, version string, now time.Time) float64 {
+	used, slots := 0.0, 0.0
+	for _, u := range f.services[service] {
+		if u.Version == version && u.ready(now) {
+			used += u.load(now) * float64(u.Slots)
+			slots += float64(u.Slots)
+		}
+	}
+	return used / max(slots, 1)
+}
+
 func fits(u *Upstream, w *Want) bool {
 	if w.Version != "" && u.Version != w.Version {
 		return false
@@ -147,6 +159,7 @@
 func (f *Fleet) cost(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
 	mean := f.meanWork(w)
 	c := u.waitingWork(mean, now) + f.work(u, w, holders, now)
+	c += rereadWeight * f.reread(u, w, holders, now)
 	load := u.load(now)
 	c += mean * (fillWeight*load + fullWeight*max(load-1, 0))
 	c *= 1 + errorPenalty*u.errorShare(now)
@@ -169,6 +182,11 @@
 	if w.Tokens == 0 {
 		return 1
 	}
+	return max(float64(w.Tokens)-f.kept(u, w, holders, now), leastTokens) * max(w.Weight, leastWeight)
+}
+
+// kept is how many of the prompt's tokens u is taken to have cached.
+func (f *Fleet) kept(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
 	kept := 0.0
 	if u != nil {
 		kept = float64(u.cached(w, now))
@@ -176,7 +194,16 @@
 	if i := slices.Index(holders, u); i >= 0 {
 		kept = max(kept, holderKeeps/float64(i+1)*float64(sharedTokens(w)))
 	}
-	return max(float64(w.Tokens)-kept, leastTokens) * max(w.Weight, leastWeight)
+	return kept
+}
+
+// reread is how many tokens u would read again that others may need as well.
+//
+// It guards against work that is spread by load alone once the load is known: a
+// small model reads a prompt in no time, so that its upstream matters little to
+// the request, and every upstream would read, and keep, every shared part.
+func (f *Fleet) reread(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+	return max(float64(sharedTokens(w))-f.kept(u, w, holders, now), 0)
 }
 
 func sharedTokens(w *Want) int {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -144,6 +144,33 @@
 	is.True(len(busy) > affinityWidth)
 }
 
+// The load of all upstreams is known, and one is a little emptier than the one
+// that has a prompt's shared part. A small model reads the part again in no time,
+// so that the request itself would gain there; but every upstream would come to
+// read and keep every part, and the prompts of the large model would find none
+// where they go.
+func TestSmallModelsFollowSharedParts(t *testing.T) {
+	is := is.New(t)
+	f := some(12)
+	now := time.Unix(1000, 0)
+	plain := Want{Service: "s", Model: "small", Weight: 0.07, Tokens: 1500}
+	shared := plain
+	shared.Tokens, shared.Parts = 12000, []Part{{ID: "p", Tokens: 5000}}
+	first := f.Choose(shared, now)
+	f.Begin(first, &shared, now)
+	for range 2 { // more than others have
+		f.Begin(first, &plain, now)
+	}
+	for seed := range uint64(20) {
+		shared.Seed = seed
+		is.Equal(f.Choose(shared, now).ID, first.ID)
+	}
+	for range 10 * first.Slots {
+		f.Begin(first, &plain, now)
+	}
+	is.True(f.Choose(shared, now) != first) // not at any price
+}
+
 // Two nodes that were told the same list agree, whatever each keeps for a
 // while beside it.
 func TestKeptUpstreamsAreNotListed(t *testing.T) {
