Ask for confidence by the load of the upstreams, not by the usual wait

Cause: the demand on a small model's confidence fell with the usual wait for the largest model, as a part of the route's goal. That wait is mostly the reading of the request's own prompt: where prompts are long or goals short it says busy all the time.

Change: the demand goes from 50 to 45 as the share of the slots in use goes from a half to three quarters, at the upstreams of the version that answered; the steps by priority and the usual delay go.

--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -11,8 +11,8 @@
 
 // Settings of a [Policy].
 type Settings struct {
-	// Accept is the confidence, 0 to 100, from which a small model's answer to
-	// the most urgent work is taken where upstreams have time for a larger one.
+	// Accept is the confidence, 0 to 100, from which a small model's answer is
+	// taken where upstreams have room for a larger one.
 	Accept int
 	// AcceptBusy is the confidence that is enough where they have not.
 	AcceptBusy int
@@ -30,31 +30,26 @@
 	Models []string
 	// Attempts is how many attempts are left, the next one included.
 	Attempts int
-	// Priority is how urgent the request is, 0 the most.
-	Priority int
-	// Wait is how long a usual request waits for the largest model, as a part of
-	// the time in which the route wants its answer to begin.
-	Wait float64
+	// Load is the share of the usable upstreams' slots that is in use; over 1
+	// attempts wait.
+	Load float64
 }
 
 const (
-	// calmWait and busyWait are the waits between which the demand on a small
-	// model's confidence falls: a calm deployment stays below the one, and one
-	// that has lost a quarter of its upstreams comes to the other.
-	calmWait = 0.03
-	busyWait = 0.1
-	// acceptStep is by how much it falls with each step of priority: less
-	// urgent work is worth less of a larger model's price.
-	acceptStep = 5
-	mostSteps  = 2
+	// calmLoad and busyLoad are the loads between which the demand on a small
+	// model's confidence falls. Slots fill unevenly: at two thirds in use, one
+	// upstream in twenty is full.
+	calmLoad = 0.5
+	busyLoad = 0.75
 )
 
 // Accept is the confidence from which a small model's answer is taken.
+//
+// A larger model's run earns a good answer in place of a poor one, and takes a
+// slot and reading time from others: worth it while there is room.
 func (p *Policy) Accept(s State) int {
-	spare := min(max((busyWait-s.Wait)/(busyWait-calmWait), 0), 1)
-	lower := acceptStep * min(max(s.Priority, 0), mostSteps)
-	calm := max(p.settings.Accept-lower, p.settings.AcceptBusy)
-	return p.settings.AcceptBusy + int(math.Round(spare*float64(calm-p.settings.AcceptBusy)))
+	spare := min(max((busyLoad-s.Load)/(busyLoad-calmLoad), 0), 1)
+	return p.settings.AcceptBusy + int(math.Round(spare*float64(p.settings.Accept-p.settings.AcceptBusy)))
 }
 
 const (
--- a/internal/fleet/delay.go
+++ b/internal/fleet/delay.go
@@ -41,18 +41,6 @@
 	return time.Duration(d.perWork * work * float64(time.Second))
 }
 
-// UsualDelay is how long an attempt of the usual work for a model waits until
-// its answer begins; 0 where that is not known. Waits are counted for an
-// attempt's own work and as much again as is usual before it: twice the mean
-// for a usual one.
-func (f *Fleet) UsualDelay(service, model string) time.Duration {
-	d := f.delays[delayKey{service, model}]
-	if d == nil {
-		return 0
-	}
-	return time.Duration(d.perWork * 2 * f.means[service] * float64(time.Second))
-}
-
 // waited notes how long an attempt has waited, until its answer began or it
 // was moved.
 func (f *Fleet) waited(w *Work, now time.Time) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,7 +32,7 @@
 	// Session is how long requests of a session may be apart.
 	Session time.Duration
 	// Accept is the confidence from which a small model's answer is taken,
-	// AcceptBusy what is enough where upstreams have no time for a larger one.
+	// AcceptBusy what is enough where upstreams have no room for a larger one.
 	Accept, AcceptBusy int
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,7 +93,7 @@
 	if j.model == "" || j.begun || !reply.HasConfidence {
 		return ""
 	}
-	state := j.cascadeState()
+	state := j.cascadeState(a)
 	next := j.node.policy.Next(state, j.model, reply.Confidence)
 	if next == "" {
 		return ""
@@ -112,16 +112,14 @@
 	return next
 }
 
-// cascadeState is where the request stands for the choice of its model.
-func (j *job) cascadeState() cascade.State {
-	s := cascade.State{Models: j.route.Models, Attempts: j.left(), Priority: j.priority}
-	if j.route.Goal > 0 {
-		n := j.node
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		s.Wait = n.fleet.UsualDelay(j.service, s.Models[len(s.Models)-1]).Seconds() / j.route.Goal.Seconds()
-	}
-	return s
+// cascadeState is where the request stands for the choice of its model, after an
+// attempt that ran.
+func (j *job) cascadeState(a *attempt) cascade.State {
+	n := j.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	load := n.fleet.ServiceLoad(j.service, a.version, time.Now())
+	return cascade.State{Models: j.route.Models, Attempts: j.left(), Load: load}
 }
 
 // stallAt is when a silent stream is given up for another upstream; the zero
