Call a table that is away at the reader's pace only from readers

Ruled out: leaving it to the readers alone. The table may turn away just a reader, or all but one node; each node still reads well before it has to keep all bounds.

Change: a node that has a reader and knows the table's state reads again after 1.6 s at most. One that knows nothing goes on as before: its callers wait for it.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -51,14 +51,27 @@
 		due = due.Add(time.Duration(ownReadPart * float64(n.readEvery())))
 	}
 	if failures > 0 {
-		backoff := min(retryCall<<min(failures-1, 4), mostRetryRead)
-		if again := n.readAt.Add(backoff); again.After(due) {
+		if again := n.readAt.Add(n.readAgain(failures)); again.After(due) {
 			due = again
 		}
 	}
 	return due
 }
 
+// readAgain is the pause after readings that failed; the caller holds mu.
+//
+// It guards against a table that is away: every node then misses its reader's
+// news, and all would call it at the readers' pace, for an answer that the
+// readers have as soon as it is back. A node that knows nothing yet, and a
+// reader, go on at theirs.
+func (n *Node) readAgain(failures int) time.Duration {
+	most := mostRetryRead
+	if !n.list.provenAt.IsZero() && !n.reads() {
+		most = memberRetryRead
+	}
+	return min(retryCall<<min(failures-1, 4), most)
+}
+
 // reads tells whether this node reads the table for its group; the caller
 // holds mu.
 func (n *Node) reads() bool { return n.roster.Group()[0].ID == n.settings.ID }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,6 +59,9 @@
 	// mostRetryRead bounds that pause for readings: a node that can reach the
 	// table again should know it well before it has to keep all bounds.
 	mostRetryRead = 400 * time.Millisecond
+	// memberRetryRead bounds it for a node that has a reader: a node that the
+	// table alone turns away reads again well before it has to keep all bounds.
+	memberRetryRead = 1600 * time.Millisecond
 	// mostRetryCall bounds it for other calls.
 	mostRetryCall = time.Second
 	// feedWidth is how many of its group a reader tells at the same time.
