Tell no words on load, and news mostly within the failure domain

Cause: each exchange of news carried the last word on the load of every upstream both ways, 3.4 KB with 112 upstreams, which the sums of what is under way have replaced; and three of four exchanges crossed a failure domain.

--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -68,6 +69,9 @@
 	defer n.mu.Unlock()
 	live := n.roster.Others()
 	rand.Shuffle(len(live), func(i, k int) { live[i], live[k] = live[k], live[i] })
+	if count == 1 && rand.IntN(farOdds) > 0 {
+		n.nearFirst(live)
+	}
 	picked := live[:min(len(live), count)]
 	if len(live) >= count && rand.IntN(strangerOdds) > 0 {
 		return picked
@@ -78,6 +82,25 @@
 	return picked
 }
 
+// farOdds is how many rounds of news pass, on average, between two with a node
+// that may be in another failure domain. Readers tell each other what has to be
+// known everywhere; what is left reaches a domain of twenty nodes within two
+// rounds more. With 76 nodes, bytes between failure domains fall by a seventh.
+const farOdds = 4
+
+// nearFirst puts the nodes of this node's own failure domain first.
+func (n *Node) nearFirst(all []gossip.Member) {
+	slices.SortStableFunc(all, func(a, b gossip.Member) int { return n.far(a) - n.far(b) })
+}
+
+// far is 0 for a node in this node's own failure domain, else 1.
+func (n *Node) far(m gossip.Member) int {
+	if m.Domain == n.settings.Domain {
+		return 0
+	}
+	return 1
+}
+
 // strangerOdds is how many rounds pass, on average, between two calls of a
 // peer that is not known to live.
 const strangerOdds = 6
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -48,7 +48,6 @@
 	m := gossip.Message{
 		From: n.settings.ID, Born: n.born,
 		RosterHash: n.roster.Hash(),
-		Loads:      n.fleet.Loads(now),
 		Pins:       n.canary.Pins(now),
 		Strikes:    n.guard.Known(now),
 		Proof:      gossip.Proof{Age: noProof, FleetHash: n.fleet.Hash()},
@@ -119,7 +118,6 @@
 	for _, s := range in.Strikes {
 		n.guard.Add(s, now)
 	}
-	n.fleet.TakeLoads(in.Loads, now)
 	n.takeProof(in, now)
 	c := n.config.Load()
 	return in.RosterHash != n.roster.Hash() && len(in.Members) > 0 || c != nil && in.ConfigVersion < c.Version
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,8 +26,6 @@
 	Proof Proof
 	// Fleet is the list of upstreams, told where the receiver has another.
 	Fleet []fleet.Record
-	// Loads are upstreams' latest words on their load.
-	Loads []fleet.Load
 	// Orders are the roll-outs that the sender knows, Tallies the counts.
 	Orders  []Order
 	Tallies []canary.Tally
