--- a/internal/gateway/follow_flights.go
+++ b/internal/gateway/follow_flights.go
@@ -44,8 +44,8 @@
 func (n *Node) tellReaders(own fleet.Flight, groups [][]gossip.Member) {
 	now := time.Now()
 	n.mu.Lock()
-	n.board.Post(gossip.FlightReport{From: n.settings.ID, Flight: own}, now)
-	report := gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.board.Group(now)}
+	n.flights.Take(gossip.FlightReport{From: n.settings.ID, Flight: own}, now)
+	report := gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.flights.Group(now)}
 	n.mu.Unlock()
 	work := pool.New().WithMaxGoroutines(feedWidth)
 	for _, g := range groups {
@@ -55,7 +55,7 @@
 		work.Go(func() {
 			if theirs, err := n.peers.Flights(g[0].Peer, report); err == nil {
 				n.mu.Lock()
-				n.board.Post(theirs, time.Now())
+				n.flights.Take(theirs, time.Now())
 				n.mu.Unlock()
 			}
 		})
@@ -63,7 +63,7 @@
 	work.Wait()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.TakeFlight(n.board.All(time.Now()), own, time.Now())
+	n.fleet.TakeFlight(n.flights.All(time.Now()), own, time.Now())
 }
 
 // Flights answers a peer's report of what it has under way.
@@ -71,9 +71,9 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.board.Post(in, now)
+	n.flights.Take(in, now)
 	if in.Group {
-		return gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.board.Group(now)}
+		return gossip.FlightReport{From: n.settings.ID, Group: true, Flight: n.flights.Group(now)}
 	}
-	return gossip.FlightReport{From: n.settings.ID, Flight: n.board.All(now)}
+	return gossip.FlightReport{From: n.settings.ID, Flight: n.flights.All(now)}
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -44,7 +44,7 @@
 	canary  *canary.Canary
 	guard   *crashguard.Guard
 	roster  *gossip.Roster
-	board   *gossip.Board
+	flights *gossip.FlightSums
 	budgets map[string]*admission.WindowBudget
 	list    fleetState
 	// held are versions that nobody has ordered, and when they were first
@@ -129,7 +129,7 @@
 		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, born),
 		guard:   crashguard.New(),
 		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
-		board:   gossip.NewBoard(),
+		flights: gossip.NewFlightSums(),
 		budgets: map[string]*admission.WindowBudget{},
 		list:    fleetState{gone: map[string]time.Time{}},
 		held:    map[string]time.Time{},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,6 +101,7 @@
 	attrs := []slog.Attr{
 		slog.String("upstream", a.up.ID), slog.String("model", j.model), slog.String("next", next),
 		slog.Int("confidence", reply.Confidence), slog.Int("asked", j.node.policy.Accept(state)),
+		slog.Int("slots_in_use_percent", int(100*state.Load)),
 	}
 	if !j.node.allowRetry(j.service, cascade.Reserve(reply.Confidence)) {
 		// Without a further attempt the small model's answer is all there is.
--- a/internal/gossip/board_test.go
+++ b/internal/gossip/flight_sums_test.go
@@ -16,17 +16,17 @@
 // A reader sums what its members and the other groups have under way. A node's
 // later report replaces its earlier one, and one that has fallen silent no longer
 // counts: its work is over or will show in its upstreams' words.
-func TestBoardSumsWhatIsUnderWay(t *testing.T) {
+func TestReaderSumsWhatIsUnderWay(t *testing.T) {
 	is := is.New(t)
-	b := NewBoard()
+	s := NewFlightSums()
 	now := time.Unix(1000, 0)
-	b.Post(FlightReport{From: "silent", Flight: flight(1, 9)}, now)
-	later := now.Add(boardKeeps + time.Millisecond)
-	b.Post(FlightReport{From: "a", Flight: flight(1, 5)}, later)
-	b.Post(FlightReport{From: "a", Flight: flight(1, 2)}, later)
-	b.Post(FlightReport{From: "b", Flight: flight(1, 3)}, later)
-	b.Post(FlightReport{From: "reader", Group: true, Flight: flight(2, 7)}, later)
-	is.Equal(b.Group(later), flight(1, 5))
-	is.Equal(b.All(later), fleet.Flight{Keys: []uint32{1, 2}, Counts: []uint16{5, 7}, Work: []uint32{500, 700}})
-	is.Equal(b.All(later.Add(time.Minute)), fleet.Flight{})
+	s.Take(FlightReport{From: "silent", Flight: flight(1, 9)}, now)
+	later := now.Add(reportKeeps + time.Millisecond)
+	s.Take(FlightReport{From: "a", Flight: flight(1, 5)}, later)
+	s.Take(FlightReport{From: "a", Flight: flight(1, 2)}, later)
+	s.Take(FlightReport{From: "b", Flight: flight(1, 3)}, later)
+	s.Take(FlightReport{From: "reader", Group: true, Flight: flight(2, 7)}, later)
+	is.Equal(s.Group(later), flight(1, 5))
+	is.Equal(s.All(later), fleet.Flight{Keys: []uint32{1, 2}, Counts: []uint16{5, 7}, Work: []uint32{500, 700}})
+	is.Equal(s.All(later.Add(time.Minute)), fleet.Flight{})
 }
