Tell what a failed exchange carried, and how long reading a configuration takes

Cause: logs named neither the size of a call to a peer that was cut, nor the time that decoding took, so that two hypotheses on late configurations looked alike. Ruled out: nothing yet; this only shows. Before: event 1951 after the second miss of a peer, without what was sent.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -30,6 +30,7 @@
 	SourceBack        = define(1943, slog.LevelInfo, "platform's table answers again")
 	PeerChanged       = define(1950, slog.LevelInfo, "peer's state changed")
 	PeerLost          = define(1951, slog.LevelInfo, "peer does not answer")
+	PeerCallFailed    = define(1952, slog.LevelInfo, "exchange with a peer failed")
 	VersionOrdered    = define(1960, slog.LevelInfo, "roll-out of a version was ordered")
 	VersionDecided    = define(1961, slog.LevelInfo, "roll-out of a version was decided")
 	VersionShifts     = define(1964, slog.LevelInfo, "all sessions go to the new version")
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -157,8 +157,14 @@
 		if ctx.Err() != nil {
 			return
 		}
-		in, err := n.peers.Exchange(m.Peer, message(m))
+		out := message(m)
+		began := time.Now()
+		in, err := n.peers.Exchange(m.Peer, out)
+		n.countExchange(&out, err)
 		if err != nil {
+			event.PeerCallFailed.Log(n.log, slog.String("peer", m.ID), slog.String("addr", m.Peer), slog.Int64("version", out.ConfigVersion),
+				slog.Int("config_bytes", len(out.Config)), slog.Int("upstreams", len(out.Fleet)),
+				slog.Duration("after", time.Since(began)), slog.String("err", err.Error()))
 			n.peerLost(m, err)
 			return
 		}
@@ -169,6 +175,17 @@
 	}
 }
 
+// countExchange counts an exchange with a peer and the configuration's bytes that
+// it carried.
+func (n *Node) countExchange(out *gossip.Message, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	n.metrics.Counter("hickorybank_peer_exchanges_total", "result", result).Inc()
+	n.metrics.Counter("hickorybank_peer_config_bytes_total", "result", result).Add(len(out.Config))
+}
+
 // exchangeTries bounds the calls of one exchange.
 const exchangeTries = 2
 
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -103,6 +103,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if in.ConfigVersion > n.heardVersion.Load() {
+		n.heardVersion.Store(in.ConfigVersion)
+	}
 	n.told[in.From] = told{config: in.ConfigVersion, fleetHash: in.Proof.FleetHash}
 	n.takeMembers(in, now)
 	for _, o := range in.Orders {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -31,9 +31,11 @@
 	dropped  func() int64
 	born     int64
 
-	config   atomic.Pointer[configuration]
-	stopping atomic.Bool
-	stopped  chan struct{}
+	config atomic.Pointer[configuration]
+	// heardVersion is the newest version of the configuration that peers have.
+	heardVersion atomic.Int64
+	stopping     atomic.Bool
+	stopped      chan struct{}
 	// active counts callers' requests under way, bodies the bytes they hold.
 	active atomic.Int64
 	bodies atomic.Int64
@@ -117,7 +119,7 @@
 	if d.Dropped == nil {
 		d.Dropped = func() int64 { return 0 }
 	}
-	return &Node{
+	n := &Node{
 		dropped:  d.Dropped,
 		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
 		pool:    exchange.NewPool(exchange.Settings{}),
@@ -138,6 +140,17 @@
 		told: map[string]told{}, heard: map[turnKey]time.Time{},
 		urgent: make(chan struct{}, 1),
 	}
+	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
+	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.heardVersion.Load(), n.configVersion())) })
+	return n
+}
+
+// configVersion is the version of the configuration in force; 0 for none.
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
 }
 
 // Ready tells whether the node can serve: it knows a configuration and the
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -44,7 +44,9 @@
 // applyConfig puts a configuration in force if it is newer than the present
 // one; versions only grow in the life of a process.
 func (n *Node) applyConfig(raw []byte, from string) {
+	began := time.Now()
 	table, err := n.source.Decode(raw)
+	n.metrics.Histogram("hickorybank_config_decode_seconds").UpdateDuration(began)
 	if err != nil {
 		event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", err.Error()))
 		return
@@ -56,7 +58,8 @@
 		return
 	}
 	n.config.Store(&configuration{Table: table, raw: raw, at: time.Now()})
-	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(raw)))
+	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(raw)),
+		slog.Duration("decoding", time.Since(began)))
 }
 
 // recallRollouts reads how far roll-outs had come before this process began.
