--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -14,6 +14,7 @@
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/route"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
 )
@@ -26,6 +27,7 @@
 	log      *slog.Logger
 	metrics  *telemetry.Set
 	pool     *exchange.Pool
+	network  network.Network
 	peers    *gossip.Client
 	policy   *cascade.Policy
 	dropped  func() int64
@@ -109,6 +111,9 @@
 	Source  Source
 	Log     *slog.Logger
 	Metrics *telemetry.Set
+	// Network is where the node listens, and reaches its peers; nil for the
+	// machine's own. Upstreams are always reached over that.
+	Network network.Network
 	// Dropped is how many log lines were dropped so far; nil where none are.
 	Dropped func() int64
 }
@@ -116,6 +121,9 @@
 // New returns a node that is not yet running.
 func New(s Settings, d Deps) *Node {
 	born := time.Now().UnixNano()
+	if d.Network == nil {
+		d.Network = &network.OS{}
+	}
 	if d.Dropped == nil {
 		d.Dropped = func() int64 { return 0 }
 	}
@@ -123,7 +131,8 @@
 		dropped:  d.Dropped,
 		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
 		pool:    exchange.NewPool(exchange.Settings{}),
-		peers:   gossip.NewClient(),
+		network: d.Network,
+		peers:   gossip.NewClient(d.Network),
 		policy:  cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
 		born:    born,
 		stopped: make(chan struct{}),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -88,7 +88,7 @@
 )
 
 func (n *Node) listen(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", addr)
+	l, err := n.network.Listen(addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -1,11 +1,14 @@
 package gossip
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/network"
 )
 
 const (
@@ -94,6 +97,8 @@
 
 // Client calls peers and keeps a connection to each that it has called lately.
 type Client struct {
+	network network.Network
+
 	mu    sync.Mutex
 	conns map[string]*peerConn
 }
@@ -109,7 +114,9 @@
 )
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*peerConn{}} }
+func NewClient(n network.Network) *Client {
+	return &Client{network: n, conns: map[string]*peerConn{}}
+}
 
 // Exchange sends a message to a peer and returns its answer.
 func (c *Client) Exchange(addr string, in Message) (Message, error) {
@@ -158,7 +165,7 @@
 		return p.rpc, nil
 	}
 	c.mu.Unlock()
-	nc, err := net.DialTimeout("tcp4", addr, dialTimeout)
+	nc, err := c.dial(addr)
 	c.mu.Lock()
 	if err != nil {
 		return nil, err
@@ -171,6 +178,12 @@
 	return p.rpc, nil
 }
 
+func (c *Client) dial(addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return c.network.Dial(ctx, addr)
+}
+
 func (c *Client) drop(addr string, conn *rpc.Client) {
 	_ = conn.Close() // it failed
 	c.mu.Lock()
--- a/internal/gossip/peer_test.go
+++ b/internal/gossip/peer_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
+
+	"github.com/hickorybank/hickorybank/internal/network"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -31,7 +33,7 @@
 		s.Serve()
 		close(served)
 	}()
-	c := NewClient()
+	c := NewClient(&network.OS{})
 	in := Message{From: "a", ConfigVersion: 7}
 	out, err := c.Exchange(l.Addr().String(), in)
 	is.NoErr(err)
@@ -61,7 +63,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = l.Close() }() // the test ends
-	c := NewClient()
+	c := NewClient(&network.OS{})
 	defer c.Close()
 	_, err = c.Exchange(l.Addr().String(), Message{})
 	is.Equal(err, errTimeout)
