Mend: configurations are taken in pieces, apart from the news; calls of the table last while bytes come

Cause: whole configurations went inside the news, to eight peers at once over the reader's link, in calls with a limit of 0.7 s; the table was read under 0.6 s. Ruled out before: the processor. Calls of the table end when nothing comes for 0.6 s.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -26,6 +26,7 @@
 	RowUnreadable     = define(1933, slog.LevelWarn, "table's row can't be read; it counts for nothing")
 	TableApplied      = define(1940, slog.LevelInfo, "routes were applied")
 	TableRejected     = define(1941, slog.LevelError, "routes could not be read; the former ones stay")
+	TableCut          = define(1944, slog.LevelInfo, "transfer of newer routes was cut")
 	SourceLost        = define(1942, slog.LevelWarn, "platform's table does not answer")
 	SourceBack        = define(1943, slog.LevelInfo, "platform's table answers again")
 	PeerChanged       = define(1950, slog.LevelInfo, "peer's state changed")
--- a/internal/gateway/await_table_test.go
+++ b/internal/gateway/await_table_test.go
@@ -73,7 +73,7 @@
 		time.Sleep(awaitMost / 2)
 		synctest.Wait()
 		is.Equal(n.Active(), int64(1)) // it waits
-		n.applyConfig([]byte("{}"), fromTable)
+		n.applyConfig([]byte("{}"))
 		n.applyFleet(FleetChange{Whole: true, Revision: 1, Put: []fleet.Record{{ID: "u", Service: "other"}}})
 		r := <-done
 		is.True(strings.Contains(r.Body.String(), noUpstream.reason)) // it was admitted, and no upstream is there
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -160,10 +160,9 @@
 		out := message(m)
 		began := time.Now()
 		in, err := n.peers.Exchange(m.Peer, out)
-		n.countExchange(&out, err)
+		n.countExchange(err)
 		if err != nil {
-			event.PeerCallFailed.Log(n.log, slog.String("peer", m.ID), slog.String("addr", m.Peer), slog.Int64("version", out.ConfigVersion),
-				slog.Int("config_bytes", len(out.Config)), slog.Int("upstreams", len(out.Fleet)),
+			event.PeerCallFailed.Log(n.log, slog.String("peer", m.ID), slog.String("addr", m.Peer), slog.Int("upstreams", len(out.Fleet)),
 				slog.Duration("after", time.Since(began)), slog.String("err", err.Error()))
 			n.peerLost(m, err)
 			return
@@ -175,15 +174,13 @@
 	}
 }
 
-// countExchange counts an exchange with a peer and the configuration's bytes that
-// it carried.
-func (n *Node) countExchange(out *gossip.Message, err error) {
+// countExchange counts an exchange with a peer.
+func (n *Node) countExchange(err error) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
 	n.metrics.Counter("hickorybank_peer_exchanges_total", "result", result).Inc()
-	n.metrics.Counter("hickorybank_peer_config_bytes_total", "result", result).Add(len(out.Config))
 }
 
 // exchangeTries bounds the calls of one exchange.
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/progress"
 )
 
 // followTable keeps up with the platform's table.
@@ -123,8 +125,17 @@
 	n.list.provenAt = at
 }
 
+// tableCall bounds a call of the table that may wait for a change.
+//
+// It guards against answers that have grown: 785 kB, 1,046 kB on the wire, never came
+// over a link of 10 Mbit/s within a fixed limit, and each try began anew. A table that
+// has fallen silent still shows within callTimeout.
+func tableCall(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return progress.Context(ctx, progress.Limits{First: callTimeout + wait, Pause: callTimeout, Whole: callTimeout + wait + mostTransfer})
+}
+
 func (n *Node) fetchFleet(ctx context.Context, after uint64) (FleetChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := tableCall(ctx, 0)
 	defer cancel()
 	change, err := n.source.Fleet(ctx, after)
 	if errors.Is(err, ErrCompacted) {
@@ -134,7 +145,7 @@
 }
 
 func (n *Node) fetchOrders(ctx context.Context, after uint64, wait time.Duration) (OrdersChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	ctx, cancel := tableCall(ctx, wait)
 	defer cancel()
 	change, err := n.source.Orders(ctx, after, wait)
 	if errors.Is(err, ErrCompacted) {
@@ -155,15 +166,16 @@
 	n.exchangeWith(ctx, group[1:], n.feedMessage)
 }
 
-// feedReaders tells the readers of the other groups what this group has
-// counted.
+// feedReaders tells the readers of the other groups what this group knows: all of
+// them what it has counted of a roll-out, else some: each reads the table itself, and
+// is only faster so.
 func (n *Node) feedReaders(ctx context.Context) {
 	n.mu.Lock()
 	groups := n.roster.Groups()
 	reader := n.roster.Group()[0].ID == n.settings.ID
 	open := len(n.canary.Tallies(time.Now())) > 0
 	n.mu.Unlock()
-	if !reader || !open {
+	if !reader {
 		return
 	}
 	var readers []gossip.Member
@@ -172,5 +184,9 @@
 			readers = append(readers, g[0])
 		}
 	}
+	if !open {
+		rand.Shuffle(len(readers), func(i, k int) { readers[i], readers[k] = readers[k], readers[i] })
+		readers = readers[:min(len(readers), urgentWidth)]
+	}
 	n.exchangeWith(ctx, readers, n.feedMessage)
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -58,15 +58,11 @@
 		m.Proof.FleetRevision = n.list.revision
 		m.Proof.OrdersRevision = n.list.orders
 	}
-	peer, heard := n.told[to]
-	if !heard {
+	if _, heard := n.told[to]; !heard {
 		m.Members = n.roster.Known(now)
 	}
 	if c := n.config.Load(); c != nil {
 		m.ConfigVersion = c.Version
-		if heard && peer.config < c.Version {
-			m.Config = c.raw
-		}
 	}
 	for _, o := range n.orders {
 		o.Age = now.Sub(n.started[o.Service])
@@ -98,14 +94,9 @@
 // that this node has.
 func (n *Node) take(in gossip.Message) (lacks bool) {
 	now := time.Now()
-	if len(in.Config) > 0 {
-		n.applyConfig(in.Config, in.From)
-	}
+	n.hearVersion(in.ConfigVersion)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if in.ConfigVersion > n.heardVersion.Load() {
-		n.heardVersion.Store(in.ConfigVersion)
-	}
 	n.told[in.From] = told{config: in.ConfigVersion, fleetHash: in.Proof.FleetHash}
 	n.takeMembers(in, now)
 	for _, o := range in.Orders {
@@ -122,8 +113,7 @@
 		n.guard.Add(s, now)
 	}
 	n.takeProof(in, now)
-	c := n.config.Load()
-	return in.RosterHash != n.roster.Hash() && len(in.Members) > 0 || c != nil && in.ConfigVersion < c.Version
+	return in.RosterHash != n.roster.Hash() && len(in.Members) > 0
 }
 
 func (n *Node) takeMembers(in gossip.Message, now time.Time) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/archive"
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/crashguard"
@@ -17,6 +18,7 @@
 	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/route"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 // Node is one running gateway.
@@ -29,6 +31,14 @@
 	pool     *exchange.Pool
 	network  network.Network
 	peers    *gossip.Client
+	// contents are connections to peers apart from those of the news, which would
+	// wait behind what is large.
+	contents *gossip.Client
+	sender   *transfer.Sender
+	// newer asks the duty that brings in configurations to look for one.
+	newer chan struct{}
+	// applying is held while a configuration is read and put in force.
+	applying sync.Mutex
 	policy   *cascade.Policy
 	dropped  func() int64
 	born     int64
@@ -79,8 +89,7 @@
 // configuration is the one in force, as it was read and as it is used.
 type configuration struct {
 	*route.Table
-	raw []byte
-	at  time.Time
+	doc *archive.Archive
 }
 
 // fleetState is what the node knows of the table.
@@ -130,21 +139,24 @@
 	n := &Node{
 		dropped:  d.Dropped,
 		settings: s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
-		pool:    exchange.NewPool(exchange.Settings{}),
-		network: d.Network,
-		peers:   gossip.NewClient(d.Network),
-		policy:  cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
-		born:    born,
-		stopped: make(chan struct{}),
-		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
-		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, born),
-		guard:   crashguard.New(),
-		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
-		flights: gossip.NewFlightSums(),
-		budgets: map[string]*admission.WindowBudget{},
-		list:    fleetState{gone: map[string]time.Time{}},
-		held:    map[string]time.Time{},
-		known:   map[string]bool{}, served: map[string]time.Time{},
+		pool:     exchange.NewPool(exchange.Settings{}),
+		network:  d.Network,
+		peers:    gossip.NewClient(d.Network),
+		contents: gossip.NewClient(d.Network),
+		sender:   transfer.NewSender(s.Link),
+		newer:    make(chan struct{}, 1),
+		policy:   cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
+		born:     born,
+		stopped:  make(chan struct{}),
+		fleet:    fleet.New(fleet.Settings{Domain: s.Domain}),
+		canary:   canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, born),
+		guard:    crashguard.New(),
+		roster:   gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region}),
+		flights:  gossip.NewFlightSums(),
+		budgets:  map[string]*admission.WindowBudget{},
+		list:     fleetState{gone: map[string]time.Time{}},
+		held:     map[string]time.Time{},
+		known:    map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
 		told: map[string]told{}, heard: map[turnKey]time.Time{},
 		urgent: make(chan struct{}, 1),
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -5,9 +5,13 @@
 	"log/slog"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/archive"
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 // takeOrdersChange takes what operators have changed; first is set when the
@@ -28,7 +32,7 @@
 	}
 	n.mu.Unlock()
 	if c.Config != nil {
-		n.applyConfig(c.Config, fromTable)
+		n.applyConfig(c.Config)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -41,25 +45,87 @@
 // fromTable names the table as the source of news in logs.
 const fromTable = "table"
 
-// applyConfig puts a configuration in force if it is newer than the present
-// one; versions only grow in the life of a process.
-func (n *Node) applyConfig(raw []byte, from string) {
+// applyConfig puts a configuration that the table holds in force, if it is newer than
+// the present one.
+func (n *Node) applyConfig(raw []byte) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	doc, err := archive.Compact(raw)
+	if err == nil {
+		err = n.enforce(doc, fromTable, func(old *archive.Archive, version uint64) *archive.Archive {
+			return old.Replace(version, doc)
+		})
+	}
+	if err != nil {
+		n.rejected(fromTable, err)
+	}
+}
+
+// applyUpdate puts what a peer sent in force, if it is newer.
+func (n *Node) applyUpdate(r *transfer.Receiver, from string) error {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if n.document().Tag() != r.Known() {
+		return nil // the table was faster
+	}
+	next, err := r.Update(n.document())
+	if err == nil {
+		err = n.enforce(next.Raw(), from, func(*archive.Archive, uint64) *archive.Archive { return next })
+	}
+	if err != nil {
+		n.rejected(from, err)
+	}
+	return err
+}
+
+// document is the configuration in force as it is told to peers; nil for none.
+func (n *Node) document() *archive.Archive {
+	if c := n.config.Load(); c != nil {
+		return c.doc
+	}
+	return nil
+}
+
+// enforce reads a document and puts it in force; versions only grow in the life of a
+// process. archived makes what peers are told of it. The caller holds applying, and
+// no other lock: requests go on under the former table while this one is read.
+func (n *Node) enforce(doc []byte, from string, archived func(old *archive.Archive, version uint64) *archive.Archive) error {
 	began := time.Now()
-	table, err := n.source.Decode(raw)
+	table, err := n.source.Decode(doc)
 	n.metrics.Histogram("hickorybank_config_decode_seconds").UpdateDuration(began)
 	if err != nil {
-		event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", err.Error()))
-		return
+		return err
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	old := n.config.Load()
-	if old != nil && old.Version >= table.Version {
-		return
+	if table.Version <= n.configVersion() {
+		return nil
+	}
+	next := archived(n.document(), uint64(table.Version))
+	if next.Tag() != uint64(table.Version) {
+		return eris.Errorf("configuration: version %d came as %d", table.Version, next.Tag())
 	}
-	n.config.Store(&configuration{Table: table, raw: raw, at: time.Now()})
-	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(raw)),
+	n.config.Store(&configuration{Table: table, doc: next})
+	n.sender.Set(next)
+	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(doc)),
 		slog.Duration("decoding", time.Since(began)))
+	n.tellConfig()
+	return nil
+}
+
+// rejected notes a configuration that can't be used; the one in force stays.
+func (n *Node) rejected(from string, err error) {
+	n.metrics.Counter("hickorybank_config_rejected_total").Inc()
+	event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", err.Error()))
+}
+
+// tellConfig has the other nodes told at once, if this node reads the table for its
+// group.
+func (n *Node) tellConfig() {
+	n.mu.Lock()
+	reads := n.reads()
+	n.mu.Unlock()
+	if reads {
+		n.tellSoon()
+	}
 }
 
 // recallRollouts reads how far roll-outs had come before this process began.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,6 +64,7 @@
 	duties.Go(func() { n.tellRollouts(work) })
 	duties.Go(func() { n.followPeers(work) })
 	duties.Go(func() { n.followFlights(work) })
+	duties.Go(func() { n.followConfig(work) })
 	duties.Go(func() { n.sweep(work) })
 	event.ForwardStarted.Log(n.log, slog.String("node", n.settings.ID), slog.String("addr", n.settings.Front), slog.String("peer", n.settings.Peer), slog.Int64("born", n.born))
 	<-ctx.Done()
@@ -74,6 +75,7 @@
 	}
 	peers.Close()
 	n.peers.Close()
+	n.contents.Close()
 	n.pool.Close()
 	duties.Wait()
 	event.ForwardStopped.Log(n.log, slog.String("node", n.settings.ID))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,9 @@
 	Seeds []string
 	// MemoryMB is the process's memory; 0 for no bound.
 	MemoryMB int
+	// Link is the bandwidth of the machine's link in bytes a second, each way; 0 if
+	// it is not known.
+	Link float64
 
 	// Apply is how soon a change must be in force.
 	Apply time.Duration
@@ -51,9 +54,12 @@
 	// orderLag is how late a node usually learns of an order: the reader's call
 	// answers at once, and it tells its group.
 	orderLag = 300 * time.Millisecond
-	// callTimeout bounds a call of the table, which answers within some
-	// milliseconds; connections may fall silent without a reset.
+	// callTimeout bounds the table's first bytes, which come within some
+	// milliseconds, and each pause after them; connections may fall silent without a
+	// reset.
 	callTimeout = 600 * time.Millisecond
+	// mostTransfer bounds the transfer of an answer of the table: 16 MB over 10 Mbit/s.
+	mostTransfer = 14 * time.Second
 	// retryCall is the pause after a failed call of the table.
 	retryCall = 250 * time.Millisecond
 	// mostRetryRead bounds that pause for readings: a node that can reach the
--- a/internal/gateway/tell_rollouts.go
+++ b/internal/gateway/tell_rollouts.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // tellRollouts tells other nodes how roll-outs stand, regularly while one is
-// under way and at once when this node has decided something.
+// under way and at once when this node has decided something or, as its group's
+// reader, has a newer configuration.
 //
 // It is a duty apart from the deciding: peers that are cut off take their whole
 // time-out, and a verdict that waited for them would come too late into the
@@ -19,15 +22,23 @@
 		case <-ctx.Done():
 			return
 		case <-n.urgent:
-			n.feedReaders(ctx)
-			n.feedGroup(ctx)
-			n.exchangeAll(ctx)
+			n.tellAll(ctx)
 		case <-tick.C:
 			n.feedSettling(ctx)
 		}
 	}
 }
 
+// tellAll tells other readers, this node's group and some others at once: one that
+// does not answer costs its time-out, and must not hold up the rest.
+func (n *Node) tellAll(ctx context.Context) {
+	var told conc.WaitGroup
+	told.Go(func() { n.feedReaders(ctx) })
+	told.Go(func() { n.feedGroup(ctx) })
+	told.Go(func() { n.exchangeAll(ctx) })
+	told.Wait()
+}
+
 // tellSoon has the other nodes told at once.
 func (n *Node) tellSoon() {
 	select {
@@ -49,11 +60,14 @@
 		n.fedAt = now
 	}
 	settling := n.canary.Settling(now)
+	open := len(n.canary.Tallies(now)) > 0
 	n.mu.Unlock()
 	if !due {
 		return
 	}
-	n.feedReaders(ctx)
+	if open {
+		n.feedReaders(ctx)
+	}
 	if settling {
 		n.feedGroup(ctx)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -18,10 +18,9 @@
 	Members    []Member
 	// ConfigVersion is the version of the configuration in force at the
 	// sender; 0 for none.
+	// The configuration itself is not told: who has an older one takes it piece by
+	// piece, so that news are small and come in time whatever its size.
 	ConfigVersion int64
-	// Config is that configuration as the table holds it, where the receiver
-	// is known to have an older one.
-	Config []byte
 	// Proof tells how fresh the sender's knowledge of the table is.
 	Proof Proof
 	// Fleet is the list of upstreams, told where the receiver has another.
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -9,12 +9,18 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/network"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 const (
 	// callTimeout bounds one exchange. Connections between nodes may fall
-	// silent without a reset; only a time-out shows it.
+	// silent without a reset; only a time-out shows it. What is exchanged is small
+	// whatever the size of the documents that it speaks of.
 	callTimeout = 700 * time.Millisecond
+	// pieceTimeout bounds the transfer of one piece of a document: five times what
+	// one takes over 10 Mbit/s beside another transfer and callers that fill half of
+	// the link.
+	pieceTimeout = time.Second
 	// dialTimeout bounds the opening of a connection to a peer.
 	dialTimeout = 400 * time.Millisecond
 	// service is the name of the net/rpc service.
@@ -29,6 +35,8 @@
 	// Flights takes a report; it returns the sum over all groups to a member,
 	// and over this node's group to another group's reader.
 	Flights(in FlightReport) FlightReport
+	// Piece answers a peer that asks for a newer configuration.
+	Piece(in transfer.Ask) transfer.Piece
 }
 
 // Server answers peers.
@@ -55,6 +63,12 @@
 	return nil
 }
 
+// Piece is the method by which peers take a newer configuration.
+func (h *handler) Piece(in transfer.Ask, out *transfer.Piece) error {
+	*out = h.to.Piece(in)
+	return nil
+}
+
 // NewServer serves peers on a listener.
 func NewServer(l net.Listener, to Exchanger) (*Server, error) {
 	s := &Server{listener: l, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
@@ -120,22 +134,27 @@
 
 // Exchange sends a message to a peer and returns its answer.
 func (c *Client) Exchange(addr string, in Message) (Message, error) {
-	return call[Message](c, addr, "Exchange", in)
+	return call[Message, Message](c, addr, "Exchange", in, callTimeout)
 }
 
 // Flights sends a report to a peer and returns its answer.
 func (c *Client) Flights(addr string, in FlightReport) (FlightReport, error) {
-	return call[FlightReport](c, addr, "Flights", in)
+	return call[FlightReport, FlightReport](c, addr, "Flights", in, callTimeout)
+}
+
+// Piece asks a peer for a piece of a newer configuration.
+func (c *Client) Piece(addr string, in transfer.Ask) (transfer.Piece, error) {
+	return call[transfer.Ask, transfer.Piece](c, addr, "Piece", in, pieceTimeout)
 }
 
-// call calls a method of a peer that answers in kind.
-func call[T any](c *Client, addr, method string, in T) (out T, err error) {
+// call calls a method of a peer.
+func call[In, Out any](c *Client, addr, method string, in In, limit time.Duration) (out Out, err error) {
 	conn, err := c.conn(addr)
 	if err != nil {
 		return out, err
 	}
 	call := conn.Go(service+"."+method, in, &out, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(callTimeout)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
@@ -145,7 +164,7 @@
 	}
 	if err != nil {
 		c.drop(addr, conn)
-		return *new(T), err
+		return *new(Out), err
 	}
 	return out, nil
 }
--- a/internal/gossip/peer_test.go
+++ b/internal/gossip/peer_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/hickorybank/hickorybank/internal/network"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -21,6 +22,8 @@
 
 func (echo) Flights(in FlightReport) FlightReport { return in }
 
+func (echo) Piece(in transfer.Ask) transfer.Piece { return transfer.Piece{To: in.Known + 1} }
+
 // A peer answers, its connection breaks, and it is called again.
 func TestExchangeOverABrokenConnection(t *testing.T) {
 	is := is.New(t)
