Read the list of upstreams beside a large change, and leave that to the group's reader

Cause: one duty waited for operators' changes and then read the list. While a large change came over a narrow link the reader's group got no news, took it for lost, and all members read the change from the table; a proof that came before its configuration was dropped. Ruled out: two duties apart (tried here): proofs then age by both pauses, and members read the table in quiet times.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -17,24 +17,20 @@
 // node that has not heard for a while reads by itself, so that a reader that
 // is lost, cut off or turned away costs calls and not freshness.
 func (n *Node) followTable(ctx context.Context) {
+	r := tableReader{node: n}
+	defer r.end()
 	failures := 0
-	for {
-		due := n.nextReading(failures)
-		if wait := time.Until(due); wait > 0 {
-			if !pause(ctx, min(wait, n.readEvery())) {
-				return
-			}
+	for ctx.Err() == nil {
+		if wait := time.Until(n.nextReading(failures)); wait > 0 {
+			pause(ctx, min(wait, n.readEvery()))
 			continue
 		}
-		if n.readTable(ctx) {
+		if r.read(ctx) {
 			failures = 0
 			n.feedGroup(ctx)
 		} else {
 			failures++
 		}
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
 
@@ -50,16 +46,29 @@
 	}
 	due := n.list.provenAt // a reader's own call waits for changes
 	if !n.reads() {
+		due = earlier(n.list.provenAt, later(n.list.ordersProvenAt, n.list.ordersPendingAt))
 		due = due.Add(time.Duration(ownReadPart * float64(n.readEvery())))
 	}
 	if failures > 0 {
-		if again := n.readAt.Add(n.readAgain(failures)); again.After(due) {
-			due = again
-		}
+		due = later(due, n.readAt.Add(n.readAgain(failures)))
 	}
 	return due
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // readAgain is the pause after readings that failed; the caller holds mu.
 //
 // It guards against a table that is away: every node then misses its reader's
@@ -78,48 +87,15 @@
 // holds mu.
 func (n *Node) reads() bool { return n.roster.Group()[0].ID == n.settings.ID }
 
-// readTable reads what has changed in the table; it reports whether it could.
-// A reader first waits for operators' changes, so that it learns of them at
-// once; the list of upstreams changes all the time and is read at its pace.
-func (n *Node) readTable(ctx context.Context) bool {
-	n.mu.Lock()
-	n.readAt = time.Now()
-	ordersAfter := n.list.orders
-	wait := time.Duration(0)
-	if n.reads() && ordersAfter > 0 && !n.sources.down {
-		wait = n.readEvery()
-	}
-	n.mu.Unlock()
-	orders, err := n.fetchOrders(ctx, ordersAfter, wait)
-	n.sourceResult("orders", err)
-	if err != nil {
-		return false
-	}
-	n.takeOrdersChange(ctx, orders, ordersAfter == 0, wait > 0)
-	began := time.Now()
-	n.mu.Lock()
-	fleetAfter := n.list.revision
-	n.mu.Unlock()
-	change, err := n.fetchFleet(ctx, fleetAfter)
-	n.sourceResult("upstreams", err)
-	if err != nil {
-		return false
-	}
-	n.applyFleet(change)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.proven(began)
-	return true
-}
-
-// proven notes that what the node knows of the table is as of a time; the
+// listProven notes that what the node knows of the upstreams is as of a time; the
 // caller holds mu.
-func (n *Node) proven(at time.Time) {
-	if !at.After(n.list.provenAt) {
+func (n *Node) listProven(at time.Time) {
+	known := n.list.provenAt
+	if !at.After(known) {
 		return
 	}
-	if n.list.provenAt.IsZero() || at.Sub(n.list.provenAt) > awayTimes*n.readEvery() {
-		n.list.awayFrom = n.list.provenAt
+	if known.IsZero() || at.Sub(known) > awayTimes*n.readEvery() {
+		n.list.awayFrom = known
 		n.list.steadySince = at
 	}
 	n.list.provenAt = at
--- a/internal/gateway/follow_table_test.go
+++ b/internal/gateway/follow_table_test.go
@@ -31,6 +31,7 @@
 func calls(n *Node, known bool, away time.Duration) int {
 	if known {
 		n.list.provenAt = time.Now()
+		n.list.ordersProvenAt = n.list.provenAt
 	}
 	end := time.Now().Add(away)
 	count := 0
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -50,13 +50,17 @@
 		RosterHash: n.roster.Hash(),
 		Pins:       n.canary.Pins(now),
 		Strikes:    n.guard.Known(now),
-		Proof:      gossip.Proof{Age: noProof, FleetHash: n.fleet.Hash()},
+		Proof:      gossip.Proof{Age: noProof, OrdersAge: noProof, FleetHash: n.fleet.Hash()},
 	}
-	if !n.list.provenAt.IsZero() {
-		m.Proof.Age = now.Sub(n.list.provenAt)
+	if proven := n.list.provenAt; !proven.IsZero() {
+		m.Proof.Age = now.Sub(proven)
 		m.Proof.Steady = now.Sub(n.list.steadySince)
 		m.Proof.FleetRevision = n.list.revision
+	}
+	if proven := n.list.ordersProvenAt; !proven.IsZero() {
+		m.Proof.OrdersAge = now.Sub(proven)
 		m.Proof.OrdersRevision = n.list.orders
+		m.Proof.OrdersPending = n.reads() && n.list.ordersPendingAt.After(proven)
 	}
 	if _, heard := n.told[to]; !heard {
 		m.Members = n.roster.Known(now)
@@ -112,7 +116,8 @@
 	for _, s := range in.Strikes {
 		n.guard.Add(s, now)
 	}
-	n.takeProof(in, now)
+	n.takeListProof(in, now)
+	n.takeOrdersProof(in, now)
 	return in.RosterHash != n.roster.Hash() && len(in.Members) > 0
 }
 
@@ -124,12 +129,12 @@
 	}
 }
 
-// takeProof takes a peer's newer reading of the table, once this node has all
-// that the reading saw.
+// takeListProof takes a peer's newer reading of the list, once this node has all that
+// the reading saw.
 //
 // A list is taken whole from a newer reading only: an older one could bring
 // back an upstream that has left.
-func (n *Node) takeProof(in gossip.Message, now time.Time) {
+func (n *Node) takeListProof(in gossip.Message, now time.Time) {
 	if in.Proof.Age < 0 || in.Proof.FleetRevision == 0 {
 		return
 	}
@@ -143,13 +148,55 @@
 	if len(in.Fleet) > 0 && in.Proof.FleetRevision >= n.list.revision {
 		n.takeFleet(in)
 	}
-	c := n.config.Load()
-	if c == nil || c.Version != in.ConfigVersion || n.fleet.Hash() != in.Proof.FleetHash {
+	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
 	}
-	n.proven(at)
+	n.listProven(at)
 	n.list.revision = max(n.list.revision, in.Proof.FleetRevision)
-	n.list.orders = max(n.list.orders, in.Proof.OrdersRevision)
+}
+
+// takeOrdersProof takes a peer's reading of operators' changes. The roll-outs that it
+// saw came with the message; the configuration may still be on its way.
+func (n *Node) takeOrdersProof(in gossip.Message, now time.Time) {
+	if in.Proof.OrdersPending {
+		n.list.ordersPendingAt = now
+	}
+	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 {
+		return
+	}
+	p := ordersProof{at: now.Add(-in.Proof.OrdersAge), version: in.ConfigVersion, revision: in.Proof.OrdersRevision}
+	switch {
+	case n.list.awaited.version == 0:
+		n.list.awaited = p
+	case p.at.After(n.list.awaitedNext.at):
+		n.list.awaitedNext = p
+	}
+	n.useOrdersProof()
+}
+
+// ordersProof says that operators' changes up to a revision are known, to who has a
+// version of the configuration.
+type ordersProof struct {
+	at       time.Time
+	version  int64
+	revision uint64
+}
+
+// useOrdersProof takes the proof that waited for its configuration, once that is in
+// force; the caller holds mu.
+//
+// It guards against proofs that are lost because a transfer takes a moment: the node
+// would soon read the table itself, for what it has just got.
+func (n *Node) useOrdersProof() {
+	for {
+		p := n.list.awaited
+		if p.version == 0 || n.configVersion() < p.version {
+			return
+		}
+		n.ordersProven(p.at)
+		n.list.orders = max(n.list.orders, p.revision)
+		n.list.awaited, n.list.awaitedNext = n.list.awaitedNext, ordersProof{}
+	}
 }
 
 func (n *Node) takeFleet(in gossip.Message) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -37,8 +37,8 @@
 	sender   *transfer.Sender
 	// newer asks the duty that brings in configurations to look for one.
 	newer chan struct{}
-	// applying is held while a configuration is read and put in force.
-	applying sync.Mutex
+	// applying has one place, for who reads a configuration and puts it in force.
+	applying chan struct{}
 	policy   *cascade.Policy
 	dropped  func() int64
 	born     int64
@@ -97,9 +97,15 @@
 	// revision and orders are the revisions of the upstreams' list and of the
 	// operators' changes that the node has taken.
 	revision, orders uint64
-	// provenAt is when the latest reading began that the node has taken, its
-	// own or its reader's.
-	provenAt time.Time
+	// provenAt is when the latest reading of the list began that the node has taken,
+	// its own or its reader's; ordersProvenAt is as of when operators' changes are
+	// known, ordersPendingAt when a large one was last heard to be on its way to the
+	// reader.
+	provenAt, ordersProvenAt, ordersPendingAt time.Time
+	// awaited is a proof of operators' changes whose configuration is on its way,
+	// awaitedNext the latest after it: with a change every moment, the latest alone
+	// would never be met.
+	awaited, awaitedNext ordersProof
 	// steadySince is when the node's readings without a gap began, awayFrom
 	// the last reading before that gap.
 	steadySince, awayFrom time.Time
@@ -145,6 +151,7 @@
 		contents: gossip.NewClient(d.Network),
 		sender:   transfer.NewSender(s.Link),
 		newer:    make(chan struct{}, 1),
+		applying: make(chan struct{}, 1),
 		policy:   cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
 		born:     born,
 		stopped:  make(chan struct{}),
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -25,8 +25,8 @@
 		n.unreadable(r)
 	}
 	for _, o := range c.Rollouts {
-		if !waited && !n.list.provenAt.IsZero() {
-			o.Late = min(time.Since(n.list.provenAt), mostLate)
+		if proven := n.list.ordersProvenAt; !waited && !proven.IsZero() {
+			o.Late = min(time.Since(proven), mostLate)
 		}
 		n.takeOrder(o, 0, fromTable)
 	}
@@ -48,8 +48,8 @@
 // applyConfig puts a configuration that the table holds in force, if it is newer than
 // the present one.
 func (n *Node) applyConfig(raw []byte) {
-	n.applying.Lock()
-	defer n.applying.Unlock()
+	n.applying <- struct{}{}
+	defer func() { <-n.applying }()
 	doc, err := archive.Compact(raw)
 	if err == nil {
 		err = n.enforce(doc, fromTable, func(old *archive.Archive, version uint64) *archive.Archive {
@@ -63,8 +63,8 @@
 
 // applyUpdate puts what a peer sent in force, if it is newer.
 func (n *Node) applyUpdate(r *transfer.Receiver, from string) error {
-	n.applying.Lock()
-	defer n.applying.Unlock()
+	n.applying <- struct{}{}
+	defer func() { <-n.applying }()
 	if n.document().Tag() != r.Known() {
 		return nil // the table was faster
 	}
@@ -87,8 +87,9 @@
 }
 
 // enforce reads a document and puts it in force; versions only grow in the life of a
-// process. archived makes what peers are told of it. The caller holds applying, and
-// no other lock: requests go on under the former table while this one is read.
+// process. archived makes what peers are told of it. The caller has a
+// place in applying, and no lock: requests go on under the former table while this
+// one is read.
 func (n *Node) enforce(doc []byte, from string, archived func(old *archive.Archive, version uint64) *archive.Archive) error {
 	began := time.Now()
 	table, err := n.source.Decode(doc)
@@ -107,7 +108,7 @@
 	n.sender.Set(next)
 	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(doc)),
 		slog.Duration("decoding", time.Since(began)))
-	n.tellConfig()
+	n.noteConfig()
 	return nil
 }
 
@@ -117,10 +118,11 @@
 	event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", err.Error()))
 }
 
-// tellConfig has the other nodes told at once, if this node reads the table for its
-// group.
-func (n *Node) tellConfig() {
+// noteConfig takes what waited for a configuration that is now in force, and has the
+// other nodes told at once, if this node reads the table for its group.
+func (n *Node) noteConfig() {
 	n.mu.Lock()
+	n.useOrdersProof()
 	reads := n.reads()
 	n.mu.Unlock()
 	if reads {
--- /dev/null
+++ b/internal/gateway/orders_proof_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/route"
+)
+
+// A reader tells its group that it has just read the table, and a version that the
+// group has not got yet. The proof was dropped, as the version was not in force, and a
+// second later the members read the table for what they then had. It counts from the
+// moment at which the version is in force; with a change every moment, each counts in
+// its turn.
+func TestProofWaitsForItsConfiguration(t *testing.T) {
+	is := is.New(t)
+	n := newGroupNode(false)
+	now := time.Now()
+	tell := func(version int64, revision uint64, at time.Time) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.takeOrdersProof(gossip.Message{From: "n0", ConfigVersion: version, Proof: gossip.Proof{OrdersAge: now.Sub(at), OrdersRevision: revision}}, now)
+	}
+	enforce := func(version int64) {
+		n.config.Store(&configuration{Table: route.New(version, route.Limits{}, nil, nil, nil)})
+		n.noteConfig()
+	}
+	at := func(s int) time.Time { return now.Add(time.Duration(s-9) * time.Second) }
+	tell(2, 20, at(1))
+	is.True(n.list.ordersProvenAt.IsZero())
+	tell(3, 30, at(2))
+	tell(4, 40, at(3))
+	enforce(2)
+	is.True(n.list.ordersProvenAt.Equal(at(1)))
+	is.Equal(n.list.orders, uint64(20))
+	enforce(3)
+	is.True(n.list.ordersProvenAt.Equal(at(1))) // of the later ones the latest waits
+	tell(5, 50, at(4))
+	enforce(4)
+	is.True(n.list.ordersProvenAt.Equal(at(3)))
+	enforce(6)
+	is.True(n.list.ordersProvenAt.Equal(at(4)))
+	is.Equal(n.list.orders, uint64(50))
+	tell(6, 60, at(8))
+	is.True(n.list.ordersProvenAt.Equal(at(8)))
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -36,11 +36,16 @@
 
 // Proof is a reading of the table, by the sender or by whom it heard from.
 type Proof struct {
-	// Age is how long ago the reading began; negative for none.
+	// Age is how long ago the reading of the list began; negative for none.
 	Age time.Duration
 	// Steady is how long the sender has had such readings without a gap.
 	Steady time.Duration
-	// FleetRevision and OrdersRevision are the revisions that it read.
+	// OrdersAge is how long ago operators' changes were read; negative for never.
+	OrdersAge time.Duration
+	// OrdersPending says that the sender reads them for its group, and that a large
+	// change is on its way to it.
+	OrdersPending bool
+	// FleetRevision and OrdersRevision are the revisions that were read.
 	FleetRevision, OrdersRevision uint64
 	// FleetHash tells whether the receiver has the same list.
 	FleetHash uint64
