Look a request's route up in place of comparing it with each prefix

Cause: a host's routes were compared one after the other, which grows with them: with 15,000 routes of one host, as a large configuration has, 59 us a request. Ruled out: a tree of prefixes; a map of those that end with a slash does, as paths have few parts. TestMatchIsTheLongestPrefixOfAny holds any set of prefixes against the comparison.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,10 +1,6 @@
 package route
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Table is one version of the configuration, whole and immutable.
 type Table struct {
@@ -14,26 +10,26 @@
 	// Keyed tells whether requests need an organisation's key at all.
 	Keyed bool
 
-	byHost   map[string][]*Route
+	byHost   map[string]*hostRoutes
 	services map[string]*Service
 	byKey    map[string]*Organisation
 }
 
-// New builds a table. The routes of a host are kept with the longest prefix
-// first, so that the first match is the one that counts.
+// New builds a table. Where two routes of a host have the same prefix, the first
+// counts.
 func New(version int64, limits Limits, routes []Route, services []Service, orgs []Organisation) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Keyed: len(orgs) > 0,
-		byHost:   map[string][]*Route{},
+		byHost:   map[string]*hostRoutes{},
 		services: map[string]*Service{},
 		byKey:    map[string]*Organisation{},
 	}
 	for i := range routes {
 		host := canonicalHost(routes[i].Host)
-		t.byHost[host] = append(t.byHost[host], &routes[i])
-	}
-	for _, list := range t.byHost {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		if t.byHost[host] == nil {
+			t.byHost[host] = &hostRoutes{byPrefix: map[string]*Route{}}
+		}
+		t.byHost[host].add(&routes[i])
 	}
 	for i := range services {
 		t.services[services[i].Name] = &services[i]
@@ -48,12 +44,11 @@
 
 // Match returns the route of a host and a raw path, or nil.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.byHost[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	h := t.byHost[canonicalHost(host)]
+	if h == nil {
+		return nil
 	}
-	return nil
+	return h.match(path)
 }
 
 // Service returns the service of a name, or nil.
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -1,9 +1,12 @@
 package route
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func table() *Table {
@@ -57,3 +60,56 @@
 	is.True(!(&Route{Kind: Stream}).Repeatable())
 	is.True((&Route{Kind: Stream, Resumable: true}).Repeatable())
 }
+
+// matchByComparing is what Match has to return, found by comparing with each prefix.
+func matchByComparing(routes []Route, host, path string) string {
+	best := -1
+	for i, r := range routes {
+		if canonicalHost(r.Host) == canonicalHost(host) && strings.HasPrefix(path, r.Prefix) && (best < 0 || len(r.Prefix) > len(routes[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return routes[best].Name
+}
+
+func TestMatchIsTheLongestPrefixOfAny(t *testing.T) {
+	text := rapid.StringMatching(`[/a]{0,6}`)
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []Route
+		for i, prefix := range rapid.SliceOfN(text, 0, 8).Draw(t, "prefixes") {
+			routes = append(routes, Route{Name: fmt.Sprint(i), Host: "h", Prefix: prefix})
+		}
+		tab := New(1, Limits{}, routes, nil, nil)
+		path := text.Draw(t, "path")
+		got := ""
+		if r := tab.Match("h", path); r != nil {
+			got = r.Name
+		}
+		if want := matchByComparing(routes, "h", path); got != want {
+			t.Fatalf("%q: route %s, want %s", path, got, want)
+		}
+	})
+}
+
+// BenchmarkMatch looks a route up among few and many of one host. Comparing with each
+// prefix in turn took 0.07 us with 15 routes and 59 us with 15,000.
+func BenchmarkMatch(b *testing.B) {
+	for _, count := range []int{15, 1500, 15000} {
+		var routes []Route
+		for i := range count {
+			routes = append(routes, Route{Host: "h", Prefix: fmt.Sprintf("/route%d/", i)})
+		}
+		tab := New(1, Limits{}, routes, nil, nil)
+		path := fmt.Sprintf("/route%d/some/path", count/2)
+		b.Run(fmt.Sprint("routes=", count), func(b *testing.B) {
+			for b.Loop() {
+				if tab.Match("h", path) == nil {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
