--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,9 @@
 	settings Settings
 	byID     map[string]*Upstream
 	services map[string][]*Upstream
+	// sum is the hash of the list, history the edits that led to it.
+	sum     uint64
+	history history
 	// means are the usual work of an attempt at each service.
 	means map[string]float64
 	// delays are how long attempts of each kind have lately waited.
@@ -41,10 +44,12 @@
 		f.replace(u)
 		f.byID[r.ID] = u
 		f.enlist(u)
+		f.rehash(u, true)
 		return true
 	}
 	known.kept = false
 	if known.Record.same(&r) {
+		f.rehash(known, true)
 		return false
 	}
 	if known.Service != r.Service {
@@ -53,6 +58,7 @@
 		f.enlist(known)
 	}
 	known.Record = r
+	f.rehash(known, true)
 	return true
 }
 
@@ -83,6 +89,7 @@
 	if u == nil {
 		return false
 	}
+	f.rehash(u, false)
 	// Requests that run there still hold it; it takes no new ones.
 	u.Draining = true
 	f.delist(u)
@@ -98,6 +105,7 @@
 		return false
 	}
 	u.kept = true
+	f.rehash(u, false)
 	return true
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -11,6 +11,8 @@
 
 	// kept is set while the table does not list it, but may again.
 	kept bool
+	// hash is its part of the list's hash; 0 while it is not listed.
+	hash uint64
 	// since is when it was first read; replaced is set when another upstream
 	// answers at its address: this one has ended.
 	since    time.Time
--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -20,15 +20,13 @@
 		return // a peer's or an earlier reading arrived late
 	}
 	n.list.revision = c.Revision
-	listed := map[string]bool{}
 	for _, r := range c.Put {
-		listed[r.ID] = true
 		n.putUpstream(r, now)
 	}
 	n.dropUnreadable(c.Unreadable)
 	drop := c.Drop
 	if c.Whole {
-		drop = append(drop, n.unlisted(listed)...)
+		drop = append(drop, n.unlisted(c.Put)...)
 	}
 	n.dropUpstreams(drop, lapsing)
 }
@@ -44,7 +42,11 @@
 const awayTimes = 2
 
 // unlisted returns the known upstreams that a complete list lacks.
-func (n *Node) unlisted(listed map[string]bool) []string {
+func (n *Node) unlisted(list []fleet.Record) []string {
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		listed[r.ID] = true
+	}
 	var ids []string
 	for _, r := range n.fleet.Records() {
 		if !listed[r.ID] {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -86,12 +86,18 @@
 	return n.roster.Known(time.Now())
 }
 
-// tellFleet adds the list of upstreams if the peer has another; the caller
-// holds mu.
+// tellFleet adds what the peer's list of upstreams lacks, or the whole where it is not
+// known what it has; the caller holds mu.
 func (n *Node) tellFleet(m *gossip.Message, to string) {
-	if n.list.revision > 0 && n.told[to].fleetHash != m.Proof.FleetHash {
-		m.Fleet = n.fleet.Records()
+	theirs := n.told[to].fleetHash
+	if n.list.revision == 0 || theirs == m.Proof.FleetHash {
+		return
+	}
+	if edits, ok := n.fleet.EditsSince(theirs); ok {
+		m.Edits = edits
+		return
 	}
+	m.Fleet = n.fleet.Records()
 }
 
 // take takes what a peer tells; it reports whether the peer lacks something
@@ -145,8 +151,8 @@
 	if !at.After(n.list.provenAt) {
 		return
 	}
-	if len(in.Fleet) > 0 && in.Proof.FleetRevision >= n.list.revision {
-		n.takeFleet(in)
+	if in.Proof.FleetRevision >= n.list.revision {
+		n.takeFleet(in, now)
 	}
 	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
@@ -199,13 +205,20 @@
 	}
 }
 
-func (n *Node) takeFleet(in gossip.Message) {
-	now := time.Now()
+// takeFleet takes the list of upstreams that a message has, or its edits if they lead
+// from the list that this node has.
+func (n *Node) takeFleet(in gossip.Message, now time.Time) {
+	put, drop := in.Edits.Put, in.Edits.Drop
+	switch {
+	case len(in.Fleet) > 0:
+		put, drop = in.Fleet, n.unlisted(in.Fleet)
+	case len(put)+len(drop) == 0 || in.Edits.From != n.fleet.Hash():
+		return
+	}
+	lapsing := n.wasAway(now)
 	n.list.revision = in.Proof.FleetRevision
-	listed := map[string]bool{}
-	for _, r := range in.Fleet {
-		listed[r.ID] = true
+	for _, r := range put {
 		n.putUpstream(r, now)
 	}
-	n.dropUpstreams(n.unlisted(listed), n.wasAway(now))
+	n.dropUpstreams(drop, lapsing)
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,7 +23,10 @@
 	ConfigVersion int64
 	// Proof tells how fresh the sender's knowledge of the table is.
 	Proof Proof
-	// Fleet is the list of upstreams, told where the receiver has another.
+	// Edits lead from the list of upstreams that the receiver has to the sender's;
+	// Fleet is the whole, told where that is not known. Neither where both have the
+	// same.
+	Edits fleet.Edits
 	Fleet []fleet.Record
 	// Orders are the roll-outs that the sender knows, Tallies the counts.
 	Orders  []Order
