--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -71,13 +71,18 @@
 }
 
 func (f *fleet) add(id, domain string) *member {
+	return f.addWith(id, domain, func(s confsync.Store) confsync.Store { return s })
+}
+
+// addWith adds a node that sees the table as given.
+func (f *fleet) addWith(id, domain string, seen func(confsync.Store) confsync.Store) *member {
 	m := &member{server: peer.NewServer(), pool: f.newPool()}
 	if err := m.server.Listen("127.0.0.1:0"); err != nil {
 		f.t.Fatal(err)
 	}
 	m.vm = platform.VM{ID: id, Role: platform.RoleEntry, Addr: m.server.Addr(), Peer: m.server.Addr(), FailureDomain: domain, State: platform.Live}
 	m.Syncer = confsync.New(confsync.Settings{}, confsync.Deps{
-		Store: tablestore.New(f.platform), Lists: f.platform.VMs(), Peers: m.pool, Self: m.vm,
+		Store: seen(tablestore.New(f.platform)), Lists: f.platform.VMs(), Peers: m.pool, Self: m.vm,
 		Members: m.members, OnList: m.setList, OnLeaving: m.setLeaving,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
