--- a/internal/archive/update.go
+++ b/internal/archive/update.go
@@ -14,6 +14,9 @@
 	Full []byte
 }
 
+// Bytes is about how long the update is.
+func (u *Update) Bytes() int { return len(u.Full) + sizeOfDeltas(u.Deltas) }
+
 // Encode returns the update's bytes. Every node that makes the same update makes the
 // same bytes, so that a transfer can go on at another node.
 func (u *Update) Encode() []byte {
--- a/internal/confsync/calls.go
+++ b/internal/confsync/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/archive"
 	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 // readHead reads the head row of the table.
@@ -81,9 +82,68 @@
 		s.post(input{event: WaitFailed{Token: d.Token}})
 		return
 	}
+	if reply.Large {
+		reply.Update = s.takePieces(d)
+	}
 	s.post(input{event: WaitReplied{Token: d.Token, Reply: reply}})
 }
 
+const (
+	// pieceTimeout bounds a piece's call: five times what 32 kB take over 10 Mbit/s
+	// beside another transfer and callers that fill half of the link.
+	pieceTimeout = time.Second
+	// piecesTimeout bounds the pieces that are taken before the reply, with its
+	// proof, goes on to the core: well within the bound of a proof. The next call
+	// goes on where this one stopped.
+	piecesTimeout = time.Second
+	// busyPause is the time before a parent is asked again that serves others.
+	busyPause = 50 * time.Millisecond
+)
+
+// takePieces takes a document that is too long for one reply from the peer that has
+// it; nil if it has not all come yet.
+//
+// It guards against documents that never come because they are large: a reply had
+// 250 ms, in which 300 kB do not pass over 10 Mbit/s, and each call began anew.
+func (s *Syncer) takePieces(d Wait) *archive.Update {
+	s.receiver.Begin(d.Args.Revision)
+	if d.Args.Full {
+		s.receiver.AskWhole()
+	}
+	for end := time.Now().Add(piecesTimeout); time.Now().Before(end); {
+		var p transfer.Piece
+		if err := s.call(pieceTimeout, d.Addr, "Piece", s.receiver.Ask(), &p); err != nil || p.To == 0 {
+			return nil
+		}
+		if p.Busy {
+			s.sleep(busyPause)
+			continue
+		}
+		whole, err := s.receiver.Take(p)
+		if err != nil || !whole {
+			continue
+		}
+		// What all has come is said; without it the parent forgets by itself.
+		_ = s.call(pieceTimeout, d.Addr, "Piece", s.receiver.Ask(), &p)
+		u, err := s.receiver.Decode()
+		if err != nil {
+			s.receiver.AskWhole()
+			return nil
+		}
+		return &u
+	}
+	return nil
+}
+
+func (s *Syncer) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.ctx.Done():
+	case <-t.C:
+	}
+}
+
 // survey asks a peer for its state.
 func (s *Syncer) survey(d Survey) {
 	timeout := s.settings.CallTimeout
--- a/internal/confsync/service.go
+++ b/internal/confsync/service.go
@@ -1,5 +1,11 @@
 package confsync
 
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/transfer"
+)
+
 import "github.com/hickorybank/hickorybank/internal/archive"
 
 // ServiceName is the name under which peers call a Syncer.
@@ -20,12 +26,22 @@
 	filled := answer.(filledAnswer)
 	*reply = filled.Reply
 	reply.Update = filled.update()
+	if reply.Update != nil && reply.Update.Bytes() > transfer.PieceSize {
+		s.syncer.sender.Set(filled.doc)
+		reply.Update, reply.Large = nil, true
+	}
 	if filled.SendList && filled.list.Tag() == reply.ListDigest {
 		reply.List = filled.list.Update(filled.KnownList, false)
 	}
 	return nil
 }
 
+// Piece answers a peer that takes a document piece by piece.
+func (s *service) Piece(args transfer.Ask, reply *transfer.Piece) error {
+	*reply = s.syncer.sender.Answer(args, time.Now())
+	return s.syncer.ctx.Err()
+}
+
 // update is the document's update that the peer lacks. The archive may be
 // ahead of the answer's proofs, never behind them.
 func (f filledAnswer) update() *archive.Update {
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/peer"
+	"github.com/hickorybank/hickorybank/internal/transfer"
 )
 
 const (
@@ -45,6 +46,10 @@
 	// failing says that the last read of the head failed.
 	failing  atomic.Bool
 	lastRead listRead
+	// sender gives children documents that are longer than a piece, receiver takes
+	// them from a parent; pulling has one call at a time.
+	sender   *transfer.Sender
+	receiver *transfer.Receiver
 
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -64,6 +69,8 @@
 		ctx:      ctx,
 		stop:     cancel,
 		duties:   conc.NewWaitGroup(),
+		sender:   transfer.NewSender(0),
+		receiver: transfer.NewReceiver(d.Self.ID),
 	}
 }
 
--- a/internal/confsync/wire.go
+++ b/internal/confsync/wire.go
@@ -29,8 +29,10 @@
 	Revision uint64
 	Table    SentProof
 	Grant    SentProof
-	// Update is set when the peer has a newer document.
+	// Update is set when the peer has a newer document; Large in its place when it
+	// is longer than a piece, and has to be taken piece by piece.
 	Update *archive.Update
+	Large  bool
 	// List is set when the peer has a newer VM list.
 	List *archive.Update
 	// ListDigest and ListAge name the peer's VM list; ListAge is before the
--- a/internal/transfer/receiver.go
+++ b/internal/transfer/receiver.go
@@ -70,16 +70,29 @@
 }
 
 func (r *Receiver) apply(to *archive.Archive) (*archive.Archive, error) {
-	if xxhash.Sum64(r.data) != r.name {
-		return nil, eris.New("update is damaged")
-	}
-	u, err := archive.DecodeUpdate(r.data)
+	u, err := r.Decode()
 	if err != nil {
 		return nil, err
 	}
 	return to.Take(u)
 }
 
+// Decode returns the complete update, not yet applied.
+func (r *Receiver) Decode() (archive.Update, error) {
+	if xxhash.Sum64(r.data) != r.name {
+		return archive.Update{}, eris.New("update is damaged")
+	}
+	return archive.DecodeUpdate(r.data)
+}
+
+// AskWhole has the whole document asked for, whatever the node has.
+func (r *Receiver) AskWhole() {
+	if !r.whole {
+		r.reset()
+		r.whole = true
+	}
+}
+
 func (r *Receiver) reset() {
 	r.name = 0
 	r.data = nil
