--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -153,11 +153,13 @@
 // exchange exchanges news with one peer, twice where the first time showed
 // that the peer lacks something.
 func (n *Node) exchange(ctx context.Context, m gossip.Member, message func(to gossip.Member) gossip.Message) {
+	var members []gossip.Member
 	for range exchangeTries {
 		if ctx.Err() != nil {
 			return
 		}
 		out := message(m)
+		out.Members = append(out.Members, members...)
 		began := time.Now()
 		in, err := n.peers.Exchange(m.Peer, out)
 		n.countExchange(err)
@@ -170,10 +172,18 @@
 		if !n.take(in) {
 			return
 		}
+		members = n.lacking(in.RosterHash)
 		m = gossip.Member{ID: in.From, Born: in.Born, Peer: m.Peer}
 	}
 }
 
+// lacking returns the members for a peer that knows others.
+func (n *Node) lacking(hash uint64) []gossip.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.membersFor(hash)
+}
+
 // countExchange counts an exchange with a peer.
 func (n *Node) countExchange(err error) {
 	result := "ok"
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -63,7 +63,9 @@
 		m.Proof.OrdersPending = n.reads() && n.list.ordersPendingAt.After(proven)
 	}
 	if _, heard := n.told[to]; !heard {
-		m.Members = n.roster.Known(now)
+		// It may not know this node. What else it lacks shows in its answer's hash: a
+		// table of all members at each first contact was half of what 168 nodes heard.
+		m.Members = []gossip.Member{n.roster.Self()}
 	}
 	if c := n.config.Load(); c != nil {
 		m.ConfigVersion = c.Version
