Two findings of a reading: whose transfer is waited for, and a change that repeats (red)

Cause: a member took any reader's word that a large change is on its way; a large change is read once more, also when the table gives the same again. Ruled out: nothing more.

--- a/internal/gateway/orders_proof_test.go
+++ b/internal/gateway/orders_proof_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -47,3 +48,42 @@
 	tell(6, 60, at(8))
 	is.True(n.list.ordersProvenAt.Equal(at(8)))
 }
+
+// A group's reader is lost while another group's takes a large change and says so. The
+// word of that one says nothing of the lost one: its members read the table in time.
+func TestOnlyTheOwnReadersTransferIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	n := newGroupNode(false)
+	now := time.Now()
+	pending := func(from string) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.takeOrdersProof(gossip.Message{From: from, Proof: gossip.Proof{OrdersAge: noProof, OrdersPending: true}}, now)
+	}
+	pending("elsewhere")
+	is.True(n.list.ordersPendingAt.IsZero())
+	pending(n.roster.Group()[0].ID)
+	is.True(n.list.ordersPendingAt.Equal(now))
+}
+
+// stuckSource is a table that gives the same large change whatever was read before.
+type stuckSource struct {
+	oneRoute
+	calls int
+}
+
+func (s *stuckSource) Orders(context.Context, uint64, time.Duration) (OrdersChange, error) {
+	s.calls++
+	return OrdersChange{Config: make([]byte, largeChange), Revision: 7}, nil
+}
+
+// A large change is read once more, as the next may have been made meanwhile. A table
+// that gives it again under the same revision would be called without a pause.
+func TestSameLargeChangeIsNotReadForEver(t *testing.T) {
+	is := is.New(t)
+	n := newGroupNode(true)
+	s := &stuckSource{}
+	n.source = s
+	is.True(n.readOrders(context.Background()))
+	is.Equal(s.calls, 2)
+}
