Wait for the own reader's transfer only; read no change twice under one revision

A table that repeats a large change is called twice in place of without an end. Ruled out: other words of other readers that hold a member off; there are none.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -166,7 +166,7 @@
 // takeOrdersProof takes a peer's reading of operators' changes. The roll-outs that it
 // saw came with the message; the configuration may still be on its way.
 func (n *Node) takeOrdersProof(in gossip.Message, now time.Time) {
-	if in.Proof.OrdersPending {
+	if in.Proof.OrdersPending && in.From == n.roster.Group()[0].ID {
 		n.list.ordersPendingAt = now
 	}
 	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 {
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -98,7 +98,7 @@
 			return false
 		}
 		n.takeOrdersChange(ctx, orders, after == 0, wait > 0)
-		if len(orders.Config) < largeChange {
+		if len(orders.Config) < largeChange || orders.Revision <= after {
 			break
 		}
 		wait = 0
