Mend: keep the connection to a peer that another call has opened meanwhile

Before: of two first calls at once one fails; after: both are answered, 100 pairs under the race detector (go test -race -count=5 ./internal/gossip). Ruled out: a lock held while dialling, by which one silent peer would stop all calls.

--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -189,10 +189,13 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peerConn{rpc: rpc.NewClient(nc), used: now}
-	if old := c.conns[addr]; old != nil {
-		_ = old.rpc.Close() // replaced by the newer one
+	if other := c.conns[addr]; other != nil {
+		// Another call was faster; it may be under way on its connection.
+		_ = nc.Close()
+		other.used = now
+		return other.rpc, nil
 	}
+	p := &peerConn{rpc: rpc.NewClient(nc), used: now}
 	c.conns[addr] = p
 	return p.rpc, nil
 }
