Work the mix of two ways out exactly in the test of its cost

The test measures a mix by a mean over 2,000 draws, whose error (up to 0.0037 between ways that cost 1 and 15.875) is above its tolerance (0.0032): rapid fails each time. Ruled out: the code; the exact mix costs 1.0785, as the cheapest. The tolerances are the same; besides each draw has to give one of two ways, on its side. Conclusion: the check was wrong and is stricter now.

--- a/internal/choice/frontier/frontier_test.go
+++ b/internal/choice/frontier/frontier_test.go
@@ -29,15 +29,50 @@
 	return options
 }
 
-// mix returns the cost and quality of what At gives on average.
+// mix returns the cost and quality of what At gives on average. At gives one way below
+// some draw and another above it, which is looked for by halving: a mean over 2,000
+// draws knows the share of each to a quarter of a thousandth only, which is 0.0037 of
+// cost between ways that cost 1 and 15.9.
 func mix(f *Frontier, target float64) (cost, quality float64) {
+	low, high := f.At(target, 0), f.At(target, math.Nextafter(1, 0))
+	from, to := 0.0, 1.0
+	for range 60 {
+		if middle := (from + to) / 2; f.At(target, middle) == low {
+			from = middle
+		} else {
+			to = middle
+		}
+	}
+	if low == high {
+		from = 1
+	}
+	return from*low.Cost + (1-from)*high.Cost, from*low.Quality + (1-from)*high.Quality
+}
+
+// onlyTwoWays checks that At gives no other way than those at both ends, and each on its
+// side of one draw.
+func onlyTwoWays(t *rapid.T, f *Frontier, target float64) {
 	const draws = 2000
+	low, high := f.At(target, 0), f.At(target, math.Nextafter(1, 0))
+	passed := false
 	for i := range draws {
 		p := f.At(target, (float64(i)+0.5)/draws)
-		cost += p.Cost / draws
-		quality += p.Quality / draws
+		passed = passed || p != low
+		if p != low && p != high || passed && p != high {
+			t.Fatalf("draw %d gives %v, between %v and %v", i, p, low, high)
+		}
 	}
-	return cost, quality
+}
+
+// A mix of a way that costs 1 and one that costs 15.875, with one part in two hundred of
+// the latter: it costs what the two parts cost.
+func TestMixOfTwoWaysFarApart(t *testing.T) {
+	is := is.New(t)
+	f := &Frontier{points: []Point{{First: "b", Cost: 1, Quality: 0.0356}, {First: "a", Cost: 15.875, Quality: 0.6878}}}
+	const share = 0.00528
+	cost, quality := mix(f, 0.0356+share*(0.6878-0.0356))
+	is.True(math.Abs(cost-(1+share*14.875)) < 1e-9)
+	is.True(math.Abs(quality-(0.0356+share*0.6522)) < 1e-9)
 }
 
 // An organisation gets less than its target, or pays more than it must, when
@@ -49,6 +84,7 @@
 		b := Builder{Confidence: 1}
 		f := b.Build(options, rapid.Bool().Draw(t, "cascades"))
 		target := rapid.Float64Range(0, 1).Draw(t, "target")
+		onlyTwoWays(t, f, target)
 		cost, got := mix(f, target)
 		if got < min(target, f.Best().Quality)-1e-3 {
 			t.Fatalf("reaches %v of %v", got, target)
