Mend: leave a configuration that was refused alone for a while

A newer version is taken at once. Ruled out: leaving it for good; a node that has been brought up to date starts anew, but a document may have been damaged in the memory of one peer.

--- a/internal/gateway/follow_config.go
+++ b/internal/gateway/follow_config.go
@@ -18,6 +18,9 @@
 	busyRest = 50 * time.Millisecond
 	// failedRest is how long a peer is left alone that did not answer.
 	failedRest = 500 * time.Millisecond
+	// refusedRest is how long all are left alone after a configuration that this node
+	// can't read, unless there is a newer one: a release that can may follow.
+	refusedRest = 5 * time.Second
 	// emptyRest is how long one is left alone that has nothing newer yet.
 	emptyRest = 100 * time.Millisecond
 )
@@ -67,13 +70,16 @@
 	rests map[string]time.Time
 	// tips are peers that others named.
 	tips []string
+	// refused is the latest version that was refused, and refusedAt when.
+	refused   int64
+	refusedAt time.Time
 }
 
 // catchUp takes newer configurations from peers as long as some have one.
 func (f *configFetch) catchUp(ctx context.Context) {
 	clear(f.rests)
 	f.tips = nil
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.resting(time.Now()) {
 		peer, wait := f.choose(time.Now())
 		switch {
 		case wait > 0:
@@ -86,6 +92,14 @@
 	}
 }
 
+// resting tells whether what peers have was refused a moment ago.
+//
+// It guards against a document that a node of an older release can't read: it would
+// take it from one peer after the other, for as long as the upgrade lasts.
+func (f *configFetch) resting(now time.Time) bool {
+	return f.node.heardVersion.Load() <= f.refused && now.Sub(f.refusedAt) < refusedRest
+}
+
 // choose returns the peer to ask, or how long to wait for one; neither when nobody
 // has a newer version.
 func (f *configFetch) choose(now time.Time) (gossip.Member, time.Duration) {
@@ -151,20 +165,24 @@
 			return
 		}
 		if whole {
-			f.finish(peer, began)
+			f.finish(peer, int64(p.To), began)
 			return
 		}
 	}
 }
 
-// finish tells the sender that all has come, and puts it in force.
-func (f *configFetch) finish(peer gossip.Member, began time.Time) {
+// finish tells the sender that all of a version has come, and puts it in force.
+func (f *configFetch) finish(peer gossip.Member, version int64, began time.Time) {
 	n := f.node
 	if _, err := n.contents.Piece(peer.Peer, f.receiver.Ask()); err != nil {
 		f.rest(peer, failedRest) // it forgets this node by itself
 	}
-	if err := n.applyUpdate(f.receiver, peer.ID); err != nil {
+	result, err := n.applyUpdate(f.receiver, peer.ID)
+	switch result {
+	case unfit:
 		f.cut(peer, began, err)
+	case refused:
+		f.refused, f.refusedAt = version, time.Now()
 	}
 }
 
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -62,21 +62,35 @@
 	}
 }
 
+// taken is what became of an update that a peer sent.
+type taken int
+
+const (
+	// applied updates are in force, or something newer is.
+	applied taken = iota
+	// unfit ones are damaged, or lead from another document.
+	unfit
+	// refused ones lead to a document that this node can't read.
+	refused
+)
+
 // applyUpdate puts what a peer sent in force, if it is newer.
-func (n *Node) applyUpdate(r *transfer.Receiver, from string) error {
+func (n *Node) applyUpdate(r *transfer.Receiver, from string) (taken, error) {
 	n.applying <- struct{}{}
 	defer func() { <-n.applying }()
 	if n.document().Tag() != r.Known() {
-		return nil // the table was faster
+		return applied, nil // the table was faster
 	}
 	next, err := r.Update(n.document())
-	if err == nil {
-		err = n.enforce(next.Raw(), from, func(*archive.Archive, uint64) *archive.Archive { return next })
+	if err != nil {
+		return unfit, err
 	}
+	err = n.enforce(next.Raw(), from, func(*archive.Archive, uint64) *archive.Archive { return next })
 	if err != nil {
 		n.rejected(from, err)
+		return refused, err
 	}
-	return err
+	return applied, nil
 }
 
 // document is the configuration in force as it is told to peers; nil for none.
