Mend: end the keeping of vanished upstreams by readings, not by the clock

Cause: whether upstreams' entries may have lapsed was told by the time at which news came (now - last proof), the gap that ends the keeping by the times of the readings. Now both go by the readings' times; a kept upstream ends at the first reading, own or heard, from its time on that does not list it; and a peer that has read without a gap since before ends it at once.

--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -10,12 +10,12 @@
 	"github.com/hickorybank/hickorybank/internal/fleet"
 )
 
-// applyFleet takes a reading of the list.
-func (n *Node) applyFleet(c FleetChange) {
+// applyFleet takes a reading of the list that began at a time.
+func (n *Node) applyFleet(c FleetChange, at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	lapsing := n.wasAway(now)
+	lapsing := n.wasAway(at)
 	if c.Revision < n.list.revision {
 		return // a peer's or an earlier reading arrived late
 	}
@@ -28,13 +28,14 @@
 	if c.Whole {
 		drop = append(drop, n.unlisted(c.Put)...)
 	}
-	n.dropUpstreams(drop, lapsing)
+	n.dropUpstreams(drop, at, lapsing)
 }
 
-// wasAway tells whether this node has had no proof of the table for so long
-// that upstreams' entries may have lapsed; the caller holds mu.
-func (n *Node) wasAway(now time.Time) bool {
-	return !n.list.provenAt.IsZero() && now.Sub(n.list.provenAt) > awayTimes*n.readEvery()
+// wasAway tells whether the table may have been away before a reading that began at a
+// time: this node has no other for so long before it that upstreams' entries may have
+// lapsed; the caller holds mu.
+func (n *Node) wasAway(at time.Time) bool {
+	return !n.list.provenAt.IsZero() && at.Sub(n.list.provenAt) > awayTimes*n.readEvery()
 }
 
 // awayTimes is how many readings in a row have to fail before upstreams that
@@ -78,9 +79,10 @@
 // it every upstream would vanish at once although all live. Those that do are
 // listed again within lapseGrace. Only the first reading after an outage can
 // show such a loss: what vanishes later has left. Kept upstreams are not told
-// to peers: a peer that has had the table all the while knows that they left.
-func (n *Node) dropUpstreams(ids []string, lapsing bool) {
-	until := time.Now().Add(lapseGrace)
+// to peers: a peer that has had the table all the while knows that they left. at is
+// when the reading began.
+func (n *Node) dropUpstreams(ids []string, at time.Time, lapsing bool) {
+	until := at.Add(lapseGrace)
 	kept := 0
 	for _, id := range ids {
 		if !lapsing {
@@ -123,22 +125,23 @@
 	event.FleetGone.Log(n.log, slog.String("upstream", id), slog.String("service", u.Service), slog.Uint64("revision", n.list.revision))
 }
 
-// dropLapsed forgets kept upstreams that were not listed again in time.
-func (n *Node) dropLapsed(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.sources.down {
-		return
-	}
+// dropLapsed forgets kept upstreams that a reading has not listed again in time, this
+// node's own or a peer's; the caller holds mu.
+//
+// It guards against both ways of going by the clock: upstreams that live would be
+// dropped where the table is away again before it lists them, and one that has left
+// would be kept for good by a node whose own last call failed and that needs no other,
+// as its peers read for it.
+func (n *Node) dropLapsed() {
 	for _, id := range slices.Sorted(maps.Keys(n.list.gone)) {
-		if !now.Before(n.list.gone[id]) {
+		if !n.list.provenAt.Before(n.list.gone[id]) {
 			n.dropUpstream(id)
 		}
 	}
 }
 
 // dropKept forgets all kept upstreams: a peer has had the table while this
-// node had not, so that what vanished has left.
+// node had not, so that what vanished has left; the caller holds mu.
 func (n *Node) dropKept() {
 	for _, id := range slices.Sorted(maps.Keys(n.list.gone)) {
 		n.dropUpstream(id)
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -94,11 +94,12 @@
 	if !at.After(known) {
 		return
 	}
-	if known.IsZero() || at.Sub(known) > awayTimes*n.readEvery() {
+	if known.IsZero() || n.wasAway(at) {
 		n.list.awayFrom = known
 		n.list.steadySince = at
 	}
 	n.list.provenAt = at
+	n.dropLapsed()
 }
 
 // tableCall bounds a call of the table that may wait for a change.
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -146,7 +146,8 @@
 	if in.Proof.Age < 0 || in.Proof.FleetRevision == 0 {
 		return
 	}
-	if now.Add(-in.Proof.Steady).Before(n.list.awayFrom) {
+	steadySince := now.Add(-in.Proof.Steady)
+	if steadySince.Before(n.list.awayFrom) {
 		n.dropKept()
 	}
 	at := now.Add(-in.Proof.Age)
@@ -154,7 +155,7 @@
 		return
 	}
 	if in.Proof.FleetRevision >= n.list.revision {
-		n.takeFleet(in, now)
+		n.takeFleet(in, at, n.wasAway(at) && !steadySince.Before(n.list.provenAt))
 	}
 	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
@@ -208,8 +209,9 @@
 }
 
 // takeFleet takes the list of upstreams that a message has, or its edits if they lead
-// from the list that this node has.
-func (n *Node) takeFleet(in gossip.Message, now time.Time) {
+// from the list that this node has. at is when the reading behind it began; lapsing is
+// set where the table may have been away before it, to the sender as well.
+func (n *Node) takeFleet(in gossip.Message, at time.Time, lapsing bool) {
 	put, drop := in.Edits.Put, in.Edits.Drop
 	switch {
 	case len(in.Fleet) > 0:
@@ -217,10 +219,9 @@
 	case len(put)+len(drop) == 0 || in.Edits.From != n.fleet.Hash():
 		return
 	}
-	lapsing := n.wasAway(now)
 	n.list.revision = in.Proof.FleetRevision
 	for _, r := range put {
-		n.putUpstream(r, now)
+		n.putUpstream(r, time.Now())
 	}
-	n.dropUpstreams(drop, lapsing)
+	n.dropUpstreams(drop, at, lapsing)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -111,7 +111,6 @@
 			told = dropped
 		}
 		n.pool.Sweep(time.Now())
-		n.dropLapsed(time.Now())
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -83,8 +83,7 @@
 	gossipEvery = 600 * time.Millisecond
 	// tickEvery is the pause between looks at roll-outs.
 	tickEvery = 250 * time.Millisecond
-	// sweepEvery is the pause between looks at idle connections and at
-	// upstreams that are kept for a while.
+	// sweepEvery is the pause between looks at idle connections.
 	sweepEvery = 300 * time.Millisecond
 	// eventStall is how long a stream may stay silent before it goes on at
 	// another upstream, as a multiple of the pause that is on time.
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return false
 	}
-	n.applyFleet(change)
+	n.applyFleet(change, began)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listProven(began)
