--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -29,6 +29,7 @@
 	TableCut          = define(1944, slog.LevelInfo, "transfer of newer routes was cut")
 	SourceLost        = define(1942, slog.LevelWarn, "platform's table does not answer")
 	SourceBack        = define(1943, slog.LevelInfo, "platform's table answers again")
+	SourceCalled      = define(1945, slog.LevelDebug, "call of the platform's table")
 	PeerChanged       = define(1950, slog.LevelInfo, "peer's state changed")
 	PeerLost          = define(1951, slog.LevelInfo, "peer does not answer")
 	PeerCallFailed    = define(1952, slog.LevelInfo, "exchange with a peer failed")
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -44,7 +44,7 @@
 
 // join records this node and learns of others.
 func (n *Node) join(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(withCause(ctx, CauseJoin), callTimeout)
 	defer cancel()
 	n.mu.Lock()
 	self := n.roster.Self()
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -85,7 +85,7 @@
 const turnStep = 100 * time.Millisecond
 
 func (n *Node) write(ctx context.Context, o canary.Order, v canary.Verdict) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(withCause(ctx, CauseRollout), callTimeout)
 	defer cancel()
 	stands, err := n.source.Record(ctx, o, v)
 	n.sourceResult("record", err)
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -25,7 +25,7 @@
 			pause(ctx, min(wait, n.readEvery()))
 			continue
 		}
-		if r.read(ctx) {
+		if r.read(withCause(ctx, n.readingCause(failures))) {
 			failures = 0
 			n.feedGroup(ctx)
 		} else {
@@ -34,6 +34,22 @@
 	}
 }
 
+// readingCause is why this node reads the table now, after failed readings.
+func (n *Node) readingCause(failures int) CallCause {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case failures > 0:
+		return CauseRetry
+	case n.list.provenAt.IsZero():
+		return CauseStart
+	case n.reads():
+		return CauseReader
+	default:
+		return CauseMember
+	}
+}
+
 // readEvery is the pause between a reader's readings.
 func (n *Node) readEvery() time.Duration { return n.settings.readEvery() }
 
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -158,7 +158,7 @@
 	if len(orders) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(withCause(ctx, CauseRollout), callTimeout)
 	defer cancel()
 	states, err := n.source.Rollouts(ctx)
 	n.sourceResult("rollouts", err)
