Read the table by turns, take starts from peers, and record readers alone

A table that is empty is asked each 250 ms (it was called without a pause). - One node of each group is recorded, not each start; a node that hears of nobody looks in the table after a second.

--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -12,13 +13,14 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// followPeers joins the deployment and then exchanges news with a peer at a
+// followPeers meets the deployment and then exchanges news with a peer at a
 // time.
 func (n *Node) followPeers(ctx context.Context) {
+	n.meet(ctx)
 	joined := false
 	var tried time.Time
 	for {
-		if !joined && time.Since(tried) >= mostRetryCall {
+		if !joined && time.Since(tried) >= mostRetryCall && n.shouldJoin() {
 			tried = time.Now()
 			joined = n.join(ctx)
 		}
@@ -42,24 +44,6 @@
 	return n.roster.SetSelf(ready, n.stopping.Load())
 }
 
-// join records this node and learns of others.
-func (n *Node) join(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(withCause(ctx, CauseJoin), callTimeout)
-	defer cancel()
-	n.mu.Lock()
-	self := n.roster.Self()
-	n.mu.Unlock()
-	members, err := n.source.Join(ctx, self)
-	n.sourceResult("join", err)
-	if err != nil {
-		return false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.recorded = members
-	return true
-}
-
 // pickPeers chooses some peers at random, or one of this node's contacts; one that is not known to live is
 // tried now and then, as it may be back.
 func (n *Node) pickPeers(count int) []gossip.Member {
@@ -96,22 +80,29 @@
 
 // stranger picks a seed or a recorded member that is not known to live.
 func (n *Node) stranger(now time.Time) (gossip.Member, bool) {
-	var all []gossip.Member
+	all := append(n.seeds(), n.recorded...)
+	all = append(all, n.roster.Known(now)[1:]...)
+	return n.notLive(all)
+}
+
+// seed picks a seed that is not known to live; the caller holds mu.
+func (n *Node) seed() (gossip.Member, bool) { return n.notLive(n.seeds()) }
+
+// seeds are the settings' seeds, as members of which only the address is known.
+func (n *Node) seeds() (all []gossip.Member) {
 	for _, addr := range n.settings.Seeds {
 		all = append(all, gossip.Member{Peer: addr})
 	}
-	all = append(all, n.recorded...)
-	all = append(all, n.roster.Known(now)[1:]...)
+	return all
+}
+
+// notLive picks one of some members that is not known to live; the caller holds mu.
+func (n *Node) notLive(all []gossip.Member) (gossip.Member, bool) {
 	live := map[string]bool{n.settings.Peer: true}
 	for _, m := range n.roster.Alive() {
 		live[m.Peer] = true
 	}
-	var unknown []gossip.Member
-	for _, m := range all {
-		if m.Peer != "" && !live[m.Peer] {
-			unknown = append(unknown, m)
-		}
-	}
+	unknown := slices.DeleteFunc(all, func(m gossip.Member) bool { return m.Peer == "" || live[m.Peer] })
 	if len(unknown) == 0 {
 		return gossip.Member{}, false
 	}
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/gossip"
@@ -22,12 +23,13 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if wait := time.Until(n.nextReading(failures)); wait > 0 {
-			pause(ctx, min(wait, n.readEvery()))
+			pause(ctx, min(wait, n.lookEvery()))
 			continue
 		}
-		if r.read(withCause(ctx, n.readingCause(failures))) {
+		cause := n.readingCause(failures)
+		if r.read(withCause(ctx, cause)) {
 			failures = 0
-			n.feedGroup(ctx)
+			n.feedGroup(ctx, cause)
 		} else {
 			failures++
 		}
@@ -50,53 +52,48 @@
 	}
 }
 
-// readEvery is the pause between a reader's readings.
-func (n *Node) readEvery() time.Duration { return n.settings.readEvery() }
+// startStep is the pause between looks of a node that knows nothing at what peers have
+// told it.
+const startStep = 5 * time.Millisecond
 
-// nextReading is when this node should read the table.
-func (n *Node) nextReading(failures int) time.Time {
+// lookEvery bounds the pause until this node looks anew when it should read the table.
+func (n *Node) lookEvery() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.list.provenAt.IsZero() && failures == 0 {
-		return time.Time{}
-	}
-	due := n.list.provenAt // a reader's own call waits for changes
-	if !n.reads() {
-		due = earlier(n.list.provenAt, later(n.list.ordersProvenAt, n.list.ordersPendingAt))
-		due = due.Add(time.Duration(ownReadPart * float64(n.readEvery())))
-	}
-	if failures > 0 {
-		due = later(due, n.readAt.Add(n.readAgain(failures)))
+	if n.list.provenAt.IsZero() || n.list.ordersProvenAt.IsZero() {
+		return startStep
 	}
-	return due
+	return n.readEvery()
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+// readEvery is the pause between a reader's readings.
+func (n *Node) readEvery() time.Duration { return n.settings.readEvery() }
+
+// nextReading is when this node should read the table, after failed readings.
+func (n *Node) nextReading(failures int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := readingPlan{
+		every: n.readEvery(),
+		began: n.began, asked: n.asked, informed: n.informed, founding: n.founding(),
+		listProven: n.list.provenAt, ordersProven: n.list.ordersProvenAt, ordersPending: n.list.ordersPendingAt,
+		readAt: n.readAt, failures: failures, empty: !n.list.ordersProvenAt.IsZero() && n.list.orders == 0,
+		reads: n.reads(), turn: n.turnToRead(),
+	}
+	return p.due()
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// turnToRead is this node's place in its group, 0 to 1; the caller holds mu.
+func (n *Node) turnToRead() float64 {
+	group := n.roster.Group()
+	place := slices.IndexFunc(group, func(m gossip.Member) bool { return m.ID == n.settings.ID })
+	return float64(place) / float64(len(group))
 }
 
-// readAgain is the pause after readings that failed; the caller holds mu.
-//
-// It guards against a table that is away: every node then misses its reader's
-// news, and all would call it at the readers' pace, for an answer that the
-// readers have as soon as it is back. A node that knows nothing yet, and a
-// reader, go on at theirs.
-func (n *Node) readAgain(failures int) time.Duration {
-	most := mostRetryRead
-	if !n.list.provenAt.IsZero() && !n.reads() {
-		most = memberRetryRead
-	}
-	return min(retryCall<<min(failures-1, 4), most)
+// founding tells whether the deployment starts for the first time and this node is none
+// of its seeds.
+func (n *Node) founding() bool {
+	return n.settings.Founding && len(n.settings.Seeds) > 0 && !slices.Contains(n.settings.Seeds, n.settings.Peer)
 }
 
 // reads tells whether this node reads the table for its group; the caller
@@ -147,16 +144,19 @@
 	return change, err
 }
 
-// feedGroup tells the members of this node's group what it knows, if it is
-// their reader.
-func (n *Node) feedGroup(ctx context.Context) {
+// feedGroup tells the members of this node's group what it has read of the table, if it
+// is their reader or has read because that one is not heard: they would all read the
+// same.
+func (n *Node) feedGroup(ctx context.Context, cause CallCause) {
 	n.mu.Lock()
-	group := n.roster.Group()
+	group := slices.Clone(n.roster.Group())
+	reads := n.reads()
 	n.mu.Unlock()
-	if group[0].ID != n.settings.ID {
+	if !reads && cause != CauseMember && cause != CauseRetry {
 		return
 	}
-	n.exchangeWith(ctx, group[1:], n.feedMessage)
+	others := slices.DeleteFunc(group, func(m gossip.Member) bool { return m.ID == n.settings.ID })
+	n.exchangeWith(ctx, others, n.feedMessage)
 }
 
 // feedReaders tells the readers of the other groups what this group knows: all of
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -111,6 +111,7 @@
 	defer n.mu.Unlock()
 	n.told[in.From] = told{config: in.ConfigVersion, fleetHash: in.Proof.FleetHash}
 	n.takeMembers(in, now)
+	n.noteInformed(in, now)
 	for _, o := range in.Orders {
 		n.takeOrder(o.Order, o.Age, in.From)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -68,6 +68,12 @@
 	known   map[string]bool
 	served  map[string]time.Time
 	sources sourceState
+	// began is when the node started; asked is set when a peer has answered it or could not
+	// be reached since, informed is when one that knows what the table holds first did.
+	began, informed time.Time
+	asked           bool
+	// readerSince is when this node began to read for its group; zero while it does not.
+	readerSince time.Time
 	// readAt is when this node last read the table, fedAt when it last told
 	// others beside a reading.
 	readAt, fedAt time.Time
@@ -98,6 +104,9 @@
 	// revision and orders are the revisions of the upstreams' list and of the
 	// operators' changes that the node has taken.
 	revision, orders uint64
+	// readOrders is the table's revision at this node's own latest reading of
+	// operators' changes.
+	readOrders uint64
 	// provenAt is when the latest reading of the list began that the node has taken,
 	// its own or its reader's; ordersProvenAt is as of when operators' changes are
 	// known, ordersPendingAt when a large one was last heard to be on its way to the
@@ -136,7 +145,7 @@
 
 // New returns a node that is not yet running.
 func New(s Settings, d Deps) *Node {
-	born := time.Now().UnixNano()
+	began := time.Now()
 	if d.Network == nil {
 		d.Network = &network.OS{}
 	}
@@ -154,17 +163,17 @@
 		newer:    make(chan struct{}, 1),
 		applying: make(chan struct{}, 1),
 		policy:   cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
-		born:     born,
-		stopped:  make(chan struct{}),
-		fleet:    fleet.New(fleet.Settings{Domain: s.Domain}),
-		canary:   canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, born),
-		guard:    crashguard.New(),
-		roster:   gossip.NewRoster(gossip.Member{ID: s.ID, Born: born, Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
-		flights:  gossip.NewFlightSums(),
-		budgets:  map[string]*admission.WindowBudget{},
-		list:     fleetState{gone: map[string]time.Time{}},
-		held:     map[string]time.Time{},
-		known:    map[string]bool{}, served: map[string]time.Time{},
+		born:     began.UnixNano(), began: began,
+		stopped: make(chan struct{}),
+		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
+		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
+		guard:   crashguard.New(),
+		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: began.UnixNano(), Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
+		flights: gossip.NewFlightSums(),
+		budgets: map[string]*admission.WindowBudget{},
+		list:    fleetState{gone: map[string]time.Time{}},
+		held:    map[string]time.Time{},
+		known:   map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
 		told: map[string]told{}, contacts: contacts{}, heard: map[turnKey]time.Time{},
 		urgent: make(chan struct{}, 1),
--- /dev/null
+++ b/internal/gateway/reading_plan.go
@@ -0,0 +1,128 @@
+package gateway
+
+import "time"
+
+const (
+	// ownReadPart is how much longer than its reader's pace a node waits for its
+	// reader before it may read the table itself.
+	ownReadPart = 1.4
+	// turnPart is the time, in readings, over which the members of a group take
+	// their turns then.
+	turnPart = 0.3
+	// retryCall is the pause after a failed call of the table.
+	retryCall = 250 * time.Millisecond
+	// mostRetryRead bounds that pause for who reads for others or knows nothing: a node
+	// that can reach the table again should know it well before it has to keep all
+	// bounds.
+	mostRetryRead = 400 * time.Millisecond
+	// memberRetryReads is the pause between a member's own failed readings, in
+	// readings: those that can read tell it meanwhile.
+	memberRetryReads = 3
+	// startWait is how long a node that knows nothing waits for a peer that does,
+	// informedWait how long for what that peer has, once it has been heard.
+	startWait    = 100 * time.Millisecond
+	informedWait = 800 * time.Millisecond
+	// foundingWait is how long the nodes of a deployment that starts for the first time
+	// leave the table to their seeds: nobody calls yet.
+	foundingWait = 2 * time.Second
+)
+
+// readingPlan is what a node's next reading of the table follows from.
+//
+// It answers three patterns. Calm: one of a group reads for all. A reader that is lost,
+// cut off or turned away: its members miss its news in the same moment; they take turns,
+// and the first that can read tells the others, so that a third of the nodes turned away
+// costs a few calls and not the readings of all. A table that is away for all, or nodes
+// that all start: readers look for its return, members far less often.
+type readingPlan struct {
+	// every is the pause between a reader's readings.
+	every time.Duration
+	// began is when the node started; asked is set when a peer has answered it, or could
+	// not be reached, and founding while a deployment starts for the first time and this
+	// is none of its seeds. informed is when one that knows what the table holds first
+	// answered.
+	began, informed time.Time
+	asked, founding bool
+	// listProven, ordersProven and ordersPending are as of when the node knows the
+	// list and operators' changes, and when it last heard that some are on their way.
+	listProven, ordersProven, ordersPending time.Time
+	// readAt is when the node last read the table, failures how often in a row it could
+	// not; empty is set when nothing was there.
+	readAt   time.Time
+	failures int
+	empty    bool
+	// reads is set where the node reads for its group; turn is its place among the
+	// others, 0 to 1.
+	reads bool
+	turn  float64
+}
+
+// due is when the node should read the table.
+func (p *readingPlan) due() time.Time {
+	unknown := p.listProven.IsZero() || p.ordersProven.IsZero()
+	switch {
+	case p.empty:
+		return p.readAt.Add(retryCall) // the operator's first configuration is on its way
+	case unknown && p.failures == 0:
+		return p.start()
+	case unknown:
+		return p.readAt.Add(p.pause(mostRetryRead))
+	case !p.reads:
+		return p.member()
+	case p.failures == 0:
+		return p.listProven // a reader's own call waits for changes
+	case p.listProven.After(p.readAt):
+		// Somebody else can read: the table turns just this node away.
+		return p.readAt.Add(p.pause(memberRetryReads * p.every))
+	default:
+		return p.readAt.Add(p.pause(mostRetryRead))
+	}
+}
+
+// start is when a node that knows nothing reads the table: its peers know all that it
+// needs, unless they have just started as well.
+func (p *readingPlan) start() time.Time {
+	switch {
+	case !p.informed.IsZero():
+		return p.informed.Add(informedWait)
+	case p.founding:
+		return p.began.Add(foundingWait)
+	case p.asked:
+		return p.began
+	default:
+		return p.began.Add(startWait)
+	}
+}
+
+// member is when a node that has a reader reads the table itself.
+func (p *readingPlan) member() time.Time {
+	known := earlier(p.listProven, later(p.ordersProven, p.ordersPending))
+	due := known.Add(time.Duration((ownReadPart + turnPart*p.turn) * float64(p.every)))
+	if p.failures == 0 {
+		return due
+	}
+	return later(due, p.readAt.Add(p.pause(memberRetryReads*p.every)))
+}
+
+// pause is the pause after readings that failed, up to a bound: short once, as a call
+// may fail by chance.
+func (p *readingPlan) pause(most time.Duration) time.Duration {
+	if p.failures == 1 {
+		return min(retryCall, most)
+	}
+	return most
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,8 @@
 	Front, Ready, Directory, Peer, Metrics string
 	// Seeds are peers' addresses to begin with; they may be stale.
 	Seeds []string
+	// Founding is set while the whole deployment starts for the first time.
+	Founding bool
 	// MemoryMB is the process's memory; 0 for no bound.
 	MemoryMB int
 	// Link is the bandwidth of the machine's link in bytes a second, each way; 0 if
@@ -48,9 +50,6 @@
 	// readPart is the part of the bounds on changes at which a group's reader
 	// reads the table: two readings fit in, should one be lost.
 	readPart = 0.45
-	// ownReadPart is how much longer a node waits for its reader before it
-	// reads the table itself.
-	ownReadPart = 1.4
 	// orderLag is how late a node usually learns of an order: the reader's call
 	// answers at once, and it tells its group.
 	orderLag = 300 * time.Millisecond
@@ -60,14 +59,6 @@
 	callTimeout = 600 * time.Millisecond
 	// mostTransfer bounds the transfer of an answer of the table: 16 MB over 10 Mbit/s.
 	mostTransfer = 14 * time.Second
-	// retryCall is the pause after a failed call of the table.
-	retryCall = 250 * time.Millisecond
-	// mostRetryRead bounds that pause for readings: a node that can reach the
-	// table again should know it well before it has to keep all bounds.
-	mostRetryRead = 400 * time.Millisecond
-	// memberRetryRead bounds it for a node that has a reader: a node that the
-	// table alone turns away reads again well before it has to keep all bounds.
-	memberRetryRead = 1600 * time.Millisecond
 	// mostRetryCall bounds it for other calls.
 	mostRetryCall = time.Second
 	// feedWidth is how many of its group a reader tells at the same time.
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -21,6 +21,8 @@
 	// pendingAfter is how much later than usual an answer comes before it counts as
 	// a large one that is on its way.
 	pendingAfter = 150 * time.Millisecond
+	// listMargin is how long before its time the list is read beside operators' changes.
+	listMargin = 50 * time.Millisecond
 	// largeChange is the size of a configuration, in bytes, from which its transfer
 	// may take so long that the next may have been made meanwhile.
 	largeChange = 64 << 10
@@ -41,12 +43,34 @@
 	}
 	// The first list waits for the first orders: a version that nobody is known to
 	// have ordered would count as one of those that may serve.
-	if ok, came := r.await(first); came && !ok {
+	ok, came := r.await(first)
+	switch {
+	case came && !ok:
 		return false
+	case came && n.listStands():
+		return true
 	}
 	return n.readUpstreams(ctx)
 }
 
+// listStands tells whether the list needs no reading after one of operators' changes.
+//
+// It spares half of a reader's calls: whatever is written to the table gives it a newer
+// revision, so that operators' changes as of the list's revision prove the list as well.
+// Where operators' changes come one after the other, the list is read at its own pace.
+func (n *Node) listStands() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.list.revision == 0 {
+		return false
+	}
+	if n.list.readOrders == n.list.revision {
+		n.listProven(n.list.ordersProvenAt)
+		return true
+	}
+	return time.Until(n.list.provenAt.Add(n.readEvery())) > listMargin
+}
+
 // await waits for the reading of operators' changes, until the list is due unless
 // it has to come; it returns whether it came, and whether it was good.
 func (r *tableReader) await(must bool) (ok, came bool) {
@@ -85,9 +109,10 @@
 	n.mu.Lock()
 	wait := time.Duration(0)
 	if n.reads() && n.list.orders > 0 && !n.sources.down {
-		wait = n.readEvery()
+		wait = max(time.Until(n.list.provenAt.Add(n.readEvery())), 0)
 	}
 	n.mu.Unlock()
+	revision := uint64(0)
 	for {
 		n.mu.Lock()
 		after := n.list.orders
@@ -98,6 +123,7 @@
 			return false
 		}
 		n.takeOrdersChange(ctx, orders, after == 0, wait > 0)
+		revision = orders.Revision
 		if len(orders.Config) < largeChange || orders.Revision <= after {
 			break
 		}
@@ -106,6 +132,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.ordersProven(time.Now())
+	n.list.readOrders = revision
 	return true
 }
 
