--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -10,10 +10,11 @@
 // Network connects hosts. One lock guards all of it: its work is small beside
 // that of the nodes that use it.
 type Network struct {
-	mu     sync.Mutex
-	delay  time.Duration
-	random *rand.Rand
-	hosts  map[string]*Host
+	mu      sync.Mutex
+	delay   time.Duration
+	random  *rand.Rand
+	hosts   map[string]*Host
+	observe func(from, to string, bytes int)
 }
 
 // New returns a network without hosts; delay is the time one way between two
@@ -22,6 +23,14 @@
 	return &Network{delay: delay, random: rand.New(rand.NewPCG(seed, seed)), hosts: map[string]*Host{}}
 }
 
+// Observe has a function told of each segment that is sent from now on, by the IPs of
+// its ends; it is called under the network's lock.
+func (n *Network) Observe(sent func(from, to string, bytes int)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observe = sent
+}
+
 // Host adds a host with an IP; bitsPerSecond bounds each direction of its link,
 // 0 for no bound.
 func (n *Network) Host(ip string, bitsPerSecond float64) *Host {
@@ -52,6 +61,9 @@
 // send carries a segment from one host to another and then runs arrived, under
 // the lock. What a cut holds up goes on when it is healed, as TCP sends again.
 func (n *Network) send(from, to *Host, bytes int, arrived func()) {
+	if n.observe != nil {
+		n.observe(from.ip, to.ip, bytes)
+	}
 	now := time.Now()
 	at := from.up.pass(now, bytes)
 	if lost(n.random, from.loss+to.loss) {
