Keep groups within large failure domains; tell counts and flights once

Cause: groups of 24 by order of domain crossed the borders of domains; each reader told each other one the counts of a roll-out by all nodes, and went on after the verdict stood; of two readers both called the other five times a second, though one exchange brings both all. Ruled out: one sum of counts for a group, as nodes that change their group would count twice for a while, and the sequential test never takes evidence back.

--- a/internal/canary/tell.go
+++ b/internal/canary/tell.go
@@ -29,16 +29,21 @@
 	return all
 }
 
-// Known returns the newest tally of every run of a node for all orders, this
-// node's included: peers pass on what they have heard.
-func (c *Canary) Known(now time.Time) []Tally {
+// Known returns this node's tallies, and for orders whose end is not recorded the newest
+// tally of every run of the nodes that of accepts: peers pass on what they have heard.
+//
+// Once the end is recorded nothing is weighed any more, and it stands in each tally: in a
+// fleet of hundreds the counts of all nodes were told for the rest of the day.
+func (c *Canary) Known(now time.Time, of func(node string) bool) []Tally {
 	all := c.Tallies(now)
 	for _, r := range c.rollouts {
-		if r.done(now) {
+		if r.written || r.done(now) {
 			continue
 		}
 		for _, t := range r.peers {
-			all = append(all, t)
+			if of(t.Node) {
+				all = append(all, t)
+			}
 		}
 	}
 	return all
--- /dev/null
+++ b/internal/canary/tell_test.go
@@ -0,0 +1,34 @@
+package canary
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A roll-out in a fleet of hundreds: each reader told every other one what all nodes had
+// counted, and went on for the rest of the day after the verdict was recorded. A reader
+// tells the others of its own group, and of nobody else once the verdict stands.
+func TestCountsAreToldToWhoNeedsThem(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New(Settings{ShareBound: 0.1}, "reader", 1)
+	c.Take(Order{Service: "s", Target: "v2", Limit: time.Minute, Revision: 7}, now)
+	for _, node := range []string{"near", "far"} {
+		c.Merge(Tally{Service: "s", Revision: 7, Node: node, Born: 1, Seq: 1}, now)
+	}
+	known := func(of func(string) bool) (nodes []string) {
+		for _, t := range c.Known(now, of) {
+			nodes = append(nodes, t.Node)
+		}
+		return nodes
+	}
+	is.Equal(len(known(func(string) bool { return true })), 3)
+	is.Equal(known(func(node string) bool { return node == "near" }), []string{"reader", "near"})
+	c.Decide("s", 7, RolledBack, false)
+	is.Equal(len(known(func(string) bool { return true })), 3) // not recorded yet
+	c.Decide("s", 7, RolledBack, true)
+	is.Equal(known(func(string) bool { return true }), []string{"reader"})
+	is.Equal(c.Known(now, nil)[0].Verdict, RolledBack)
+}
--- a/internal/gateway/follow_flights.go
+++ b/internal/gateway/follow_flights.go
@@ -40,7 +40,7 @@
 }
 
 // tellReaders exchanges the sum over this reader's group with the readers of the
-// other groups.
+// other groups. Of two readers one calls, as both learn in an exchange what they need.
 func (n *Node) tellReaders(own fleet.Flight, groups [][]gossip.Member) {
 	now := time.Now()
 	n.mu.Lock()
@@ -49,7 +49,7 @@
 	n.mu.Unlock()
 	work := pool.New().WithMaxGoroutines(feedWidth)
 	for _, g := range groups {
-		if g[0].ID == n.settings.ID || g[0].Peer == "" {
+		if g[0].ID <= n.settings.ID || g[0].Peer == "" {
 			continue
 		}
 		work.Go(func() {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/event"
@@ -31,13 +32,19 @@
 	return m
 }
 
-// feedMessage is what a reader tells its group and other readers.
+// feedMessage is what a reader tells its group and other readers. Those hear the counts of
+// each group from its own reader: told by all readers of all nodes, the counts of a
+// roll-out crossed failure domains as often as there are readers.
 func (n *Node) feedMessage(to gossip.Member) gossip.Message {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m := n.compose(to.ID)
-	m.Tallies = n.canary.Known(now)
+	group := n.roster.Group()
+	inGroup := func(node string) bool {
+		return slices.ContainsFunc(group, func(m gossip.Member) bool { return m.ID == node })
+	}
+	m.Tallies = n.canary.Known(now, func(node string) bool { return inGroup(to.ID) || inGroup(node) })
 	n.tellFleet(&m, to.ID)
 	return m
 }
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -177,18 +177,42 @@
 		}
 		return strings.Compare(a.ID, b.ID)
 	})
-	count := (len(all) + groupSize - 1) / groupSize
 	var groups [][]Member
-	for i := range count {
-		group := slices.Clone(all[i*len(all)/count : (i+1)*len(all)/count])
-		if reader := readerOf(group); reader > 0 {
-			group[0], group[reader] = group[reader], group[0]
+	for _, part := range byDomain(all) {
+		count := (len(part) + groupSize - 1) / groupSize
+		for i := range count {
+			group := slices.Clone(part[i*len(part)/count : (i+1)*len(part)/count])
+			if reader := readerOf(group); reader > 0 {
+				group[0], group[reader] = group[reader], group[0]
+			}
+			groups = append(groups, group)
 		}
-		groups = append(groups, group)
 	}
 	return groups
 }
 
+// byDomain splits members in order of their failure domains between two domains, so that
+// a part holds as many whole domains as fit into a group, or one that does not: what a
+// reader tells its group then crosses no border between large domains.
+func byDomain(all []Member) (parts [][]Member) {
+	start, end := 0, 0 // a part of whole domains, so far
+	for end < len(all) {
+		next := end
+		for next < len(all) && all[next].Domain == all[end].Domain {
+			next++
+		}
+		if start < end && next-start > groupSize {
+			parts = append(parts, all[start:end])
+			start = end
+		}
+		end = next
+	}
+	if start < end {
+		parts = append(parts, all[start:end])
+	}
+	return parts
+}
+
 // readerOf returns the member that reads for a group: of those that can serve the
 // first with the widest link, as the reader takes changes whole from the table. With
 // 870 kB the last of 40 nodes had them after 0.33 s in place of 1.65 s where one in ten
--- a/internal/gossip/roster_test.go
+++ b/internal/gossip/roster_test.go
@@ -149,3 +149,35 @@
 	}
 	is.True(own)
 }
+
+// Groups of large failure domains do not cross their borders, where each word of a reader
+// would; those of small ones are joined, as each reader costs calls of the table.
+func TestGroupsFollowFailureDomains(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		sizes  []int
+		groups []int
+	}{
+		{[]int{46, 56, 48, 48, 50, 47}, []int{23, 23, 18, 19, 19, 24, 24, 24, 24, 16, 17, 17, 23, 24}},
+		{[]int{3, 3, 3, 3, 3, 3}, []int{18}},
+		{[]int{9, 9, 9, 30, 2}, []int{18, 9, 15, 15, 2}},
+		{[]int{1}, []int{1}},
+	} {
+		t.Run(fmt.Sprint(c.sizes), func(t *testing.T) {
+			is := is.New(t)
+			var all []Member
+			for d, size := range c.sizes {
+				for i := range size {
+					all = append(all, member(fmt.Sprintf("%c%02d", 'a'+d, i), 1))
+				}
+			}
+			r := NewRoster(all[0])
+			r.Merge(all[1:], now)
+			var sizes []int
+			for _, g := range r.Groups() {
+				sizes = append(sizes, len(g))
+			}
+			is.Equal(sizes, c.groups)
+		})
+	}
+}
