--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -46,6 +46,8 @@
 	begun bool
 	// firstAfter is when the caller was sent the first part of the answer.
 	firstAfter time.Duration
+	// longestPause is the longest time between two parts of an attempt's answer.
+	longestPause time.Duration
 	// lastEvent is the last event that the caller has received.
 	lastEvent string
 	// model is the model of the next attempt; empty to leave the caller's.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,10 +56,13 @@
 		}
 		chunk, id, n, e := s.next()
 		if len(chunk) > 0 {
-			last = time.Now()
+			now := time.Now()
 			if count == 0 {
-				first = last
+				first = now
+			} else {
+				j.longestPause = max(j.longestPause, now.Sub(last))
 			}
+			last = now
 			count += n
 			if count >= paceEvents && !a.told {
 				a.answered(false, pace(first, last, count))
@@ -171,7 +174,7 @@
 		j.outcome = "answered"
 		j.node.event(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.up.ID),
 			slog.String("model", j.model), slog.String("last_event", j.lastEvent),
-			slog.Int64("first_ms", j.firstAfter.Milliseconds()), slog.Int("tokens_in", j.ask.TokensIn), slog.Int("confidence", reply.Confidence))
+			slog.Int64("first_ms", j.firstAfter.Milliseconds()), slog.Int64("pause_ms", j.longestPause.Milliseconds()), slog.Int("tokens_in", j.ask.TokensIn), slog.Int("confidence", reply.Confidence))
 		j.observe(resp.Status)
 		return true
 	case end == endCaller || j.r.Context().Err() != nil:
