Say that the table is away, so that few others try

Who reads tells that it cannot; the others then try in turns that come ever later, until one can. A reader that is silent is replaced as before. Ruled out: leaving it to the reader alone, as the table may turn away just the reader.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -37,6 +37,7 @@
 			n.passOn(ctx, cause)
 		} else {
 			failures++
+			n.tellAway(ctx, failures)
 		}
 	}
 }
@@ -68,6 +69,18 @@
 	}
 }
 
+// tellAway tells those for which this node reads that it cannot, once for each outage.
+// They would take it for lost, and all read the table in turn.
+func (n *Node) tellAway(ctx context.Context, failures int) {
+	n.mu.Lock()
+	n.list.awayAt = time.Now()
+	told := n.leads() && failures == 1
+	n.mu.Unlock()
+	if told {
+		n.passOn(ctx, CauseReader)
+	}
+}
+
 // readingCause is why this node reads the table now, after failed readings.
 func (n *Node) readingCause(failures int) CallCause {
 	n.mu.Lock()
@@ -110,20 +123,22 @@
 		began: n.began, asked: n.asked, informed: n.informed, founding: n.founding(),
 		listProven: n.list.provenAt, ordersProven: n.list.ordersProvenAt, ordersPending: n.list.ordersPendingAt,
 		readAt: n.readAt, failures: failures, empty: !n.list.ordersProvenAt.IsZero() && n.list.orders == 0,
-		leads: n.leads(), reads: n.reads(), turn: n.turnToRead(),
+		away:  n.list.awayAt.After(n.list.provenAt),
+		leads: n.leads(), reads: n.reads(),
 	}
+	p.place, p.turn = n.turnToRead()
 	return p.due()
 }
 
-// turnToRead is this node's place in its group, or a leader's in its circle, 0 to 1; the
-// caller holds mu.
-func (n *Node) turnToRead() float64 {
+// turnToRead is this node's place in its group, or a leader's in its circle, as a number
+// and as a part, 0 to 1; the caller holds mu.
+func (n *Node) turnToRead() (place int, part float64) {
 	group := n.roster.Group()
 	if n.leads() {
 		group = n.roster.Circle()
 	}
-	place := slices.IndexFunc(group, func(m gossip.Member) bool { return m.ID == n.settings.ID })
-	return float64(place) / float64(len(group))
+	place = slices.IndexFunc(group, func(m gossip.Member) bool { return m.ID == n.settings.ID })
+	return place, float64(place) / float64(max(len(group), 1))
 }
 
 // founding tells whether the deployment starts for the first time and this node is none
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -64,6 +64,9 @@
 		m.Proof.Steady = now.Sub(n.list.steadySince)
 		m.Proof.FleetRevision = n.list.revision
 	}
+	if away := n.list.awayAt; away.After(n.list.provenAt) {
+		m.Proof.Away = now.Sub(away)
+	}
 	if proven := n.list.ordersProvenAt; !proven.IsZero() {
 		m.Proof.OrdersAge = now.Sub(proven)
 		m.Proof.OrdersRevision = n.list.orders
@@ -139,6 +142,7 @@
 	for _, s := range in.Strikes {
 		n.guard.Add(s, now)
 	}
+	n.takeAway(in, now)
 	n.takeListProof(in, now)
 	n.takeOrdersProof(in, now)
 	return in.RosterHash != n.roster.Hash() && len(in.Digest) > 0
@@ -152,6 +156,18 @@
 	}
 }
 
+// takeAway takes the word of who reads for this node that it cannot; a leader passes it on.
+func (n *Node) takeAway(in gossip.Message, now time.Time) {
+	if in.Proof.Away <= 0 || !n.hearsFrom(in.From) {
+		return
+	}
+	first := !n.list.awayAt.After(n.list.provenAt)
+	n.list.awayAt = later(n.list.awayAt, now.Add(-in.Proof.Away))
+	if first && n.list.awayAt.After(n.list.provenAt) {
+		n.noteReading(in.From)
+	}
+}
+
 // takeListProof takes a peer's newer reading of the list, once this node has all that
 // the reading saw.
 //
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -114,6 +114,8 @@
 	// known, ordersPendingAt when a large one was last heard to be on its way to the
 	// reader.
 	provenAt, ordersProvenAt, ordersPendingAt time.Time
+	// awayAt is when this node, or who reads for it, last could not read the table.
+	awayAt time.Time
 	// awaited is a proof of operators' changes whose configuration is on its way,
 	// awaitedNext the latest after it: with a change every moment, the latest alone
 	// would never be met.
--- a/internal/gateway/reading_plan.go
+++ b/internal/gateway/reading_plan.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// leaderReadPart and memberReadPart are how long a group's leader and its members wait
@@ -11,13 +14,18 @@
 	// their turns then: leaders first.
 	leaderTurnPart = 0.15
 	memberTurnPart = 0.3
+	// awayTurnPart is the least time, in readings, between two turns where who reads is
+	// heard but cannot read; it doubles with each, as the table is away for more and more
+	// of the group, up to awayMostPart.
+	awayTurnPart = 0.15
+	awayMostPart = 6
 	// retryCall is the pause after a failed call of the table.
 	retryCall = 250 * time.Millisecond
 	// mostRetryRead bounds that pause for who reads for others or knows nothing: a node
 	// that can reach the table again should know it well before it has to keep all
 	// bounds.
 	mostRetryRead = 400 * time.Millisecond
-	// memberRetryReads is the pause between a member's own failed readings, in
+	// memberRetryReads is the pause between a follower's own failed readings, in
 	// readings: those that can read tell it meanwhile.
 	memberRetryReads = 3
 	// startWait is how long a node that knows nothing waits for a peer that does,
@@ -35,8 +43,9 @@
 // and each leader tells its group. A reader that is lost,
 // cut off or turned away: its members miss its news in the same moment; they take turns,
 // and the first that can read tells the others, so that a third of the nodes turned away
-// costs a few calls and not the readings of all. A table that is away for all, or nodes
-// that all start: readers look for its return, members far less often.
+// costs a few calls and not the readings of all. A table that is away for all: readers
+// look for its return and say that it is away; a few of the others try, in turns that come
+// ever later.
 type readingPlan struct {
 	// every is the pause between a reader's readings.
 	every time.Duration
@@ -54,10 +63,14 @@
 	readAt   time.Time
 	failures int
 	empty    bool
+	// away is set while who reads for this node says that it cannot.
+	away bool
 	// leads is set where the node leads its group, reads where it reads for its circle
 	// besides; turn is its place among the others, 0 to 1.
 	leads, reads bool
 	turn         float64
+	// place is that place as a number, from 1.
+	place int
 }
 
 // due is when the node should read the table.
@@ -103,12 +116,21 @@
 	if p.leads {
 		wait = leaderReadPart + leaderTurnPart*p.turn
 	}
+	retry := memberRetryReads * p.every
+	if p.away {
+		wait += min(awayTurnPart*math.Exp2(float64(p.place-1)), awayMostPart)
+		retry = awayMostPart * p.every
+	}
 	known := earlier(p.listProven, later(p.ordersProven, p.ordersPending))
 	due := known.Add(time.Duration(wait * float64(p.every)))
-	if p.failures == 0 {
+	switch {
+	case p.failures == 0:
 		return due
+	case p.away:
+		return later(due, p.readAt.Add(retry))
+	default:
+		return later(due, p.readAt.Add(p.pause(retry)))
 	}
-	return later(due, p.readAt.Add(p.pause(memberRetryReads*p.every)))
 }
 
 // pause is the pause after readings that failed, up to a bound: short once, as a call
--- a/internal/gateway/reading_plan_test.go
+++ b/internal/gateway/reading_plan_test.go
@@ -44,6 +44,10 @@
 		{"last of a group that hears no reader", with(func(p *readingPlan) { p.turn = 1 }), 13400 * time.Millisecond},
 		{"first leader of a circle that hears no reader", with(func(p *readingPlan) { p.leads = true }), 12500 * time.Millisecond},
 		{"last leader of a circle, before any member", with(func(p *readingPlan) { p.leads, p.turn = true, 1 }), 12800 * time.Millisecond},
+		{"first member, the reader says that the table is away", with(func(p *readingPlan) { p.away, p.place = true, 1 }), 13100 * time.Millisecond},
+		{"third member then", with(func(p *readingPlan) { p.away, p.place = true, 3 }), 14 * time.Second},
+		{"last of many members then", with(func(p *readingPlan) { p.away, p.place = true, 23 }), 24800 * time.Millisecond},
+		{"member whose turn failed as well", with(func(p *readingPlan) { p.away, p.place, p.readAt, p.failures = true, 1, at(13.1), 1 }), 25100 * time.Millisecond},
 		{"the reader takes a large change", with(func(p *readingPlan) { p.listProven, p.ordersPending = at(11.5), at(11.8) }), 14300 * time.Millisecond},
 		{"member, first call failed", with(func(p *readingPlan) { p.readAt, p.failures = at(13), 1 }), 13*time.Second + retryCall},
 		{"member, the table is away", with(func(p *readingPlan) { p.readAt, p.failures = at(13.2), 2 }), 19200 * time.Millisecond},
@@ -52,7 +56,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			c.plan.every, c.plan.began = planEvery, began
-			is.New(t).Equal(c.plan.due().Sub(began), c.due)
+			is.New(t).Equal(c.plan.due().Sub(began).Round(time.Microsecond), c.due)
 		})
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -50,6 +50,9 @@
 	// OrdersPending says that the sender reads them for its group, and that a large
 	// change is on its way to it.
 	OrdersPending bool
+	// Away is how long ago the sender, or who reads for it, last could not read the table,
+	// where nothing has been read since; 0 else.
+	Away time.Duration
 	// FleetRevision and OrdersRevision are the revisions that were read.
 	FleetRevision, OrdersRevision uint64
 	// FleetHash tells whether the receiver has the same list.
