--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -102,6 +102,43 @@
 	}
 }
 
+// A small deployment gets 36 requests a second of which the new version may have one in
+// ten at most. Under a fixed share of the sessions it had given 14 answers at the end, too
+// few to trust it, and a good version was rolled back. A bad one stays within its bound,
+// and no session moves before its time.
+func TestFewRequestsAreEnoughForAVerdict(t *testing.T) {
+	few := testSettings
+	few.ShareBound = 0.0975
+	for _, c := range []struct {
+		name string
+		bad  float64
+		want Verdict
+	}{{"good", 0.01, Completed}, {"bad", 0.4, RolledBack}} {
+		t.Run(c.name, func(t *testing.T) {
+			right := 0
+			for seed := range uint64(seeds) {
+				w := newWorld(seed, 18)
+				w.bound(few)
+				w.rate, w.further, w.bad = 36, 0.4, always(c.bad)
+				w.run()
+				if w.done == c.want && w.doneAt < limit {
+					right++
+				}
+				if w.moved > 3 || w.movedBack > 3 {
+					t.Errorf("seed %d: %d requests moved between versions, %d back", seed, w.moved, w.movedBack)
+				}
+				if allowed := few.ShareBound*float64(w.requests) + few.Slack; float64(w.exposed) > allowed {
+					t.Errorf("seed %d: %d of %d requests went to the new version, %.0f allowed", seed, w.exposed, w.requests, allowed)
+				}
+			}
+			t.Logf("%s in %d of %d", c.want, right, seeds)
+			if right < seeds*9/10 {
+				t.Errorf("%s in %d of %d", c.want, right, seeds)
+			}
+		})
+	}
+}
+
 // checkExposure holds a world to the bound on a version that may be bad.
 func checkExposure(t *testing.T, seed uint64, w *world) {
 	t.Helper()
--- a/internal/canary/world_test.go
+++ b/internal/canary/world_test.go
@@ -32,6 +32,8 @@
 	// heavy is the part of the requests that one session in ten sends; further
 	// is the part of the requests that are asked for a second time.
 	heavy, further float64
+	// rate is the requests a second; 0 for perSecond.
+	rate int
 	// late is how late the nodes may have learned of the order, for all they know.
 	late time.Duration
 	// requests, exposed, badAnswers count what the service saw since the order.
@@ -85,7 +87,10 @@
 
 // run plays from before the order until after its time limit.
 func (w *world) run() {
-	const tick = time.Second / perSecond
+	tick := time.Second / perSecond
+	if w.rate > 0 {
+		tick = time.Second / time.Duration(w.rate)
+	}
 	order := Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1, Late: w.late}
 	taken := false
 	var told, weighed time.Time
