Mend: let more sessions take part where a trial is heading for too few answers

Cause: a fixed share of the sessions, three tenths of the bound, whatever the load. From three fifths of the time on, a trial that is heading for fewer answers than a verdict needs takes in more sessions, once, by word of the leader that hears all counts.

--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -22,6 +22,8 @@
 	verdict Verdict
 	// written is set when the platform's table holds the verdict.
 	written bool
+	// widened is when more sessions began to take part in the trial; zero before.
+	widened time.Time
 	// grown is when all sessions began to be shifted; zero in the watch.
 	grown time.Time
 }
@@ -71,8 +73,10 @@
 		return 1
 	case r.verdict == RolledBack:
 		return 0
-	case r.grown.IsZero():
+	case r.grown.IsZero() && r.widened.IsZero():
 		return s.ShareBound * canaryPart
+	case r.grown.IsZero():
+		return s.ShareBound * widePart
 	case now.Sub(r.grown) < halfFor:
 		return 0.5
 	default:
@@ -100,6 +104,22 @@
 	return exposed+rate*left <= shiftPart*bound
 }
 
+// shouldWiden tells whether the trial is heading for too few answers for a verdict, and
+// more sessions may take part.
+//
+// It guards against deployments with few requests: a fixed small share gave too few
+// answers to trust a good version, and it was rolled back. No session may change its
+// version before the watch is over; afterwards the share only grows, so that none turns
+// back.
+func (r *rollout) shouldWiden(now time.Time, answers int64) bool {
+	if !r.widened.IsZero() || !r.grown.IsZero() || now.Sub(r.started) < time.Duration(widenPart*float64(r.order.Limit)) {
+		return false
+	}
+	so := (now.Sub(r.started) - pinHold).Seconds()
+	whole := (r.order.Limit - pinHold).Seconds()
+	return float64(answers)*whole < leastAnswers*so
+}
+
 // watched tells whether no session may change its version yet.
 func (r *rollout) watched(now time.Time) bool {
 	return now.Sub(r.started) < time.Duration(watchPart*float64(r.order.Limit))
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -77,6 +77,10 @@
 	if !r.grown.IsZero() {
 		return false
 	}
+	share := capPart
+	if !r.widened.IsZero() {
+		share = wideCapPart
+	}
 	requests, exposed := r.exposure()
-	return exposed > c.settings.ShareBound*capPart*requests+slackPart*c.settings.Slack
+	return exposed > c.settings.ShareBound*share*requests+slackPart*c.settings.Slack
 }
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -21,11 +21,16 @@
 	// version may be bad in a way that no answer has shown yet, and counts
 	// against the bound until then.
 	canaryPart = 0.3
+	// widePart is the part of the bound that the share uses then where answers are few: over
+	// the whole trial it stays well within.
+	widePart = 0.75
 	// capPart and slackPart are the parts of the bound's share and slack at
 	// which nodes stop sending to the new version while it is in doubt.
 	// Requests that were sent since the last news come on top.
 	capPart   = 0.6
 	slackPart = 0.5
+	// wideCapPart is the part of the share then where answers are few.
+	wideCapPart = 0.7
 	// trialSpread is how many times its share of the upstreams a version on
 	// trial uses: seven of sixty in place of two, three of eighteen in place of
 	// one.
@@ -46,6 +51,9 @@
 	// sessions go to it: of a version that fails two in five, eighteen answers
 	// show fewer than two failures once in a thousand times.
 	leastAnswers = 18
+	// widenPart is the part of the time limit after which it shows whether a trial is
+	// heading for enough answers: sessions that were under way take part from watchPart on.
+	widenPart = 0.6
 	// recordTime is kept for writing the verdict before the time limit.
 	recordTime = 900 * time.Millisecond
 	// shiftGrace is how much later than the record's time a version without doubt
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -17,6 +17,8 @@
 	Requests, Exposed int64
 	// OldInFlight is how many attempts run on the old version now.
 	OldInFlight int
+	// Widened is set when the node lets more sessions take part in the trial.
+	Widened bool
 	// Shifted is set when the node shifts all sessions, since ShiftAge.
 	Shifted  bool
 	ShiftAge time.Duration
--- a/internal/canary/tell.go
+++ b/internal/canary/tell.go
@@ -16,6 +16,7 @@
 		r.own.Seq++
 		t := r.own
 		t.Verdict, t.Written = r.verdict, r.written
+		t.Widened = !r.widened.IsZero()
 		if !r.grown.IsZero() {
 			t.Shifted, t.ShiftAge = true, now.Sub(r.grown)
 		}
@@ -61,6 +62,9 @@
 		return false
 	}
 	r.peers[key] = t
+	if t.Widened && r.widened.IsZero() {
+		r.widened = now
+	}
 	if t.Shifted && r.grown.IsZero() {
 		r.grown = now.Add(-t.ShiftAge)
 	}
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -12,8 +12,9 @@
 	Verdict Verdict
 	// Made is set when this call made the verdict.
 	Made bool
-	// Shift is set when this call began to shift all sessions.
-	Shift bool
+	// Widened is set when this call let more sessions take part in the trial, Shift when
+	// it began to shift all.
+	Widened, Shift bool
 	// Likelihood is the evidence against the version at its worst route.
 	Likelihood float64
 	Route      string
@@ -41,7 +42,7 @@
 			d.Made = c.weigh(r, &d, now, view)
 		}
 		d.Verdict = r.verdict
-		if r.verdict != Open && !r.written || d.Shift {
+		if r.verdict != Open && !r.written || d.Shift || d.Widened {
 			out = append(out, d)
 		}
 	}
@@ -71,6 +72,10 @@
 	if !view.Whole {
 		return false
 	}
+	if r.shouldWiden(now, d.Answers) {
+		r.widened = now
+		d.Widened = true
+	}
 	ofVersion, all := view.Count(r.order.Service, r.order.Target)
 	enough := d.Answers >= leastAnswers && ofVersion > 0 && 3*ofVersion >= all
 	good := enough && d.Likelihood < doubtAt
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -36,6 +36,7 @@
 	VersionOrdered    = define(1960, slog.LevelInfo, "roll-out of a version was ordered")
 	VersionDecided    = define(1961, slog.LevelInfo, "roll-out of a version was decided")
 	VersionShifts     = define(1964, slog.LevelInfo, "all sessions go to the new version")
+	VersionWidened    = define(1965, slog.LevelInfo, "more sessions take part in a version's trial")
 	VersionRecorded   = define(1962, slog.LevelInfo, "roll-out's state was recorded")
 	VersionUnrecorded = define(1963, slog.LevelWarn, "roll-out's state could not be recorded yet")
 	LogLinesDropped   = define(1970, slog.LevelWarn, "log lines were dropped")
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -31,11 +31,18 @@
 		slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
 		slog.Int64("old", d.Counts.Base), slog.Int64("old_bad", d.Counts.BaseBad), slog.Uint64("revision", d.Order.Revision),
 	}
+	if d.Widened {
+		event.VersionWidened.Log(n.log, attrs...)
+		n.tellSoon()
+	}
 	if d.Shift {
 		event.VersionShifts.Log(n.log, attrs...)
 		n.tellSoon()
 		return
 	}
+	if d.Verdict == canary.Open {
+		return
+	}
 	if d.Made {
 		event.VersionDecided.Log(n.log, attrs...)
 		n.tellSoon()
