--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -48,12 +48,24 @@
 		n.tellSoon()
 	}
 	now := time.Now()
-	if now.Before(next[d.Order.Service]) || !d.Made && now.Before(n.turn(d.Order)) {
+	again, tried := next[d.Order.Service]
+	if now.Before(again) || tried && n.tableAway() || !d.Made && now.Before(n.turn(d.Order)) {
 		return
 	}
 	if !n.write(ctx, d.Order, d.Verdict) {
 		next[d.Order.Service] = now.Add(mostRetryCall)
+		return
 	}
+	delete(next, d.Order.Service)
+}
+
+// tableAway tells whether this node knows that the table can't be read by it and by who
+// reads for it. A verdict that could not be written then waits until somebody can: tried
+// again by each node each second, it was most of the calls of a table that is away.
+func (n *Node) tableAway() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list.awayAt.After(n.list.provenAt)
 }
 
 func (n *Node) weigh(now time.Time) []canary.Decision {
--- a/internal/gateway/follow_rollouts_test.go
+++ b/internal/gateway/follow_rollouts_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -76,3 +78,52 @@
 	cancel()
 	<-done
 }
+
+// awaySource is a table that takes verdicts only when it is back.
+type awaySource struct {
+	Source
+	back  bool
+	tries int
+}
+
+func (s *awaySource) Record(_ context.Context, _ canary.Order, v canary.Verdict) (canary.Verdict, error) {
+	s.tries++
+	if !s.back {
+		return canary.Open, errors.New("the table is away")
+	}
+	return v, nil
+}
+
+// The table is away when a version's end is decided. Every node that had its turn tried
+// to write it each second, hundreds of calls for what nobody could record. Each tries
+// once; then the verdict waits until somebody has read the table again.
+func TestVerdictWaitsForATableThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &awaySource{}
+		n := New(Settings{ID: "n1", Drain: 3 * time.Second, Apply: 3 * time.Second}, Deps{
+			Source: source, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.New(telemetry.Bounds{}),
+		})
+		order := canary.Order{Service: "engine", Target: "v2", Limit: time.Minute, Revision: 1}
+		n.canary.Take(order, time.Now())
+		next := map[string]time.Time{}
+		follow := func(made bool) {
+			n.follow(t.Context(), canary.Decision{Order: order, Verdict: canary.Completed, Made: made}, next)
+			time.Sleep(tickEvery)
+		}
+		n.list.provenAt = time.Now()
+		time.Sleep(time.Second)
+		n.list.awayAt = time.Now()
+		follow(true)
+		is.Equal(source.tries, 1) // it may be this node's own call that failed
+		for range 40 {
+			follow(false)
+		}
+		is.Equal(source.tries, 1)
+		source.back = true
+		n.list.provenAt = time.Now()
+		follow(false)
+		is.Equal(source.tries, 2)
+		is.Equal(n.announced["engine"], uint64(1)) // it is recorded
+	})
+}
