--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -49,7 +49,8 @@
 	}
 	now := time.Now()
 	again, tried := next[d.Order.Service]
-	if now.Before(again) || tried && n.tableAway() || !d.Made && now.Before(n.turn(d.Order)) {
+	turn := n.turn(d.Order)
+	if now.Before(again) || tried && n.tableAway() || !d.Made && now.Before(turn) {
 		return
 	}
 	if !n.write(ctx, d.Order, d.Verdict) {
