Move a stuck attempt while its caller still waits

Cause: an attempt for which the budget's reserve does not suffice is moved for sure after 1.5 times the route's goal; where the goal is as long as callers wait (labels: 5 s and 5 s) that is after they have gone. Now after half of the time that is left.

--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -48,7 +48,7 @@
 	if !a.movable() {
 		return p
 	}
-	late := time.Duration(firstStall * float64(a.job.route.Goal))
+	late := lateAfter(a.job.route.Goal, time.Until(a.job.deadline))
 	first := late
 	if a.usual > 0 {
 		first = min(max(time.Duration(patienceTimes*float64(a.usual)), patienceLeast), late)
@@ -59,6 +59,14 @@
 	return p
 }
 
+// lateAfter is how long an attempt may wait before the whole budget may be used to move
+// it: until its answer would be far too late, and no longer than leaves as much time for
+// another one. Where a route's goal is as long as its callers wait, it would be moved when
+// nobody waits any more.
+func lateAfter(goal, left time.Duration) time.Duration {
+	return min(time.Duration(firstStall*float64(goal)), left/2)
+}
+
 // fire moves the attempt if it may be moved.
 func (p *patience) fire(a *attempt, cancel context.CancelFunc, late time.Duration) {
 	p.mu.Lock()
