Mend: tell readings of the table apart by the table's clock

A proof is now a reading, named by the table's own clock; a node takes it once, and its age grows as time passes.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -156,9 +156,10 @@
 	return len(circle) > 0 && circle[0].ID == n.settings.ID
 }
 
-// listProven notes that what the node knows of the upstreams is as of a time; the
-// caller holds mu.
-func (n *Node) listProven(at time.Time) {
+// listProven notes that what the node knows of the upstreams is as of a time, and of the
+// table's clock then; the caller holds mu.
+func (n *Node) listProven(at time.Time, clock time.Duration) {
+	n.list.listClock = clock
 	known := n.list.provenAt
 	if !at.After(known) {
 		return
--- a/internal/gateway/kept_upstreams_test.go
+++ b/internal/gateway/kept_upstreams_test.go
@@ -35,6 +35,7 @@
 	defer n.mu.Unlock()
 	in := gossip.Message{From: "n1", Fleet: n.peer.Records(), Proof: gossip.Proof{
 		Age: now.Sub(at), Steady: steady, FleetRevision: revision, FleetHash: n.peer.Hash(),
+		ListClock: at.Sub(n.began),
 	}}
 	n.takeListProof(in, now)
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -62,6 +62,7 @@
 	if proven := n.list.provenAt; !proven.IsZero() {
 		m.Proof.Age = now.Sub(proven)
 		m.Proof.Steady = now.Sub(n.list.steadySince)
+		m.Proof.ListClock = n.list.listClock
 		m.Proof.FleetRevision = n.list.revision
 	}
 	if away := n.list.awayAt; away.After(n.list.provenAt) {
@@ -70,6 +71,7 @@
 	if proven := n.list.ordersProvenAt; !proven.IsZero() {
 		m.Proof.OrdersAge = now.Sub(proven)
 		m.Proof.OrdersRevision = n.list.orders
+		m.Proof.OrdersClock = n.list.ordersClock
 		m.Proof.OrdersPending = n.leads() && n.list.ordersPendingAt.After(proven)
 	}
 	if _, heard := n.told[to]; !heard {
@@ -172,7 +174,10 @@
 // the reading saw.
 //
 // A list is taken whole from a newer reading only: an older one could bring
-// back an upstream that has left.
+// back an upstream that has left. Which is newer the table's clock tells. By its age the
+// same reading would always be newer than when it was heard before, as its time on the
+// way is not known: hundreds of nodes kept each other's knowledge fresh for ever while
+// the table turned their reader away, and nobody read in its place.
 func (n *Node) takeListProof(in gossip.Message, now time.Time) {
 	if in.Proof.Age < 0 || in.Proof.FleetRevision == 0 {
 		return
@@ -182,7 +187,7 @@
 		n.dropKept()
 	}
 	at := now.Add(-in.Proof.Age)
-	if !at.After(n.list.provenAt) {
+	if in.Proof.ListClock <= n.list.listClock {
 		return
 	}
 	if in.Proof.FleetRevision >= n.list.revision {
@@ -191,7 +196,7 @@
 	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
 	}
-	n.listProven(at)
+	n.listProven(at, in.Proof.ListClock)
 	n.noteReading(in.From)
 	n.list.revision = max(n.list.revision, in.Proof.FleetRevision)
 }
@@ -202,14 +207,14 @@
 	if in.Proof.OrdersPending && n.hearsFrom(in.From) {
 		n.list.ordersPendingAt = now
 	}
-	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 {
+	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 || in.Proof.OrdersClock <= n.list.ordersClock {
 		return
 	}
-	p := ordersProof{at: now.Add(-in.Proof.OrdersAge), version: in.ConfigVersion, revision: in.Proof.OrdersRevision}
+	p := ordersProof{at: now.Add(-in.Proof.OrdersAge), clock: in.Proof.OrdersClock, version: in.ConfigVersion, revision: in.Proof.OrdersRevision}
 	switch {
 	case n.list.awaited.version == 0:
 		n.list.awaited = p
-	case p.at.After(n.list.awaitedNext.at):
+	case p.clock > n.list.awaited.clock && p.clock > n.list.awaitedNext.clock:
 		n.list.awaitedNext = p
 	}
 	n.useOrdersProof()
@@ -226,6 +231,7 @@
 // version of the configuration.
 type ordersProof struct {
 	at       time.Time
+	clock    time.Duration
 	version  int64
 	revision uint64
 }
@@ -241,7 +247,9 @@
 		if p.version == 0 || n.configVersion() < p.version {
 			return
 		}
-		n.ordersProven(p.at)
+		if p.clock > n.list.ordersClock {
+			n.ordersProven(p.at, p.clock)
+		}
 		n.list.orders = max(n.list.orders, p.revision)
 		n.list.awaited, n.list.awaitedNext = n.list.awaitedNext, ordersProof{}
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -114,6 +114,8 @@
 	// known, ordersPendingAt when a large one was last heard to be on its way to the
 	// reader.
 	provenAt, ordersProvenAt, ordersPendingAt time.Time
+	// listClock and ordersClock are the table's own clock at these readings.
+	listClock, ordersClock time.Duration
 	// awayAt is when this node, or who reads for it, last could not read the table.
 	awayAt time.Time
 	// awaited is a proof of operators' changes whose configuration is on its way,
@@ -184,9 +186,21 @@
 	}
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
 	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.heardVersion.Load(), n.configVersion())) })
+	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
 	return n
 }
 
+// tableAge is how many seconds ago the list was read that this node goes by; 0 before the
+// first reading.
+func (n *Node) tableAge() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.list.provenAt.IsZero() {
+		return 0
+	}
+	return time.Since(n.list.provenAt).Seconds()
+}
+
 // configVersion is the version of the configuration in force; 0 for none.
 func (n *Node) configVersion() int64 {
 	if c := n.config.Load(); c != nil {
--- a/internal/gateway/orders_proof_test.go
+++ b/internal/gateway/orders_proof_test.go
@@ -23,7 +23,7 @@
 	tell := func(version int64, revision uint64, at time.Time) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.takeOrdersProof(gossip.Message{From: "n0", ConfigVersion: version, Proof: gossip.Proof{OrdersAge: now.Sub(at), OrdersRevision: revision}}, now)
+		n.takeOrdersProof(gossip.Message{From: "n0", ConfigVersion: version, Proof: gossip.Proof{OrdersAge: now.Sub(at), OrdersClock: at.Sub(now) + time.Minute, OrdersRevision: revision}}, now)
 	}
 	enforce := func(version int64) {
 		n.config.Store(&configuration{Table: route.New(version, route.Limits{}, nil, nil, nil)})
--- a/internal/gateway/proof_age_test.go
+++ b/internal/gateway/proof_age_test.go
@@ -21,7 +21,7 @@
 		a, b := newGroupNode(false), newGroupNode(true)
 		b.mu.Lock()
 		b.list.revision = 7
-		b.listProven(time.Now())
+		b.listProven(time.Now(), 1000)
 		b.mu.Unlock()
 		const onItsWay = 5 * time.Millisecond
 		began := time.Now()
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -22,6 +22,8 @@
 	Put      []fleet.Record
 	Drop     []string
 	Revision uint64
+	// Clock is the table's own steady clock at this answer.
+	Clock time.Duration
 	// Unreadable are entries that name no upstream to use.
 	Unreadable []Unreadable
 }
@@ -38,6 +40,8 @@
 	Config   []byte
 	Rollouts []canary.Order
 	Revision uint64
+	// Clock is the table's own steady clock at this answer.
+	Clock time.Duration
 	// Unreadable are orders that can't be read; they order nothing.
 	Unreadable []Unreadable
 }
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	if n.list.readOrders == n.list.revision {
-		n.listProven(n.list.ordersProvenAt)
+		n.listProven(n.list.ordersProvenAt, n.list.ordersClock)
 		return true
 	}
 	return time.Until(n.list.provenAt.Add(n.readEvery())) > listMargin
@@ -112,7 +112,7 @@
 		wait = max(time.Until(n.list.provenAt.Add(n.readEvery())), 0)
 	}
 	n.mu.Unlock()
-	revision := uint64(0)
+	revision, clock := uint64(0), time.Duration(0)
 	for {
 		n.mu.Lock()
 		after := n.list.orders
@@ -123,7 +123,7 @@
 			return false
 		}
 		n.takeOrdersChange(ctx, orders, after == 0, wait > 0)
-		revision = orders.Revision
+		revision, clock = orders.Revision, orders.Clock
 		if len(orders.Config) < largeChange || orders.Revision <= after {
 			break
 		}
@@ -131,14 +131,15 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ordersProven(time.Now())
+	n.ordersProven(time.Now(), clock)
 	n.list.readOrders = revision
 	return true
 }
 
-// ordersProven notes that what the node knows of operators' changes is as of a time;
-// the caller holds mu.
-func (n *Node) ordersProven(at time.Time) {
+// ordersProven notes that what the node knows of operators' changes is as of a time, and
+// of the table's clock then; the caller holds mu.
+func (n *Node) ordersProven(at time.Time, clock time.Duration) {
+	n.list.ordersClock = clock
 	n.list.ordersProvenAt = later(n.list.ordersProvenAt, at)
 }
 
@@ -157,6 +158,6 @@
 	n.applyFleet(change, began)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listProven(began)
+	n.listProven(began, change.Clock)
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -47,6 +47,10 @@
 	Steady time.Duration
 	// OrdersAge is how long ago operators' changes were read; negative for never.
 	OrdersAge time.Duration
+	// ListClock and OrdersClock are the table's own clock at these readings: they tell
+	// readings apart and which is the later. By its age alone a reading would be younger
+	// at each node that hears of it, by the time that the word was on its way.
+	ListClock, OrdersClock time.Duration
 	// OrdersPending says that the sender reads them for its group, and that a large
 	// change is on its way to it.
 	OrdersPending bool
