--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -7,10 +7,7 @@
 // gives the figures that it comes from.
 package cascade
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Settings of a [Policy].
 type Settings struct {
@@ -36,10 +33,6 @@
 	// Load is the share of the usable upstreams' slots that is in use; over 1
 	// attempts wait.
 	Load float64
-	// Goal is how soon the answer should begin, and Needs how long each model takes until
-	// its answer begins where nothing else waits, smallest first; 0 where that is not known.
-	Goal  time.Duration
-	Needs []time.Duration
 }
 
 const (
@@ -82,26 +75,12 @@
 
 // First returns the model of the first attempt.
 func (p *Policy) First(s State) string {
-	if s.Attempts < 2 || s.noTimeForBoth() {
+	if s.Attempts < 2 {
 		return s.Models[len(s.Models)-1]
 	}
 	return s.Models[0]
 }
 
-// noTimeForBoth tells whether the largest model's answer begins in time, but not after
-// the smallest one's.
-//
-// It guards the longest prompts, which take seconds to read: where the small model was
-// unsure, every second of them was late. It goes by the reading alone and not by what waits
-// besides: larger models asked at once because upstreams are busy would make them busier.
-func (s *State) noTimeForBoth() bool {
-	if s.Goal <= 0 || len(s.Needs) < 2 {
-		return false
-	}
-	smallest, largest := s.Needs[0], s.Needs[len(s.Needs)-1]
-	return smallest > 0 && largest > 0 && largest <= s.Goal && smallest+largest > s.Goal
-}
-
 // Next returns the model that should answer in place of one which answers with
 // this confidence; empty when the answer is taken. Attempts is how many are
 // left after this one.
--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -36,37 +36,6 @@
 	}
 }
 
-// A dossier of 38,000 tokens takes the small model 0.4 s to read and the large one 2.8 s,
-// and its draft should begin within 3 s. The small model was asked first and was unsure of
-// half of them, which then began late; the large one alone would have been in time.
-func TestLongPromptGoesToTheLargestModel(t *testing.T) {
-	p := New(Settings{Accept: 50, AcceptBusy: 45})
-	ms := func(all ...int) (needs []time.Duration) {
-		for _, n := range all {
-			needs = append(needs, time.Duration(n)*time.Millisecond)
-		}
-		return needs
-	}
-	tests := []struct {
-		name  string
-		needs []time.Duration
-		want  string
-	}{
-		{"time for both", ms(200, 0, 1500), "small"},
-		{"time for one", ms(400, 0, 2800), "large"},
-		{"late in any case", ms(500, 0, 3300), "small"},
-		{"not known of the large one", ms(400, 0, 0), "small"},
-		{"not known of the small one", ms(0, 0, 2800), "small"},
-		{"nothing known", nil, "small"},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			s := State{Models: []string{"small", "middle", "large"}, Attempts: 3, Goal: 3 * time.Second, Needs: test.needs}
-			is.New(t).Equal(p.First(s), test.want)
-		})
-	}
-}
-
 // A draft was answered by a small model that was not sure, while upstreams had
 // room for a larger one; or the larger model was asked although they were full,
 // and its answer and those of others came late. How sure is sure enough follows
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,13 +18,11 @@
 	means map[string]float64
 	// delays are how long attempts of each kind have lately waited.
 	delays map[delayKey]*delay
-	// readings are the paces at which models read prompts.
-	readings map[delayKey]*reading
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}, readings: map[delayKey]*reading{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}}
 }
 
 // Put adds an upstream or takes its new record, as read at a time. It reports
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -5,8 +5,6 @@
 // Work is what one attempt costs its upstream, until its answer begins.
 type Work struct {
 	amount float64
-	// unread is how many tokens the upstream is taken to read.
-	unread float64
 	begun  bool
 	key    delayKey
 	sentAt time.Time
@@ -24,14 +22,13 @@
 		m = amount
 	}
 	f.means[w.Service] = m + meanGain*(amount-m)
-	return &Work{amount: amount, unread: unread(w), key: delayKey{w.Service, w.Model}, sentAt: now}
+	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now}
 }
 
 // Started counts the begin of an attempt's answer: its prompt has been read.
 func (f *Fleet) Started(u *Upstream, w *Work, now time.Time) {
 	if !w.begun {
 		f.waited(w, now)
-		f.noteReading(w, now.Sub(w.sentAt))
 	}
 	f.unqueue(u, w)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
@@ -24,7 +25,7 @@
 	}
 	j.node.first(j.service)
 	if len(j.route.Models) > 0 && j.ask.AnyModel {
-		j.model = j.firstModel()
+		j.model = j.node.policy.First(cascade.State{Models: j.route.Models, Attempts: j.left()})
 	}
 	for {
 		a := j.findUpstream()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
@@ -117,18 +116,6 @@
 	return next
 }
 
-// firstModel is the model of the request's first attempt.
-func (j *job) firstModel() string {
-	s := cascade.State{Models: j.route.Models, Attempts: j.left(), Goal: j.route.Goal}
-	want := j.want(canary.Rule{})
-	j.node.mu.Lock()
-	for _, want.Model = range s.Models {
-		s.Needs = append(s.Needs, j.node.fleet.Reading(&want))
-	}
-	j.node.mu.Unlock()
-	return j.node.policy.First(s)
-}
-
 // cascadeState is where the request stands for the choice of its model, after an
 // attempt that ran.
 func (j *job) cascadeState(a *attempt) cascade.State {
