--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -25,7 +25,7 @@
 			joined = n.join(ctx)
 		}
 		if n.refreshSelf() {
-			n.exchangeAll(ctx)
+			n.exchangeWith(ctx, n.pickPeers(readyWidth), n.message)
 		} else {
 			n.exchangeWith(ctx, n.pickPeers(1), n.message)
 		}
@@ -117,6 +117,10 @@
 // urgentWidth bounds the peers told at once; they tell the others.
 const urgentWidth = 12
 
+// readyWidth is how many peers a node tells at once that it can serve, or no longer can.
+// Hundreds that start together told twelve each, all of what they knew of each other.
+const readyWidth = 4
+
 // exchangeWith exchanges news with some peers; message says what one is told.
 func (n *Node) exchangeWith(ctx context.Context, peers []gossip.Member, message func(to gossip.Member) gossip.Message) {
 	if len(peers) == 1 {
@@ -133,8 +137,13 @@
 // exchange exchanges news with one peer, twice where the first time showed that both
 // know other members.
 func (n *Node) exchange(ctx context.Context, m gossip.Member, message func(to gossip.Member) gossip.Message) {
+	n.exchangeUpTo(ctx, exchangeTries, m, message)
+}
+
+// exchangeUpTo exchanges news with one peer in so many calls at most.
+func (n *Node) exchangeUpTo(ctx context.Context, tries int, m gossip.Member, message func(to gossip.Member) gossip.Message) {
 	var differing gossip.Message
-	for range exchangeTries {
+	for range tries {
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -21,7 +21,11 @@
 // meet calls seeds until one has answered, or the node would rather look in the table.
 // While the whole deployment starts for the first time it goes on until one knows what
 // the table holds, so that not all have to read it.
+//
+// It compares members once: while hundreds of nodes start, each call would find others
+// that it does not know yet, and tell of all that it does.
 func (n *Node) meet(ctx context.Context) {
+	tries := exchangeTries
 	for ctx.Err() == nil && time.Since(n.began) < aloneAfter && !n.met() {
 		n.mu.Lock()
 		seed, ok := n.seed()
@@ -29,7 +33,10 @@
 		if !ok {
 			return
 		}
-		n.exchange(ctx, seed, n.message)
+		n.exchangeUpTo(ctx, tries, seed, n.message)
+		if n.heardAny() {
+			tries = 1
+		}
 		n.noteAsked()
 		if n.met() || !pause(ctx, meetStep) {
 			return
@@ -44,6 +51,13 @@
 	return !n.informed.IsZero() || len(n.told) > 0 && !n.founding()
 }
 
+// heardAny tells whether any peer has told this node something.
+func (n *Node) heardAny() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.told) > 0
+}
+
 // noteAsked notes that a peer was asked, whether it answered or not.
 func (n *Node) noteAsked() {
 	n.mu.Lock()
