Call who tells a group its leader, and who reads for leaders the reader; ask an empty table at the reader's alone

A node that knows that the table is empty and does not read for others leaves it to who does: hundreds would have asked each 250 ms until the first configuration.

--- a/internal/gateway/call_meter.go
+++ b/internal/gateway/call_meter.go
@@ -17,7 +17,7 @@
 const (
 	// CauseStart calls are those of a node that knows nothing yet.
 	CauseStart CallCause = "start"
-	// CauseReader calls are a group's reader's.
+	// CauseReader calls are those of a circle's reader.
 	CauseReader CallCause = "reader"
 	// CauseMember calls are those of a node whose reader is not heard.
 	CauseMember CallCause = "member"
--- a/internal/gateway/follow_flights.go
+++ b/internal/gateway/follow_flights.go
@@ -13,25 +13,25 @@
 // flightsEvery is the pause between a node's reports of what it has under way.
 const flightsEvery = 200 * time.Millisecond
 
-// followFlights tells the reader of this node's group what it has under way, and
+// followFlights tells the leader of this node's group what it has under way, and
 // hears what all nodes have. Without an answer the upstreams' own words count.
 func (n *Node) followFlights(ctx context.Context) {
 	for pause(ctx, flightsEvery) {
 		n.mu.Lock()
 		own := n.fleet.Flight()
 		groups := n.roster.Groups()
-		reader := n.roster.Group()[0]
+		leader := n.roster.Group()[0]
 		n.mu.Unlock()
-		if reader.ID == n.settings.ID {
-			n.tellReaders(own, groups)
+		if leader.ID == n.settings.ID {
+			n.tellLeaders(own, groups)
 			continue
 		}
-		if reader.Peer == "" {
+		if leader.Peer == "" {
 			continue
 		}
-		all, err := n.peers.Flights(reader.Peer, gossip.FlightReport{From: n.settings.ID, Flight: own})
+		all, err := n.peers.Flights(leader.Peer, gossip.FlightReport{From: n.settings.ID, Flight: own})
 		if err != nil {
-			continue // the reader's loss is noticed by the usual news
+			continue // the leader's loss is noticed by the usual news
 		}
 		n.mu.Lock()
 		n.fleet.TakeFlight(all.Flight, own, time.Now())
@@ -39,9 +39,9 @@
 	}
 }
 
-// tellReaders exchanges the sum over this reader's group with the readers of the
-// other groups. Of two readers one calls, as both learn in an exchange what they need.
-func (n *Node) tellReaders(own fleet.Flight, groups [][]gossip.Member) {
+// tellLeaders exchanges the sum over this leader's group with the leaders of the
+// other groups. Of two leaders one calls, as both learn in an exchange what they need.
+func (n *Node) tellLeaders(own fleet.Flight, groups [][]gossip.Member) {
 	now := time.Now()
 	n.mu.Lock()
 	n.flights.Take(gossip.FlightReport{From: n.settings.ID, Flight: own}, now)
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -235,10 +235,10 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m gossip.Member) bool { return m.ID == n.settings.ID })
 }
 
-// feedReaders tells the leaders of the other groups what this group knows: all of
+// feedLeaders tells the leaders of the other groups what this group knows: all of
 // them what it has counted of a roll-out, else some: each hears it anyway, and is only
 // faster so.
-func (n *Node) feedReaders(ctx context.Context) {
+func (n *Node) feedLeaders(ctx context.Context) {
 	n.mu.Lock()
 	groups := n.roster.Groups()
 	leads := n.leads()
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -13,9 +13,9 @@
 	// aloneAfter is how long a node may hear of no other before it looks for them in the
 	// table.
 	aloneAfter = time.Second
-	// readerSettles is how long a node reads for its group before it is recorded: right
-	// after a start, before it has heard of all others, each takes itself for a reader.
-	readerSettles = 3 * time.Second
+	// leaderSettles is how long a node leads its group before it is recorded: right after a
+	// start, before it has heard of all others, each takes itself for a leader.
+	leaderSettles = 3 * time.Second
 )
 
 // meet calls seeds until one has answered, or the node would rather look in the table.
@@ -87,17 +87,17 @@
 // with each start.
 func (n *Node) joinDue(now time.Time) bool {
 	if len(n.roster.Alive()) == 1 {
-		n.readerSince = time.Time{}
+		n.leaderSince = time.Time{}
 		return now.Sub(n.began) >= aloneAfter
 	}
 	if !n.leads() {
-		n.readerSince = time.Time{}
+		n.leaderSince = time.Time{}
 		return false
 	}
-	if n.readerSince.IsZero() {
-		n.readerSince = now
+	if n.leaderSince.IsZero() {
+		n.leaderSince = now
 	}
-	return now.Sub(n.readerSince) >= readerSettles
+	return now.Sub(n.leaderSince) >= leaderSettles
 }
 
 // join records this node and learns of others.
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -32,9 +32,9 @@
 	return m
 }
 
-// feedMessage is what a reader tells its group and other readers. Those hear the counts of
-// each group from its own reader: told by all readers of all nodes, the counts of a
-// roll-out crossed failure domains as often as there are readers.
+// feedMessage is what a leader tells its group and other leaders. Those hear the counts of
+// each group from its own leader: told by all leaders of all nodes, the counts of a
+// roll-out crossed failure domains as often as there are leaders.
 func (n *Node) feedMessage(to gossip.Member) gossip.Message {
 	now := time.Now()
 	n.mu.Lock()
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -72,8 +72,8 @@
 	// be reached since, informed is when one that knows what the table holds first did.
 	began, informed time.Time
 	asked           bool
-	// readerSince is when this node began to read for its group; zero while it does not.
-	readerSince time.Time
+	// leaderSince is when this node began to lead its group; zero while it does not.
+	leaderSince time.Time
 	// readAt is when this node last read the table, fedAt when it last told
 	// others beside a reading.
 	readAt, fedAt time.Time
--- a/internal/gateway/reading_plan.go
+++ b/internal/gateway/reading_plan.go
@@ -77,7 +77,7 @@
 func (p *readingPlan) due() time.Time {
 	unknown := p.listProven.IsZero() || p.ordersProven.IsZero()
 	switch {
-	case p.empty:
+	case p.empty && p.reads:
 		return p.readAt.Add(retryCall) // the operator's first configuration is on its way
 	case unknown && p.failures == 0:
 		return p.start()
--- a/internal/gateway/tell_rollouts.go
+++ b/internal/gateway/tell_rollouts.go
@@ -9,7 +9,7 @@
 
 // tellRollouts tells other nodes how roll-outs stand, regularly while one is
 // under way and at once when this node has decided something or, as its group's
-// reader, has a newer configuration.
+// leader, has a newer configuration.
 //
 // It is a duty apart from the deciding: peers that are cut off take their whole
 // time-out, and a verdict that waited for them would come too late into the
@@ -29,11 +29,11 @@
 	}
 }
 
-// tellAll tells other readers, this node's group and some others at once: one that
+// tellAll tells other leaders, this node's group and some others at once: one that
 // does not answer costs its time-out, and must not hold up the rest.
 func (n *Node) tellAll(ctx context.Context) {
 	var told conc.WaitGroup
-	told.Go(func() { n.feedReaders(ctx) })
+	told.Go(func() { n.feedLeaders(ctx) })
 	told.Go(func() { n.feedGroup(ctx) })
 	told.Go(func() { n.exchangeAll(ctx) })
 	told.Wait()
@@ -47,7 +47,7 @@
 	}
 }
 
-// feedSettling tells this node's group and the other readers what it knows
+// feedSettling tells this node's group and the other leaders what it knows
 // more often while a roll-out is under way.
 func (n *Node) feedSettling(ctx context.Context) {
 	now := time.Now()
@@ -66,7 +66,7 @@
 		return
 	}
 	if open {
-		n.feedReaders(ctx)
+		n.feedLeaders(ctx)
 	}
 	if settling {
 		n.feedGroup(ctx)
--- a/internal/gossip/flight_sums.go
+++ b/internal/gossip/flight_sums.go
@@ -8,9 +8,9 @@
 
 // FlightReport is what a node, or a group of nodes, has under way at upstreams.
 type FlightReport struct {
-	// From names the node, or the reader of the group.
+	// From names the node, or the leader of the group.
 	From string
-	// Group is set when Flight is the sum over the reader's group.
+	// Group is set when Flight is the sum over the leader's group.
 	Group  bool
 	Flight fleet.Flight
 }
@@ -18,7 +18,7 @@
 // reportKeeps is how long a report counts: some rounds of news.
 const reportKeeps = 800 * time.Millisecond
 
-// FlightSums collects what nodes have under way. A group's reader keeps the reports
+// FlightSums collects what nodes have under way. A group's leader keeps the reports
 // of its members and the sums of the other groups, so that each node sends and
 // hears one message a round, however many nodes there are.
 type FlightSums struct {
