--- a/internal/gossip/roster_test.go
+++ b/internal/gossip/roster_test.go
@@ -181,3 +181,36 @@
 		})
 	}
 }
+
+// Hundreds of nodes have dozens of groups. One leader in each circle of them reads the
+// table, the one with the widest link; all leaders agree on it, and nobody else reads.
+func TestOneLeaderOfACircleReads(t *testing.T) {
+	for _, c := range []struct{ nodes, circles int }{{18, 1}, {295, 1}, {1600, 3}} {
+		t.Run(fmt.Sprint(c.nodes), func(t *testing.T) {
+			is := is.New(t)
+			var all []Member
+			for i := range c.nodes {
+				m := member(fmt.Sprintf("%c%04d", 'a'+i%6, i), 1)
+				m.Ready, m.Link = true, float64(i%7)
+				all = append(all, m)
+			}
+			known := func(self Member) *Roster {
+				r := NewRoster(self)
+				r.SetSelf(true, false)
+				r.Merge(all, time.Unix(1000, 0))
+				return r
+			}
+			readers := map[string]bool{}
+			for _, group := range known(all[0]).Groups() {
+				circle := known(group[0]).Circle()
+				is.True(len(circle) > 0 && len(circle) <= groupSize)
+				readers[circle[0].ID] = true
+				for _, m := range circle {
+					is.True(m.Link <= circle[0].Link)
+				}
+				is.Equal(len(known(group[1]).Circle()), 0)
+			}
+			is.Equal(len(readers), c.circles)
+		})
+	}
+}
