Take turns sooner while the table is away for some, and say that a large change is on its way

Cause: on reading: with turns that doubled from the second on, the fifth leader or member read after the bound on changes, and where a third is turned away the first four are among it once in 81 times. Six turns now lie within 0.5 readings. Closer turns cost transfers: a stand-in that takes a large change says so like the reader does, and its group waits for it.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -59,8 +59,7 @@
 // noteReading notes that another node's reading of the table has become known here, by
 // word of a peer; the caller holds mu.
 func (n *Node) noteReading(from string) {
-	inGroup := slices.ContainsFunc(n.roster.Group(), func(m gossip.Member) bool { return m.ID == from })
-	if !n.leads() || inGroup {
+	if !n.leads() || n.inGroup(from) {
 		return
 	}
 	select {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -40,11 +40,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m := n.compose(to.ID)
-	group := n.roster.Group()
-	inGroup := func(node string) bool {
-		return slices.ContainsFunc(group, func(m gossip.Member) bool { return m.ID == node })
-	}
-	m.Tallies = n.canary.Known(now, func(node string) bool { return inGroup(to.ID) || inGroup(node) })
+	near := n.inGroup(to.ID)
+	m.Tallies = n.canary.Known(now, func(node string) bool { return near || n.inGroup(node) })
 	n.tellFleet(&m, to.ID)
 	return m
 }
@@ -72,7 +69,7 @@
 		m.Proof.OrdersAge = now.Sub(proven)
 		m.Proof.OrdersRevision = n.list.orders
 		m.Proof.OrdersClock = n.list.ordersClock
-		m.Proof.OrdersPending = n.leads() && n.list.ordersPendingAt.After(proven)
+		m.Proof.OrdersPending = (n.leads() || n.list.transfers) && n.list.ordersPendingAt.After(proven)
 	}
 	if _, heard := n.told[to]; !heard {
 		// It may not know this node. What else it lacks shows in its answer's hash: a
@@ -204,7 +201,7 @@
 // takeOrdersProof takes a peer's reading of operators' changes. The roll-outs that it
 // saw came with the message; the configuration may still be on its way.
 func (n *Node) takeOrdersProof(in gossip.Message, now time.Time) {
-	if in.Proof.OrdersPending && n.hearsFrom(in.From) {
+	if in.Proof.OrdersPending && (n.hearsFrom(in.From) || n.inGroup(in.From)) {
 		n.list.ordersPendingAt = now
 	}
 	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 || in.Proof.OrdersClock <= n.list.ordersClock {
@@ -220,6 +217,11 @@
 	n.useOrdersProof()
 }
 
+// inGroup tells whether a node is in this node's group; the caller holds mu.
+func (n *Node) inGroup(id string) bool {
+	return slices.ContainsFunc(n.roster.Group(), func(m gossip.Member) bool { return m.ID == id })
+}
+
 // hearsFrom tells whether this node hears from a peer what is read of the table; the
 // caller holds mu.
 func (n *Node) hearsFrom(id string) bool {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -116,6 +116,8 @@
 	provenAt, ordersProvenAt, ordersPendingAt time.Time
 	// listClock and ordersClock are the table's own clock at these readings.
 	listClock, ordersClock time.Duration
+	// transfers is set while this node itself takes a large change from the table.
+	transfers bool
 	// awayAt is when this node, or who reads for it, last could not read the table.
 	awayAt time.Time
 	// awaited is a proof of operators' changes whose configuration is on its way,
--- a/internal/gateway/reading_plan.go
+++ b/internal/gateway/reading_plan.go
@@ -14,10 +14,12 @@
 	// their turns then: leaders first.
 	leaderTurnPart = 0.15
 	memberTurnPart = 0.3
-	// awayTurnPart is the least time, in readings, between two turns where who reads is
-	// heard but cannot read; it doubles with each, as the table is away for more and more
-	// of the group, up to awayMostPart.
-	awayTurnPart = 0.15
+	// awayTurnPart is the time, in readings, between the first awayTurns turns where who
+	// reads is heard but cannot read: where the table turns a third away, one of six can
+	// read but for once in seven hundred times, and well within the bounds on changes.
+	// Later turns come ever later, up to awayMostPart.
+	awayTurnPart = 0.08
+	awayTurns    = 6
 	awayMostPart = 6
 	// retryCall is the pause after a failed call of the table.
 	retryCall = 250 * time.Millisecond
@@ -118,7 +120,7 @@
 	}
 	retry := memberRetryReads * p.every
 	if p.away {
-		wait += min(awayTurnPart*math.Exp2(float64(p.place-1)), awayMostPart)
+		wait += p.awayTurn()
 		retry = awayMostPart * p.every
 	}
 	known := earlier(p.listProven, later(p.ordersProven, p.ordersPending))
@@ -133,6 +135,15 @@
 	}
 }
 
+// awayTurn is how much longer, in readings, this node waits where the table may be away
+// for all.
+func (p *readingPlan) awayTurn() float64 {
+	if p.place <= awayTurns {
+		return awayTurnPart * float64(p.place)
+	}
+	return min(awayTurnPart*awayTurns*math.Exp2(float64(p.place-awayTurns)), awayMostPart)
+}
+
 // pause is the pause after readings that failed, up to a bound: short once, as a call
 // may fail by chance.
 func (p *readingPlan) pause(most time.Duration) time.Duration {
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -87,11 +87,14 @@
 	select {
 	case ok = <-r.orders:
 		r.orders = nil
+		n.mu.Lock()
+		n.list.transfers = false
+		n.mu.Unlock()
 		return ok, true
 	case <-expired:
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.list.ordersPendingAt = time.Now()
+		n.list.ordersPendingAt, n.list.transfers = time.Now(), true
 		return false, false
 	}
 }
