Mend: read the list each 0.3 s until lapsed upstreams are back

After the table was away the reader reads at a pace of 0.3 s for 2.4 s, one reader for the leaders of many groups; a reading at which nothing was written stays one call.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -113,6 +113,18 @@
 // readEvery is the pause between a reader's readings.
 func (n *Node) readEvery() time.Duration { return n.settings.readEvery() }
 
+// pace is the pause between a reader's readings now; the caller holds mu.
+//
+// It guards against a list that is read when most upstreams' entries have lapsed: those
+// that live are listed again within two seconds, and until the next reading the few that
+// were listed first would get all requests.
+func (n *Node) pace() time.Duration {
+	if time.Since(n.list.returnedAt) < returnWatch {
+		return min(returnEvery, n.readEvery())
+	}
+	return n.readEvery()
+}
+
 // nextReading is when this node should read the table, after failed readings.
 func (n *Node) nextReading(failures int) time.Time {
 	n.mu.Lock()
@@ -163,6 +175,9 @@
 	if !at.After(known) {
 		return
 	}
+	if n.list.awayAt.After(known) {
+		n.list.returnedAt = time.Now()
+	}
 	if known.IsZero() || n.wasAway(at) {
 		n.list.awayFrom = known
 		n.list.steadySince = at
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -118,6 +118,8 @@
 	listClock, ordersClock time.Duration
 	// transfers is set while this node itself takes a large change from the table.
 	transfers bool
+	// returnedAt is when this node first heard of a reading after the table was away.
+	returnedAt time.Time
 	// awayAt is when this node, or who reads for it, last could not read the table.
 	awayAt time.Time
 	// awaited is a proof of operators' changes whose configuration is on its way,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -70,6 +70,10 @@
 	// are kept from the first reading on: those that live are listed again
 	// within two seconds of the table's return, which was before the reading.
 	lapseGrace = 1800 * time.Millisecond
+	// returnWatch is how long the list is read each returnEvery after the table was away:
+	// until all entries that lapsed are back.
+	returnWatch = 2400 * time.Millisecond
+	returnEvery = 300 * time.Millisecond
 	// gossipEvery is the pause between exchanges with peers.
 	gossipEvery = 600 * time.Millisecond
 	// tickEvery is the pause between looks at roll-outs.
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -68,7 +68,7 @@
 		n.listProven(n.list.ordersProvenAt, n.list.ordersClock)
 		return true
 	}
-	return time.Until(n.list.provenAt.Add(n.readEvery())) > listMargin
+	return time.Until(n.list.provenAt.Add(n.pace())) > listMargin
 }
 
 // await waits for the reading of operators' changes, until the list is due unless
@@ -76,7 +76,7 @@
 func (r *tableReader) await(must bool) (ok, came bool) {
 	n := r.node
 	n.mu.Lock()
-	due := later(time.Now(), n.list.provenAt.Add(n.readEvery())).Add(pendingAfter)
+	due := later(time.Now(), n.list.provenAt.Add(n.pace())).Add(pendingAfter)
 	n.mu.Unlock()
 	over := time.NewTimer(time.Until(due))
 	defer over.Stop()
@@ -112,7 +112,7 @@
 	n.mu.Lock()
 	wait := time.Duration(0)
 	if n.reads() && n.list.orders > 0 && !n.sources.down {
-		wait = max(time.Until(n.list.provenAt.Add(n.readEvery())), 0)
+		wait = max(time.Until(n.list.provenAt.Add(n.pace())), 0)
 	}
 	n.mu.Unlock()
 	revision, clock := uint64(0), time.Duration(0)
