Evacuate failure domains, share the warm-up rate of upstreams, keep requests in allowed regions

Three things that the platform says and the gateway did not read. They share the reading of operators' changes, the news among nodes and the choice of upstreams.

Evacuation: an order is a register of its domain in which the table's greatest revision wins, told in each message, so that order and repetition of news do not matter and an end is not undone. A complete reading ends what it lacks. Upstreams of an evacuated domain take no new work; those of one that returns count as just started.

Warm-up: a few nodes by rendezvous hashing over all members, dead ones included for an hour, share the rate of each cold upstream, each by a token bucket of one. With s senders s + rate arrive in a second at most; s takes half of what the bound leaves, the rest is for nodes that do not know of each other yet. A node that has just started sends nothing there. Coldness runs out, is told as what is left, and is part of the list's hash while the entry says so.

Regions: of routes and organisations, both bind; the directory names nodes of the caller's region for hosts with such routes.

Negative rates count for nothing and are logged; the rest of the configuration stands.

--- /dev/null
+++ b/internal/evacuation/orders_test.go
@@ -0,0 +1,101 @@
+package evacuation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestEndIsNotUndone guards against a late word of an order's begin that brings it back.
+func TestEndIsNotUndone(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	is.True(s.Take(Order{Domain: "a", Revision: 5}))
+	is.True(s.Take(Order{Domain: "a", Revision: 9, Ended: true}))
+	is.True(!s.Take(Order{Domain: "a", Revision: 5}))
+	is.True(!s.Active("a"))
+	is.True(s.Take(Order{Domain: "a", Revision: 12}))
+	is.True(s.Active("a"))
+}
+
+// TestEndOfTheSameRevision guards against a deleted row that still bears the revision of
+// its last write.
+func TestEndOfTheSameRevision(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	is.True(s.Take(Order{Domain: "a", Revision: 5}))
+	is.True(s.Take(Order{Domain: "a", Revision: 5, Ended: true}))
+	is.True(!s.Take(Order{Domain: "a", Revision: 5}))
+	is.True(!s.Active("a"))
+}
+
+// TestReadingEndsWhatItLacks guards against an end that an outage hid.
+func TestReadingEndsWhatItLacks(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Take(Order{Domain: "a", Revision: 5})
+	s.Take(Order{Domain: "b", Revision: 6})
+	s.Take(Order{Domain: "c", Revision: 20}) // a peer has read more than this reading
+	ended := s.EndOthers([]Order{{Domain: "b", Revision: 6}}, 12)
+	is.Equal(ended, []Order{{Domain: "a", Revision: 12, Ended: true}})
+	is.True(s.Active("b"))
+	is.True(s.Active("c"))
+}
+
+// TestUnknownDomainOrdersNothing guards against an order without a name.
+func TestUnknownDomainOrdersNothing(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	is.True(!s.Take(Order{Revision: 5}))
+	is.Equal(len(s.All()), 0)
+}
+
+// TestNodesAgreeWhateverTheyHearFirst guards against nodes that go on differing after
+// they have heard the same changes in different orders, some of them twice or out of an
+// exchange with each other.
+func TestNodesAgreeWhateverTheyHearFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Order
+		active := map[string]bool{}
+		for revision := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			domain := fmt.Sprintf("d%d", rapid.IntRange(0, 3).Draw(t, "domain"))
+			history = append(history, Order{Domain: domain, Revision: uint64(revision + 1), Ended: active[domain]})
+			active[domain] = !active[domain]
+		}
+		nodes := []*Orders{New(), New(), New()}
+		for range rapid.IntRange(0, 60).Draw(t, "words") {
+			to := rapid.SampledFrom(nodes).Draw(t, "to")
+			if rapid.Bool().Draw(t, "from a peer") {
+				for _, o := range rapid.SampledFrom(nodes).Draw(t, "from").All() {
+					to.Take(o)
+				}
+				continue
+			}
+			to.Take(rapid.SampledFrom(history).Draw(t, "change"))
+		}
+		for _, n := range nodes {
+			for _, i := range rapid.Permutation(indices(len(history))).Draw(t, "rest") {
+				n.Take(history[i])
+			}
+			for domain, want := range active {
+				if n.Active(domain) != want {
+					t.Fatalf("%s: active %t, ordered %t", domain, n.Active(domain), want)
+				}
+			}
+			if !slices.Equal(n.All(), nodes[0].All()) {
+				t.Fatalf("%v and %v", n.All(), nodes[0].All())
+			}
+		}
+	})
+}
+
+func indices(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -28,6 +28,8 @@
 	// Most bounds how many upstreams of the service, in a fixed order, may be
 	// used; 0 for all.
 	Most int
+	// Regions are those that may run the request; nil for all.
+	Regions []string
 	// Seed breaks ties differently on each node and request.
 	Seed uint64
 }
@@ -45,7 +47,8 @@
 	var bestCost float64
 	able := f.able(&w, now)
 	holders := holders(&w, able)
-	for _, u := range append(sample(able, w.Seed, sampleSize), holders...) {
+	drawn := append(sample(able, w.Seed, sampleSize), holders...)
+	for _, u := range append(drawn, warmingUp(able, now)...) {
 		c := f.cost(u, &w, holders, now)
 		if best == nil || c < bestCost {
 			best, bestCost = u, c
@@ -59,14 +62,14 @@
 	var able []*Upstream
 	seen := 0
 	for _, u := range f.services[w.Service] {
-		if !fits(u, w) || !u.ready(now) {
+		if !f.fits(u, w) || !u.ready(now) {
 			continue
 		}
 		seen++
 		if w.Most > 0 && seen > w.Most {
 			break
 		}
-		if !slices.Contains(w.Tried, u.ID) {
+		if !slices.Contains(w.Tried, u.ID) && f.admits(u, now) {
 			able = append(able, u)
 		}
 	}
@@ -117,7 +120,10 @@
 	return used / max(slots, 1)
 }
 
-func fits(u *Upstream, w *Want) bool {
+func (f *Fleet) fits(u *Upstream, w *Want) bool {
+	if w.Regions != nil && !slices.Contains(w.Regions, f.settings.Regions[u.Domain]) {
+		return false
+	}
 	if w.Version != "" && u.Version != w.Version {
 		return false
 	}
@@ -166,7 +172,7 @@
 	if u.Domain != f.settings.Domain {
 		c += remotePenalty * mean
 	}
-	if u.Cold > 0 {
+	if u.cold(now) {
 		c += coldPenalty * mean
 	}
 	// Ties go different ways on different requests: nodes that all see the
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Edits lead from one list of upstreams to a later one.
@@ -15,7 +16,7 @@
 
 // mostHistory is how many changes of the list are remembered: those of more than a
 // minute while a third of 100 upstreams is replaced.
-const mostHistory = 256
+const mostHistory = 512
 
 // history remembers which upstreams' entries changed, and the list's hash before.
 type history []change
@@ -37,7 +38,7 @@
 //
 // It guards against news that grow with the list: with 112 upstreams the whole is 20 kB,
 // sent to each node of a group at each change of one.
-func (f *Fleet) EditsSince(hash uint64) (e Edits, ok bool) {
+func (f *Fleet) EditsSince(hash uint64, now time.Time) (e Edits, ok bool) {
 	at := len(f.history) - 1
 	for at >= 0 && f.history[at].before != hash {
 		at--
@@ -55,7 +56,7 @@
 	e.From = hash
 	for _, id := range slices.Sorted(maps.Keys(ids)) {
 		if u := f.byID[id]; u != nil && !u.kept {
-			e.Put = append(e.Put, u.Record)
+			e.Put = append(e.Put, u.recordAt(now))
 		} else {
 			e.Drop = append(e.Drop, id)
 		}
--- a/internal/fleet/edits_test.go
+++ b/internal/fleet/edits_test.go
@@ -33,7 +33,7 @@
 			step()
 		}
 		peer := New(Settings{})
-		for _, r := range f.Records() {
+		for _, r := range f.Records(time.Unix(1000, 0)) {
 			peer.Put(r, now)
 		}
 		if peer.Hash() != f.Hash() {
@@ -45,7 +45,7 @@
 		if peer.Hash() == f.Hash() {
 			return
 		}
-		e, ok := f.EditsSince(peer.Hash())
+		e, ok := f.EditsSince(peer.Hash(), now)
 		if !ok {
 			return
 		}
@@ -59,7 +59,7 @@
 			peer.Drop(id)
 		}
 		if peer.Hash() != f.Hash() {
-			t.Fatalf("edits lead to %v, not %v", peer.Records(), f.Records())
+			t.Fatalf("edits lead to %v, not %v", peer.Records(time.Unix(1000, 0)), f.Records(time.Unix(1000, 0)))
 		}
 	})
 }
@@ -72,11 +72,11 @@
 	}
 	before := f.Hash()
 	f.Drop("i-7")
-	e, ok := f.EditsSince(before)
+	e, ok := f.EditsSince(before, now)
 	if !ok || len(e.Put) != 0 || len(e.Drop) != 1 {
 		t.Fatalf("%+v, %v", e, ok)
 	}
-	if _, ok := f.EditsSince(12345); ok {
+	if _, ok := f.EditsSince(12345, now); ok {
 		t.Fatal("edits from a list that nobody had")
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,11 +18,18 @@
 	means map[string]float64
 	// delays are how long attempts of each kind have lately waited.
 	delays map[delayKey]*delay
+	// warmUps are what upstreams of each service bear while they warm up, senders the
+	// nodes among which that is shared.
+	warmUps map[string]WarmUp
+	senders senders
+	// evacuated are the failure domains that get no new work.
+	evacuated map[string]bool
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}}
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{},
+		warmUps: map[string]WarmUp{}, evacuated: map[string]bool{}}
 }
 
 // Put adds an upstream or takes its new record, as read at a time. It reports
@@ -40,7 +47,8 @@
 		known = nil
 	}
 	if known == nil {
-		u := &Upstream{Record: r, since: now}
+		u := &Upstream{Record: r, since: now, evacuated: f.evacuated[r.Domain]}
+		u.warmsUpUntil(now.Add(r.Cold))
 		f.replace(u)
 		f.byID[r.ID] = u
 		f.enlist(u)
@@ -48,6 +56,10 @@
 		return true
 	}
 	known.kept = false
+	known.evacuated = f.evacuated[r.Domain]
+	if r.Cold > 0 {
+		known.warmsUpUntil(now.Add(r.Cold))
+	}
 	if known.Record.same(&r) {
 		f.rehash(known, true)
 		return false
@@ -110,11 +122,11 @@
 }
 
 // Records returns the records that the table lists, in order of their IDs.
-func (f *Fleet) Records() []Record {
+func (f *Fleet) Records(now time.Time) []Record {
 	all := make([]Record, 0, len(f.byID))
 	for _, u := range f.byID {
 		if !u.kept {
-			all = append(all, u.Record)
+			all = append(all, u.recordAt(now))
 		}
 	}
 	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -181,11 +181,11 @@
 	is.True(!a.Keep("u3"))
 	is.True(!a.Keep("u9"))
 	is.Equal(a.Hash(), b.Hash())
-	is.Equal(len(a.Records()), 3)
+	is.Equal(len(a.Records(time.Unix(1000, 0))), 3)
 	w := Want{Service: "s", Tried: []string{"u0", "u1", "u2"}}
 	is.Equal(a.Choose(w, time.Unix(1000, 0)).ID, "u3") // it still serves
 	a.Put(record("u3"), time.Unix(1000, 0))
-	is.Equal(len(a.Records()), 4)
+	is.Equal(len(a.Records(time.Unix(1000, 0))), 4)
 	is.True(slices.Equal(a.Versions("s"), []string{"v1"}))
 }
 
@@ -213,7 +213,7 @@
 		is.Equal(f.Choose(w, read.Add(time.Second)).ID, "new")
 	}
 	is.True(f.Hash() != hash)
-	is.Equal(len(f.Records()), 2) // it is listed until its entry lapses
+	is.Equal(len(f.Records(time.Unix(1000, 0))), 2) // it is listed until its entry lapses
 
 	both := New(Settings{Domain: "d0"})
 	both.Put(at("one"), read)
--- a/internal/fleet/hash.go
+++ b/internal/fleet/hash.go
@@ -24,5 +24,9 @@
 	if u.Draining {
 		drain = "-"
 	}
-	return xxhash.Sum64String(u.Start() + " " + u.Addr + " " + u.Service + " " + u.Version + " " + drain)
+	cold := ""
+	if u.Cold > 0 {
+		cold = " cold"
+	}
+	return xxhash.Sum64String(u.Start() + " " + u.Addr + " " + u.Service + " " + u.Version + " " + drain + cold)
 }
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -23,7 +23,7 @@
 	Slots int
 	// Draining upstreams take no new work.
 	Draining bool
-	// Cold is how much longer it stays slow after its start.
+	// Cold is how much longer it warms up; 0 once it is warm.
 	Cold time.Duration
 	// Models are those that its engine has loaded; empty for plain services.
 	Models []string
@@ -35,7 +35,7 @@
 // same tells whether two records differ in nothing that routing uses.
 func (r *Record) same(o *Record) bool {
 	if r.ID != o.ID || r.Born != o.Born || r.Service != o.Service || r.Addr != o.Addr || r.Domain != o.Domain ||
-		r.Version != o.Version || r.Slots != o.Slots || r.Draining != o.Draining || len(r.Models) != len(o.Models) {
+		r.Cold > 0 != (o.Cold > 0) || r.Version != o.Version || r.Slots != o.Slots || r.Draining != o.Draining || len(r.Models) != len(o.Models) {
 		return false
 	}
 	for i := range r.Models {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -34,12 +34,12 @@
 	is.True(f.Put(again, now))
 	u := f.Get("u0")
 	is.True(u != old)
-	is.True(f.Choose(w, now) == u) // not left alone, not replaced
-	is.Equal(u.cached(&w, now), 0) // nothing is cached
-	is.Equal(u.inFlight, 0)        // nothing runs
-	is.Equal(u.load(now), 0.0)     // no word on its load
-	is.Equal(len(f.Records()), 1)  // one upstream
-	is.True(f.Hash() != listed)    // nodes that know the old start differ
+	is.True(f.Choose(w, now) == u)                  // not left alone, not replaced
+	is.Equal(u.cached(&w, now), 0)                  // nothing is cached
+	is.Equal(u.inFlight, 0)                         // nothing runs
+	is.Equal(u.load(now), 0.0)                      // no word on its load
+	is.Equal(len(f.Records(time.Unix(1000, 0))), 1) // one upstream
+	is.True(f.Hash() != listed)                     // nodes that know the old start differ
 	is.Equal(len(f.Versions("s")), 1)
 
 	f.Started(old, running, now)
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Domain is this node's failure domain.
 	Domain string
+	// Regions are the regions of all failure domains, by their names.
+	Regions map[string]string
 }
 
 const (
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -17,6 +17,12 @@
 	// answers at its address: this one has ended.
 	since    time.Time
 	replaced bool
+	// evacuated is set while its failure domain gets no new work.
+	evacuated bool
+	// coldUntil is when it has warmed up; share is this node's share of what it bears
+	// until then.
+	coldUntil time.Time
+	share     warmUpShare
 
 	inFlight int
 	// running and waiting are the upstream's latest word on its load, heard at
@@ -101,5 +107,5 @@
 
 // ready tells whether new work may be sent there now.
 func (u *Upstream) ready(now time.Time) bool {
-	return !u.Draining && !u.replaced && !now.Before(u.ejected)
+	return !u.Draining && !u.replaced && !u.evacuated && !now.Before(u.ejected)
 }
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -13,6 +13,7 @@
 // Begin counts an attempt that is sent to u.
 func (f *Fleet) Begin(u *Upstream, w *Want, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
+	f.spend(u, now)
 	u.inFlight++
 	u.waitingOwn++
 	u.pending += amount
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,8 @@
 	w := fleet.Want{
 		Service: j.service, Version: rule.Version, NotVersions: rule.Not, Model: j.wantedModel(),
 		Weight: j.weight(), Tokens: j.ask.TokensIn, Tried: j.tried,
-		Seed: j.hash ^ uint64(j.node.born) ^ uint64(j.start.UnixNano()) ^ uint64(len(j.tried)),
+		Regions: j.regions(),
+		Seed:    j.hash ^ uint64(j.node.born) ^ uint64(j.start.UnixNano()) ^ uint64(len(j.tried)),
 	}
 	// The last part is the request's own.
 	for _, p := range j.ask.Parts[:max(len(j.ask.Parts)-1, 0)] {
@@ -152,6 +153,13 @@
 	n.fleet.Report(up, r.Running, r.Waiting, time.Now())
 }
 
+// returning notes that nobody listened at an upstream's address.
+func (n *Node) returning(up *fleet.Upstream) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fleet.Returning(up, time.Now())
+}
+
 // misdirected forgets an upstream whose address is another's.
 func (n *Node) misdirected(up *fleet.Upstream) {
 	n.pool.Forget(up.Addr)
--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -103,7 +103,7 @@
 		}
 		return unknownKey
 	}
-	j.org = org.Name
+	j.org, j.holder = org.Name, org
 	if org.HasPriority {
 		j.priority = org.Priority
 	}
--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -49,7 +49,7 @@
 		listed[r.ID] = true
 	}
 	var ids []string
-	for _, r := range n.fleet.Records() {
+	for _, r := range n.fleet.Records(time.Now()) {
 		if !listed[r.ID] {
 			ids = append(ids, r.ID)
 		}
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -29,6 +29,7 @@
 		} else {
 			n.exchangeWith(ctx, n.pickPeers(1), n.message)
 		}
+		n.refreshSenders()
 		if !pause(ctx, gossipEvery) {
 			return
 		}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,14 +15,16 @@
 
 // job is one caller's request on its way.
 type job struct {
-	node     *Node
-	w        http.ResponseWriter
-	r        *http.Request
-	ctx      context.Context
-	table    *configuration
-	route    *route.Route
-	service  string
-	org      string
+	node    *Node
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	table   *configuration
+	route   *route.Route
+	service string
+	org     string
+	// holder is the organisation; nil where the request needs none.
+	holder   *route.Organisation
 	ask      Ask
 	body     []byte
 	bodyRead bool
@@ -71,6 +74,33 @@
 // left is how many more attempts the route allows.
 func (j *job) left() int { return max(j.route.MaxAttempts, 1) - j.sent }
 
+// regions are those that may run the request, by its route and its organisation: where
+// both name some, by both. nil allows all.
+func (j *job) regions() []string {
+	of := j.route.Regions
+	if j.holder == nil || len(j.holder.Regions) == 0 {
+		return allOrNone(of)
+	}
+	if len(of) == 0 {
+		return j.holder.Regions
+	}
+	both := []string{}
+	for _, r := range of {
+		if slices.Contains(j.holder.Regions, r) {
+			both = append(both, r)
+		}
+	}
+	return both
+}
+
+// allOrNone returns nil for an empty list, which allows all regions.
+func allOrNone(regions []string) []string {
+	if len(regions) == 0 {
+		return nil
+	}
+	return regions
+}
+
 // path returns the raw path of a request target, and the target in the form
 // that is sent to upstreams.
 func rawTarget(r *http.Request) (path, target string) {
--- a/internal/gateway/kept_upstreams_test.go
+++ b/internal/gateway/kept_upstreams_test.go
@@ -33,7 +33,7 @@
 func (n *listNode) hear(now, at time.Time, steady time.Duration, revision uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	in := gossip.Message{From: "n1", Fleet: n.peer.Records(), Proof: gossip.Proof{
+	in := gossip.Message{From: "n1", Fleet: n.peer.Records(time.Now()), Proof: gossip.Proof{
 		Age: now.Sub(at), Steady: steady, FleetRevision: revision, FleetHash: n.peer.Hash(),
 		ListClock: at.Sub(n.began),
 	}}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -51,10 +51,11 @@
 	now := time.Now()
 	m := gossip.Message{
 		From: n.settings.ID, Born: n.born,
-		RosterHash: n.roster.Hash(),
-		Pins:       n.canary.Pins(now),
-		Strikes:    n.guard.Known(now),
-		Proof:      gossip.Proof{Age: noProof, OrdersAge: noProof, FleetHash: n.fleet.Hash()},
+		RosterHash:  n.roster.Hash(),
+		Pins:        n.canary.Pins(now),
+		Evacuations: n.evacuations.All(),
+		Strikes:     n.guard.Known(now),
+		Proof:       gossip.Proof{Age: noProof, OrdersAge: noProof, FleetHash: n.fleet.Hash()},
 	}
 	if proven := n.list.provenAt; !proven.IsZero() {
 		m.Proof.Age = now.Sub(proven)
@@ -111,11 +112,11 @@
 	if n.list.revision == 0 || theirs == m.Proof.FleetHash {
 		return
 	}
-	if edits, ok := n.fleet.EditsSince(theirs); ok {
+	if edits, ok := n.fleet.EditsSince(theirs, time.Now()); ok {
 		m.Edits = edits
 		return
 	}
-	m.Fleet = n.fleet.Records()
+	m.Fleet = n.fleet.Records(time.Now())
 }
 
 // take takes what a peer tells; it reports whether both know other members, and the
@@ -128,6 +129,7 @@
 	n.told[in.From] = told{config: in.ConfigVersion, fleetHash: in.Proof.FleetHash}
 	n.takeMembers(in, now)
 	n.noteInformed(in, now)
+	n.takeEvacuations(in.Evacuations, in.From)
 	for _, o := range in.Orders {
 		n.takeOrder(o.Order, o.Age, in.From)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -12,6 +12,7 @@
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/evacuation"
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/gossip"
@@ -53,14 +54,16 @@
 	bodies atomic.Int64
 
 	// mu guards the cores below.
-	mu      sync.Mutex
-	fleet   *fleet.Fleet
-	canary  *canary.Canary
-	guard   *crashguard.Guard
-	roster  *gossip.Roster
-	flights *gossip.FlightSums
-	budgets map[string]*admission.WindowBudget
-	list    fleetState
+	mu          sync.Mutex
+	fleet       *fleet.Fleet
+	canary      *canary.Canary
+	guard       *crashguard.Guard
+	roster      *gossip.Roster
+	flights     *gossip.FlightSums
+	evacuations *evacuation.Orders
+	senders     senderSet
+	budgets     map[string]*admission.WindowBudget
+	list        fleetState
 	// held are versions that nobody has ordered, and when they were first
 	// listed; known are those that may serve; served is when a service's first
 	// upstream was listed.
@@ -174,16 +177,18 @@
 		applying: make(chan struct{}, 1),
 		policy:   cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
 		born:     began.UnixNano(), began: began,
-		stopped: make(chan struct{}),
-		fleet:   fleet.New(fleet.Settings{Domain: s.Domain}),
-		canary:  canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
-		guard:   crashguard.New(),
-		roster:  gossip.NewRoster(gossip.Member{ID: s.ID, Born: began.UnixNano(), Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
-		flights: gossip.NewFlightSums(),
-		budgets: map[string]*admission.WindowBudget{},
-		list:    fleetState{gone: map[string]time.Time{}},
-		held:    map[string]time.Time{},
-		known:   map[string]bool{}, served: map[string]time.Time{},
+		stopped:     make(chan struct{}),
+		fleet:       fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions}),
+		canary:      canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
+		guard:       crashguard.New(),
+		roster:      gossip.NewRoster(gossip.Member{ID: s.ID, Born: began.UnixNano(), Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
+		flights:     gossip.NewFlightSums(),
+		evacuations: evacuation.New(),
+		senders:     senderSet{seen: map[string]time.Time{}},
+		budgets:     map[string]*admission.WindowBudget{},
+		list:        fleetState{gone: map[string]time.Time{}},
+		held:        map[string]time.Time{},
+		known:       map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
 		told: map[string]told{}, contacts: contacts{}, heard: map[turnKey]time.Time{},
 		urgent: make(chan struct{}, 1), readElsewhere: make(chan struct{}, 1),
@@ -191,6 +196,7 @@
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
 	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.heardVersion.Load(), n.configVersion())) })
 	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
+	d.Metrics.Gauge("hickorybank_evacuated_domains", n.evacuatedDomains)
 	return n
 }
 
@@ -237,21 +243,6 @@
 	})
 }
 
-// Addresses returns where callers of a failure domain should connect, and for
-// how long they may keep the answer.
-func (n *Node) Addresses(domain string) ([]string, time.Duration) {
-	n.mu.Lock()
-	alive := n.roster.Alive()
-	n.mu.Unlock()
-	var all []string
-	for _, m := range alive {
-		if m.Ready && !m.Leaving && m.Front != "" {
-			all = append(all, m.Front)
-		}
-	}
-	return all, n.settings.AddressTTL
-}
-
 // budget returns the retry budget of a service; the caller holds mu.
 //
 // All nodes share one bound over a window: each spends its part of the ratio,
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -25,6 +25,10 @@
 	for _, r := range c.Unreadable {
 		n.unreadable(r)
 	}
+	n.takeEvacuations(c.Evacuations, fromTable)
+	if c.Whole {
+		n.endOtherEvacuations(c)
+	}
 	for _, o := range c.Rollouts {
 		if proven := n.list.ordersProvenAt; !waited && !proven.IsZero() {
 			o.Late = min(time.Since(proven), mostLate)
@@ -131,6 +135,9 @@
 	n.sender.Set(next)
 	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(doc)),
 		slog.Duration("decoding", time.Since(began)))
+	for _, field := range table.Unsound {
+		event.TableUnsound.Log(n.log, slog.Int64("version", table.Version), slog.String("field", field))
+	}
 	n.noteConfig()
 	return nil
 }
@@ -145,6 +152,7 @@
 // other nodes told at once, if this node reads the table for its group.
 func (n *Node) noteConfig() {
 	n.mu.Lock()
+	n.setWarmUps()
 	n.useOrdersProof()
 	leads := n.leads()
 	n.mu.Unlock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -218,6 +218,9 @@
 		j.unreached++
 	}
 	a.end(result)
+	if f.Reason == exchange.NotConnected {
+		j.node.returning(a.up)
+	}
 	if f.Sent && f.Reason == exchange.Broken {
 		j.node.suspectCrash(j, a.up)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// ID is the node's name; Domain and Region are where it is.
 	ID, Domain, Region string
+	// Regions are the regions of all failure domains, by their names.
+	Regions map[string]string
 	// Front, Ready, Directory, Peer and Metrics are the addresses to listen
 	// on; empty for none.
 	Front, Ready, Directory, Peer, Metrics string
@@ -23,6 +25,9 @@
 	Apply time.Duration
 	// Drain is how soon a leaving upstream must get nothing more.
 	Drain time.Duration
+	// Evacuate is how soon an evacuated failure domain must get nothing more; 0 for no
+	// bound of its own.
+	Evacuate time.Duration
 	// Grace is how long a stop may take.
 	Grace time.Duration
 	// AddressTTL is how long callers may keep an answer of the directory.
@@ -36,6 +41,9 @@
 	ExposeShare, ExposeSlack float64
 	// Session is how long requests of a session may be apart.
 	Session time.Duration
+	// WarmUpOver times its rate, and WarmUpSlack, are what may reach an upstream that
+	// warms up within any second, from all nodes together.
+	WarmUpOver, WarmUpSlack float64
 	// Accept is the confidence from which a small model's answer is taken,
 	// AcceptBusy what is enough where upstreams have no room for a larger one.
 	Accept, AcceptBusy int
@@ -43,7 +51,11 @@
 
 // readEvery is the pause between a reader's readings of the table.
 func (s *Settings) readEvery() time.Duration {
-	return time.Duration(readPart * float64(min(s.Drain, s.Apply)))
+	bound := min(s.Drain, s.Apply)
+	if s.Evacuate > 0 {
+		bound = min(bound, s.Evacuate)
+	}
+	return time.Duration(readPart * float64(bound))
 }
 
 const (
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/evacuation"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/gossip"
 	"github.com/hickorybank/hickorybank/internal/route"
@@ -36,10 +37,14 @@
 
 // OrdersChange is what operators have changed.
 type OrdersChange struct {
+	// Whole is set when these are all orders that stand.
+	Whole bool
 	// Config is the new configuration as the table holds it; nil if unchanged.
 	Config   []byte
 	Rollouts []canary.Order
-	Revision uint64
+	// Evacuations are orders to evacuate failure domains, ended ones too.
+	Evacuations []evacuation.Order
+	Revision    uint64
 	// Clock is the table's own steady clock at this answer.
 	Clock time.Duration
 	// Unreadable are orders that can't be read; they order nothing.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/evacuation"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 )
 
@@ -33,6 +34,9 @@
 	// Orders are the roll-outs that the sender knows, Tallies the counts.
 	Orders  []Order
 	Tallies []canary.Tally
+	// Evacuations are the orders to evacuate failure domains that the sender knows,
+	// ended ones too.
+	Evacuations []evacuation.Order
 	// Pins are sessions that stay on the old version.
 	Pins []canary.Pin
 	// Strikes are requests that crashed upstreams.
--- a/internal/route/host_routes.go
+++ b/internal/route/host_routes.go
@@ -1,6 +1,9 @@
 package route
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // hostRoutes are the routes of one host.
 //
@@ -15,9 +18,16 @@
 	// others are the routes whose prefix ends otherwise, longest first. Operators'
 	// documents have none; they are served all the same.
 	others []*Route
+	// regions are those that some route allows, where it does not allow all.
+	regions []string
 }
 
 func (h *hostRoutes) add(r *Route) {
+	for _, region := range r.Regions {
+		if !slices.Contains(h.regions, region) {
+			h.regions = append(h.regions, region)
+		}
+	}
 	if strings.HasSuffix(r.Prefix, "/") {
 		if h.byPrefix[r.Prefix] == nil {
 			h.byPrefix[r.Prefix] = r
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -39,6 +39,8 @@
 	// Models are those that the router chooses from, smallest first; empty
 	// where the caller names the model.
 	Models []string
+	// Regions are those that may run the requests; none for all.
+	Regions []string
 }
 
 // Repeatable tells whether a request that may have run may run again.
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -8,6 +8,10 @@
 	HealthPath string
 	// MaxConns bounds the connections to one upstream from all nodes together.
 	MaxConns int
+	// WarmUp is how long an upstream warms up after a start; WarmUpRate is how many
+	// requests a second it bears meanwhile, 0 for no bound.
+	WarmUp     time.Duration
+	WarmUpRate float64
 	// Engine is set for model engines.
 	Engine *Engine
 }
@@ -44,4 +48,6 @@
 	// HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are those that may run the organisation's requests; none for all.
+	Regions []string
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,10 @@
 package route
 
-import "strings"
+import (
+	"iter"
+	"maps"
+	"strings"
+)
 
 // Table is one version of the configuration, whole and immutable.
 type Table struct {
@@ -9,6 +13,8 @@
 	Limits  Limits
 	// Keyed tells whether requests need an organisation's key at all.
 	Keyed bool
+	// Unsound names fields that count for nothing because they make no sense.
+	Unsound []string
 
 	byHost   map[string]*hostRoutes
 	services map[string]*Service
@@ -56,6 +62,16 @@
 	return h.match(path)
 }
 
+// Regions returns the regions to which routes of a host bind their requests; none where no
+// route does.
+func (t *Table) Regions(host string) []string {
+	h := t.byHost[canonicalHost(host)]
+	if h == nil {
+		return nil
+	}
+	return h.regions
+}
+
 // Read returns the route that was read from a text with a digest, or nil.
 func (t *Table) Read(text uint64) *Route {
 	if t == nil || text == 0 {
@@ -64,6 +80,9 @@
 	return t.byText[text]
 }
 
+// Services returns all services, in no order.
+func (t *Table) Services() iter.Seq[*Service] { return maps.Values(t.services) }
+
 // Service returns the service of a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
