Read the list at a quick pace after the first reading of all, at every node

TestUpstreamsThatLapsedAreBackSoon failed 8 of 25 plays: who comes to read the table had not seen it away itself, but had heard a first reading from a node that had, and read at the usual pace. How long a reading has gone without a gap travels with it: where it has just begun, the reader reads each 0.3 s, and those that do not hear it take their turns by that pace.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -122,6 +122,16 @@
 	if time.Since(n.list.returnedAt) < returnWatch {
 		return min(returnEvery, n.readEvery())
 	}
+	return n.listEvery()
+}
+
+// listEvery is the pause between readings of the list that nodes expect of who reads for
+// them; the caller holds mu. It is short after the first reading of all that there was, or
+// of an outage's end: entries may have lapsed.
+func (n *Node) listEvery() time.Duration {
+	if time.Since(n.list.steadySince) < returnWatch {
+		return min(returnEvery, n.readEvery())
+	}
 	return n.readEvery()
 }
 
@@ -130,7 +140,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := readingPlan{
-		every: n.readEvery(),
+		every: n.listEvery(),
 		began: n.began, asked: n.asked, informed: n.informed, founding: n.founding(),
 		listProven: n.list.provenAt, ordersProven: n.list.ordersProvenAt, ordersPending: n.list.ordersPendingAt,
 		readAt: n.readAt, failures: failures, empty: !n.list.ordersProvenAt.IsZero() && n.list.orders == 0,
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -195,7 +195,11 @@
 	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
 	}
+	first := n.list.provenAt.IsZero()
 	n.listProven(at, in.Proof.ListClock)
+	if first {
+		n.list.steadySince = earlier(n.list.steadySince, steadySince)
+	}
 	n.noteReading(in.From)
 	n.list.revision = max(n.list.revision, in.Proof.FleetRevision)
 }
