--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -134,6 +134,7 @@
 		j.node.event(event.ForwardAttempt, j, slog.String("reason", "retry_budget"))
 		return false
 	}
+	paid := j.arrived > 0
 	j.paid = false
 	up := a.up
 	ctx, cancel := j.attemptContext()
@@ -148,6 +149,7 @@
 	}
 	if failure != nil {
 		j.failedAttempt(a, failure, moved)
+		j.paid = j.paid || paid && !failure.Sent // what reached nobody is not spent
 		return false
 	}
 	j.arrived++
