Record a verdict at once after a late shift of all sessions

Past the time that is kept for the record that look is left out. Red before: TestVerdictFollowsALateShiftAtOnce.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -352,3 +352,18 @@
 
 // tickOfTest is the pause between two looks at the evidence.
 const tickOfTest = 250 * time.Millisecond
+
+// TestVerdictFollowsALateShiftAtOnce guards against a good version that is recorded a moment
+// too late: all sessions could only move to it after the time kept for the record had begun,
+// and half of them were still held back for a look at cold caches.
+func TestVerdictFollowsALateShiftAtOnce(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	c := New(testSettings, "n1", 1)
+	c.Take(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, start)
+	r := c.rollouts[serviceName]
+	r.grown = r.end(testSettings).Add(200 * time.Millisecond)
+	decisions := c.Tick(r.grown.Add(100*time.Millisecond), View{Whole: true, Count: func(string, string) (int, int) { return 1, 2 }})
+	is.Equal(len(decisions), 1)
+	is.Equal(decisions[0].Verdict, Completed)
+}
--- a/internal/canary/weigh.go
+++ b/internal/canary/weigh.go
@@ -97,11 +97,11 @@
 		r.verdict = RolledBack
 		return true
 	}
-	if r.grown.IsZero() || r.share(c.settings, now) < 1 {
+	if r.grown.IsZero() {
 		return false
 	}
 	proved := now.Sub(r.grown) >= proveFor && r.oldInFlight() == 0
-	if !proved && now.Before(r.end(c.settings)) {
+	if now.Before(r.end(c.settings)) && (r.share(c.settings, now) < 1 || !proved) {
 		return false
 	}
 	r.verdict = Completed
