--- a/internal/gateway/call_meter.go
+++ b/internal/gateway/call_meter.go
@@ -25,6 +25,8 @@
 	CauseRetry CallCause = "retry"
 	// CauseJoin calls record a node and find others.
 	CauseJoin CallCause = "join"
+	// CauseSnapshot calls keep and recall the list of upstreams.
+	CauseSnapshot CallCause = "snapshot"
 	// CauseRollout calls read and record how roll-outs stand.
 	CauseRollout CallCause = "rollout"
 )
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -112,6 +112,9 @@
 	if n.list.revision == 0 || theirs == m.Proof.FleetHash {
 		return
 	}
+	if theirs == 0 {
+		m.Lapsed = n.lapsed()
+	}
 	if edits, ok := n.fleet.EditsSince(theirs, time.Now()); ok {
 		m.Edits = edits
 		return
@@ -189,12 +192,16 @@
 	if in.Proof.ListClock <= n.list.listClock {
 		return
 	}
+	knewNone := n.list.revision == 0
 	if in.Proof.FleetRevision >= n.list.revision {
 		n.takeFleet(in, at, n.wasAway(at) && !steadySince.Before(n.list.provenAt))
 	}
 	if n.fleet.Hash() != in.Proof.FleetHash {
 		return
 	}
+	if knewNone {
+		n.keep(in.Lapsed, at.Add(lapseGrace))
+	}
 	first := n.list.provenAt.IsZero()
 	n.listProven(at, in.Proof.ListClock)
 	if first {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,7 @@
 	duties.Go(peers.Serve)
 	duties.Go(func() { n.followTable(work) })
 	duties.Go(func() { n.followRollouts(work) })
+	duties.Go(func() { n.followSnapshots(work) })
 	duties.Go(func() { n.tellRollouts(work) })
 	duties.Go(func() { n.followPeers(work) })
 	duties.Go(func() { n.followFlights(work) })
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -75,6 +75,10 @@
 	// Join records a member, so that others find it, and returns those that
 	// are recorded.
 	Join(ctx context.Context, m gossip.Member) ([]gossip.Member, error)
+	// SaveSnapshot keeps the list of upstreams beyond their own entries, LoadSnapshot
+	// returns it; nothing where there is none. Bytes may follow what was saved.
+	SaveSnapshot(ctx context.Context, data []byte) error
+	LoadSnapshot(ctx context.Context) ([]byte, error)
 	// Decode reads a configuration, compact JSON that is known to be sound. What an
 	// earlier table was read from alike is not read again; nil for none.
 	Decode(config []byte, earlier *route.Table) (*route.Table, error)
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/fleet"
 )
 
 // tableReader reads the table for one node.
@@ -158,9 +160,14 @@
 	if err != nil {
 		return false
 	}
+	var listed []fleet.Record
+	if change.Whole && after == 0 {
+		listed = n.loadSnapshot(ctx)
+	}
 	n.applyFleet(change, began)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.keepLapsed(listed, began)
 	n.listProven(began, change.Clock)
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -31,6 +31,9 @@
 	// same.
 	Edits fleet.Edits
 	Fleet []fleet.Record
+	// Lapsed are upstreams that the sender tries though the table no longer lists them;
+	// told to a node that knows no list yet.
+	Lapsed []fleet.Record
 	// Orders are the roll-outs that the sender knows, Tallies the counts.
 	Orders  []Order
 	Tallies []canary.Tally
