--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -7,7 +7,10 @@
 // gives the figures that it comes from.
 package cascade
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Settings of a [Policy].
 type Settings struct {
@@ -33,21 +36,36 @@
 	// Load is the share of the usable upstreams' slots that is in use; over 1
 	// attempts wait.
 	Load float64
+	// Left is the time until an answer is late; Largest is how long the largest model
+	// probably takes until its answer begins, 0 if that is not known.
+	Left, Largest time.Duration
 }
 
+// late tells whether the largest model's answer would probably be late.
+func (s *State) late() bool { return s.Largest > 0 && s.Largest > s.Left }
+
 const (
 	// calmLoad and busyLoad are the loads between which the demand on a small
 	// model's confidence falls. Slots fill unevenly: at two thirds in use, one
 	// upstream in twenty is full.
 	calmLoad = 0.5
 	busyLoad = 0.75
+	// lateAccept is the confidence that is enough where a larger model's answer would be
+	// late: about where an answer in time is as often good as a late one is worth.
+	lateAccept = 25
 )
 
 // Accept is the confidence from which a small model's answer is taken.
 //
 // A larger model's run earns a good answer in place of a poor one, and takes a
 // slot and reading time from others: worth it while there is room.
+//
+// Where that answer would be late, an unsure one in time is worth more, unless it is
+// probably poor.
 func (p *Policy) Accept(s State) int {
+	if s.late() {
+		return min(lateAccept, p.settings.AcceptBusy)
+	}
 	spare := min(max((busyLoad-s.Load)/(busyLoad-calmLoad), 0), 1)
 	return p.settings.AcceptBusy + int(math.Round(spare*float64(p.settings.Accept-p.settings.AcceptBusy)))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,8 @@
 	means map[string]float64
 	// delays are how long attempts of each kind have lately waited.
 	delays map[delayKey]*delay
+	// readings are how fast prompts of each kind are read.
+	readings map[delayKey]*reading
 	// warmUps are what upstreams of each service bear while they warm up, senders the
 	// nodes among which that is shared.
 	warmUps map[string]WarmUp
@@ -28,7 +30,7 @@
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{},
+	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}, readings: map[delayKey]*reading{},
 		warmUps: map[string]WarmUp{}, evacuated: map[string]bool{}}
 }
 
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -8,12 +8,15 @@
 	begun  bool
 	key    delayKey
 	sentAt time.Time
+	// tokens are those of the prompt that were not known to be cached.
+	tokens float64
 }
 
 // Begin counts an attempt that is sent to u.
 func (f *Fleet) Begin(u *Upstream, w *Want, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
 	f.spend(u, now)
+	tokens := float64(w.Tokens) - f.kept(u, w, holders(w, f.able(w, now)), now)
 	u.inFlight++
 	u.waitingOwn++
 	u.pending += amount
@@ -23,13 +26,14 @@
 		m = amount
 	}
 	f.means[w.Service] = m + meanGain*(amount-m)
-	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now}
+	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now, tokens: tokens}
 }
 
 // Started counts the begin of an attempt's answer: its prompt has been read.
 func (f *Fleet) Started(u *Upstream, w *Work, now time.Time) {
 	if !w.begun {
 		f.waited(w, now)
+		f.read(w, now)
 	}
 	f.unqueue(u, w)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -105,6 +105,7 @@
 		slog.String("upstream", a.up.ID), slog.String("model", j.model), slog.String("next", next),
 		slog.Int("confidence", reply.Confidence), slog.Int("asked", j.node.policy.Accept(state)),
 		slog.Int("slots_in_use_percent", int(100*state.Load)),
+		slog.Int64("largest_ms", state.Largest.Milliseconds()), slog.Int64("left_ms", state.Left.Milliseconds()),
 	}
 	if !j.node.allowRetry(j.service, cascade.Reserve(reply.Confidence)) {
 		// Without a further attempt the small model's answer is all there is.
@@ -123,7 +124,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	load := n.fleet.ServiceLoad(j.service, a.version, time.Now())
-	return cascade.State{Models: j.route.Models, Attempts: j.left(), Load: load}
+	largest := a.want
+	largest.Model = j.route.Models[len(j.route.Models)-1]
+	return cascade.State{
+		Models: j.route.Models, Attempts: j.left(), Load: load,
+		Left: j.route.Goal - time.Since(j.start), Largest: n.fleet.FirstEvent(&largest, time.Now()),
+	}
 }
 
 // stallAt is when a silent stream is given up for another upstream; the zero
