--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -39,6 +39,14 @@
 	// Left is the time until an answer is late; Largest is how long the largest model
 	// probably takes until its answer begins, 0 if that is not known.
 	Left, Largest time.Duration
+	// Smallest is how long the smallest model probably takes; 0 if it is not known.
+	Smallest time.Duration
+}
+
+// tight tells whether the largest model's answer would be in time only if it is asked
+// first.
+func (s *State) tight() bool {
+	return s.Largest > 0 && s.Smallest > 0 && s.Largest <= s.Left && s.Smallest+s.Largest > s.Left
 }
 
 // late tells whether the largest model's answer would probably be late.
@@ -93,7 +101,7 @@
 
 // First returns the model of the first attempt.
 func (p *Policy) First(s State) string {
-	if s.Attempts < 2 {
+	if s.Attempts < 2 || s.tight() {
 		return s.Models[len(s.Models)-1]
 	}
 	return s.Models[0]
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
@@ -25,7 +24,7 @@
 	}
 	j.node.first(j.service)
 	if len(j.route.Models) > 0 && j.ask.AnyModel {
-		j.model = j.node.policy.First(cascade.State{Models: j.route.Models, Attempts: j.left()})
+		j.model = j.node.policy.First(j.firstState())
 	}
 	for {
 		a := j.findUpstream()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/cascade"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
@@ -117,6 +118,21 @@
 	return next
 }
 
+// firstState is where the request stands before its first attempt.
+func (j *job) firstState() cascade.State {
+	n := j.node
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	models := j.route.Models
+	smallest, largest := j.want(canary.Rule{}), j.want(canary.Rule{})
+	smallest.Model, largest.Model = models[0], models[len(models)-1]
+	return cascade.State{
+		Models: models, Attempts: j.left(), Left: j.route.Goal - now.Sub(j.start),
+		Smallest: n.fleet.FirstEvent(&smallest, now), Largest: n.fleet.FirstEvent(&largest, now),
+	}
+}
+
 // cascadeState is where the request stands for the choice of its model, after an
 // attempt that ran.
 func (j *job) cascadeState(a *attempt) cascade.State {
