--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// LastRank is the least urgent rank at an upstream; 0 is the most urgent.
@@ -17,16 +20,19 @@
 	rankPerPriority = 1.0
 )
 
-// Rank is the place of an attempt in its upstream's queue, 0 to [LastRank]:
-// short work first, weighed by the request's priority.
-//
-// It guards against short requests that wait behind long prompts: an upstream
-// reads prompts one after the other, so that one which takes seconds holds up
-// dozens that take milliseconds each. With ranks by priority alone the longest
-// prompts, which are the most urgent kind, went first: on a calm day 5.8 % of
-// the short streams began late, and 3.8 % with ranks by size.
-func (f *Fleet) Rank(w *Want, priority int) int {
+// rankedLoad is the share of an upstream's slots in use up to which ranks are given. An
+// urgent request that finds a full batch takes the slot of a running one, which is read
+// again and pauses: where batches are small, one in ten was.
+const rankedLoad = 0.6
+
+// Rank is the place of an attempt in its upstream's queue, 0 to [LastRank]: short work
+// first, weighed by the request's priority, and the last place where the batch fills up, so
+// that it stops nothing that runs.
+func (f *Fleet) Rank(u *Upstream, w *Want, priority int, now time.Time) int {
+	if u.load(now) > rankedLoad {
+		return LastRank
+	}
 	size := math.Log2(max(float64(w.Tokens)*max(w.Weight, leastWeight), 1) / f.meanWork(w))
 	rank := middleRank + rankPerDoubling*size + rankPerPriority*float64(max(priority, 0))
-	return int(min(max(math.Round(rank), 0), LastRank))
+	return int(min(max(math.Round(rank), 0), LastRank-1))
 }
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -179,7 +179,7 @@
 		return
 	}
 	usual := f.Delay(&w, r.now)
-	job := &simJob{node: f, up: u, want: w, d: d, since: since, rank: f.Rank(&w, 0)}
+	job := &simJob{node: f, up: u, want: w, d: d, since: since, rank: f.Rank(u, &w, 0, r.now)}
 	job.work = f.Begin(u, &w, r.now)
 	sim := r.upstreams[u.ID]
 	if r.now.Before(sim.down) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	n.canary.Sent(j.service, up.Version, j.arrived == 0)
 	return &attempt{
 		job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now,
-		want: want, rank: n.fleet.Rank(&want, j.priority), usual: n.fleet.Delay(&want, now),
+		want: want, rank: n.fleet.Rank(up, &want, j.priority, now), usual: n.fleet.Delay(&want, now),
 		ranBefore: j.mayHaveRun, work: n.fleet.Begin(up, &want, now),
 	}
 }
