Rank attempts at upstreams only while their batch has room; ask the right model for the longest prompts

Ranks: an urgent request that finds a full batch takes the slot of a running one, which is read again and pauses. Kept: ranks where there is room.

Longest prompts: how fast a model reads is learned from attempts (a low running quantile, so that waits count little, and tokens that look at all before them). The middle model does not pay: it is good for what the small one's confidence puts within 11 points below its own, at a price of half of the largest's (worked out from the table of confidences).

--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -92,3 +92,48 @@
 		t.Errorf("%d poor answers kept, %d in the order of requests", graded, same)
 	}
 }
+
+// TestLateAnswerIsWorthLess guards against a larger model that is asked although its answer
+// would be late, where the small one's in time is as likely to be of use.
+func TestLateAnswerIsWorthLess(t *testing.T) {
+	p := New(Settings{Accept: 50, AcceptBusy: 45})
+	late := State{Models: []string{"small", "large"}, Attempts: 2, Left: 2 * time.Second, Largest: 3 * time.Second}
+	inTime := late
+	inTime.Left = 4 * time.Second
+	for _, test := range []struct {
+		name       string
+		state      State
+		confidence int
+		want       string
+	}{
+		{"unsure and late", late, 30, ""},
+		{"probably poor and late", late, 20, "large"},
+		{"unsure and in time", inTime, 30, "large"},
+		{"time not known", State{Models: late.Models, Attempts: 2, Left: time.Second}, 30, "large"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(p.Next(test.state, "small", test.confidence), test.want)
+		})
+	}
+}
+
+// TestLargestIsAskedFirstWhereOnlyThatIsInTime guards against the longest prompts, which
+// are read by the small model first and then come late from the large one.
+func TestLargestIsAskedFirstWhereOnlyThatIsInTime(t *testing.T) {
+	p := New(Settings{Accept: 50, AcceptBusy: 45})
+	for _, test := range []struct {
+		name                    string
+		left, smallest, largest time.Duration
+		want                    string
+	}{
+		{"both fit", 3 * time.Second, 200 * time.Millisecond, 2 * time.Second, "small"},
+		{"only the large one fits", 3 * time.Second, 400 * time.Millisecond, 2700 * time.Millisecond, "large"},
+		{"the large one is late anyway", 3 * time.Second, 400 * time.Millisecond, 3100 * time.Millisecond, "small"},
+		{"times not known", 3 * time.Second, 0, 2900 * time.Millisecond, "small"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := State{Models: []string{"small", "large"}, Attempts: 3, Left: test.left, Smallest: test.smallest, Largest: test.largest}
+			is.New(t).Equal(p.First(s), test.want)
+		})
+	}
+}
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -8,7 +8,7 @@
 	readingLeast = 4000
 	// readingQuantile is the running quantile that counts as the time of reading alone,
 	// without a wait.
-	readingQuantile = 0.35
+	readingQuantile = 0.2
 	// readingStep bounds by which part an attempt moves it.
 	readingStep = 0.15
 	// attentionTokens is the length of a prompt whose tokens take twice as long to read
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -24,6 +24,10 @@
 	// move an attempt.
 	ranked, patient bool
 	moves           int
+	// alwaysRanked gives attempts at full upstreams their ranks as well.
+	alwaysRanked bool
+	// preempted counts running answers that were stopped for more urgent ones.
+	preempted int
 }
 
 // wait is how long a request waited for its answer to begin.
@@ -41,6 +45,8 @@
 	queue   []*simJob
 	reading *simJob
 	running int
+	// answers are the jobs that run, where the site preempts.
+	answers []*simJob
 	down    time.Time // it is gone until then
 	parts   map[string]time.Time
 	epoch   int
@@ -55,6 +61,8 @@
 	d     demand
 	since time.Time
 	rank  int
+	// run tells the runs of a job apart that was stopped and goes on later.
+	run int
 }
 
 func (u *simUpstream) waiting() int {
@@ -79,6 +87,17 @@
 	readRate float64
 	// flights is how often nodes hear what all have under way; 0 for never.
 	flights time.Duration
+	// preempts is set where a more urgent request takes the slot of a running one.
+	preempts bool
+	// answerTime is how long an answer takes once it has begun; 0 for the usual time.
+	answerTime time.Duration
+}
+
+func (s *site) answers() time.Duration {
+	if s.answerTime > 0 {
+		return s.answerTime
+	}
+	return answerTime
 }
 
 // usualSite is what most patterns are played on.
@@ -179,7 +198,7 @@
 		return
 	}
 	usual := f.Delay(&w, r.now)
-	job := &simJob{node: f, up: u, want: w, d: d, since: since, rank: f.Rank(u, &w, 0, r.now)}
+	job := &simJob{node: f, up: u, want: w, d: d, since: since, rank: r.rank(f, u, &w)}
 	job.work = f.Begin(u, &w, r.now)
 	sim := r.upstreams[u.ID]
 	if r.now.Before(sim.down) {
@@ -193,6 +212,16 @@
 	}
 }
 
+// rank is the rank of an attempt at an upstream.
+func (r *replay) rank(f *Fleet, u *Upstream, w *Want) int {
+	if r.alwaysRanked {
+		idle := *u
+		idle.inFlight, idle.othersFlight, idle.reported = 0, 0, 0
+		u = &idle
+	}
+	return f.Rank(u, w, 0, r.now)
+}
+
 // again sends a job whose attempt ended without an answer to another upstream.
 func (r *replay) again(job *simJob, result Result) {
 	job.node.End(job.up, job.work, result, r.now)
@@ -212,7 +241,7 @@
 
 // read begins to read the next prompt.
 func (r *replay) read(sim *simUpstream) {
-	if sim.reading != nil || len(sim.queue) == 0 || sim.running >= r.site.slots {
+	if sim.reading != nil || len(sim.queue) == 0 {
 		return
 	}
 	next := 0
@@ -222,7 +251,10 @@
 		}
 	}
 	job := sim.queue[next]
-	sim.queue = slices.Delete(sim.queue, next, next+1)
+	if sim.running >= r.site.slots && !r.preempt(sim, job.rank) {
+		return
+	}
+	sim.queue = slices.Delete(sim.queue, slices.Index(sim.queue, job), slices.Index(sim.queue, job)+1)
 	sim.reading = job
 	tokens := job.d.tokens
 	if job.d.part != "" && r.now.Sub(sim.parts[job.d.part]) < partStays {
@@ -237,17 +269,42 @@
 	})
 }
 
+// preempt stops the least urgent running answer for one of a rank, if it is less urgent;
+// it is read again and begins anew.
+func (r *replay) preempt(sim *simUpstream, rank int) bool {
+	if !r.site.preempts || len(sim.answers) == 0 {
+		return false
+	}
+	victim := slices.MaxFunc(sim.answers, func(a, b *simJob) int { return a.rank - b.rank })
+	if victim.rank <= rank {
+		return false
+	}
+	sim.answers = slices.DeleteFunc(sim.answers, func(j *simJob) bool { return j == victim })
+	sim.running--
+	victim.run++
+	sim.queue = append(sim.queue, victim)
+	r.preempted++
+	return true
+}
+
 // answer begins the answer to a prompt that has been read.
 func (r *replay) answer(sim *simUpstream, job *simJob) {
 	sim.reading = nil
 	sim.running++
 	job.node.Started(job.up, job.work, r.now)
 	job.node.Report(job.up, sim.running, sim.waiting(), r.now)
-	r.waits = append(r.waits, wait{job.since, r.now.Sub(job.since), job.d})
-	epoch := sim.epoch
-	r.after(answerTime, func() {
+	if job.run == 0 {
+		r.waits = append(r.waits, wait{job.since, r.now.Sub(job.since), job.d})
+	}
+	sim.answers = append(sim.answers, job)
+	epoch, run := sim.epoch, job.run
+	r.after(r.site.answers(), func() {
+		if job.run != run {
+			return // it was stopped
+		}
 		if sim.epoch == epoch {
 			sim.running--
+			sim.answers = slices.DeleteFunc(sim.answers, func(j *simJob) bool { return j == job })
 			r.read(sim)
 		}
 		job.node.End(job.up, job.work, Served, r.now)
