--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -58,6 +58,15 @@
 	return time.Duration((r.perToken*effectiveTokens(tokens) + r.wait) * float64(time.Second))
 }
 
+// unread is how many of a long prompt's tokens u probably has not cached; 0 for a short
+// one, of which nothing is learned.
+func (f *Fleet) unread(u *Upstream, w *Want, now time.Time) float64 {
+	if w.Tokens < readingLeast {
+		return 0
+	}
+	return float64(w.Tokens) - f.kept(u, w, holders(w, f.able(w, now)), now)
+}
+
 // read notes how long an attempt took until its answer began.
 func (f *Fleet) read(w *Work, now time.Time) {
 	r := f.readings[w.key]
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -16,7 +16,6 @@
 func (f *Fleet) Begin(u *Upstream, w *Want, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
 	f.spend(u, now)
-	tokens := float64(w.Tokens) - f.kept(u, w, holders(w, f.able(w, now)), now)
 	u.inFlight++
 	u.waitingOwn++
 	u.pending += amount
@@ -26,7 +25,7 @@
 		m = amount
 	}
 	f.means[w.Service] = m + meanGain*(amount-m)
-	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now, tokens: tokens}
+	return &Work{amount: amount, key: delayKey{w.Service, w.Model}, sentAt: now, tokens: f.unread(u, w, now)}
 }
 
 // Started counts the begin of an attempt's answer: its prompt has been read.
