Go on with a broken stream at the largest model

When all nodes are killed, streams under way are those of the largest model: its answers take ten times as long. Their callers go on at once at a node that is back after 0.6 s, and then the small model read the prompt before the large one did: the pause was late.

--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -41,6 +41,8 @@
 	Left, Largest time.Duration
 	// Smallest is how long the smallest model probably takes; 0 if it is not known.
 	Smallest time.Duration
+	// Resumed is set where the caller goes on with a stream that broke.
+	Resumed bool
 }
 
 // tight tells whether the largest model's answer would be in time only if it is asked
@@ -100,8 +102,11 @@
 }
 
 // First returns the model of the first attempt.
+//
+// A stream that broke was most probably the largest model's, as its answers take many times
+// as long: another one would have to read the prompt first, and the pause would be late.
 func (p *Policy) First(s State) string {
-	if s.Attempts < 2 || s.tight() {
+	if s.Attempts < 2 || s.Resumed || s.tight() {
 		return s.Models[len(s.Models)-1]
 	}
 	return s.Models[0]
--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -16,6 +16,7 @@
 	three := []string{"small", "middle", "large"}
 	is.Equal(p.First(State{Models: three, Attempts: 3}), "small")
 	is.Equal(p.First(State{Models: three, Attempts: 1}), "large") // nothing could replace a small one's answer
+	is.Equal(p.First(State{Models: three, Attempts: 3, Resumed: true}), "large")
 	tests := []struct {
 		model      string
 		confidence int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -128,7 +128,7 @@
 	smallest, largest := j.want(canary.Rule{}), j.want(canary.Rule{})
 	smallest.Model, largest.Model = models[0], models[len(models)-1]
 	return cascade.State{
-		Models: models, Attempts: j.left(), Left: j.route.Goal - now.Sub(j.start),
+		Models: models, Attempts: j.left(), Resumed: j.lastEvent != "", Left: j.route.Goal - now.Sub(j.start),
 		Smallest: n.fleet.FirstEvent(&smallest, now), Largest: n.fleet.FirstEvent(&largest, now),
 	}
 }
