--- a/internal/cli/dev/session_test.go
+++ b/internal/cli/dev/session_test.go
@@ -69,7 +69,9 @@
 	is := is.New(t)
 	d := start(t, "tarifas")
 	first := chat(t, d.BaseURL(), "tolu", startHeader, "1")
-	is.Equal(first.status, http.StatusOK)
+	if first.status != http.StatusOK {
+		t.Fatalf("the first request was answered %d %s: %s", first.status, first.code(), first.body)
+	}
 	token, version := first.header.Get(sessionHeader), first.header.Get(versionHeader)
 	is.True(token != "")
 	for range 5 {
