--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Want is what an attempt asks of its upstream.
-type Want struct {
+// AttemptSpec is what an attempt asks of its upstream.
+type AttemptSpec struct {
 	Service string
 	// Version is the version that may serve; empty for any.
 	Version string
@@ -42,7 +42,7 @@
 
 // Choose returns the upstream with the least cost for the attempt, or nil when
 // none may take it.
-func (f *Fleet) Choose(w Want, now time.Time) *Upstream {
+func (f *Fleet) Choose(w AttemptSpec, now time.Time) *Upstream {
 	var best *Upstream
 	var bestCost float64
 	able := f.able(&w, now)
@@ -58,7 +58,7 @@
 }
 
 // able returns the upstreams that may take the attempt now.
-func (f *Fleet) able(w *Want, now time.Time) []*Upstream {
+func (f *Fleet) able(w *AttemptSpec, now time.Time) []*Upstream {
 	var able []*Upstream
 	seen := 0
 	for _, u := range f.services[w.Service] {
@@ -120,7 +120,7 @@
 	return used / max(slots, 1)
 }
 
-func (f *Fleet) fits(u *Upstream, w *Want) bool {
+func (f *Fleet) fits(u *Upstream, w *AttemptSpec) bool {
 	if w.Regions != nil && !slices.Contains(w.Regions, f.settings.Regions[u.Domain]) {
 		return false
 	}
@@ -136,7 +136,7 @@
 // holders are the upstreams to which requests with the same last shared part
 // go, by rendezvous hashing: all nodes agree on them without talking, and few
 // parts move when an upstream comes or goes.
-func holders(w *Want, able []*Upstream) []*Upstream {
+func holders(w *AttemptSpec, able []*Upstream) []*Upstream {
 	if len(w.Parts) == 0 {
 		return nil
 	}
@@ -162,7 +162,7 @@
 //
 // Reading prompts is what holds a batch up; requests that only generate hardly
 // slow each other down until the slots are full.
-func (f *Fleet) cost(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+func (f *Fleet) cost(u *Upstream, w *AttemptSpec, holders []*Upstream, now time.Time) float64 {
 	mean := f.meanWork(w)
 	c := u.waitingWork(mean, now) + f.work(u, w, holders, now)
 	c += rereadWeight * f.reread(u, w, holders, now)
@@ -184,7 +184,7 @@
 // work is what an attempt costs u: the prompt's tokens that it has not cached,
 // by the model's weight. A plain call counts as one. With no u, nothing is
 // taken to be cached.
-func (f *Fleet) work(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+func (f *Fleet) work(u *Upstream, w *AttemptSpec, holders []*Upstream, now time.Time) float64 {
 	if w.Tokens == 0 {
 		return 1
 	}
@@ -192,7 +192,7 @@
 }
 
 // kept is how many of the prompt's tokens u is taken to have cached.
-func (f *Fleet) kept(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+func (f *Fleet) kept(u *Upstream, w *AttemptSpec, holders []*Upstream, now time.Time) float64 {
 	kept := 0.0
 	if u != nil {
 		kept = float64(u.cached(w, now))
@@ -208,11 +208,11 @@
 // It guards against work that is spread by load alone once the load is known: a
 // small model reads a prompt in no time, so that its upstream matters little to
 // the request, and every upstream would read, and keep, every shared part.
-func (f *Fleet) reread(u *Upstream, w *Want, holders []*Upstream, now time.Time) float64 {
+func (f *Fleet) reread(u *Upstream, w *AttemptSpec, holders []*Upstream, now time.Time) float64 {
 	return max(float64(sharedTokens(w))-f.kept(u, w, holders, now), 0)
 }
 
-func sharedTokens(w *Want) int {
+func sharedTokens(w *AttemptSpec) int {
 	n := 0
 	for _, p := range w.Parts {
 		n += p.Tokens
--- a/internal/fleet/choose_bench_test.go
+++ b/internal/fleet/choose_bench_test.go
@@ -12,7 +12,7 @@
 	for _, count := range []int{112, 1000, 10000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			f, now := some(count), time.Unix(1000, 0)
-			w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 9000, Parts: []Part{{"a", 500}, {"b", 4500}}}
+			w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: 9000, Parts: []Part{{"a", 500}, {"b", 4500}}}
 			for b.Loop() {
 				w.Seed++
 				f.Choose(w, now)
@@ -23,7 +23,7 @@
 
 func BenchmarkFlight(b *testing.B) {
 	f, now := some(112), time.Unix(1000, 0)
-	w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 9000}
+	w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: 9000}
 	for i := range 112 {
 		f.Begin(f.Get(fmt.Sprintf("u%d", i)), &w, now)
 	}
--- a/internal/fleet/delay.go
+++ b/internal/fleet/delay.go
@@ -32,7 +32,7 @@
 // Delay is how long an attempt usually waits until its answer begins, by what
 // others of its kind have lately waited for their work; 0 where that is not
 // known.
-func (f *Fleet) Delay(w *Want, now time.Time) time.Duration {
+func (f *Fleet) Delay(w *AttemptSpec, now time.Time) time.Duration {
 	d := f.delays[delayKey{w.Service, w.Model}]
 	if d == nil {
 		return 0
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 			case 2:
 				f.Keep(name)
 			case 3:
-				w := Want{Service: "s", Model: "m", Weight: 1, Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens"), Seed: rapid.Uint64().Draw(t, "seed"),
+				w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens"), Seed: rapid.Uint64().Draw(t, "seed"),
 					Tried: []string{"u0"}, NotVersions: []string{"v2"}}
 				u := f.Choose(w, now)
 				if u == nil {
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	f := some(1)
 	now := time.Unix(1000, 0)
-	w := Want{Service: "s"}
+	w := AttemptSpec{Service: "s"}
 	for misses := range 6 {
 		u := f.Choose(w, now)
 		is.True(u != nil)
@@ -108,7 +108,7 @@
 	f := some(3)
 	now := time.Unix(1000, 0)
 	bad := f.Get("u1")
-	w := Want{Service: "s"}
+	w := AttemptSpec{Service: "s"}
 	for range 6 {
 		f.End(bad, f.Begin(bad, &w, now), Failed, now)
 	}
@@ -123,7 +123,7 @@
 func TestSharedPartsMeet(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 8000, Parts: []Part{{"p1", 500}, {"p2", 5000}}}
+	w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: 8000, Parts: []Part{{"p1", 500}, {"p2", 5000}}}
 	chosen := map[string]bool{}
 	for node := range uint64(6) {
 		f := some(18)
@@ -153,7 +153,7 @@
 	is := is.New(t)
 	f := some(12)
 	now := time.Unix(1000, 0)
-	plain := Want{Service: "s", Model: "small", Weight: 0.07, Tokens: 1500}
+	plain := AttemptSpec{Service: "s", Model: "small", Weight: 0.07, Tokens: 1500}
 	shared := plain
 	shared.Tokens, shared.Parts = 12000, []Part{{ID: "p", Tokens: 5000}}
 	first := f.Choose(shared, now)
@@ -182,7 +182,7 @@
 	is.True(!a.Keep("u9"))
 	is.Equal(a.Hash(), b.Hash())
 	is.Equal(len(a.Records(time.Unix(1000, 0))), 3)
-	w := Want{Service: "s", Tried: []string{"u0", "u1", "u2"}}
+	w := AttemptSpec{Service: "s", Tried: []string{"u0", "u1", "u2"}}
 	is.Equal(a.Choose(w, time.Unix(1000, 0)).ID, "u3") // it still serves
 	a.Put(record("u3"), time.Unix(1000, 0))
 	is.Equal(len(a.Records(time.Unix(1000, 0))), 4)
@@ -204,7 +204,7 @@
 		return r
 	}
 	f.Put(at("old"), read)
-	w := Want{Service: "s"}
+	w := AttemptSpec{Service: "s"}
 	is.Equal(f.Choose(w, read).ID, "old")
 	hash := f.Hash()
 	f.Put(at("new"), read.Add(time.Second))
--- a/internal/fleet/flight_test.go
+++ b/internal/fleet/flight_test.go
@@ -67,7 +67,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	here, there := some(3), some(3)
-	w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 1000}
+	w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: 1000}
 	own, other := here.Get("u0"), there.Get("u0")
 	here.Begin(own, &w, now)
 	there.Begin(other, &w, now)
@@ -99,7 +99,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	f := some(1)
-	w := Want{Service: "s"}
+	w := AttemptSpec{Service: "s"}
 	f.Begin(f.Get("u0"), &w, now)
 	sent := f.Flight()
 	f.TakeFlight(Flight{Keys: sent.Keys}, sent, now)
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -28,7 +28,7 @@
 // Rank is the place of an attempt in its upstream's queue, 0 to [LastRank]: short work
 // first, weighed by the request's priority, and the last place where the batch fills up, so
 // that it stops nothing that runs.
-func (f *Fleet) Rank(u *Upstream, w *Want, priority int, now time.Time) int {
+func (f *Fleet) Rank(u *Upstream, w *AttemptSpec, priority int, now time.Time) int {
 	if u.load(now) > rankedLoad {
 		return LastRank
 	}
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -49,7 +49,7 @@
 
 // FirstEvent is how long an attempt probably takes until its answer begins, at an upstream
 // that has cached what all nodes send there; 0 where that is not known.
-func (f *Fleet) FirstEvent(w *Want, now time.Time) time.Duration {
+func (f *Fleet) FirstEvent(w *AttemptSpec, now time.Time) time.Duration {
 	r := f.readings[delayKey{w.Service, w.Model}]
 	if r == nil || r.perToken == 0 {
 		return 0
@@ -60,7 +60,7 @@
 
 // unread is how many of a long prompt's tokens u probably has not cached; 0 for a short
 // one, of which nothing is learned.
-func (f *Fleet) unread(u *Upstream, w *Want, now time.Time) float64 {
+func (f *Fleet) unread(u *Upstream, w *AttemptSpec, now time.Time) float64 {
 	if w.Tokens < readingLeast {
 		return 0
 	}
--- a/internal/fleet/reading_test.go
+++ b/internal/fleet/reading_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1000, 0)
 	f.Put(record("u0"), now)
 	for range 40 {
-		w := Want{Service: "s", Model: "large", Weight: 1, Tokens: 1000 + rnd.IntN(15000)}
+		w := AttemptSpec{Service: "s", Model: "large", Weight: 1, Tokens: 1000 + rnd.IntN(15000)}
 		u := f.Choose(w, now)
 		work := f.Begin(u, &w, now)
 		read := perToken * effectiveTokens(float64(w.Tokens))
@@ -29,14 +29,14 @@
 		f.End(u, work, Served, now)
 	}
 	for _, tokens := range []int{20000, 40000, 54000} {
-		got := f.FirstEvent(&Want{Service: "s", Model: "large", Tokens: tokens}, now).Seconds()
+		got := f.FirstEvent(&AttemptSpec{Service: "s", Model: "large", Tokens: tokens}, now).Seconds()
 		want := perToken * effectiveTokens(float64(tokens))
 		t.Logf("%d tokens: %.2f s, read in %.2f s", tokens, got, want)
 		if math.Abs(got-want) > 0.2*want+0.2 {
 			t.Errorf("%d tokens: predicted %.2f s, read in %.2f s", tokens, got, want)
 		}
 	}
-	if got := f.FirstEvent(&Want{Service: "s", Model: "other", Tokens: 9000}, now); got != 0 {
+	if got := f.FirstEvent(&AttemptSpec{Service: "s", Model: "other", Tokens: 9000}, now); got != 0 {
 		t.Errorf("%v of a model that nobody has asked", got)
 	}
 }
--- a/internal/fleet/replay_world_test.go
+++ b/internal/fleet/replay_world_test.go
@@ -38,7 +38,7 @@
 }
 
 // chooser picks an upstream for an attempt; tests compare several.
-type chooser func(r *replay, node int, w Want) *Upstream
+type chooser func(r *replay, node int, w AttemptSpec) *Upstream
 
 // simUpstream is one upstream as it really is: it reads one prompt at a time.
 type simUpstream struct {
@@ -57,7 +57,7 @@
 	node  *Fleet
 	up    *Upstream
 	work  *Work
-	want  Want
+	want  AttemptSpec
 	d     demand
 	since time.Time
 	rank  int
@@ -188,7 +188,7 @@
 func (r *replay) request(d demand, since time.Time, tried []string) {
 	node := r.rnd.IntN(len(r.nodes))
 	f := r.nodes[node]
-	w := Want{Service: "s", Model: "m", Weight: d.weight, Tokens: d.tokens, Seed: r.rnd.Uint64(), Tried: tried}
+	w := AttemptSpec{Service: "s", Model: "m", Weight: d.weight, Tokens: d.tokens, Seed: r.rnd.Uint64(), Tried: tried}
 	if d.part != "" {
 		w.Parts = []Part{{ID: d.part, Tokens: d.shared}}
 	}
@@ -213,7 +213,7 @@
 }
 
 // rank is the rank of an attempt at an upstream.
-func (r *replay) rank(f *Fleet, u *Upstream, w *Want) int {
+func (r *replay) rank(f *Fleet, u *Upstream, w *AttemptSpec) int {
 	if r.alwaysRanked {
 		idle := *u
 		idle.inFlight, idle.othersFlight, idle.reported = 0, 0, 0
@@ -348,9 +348,9 @@
 
 // The ways to choose that are compared.
 var (
-	byWork chooser = func(r *replay, node int, w Want) *Upstream { return r.nodes[node].Choose(w, r.now) }
+	byWork chooser = func(r *replay, node int, w AttemptSpec) *Upstream { return r.nodes[node].Choose(w, r.now) }
 	// byOwnCount takes the upstream with the fewest attempts of the node.
-	byOwnCount chooser = func(r *replay, node int, w Want) *Upstream {
+	byOwnCount chooser = func(r *replay, node int, w AttemptSpec) *Upstream {
 		var best *Upstream
 		for _, u := range r.nodes[node].able(&w, r.now) {
 			if best == nil || u.InFlight() < best.InFlight() {
@@ -360,7 +360,7 @@
 		return best
 	}
 	// byLoadOfAll takes the upstream with the least reported load of all.
-	byLoadOfAll chooser = func(r *replay, node int, w Want) *Upstream {
+	byLoadOfAll chooser = func(r *replay, node int, w AttemptSpec) *Upstream {
 		var best *Upstream
 		for _, u := range r.nodes[node].able(&w, r.now) {
 			if best == nil || u.load(r.now) < best.load(r.now) {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -19,7 +19,7 @@
 	first := record("u0")
 	first.Born = 1
 	f.Put(first, now)
-	w := Want{Service: "s", Model: "m", Weight: 1, Tokens: 1000, Parts: []Part{{ID: "p", Tokens: 900}}}
+	w := AttemptSpec{Service: "s", Model: "m", Weight: 1, Tokens: 1000, Parts: []Part{{ID: "p", Tokens: 900}}}
 	old := f.Get("u0")
 	running := f.Begin(old, &w, now)
 	f.End(old, f.Begin(old, &w, now), Unreached, now)
@@ -65,5 +65,5 @@
 	stranger := record("x")
 	stranger.Service, stranger.Addr = "unknown", f.Get("u0").Addr
 	f.Put(stranger, now)
-	is.Equal(f.Choose(Want{Service: "s"}, now).ID, "u0")
+	is.Equal(f.Choose(AttemptSpec{Service: "s"}, now).ID, "u0")
 }
--- a/internal/fleet/warm_up_test.go
+++ b/internal/fleet/warm_up_test.go
@@ -64,7 +64,7 @@
 		for now.Before(start.Add(w.Time)) {
 			for _, f := range nodes {
 				for range rapid.IntRange(0, 3).Draw(t, "attempts") {
-					want := Want{Service: "s", Seed: uint64(len(sent))}
+					want := AttemptSpec{Service: "s", Seed: uint64(len(sent))}
 					if u := f.Choose(want, now); u != nil {
 						f.Begin(u, &want, now)
 						sent = append(sent, now)
@@ -86,7 +86,7 @@
 	sent := 0
 	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		for _, f := range nodes {
-			want := Want{Service: "s", Seed: uint64(sent)}
+			want := AttemptSpec{Service: "s", Seed: uint64(sent)}
 			if u := f.Choose(want, now); u != nil {
 				f.Begin(u, &want, now)
 				sent++
@@ -105,8 +105,8 @@
 	now := time.Unix(1000, 0)
 	nodes, _ := warmUpNodes(1, usualWarmUp, now)
 	nodes[0].SetSenders("n00", nil)
-	is.Equal(nodes[0].Choose(Want{Service: "s"}, now), nil)
-	is.True(nodes[0].Choose(Want{Service: "s"}, now.Add(usualWarmUp.Time)) != nil) // it is warm
+	is.Equal(nodes[0].Choose(AttemptSpec{Service: "s"}, now), nil)
+	is.True(nodes[0].Choose(AttemptSpec{Service: "s"}, now.Add(usualWarmUp.Time)) != nil) // it is warm
 }
 
 // TestColdnessRunsOutAndComesAgain guards against an upstream that counts as cold for good,
@@ -140,12 +140,12 @@
 	f.SetWarmUp("s", usualWarmUp)
 	f.SetSenders("n", []string{"n"})
 	f.SetEvacuated("d0", true, now)
-	is.Equal(f.Choose(Want{Service: "s"}, now), nil)
+	is.Equal(f.Choose(AttemptSpec{Service: "s"}, now), nil)
 	is.Equal(f.Stranded(now), []string{"s"})
 	f.SetEvacuated("d0", false, now)
 	is.True(f.Get("u0").cold(now.Add(2 * time.Second)))
 	is.True(!f.Get("u0").cold(now.Add(4 * time.Second)))
-	is.True(f.Choose(Want{Service: "s"}, now) != nil)
+	is.True(f.Choose(AttemptSpec{Service: "s"}, now) != nil)
 }
 
 // TestUpstreamsOfAnEvacuatedDomainAreNotChosen guards against new work for upstreams that
@@ -159,7 +159,7 @@
 	r.Domain = "d1"
 	f.Put(r, now)
 	for seed := range uint64(50) {
-		is.Equal(f.Choose(Want{Service: "s", Seed: seed}, now).ID, "u0")
+		is.Equal(f.Choose(AttemptSpec{Service: "s", Seed: seed}, now).ID, "u0")
 	}
 }
 
@@ -174,8 +174,8 @@
 	r.Domain = "d1"
 	f.Put(r, now)
 	for seed := range uint64(50) {
-		is.Equal(f.Choose(Want{Service: "s", Regions: []string{"south"}, Seed: seed}, now).ID, "u-south")
+		is.Equal(f.Choose(AttemptSpec{Service: "s", Regions: []string{"south"}, Seed: seed}, now).ID, "u-south")
 	}
-	is.Equal(f.Choose(Want{Service: "s", Regions: []string{}}, now), nil)
-	is.True(f.Choose(Want{Service: "s"}, now) != nil)
+	is.Equal(f.Choose(AttemptSpec{Service: "s", Regions: []string{}}, now), nil)
+	is.True(f.Choose(AttemptSpec{Service: "s"}, now) != nil)
 }
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -13,7 +13,7 @@
 }
 
 // Begin counts an attempt that is sent to u.
-func (f *Fleet) Begin(u *Upstream, w *Want, now time.Time) *Work {
+func (f *Fleet) Begin(u *Upstream, w *AttemptSpec, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
 	f.spend(u, now)
 	u.inFlight++
@@ -48,7 +48,7 @@
 }
 
 // meanWork is the usual work of an attempt at the service.
-func (f *Fleet) meanWork(w *Want) float64 {
+func (f *Fleet) meanWork(w *AttemptSpec) float64 {
 	if m := f.means[w.Service]; m > 0 {
 		return m
 	}
@@ -66,7 +66,7 @@
 
 // cached is how many of the prompt's leading tokens this node has lately sent
 // to u for the same model.
-func (u *Upstream) cached(w *Want, now time.Time) int {
+func (u *Upstream) cached(w *AttemptSpec, now time.Time) int {
 	n := 0
 	for _, p := range w.Parts {
 		at, ok := u.parts[partKey{w.Model, p.ID}]
@@ -82,7 +82,7 @@
 type partKey struct{ model, part string }
 
 // remember notes that u reads the prompt's parts.
-func (u *Upstream) remember(w *Want, now time.Time) {
+func (u *Upstream) remember(w *AttemptSpec, now time.Time) {
 	if len(w.Parts) == 0 {
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,7 @@
 	rank int
 	// want is what was asked of the upstream, usual how long such an attempt
 	// usually waits for its answer to begin; 0 where that is not known.
-	want  fleet.Want
+	want  fleet.AttemptSpec
 	usual time.Duration
 }
 
@@ -68,8 +68,8 @@
 }
 
 // want is what the job's next attempt asks of an upstream.
-func (j *job) want(rule canary.Rule) fleet.Want {
-	w := fleet.Want{
+func (j *job) want(rule canary.Rule) fleet.AttemptSpec {
+	w := fleet.AttemptSpec{
 		Service: j.service, Version: rule.Version, NotVersions: rule.Not, Model: j.wantedModel(),
 		Weight: j.weight(), Tokens: j.ask.TokensIn, Tried: j.tried,
 		Regions: j.regions(),
