--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -55,7 +55,7 @@
 		h.Set(j.node.dialect.IDField(), id)
 	}
 	if ref.retryAfter > 0 {
-		after := comeBack(ref.retryAfter, j.priority, rand.Float64())
+		after := retryAfterOf(ref.retryAfter, j.priority, rand.Float64())
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	body, err := json.Marshal(struct {
--- a/internal/gateway/come_back.go
+++ b/internal/gateway/retry_after.go
@@ -13,13 +13,13 @@
 	spread = 0.5
 )
 
-// comeBack is when a refused caller should return: the more urgent first, and
+// retryAfterOf is when a refused caller should return: the more urgent first, and
 // not all at the same moment.
 //
 // It guards against refused callers that return together and are refused
 // together again: callers try only a few times, so the second refusal is often
 // the last. A draw is a number from 0 to 1.
-func comeBack(usual time.Duration, priority int, draw float64) time.Duration {
+func retryAfterOf(usual time.Duration, priority int, draw float64) time.Duration {
 	steps := float64(min(max(priority, 0), mostSteps))
 	return time.Duration(float64(usual) * (1 + urgencyStep*steps + spread*draw)).Round(time.Millisecond)
 }
--- a/internal/gateway/come_back_test.go
+++ b/internal/gateway/retry_after_test.go
@@ -17,7 +17,7 @@
 	var latestUrgent, earliestLeast time.Duration = 0, time.Hour
 	for i := range 1000 {
 		draw := float64(i) / 1000
-		urgent, least := comeBack(usual, 0, draw), comeBack(usual, 3, draw)
+		urgent, least := retryAfterOf(usual, 0, draw), retryAfterOf(usual, 3, draw)
 		latestUrgent = max(latestUrgent, urgent)
 		earliestLeast = min(earliestLeast, least)
 		perTenth[int(urgent/(100*time.Millisecond))]++
@@ -28,6 +28,6 @@
 			t.Errorf("%d callers return within the same tenth of a second (%d)", count, tenth)
 		}
 	}
-	is.True(comeBack(usual, 100, 1) <= 3*usual)
-	is.Equal(comeBack(usual, -1, 0), usual)
+	is.True(retryAfterOf(usual, 100, 1) <= 3*usual)
+	is.Equal(retryAfterOf(usual, -1, 0), usual)
 }
