--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -25,7 +25,7 @@
 	defer func() { n.bodies.Add(-int64(len(j.body))) }()
 	ref := j.admit()
 	if ref == notYet {
-		ref = j.awaitTable()
+		ref = j.waitForConfig()
 	}
 	if ref == nil {
 		ref = j.readBody()
--- a/internal/gateway/await_table.go
+++ b/internal/gateway/wait_for_config.go
@@ -10,14 +10,14 @@
 	awaitMost = 2 * time.Second
 )
 
-// awaitTable lets a request wait for a node that knows nothing yet. It returns
+// waitForConfig lets a request wait for a node that knows nothing yet. It returns
 // nil when the request may go on.
 //
 // It guards against restarts of many nodes while the table is away: callers
 // whose requests were cut come back at once, try only once or twice, and would
 // be turned away for good by nodes that know all they need a moment later. The
 // request is read first: a caller gives one up that is not read.
-func (j *job) awaitTable() *refusal {
+func (j *job) waitForConfig() *refusal {
 	until := j.start.Add(awaitMost)
 	if j.ask.Time > 0 {
 		until = j.start.Add(min(time.Duration(awaitPart*float64(j.ask.Time)), awaitMost))
