--- a/internal/gateway/patience.go
+++ b/internal/gateway/attempt_timer.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// patienceTimes is how many times the usual wait an attempt may wait for
+	// movedAfterTimes is how many times the usual wait an attempt may wait for
 	// its answer to begin before it is moved.
-	patienceTimes = 4.0
-	// patienceLeast is the least wait before an attempt is moved: waits that
+	movedAfterTimes = 4.0
+	// movedAfterLeast is the least wait before an attempt is moved: waits that
 	// short are seldom told apart from chance.
-	patienceLeast = 300 * time.Millisecond
+	movedAfterLeast = 300 * time.Millisecond
 	// moveReserve is the part of the retry budget that moved attempts leave to
 	// failed ones.
 	moveReserve = 0.5
@@ -25,7 +25,7 @@
 // moved.
 var errMoved = errors.New("the attempt was moved")
 
-// patience moves an attempt that waits far longer than its like.
+// attemptTimer moves an attempt that waits far longer than its like.
 //
 // It guards against work that is stuck at one upstream while others are idle:
 // behind a prompt that takes seconds to read, or at an upstream that has fallen
@@ -34,7 +34,7 @@
 // ones included: when all upstreams are slow, nothing is moved. Where the budget
 // does not allow it then, the whole budget may be used once the answer would be
 // far too late.
-type patience struct {
+type attemptTimer struct {
 	mu    sync.Mutex
 	timer *time.Timer
 	// moved is set when the watch has ended the attempt, over when it can no
@@ -42,16 +42,16 @@
 	moved, over bool
 }
 
-// patience watches an attempt until its answer begins; cancel ends the attempt.
-func (a *attempt) patience(cancel context.CancelFunc) *patience {
-	p := &patience{}
+// attemptTimer watches an attempt until its answer begins; cancel ends the attempt.
+func (a *attempt) attemptTimer(cancel context.CancelFunc) *attemptTimer {
+	p := &attemptTimer{}
 	if !a.movable() {
 		return p
 	}
 	late := lateAfter(a.job.route.Goal, time.Until(a.job.deadline))
 	first := late
 	if a.usual > 0 {
-		first = min(max(time.Duration(patienceTimes*float64(a.usual)), patienceLeast), late)
+		first = min(max(time.Duration(movedAfterTimes*float64(a.usual)), movedAfterLeast), late)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,7 +68,7 @@
 }
 
 // fire moves the attempt if it may be moved.
-func (p *patience) fire(a *attempt, cancel context.CancelFunc, late time.Duration) {
+func (p *attemptTimer) fire(a *attempt, cancel context.CancelFunc, late time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waited := time.Since(a.began)
@@ -87,7 +87,7 @@
 }
 
 // end stops the watch; it reports whether the attempt was ended by it.
-func (p *patience) end() bool {
+func (p *attemptTimer) end() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.over = true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -139,7 +139,7 @@
 	ctx, cancel := j.attemptContext()
 	defer cancel()
 	j.tried = append(j.tried, up.ID)
-	watch := a.patience(cancel)
+	watch := a.attemptTimer(cancel)
 	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(a))
 	moved := watch.end()
 	if moved && failure == nil {
