--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, ErrorLog: quietLog})
+		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, ErrorLog: discardLog})
 		listeners = append(listeners, l)
 	}
 	work, stopWork := context.WithCancel(context.Background())
@@ -156,7 +156,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleMark,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          quietLog,
+		ErrorLog:          discardLog,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
 			case http.StateNew:
