--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -20,7 +20,7 @@
 		}
 		u.evacuated = evacuated
 		if !evacuated {
-			u.warmsUpUntil(now.Add(f.warmUps[u.Service].Time))
+			u.extendWarmUp(now.Add(f.warmUps[u.Service].Time))
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,7 +50,7 @@
 	}
 	if known == nil {
 		u := &Upstream{Record: r, since: now, evacuated: f.evacuated[r.Domain]}
-		u.warmsUpUntil(now.Add(r.Cold))
+		u.extendWarmUp(now.Add(r.Cold))
 		f.replace(u)
 		f.byID[r.ID] = u
 		f.enlist(u)
@@ -60,7 +60,7 @@
 	known.kept = false
 	known.evacuated = f.evacuated[r.Domain]
 	if r.Cold > 0 {
-		known.warmsUpUntil(now.Add(r.Cold))
+		known.extendWarmUp(now.Add(r.Cold))
 	}
 	if known.Record.same(&r) {
 		f.rehash(known, true)
--- a/internal/fleet/warm_up.go
+++ b/internal/fleet/warm_up.go
@@ -70,7 +70,7 @@
 // ID, and warm up, before the table says so.
 func (f *Fleet) Returning(u *Upstream, now time.Time) {
 	if w := f.warmUps[u.Service]; w.Rate > 0 {
-		u.warmsUpUntil(now.Add(w.Time))
+		u.extendWarmUp(now.Add(w.Time))
 	}
 }
 
@@ -85,8 +85,8 @@
 // cold tells whether the upstream warms up.
 func (u *Upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
 
-// warmsUpUntil has the upstream warm up until a time at least.
-func (u *Upstream) warmsUpUntil(t time.Time) {
+// extendWarmUp has the upstream warm up until a time at least.
+func (u *Upstream) extendWarmUp(t time.Time) {
 	if t.After(u.coldUntil) {
 		u.coldUntil = t
 	}
