--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -42,8 +42,8 @@
 	moved, over bool
 }
 
-// attemptTimer watches an attempt until its answer begins; cancel ends the attempt.
-func (a *attempt) attemptTimer(cancel context.CancelFunc) *attemptTimer {
+// startTimer watches an attempt until its answer begins; cancel ends the attempt.
+func (a *attempt) startTimer(cancel context.CancelFunc) *attemptTimer {
 	p := &attemptTimer{}
 	if !a.movable() {
 		return p
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -139,7 +139,7 @@
 	ctx, cancel := j.attemptContext()
 	defer cancel()
 	j.tried = append(j.tried, up.ID)
-	watch := a.attemptTimer(cancel)
+	watch := a.startTimer(cancel)
 	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(a))
 	moved := watch.end()
 	if moved && failure == nil {
