Remember as many changes of the list as a failure domain's restart makes

Suspected: 512 changes are remembered whatever the size, and 750 upstreams that start again and warm up change 1,500 times, so that all nodes are told the whole list of 0.3 MB each reading. Ruled out as the main part: what is under way, six exchanges of 27 kB a round between domains. Red before: TestEditsOfADomainThatRestarts.

--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -14,9 +14,13 @@
 	Drop []string
 }
 
-// mostHistory is how many changes of the list are remembered: those of more than a
-// minute while a third of 100 upstreams is replaced.
-const mostHistory = 512
+const (
+	// leastHistory is how many changes of the list are remembered at least, and
+	// historyTimes how many for each upstream: a failure domain's upstreams that start
+	// again change twice each, as they start and as they have warmed up.
+	leastHistory = 512
+	historyTimes = 2
+)
 
 // history remembers which upstreams' entries changed, and the list's hash before.
 type history []change
@@ -26,9 +30,10 @@
 	id     string
 }
 
-func (h *history) add(before uint64, id string) {
-	if len(*h) >= mostHistory {
-		*h = slices.Clone((*h)[mostHistory/2:])
+// add remembers a change of a list of so many upstreams.
+func (h *history) add(before uint64, id string, upstreams int) {
+	if len(*h) >= max(leastHistory, historyTimes*upstreams) {
+		*h = slices.Clone((*h)[len(*h)/2:])
 	}
 	*h = append(*h, change{before, id})
 }
--- a/internal/fleet/edits_test.go
+++ b/internal/fleet/edits_test.go
@@ -39,7 +39,7 @@
 		if peer.Hash() != f.Hash() {
 			t.Fatalf("the same records have hashes %x and %x", peer.Hash(), f.Hash())
 		}
-		for range rapid.IntRange(1, mostHistory).Draw(t, "after") {
+		for range rapid.IntRange(1, leastHistory).Draw(t, "after") {
 			step()
 		}
 		if peer.Hash() == f.Hash() {
@@ -80,3 +80,27 @@
 		t.Fatal("edits from a list that nobody had")
 	}
 }
+
+// TestEditsOfADomainThatRestarts guards against whole lists for all nodes while a failure
+// domain's upstreams start again: of thousands, more change than were remembered.
+func TestEditsOfADomainThatRestarts(t *testing.T) {
+	f := New(Settings{})
+	now := time.Unix(1000, 0)
+	put := func(i int, born int64, cold time.Duration) {
+		f.Put(Record{ID: fmt.Sprintf("i-%d", i), Service: "s", Addr: fmt.Sprintf("10.0.0.1:%d", i), Born: born, Cold: cold}, now)
+	}
+	for i := range 3000 {
+		put(i, 1, 0)
+	}
+	before := f.Hash()
+	for i := range 750 {
+		put(i, 2, 3*time.Second)
+	}
+	for i := range 750 {
+		put(i, 2, 0)
+	}
+	e, ok := f.EditsSince(before, now)
+	if !ok || len(e.Put) != 750 {
+		t.Fatalf("%d edits, %v", len(e.Put), ok)
+	}
+}
--- a/internal/fleet/hash.go
+++ b/internal/fleet/hash.go
@@ -14,7 +14,7 @@
 	if hash == u.hash {
 		return
 	}
-	f.history.add(f.sum, u.ID)
+	f.history.add(f.sum, u.ID, len(f.byID))
 	f.sum ^= u.hash ^ hash
 	u.hash = hash
 }
