Derive an upstream's evacuation from its failure domain

Cause: each upstream carried a copy of its domain's state, kept up at three places. Ruled out: a change of behaviour, the tests of evacuation and warm-up pass unchanged. After: one look-up by domain; a service counts as stranded only where upstreams would take new work. The number of nodes that share a rate has a name apart from the nodes.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -62,7 +62,7 @@
 	var able []*Upstream
 	seen := 0
 	for _, u := range f.services[w.Service] {
-		if !f.fits(u, w) || !u.ready(now) {
+		if !f.fits(u, w) || !f.usable(u, now) {
 			continue
 		}
 		seen++
@@ -97,7 +97,7 @@
 // all versions.
 func (f *Fleet) Count(service, version string, now time.Time) (ofVersion, all int) {
 	for _, u := range f.services[service] {
-		if !u.ready(now) {
+		if !f.usable(u, now) {
 			continue
 		}
 		all++
@@ -112,7 +112,7 @@
 func (f *Fleet) ServiceLoad(service, version string, now time.Time) float64 {
 	used, slots := 0.0, 0.0
 	for _, u := range f.services[service] {
-		if u.Version == version && u.ready(now) {
+		if u.Version == version && f.usable(u, now) {
 			used += u.load(now) * float64(u.Slots)
 			slots += float64(u.Slots)
 		}
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -14,24 +14,28 @@
 		return
 	}
 	f.evacuated[domain] = evacuated
+	if evacuated {
+		return
+	}
 	for _, u := range f.byID {
-		if u.Domain != domain {
-			continue
-		}
-		u.evacuated = evacuated
-		if !evacuated {
+		if u.Domain == domain {
 			u.extendWarmUp(now.Add(f.warmUps[u.Service].Time))
 		}
 	}
 }
 
-// Stranded returns the services that have upstreams, all of them in evacuated failure
-// domains.
+// usable tells whether new work may be sent to an upstream now.
+func (f *Fleet) usable(u *Upstream, now time.Time) bool {
+	return !f.evacuated[u.Domain] && u.ready(now)
+}
+
+// Stranded returns the services that have upstreams which would take new work, all of them
+// in evacuated failure domains.
 func (f *Fleet) Stranded(now time.Time) (services []string) {
 	for service, ups := range f.services {
-		evacuated := func(u *Upstream) bool { return u.evacuated }
-		usable := func(u *Upstream) bool { return u.ready(now) }
-		if slices.ContainsFunc(ups, evacuated) && !slices.ContainsFunc(ups, usable) {
+		ready := func(u *Upstream) bool { return u.ready(now) }
+		usable := func(u *Upstream) bool { return f.usable(u, now) }
+		if slices.ContainsFunc(ups, ready) && !slices.ContainsFunc(ups, usable) {
 			services = append(services, service)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,7 +49,7 @@
 		known = nil
 	}
 	if known == nil {
-		u := &Upstream{Record: r, since: now, evacuated: f.evacuated[r.Domain]}
+		u := &Upstream{Record: r, since: now}
 		u.extendWarmUp(now.Add(r.Cold))
 		f.replace(u)
 		f.byID[r.ID] = u
@@ -58,7 +58,6 @@
 		return true
 	}
 	known.kept = false
-	known.evacuated = f.evacuated[r.Domain]
 	if r.Cold > 0 {
 		known.extendWarmUp(now.Add(r.Cold))
 	}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -17,8 +17,6 @@
 	// answers at its address: this one has ended.
 	since    time.Time
 	replaced bool
-	// evacuated is set while its failure domain gets no new work.
-	evacuated bool
 	// coldUntil is when it has warmed up; share is this node's share of what it bears
 	// until then.
 	coldUntil time.Time
@@ -105,7 +103,7 @@
 	u.ratedAt = now
 }
 
-// ready tells whether new work may be sent there now.
+// ready tells whether the upstream takes new work now.
 func (u *Upstream) ready(now time.Time) bool {
-	return !u.Draining && !u.replaced && !u.evacuated && !now.Before(u.ejected)
+	return !u.Draining && !u.replaced && !now.Before(u.ejected)
 }
--- a/internal/fleet/warm_up.go
+++ b/internal/fleet/warm_up.go
@@ -28,10 +28,10 @@
 	mostSenders = 16
 )
 
-// senders returns how many nodes share an upstream's rate. Each may send one request at
+// senderCount returns how many nodes share an upstream's rate. Each may send one request at
 // once and its part of the rate after that, so that with s senders s + rate requests
 // arrive within a second at most.
-func (w *WarmUp) senders() int {
+func (w *WarmUp) senderCount() int {
 	return int(min(max((w.Most-w.Rate)/senderSpare, 1), mostSenders))
 }
 
@@ -121,7 +121,7 @@
 		return s.limit
 	}
 	w := f.warmUps[u.Service]
-	count := min(w.senders(), max(len(f.senders.all), 1))
+	count := min(w.senderCount(), max(len(f.senders.all), 1))
 	had := s.limit
 	s.known, s.generation, s.limit = true, f.senders.generation, nil
 	if !f.senders.amongFirst(u, count) {
