Log and count the rate limits that upstreams name in their answers

What callers saw: nothing told whether a node had read a limit (LIMIT). Cause of that blindness: no field of an answer but load and confidence was decoded. Package notice keeps what a start of an upstream says, ordered by the answers and not by when news arrive; events 1934 to 1936 and 1939, hickorybank_upstream_notices_total, hickorybank_limited_upstreams. An answer whose attempt was moved at the same moment was dropped unread; it counts now. No choice depends on any of this yet. Ruled out: a later answer by its age alone, which shrinks with each step (TestReportThatTravels...).

--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -15,6 +15,8 @@
 	Header http.Header
 	// Length is the body's length, or -1 where the answer does not say.
 	Length int64
+	// At is when the head of the answer was read.
+	At time.Time
 	// Reused tells whether a kept connection carried it.
 	Reused bool
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
 // Fleet is the set of upstreams that a node knows.
@@ -26,12 +28,14 @@
 	senders senders
 	// evacuated are the failure domains that get no new work.
 	evacuated map[string]bool
+	// notices are what upstreams have said of themselves in answers.
+	notices *notice.Register
 }
 
 // New returns an empty fleet.
 func New(s Settings) *Fleet {
 	return &Fleet{settings: s, byID: map[string]*Upstream{}, services: map[string][]*Upstream{}, means: map[string]float64{}, delays: map[delayKey]*delay{}, readings: map[delayKey]*reading{},
-		warmUps: map[string]WarmUp{}, evacuated: map[string]bool{}}
+		warmUps: map[string]WarmUp{}, evacuated: map[string]bool{}, notices: notice.NewRegister(s.Origin)}
 }
 
 // Put adds an upstream or takes its new record, as read at a time. It reports
@@ -49,7 +53,7 @@
 		known = nil
 	}
 	if known == nil {
-		u := &Upstream{Record: r, since: now}
+		u := &Upstream{Record: r, since: now, said: f.notices.Of(r.Start())}
 		u.extendWarmUp(now.Add(r.Cold))
 		f.replace(u)
 		f.byID[r.ID] = u
--- /dev/null
+++ b/internal/fleet/notices.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
+)
+
+// Answered takes what an upstream said of itself in an answer that was read at a time.
+func (f *Fleet) Answered(u *Upstream, a notice.Answer, at, now time.Time) notice.Change {
+	if a.LimitUnsound {
+		return notice.Change{}
+	}
+	return f.notices.Answer(u.said, a.Limit, at, now)
+}
+
+// LimitedUpstreams is how many upstreams have a rate limit of their own in force.
+func (f *Fleet) LimitedUpstreams() int { return f.notices.Limited() }
+
+// SweepNotices forgets what upstreams have said that are long gone.
+func (f *Fleet) SweepNotices(now time.Time) {
+	listed := make(map[string]bool, len(f.byID))
+	for _, u := range f.byID {
+		listed[u.said.Start()] = true
+	}
+	f.notices.Sweep(now, func(start string) bool { return listed[start] })
+}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -8,6 +8,8 @@
 	Domain string
 	// Regions are the regions of all failure domains, by their names.
 	Regions map[string]string
+	// Origin names this run of the node among those of all nodes.
+	Origin uint64
 }
 
 const (
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -3,11 +3,15 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
 // Upstream is one upstream and what this node has seen of it.
 type Upstream struct {
 	Record
+	// said is what this start of it has said in answers, to any node.
+	said *notice.State
 
 	// kept is set while the table does not list it, but may again.
 	kept bool
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,16 +143,6 @@
 	})
 }
 
-// report takes an upstream's word on its load.
-func (n *Node) report(up *fleet.Upstream, r Reply) {
-	if !r.HasLoad {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.fleet.Report(up, r.Running, r.Waiting, time.Now())
-}
-
 // returning notes that nobody listened at an upstream's address.
 func (n *Node) returning(up *fleet.Upstream) {
 	n.mu.Lock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/exchange"
+	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
 // Part is one part of a prompt, which an engine may have cached.
@@ -60,6 +61,8 @@
 	// Running, Waiting are the upstream's load.
 	Running, Waiting int
 	HasLoad          bool
+	// Notice is what the upstream says of itself beside its load.
+	Notice notice.Answer
 }
 
 // Dialect reads and writes the headers of callers and upstreams.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -3,10 +3,13 @@
 import (
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/archive"
 	"github.com/hickorybank/hickorybank/internal/canary"
@@ -92,6 +95,11 @@
 	// told is what peers told last of what they have.
 	told     map[string]told
 	contacts contacts
+	// unsoundAt is when a field of an upstream's answers was last logged as unsound,
+	// noticeLabels are the upstreams that are told apart in metrics.
+	unsoundAt    map[string]time.Time
+	noticeLabels map[string]bool
+	noticesSwept time.Time
 	// readElsewhere tells the duty that follows the table of readings by others.
 	readElsewhere chan struct{}
 	// urgent asks the duty that tells other nodes of roll-outs to do so at once.
@@ -178,7 +186,7 @@
 		policy:   cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy}),
 		born:     began.UnixNano(), began: began,
 		stopped:     make(chan struct{}),
-		fleet:       fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions}),
+		fleet:       fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:      canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		guard:       crashguard.New(),
 		roster:      gossip.NewRoster(gossip.Member{ID: s.ID, Born: began.UnixNano(), Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
@@ -190,6 +198,7 @@
 		held:        map[string]time.Time{},
 		known:       map[string]bool{}, served: map[string]time.Time{},
 		started: map[string]time.Time{}, announced: map[string]uint64{},
+		unsoundAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
 		told: map[string]told{}, contacts: contacts{}, heard: map[turnKey]time.Time{},
 		urgent: make(chan struct{}, 1), readElsewhere: make(chan struct{}, 1),
 	}
@@ -197,9 +206,15 @@
 	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.heardVersion.Load(), n.configVersion())) })
 	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
 	d.Metrics.Gauge("hickorybank_evacuated_domains", n.evacuatedDomains)
+	d.Metrics.Gauge("hickorybank_limited_upstreams", n.limitedUpstreams)
 	return n
 }
 
+// originOf names a run of a node by a number.
+func originOf(id string, born int64) uint64 {
+	return xxhash.Sum64String(id + "@" + strconv.FormatInt(born, 10))
+}
+
 // tableAge is how many seconds ago the list was read that this node goes by; 0 before the
 // first reading.
 func (n *Node) tableAge() float64 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -142,6 +142,13 @@
 	watch := a.startTimer(cancel)
 	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(a))
 	moved := watch.end()
+	var reply Reply
+	if failure == nil {
+		reply = j.node.dialect.Reply(resp.Status, resp.Header)
+		if resp.Status != http.StatusMisdirectedRequest { // another upstream answered
+			j.node.noteAnswer(up, reply, resp.At)
+		}
+	}
 	if moved && failure == nil {
 		resp.Close()
 		failure = &exchange.Failure{Sent: true, Reason: exchange.Cancelled, Err: errMoved}
@@ -155,8 +162,6 @@
 	j.sent++
 	j.mayHaveRun = true
 	a.started()
-	reply := j.node.dialect.Reply(resp.Status, resp.Header)
-	j.node.report(up, reply)
 	if reply.NotRun {
 		j.turnedAway(a, resp)
 		return false
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -112,6 +112,7 @@
 			told = dropped
 		}
 		n.pool.Sweep(time.Now())
+		n.sweepNotices()
 	}
 }
 
--- /dev/null
+++ b/internal/notice/register_test.go
@@ -0,0 +1,98 @@
+package notice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func named(perSecond float64) Limit { return Limit{Named: true, PerSecond: perSecond} }
+
+// TestLaterAnswerCounts guards against a limit that comes back with an answer that was given
+// before the one that ended it, and read after it.
+func TestLaterAnswerCounts(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister(1)
+	s := r.Of("u@1")
+	is.Equal(r.Answer(s, named(2), at(0), at(0)).Kind, LimitBegan)
+	is.Equal(r.Answer(s, Limit{}, at(200), at(200)).Kind, LimitEnded)
+	is.Equal(r.Answer(s, named(2), at(100), at(300)).Kind, None)
+	is.True(!s.Limit().Named)
+	late := Report{Start: "u@1", Origin: 2, Seq: 1, Age: 250 * time.Millisecond, Limit: named(2)}
+	is.Equal(r.Take(late, at(400)).Kind, None) // read at 150 ms
+	is.True(!s.Limit().Named)
+}
+
+// TestReportThatTravelsStaysAsOld guards against a limit that two nodes tell each other and
+// that outlives its end, as it is younger each time by its way.
+func TestReportThatTravelsStaysAsOld(t *testing.T) {
+	is := is.New(t)
+	a, b := NewRegister(1), NewRegister(2)
+	a.Answer(a.Of("u@1"), named(2), at(0), at(0))
+	for i := range 20 { // each way takes 100 ms
+		sent := at(i * 200)
+		b.Take(a.Reports(sent, true)[0], sent.Add(100*time.Millisecond))
+		a.Take(b.Reports(sent.Add(100*time.Millisecond), true)[0], sent.Add(200*time.Millisecond))
+	}
+	ended := Report{Start: "u@1", Origin: 3, Seq: 1, Age: 3500 * time.Millisecond}
+	is.Equal(a.Take(ended, at(4000)).Kind, LimitEnded) // read at 500 ms
+	is.Equal(b.Take(ended, at(4000)).Kind, LimitEnded)
+}
+
+// TestNodeThatMissedTheEndIsTold guards against a limit that stays for good at a node that
+// was cut off when it ended, and that it brings back to the others.
+func TestNodeThatMissedTheEndIsTold(t *testing.T) {
+	is := is.New(t)
+	knows, missed := NewRegister(1), NewRegister(2)
+	missed.Answer(missed.Of("u@1"), named(2), at(0), at(0))
+	knows.Answer(knows.Of("u@1"), Limit{}, at(60_000), at(60_000))
+	is.Equal(len(knows.Reports(at(70_000), true)), 0)
+	for _, p := range missed.Reports(at(70_000), false) {
+		is.Equal(knows.Take(p, at(70_000)).Kind, None)
+	}
+	for _, p := range knows.Reports(at(70_010), false) {
+		missed.Take(p, at(70_020))
+	}
+	is.True(!missed.Of("u@1").Limit().Named)
+}
+
+// TestReportsAreBounded guards against news that grow with the upstreams in need, and
+// against some of them that are never told.
+func TestReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	const count = 50
+	r := NewRegister(1)
+	for i := range count {
+		r.Answer(r.Of(fmt.Sprintf("u%02d@1", i)), named(2), at(0), at(0))
+	}
+	is.Equal(len(r.Reports(at(1), false)), mostFresh)
+	is.Equal(len(r.Reports(at(1), true)), count)
+	told := map[string]bool{}
+	for i := range count/mostRepeated + 1 {
+		some := r.Reports(at(10_000+i), false)
+		is.Equal(len(some), mostRepeated)
+		for _, p := range some {
+			told[p.Start] = true
+		}
+	}
+	is.Equal(len(told), count)
+}
+
+// TestStateOfAStartThatIsGone guards against states that pile up with the upstreams that
+// come and go, and against one that is forgotten while its upstream is listed.
+func TestStateOfAStartThatIsGone(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister(1)
+	r.Answer(r.Of("gone@1"), named(2), at(0), at(0))
+	r.Answer(r.Of("listed@1"), named(2), at(0), at(0))
+	later := at(0).Add(forgetAfter + time.Second)
+	r.Sweep(later, func(start string) bool { return start == "listed@1" })
+	is.Equal(r.Limited(), 1)
+	is.Equal(len(r.states), 1)
+}
--- /dev/null
+++ b/internal/notice/state.go
@@ -0,0 +1,82 @@
+package notice
+
+import (
+	"math"
+	"time"
+)
+
+// State is what one start of an upstream last said of itself.
+type State struct {
+	start string
+	limit Limit
+	// origin and seq name the answer behind it, at is when that was read, by this node's
+	// clock; zero before any.
+	origin uint64
+	seq    int64
+	at     time.Time
+	// since is when the limit in force began here, reported when a change was last told,
+	// and told the limit then.
+	since, reported time.Time
+	told            Limit
+	// tellUntil is until when peers are told first.
+	tellUntil time.Time
+}
+
+const (
+	// changeStep is the part by which a limit moves before that counts as a change.
+	changeStep = 0.1
+	// reportPause is the pause between changes of one upstream that are told as new.
+	reportPause = time.Second
+	// tellFor is how long a change is told to each peer: some rounds of news.
+	tellFor = 5 * time.Second
+)
+
+// Start is the upstream's start.
+func (s *State) Start() string { return s.start }
+
+// Limit is the rate limit in force.
+func (s *State) Limit() Limit { return s.limit }
+
+// later tells whether an answer was read after the one behind this state.
+//
+// Ages are compared between different origins only: the same answer, told from node to
+// node, grows younger with each step.
+func (s *State) later(origin uint64, seq int64, at time.Time) bool {
+	if s.at.IsZero() {
+		return true
+	}
+	if s.origin == origin {
+		return seq > s.seq
+	}
+	return at.After(s.at)
+}
+
+// set takes a later answer's limit.
+func (s *State) set(l Limit, origin uint64, seq int64, at, now time.Time) Change {
+	s.origin, s.seq, s.at = origin, seq, at
+	before := s.limit
+	s.limit = l
+	c := Change{Before: before, Now: l}
+	switch {
+	case l.Named && !before.Named:
+		c.Kind = LimitBegan
+		s.since = now
+	case !l.Named && before.Named:
+		c.Kind, c.Lasted = LimitEnded, now.Sub(s.since)
+	case l.Named && math.Abs(l.PerSecond-s.told.PerSecond) > changeStep*s.told.PerSecond:
+		c.Kind = LimitChanged
+	default:
+		return c
+	}
+	s.told = l
+	s.tellUntil = now.Add(tellFor)
+	c.Repeated = now.Sub(s.reported) < reportPause
+	if !c.Repeated {
+		s.reported = now
+	}
+	return c
+}
+
+func (s *State) report(now time.Time) Report {
+	return Report{Start: s.start, Origin: s.origin, Seq: s.seq, Age: now.Sub(s.at), Limit: s.limit}
+}
