Keep the rate limit that an upstream names, by the few nodes that warm-ups use

What callers saw: an upstream that named 2 requests a second got 21 in 4 s (LIMIT). Cause: what upstreams say of themselves in answers was no part of the state that choices rest on. One bound on an upstream's rate now has two sources, warm-up and named limit; the lesser holds. An upstream with a limit holds no prompt parts.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -48,7 +48,7 @@
 	able := f.able(&w, now)
 	holders := holders(&w, able)
 	drawn := append(sample(able, w.Seed, sampleSize), holders...)
-	for _, u := range append(drawn, warmingUp(able, now)...) {
+	for _, u := range append(drawn, pacedOf(able, now)...) {
 		c := f.cost(u, &w, holders, now)
 		if best == nil || c < bestCost {
 			best, bestCost = u, c
@@ -135,7 +135,8 @@
 
 // holders are the upstreams to which requests with the same last shared part
 // go, by rendezvous hashing: all nodes agree on them without talking, and few
-// parts move when an upstream comes or goes.
+// parts move when an upstream comes or goes. One that names a rate limit holds none: most
+// requests with the part could not go there.
 func holders(w *AttemptSpec, able []*Upstream) []*Upstream {
 	if len(w.Parts) == 0 {
 		return nil
@@ -147,6 +148,9 @@
 	}
 	var top []ranked
 	for _, u := range able {
+		if u.limited() {
+			continue
+		}
 		top = append(top, ranked{u, xxhash.Sum64String(u.ID + "/" + w.Model + "/" + part)})
 	}
 	slices.SortFunc(top, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
@@ -172,8 +176,8 @@
 	if u.Domain != f.settings.Domain {
 		c += remotePenalty * mean
 	}
-	if u.cold(now) {
-		c += coldPenalty * mean
+	if u.paced(now) {
+		c += pacedPenalty * mean
 	}
 	// Ties go different ways on different requests: nodes that all see the
 	// same reports would otherwise all send to the same upstream.
--- /dev/null
+++ b/internal/fleet/rate_limit.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
+)
+
+const (
+	// limitOver times a named rate, and limitSlack, are what may arrive at its upstream
+	// within any limitWindow.
+	limitOver   = 1.5
+	limitSlack  = 5
+	limitWindow = 4 * time.Second
+	// leastLimit is the rate in requests a second at which an upstream is asked that takes
+	// none: only an answer tells that it takes some again.
+	leastLimit = 0.25
+)
+
+// limitBound is what arrives at most at an upstream that names a rate limit.
+func limitBound(l notice.Limit) RateBound {
+	b := RateBound{Rate: max(l.PerSecond, leastLimit), Window: limitWindow}
+	b.Most = limitOver*l.PerSecond*limitWindow.Seconds() + limitSlack
+	return b
+}
+
+// limited tells whether the upstream has named a rate limit.
+func (u *Upstream) limited() bool { return u.said.Limit().Named }
+
+// paced tells whether the upstream gets no more than a rate from all nodes together.
+func (u *Upstream) paced(now time.Time) bool { return u.limited() || u.cold(now) }
+
+// limiters calls use for each share of the upstream's rates that binds this node now, with
+// a nil limiter where other nodes send. Where an upstream warms up and names a limit, both
+// bind: the lesser holds.
+func (f *Fleet) limiters(u *Upstream, now time.Time, use func(s *rateShare, limit *rate.Limiter)) {
+	if w := f.warmUps[u.Service]; w.Rate > 0 && u.cold(now) {
+		use(&u.warmUpShare, u.warmUpShare.limiter(u, w.bound(), &f.senders, now))
+	}
+	if u.limited() {
+		use(&u.limitShare, u.limitShare.limiter(u, limitBound(u.said.Limit()), &f.senders, now))
+	}
+}
+
+// admits tells whether this node may send the upstream a request now.
+//
+// Without this, an upstream that has just started looks idle to all nodes, and the burst
+// that they send crashes it; one that is in need goes on getting its usual part of the load.
+func (f *Fleet) admits(u *Upstream, now time.Time) bool {
+	room := true
+	f.limiters(u, now, func(_ *rateShare, limit *rate.Limiter) {
+		room = room && limit != nil && limit.TokensAt(now) >= 1
+	})
+	return room
+}
+
+// spend takes a request from this node's shares of the upstream's rates.
+func (f *Fleet) spend(u *Upstream, now time.Time) {
+	f.limiters(u, now, func(_ *rateShare, limit *rate.Limiter) {
+		if limit != nil {
+			limit.AllowN(now, 1)
+		}
+	})
+}
+
+// pacedOf returns the upstreams of a list that get no more than a rate: this node is one of
+// few that may send to them, so that a sample seldom has them.
+func pacedOf(all []*Upstream, now time.Time) []*Upstream {
+	var paced []*Upstream
+	for _, u := range all {
+		if u.paced(now) {
+			paced = append(paced, u)
+		}
+	}
+	return paced
+}
--- a/internal/fleet/rate_limit_test.go
+++ b/internal/fleet/rate_limit_test.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// limitWindow is the span in which the users' bound on a named limit counts.
-	limitWindow = 4 * time.Second
+	// boundWindow is the span in which the users' bound on a named limit counts.
+	boundWindow = 4 * time.Second
 	// toldAfter is how long after a node has read a limit its requests count, firstAfter
 	// how long after the upstream first named one.
 	toldAfter  = 500 * time.Millisecond
 	firstAfter = 3 * time.Second
 )
 
-// limitBound is how many requests may arrive in a limitWindow at an upstream that named a
+// arrivalBound is how many requests may arrive in a boundWindow at an upstream that named a
 // limit, from the nodes that it has told.
-func limitBound(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
+func arrivalBound(perSecond float64) float64 { return 1.5*perSecond*boundWindow.Seconds() + 5 }
 
 // limitWorld is some nodes before one upstream that names a limit and others that do not.
 type limitWorld struct {
@@ -118,8 +118,8 @@
 			}
 			now = now.Add(time.Duration(rapid.IntRange(20, 400).Draw(t, "pause")) * time.Millisecond)
 		}
-		if most := mostWithin(w.counted, start.Add(firstAfter), limitWindow); float64(most) > limitBound(perSecond) {
-			t.Fatalf("%d arrive within %s at %.2f a second, %.1f may", most, limitWindow, perSecond, limitBound(perSecond))
+		if most := mostWithin(w.counted, start.Add(firstAfter), boundWindow); float64(most) > arrivalBound(perSecond) {
+			t.Fatalf("%d arrive within %s at %.2f a second, %.1f may", most, boundWindow, perSecond, arrivalBound(perSecond))
 		}
 	})
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -48,8 +48,9 @@
 	// remotePenalty is the work, in mean attempts, that staying in the failure
 	// domain outweighs.
 	remotePenalty = 0.05
-	// coldPenalty is the work that an upstream which has just started outweighs.
-	coldPenalty = 1.0
+	// pacedPenalty is the work that a bound on an upstream's rate outweighs: what it has
+	// room for is better kept for requests that find no room elsewhere.
+	pacedPenalty = 1.0
 	// errorPenalty is how much a share of failed attempts lengthens the wait.
 	errorPenalty = 4.0
 	// tieWeight spreads attempts among upstreams that cost about the same.
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -21,10 +21,10 @@
 	// answers at its address: this one has ended.
 	since    time.Time
 	replaced bool
-	// coldUntil is when it has warmed up; share is this node's share of what it bears
-	// until then.
-	coldUntil time.Time
-	share     warmUpShare
+	// coldUntil is when it has warmed up; warmUpShare is this node's share of what it
+	// bears until then, limitShare that of the rate limit that it names.
+	coldUntil               time.Time
+	warmUpShare, limitShare rateShare
 
 	inFlight int
 	// running and waiting are the upstream's latest word on its load, heard at
