Nodes tell each other which upstreams name a rate limit, and its end

What callers saw: an upstream in need is hurt by nodes that have not read its limit just as much, and one that no longer is stays avoided by nodes that send it nothing. Cause: a statement held at one node only. Where nothing goes to an upstream for 4 s, one request asks how it is. Ruled out: ordering by age alone; a peer's report that travels.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -46,6 +46,9 @@
 	var best *Upstream
 	var bestCost float64
 	able := f.able(&w, now)
+	if u := unconfirmed(able, now); u != nil {
+		return u
+	}
 	holders := holders(&w, able)
 	drawn := append(sample(able, w.Seed, sampleSize), holders...)
 	for _, u := range append(drawn, pacedOf(able, now)...) {
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -14,6 +14,17 @@
 	return f.notices.Answer(u.said, a.Limit, at, now)
 }
 
+// TakeNotice takes what a peer tells of an upstream's answer.
+func (f *Fleet) TakeNotice(r notice.Report, now time.Time) notice.Change {
+	return f.notices.Take(r, now)
+}
+
+// Notices returns what a peer is told of upstreams' answers; first is set where it was not
+// heard of before.
+func (f *Fleet) Notices(now time.Time, first bool) []notice.Report {
+	return f.notices.Reports(now, first)
+}
+
 // LimitedUpstreams is how many upstreams have a rate limit of their own in force.
 func (f *Fleet) LimitedUpstreams() int { return f.notices.Limited() }
 
--- a/internal/fleet/rate_limit.go
+++ b/internal/fleet/rate_limit.go
@@ -65,6 +65,24 @@
 	})
 }
 
+// confirmAfter is how long a rate limit stands without an answer before a request goes to its
+// upstream for the answer's sake.
+const confirmAfter = 4 * time.Second
+
+// unconfirmed returns an upstream of a list whose rate limit no answer has confirmed for
+// long; nil where there is none.
+//
+// Without this, a limit outlives its cause: where others have room nothing is sent to the
+// upstream, and only its answers tell that it is over.
+func unconfirmed(all []*Upstream, now time.Time) *Upstream {
+	for _, u := range all {
+		if u.limited() && now.Sub(u.said.ReadAt()) > confirmAfter && now.Sub(u.sentAt) > confirmAfter {
+			return u
+		}
+	}
+	return nil
+}
+
 // pacedOf returns the upstreams of a list that get no more than a rate: this node is one of
 // few that may send to them, so that a sample seldom has them.
 func pacedOf(all []*Upstream, now time.Time) []*Upstream {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -25,6 +25,8 @@
 	// bears until then, limitShare that of the rate limit that it names.
 	coldUntil               time.Time
 	warmUpShare, limitShare rateShare
+	// sentAt is when this node last sent it a request.
+	sentAt time.Time
 
 	inFlight int
 	// running and waiting are the upstream's latest word on its load, heard at
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -16,6 +16,7 @@
 func (f *Fleet) Begin(u *Upstream, w *AttemptSpec, now time.Time) *Work {
 	amount := f.work(u, w, nil, now)
 	f.spend(u, now)
+	u.sentAt = now
 	u.inFlight++
 	u.waitingOwn++
 	u.pending += amount
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -72,7 +72,9 @@
 		m.Proof.OrdersClock = n.list.ordersClock
 		m.Proof.OrdersPending = (n.leads() || n.list.transfers) && n.list.ordersPendingAt.After(proven)
 	}
-	if _, heard := n.told[to]; !heard {
+	_, heard := n.told[to]
+	m.Notices = n.fleet.Notices(now, !heard)
+	if !heard {
 		// It may not know this node. What else it lacks shows in its answer's hash: a
 		// table of all members at each first contact was half of what 168 nodes heard.
 		m.Members = []gossip.Member{n.roster.Self()}
@@ -133,6 +135,7 @@
 	n.takeMembers(in, now)
 	n.noteInformed(in, now)
 	n.takeEvacuations(in.Evacuations, in.From)
+	n.takeNotices(in, now)
 	for _, o := range in.Orders {
 		n.takeOrder(o.Order, o.Age, in.From)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -99,7 +99,9 @@
 	// noticeLabels are the upstreams that are told apart in metrics.
 	unsoundAt    map[string]time.Time
 	noticeLabels map[string]bool
-	noticesSwept time.Time
+	// noticesSwept is when upstreams that are gone were last forgotten, noticesTold when
+	// other nodes were last told at once of an upstream's notice.
+	noticesSwept, noticesTold time.Time
 	// readElsewhere tells the duty that follows the table of readings by others.
 	readElsewhere chan struct{}
 	// urgent asks the duty that tells other nodes of roll-outs to do so at once.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/gossip"
 	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
@@ -25,8 +26,31 @@
 	}
 	change := n.fleet.Answered(up, r.Notice, at, now)
 	n.noteChange(up.Start(), change, fromAnswer, now.Sub(at))
+	n.tellNotice(change, now)
 }
 
+// takeNotices takes what a peer tells of upstreams' answers; the caller holds mu.
+func (n *Node) takeNotices(in gossip.Message, now time.Time) {
+	for _, r := range in.Notices {
+		n.noteChange(r.Start, n.fleet.TakeNotice(r, now), in.From, r.Age)
+	}
+}
+
+// tellNotice has other nodes told at once of what this one has read first, unless they
+// were a moment ago; the caller holds mu.
+func (n *Node) tellNotice(c notice.Change, now time.Time) {
+	begins := c.Kind == notice.LimitBegan || c.Kind == notice.LimitEnded
+	if !begins || now.Sub(n.noticesTold) < noticesTellPause {
+		return
+	}
+	n.noticesTold = now
+	n.tellSoon()
+}
+
+// noticesTellPause is the least pause between news that are told at once: upstreams of a
+// failure domain are in need together.
+const noticesTellPause = 250 * time.Millisecond
+
 // noteUnsound logs a field of an upstream's answers that makes no sense, not for each
 // answer; the caller holds mu.
 func (n *Node) noteUnsound(up *fleet.Upstream, field string, now time.Time) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/evacuation"
 	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
 // Message is what one node tells another, both ways of an exchange.
@@ -44,6 +45,9 @@
 	Pins []canary.Pin
 	// Strikes are requests that crashed upstreams.
 	Strikes []crashguard.Strike
+	// Notices are what upstreams have said of themselves in answers: what has changed, and
+	// some of the rest.
+	Notices []notice.Report
 }
 
 // Proof is a reading of the table, by the sender or by whom it heard from.
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -37,6 +37,9 @@
 // Limit is the rate limit in force.
 func (s *State) Limit() Limit { return s.limit }
 
+// ReadAt is when the answer behind the state was read; zero before any.
+func (s *State) ReadAt() time.Time { return s.at }
+
 // later tells whether an answer was read after the one behind this state.
 //
 // Ages are compared between different origins only: the same answer, told from node to
