Refuse at once what only rate limits keep back, with the time at which there is room

What callers saw: with all upstreams of a service limited, a request waited an eighth of its goal and was told to return after 0.6 s, whatever the limit. Cause: refusals did not know when there is room. Ruled out: refusing while an ejected upstream may be back.

--- a/internal/fleet/rate_share.go
+++ b/internal/fleet/rate_share.go
@@ -35,8 +35,8 @@
 	return s.limit
 }
 
-// next is when the node's share has room for a request, seen from now.
-func (s *rateShare) next(limit *rate.Limiter, now time.Time) time.Time {
+// nextToken is when a limiter has room for a request, seen from now.
+func nextToken(limit *rate.Limiter, now time.Time) time.Time {
 	missing := 1 - limit.TokensAt(now)
 	if missing <= 0 {
 		return now
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// roomAt is when an upstream takes the job's next attempt, where all are known to take none
+// until then.
+func (n *Node) roomAt(j *job) (time.Time, bool) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	want := j.want(canary.Rule{})
+	return n.fleet.RoomAt(&want, now)
+}
+
 // want is what the job's next attempt asks of an upstream.
 func (j *job) want(rule canary.Rule) fleet.AttemptSpec {
 	w := fleet.AttemptSpec{
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -59,6 +59,9 @@
 	failed *held
 	// paid is set when the next attempt has been taken from the retry budget.
 	paid bool
+	// room is when an upstream takes work again, where all are known to take none until
+	// then.
+	room time.Time
 	// unreached is how many upstreams could not be connected to.
 	unreached int
 	outcome   string
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,6 +35,17 @@
 	tooLate       = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
 )
 
+// leastRetryAfter keeps refused callers from returning at once.
+const leastRetryAfter = 100 * time.Millisecond
+
+// upstreamsPaced refuses a request for which no upstream has room before a time.
+func upstreamsPaced(wait time.Duration) *refusal {
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "upstreams_paced", text: "the upstreams take no more requests for now",
+		retryAfter: max(wait, leastRetryAfter),
+	}
+}
+
 // suspectRetryAfter is long: nothing about the request will change soon.
 const suspectRetryAfter = 30 * time.Second
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -57,6 +57,8 @@
 		j.refuse(notInTime)
 	case j.mayHaveRun:
 		j.refuse(broken)
+	case !j.room.IsZero():
+		j.refuse(upstreamsPaced(time.Until(j.room)))
 	case j.arrived > 0:
 		j.refuse(turnedAway)
 	default:
@@ -95,10 +97,12 @@
 		if a := j.node.choose(j); a != nil {
 			return a
 		}
-		if !time.Now().Before(until) && !j.begun {
+		room, known := j.node.roomAt(j)
+		if (!time.Now().Before(until) || known && room.After(until)) && !j.begun {
+			j.room = room
 			return nil
 		}
-		if !pause(j.ctx, waitStep) {
+		if !pause(j.ctx, max(time.Until(room), waitStep)) {
 			return nil
 		}
 	}
