Move the sharing of upstreams' rates into a package of its own

No change of behaviour: pacing.Bound, Share and Senders were in fleet, which the own door's balancer can't use. Cause: the balancer needs the same for upstreams that name a limit there.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/pacing"
 )
 
 // Fleet is the set of upstreams that a node knows.
@@ -25,7 +26,7 @@
 	// warmUps are what upstreams of each service bear while they warm up, senders the
 	// nodes among which that is shared.
 	warmUps map[string]WarmUp
-	senders senders
+	senders pacing.Senders
 	// evacuated are the failure domains that get no new work.
 	evacuated map[string]bool
 	// notices are what upstreams have said of themselves in answers.
--- a/internal/fleet/limit_news_test.go
+++ b/internal/fleet/limit_news_test.go
@@ -166,6 +166,9 @@
 	})
 }
 
+// mostUnheard is how many requests nodes send that have not read the lowered limit yet.
+const mostUnheard = 16
+
 // TestLoweredLimitHoldsAtOnce guards against nodes that go on at the rate of a limit which
 // the upstream has lowered since, and against requests that were saved up under it.
 func TestLoweredLimitHoldsAtOnce(t *testing.T) {
@@ -185,7 +188,7 @@
 	now = now.Add(5 * time.Second) // bursts are saved up
 	lowered := run(1, 10*time.Second)
 	inside := slices.DeleteFunc(slices.Clone(w.counted), func(at time.Time) bool { return at.Before(lowered.begins) })
-	if most := mostWithin(inside, lowered.begins, boundWindow); float64(most) > arrivalBound(1)+float64(mostSenders) {
+	if most := mostWithin(inside, lowered.begins, boundWindow); float64(most) > arrivalBound(1)+mostUnheard {
 		t.Errorf("%d arrive within %s after the limit was lowered to 1 a second", most, boundWindow)
 	}
 	settled := slices.DeleteFunc(inside, func(at time.Time) bool { return at.Before(lowered.begins.Add(toldAfter)) })
--- a/internal/fleet/rate_limit.go
+++ b/internal/fleet/rate_limit.go
@@ -5,27 +5,9 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/pacing"
 )
 
-const (
-	// limitOver times a named rate, and limitSlack, are what may arrive at its upstream
-	// within any limitWindow.
-	limitOver   = 1.5
-	limitSlack  = 5
-	limitWindow = 4 * time.Second
-	// leastLimit is the rate in requests a second at which an upstream is asked that takes
-	// none: only an answer tells that it takes some again.
-	leastLimit = 0.25
-)
-
-// limitBound is what arrives at most at an upstream that names a rate limit.
-func limitBound(l notice.Limit) RateBound {
-	b := RateBound{Rate: max(l.PerSecond, leastLimit), Window: limitWindow}
-	b.Most = limitOver*l.PerSecond*limitWindow.Seconds() + limitSlack
-	return b
-}
-
 // limited tells whether the upstream has named a rate limit.
 func (u *Upstream) limited() bool { return u.said.Limit().Named }
 
@@ -35,12 +17,12 @@
 // limiters calls use for each share of the upstream's rates that binds this node now, with
 // a nil limiter where other nodes send. Where an upstream warms up and names a limit, both
 // bind: the lesser holds.
-func (f *Fleet) limiters(u *Upstream, now time.Time, use func(s *rateShare, limit *rate.Limiter)) {
+func (f *Fleet) limiters(u *Upstream, now time.Time, use func(s *pacing.Share, limit *rate.Limiter)) {
 	if w := f.warmUps[u.Service]; w.Rate > 0 && u.cold(now) {
-		use(&u.warmUpShare, u.warmUpShare.limiter(u, w.bound(), &f.senders, now))
+		use(&u.warmUpShare, u.warmUpShare.Limiter(u.said.Start(), w.bound(), &f.senders, now))
 	}
 	if u.limited() {
-		use(&u.limitShare, u.limitShare.limiter(u, limitBound(u.said.Limit()), &f.senders, now))
+		use(&u.limitShare, u.limitShare.Limiter(u.said.Start(), pacing.Named(u.said.Limit().PerSecond), &f.senders, now))
 	}
 }
 
@@ -50,7 +32,7 @@
 // that they send crashes it; one that is in need goes on getting its usual part of the load.
 func (f *Fleet) admits(u *Upstream, now time.Time) bool {
 	room := true
-	f.limiters(u, now, func(_ *rateShare, limit *rate.Limiter) {
+	f.limiters(u, now, func(_ *pacing.Share, limit *rate.Limiter) {
 		room = room && limit != nil && limit.TokensAt(now) >= 1
 	})
 	return room
@@ -58,7 +40,7 @@
 
 // spend takes a request from this node's shares of the upstream's rates.
 func (f *Fleet) spend(u *Upstream, now time.Time) {
-	f.limiters(u, now, func(_ *rateShare, limit *rate.Limiter) {
+	f.limiters(u, now, func(_ *pacing.Share, limit *rate.Limiter) {
 		if limit != nil {
 			limit.AllowN(now, 1)
 		}
--- a/internal/fleet/rate_limit_test.go
+++ b/internal/fleet/rate_limit_test.go
@@ -103,8 +103,8 @@
 		w := newLimitWorld(rapid.IntRange(1, 40).Draw(t, "nodes"), rapid.IntRange(0, 3).Draw(t, "others"), start)
 		last := len(w.ids) - 1
 		if rapid.Bool().Draw(t, "some have not heard of the last one") {
-			for _, f := range w.nodes[:last/2] {
-				f.SetSenders(f.senders.self, w.ids[:last])
+			for i, f := range w.nodes[:last/2] {
+				f.SetSenders(w.ids[i], w.ids[:last])
 			}
 		}
 		busy := rapid.IntRange(1, 4).Draw(t, "attempts at most")
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/hickorybank/hickorybank/internal/pacing"
 )
 
 // RoomAt is when an upstream may take the attempt again, where all that could are only kept
@@ -30,10 +32,10 @@
 // place, it is when one of them probably may.
 func (f *Fleet) nextRoom(u *Upstream, now time.Time) time.Time {
 	next := now
-	f.limiters(u, now, func(s *rateShare, limit *rate.Limiter) {
-		room := now.Add(min(time.Duration(float64(time.Second)/s.bound.Rate), mostPause))
+	f.limiters(u, now, func(s *pacing.Share, limit *rate.Limiter) {
+		room := now.Add(min(time.Duration(float64(time.Second)/s.Rate()), pacing.MostPause))
 		if limit != nil {
-			room = nextToken(limit, now)
+			room = pacing.NextToken(limit, now)
 		}
 		if room.After(next) {
 			next = room
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/pacing"
 )
 
 // Upstream is one upstream and what this node has seen of it.
@@ -24,7 +25,7 @@
 	// coldUntil is when it has warmed up; warmUpShare is this node's share of what it
 	// bears until then, limitShare that of the rate limit that it names.
 	coldUntil               time.Time
-	warmUpShare, limitShare rateShare
+	warmUpShare, limitShare pacing.Share
 	// sentAt is when this node last sent it a request.
 	sentAt time.Time
 
--- a/internal/fleet/warm_up.go
+++ b/internal/fleet/warm_up.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/pacing"
+)
 
 // WarmUp is what the upstreams of a service bear right after a start.
 type WarmUp struct {
@@ -14,8 +18,8 @@
 }
 
 // bound is what arrives at most while an upstream warms up.
-func (w *WarmUp) bound() RateBound {
-	return RateBound{Rate: w.Rate, Most: w.Most, Window: time.Second}
+func (w *WarmUp) bound() pacing.Bound {
+	return pacing.Bound{Rate: w.Rate, Most: w.Most, Window: time.Second}
 }
 
 // SetWarmUp says what upstreams of a service bear while they warm up.
@@ -23,6 +27,10 @@
 	f.warmUps[service] = w
 }
 
+// SetSenders names this node and all among which the rates of upstreams are shared; none
+// where they are not known yet.
+func (f *Fleet) SetSenders(self string, all []string) { f.senders.Set(self, all) }
+
 // Returning notes that nobody listened at an upstream's address: it may be back under its
 // ID, and warm up, before the table says so.
 func (f *Fleet) Returning(u *Upstream, now time.Time) {
--- a/internal/fleet/warm_up_test.go
+++ b/internal/fleet/warm_up_test.go
@@ -56,8 +56,8 @@
 		count := rapid.IntRange(1, 40).Draw(t, "nodes")
 		nodes, ids := warmUpNodes(count, w, start)
 		stale := rapid.IntRange(0, min(count-1, 1)).Draw(t, "have not heard of the last one")
-		for _, f := range nodes[:stale*(count-1)] {
-			f.SetSenders(f.senders.self, ids[:count-1])
+		for i, f := range nodes[:stale*(count-1)] {
+			f.SetSenders(ids[i], ids[:count-1])
 		}
 		var sent []time.Time
 		now := start
--- a/internal/fleet/rate_ways_test.go
+++ b/internal/pacing/ways_test.go
@@ -1,4 +1,4 @@
-package fleet
+package pacing
 
 import (
 	"math/rand/v2"
@@ -12,24 +12,24 @@
 type rateWay struct {
 	name string
 	// limiter is a node's own; nil where it sends nothing.
-	limiter func(node, nodes int, b RateBound) *rate.Limiter
+	limiter func(node, nodes int, b Bound) *rate.Limiter
 	// asks is set where each request asks the node that has the limiter.
 	asks bool
 }
 
 func rateWays() []rateWay {
 	return []rateWay{
-		{name: "equal parts", limiter: func(_, nodes int, b RateBound) *rate.Limiter {
+		{name: "equal parts", limiter: func(_, nodes int, b Bound) *rate.Limiter {
 			return rate.NewLimiter(rate.Limit(b.Rate/float64(nodes)), 1)
 		}},
-		{name: "few senders", limiter: func(node, nodes int, b RateBound) *rate.Limiter {
+		{name: "few senders", limiter: func(node, nodes int, b Bound) *rate.Limiter {
 			count := min(b.senderCount(), nodes)
 			if node >= count {
 				return nil
 			}
 			return rate.NewLimiter(b.perSender(count), b.burst())
 		}},
-		{name: "one owner", asks: true, limiter: func(node, _ int, b RateBound) *rate.Limiter {
+		{name: "one owner", asks: true, limiter: func(node, _ int, b Bound) *rate.Limiter {
 			if node > 0 {
 				return nil
 			}
@@ -50,9 +50,21 @@
 // demandPerNode is how many requests a second each node would send to the upstream.
 const demandPerNode = 4
 
+// mostWithin is the most of some times, which are in order, that lie within a window.
+func mostWithin(sent []time.Time, window time.Duration) (most int) {
+	first := 0
+	for last, at := range sent {
+		for at.Sub(sent[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 func (w rateWay) run(nodes int, perSecond float64) waysRun {
 	const length = time.Minute
-	b := RateBound{Rate: perSecond, Most: arrivalBound(perSecond), Window: boundWindow}
+	b := Named(perSecond)
 	rnd := rand.New(rand.NewPCG(1, 2))
 	play := func(gone int) (sent []time.Time, calls int) {
 		limiters := make([]*rate.Limiter, nodes)
@@ -76,7 +88,7 @@
 	sent, calls := play(-1)
 	rest, _ := play(0)
 	return waysRun{
-		most: mostWithin(sent, time.Time{}, boundWindow), use: float64(len(sent)) / (perSecond * length.Seconds()),
+		most: mostWithin(sent, namedWindow), use: float64(len(sent)) / (perSecond * length.Seconds()),
 		calls: float64(calls) / length.Seconds(), lost: float64(len(rest)) / (perSecond * length.Seconds()),
 	}
 }
@@ -89,9 +101,9 @@
 			for _, w := range rateWays() {
 				r := w.run(nodes, perSecond)
 				t.Logf("%4d nodes, %4.1f a second, %-11s: %4d in 4 s (%.0f may), use %.2f, %.2f with a node lost, %.0f calls a second",
-					nodes, perSecond, w.name, r.most, arrivalBound(perSecond), r.use, r.lost, r.calls)
-				if w.name == "few senders" && float64(r.most) > arrivalBound(perSecond) {
-					t.Errorf("%d arrive within %s, %.0f may", r.most, boundWindow, arrivalBound(perSecond))
+					nodes, perSecond, w.name, r.most, Named(perSecond).Most, r.use, r.lost, r.calls)
+				if w.name == "few senders" && float64(r.most) > Named(perSecond).Most {
+					t.Errorf("%d arrive within %s, %.0f may", r.most, namedWindow, Named(perSecond).Most)
 				}
 			}
 		}
