Own door: keep the rate limits that upstreams name

Entry nodes hear of each answer's headers, failures and load reports included, and share the rate by pacing's senders among the entry VMs that the platform lists. Ruled out: a limit in the load report: it lags, and would end a limit that answers still name. Open: with more than 64 upstreams a sender may not have the upstream in its subset; that part of the rate is then unused.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/pacing"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
@@ -25,6 +26,8 @@
 	// engines are those whose versions are known.
 	engines pool
 	domains domains
+	// senders are the nodes among which the rates of upstreams are shared.
+	senders pacing.Senders
 
 	slots slots
 	view  view
--- a/internal/balance/change.go
+++ b/internal/balance/change.go
@@ -19,6 +19,9 @@
 	Closed
 	// Ejected: it is slow but alive, and gets little work.
 	Ejected
+	// LimitBegan and LimitEnded: the upstream names a rate limit, or no longer does.
+	LimitBegan
+	LimitEnded
 )
 
 // changesKept bounds the changes that nobody has taken.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -18,6 +18,7 @@
 	h.inFlight++
 	p.inFlight++
 	h.breaker.taken()
+	b.spend(h, now)
 	if r.Alone {
 		h.isolated++
 	}
@@ -48,7 +49,7 @@
 	for t := tierGood; t < tiers; t++ {
 		v.hosts = v.hosts[:0]
 		for _, h := range p.known() {
-			if h.usable(now, t) && !slices.Contains(r.Exclude, h.vm.ID) {
+			if h.usable(now, t) && b.admits(h, now) && !slices.Contains(r.Exclude, h.vm.ID) {
 				v.hosts = append(v.hosts, h)
 			}
 		}
--- a/internal/balance/host.go
+++ b/internal/balance/host.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/pacing"
 	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
@@ -28,6 +30,12 @@
 	joined    time.Duration
 	fullUntil time.Duration
 
+	// limit is the rate limit that its latest answer named, read at limitAt; share is this
+	// node's part of it.
+	limit   notice.Limit
+	limitAt time.Duration
+	share   pacing.Share
+
 	leavingByList bool
 	leavingByWord bool
 	leavingSince  time.Duration
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -39,6 +39,8 @@
 	AllLeaving ShortageReason = "all leaving"
 	// AllFailing: the breakers of all that have it are open.
 	AllFailing ShortageReason = "all failing"
+	// AllPaced: those that have it take no more requests for now, by their own word.
+	AllPaced ShortageReason = "all paced"
 	// AllTried: all that have it were excluded.
 	AllTried ShortageReason = "all tried"
 )
--- /dev/null
+++ b/internal/balance/rate_limit.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/pacing"
+)
+
+// SetSenders names this node and all entry nodes, among which the rates of upstreams that
+// name a limit are shared.
+func (b *Balancer) SetSenders(self string, all []string) { b.senders.Set(self, all) }
+
+// Noticed takes what an upstream said of itself in an answer that was read at a time.
+func (b *Balancer) Noticed(vmID string, a notice.Answer, at time.Time) {
+	h := b.hosts[vmID]
+	if h == nil || a.LimitUnsound || b.since(at) < h.limitAt {
+		return // what was said before what is known says nothing
+	}
+	before := h.limit.Named
+	h.limit, h.limitAt = a.Limit, b.since(at)
+	switch {
+	case a.Limit.Named && !before:
+		b.changed(h, LimitBegan)
+	case before && !a.Limit.Named:
+		b.changed(h, LimitEnded)
+	}
+}
+
+// limiter returns this node's part of the upstream's rate limit; nil where others send.
+func (b *Balancer) limiter(h *host, now time.Duration) *rate.Limiter {
+	return h.share.Limiter(h.vm.ID, pacing.Named(h.limit.PerSecond), &b.senders, b.base.Add(now))
+}
+
+// admits tells whether this node may send the upstream a request now.
+func (b *Balancer) admits(h *host, now time.Duration) bool {
+	if !h.limit.Named {
+		return true
+	}
+	l := b.limiter(h, now)
+	return l != nil && l.TokensAt(b.base.Add(now)) >= 1
+}
+
+// spend takes a request from this node's part of the upstream's rate limit.
+func (b *Balancer) spend(h *host, now time.Duration) {
+	if !h.limit.Named {
+		return
+	}
+	if l := b.limiter(h, now); l != nil {
+		l.AllowN(b.base.Add(now), 1)
+	}
+}
+
+// pacedUntil is when this node, or one that sends in its place, may send the upstream a
+// request.
+func (b *Balancer) pacedUntil(h *host, now time.Duration) time.Duration {
+	l := b.limiter(h, now)
+	if l == nil {
+		return now + min(time.Duration(float64(time.Second)/h.share.Rate()), pacing.MostPause)
+	}
+	return b.since(pacing.NextToken(l, b.base.Add(now)))
+}
--- a/internal/balance/shortage.go
+++ b/internal/balance/shortage.go
@@ -12,7 +12,7 @@
 
 // shortage says why no upstream of the pool can be used.
 func (b *Balancer) shortage(p *pool, now time.Duration) Shortage {
-	var listed, staying, failing int
+	var listed, staying, failing, paced int
 	soonest := time.Duration(-1)
 	for _, h := range p.known() {
 		if !h.listed {
@@ -23,11 +23,18 @@
 			continue
 		}
 		staying++
-		if h.breaker.allows(now) {
+		var wait time.Duration
+		switch {
+		case !h.breaker.allows(now):
+			failing++
+			wait = h.breaker.until - now
+		case !b.admits(h, now):
+			paced++
+			wait = b.pacedUntil(h, now) - now
+		default:
 			continue
 		}
-		failing++
-		if wait := h.breaker.until - now; soonest < 0 || wait < soonest {
+		if soonest < 0 || wait < soonest {
 			soonest = wait
 		}
 	}
@@ -38,6 +45,8 @@
 		return Shortage{Reason: AllLeaving, RetryAfter: retryLeaving}
 	case failing == staying:
 		return Shortage{Reason: AllFailing, RetryAfter: max(soonest, retryLeast)}
+	case failing+paced == staying:
+		return Shortage{Reason: AllPaced, RetryAfter: max(soonest, retryLeast)}
 	}
 	return Shortage{Reason: AllTried, RetryAfter: retryTried}
 }
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -229,7 +229,7 @@
 	began := time.Now()
 	epoch := r.epoch
 	do := func(ctx context.Context) callEvent {
-		answer, err := r.node.deps.Services.Do(ctx, vm.Addr, out)
+		answer, err := r.node.deps.Services.Do(r.node.upstreams.hearing(ctx, vm), vm.Addr, out)
 		r.node.callEnded(r.id, vm, epoch, err)
 		return func() []lifecycle.Decision { return r.sent(answer, err, time.Since(began)) }
 	}
--- a/internal/node/try.go
+++ b/internal/node/try.go
@@ -104,7 +104,7 @@
 	if fail := r.mayRun(d.Version); fail != nil {
 		return r.machine.Unsent(fail.Code, fail.RetryAfter, fail.Message)
 	}
-	stream, err := r.node.deps.Engines.Start(r.watched(ctx), r.try.vm.Addr, upstream.Attempt{
+	stream, err := r.node.deps.Engines.Start(r.node.upstreams.hearing(r.watched(ctx), r.try.vm), r.try.vm.Addr, upstream.Attempt{
 		ID: d.Attempt, Version: d.Version, Priority: priority(r.class.Kind), PrefixHash: r.call.PrefixHash, Body: body,
 	})
 	if err != nil {
@@ -116,7 +116,7 @@
 
 func (r *chatRun) resume(ctx context.Context, d lifecycle.Resume) []lifecycle.Decision {
 	r.try.close()
-	stream, err := r.node.deps.Engines.Resume(r.watched(ctx), r.try.vm.Addr, d.Attempt, d.After)
+	stream, err := r.node.deps.Engines.Resume(r.node.upstreams.hearing(r.watched(ctx), r.try.vm), r.try.vm.Addr, d.Attempt, d.After)
 	if err != nil {
 		return r.broke(ctx, err, true)
 	}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/notice"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
@@ -61,6 +63,38 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.balancer.SetMembers(vms, place, time.Now())
+	u.balancer.SetSenders(u.node.settings.ID, entryIDs(v, u.node.settings.ID))
+}
+
+// entryIDs are the IDs of all entry nodes; none while this one is not among them: it has
+// just started, and the others do not know of it.
+func entryIDs(v *membership.View, self string) []string {
+	var ids []string
+	for _, vm := range v.EntryVMs() {
+		if vm.Role == platform.RoleEntry {
+			ids = append(ids, vm.ID)
+		}
+	}
+	if !slices.Contains(ids, self) {
+		return nil
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// hearing returns a context whose calls tell what the upstream's answers say of it.
+func (u *upstreams) hearing(ctx context.Context, vm platform.VM) context.Context {
+	return upstream.WithHeard(ctx, func(a notice.Answer, at time.Time) { u.noticed(vm, a, at) })
+}
+
+// noticed takes what an upstream said of itself in an answer.
+func (u *upstreams) noticed(vm platform.VM, a notice.Answer, at time.Time) {
+	for _, field := range a.Unsound {
+		u.node.metrics.Counter("hickorybank_unsound_answer_fields_total", "field", field).Inc()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.balancer.Noticed(vm.ID, a, at)
 }
 
 func listed(m membership.Member) platform.VM {
@@ -199,6 +233,9 @@
 	balance.Opened:  event.BreakerOpened,
 	balance.Closed:  event.BreakerClosed,
 	balance.Ejected: event.UpstreamEjected,
+
+	balance.LimitBegan: event.LimitBegan,
+	balance.LimitEnded: event.LimitEnded,
 }
 
 func (u *upstreams) ask(ctx context.Context, slots chan struct{}) {
@@ -241,7 +278,7 @@
 	defer u.answered(vm.ID)
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	report, err := u.node.deps.Engines.Load(ctx, vm.Addr)
+	report, err := u.node.deps.Engines.Load(u.hearing(ctx, vm), vm.Addr)
 	if err != nil {
 		u.failed(vm, err)
 		return
--- /dev/null
+++ b/internal/upstream/client/announced.go
@@ -0,0 +1,15 @@
+package client
+
+import (
+	"net/http"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// announced decodes what an upstream says of itself in an answer's headers.
+func announced(h http.Header) notice.Answer {
+	a := notice.Answer{}
+	a.ReadLimit(upstream.HeaderRateLimit, h.Get(upstream.HeaderRateLimit))
+	return a
+}
--- /dev/null
+++ b/internal/upstream/client/announced_test.go
@@ -0,0 +1,41 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/upstream"
+)
+
+// TestEachAnswerSaysWhatItsUpstreamBears guards against what an upstream in need says in
+// refusals, failures and load reports, and nobody reads.
+func TestEachAnswerSaysWhatItsUpstreamBears(t *testing.T) {
+	is := is.New(t)
+	status := http.StatusOK
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(upstream.HeaderRateLimit, "2.5")
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte("{}")) // the test sees whether it came
+	}))
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	var heard []notice.Answer
+	ctx := upstream.WithHeard(context.Background(), func(a notice.Answer, _ time.Time) { heard = append(heard, a) })
+	services, engines := NewServices(Options{}), NewEngines(Options{})
+	defer services.Close()
+	defer engines.Close()
+	for _, status = range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusInternalServerError} {
+		_, _ = services.Do(ctx, addr, upstream.ServiceCall{Method: http.MethodGet, Path: "/"}) // a failure too tells
+		_, _ = engines.Load(ctx, addr)                                                         // as above
+	}
+	is.Equal(len(heard), 6)
+	for _, a := range heard {
+		is.Equal(a.Limit, notice.Limit{Named: true, PerSecond: 2.5})
+	}
+}
--- a/internal/upstream/client/trip.go
+++ b/internal/upstream/client/trip.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -18,6 +19,9 @@
 	if err != nil {
 		return nil, fail(req.URL.Host, s.reach(), err)
 	}
+	if heard := upstream.HeardFrom(req.Context()); heard != nil {
+		heard(announced(res.Header), time.Now())
+	}
 	return res, nil
 }
 
