Log and count that upstreams leave or ask for rest in their answers

What callers saw: nothing told whether a node had read either (DRAIN, BUDGET). Events 1937 and 1938, with the peer that told and the age; counted by upstream. Rest is a matter of one node and is not told to peers; leaving is. No choice depends on either yet. Ruled out: a bound below ten minutes on the rest that may be asked for.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -27,6 +27,8 @@
 	LimitBegan        = define(1934, slog.LevelWarn, "upstream has named a rate limit")
 	LimitChanged      = define(1935, slog.LevelInfo, "upstream's rate limit has changed")
 	LimitEnded        = define(1936, slog.LevelInfo, "upstream's rate limit has ended")
+	UpstreamLeaves    = define(1937, slog.LevelInfo, "upstream says that it leaves")
+	RestBegan         = define(1938, slog.LevelInfo, "upstream wants nothing from this node for a while")
 	AnswerUnsound     = define(1939, slog.LevelWarn, "field of an upstream's answer makes no sense")
 	TableApplied      = define(1940, slog.LevelInfo, "routes were applied")
 	TableRejected     = define(1941, slog.LevelError, "routes could not be read; the former ones stay")
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -6,16 +6,15 @@
 	"github.com/hickorybank/hickorybank/internal/notice"
 )
 
-// Answered takes what an upstream said of itself in an answer that was read at a time.
-func (f *Fleet) Answered(u *Upstream, a notice.Answer, at, now time.Time) notice.Change {
-	if a.LimitUnsound {
-		return notice.Change{}
-	}
-	return f.notices.Answer(u.said, a.Limit, at, now)
+// Answered takes what an upstream said of itself in an answer that was read at a time; it
+// returns what that has changed.
+func (f *Fleet) Answered(u *Upstream, a notice.Answer, at, now time.Time) []notice.Change {
+	return f.notices.Answer(u.said, a, at, now)
 }
 
-// TakeNotice takes what a peer tells of an upstream's answer.
-func (f *Fleet) TakeNotice(r notice.Report, now time.Time) notice.Change {
+// TakeNotice takes what a peer tells of an upstream's answer; it returns what that has
+// changed.
+func (f *Fleet) TakeNotice(r notice.Report, now time.Time) []notice.Change {
 	return f.notices.Take(r, now)
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -24,23 +24,26 @@
 	for _, field := range r.Notice.Unsound {
 		n.noteUnsound(up, field, now)
 	}
-	change := n.fleet.Answered(up, r.Notice, at, now)
-	n.noteChange(up.Start(), change, fromAnswer, now.Sub(at))
-	n.tellNotice(change, now)
+	for _, change := range n.fleet.Answered(up, r.Notice, at, now) {
+		n.noteChange(up.Start(), change, fromAnswer, now.Sub(at))
+		n.tellNotice(change, now)
+	}
 }
 
 // takeNotices takes what a peer tells of upstreams' answers; the caller holds mu.
 func (n *Node) takeNotices(in gossip.Message, now time.Time) {
 	for _, r := range in.Notices {
-		n.noteChange(r.Start, n.fleet.TakeNotice(r, now), in.From, r.Age)
+		for _, change := range n.fleet.TakeNotice(r, now) {
+			n.noteChange(r.Start, change, in.From, r.Age)
+		}
 	}
 }
 
 // tellNotice has other nodes told at once of what this one has read first, unless they
 // were a moment ago; the caller holds mu.
 func (n *Node) tellNotice(c notice.Change, now time.Time) {
-	begins := c.Kind == notice.LimitBegan || c.Kind == notice.LimitEnded
-	if !begins || now.Sub(n.noticesTold) < noticesTellPause {
+	urgent := c.Kind == notice.LimitBegan || c.Kind == notice.LimitEnded || c.Kind == notice.Leaving
+	if !urgent || now.Sub(n.noticesTold) < noticesTellPause {
 		return
 	}
 	n.noticesTold = now
@@ -76,9 +79,6 @@
 // noteChange counts and logs what a statement of an upstream has changed here; the caller
 // holds mu. The statement was age old, and came from an answer or a peer.
 func (n *Node) noteChange(start string, c notice.Change, from string, age time.Duration) {
-	if c.Kind == notice.None {
-		return
-	}
 	n.metrics.Counter("hickorybank_upstream_notices_total", "kind", c.Kind.String(), "upstream", n.noticeLabel(start)).Inc()
 	if c.Repeated {
 		return
@@ -91,6 +91,10 @@
 		event.LimitChanged.Log(n.log, append(attrs, slog.Float64("per_second", c.Now.PerSecond), slog.Float64("before", c.Before.PerSecond))...)
 	case notice.LimitEnded:
 		event.LimitEnded.Log(n.log, append(attrs, slog.Float64("before", c.Before.PerSecond), slog.Int64("lasted_ms", c.Lasted.Milliseconds()))...)
+	case notice.Leaving:
+		event.UpstreamLeaves.Log(n.log, attrs...)
+	case notice.RestBegan:
+		event.RestBegan.Log(n.log, append(attrs, slog.Int64("for_ms", time.Until(c.Until).Milliseconds()))...)
 	}
 }
 
--- a/internal/notice/change.go
+++ b/internal/notice/change.go
@@ -8,6 +8,8 @@
 	// Before is the limit until now, Lasted how long one was in force at this node.
 	Before, Now Limit
 	Lasted      time.Duration
+	// Until is the end of a rest.
+	Until time.Time
 	// Repeated is set where a change of the same upstream was reported a moment ago.
 	Repeated bool
 }
@@ -22,6 +24,10 @@
 	LimitBegan
 	LimitChanged
 	LimitEnded
+	// Leaving: the upstream says that it leaves, for good.
+	Leaving
+	// RestBegan: the upstream wants nothing from this node until a time.
+	RestBegan
 )
 
 // String names the kind in metrics.
@@ -33,6 +39,10 @@
 		return "limit_changed"
 	case LimitEnded:
 		return "limit_ended"
+	case Leaving:
+		return "leaving"
+	case RestBegan:
+		return "rest"
 	}
 	return "none"
 }
--- a/internal/notice/register.go
+++ b/internal/notice/register.go
@@ -14,6 +14,9 @@
 	mostRepeated = 4
 	// mostFirst bounds what is told to a peer that was not heard of before.
 	mostFirst = 256
+	// leavingToldFor is how long peers are told that an upstream leaves: the table's list
+	// says so by then, or no longer has it.
+	leavingToldFor = 2 * time.Minute
 	// forgetAfter is how long the state of a start is kept that is no longer listed.
 	forgetAfter = 10 * time.Minute
 )
@@ -45,8 +48,25 @@
 	return s
 }
 
-// Answer takes an answer that this node read at a time.
-func (r *Register) Answer(s *State, l Limit, at, now time.Time) Change {
+// Answer takes what an answer that this node read at a time says; it returns what that has
+// changed here.
+func (r *Register) Answer(s *State, a Answer, at, now time.Time) (changes []Change) {
+	if a.Leaving && s.leave(now) {
+		changes = append(changes, r.note(s, Change{Kind: Leaving}))
+	}
+	if a.Rest > 0 && s.rest(a.Rest, at, now) {
+		changes = append(changes, Change{Kind: RestBegan, Until: s.restUntil})
+	}
+	if a.LimitUnsound {
+		return changes
+	}
+	if c := r.answerLimit(s, a.Limit, at, now); c.Kind != None {
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+func (r *Register) answerLimit(s *State, l Limit, at, now time.Time) Change {
 	if r.base.IsZero() {
 		r.base = at
 	}
@@ -57,9 +77,20 @@
 	return r.note(s, s.set(l, r.origin, seq, at, now))
 }
 
-// Take takes a peer's report. Where this node knows better, peers are told.
-func (r *Register) Take(p Report, now time.Time) Change {
+// Take takes a peer's report; it returns what that has changed here. Where this node knows
+// better, peers are told.
+func (r *Register) Take(p Report, now time.Time) (changes []Change) {
 	s := r.Of(p.Start)
+	if p.Leaving && s.leave(now) {
+		changes = append(changes, r.note(s, Change{Kind: Leaving}))
+	}
+	if c := r.takeLimit(s, p, now); c.Kind != None {
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+func (r *Register) takeLimit(s *State, p Report, now time.Time) Change {
 	at := now.Add(-max(p.Age, 0))
 	if s.later(p.Origin, p.Seq, at) {
 		return r.note(s, s.set(p.Limit, p.Origin, p.Seq, at, now))
@@ -86,7 +117,7 @@
 		switch {
 		case now.Before(s.tellUntil):
 			fresh = append(fresh, s)
-		case s.limit.Named:
+		case s.limit.Named || s.leaving && now.Sub(s.touched) < leavingToldFor:
 			standing = append(standing, s)
 		default:
 			delete(r.active, start)
@@ -140,7 +171,7 @@
 // Sweep forgets starts that are not listed and of which nothing has been heard for long.
 func (r *Register) Sweep(now time.Time, listed func(start string) bool) {
 	maps.DeleteFunc(r.states, func(start string, s *State) bool {
-		old := now.Sub(s.at) > forgetAfter && !listed(start)
+		old := now.Sub(s.touched) > forgetAfter && !listed(start)
 		if old {
 			delete(r.active, start)
 		}
--- a/internal/notice/register_test.go
+++ b/internal/notice/register_test.go
@@ -14,18 +14,30 @@
 
 func named(perSecond float64) Limit { return Limit{Named: true, PerSecond: perSecond} }
 
+// answer takes an answer that names a limit, or none, and returns what that has changed.
+func (r *Register) answer(start string, l Limit, read, now time.Time) ChangeKind {
+	return kindOf(r.Answer(r.Of(start), Answer{Limit: l}, read, now))
+}
+
+func kindOf(changes []Change) ChangeKind {
+	if len(changes) == 0 {
+		return None
+	}
+	return changes[0].Kind
+}
+
 // TestLaterAnswerCounts guards against a limit that comes back with an answer that was given
 // before the one that ended it, and read after it.
 func TestLaterAnswerCounts(t *testing.T) {
 	is := is.New(t)
 	r := NewRegister(1)
 	s := r.Of("u@1")
-	is.Equal(r.Answer(s, named(2), at(0), at(0)).Kind, LimitBegan)
-	is.Equal(r.Answer(s, Limit{}, at(200), at(200)).Kind, LimitEnded)
-	is.Equal(r.Answer(s, named(2), at(100), at(300)).Kind, None)
+	is.Equal(r.answer("u@1", named(2), at(0), at(0)), LimitBegan)
+	is.Equal(r.answer("u@1", Limit{}, at(200), at(200)), LimitEnded)
+	is.Equal(r.answer("u@1", named(2), at(100), at(300)), None)
 	is.True(!s.Limit().Named)
 	late := Report{Start: "u@1", Origin: 2, Seq: 1, Age: 250 * time.Millisecond, Limit: named(2)}
-	is.Equal(r.Take(late, at(400)).Kind, None) // read at 150 ms
+	is.Equal(kindOf(r.Take(late, at(400))), None) // read at 150 ms
 	is.True(!s.Limit().Named)
 }
 
@@ -34,15 +46,15 @@
 func TestReportThatTravelsStaysAsOld(t *testing.T) {
 	is := is.New(t)
 	a, b := NewRegister(1), NewRegister(2)
-	a.Answer(a.Of("u@1"), named(2), at(0), at(0))
+	a.answer("u@1", named(2), at(0), at(0))
 	for i := range 20 { // each way takes 100 ms
 		sent := at(i * 200)
 		b.Take(a.Reports(sent, true)[0], sent.Add(100*time.Millisecond))
 		a.Take(b.Reports(sent.Add(100*time.Millisecond), true)[0], sent.Add(200*time.Millisecond))
 	}
 	ended := Report{Start: "u@1", Origin: 3, Seq: 1, Age: 3500 * time.Millisecond}
-	is.Equal(a.Take(ended, at(4000)).Kind, LimitEnded) // read at 500 ms
-	is.Equal(b.Take(ended, at(4000)).Kind, LimitEnded)
+	is.Equal(kindOf(a.Take(ended, at(4000))), LimitEnded) // read at 500 ms
+	is.Equal(kindOf(b.Take(ended, at(4000))), LimitEnded)
 }
 
 // TestNodeThatMissedTheEndIsTold guards against a limit that stays for good at a node that
@@ -50,11 +62,11 @@
 func TestNodeThatMissedTheEndIsTold(t *testing.T) {
 	is := is.New(t)
 	knows, missed := NewRegister(1), NewRegister(2)
-	missed.Answer(missed.Of("u@1"), named(2), at(0), at(0))
-	knows.Answer(knows.Of("u@1"), Limit{}, at(60_000), at(60_000))
+	missed.answer("u@1", named(2), at(0), at(0))
+	knows.answer("u@1", Limit{}, at(60_000), at(60_000))
 	is.Equal(len(knows.Reports(at(70_000), true)), 0)
 	for _, p := range missed.Reports(at(70_000), false) {
-		is.Equal(knows.Take(p, at(70_000)).Kind, None)
+		is.Equal(kindOf(knows.Take(p, at(70_000))), None)
 	}
 	for _, p := range knows.Reports(at(70_010), false) {
 		missed.Take(p, at(70_020))
@@ -69,7 +81,7 @@
 	const count = 50
 	r := NewRegister(1)
 	for i := range count {
-		r.Answer(r.Of(fmt.Sprintf("u%02d@1", i)), named(2), at(0), at(0))
+		r.answer(fmt.Sprintf("u%02d@1", i), named(2), at(0), at(0))
 	}
 	is.Equal(len(r.Reports(at(1), false)), mostFresh)
 	is.Equal(len(r.Reports(at(1), true)), count)
@@ -89,8 +101,8 @@
 func TestStateOfAStartThatIsGone(t *testing.T) {
 	is := is.New(t)
 	r := NewRegister(1)
-	r.Answer(r.Of("gone@1"), named(2), at(0), at(0))
-	r.Answer(r.Of("listed@1"), named(2), at(0), at(0))
+	r.answer("gone@1", named(2), at(0), at(0))
+	r.answer("listed@1", named(2), at(0), at(0))
 	later := at(0).Add(forgetAfter + time.Second)
 	r.Sweep(later, func(start string) bool { return start == "listed@1" })
 	is.Equal(r.Limited(), 1)
--- a/internal/notice/report.go
+++ b/internal/notice/report.go
@@ -14,4 +14,6 @@
 	// the error that its way here adds.
 	Age   time.Duration
 	Limit Limit
+	// Leaving is set where the upstream has said that it leaves.
+	Leaving bool
 }
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -18,6 +18,12 @@
 	// and told the limit then.
 	since, reported time.Time
 	told            Limit
+	// leaving is set once an answer has said so: it holds for this start for good.
+	leaving bool
+	// restUntil is the latest end of the rests that it has asked this node for.
+	restUntil time.Time
+	// touched is when anything was last heard.
+	touched time.Time
 	// tellUntil is until when peers are told first.
 	tellUntil time.Time
 }
@@ -37,6 +43,34 @@
 // Limit is the rate limit in force.
 func (s *State) Limit() Limit { return s.limit }
 
+// Leaving tells whether the upstream has said that it leaves.
+func (s *State) Leaving() bool { return s.leaving }
+
+// RestUntil is until when the upstream wants nothing from this node.
+func (s *State) RestUntil() time.Time { return s.restUntil }
+
+// leave notes that the upstream leaves; it reports whether that is new.
+func (s *State) leave(now time.Time) bool {
+	s.touched = now
+	if s.leaving {
+		return false
+	}
+	s.leaving = true
+	s.tellUntil = now.Add(tellFor)
+	return true
+}
+
+// rest notes a rest that was asked for in an answer read at a time; it reports whether this
+// node was free to send until now.
+func (s *State) rest(d time.Duration, at, now time.Time) bool {
+	s.touched = now
+	resting := now.Before(s.restUntil)
+	if until := at.Add(d); until.After(s.restUntil) {
+		s.restUntil = until
+	}
+	return !resting && now.Before(s.restUntil)
+}
+
 // ReadAt is when the answer behind the state was read; zero before any.
 func (s *State) ReadAt() time.Time { return s.at }
 
@@ -56,7 +90,7 @@
 
 // set takes a later answer's limit.
 func (s *State) set(l Limit, origin uint64, seq int64, at, now time.Time) Change {
-	s.origin, s.seq, s.at = origin, seq, at
+	s.origin, s.seq, s.at, s.touched = origin, seq, at, now
 	before := s.limit
 	s.limit = l
 	c := Change{Before: before, Now: l}
@@ -81,5 +115,5 @@
 }
 
 func (s *State) report(now time.Time) Report {
-	return Report{Start: s.start, Origin: s.origin, Seq: s.seq, Age: now.Sub(s.at), Limit: s.limit}
+	return Report{Start: s.start, Origin: s.origin, Seq: s.seq, Age: now.Sub(s.at), Limit: s.limit, Leaving: s.leaving}
 }
