Send nothing new to an upstream whose answers say that it leaves

What callers saw: requests for an upstream 2 to 3.5 s after its answer had said that it leaves, while the table was away (DRAIN). Cause: whether an upstream leaves was known from the table's list alone. Ruled out: the mark in the hash of the list: peers would reject each other's readings until all had heard.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -18,6 +18,10 @@
 	if err != nil {
 		return nil, &Failure{Reason: reasonOf(ctx, NotConnected), Err: err}
 	}
+	if req.Stands != nil && !req.Stands() {
+		p.put(c, 0)
+		return nil, &Failure{Reason: Withdrawn, Err: errWithdrawn}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := make(chan error, 1)
 	sent := send(c, req, written)
@@ -37,6 +41,8 @@
 	return r, nil
 }
 
+var errWithdrawn = errors.New("the upstream takes no new work any more")
+
 func reasonOf(ctx context.Context, reason Reason) Reason {
 	if ctx.Err() != nil {
 		return Cancelled
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -21,6 +21,8 @@
 	Broken Reason = "broken"
 	// Garbled: what came back is no answer, or another request's.
 	Garbled Reason = "garbled"
+	// Withdrawn: the request was taken back before any byte of it was sent.
+	Withdrawn Reason = "withdrawn"
 	// Cancelled: the caller gave the exchange up, or its time was over.
 	Cancelled Reason = "cancelled"
 )
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -24,4 +24,7 @@
 	// has dropped in silence loses what is sent on it, which cannot be sent
 	// again where the work is not idempotent.
 	MaxIdle time.Duration
+	// Stands tells, once there is a connection, whether the request is still to be sent; nil
+	// where it is.
+	Stands func() bool
 }
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -29,6 +29,12 @@
 	return !f.evacuated[u.Domain] && u.ready(now)
 }
 
+// Leaves tells whether an upstream takes no new work for good.
+func (f *Fleet) Leaves(u *Upstream) bool { return u.leaves() }
+
+// Takes tells whether an attempt that was chosen for an upstream may still be sent there.
+func (f *Fleet) Takes(u *Upstream, now time.Time) bool { return f.usable(u, now) }
+
 // Stranded returns the services that have upstreams which would take new work, all of them
 // in evacuated failure domains.
 func (f *Fleet) Stranded(now time.Time) (services []string) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hickorybank/hickorybank/internal/notice"
 	"github.com/hickorybank/hickorybank/internal/pacing"
 )
@@ -139,6 +141,27 @@
 	return all
 }
 
+// StandingRecords returns the records that the table lists, with what upstreams have said of
+// themselves since: those that leave are marked.
+func (f *Fleet) StandingRecords(now time.Time) []Record {
+	all := f.Records(now)
+	for i := range all {
+		all[i].Draining = f.byID[all[i].ID].leaves()
+	}
+	return all
+}
+
+// StandingHash is the same on lists whose StandingRecords are.
+func (f *Fleet) StandingHash() uint64 {
+	hash := f.sum
+	for _, u := range f.byID {
+		if !u.kept && u.said.Leaving() && !u.Draining {
+			hash ^= xxhash.Sum64String(u.said.Start())
+		}
+	}
+	return hash
+}
+
 // Get returns the upstream of an ID, or nil.
 func (f *Fleet) Get(id string) *Upstream { return f.byID[id] }
 
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -24,6 +24,17 @@
 	return f.notices.Reports(now, first)
 }
 
+// LeavingUpstreams is how many listed upstreams have said that they leave before the list
+// did.
+func (f *Fleet) LeavingUpstreams() (count int) {
+	for _, u := range f.byID {
+		if u.said.Leaving() && !u.Draining {
+			count++
+		}
+	}
+	return count
+}
+
 // LimitedUpstreams is how many upstreams have a rate limit of their own in force.
 func (f *Fleet) LimitedUpstreams() int { return f.notices.Limited() }
 
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -14,7 +14,7 @@
 // any moment, or none is known.
 func (f *Fleet) RoomAt(w *AttemptSpec, now time.Time) (at time.Time, ok bool) {
 	for _, u := range f.services[w.Service] {
-		if !f.fits(u, w) || u.Draining || u.replaced || f.evacuated[u.Domain] || slices.Contains(w.Tried, u.ID) {
+		if !f.fits(u, w) || u.leaves() || u.replaced || f.evacuated[u.Domain] || slices.Contains(w.Tried, u.ID) {
 			continue
 		}
 		if now.Before(u.ejected) {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -112,5 +112,9 @@
 
 // ready tells whether the upstream takes new work now.
 func (u *Upstream) ready(now time.Time) bool {
-	return !u.Draining && !u.replaced && !now.Before(u.ejected)
+	return !u.leaves() && !u.replaced && !now.Before(u.ejected)
 }
+
+// leaves tells whether the upstream takes no new work for good: by the table's list, or by
+// its own answers, which the list may lag behind.
+func (u *Upstream) leaves() bool { return u.Draining || u.said.Leaving() }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,6 +119,15 @@
 	return j.ask.Model
 }
 
+// stands tells whether the attempt's upstream still takes new work: it may have said otherwise
+// while the attempt waited for a connection.
+func (a *attempt) stands() bool {
+	n := a.job.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.Takes(a.up, time.Now())
+}
+
 // started notes that the attempt's answer has begun.
 func (a *attempt) started() {
 	n := a.job.node
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -209,6 +209,7 @@
 	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
 	d.Metrics.Gauge("hickorybank_evacuated_domains", n.evacuatedDomains)
 	d.Metrics.Gauge("hickorybank_limited_upstreams", n.limitedUpstreams)
+	d.Metrics.Gauge("hickorybank_leaving_upstreams", n.leavingUpstreams)
 	return n
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -117,6 +117,14 @@
 	return float64(n.fleet.LimitedUpstreams())
 }
 
+// leavingUpstreams is how many upstreams have said that they leave before the table's list
+// did.
+func (n *Node) leavingUpstreams() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.fleet.LeavingUpstreams())
+}
+
 // sweepNotices forgets what upstreams have said that are long gone, now and then.
 func (n *Node) sweepNotices() {
 	now := time.Now()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -200,6 +200,7 @@
 		Fields: j.node.dialect.Forward(j.r.Header, &j.ask, &order),
 		Body:   j.body, HasBody: len(j.body) > 0 || j.r.ContentLength == 0 && j.r.Method != http.MethodGet && j.r.Method != http.MethodHead,
 		IDField: j.node.dialect.IDField(), ID: j.ask.ID,
+		Stands: a.stands,
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdle = onceMaxIdle
@@ -212,6 +213,8 @@
 	result := fleet.Unreached
 	reason := string(f.Reason)
 	switch {
+	case f.Reason == exchange.Withdrawn:
+		result = fleet.Abandoned
 	case f.Reason == exchange.Cancelled && moved:
 		result, reason = fleet.Moved, "waited_too_long"
 		j.paid = true
@@ -224,7 +227,7 @@
 		j.arrived++
 		j.sent++
 		j.mayHaveRun = true
-	} else {
+	} else if f.Reason != exchange.Withdrawn {
 		j.unreached++
 	}
 	a.end(result)
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -40,13 +40,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	hash := n.fleet.Hash()
+	hash := n.fleet.StandingHash()
 	first := n.roster.Groups()[0][0].ID
 	complete := len(n.list.gone) == 0 && now.Sub(n.list.steadySince) > returnWatch && !n.list.awayAt.After(n.list.provenAt)
 	if hash == saved || first != n.settings.ID || !complete {
 		return nil, hash
 	}
-	return n.fleet.Records(now), hash
+	return n.fleet.StandingRecords(now), hash
 }
 
 func (n *Node) saveSnapshot(ctx context.Context, records []fleet.Record) bool {
@@ -116,7 +116,7 @@
 func (n *Node) lapsed() []fleet.Record {
 	var kept []fleet.Record
 	for id := range n.list.gone {
-		if u := n.fleet.Get(id); u != nil {
+		if u := n.fleet.Get(id); u != nil && !n.fleet.Leaves(u) {
 			kept = append(kept, u.Record)
 		}
 	}
