Leave an upstream alone that has asked this node for rest

Cause: a 503 with Retry-After counted as any refusal; refusals end at once, so that the upstream looked idle and drew more. Rest holds at its node until the latest end that was asked for, and up to a fifth longer by node, so that nodes do not return together; it counts as no failure. Where all rest, the caller is told the earliest end. Ruled out: telling peers: the rest is asked of one node.

--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // SetEvacuated says whether a failure domain gets new work. Attempts under way go on.
@@ -29,6 +31,15 @@
 	return !f.evacuated[u.Domain] && u.ready(now)
 }
 
+// restSpread is by which part this node lengthens an upstream's rests.
+//
+// Without this, nodes that were turned away together return together, to an upstream that
+// looks idle to all of them.
+func (f *Fleet) restSpread(u *Upstream) float64 {
+	draw := mix(xxhash.Sum64String(u.said.Start()) ^ f.settings.Origin)
+	return restSpread * float64(draw>>11) / (1 << 53)
+}
+
 // Leaves tells whether an upstream takes no new work for good.
 func (f *Fleet) Leaves(u *Upstream) bool { return u.leaves() }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,7 @@
 	}
 	if known == nil {
 		u := &Upstream{Record: r, since: now, said: f.notices.Of(r.Start())}
+		u.restSpread = f.restSpread(u)
 		u.extendWarmUp(now.Add(r.Cold))
 		f.replace(u)
 		f.byID[r.ID] = u
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -35,6 +35,16 @@
 	return count
 }
 
+// RestingUpstreams is how many upstreams this node leaves alone, as they have asked for rest.
+func (f *Fleet) RestingUpstreams(now time.Time) (count int) {
+	for _, u := range f.byID {
+		if now.Before(u.restsUntil()) {
+			count++
+		}
+	}
+	return count
+}
+
 // LimitedUpstreams is how many upstreams have a rate limit of their own in force.
 func (f *Fleet) LimitedUpstreams() int { return f.notices.Limited() }
 
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -28,18 +28,23 @@
 	return at, ok
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // nextRoom is when this node may send the upstream a request. Where other nodes send in its
 // place, it is when one of them probably may.
 func (f *Fleet) nextRoom(u *Upstream, now time.Time) time.Time {
-	next := now
+	next := later(now, u.restsUntil())
 	f.limiters(u, now, func(s *pacing.Share, limit *rate.Limiter) {
 		room := now.Add(min(time.Duration(float64(time.Second)/s.Rate()), pacing.MostPause))
 		if limit != nil {
 			room = pacing.NextToken(limit, now)
 		}
-		if room.After(next) {
-			next = room
-		}
+		next = later(next, room)
 	})
 	return next
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -53,6 +53,8 @@
 	pacedPenalty = 1.0
 	// errorPenalty is how much a share of failed attempts lengthens the wait.
 	errorPenalty = 4.0
+	// restSpread is the part of a rest by which nodes lengthen it at most, each by its own.
+	restSpread = 0.2
 	// tieWeight spreads attempts among upstreams that cost about the same.
 	tieWeight = 0.05
 	// delayStep is by which part a wait moves the usual one: it follows a change
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -26,6 +26,8 @@
 	// bears until then, limitShare that of the rate limit that it names.
 	coldUntil               time.Time
 	warmUpShare, limitShare pacing.Share
+	// restSpread is the part of a rest that this node adds to it.
+	restSpread float64
 	// sentAt is when this node last sent it a request.
 	sentAt time.Time
 
@@ -112,7 +114,14 @@
 
 // ready tells whether the upstream takes new work now.
 func (u *Upstream) ready(now time.Time) bool {
-	return !u.leaves() && !u.replaced && !now.Before(u.ejected)
+	return !u.leaves() && !u.replaced && !now.Before(u.ejected) && !now.Before(u.restsUntil())
+}
+
+// restsUntil is until when this node sends the upstream nothing, as it has asked for rest. It
+// is a little longer than that, by a part that differs from node to node.
+func (u *Upstream) restsUntil() time.Time {
+	until := u.said.RestUntil()
+	return until.Add(time.Duration(u.restSpread * float64(u.said.Rest())))
 }
 
 // leaves tells whether the upstream takes no new work for good: by the table's list, or by
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -210,6 +210,7 @@
 	d.Metrics.Gauge("hickorybank_evacuated_domains", n.evacuatedDomains)
 	d.Metrics.Gauge("hickorybank_limited_upstreams", n.limitedUpstreams)
 	d.Metrics.Gauge("hickorybank_leaving_upstreams", n.leavingUpstreams)
+	d.Metrics.Gauge("hickorybank_resting_upstreams", n.restingUpstreams)
 	return n
 }
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -125,6 +125,13 @@
 	return float64(n.fleet.LeavingUpstreams())
 }
 
+// restingUpstreams is how many upstreams this node leaves alone, as they have asked for rest.
+func (n *Node) restingUpstreams() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.fleet.RestingUpstreams(time.Now()))
+}
+
 // sweepNotices forgets what upstreams have said that are long gone, now and then.
 func (n *Node) sweepNotices() {
 	now := time.Now()
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -22,6 +22,8 @@
 	leaving bool
 	// restUntil is the latest end of the rests that it has asked this node for.
 	restUntil time.Time
+	// resting is the length of the rest that ends then.
+	resting time.Duration
 	// touched is when anything was last heard.
 	touched time.Time
 	// tellUntil is until when peers are told first.
@@ -49,6 +51,9 @@
 // RestUntil is until when the upstream wants nothing from this node.
 func (s *State) RestUntil() time.Time { return s.restUntil }
 
+// Rest is how long the rest is that ends last.
+func (s *State) Rest() time.Duration { return s.resting }
+
 // leave notes that the upstream leaves; it reports whether that is new.
 func (s *State) leave(now time.Time) bool {
 	s.touched = now
@@ -66,7 +71,7 @@
 	s.touched = now
 	resting := now.Before(s.restUntil)
 	if until := at.Add(d); until.After(s.restUntil) {
-		s.restUntil = until
+		s.restUntil, s.resting = until, d
 	}
 	return !resting && now.Before(s.restUntil)
 }
