Keep a session's version while its upstreams rest or are limited

Cause, of the same class: where no upstream of a session's version had room, it went on at another version, as if there were none; now that rest and limits are kept, that would happen to sessions by the second. Ruled out: the same for requests without a session, which any version may serve.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,8 +35,9 @@
 	usual time.Duration
 }
 
-// choose picks an upstream for the job's next attempt, and counts it.
-func (n *Node) choose(j *job) *attempt {
+// choose picks an upstream for the job's next attempt, and counts it. Where there is none,
+// room is when one takes it, if that is known.
+func (n *Node) choose(j *job) (a *attempt, room time.Time) {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -50,31 +51,24 @@
 		want.Most = max(1, int(rule.Part*float64(ofVersion)+0.5))
 	}
 	up := n.fleet.Choose(want, now)
-	if up == nil && rule.Version != "" {
+	if up == nil {
+		room, _ = n.fleet.RoomAt(&want, now)
+	}
+	if up == nil && rule.Version != "" && (room.IsZero() || j.ask.Session == "") {
 		// The version has nobody for it: any other that may serve is better
-		// than none.
+		// than none, but for a session whose own has room in a while.
 		want.Version, want.Most = "", 0
 		up = n.fleet.Choose(want, now)
 	}
 	if up == nil {
-		return nil
+		return nil, room
 	}
 	n.canary.Sent(j.service, up.Version, j.arrived == 0)
 	return &attempt{
 		job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now,
 		want: want, rank: n.fleet.Rank(up, &want, j.priority, now), usual: n.fleet.Delay(&want, now),
 		ranBefore: j.mayHaveRun, work: n.fleet.Begin(up, &want, now),
-	}
-}
-
-// roomAt is when an upstream takes the job's next attempt, where all are known to take none
-// until then.
-func (n *Node) roomAt(j *job) (time.Time, bool) {
-	now := time.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	want := j.want(canary.Rule{})
-	return n.fleet.RoomAt(&want, now)
+	}, time.Time{}
 }
 
 // want is what the job's next attempt asks of an upstream.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,15 +94,15 @@
 		if j.ctx.Err() != nil || !j.mayTry() {
 			return nil
 		}
-		if a := j.node.choose(j); a != nil {
+		a, room := j.node.choose(j)
+		if a != nil {
 			return a
 		}
-		room, known := j.node.roomAt(j)
-		if (!time.Now().Before(until) || known && room.After(until)) && !j.begun {
+		if (!time.Now().Before(until) || room.After(until)) && !j.begun {
 			j.room = room
 			return nil
 		}
-		if !pause(j.ctx, max(time.Until(room), waitStep)) {
+		if !pause(j.ctx, min(max(time.Until(room), waitStep), waitMost)) {
 			return nil
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -103,6 +103,9 @@
 	waitPart = 0.12
 	// waitStep is the pause between looks for an upstream.
 	waitStep = 25 * time.Millisecond
+	// waitMost is the longest pause between looks where the time is known at which there is
+	// room: another upstream may be listed before.
+	waitMost = 250 * time.Millisecond
 	// refusedRetryAfter is when a refused caller should come back: a full
 	// upstream has room within a second, and callers try only a few times.
 	refusedRetryAfter = 600 * time.Millisecond
