Own door: heed in any answer that an upstream leaves

Other nodes hear of it by the membership. Evidence: TestUpstreamThatSaysInAnAnswerThatItLeaves, red before (the answer's word did not exist).

--- a/internal/balance/rate_limit.go
+++ b/internal/balance/noticed.go
@@ -16,15 +16,25 @@
 // Noticed takes what an upstream said of itself in an answer that was read at a time.
 func (b *Balancer) Noticed(vmID string, a notice.Answer, at time.Time) {
 	h := b.hosts[vmID]
-	if h == nil || a.LimitUnsound || b.since(at) < h.limitAt {
-		return // what was said before what is known says nothing
+	if h == nil {
+		return
+	}
+	if a.Leaving {
+		b.Leaving(vmID, at)
+	}
+	if !a.LimitUnsound && b.since(at) >= h.limitAt { // what was said before says nothing
+		b.limits(h, a.Limit, b.since(at))
 	}
+}
+
+// limits takes the rate limit that an upstream names, or that it names none.
+func (b *Balancer) limits(h *host, l notice.Limit, at time.Duration) {
 	before := h.limit.Named
-	h.limit, h.limitAt = a.Limit, b.since(at)
+	h.limit, h.limitAt = l, at
 	switch {
-	case a.Limit.Named && !before:
+	case l.Named && !before:
 		b.changed(h, LimitBegan)
-	case before && !a.Limit.Named:
+	case before && !l.Named:
 		b.changed(h, LimitEnded)
 	}
 }
--- a/internal/balance/rate_limit_test.go
+++ b/internal/balance/noticed_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickorybank/hickorybank/internal/notice"
+	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
 // limitedNodes are nodes that all know one engine, which has named a rate limit to them.
@@ -71,3 +72,19 @@
 	is.True(picked(4))
 	is.True(picked(4))
 }
+
+// TestUpstreamThatSaysInAnAnswerThatItLeaves guards against requests for an upstream whose
+// load report, which lags, does not say yet that it leaves.
+func TestUpstreamThatSaysInAnAnswerThatItLeaves(t *testing.T) {
+	is := is.New(t)
+	b := New(Settings{})
+	vms := engines(1)
+	b.SetMembers(vms, Place{Count: 1}, epoch)
+	reportAll(b, vms, epoch, "v@1")
+	now := epoch.Add(time.Second)
+	b.Noticed("eng-0", notice.Answer{Leaving: true}, now)
+	b.Report("eng-0", upstream.LoadReport{Limit: 8, Versions: []string{"v@1"}, AgeMillis: 500}, now.Add(100*time.Millisecond))
+	pick, ok := b.Pick(Request{Version: "v@1", Now: now.Add(200 * time.Millisecond)})
+	is.True(!ok)
+	is.Equal(pick.Shortage.Reason, AllLeaving)
+}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -93,8 +93,11 @@
 		u.node.metrics.Counter("hickorybank_unsound_answer_fields_total", "field", field).Inc()
 	}
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.balancer.Noticed(vm.ID, a, at)
+	u.mu.Unlock()
+	if a.Leaving {
+		u.node.members.Observe(vm.Addr, membership.SaidLeaving) // which tells the other nodes
+	}
 }
 
 func listed(m membership.Member) platform.VM {
--- a/internal/upstream/client/announced.go
+++ b/internal/upstream/client/announced.go
@@ -11,5 +11,6 @@
 func announced(h http.Header) notice.Answer {
 	a := notice.Answer{}
 	a.ReadLimit(upstream.HeaderRateLimit, h.Get(upstream.HeaderRateLimit))
+	a.ReadLeaving(upstream.HeaderLeaving, h.Get(upstream.HeaderLeaving))
 	return a
 }
--- a/internal/upstream/client/announced_test.go
+++ b/internal/upstream/client/announced_test.go
@@ -20,6 +20,7 @@
 	status := http.StatusOK
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(upstream.HeaderRateLimit, "2.5")
+		w.Header().Set(upstream.HeaderLeaving, "1")
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte("{}")) // the test sees whether it came
 	}))
@@ -37,5 +38,6 @@
 	is.Equal(len(heard), 6)
 	for _, a := range heard {
 		is.Equal(a.Limit, notice.Limit{Named: true, PerSecond: 2.5})
+		is.True(a.Leaving)
 	}
 }
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -1,5 +1,10 @@
 package upstream
 
-// HeaderRateLimit names, in any answer of an upstream in need, the requests a second that it
-// takes from all nodes together for as long as its answers name it.
-const HeaderRateLimit = "X-Rate-Limit-Per-Second"
+// Headers in which an upstream says things of itself, in any answer.
+const (
+	// HeaderRateLimit names the requests a second that an upstream in need takes from all
+	// nodes together, for as long as its answers name it.
+	HeaderRateLimit = "X-Rate-Limit-Per-Second"
+	// HeaderLeaving is 1 where the upstream takes no new work any more.
+	HeaderLeaving = "X-Leaving"
+)
