Own door: leave an upstream alone that has asked for rest

Evidence: TestUpstreamThatRestsGetsNothing, TestEachAnswerSaysWhatItsUpstreamBears, red before. Where all rest, the caller is told the earliest end (AllPaced). Ruled out: the breaker: rest is no failure.

--- a/internal/balance/change.go
+++ b/internal/balance/change.go
@@ -22,6 +22,8 @@
 	// LimitBegan and LimitEnded: the upstream names a rate limit, or no longer does.
 	LimitBegan
 	LimitEnded
+	// RestBegan: the upstream wants nothing from this node for a while.
+	RestBegan
 )
 
 // changesKept bounds the changes that nobody has taken.
--- a/internal/balance/host.go
+++ b/internal/balance/host.go
@@ -36,6 +36,9 @@
 	limitAt time.Duration
 	share   pacing.Share
 
+	// restUntil is until when the upstream wants nothing from this node.
+	restUntil time.Duration
+
 	leavingByList bool
 	leavingByWord bool
 	leavingSince  time.Duration
--- a/internal/balance/noticed.go
+++ b/internal/balance/noticed.go
@@ -22,11 +22,28 @@
 	if a.Leaving {
 		b.Leaving(vmID, at)
 	}
+	b.rests(h, a.Rest, b.since(at))
 	if !a.LimitUnsound && b.since(at) >= h.limitAt { // what was said before says nothing
 		b.limits(h, a.Limit, b.since(at))
 	}
 }
 
+// rests notes that an upstream wants nothing from this node for a time.
+func (b *Balancer) rests(h *host, d, at time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if at >= h.restUntil {
+		b.changed(h, RestBegan)
+	}
+	spread := float64(mix(b.settings.Seed, h.hash)>>11) / (1 << 53)
+	h.restUntil = max(h.restUntil, at+d+time.Duration(restSpread*spread*float64(d)))
+}
+
+// restSpread is the part of a rest by which nodes lengthen it at most, each by its own: those
+// that were turned away together must not return together.
+const restSpread = 0.2
+
 // limits takes the rate limit that an upstream names, or that it names none.
 func (b *Balancer) limits(h *host, l notice.Limit, at time.Duration) {
 	before := h.limit.Named
@@ -46,6 +63,9 @@
 
 // admits tells whether this node may send the upstream a request now.
 func (b *Balancer) admits(h *host, now time.Duration) bool {
+	if now < h.restUntil {
+		return false
+	}
 	if !h.limit.Named {
 		return true
 	}
@@ -66,6 +86,13 @@
 // pacedUntil is when this node, or one that sends in its place, may send the upstream a
 // request.
 func (b *Balancer) pacedUntil(h *host, now time.Duration) time.Duration {
+	return max(h.restUntil, b.nextToken(h, now))
+}
+
+func (b *Balancer) nextToken(h *host, now time.Duration) time.Duration {
+	if !h.limit.Named {
+		return now
+	}
 	l := b.limiter(h, now)
 	if l == nil {
 		return now + min(time.Duration(float64(time.Second)/h.share.Rate()), pacing.MostPause)
--- a/internal/balance/noticed_test.go
+++ b/internal/balance/noticed_test.go
@@ -73,6 +73,26 @@
 	is.True(picked(4))
 }
 
+// TestUpstreamThatRestsGetsNothing guards against requests for an upstream that has asked
+// this node for rest, since a later answer asked for less, or for none.
+func TestUpstreamThatRestsGetsNothing(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	b := New(Settings{})
+	vms := engines(1)
+	b.SetMembers(vms, Place{Count: 1}, epoch)
+	reportAll(b, vms, epoch, "v@1")
+	b.Noticed("eng-0", notice.Answer{Rest: 10 * time.Second}, at(0))
+	b.Noticed("eng-0", notice.Answer{Rest: time.Second}, at(1))
+	b.Noticed("eng-0", notice.Answer{}, at(2))
+	pick, ok := b.Pick(Request{Version: "v@1", Now: at(9)})
+	is.True(!ok)
+	is.Equal(pick.Shortage.Reason, AllPaced)
+	is.True(pick.Shortage.RetryAfter >= time.Second && pick.Shortage.RetryAfter <= 3*time.Second)
+	_, ok = b.Pick(Request{Version: "v@1", Now: at(12)})
+	is.True(ok)
+}
+
 // TestUpstreamThatSaysInAnAnswerThatItLeaves guards against requests for an upstream whose
 // load report, which lags, does not say yet that it leaves.
 func TestUpstreamThatSaysInAnAnswerThatItLeaves(t *testing.T) {
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -239,6 +239,7 @@
 
 	balance.LimitBegan: event.LimitBegan,
 	balance.LimitEnded: event.LimitEnded,
+	balance.RestBegan:  event.RestBegan,
 }
 
 func (u *upstreams) ask(ctx context.Context, slots chan struct{}) {
--- a/internal/upstream/client/announced.go
+++ b/internal/upstream/client/announced.go
@@ -8,9 +8,12 @@
 )
 
 // announced decodes what an upstream says of itself in an answer's headers.
-func announced(h http.Header) notice.Answer {
+func announced(status int, h http.Header) notice.Answer {
 	a := notice.Answer{}
 	a.ReadLimit(upstream.HeaderRateLimit, h.Get(upstream.HeaderRateLimit))
 	a.ReadLeaving(upstream.HeaderLeaving, h.Get(upstream.HeaderLeaving))
+	if status == http.StatusServiceUnavailable {
+		a.ReadRest(upstream.HeaderRetryAfter, h.Get(upstream.HeaderRetryAfter), h.Get("Date"))
+	}
 	return a
 }
--- a/internal/upstream/client/announced_test.go
+++ b/internal/upstream/client/announced_test.go
@@ -21,6 +21,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(upstream.HeaderRateLimit, "2.5")
 		w.Header().Set(upstream.HeaderLeaving, "1")
+		w.Header().Set(upstream.HeaderRetryAfter, "1.5")
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte("{}")) // the test sees whether it came
 	}))
@@ -36,8 +37,10 @@
 		_, _ = engines.Load(ctx, addr)                                                         // as above
 	}
 	is.Equal(len(heard), 6)
-	for _, a := range heard {
+	for i, a := range heard {
 		is.Equal(a.Limit, notice.Limit{Named: true, PerSecond: 2.5})
 		is.True(a.Leaving)
+		refused := i == 2 || i == 3
+		is.Equal(a.Rest > 0, refused)
 	}
 }
--- a/internal/upstream/client/trip.go
+++ b/internal/upstream/client/trip.go
@@ -20,7 +20,7 @@
 		return nil, fail(req.URL.Host, s.reach(), err)
 	}
 	if heard := upstream.HeardFrom(req.Context()); heard != nil {
-		heard(announced(res.Header), time.Now())
+		heard(announced(res.StatusCode, res.Header), time.Now())
 	}
 	return res, nil
 }
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -7,4 +7,7 @@
 	HeaderRateLimit = "X-Rate-Limit-Per-Second"
 	// HeaderLeaving is 1 where the upstream takes no new work any more.
 	HeaderLeaving = "X-Leaving"
+	// HeaderRetryAfter, in a refusal with status 503, is how long the upstream wants nothing
+	// from the node that it has turned away: seconds, or a date.
+	HeaderRetryAfter = "Retry-After"
 )
