Stand-ins of the own door name limits, ask for rest and say that they leave

Engines and services say it in all answers, load reports included, by their fault ports (rate_limit, rest_ms, leaving). Evidence: TestServiceThatNamesALimitGetsNoMore and TestServiceThatAsksForRestIsLeftAlone with real nodes; both fail with the balancer's guards taken out. Ruled out: two nodes in the test of rest: the second prefers its own failure domain.

--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -16,6 +16,9 @@
 	Open bool
 	// Ejected is set while the upstream counts as slow but alive.
 	Ejected bool
+	// Resting is set while it wants nothing from this node, Limited while it names a rate
+	// limit.
+	Resting, Limited bool
 	// ReportAge is the age of its last load report; negative: there is none.
 	ReportAge time.Duration
 }
@@ -38,6 +41,8 @@
 		Leaving:   h.leaving(),
 		Open:      h.breaker.open(),
 		Ejected:   h.outlier.ejected(now),
+		Resting:   now < h.restUntil,
+		Limited:   h.limit.Named,
 		ReportAge: -1,
 	}
 	if h.report.have {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -26,6 +26,8 @@
 	Frozen bool `json:"frozen"`
 	// Leaving takes no new work and says so; what runs is finished.
 	Leaving bool `json:"leaving"`
+	// Said is what it says of itself beside that.
+	host.Said
 	// CrashMarker crashes the engine when it runs a request whose body
 	// contains it; empty is no fault.
 	CrashMarker string `json:"crash_marker"`
@@ -64,6 +66,9 @@
 
 // Validate reports the first value that cannot be used.
 func (f Faults) Validate() error {
+	if err := f.Said.Validate(); err != nil {
+		return err
+	}
 	switch {
 	case !(f.SlowFactor > 0 && f.SlowFactor <= maxSlow):
 		return eris.Errorf("slow_factor: %v is not in (0, %d]", f.SlowFactor, maxSlow)
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -20,7 +20,18 @@
 	r.PUT("/kv/:prefix", s.importKV)
 	r.GET("/kv/:prefix", s.exportKV)
 	r.GET("/cache-events", s.cacheEvents)
-	return r
+	isWork := func(r *http.Request) bool { return r.Method == http.MethodPost && r.URL.Path == "/v1/chat/completions" }
+	refuse := func(w http.ResponseWriter, status int, reason string) {
+		s.decline(w, &refusal{status: status, reason: reason})
+	}
+	return host.Saying(r, s.said, isWork, refuse)
+}
+
+// said is what the engine says of itself in its answers now.
+func (s *Server) said() (said host.Said, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Said, s.faults.Leaving
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/internal/standin/service/faults.go
+++ b/internal/standin/service/faults.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/standin/engine/host"
 )
 
 const defaultRestart = time.Second
@@ -20,6 +22,8 @@
 	Frozen bool `json:"frozen"`
 	// Leaving takes no new calls and says so; what runs is finished.
 	Leaving bool `json:"leaving"`
+	// Said is what it says of itself beside that.
+	host.Said
 	// CrashMarker crashes the service when it runs a call whose body contains
 	// it; empty is no fault. The call counts as run.
 	CrashMarker string `json:"crash_marker"`
@@ -39,6 +43,9 @@
 
 // Validate reports the first value that cannot be used.
 func (f Faults) Validate() error {
+	if err := f.Said.Validate(); err != nil {
+		return err
+	}
 	switch {
 	case f.DelayMillis < 0, f.RestartMillis < 0, f.LoadLagMillis < 0:
 		return eris.New("delay_ms, restart_ms, load_lag_ms: one is negative")
--- a/internal/standin/service/handle.go
+++ b/internal/standin/service/handle.go
@@ -23,7 +23,15 @@
 	r.HandleOPTIONS = false
 	r.GET("/load", s.load)
 	r.NotFound = http.HandlerFunc(s.call)
-	return r
+	isWork := func(r *http.Request) bool { return r.URL.Path != "/load" }
+	return host.Saying(r, s.said, isWork, s.decline)
+}
+
+// said is what the service says of itself in its answers now.
+func (s *Server) said() (said host.Said, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Said, s.faults.Leaving
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
