Take back only attempts whose upstream leaves, rests or is evacuated

Cause: a look at the diff: an attempt was also taken back where another one's failure had its upstream ejected meanwhile, and the upstream counted as tried. Ruled out: shares looked up for upstreams without a bound.

--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -43,8 +43,11 @@
 // Leaves tells whether an upstream takes no new work for good.
 func (f *Fleet) Leaves(u *Upstream) bool { return u.leaves() }
 
-// Takes tells whether an attempt that was chosen for an upstream may still be sent there.
-func (f *Fleet) Takes(u *Upstream, now time.Time) bool { return f.usable(u, now) }
+// Takes tells whether an attempt that was chosen for an upstream may still be sent there: it
+// may not where the upstream leaves, rests or is evacuated by now.
+func (f *Fleet) Takes(u *Upstream, now time.Time) bool {
+	return !f.evacuated[u.Domain] && !u.leaves() && !now.Before(u.restsUntil())
+}
 
 // Stranded returns the services that have upstreams which would take new work, all of them
 // in evacuated failure domains.
--- a/internal/fleet/rate_limit.go
+++ b/internal/fleet/rate_limit.go
@@ -31,6 +31,9 @@
 // Without this, an upstream that has just started looks idle to all nodes, and the burst
 // that they send crashes it; one that is in need goes on getting its usual part of the load.
 func (f *Fleet) admits(u *Upstream, now time.Time) bool {
+	if !u.paced(now) {
+		return true
+	}
 	room := true
 	f.limiters(u, now, func(_ *pacing.Share, limit *rate.Limiter) {
 		room = room && limit != nil && limit.TokensAt(now) >= 1
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -215,6 +215,7 @@
 	switch {
 	case f.Reason == exchange.Withdrawn:
 		result = fleet.Abandoned
+		j.tried = j.tried[:len(j.tried)-1] // it has not been sent there
 	case f.Reason == exchange.Cancelled && moved:
 		result, reason = fleet.Moved, "waited_too_long"
 		j.paid = true
