--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
-	"github.com/hickorybank/hickorybank/internal/notice"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
@@ -66,40 +64,6 @@
 	u.balancer.SetSenders(u.node.settings.ID, entryIDs(v, u.node.settings.ID))
 }
 
-// entryIDs are the IDs of all entry nodes; none while this one is not among them: it has
-// just started, and the others do not know of it.
-func entryIDs(v *membership.View, self string) []string {
-	var ids []string
-	for _, vm := range v.EntryVMs() {
-		if vm.Role == platform.RoleEntry {
-			ids = append(ids, vm.ID)
-		}
-	}
-	if !slices.Contains(ids, self) {
-		return nil
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// hearing returns a context whose calls tell what the upstream's answers say of it.
-func (u *upstreams) hearing(ctx context.Context, vm platform.VM) context.Context {
-	return upstream.WithHeard(ctx, func(a notice.Answer, at time.Time) { u.noticed(vm, a, at) })
-}
-
-// noticed takes what an upstream said of itself in an answer.
-func (u *upstreams) noticed(vm platform.VM, a notice.Answer, at time.Time) {
-	for _, field := range a.Unsound {
-		u.node.metrics.Counter("hickorybank_unsound_answer_fields_total", "field", field).Inc()
-	}
-	u.mu.Lock()
-	u.balancer.Noticed(vm.ID, a, at)
-	u.mu.Unlock()
-	if a.Leaving {
-		u.node.members.Observe(vm.Addr, membership.SaidLeaving) // which tells the other nodes
-	}
-}
-
 func listed(m membership.Member) platform.VM {
 	vm := m.VM
 	if m.State == membership.Leaving {
