--- a/internal/fleet/limit_news_test.go
+++ b/internal/fleet/limit_news_test.go
@@ -49,18 +49,26 @@
 
 // exchange has the nodes whose turn it is send news, and delivers what has come.
 func (w *newsWorld) exchange(t *rapid.T, now time.Time) {
+	w.exchangeBy(now,
+		func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "peer") },
+		func() time.Duration {
+			return time.Duration(rapid.IntRange(1, int(newsDelay/time.Millisecond)).Draw(t, "delay")) * time.Millisecond
+		})
+}
+
+// exchangeBy does so with draws of peers and of delays.
+func (w *newsWorld) exchangeBy(now time.Time, draw func(n int) int, delay func() time.Duration) {
 	for i := range w.nodes {
 		if now.Before(w.next[i]) {
 			continue
 		}
 		w.next[i] = now.Add(newsPause)
-		peer := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "peer")
+		peer := draw(len(w.nodes))
 		if w.cut[i] || w.cut[peer] || peer == i {
 			continue
 		}
 		for _, way := range [][2]int{{i, peer}, {peer, i}} {
-			delay := time.Duration(rapid.IntRange(1, int(newsDelay/time.Millisecond)).Draw(t, "delay")) * time.Millisecond
-			w.on = append(w.on, newsOnItsWay{way[1], now.Add(delay), w.nodes[way[0]].Notices(now, false)})
+			w.on = append(w.on, newsOnItsWay{way[1], now.Add(delay()), w.nodes[way[0]].Notices(now, false)})
 		}
 	}
 	w.on = slices.DeleteFunc(w.on, func(m newsOnItsWay) bool {
