Stop telling for good that an upstream leaves

What would have been seen: two nodes that keep telling each other of an upstream which is long gone, and never forget it. Cause, found by reading the change: each report heard counted as news. Evidence: TestLeavingIsNotToldForGood, red before; a node that has only heard of it no longer reports an age of centuries (TestLeavingHeardOfSaysNothingOfALimit). Ruled out: the same of limits: a report of the same answer is never later.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -34,7 +34,7 @@
 func (n *Node) takeNotices(in gossip.Message, now time.Time) {
 	for _, r := range in.Notices {
 		for _, change := range n.fleet.TakeNotice(r, now) {
-			n.noteChange(r.Start, change, in.From, r.Age)
+			n.noteChange(r.Start, change, in.From, max(r.Age, 0))
 		}
 	}
 }
--- a/internal/notice/register.go
+++ b/internal/notice/register.go
@@ -91,7 +91,10 @@
 }
 
 func (r *Register) takeLimit(s *State, p Report, now time.Time) Change {
-	at := now.Add(-max(p.Age, 0))
+	if p.Age < 0 {
+		return Change{}
+	}
+	at := now.Add(-p.Age)
 	if s.later(p.Origin, p.Seq, at) {
 		return r.note(s, s.set(p.Limit, p.Origin, p.Seq, at, now))
 	}
--- a/internal/notice/register_test.go
+++ b/internal/notice/register_test.go
@@ -108,3 +108,39 @@
 	is.Equal(r.Limited(), 1)
 	is.Equal(len(r.states), 1)
 }
+
+// TestLeavingIsNotToldForGood guards against news that two nodes keep telling each other, as
+// each hears again what it has told.
+func TestLeavingIsNotToldForGood(t *testing.T) {
+	is := is.New(t)
+	a, b := NewRegister(1), NewRegister(2)
+	a.Answer(a.Of("u@1"), Answer{Leaving: true}, at(0), at(0))
+	now := at(0)
+	for range 600 { // ten minutes
+		for _, p := range a.Reports(now, false) {
+			b.Take(p, now)
+		}
+		for _, p := range b.Reports(now, false) {
+			a.Take(p, now)
+		}
+		now = now.Add(time.Second)
+	}
+	is.Equal(len(a.Reports(now, true))+len(b.Reports(now, true)), 0)
+	is.True(b.Of("u@1").Leaving()) // it holds all the same
+	b.Sweep(now.Add(forgetAfter), func(string) bool { return false })
+	is.Equal(len(b.states), 0)
+}
+
+// TestLeavingHeardOfSaysNothingOfALimit guards against a node that has only heard that an
+// upstream leaves, and tells as if it had read an answer without a limit.
+func TestLeavingHeardOfSaysNothingOfALimit(t *testing.T) {
+	is := is.New(t)
+	a, b, c := NewRegister(1), NewRegister(2), NewRegister(3)
+	b.Take(Report{Start: "u@1", Origin: 1, Seq: 1, Age: noAnswer, Leaving: true}, at(0))
+	is.Equal(b.Reports(at(1), false)[0].Age, time.Duration(noAnswer))
+	c.answer("u@1", named(2), at(0), at(0))
+	c.Take(b.Reports(at(2), false)[0], at(3))
+	is.True(c.Of("u@1").Limit().Named)
+	is.True(c.Of("u@1").Leaving())
+	is.Equal(a.Limited(), 0)
+}
--- a/internal/notice/state.go
+++ b/internal/notice/state.go
@@ -56,10 +56,10 @@
 
 // leave notes that the upstream leaves; it reports whether that is new.
 func (s *State) leave(now time.Time) bool {
-	s.touched = now
 	if s.leaving {
 		return false
 	}
+	s.touched = now
 	s.leaving = true
 	s.tellUntil = now.Add(tellFor)
 	return true
@@ -120,5 +120,8 @@
 }
 
 func (s *State) report(now time.Time) Report {
+	if s.at.IsZero() {
+		return Report{Start: s.start, Age: noAnswer, Leaving: s.leaving}
+	}
 	return Report{Start: s.start, Origin: s.origin, Seq: s.seq, Age: now.Sub(s.at), Limit: s.limit, Leaving: s.leaving}
 }
