Own door: forget a rest and a limit when the upstream's process has started again

Cause, found by reading the change: the balancer keeps hosts by VM, and a process that asked for ten minutes of rest may be gone after one. Evidence: TestRestEndsWithItsProcess, red before (no such call).

--- a/internal/balance/noticed.go
+++ b/internal/balance/noticed.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Restarted tells that another process answers at an upstream: what the one before said of
+// itself does not hold for it.
+func (b *Balancer) Restarted(vmID string) {
+	if h := b.hosts[vmID]; h != nil {
+		h.restUntil, h.limit = 0, notice.Limit{}
+	}
+}
+
 // rests notes that an upstream wants nothing from this node for a time.
 func (b *Balancer) rests(h *host, d, at time.Duration) {
 	if d <= 0 {
--- a/internal/balance/noticed_test.go
+++ b/internal/balance/noticed_test.go
@@ -108,3 +108,14 @@
 	is.True(!ok)
 	is.Equal(pick.Shortage.Reason, AllLeaving)
 }
+
+// TestRestEndsWithItsProcess guards against an upstream that has started again and gets
+// nothing for as long as its former process had asked.
+func TestRestEndsWithItsProcess(t *testing.T) {
+	is := is.New(t)
+	b := limitedNodes(1, 0)[0]
+	b.Noticed("eng-0", notice.Answer{Rest: 10 * time.Minute}, epoch)
+	b.Restarted("eng-0")
+	_, ok := b.Pick(Request{Version: "v@1", Now: epoch.Add(time.Second)})
+	is.True(ok)
+}
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -266,6 +266,9 @@
 	u.balancer.Report(vm.ID, r, time.Now())
 	restarted := u.epochs[vm.ID] != r.Epoch
 	u.epochs[vm.ID] = r.Epoch
+	if restarted {
+		u.balancer.Restarted(vm.ID)
+	}
 	u.mu.Unlock()
 	u.node.suspects.observe(vm.ID, r)
 	switch {
