--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,8 @@
 type attempt struct {
 	job *job
 	up  *fleet.Upstream
+	// id and addr are the upstream's as it was chosen: its record may change meanwhile.
+	id, addr string
 	// version and revision are those of the upstream and of the roll-out when
 	// the attempt began.
 	version  string
@@ -65,7 +67,7 @@
 	}
 	n.canary.Sent(j.service, up.Version, j.arrived == 0)
 	return &attempt{
-		job: j, up: up, version: up.Version, revision: n.canary.Revision(j.service), began: now,
+		job: j, up: up, id: up.ID, addr: up.Addr, version: up.Version, revision: n.canary.Revision(j.service), began: now,
 		want: want, rank: n.fleet.Rank(up, &want, j.priority, now), usual: n.fleet.Delay(&want, now),
 		ranBefore: j.mayHaveRun, work: n.fleet.Begin(up, &want, now),
 	}, time.Time{}
@@ -164,11 +166,11 @@
 }
 
 // misdirected forgets an upstream whose address is another's.
-func (n *Node) misdirected(up *fleet.Upstream) {
-	n.pool.Forget(up.Addr)
+func (n *Node) misdirected(a *attempt) {
+	n.pool.Forget(a.addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.Misdirected(up)
+	n.fleet.Misdirected(a.up)
 }
 
 func (n *Node) blocked(print uint64) bool {
@@ -200,19 +202,19 @@
 // suspectCrash finds out whether an upstream that broke off has crashed: then
 // nobody listens at its address. A request that runs at a crash is struck; an
 // upstream that only broke one connection strikes nobody.
-func (n *Node) suspectCrash(j *job, up *fleet.Upstream) {
-	c, err := net.DialTimeout("tcp4", up.Addr, crashProbe)
+func (n *Node) suspectCrash(j *job, a *attempt) {
+	c, err := net.DialTimeout("tcp4", a.addr, crashProbe)
 	if err == nil {
 		_ = c.Close() // it was only opened to see whether somebody listens
 		return
 	}
 	now := time.Now()
 	n.mu.Lock()
-	fresh := n.guard.Add(crashguard.Strike{Fingerprint: j.print, Upstream: up.Start()}, now)
+	fresh := n.guard.Add(crashguard.Strike{Fingerprint: j.print, Upstream: a.up.Start()}, now)
 	strikes := n.guard.Strikes(j.print)
 	n.mu.Unlock()
-	n.pool.Forget(up.Addr)
+	n.pool.Forget(a.addr)
 	if fresh {
-		n.event(event.ForwardStrike, j, slog.String("upstream", up.ID), slog.Int("strikes", strikes))
+		n.event(event.ForwardStrike, j, slog.String("upstream", a.id), slog.Int("strikes", strikes))
 	}
 }
--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -118,7 +118,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	want := a.want
-	want.Tried = append([]string{a.up.ID}, want.Tried...)
+	want.Tried = append([]string{a.id}, want.Tried...)
 	if n.fleet.Choose(want, now) == nil {
 		return false
 	}
--- /dev/null
+++ b/internal/gateway/record_change_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/hickorybank/hickorybank/internal/exchange"
+	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/route"
+	"github.com/hickorybank/hickorybank/internal/telemetry"
+)
+
+// plainDialect has no headers of its own.
+type plainDialect struct{}
+
+func (plainDialect) Read(http.Header) (Ask, error)                      { return Ask{}, nil }
+func (plainDialect) Forward(http.Header, *Ask, *Order) []exchange.Field { return nil }
+func (plainDialect) Reply(int, http.Header) Reply                       { return Reply{} }
+func (plainDialect) IDField() string                                    { return "" }
+
+// TestRecordThatChangesUnderAnAttempt guards against an attempt that reads its upstream's name
+// and address while a newer record of it is taken; the race detector tells.
+func TestRecordThatChangesUnderAnAttempt(t *testing.T) {
+	const attempts = 300
+	n := New(Settings{ID: "n", Drain: time.Second, Apply: time.Second}, Deps{
+		Dialect: plainDialect{}, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.New(telemetry.Bounds{}),
+	})
+	n.known[versionKey("s", "v1")] = true
+	put := func(id string, slots int) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.fleet.Put(fleet.Record{ID: id, Service: "s", Addr: "127.0.0.1:1", Version: "v1", Slots: slots}, time.Now())
+	}
+	var current atomic.Int64
+	var changes conc.WaitGroup
+	changes.Go(func() {
+		for slots := 1; current.Load() < attempts; slots++ {
+			put(fmt.Sprint("u", current.Load()), 1+slots%2)
+		}
+	})
+	for i := range int64(attempts) {
+		put(fmt.Sprint("u", i), 1)
+		current.Store(i)
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		j := &job{
+			node: n, w: httptest.NewRecorder(), r: r, ctx: context.Background(), service: "s",
+			route: &route.Route{MaxAttempts: 1}, deadline: time.Now().Add(time.Minute), start: time.Now(),
+			table: &configuration{Table: &route.Table{}},
+		}
+		if a, _ := n.choose(j); a != nil {
+			j.attempt(a)
+		}
+	}
+	current.Store(attempts)
+	changes.Wait()
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -139,18 +139,17 @@
 	}
 	paid := j.arrived > 0
 	j.paid = false
-	up := a.up
 	ctx, cancel := j.attemptContext()
 	defer cancel()
-	j.tried = append(j.tried, up.ID)
+	j.tried = append(j.tried, a.id)
 	watch := a.startTimer(cancel)
-	resp, failure := j.node.pool.Do(ctx, up.Addr, j.request(a))
+	resp, failure := j.node.pool.Do(ctx, a.addr, j.request(a))
 	moved := watch.end()
 	var reply Reply
 	if failure == nil {
 		reply = j.node.dialect.Reply(resp.Status, resp.Header)
 		if resp.Status != http.StatusMisdirectedRequest { // another upstream answered
-			j.node.noteAnswer(up, reply, resp.At)
+			j.node.noteAnswer(a.up, reply, resp.At)
 		}
 	}
 	if moved && failure == nil {
@@ -189,7 +188,7 @@
 func (j *job) request(a *attempt) *exchange.Request {
 	_, target := rawTarget(j.r)
 	order := Order{
-		Instance: a.up.ID, Organisation: j.org, Left: time.Until(j.deadline),
+		Instance: a.id, Organisation: j.org, Left: time.Until(j.deadline),
 		Model: j.model, LastEvent: j.lastEvent, Rank: a.rank,
 	}
 	if j.route.Kind != route.Stream {
@@ -236,9 +235,9 @@
 		j.node.returning(a.up)
 	}
 	if f.Sent && f.Reason == exchange.Broken {
-		j.node.suspectCrash(j, a.up)
+		j.node.suspectCrash(j, a)
 	}
-	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", reason),
+	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", reason),
 		slog.Bool("sent", f.Sent), slog.Int64("usual_ms", a.usual.Milliseconds()), slog.String("err", f.Err.Error()))
 }
 
@@ -250,11 +249,11 @@
 	j.mayHaveRun = a.ranBefore
 	if resp.Status == http.StatusMisdirectedRequest {
 		// The address belongs to another upstream now: this one is gone.
-		j.node.misdirected(a.up)
+		j.node.misdirected(a)
 		j.sent--
 		j.unreached++
 	}
-	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", "not_run"), slog.Int("status", resp.Status))
+	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "not_run"), slog.Int("status", resp.Status))
 	if resp.Status == http.StatusBadRequest && h != nil {
 		j.failed = h // the request itself is at fault
 		j.sent = max(j.route.MaxAttempts, 1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -103,7 +103,7 @@
 		return ""
 	}
 	attrs := []slog.Attr{
-		slog.String("upstream", a.up.ID), slog.String("model", j.model), slog.String("next", next),
+		slog.String("upstream", a.id), slog.String("model", j.model), slog.String("next", next),
 		slog.Int("confidence", reply.Confidence), slog.Int("asked", j.node.policy.Accept(state)),
 		slog.Int("slots_in_use_percent", int(100*state.Load)),
 		slog.Int64("largest_ms", state.Largest.Milliseconds()), slog.Int64("left_ms", state.Left.Milliseconds()),
@@ -194,7 +194,7 @@
 			j.w.WriteHeader(resp.Status)
 		}
 		j.outcome = "answered"
-		j.node.event(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.up.ID),
+		j.node.event(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.id),
 			slog.String("model", j.model), slog.String("last_event", j.lastEvent),
 			slog.Int64("first_ms", j.firstAfter.Milliseconds()), slog.Int64("pause_ms", j.longestPause.Milliseconds()), slog.Int("tokens_in", j.ask.TokensIn), slog.Int("confidence", reply.Confidence))
 		j.observe(resp.Status)
@@ -216,10 +216,10 @@
 		reason = "silent"
 	}
 	resp.Close()
-	j.node.event(event.ForwardResumed, j, slog.String("upstream", a.up.ID), slog.String("reason", reason),
+	j.node.event(event.ForwardResumed, j, slog.String("upstream", a.id), slog.String("reason", reason),
 		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent))
 	if reason == "broke" {
-		j.node.suspectCrash(j, a.up)
+		j.node.suspectCrash(j, a)
 	}
 	if j.begun && (!j.route.Resumable || j.left() < 1) {
 		j.breakOff(reason)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -39,7 +39,7 @@
 		a.end(fleet.Failed)
 		a.answered(true, 0)
 		j.failed = h
-		j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", "failure"), slog.Int("status", resp.Status))
+		j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "failure"), slog.Int("status", resp.Status))
 		return false
 	}
 	a.end(fleet.Served)
@@ -56,8 +56,8 @@
 	}
 	a.end(fleet.Failed)
 	a.answered(true, 0)
-	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.up.ID), slog.String("reason", "cut_short"), slog.String("err", err.Error()))
-	j.node.suspectCrash(j, a.up)
+	j.node.event(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "cut_short"), slog.String("err", err.Error()))
+	j.node.suspectCrash(j, a)
 }
 
 // deliver sends a whole answer to the caller.
