scenario: keep the logs of failed scripts, and log all calls

Two known failures could not be traced for that reason.

Change: a failed script copies the processes' logs to a folder (-logs) and prints the last 40 lines of each; callers.log lists each call with its start, duration, entry, key and result.

Measured: go test -race ./scenario -run 'TestScripts/(hold_once|fail_withdrawal_partition)$' passes.

--- a/scenario/call_tracker_test.go
+++ b/scenario/call_tracker_test.go
@@ -17,8 +17,8 @@
 	pieces  map[string]*atomic.Int64
 }
 
-func newCallTracker() *callTracker {
-	return &callTracker{caller: newCaller(), results: map[string]result{}, running: map[string]chan struct{}{}, pieces: map[string]*atomic.Int64{}}
+func newCallTracker(log *callLog) *callTracker {
+	return &callTracker{caller: newCaller(log), results: map[string]result{}, running: map[string]chan struct{}{}, pieces: map[string]*atomic.Int64{}}
 }
 
 // start runs a call in the background under the given name.
--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -27,14 +27,22 @@
 // call on a new connection.
 type caller struct {
 	http *http.Client
+	log  *callLog
 }
 
-func newCaller() *caller {
-	return &caller{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+func newCaller(log *callLog) *caller {
+	return &caller{log: log, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 }
 
-// do sends one call and returns its result.
+// do sends one call, logs it and returns its result.
 func (c *caller) do(o call) result {
+	began := time.Now()
+	r := c.send(o)
+	c.log.add(began, r)
+	return r
+}
+
+func (c *caller) send(o call) result {
 	r := result{call: o, outcome: cutOff}
 	if o.resumes() {
 		r = *o.resumeFrom
--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -17,6 +17,7 @@
 	dir     string
 	network *network
 	relayed bool
+	callLog *callLog
 	callers *callTracker
 
 	mu       sync.Mutex
@@ -31,8 +32,9 @@
 }
 
 func newCluster(dir string) *cluster {
+	log := newCallLog(dir)
 	return &cluster{
-		dir: dir, network: newNetwork(), callers: newCallTracker(), procs: map[string]*process{}, frozen: map[string]bool{},
+		dir: dir, network: newNetwork(), callLog: log, callers: newCallTracker(log), procs: map[string]*process{}, frozen: map[string]bool{},
 		marks: map[string]mark{}, loads: map[string]*load{},
 	}
 }
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -81,7 +81,7 @@
 const loadCallers = 8
 
 func newLoad(c *cluster, o loadOptions) *load {
-	l := &load{cluster: c, options: o, caller: newCaller(), stopped: make(chan struct{})}
+	l := &load{cluster: c, options: o, caller: newCaller(c.callLog), stopped: make(chan struct{})}
 	for range loadCallers {
 		l.caches = append(l.caches, newAddressCache(c, o.keepAddresses))
 	}
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -56,13 +56,23 @@
 
 type clusterKey struct{}
 
+// failer is the part of *testing.T that [testscript.T] lacks.
+type failer interface{ Failed() bool }
+
 func setup(env *testscript.Env) error {
 	c := newCluster(filepath.Clean(env.WorkDir))
 	env.Values[clusterKey{}] = c
+	t := env.T()
 	env.Defer(func() {
-		if err := c.close(); err != nil {
-			env.T().Log(err)
-			env.T().FailNow()
+		err := c.close()
+		if err != nil {
+			t.Log(err)
+		}
+		if err != nil || t.(failer).Failed() {
+			c.keepLogs(t)
+		}
+		if err != nil {
+			t.FailNow()
 		}
 	})
 	return writeExamples(env.WorkDir)
