scenario: a cut holds for addresses that nodes get from each other

What callers saw: nothing of a fault of the product. A node that a script cuts off answered version_withdrawn where configuration_not_fresh is expected (line 26 of fail_withdrawal_partition), and completed requests for more than 30 s (line 23).

Cause: the network of the scenarios. A list of VMs had for each reader other relays, and a cut closed those between two processes. But nodes pass their lists on to each other, so a node went on through the relay of a third node, and the third node's own address was not relayed at all. e3, cut off from e1 and e2, reached e1 by the relay from e2 to e1.

Change: an address has one relay, the same for all, which knows the connecting process by its IP. The check of the script stays.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -40,6 +41,7 @@
 	Certificate    string           `long:"tls-certificate" env:"HICKORYBANK_TLS_CERTIFICATE" accept:"text" description:"PEM file: the node's certificate towards callers, operators and peers; plain TCP, if not given"`
 	CertificateKey string           `long:"tls-key" env:"HICKORYBANK_TLS_KEY" accept:"text" description:"PEM file: the certificate's key"`
 	PeerAuthority  string           `long:"tls-peer-authority" env:"HICKORYBANK_TLS_PEER_AUTHORITY" accept:"text" description:"PEM file: who signs entry nodes' certificates; without it they talk in the clear"`
+	SourceIP       string           `long:"source-ip" env:"HICKORYBANK_SOURCE_IP" accept:"ip" description:"IP from which to call peers, upstreams and the platform; the system's choice, if not given"`
 	Seeds          []string         `long:"seed-peer" env:"HICKORYBANK_SEED_PEER" env-delim:"," accept:"address" description:"peer IP and port to ask while the platform gives no list (repeat)"`
 	AddressTTL     setting.Duration `long:"address-ttl" env:"HICKORYBANK_ADDRESS_TTL" accept:"100ms..1h" default:"5s" description:"how long callers may keep an answer of /v1/addresses"`
 	StopTimeout    setting.Duration `long:"stop-timeout" env:"HICKORYBANK_STOP_TIMEOUT" accept:"1s..24h" default:"30m" description:"how long a stop may take; what runs then is cut off"`
@@ -64,12 +66,13 @@
 		return err
 	}
 	log := c.logger(c.env)
-	client := platformclient.New(c.Platform)
+	source := net.ParseIP(c.SourceIP)
+	client := platformclient.New(c.Platform, platformclient.WithSource(source))
 	defer client.Close()
 	n, err := node.New(settings, node.Deps{
 		Platform: client,
-		Engines:  upstreamclient.NewEngines(upstreamclient.Options{}),
-		Services: upstreamclient.NewServices(upstreamclient.Options{}),
+		Engines:  upstreamclient.NewEngines(upstreamclient.Options{Source: source}),
+		Services: upstreamclient.NewServices(upstreamclient.Options{Source: source}),
 		Log:      log,
 	})
 	if err != nil {
@@ -105,7 +108,7 @@
 		ID: c.ID, FailureDomain: c.FailureDomain,
 		Listen: c.Listen, PeerListen: c.PeerListen, AdminListen: c.AdminListen,
 		OperatorKeyHashes: c.OperatorKeys, SessionKeys: decodeSecrets(c.SessionKeys),
-		Seeds: c.Seeds, AddressTTL: c.AddressTTL.Get(), Seed: seedFromID(c.ID),
+		Source: net.ParseIP(c.SourceIP), Seeds: c.Seeds, AddressTTL: c.AddressTTL.Get(), Seed: seedFromID(c.ID),
 		TLS: configs,
 	}, nil
 }
--- a/internal/cli/setting/text.go
+++ b/internal/cli/setting/text.go
@@ -22,6 +22,7 @@
 // textFormats maps the values of accept tags for texts to their formats.
 var textFormats = map[string]textFormat{
 	"address": {"an IP and port, for example 127.0.0.1:8080", isAddress},
+	"ip":      {"an IP, for example 10.0.0.7", isIP},
 	"url":     {"a base URL, for example http://127.0.0.1:8070", isURL},
 	"name":    {"1 to 64 letters, digits and . _ - @ + :", config.IsName},
 	"keyhash": {"[NAME=]HASH, the SHA-256 sum of a key in 64 hexadecimal digits", isKeyHash},
@@ -48,6 +49,11 @@
 	return err == nil
 }
 
+func isIP(text string) bool {
+	_, err := netip.ParseAddr(text)
+	return err == nil
+}
+
 func isURL(text string) bool {
 	u, err := url.Parse(text)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" && u.Fragment == ""
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,8 +99,8 @@
 		metrics:      telemetry.New(telemetry.Bounds{}),
 		duties:       new(duty.Group),
 		connections:  newConnections(),
-		pool:         peer.NewSecurePool(s.TLS.PeerClient),
-		syncPool:     peer.NewSecurePool(s.TLS.PeerClient),
+		pool:         peer.NewPoolFrom(s.Source, s.TLS.PeerClient),
+		syncPool:     peer.NewPoolFrom(s.Source, s.TLS.PeerClient),
 		peers:        peer.NewSecureServer(s.TLS.PeerServer),
 	}, nil
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/secure"
@@ -22,6 +23,9 @@
 	OperatorKeyHashes []string
 	// SessionKeys sign session tokens: the first signs, all verify.
 	SessionKeys [][]byte
+	// Source is the IP from which the node calls its peers; nil leaves the choice to the
+	// system.
+	Source net.IP
 	// Seeds are peer addresses to query while no VM list is known, for instance when the node
 	// starts during an outage of the platform.
 	Seeds []string
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -45,8 +45,15 @@
 
 // NewSecurePool returns a pool that dials TLS over TCP, or unencrypted TCP if tlsConfig is
 // nil.
-func NewSecurePool(tlsConfig *tls.Config) *Pool {
+func NewSecurePool(tlsConfig *tls.Config) *Pool { return NewPoolFrom(nil, tlsConfig) }
+
+// NewPoolFrom returns a pool like NewSecurePool that connects from the IP source; nil leaves
+// the choice to the system.
+func NewPoolFrom(source net.IP, tlsConfig *tls.Config) *Pool {
 	netDialer := &net.Dialer{Timeout: defaultDialTimeout}
+	if source != nil {
+		netDialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		if tlsConfig == nil {
 			return netDialer.DialContext(ctx, "tcp", addr)
--- a/internal/platform/client/conn.go
+++ b/internal/platform/client/conn.go
@@ -25,6 +25,9 @@
 // *countingConn.
 func newTransport(o options) *http.Transport {
 	dialer := new(net.Dialer)
+	if o.source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: o.source}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, addr)
--- a/internal/platform/client/option.go
+++ b/internal/platform/client/option.go
@@ -1,6 +1,9 @@
 package client
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Defaults of a Client.
 const (
@@ -16,6 +19,7 @@
 
 type options struct {
 	timeout time.Duration
+	source  net.IP
 }
 
 // Option sets an option of a new Client.
@@ -27,6 +31,11 @@
 	return func(o *options) { o.timeout = d }
 }
 
+// WithSource sets the IP to connect from; nil leaves the choice to the system.
+func WithSource(ip net.IP) Option {
+	return func(o *options) { o.source = ip }
+}
+
 func defaultOptions() options {
 	return options{timeout: DefaultTimeout}
 }
--- a/internal/upstream/client/options.go
+++ b/internal/upstream/client/options.go
@@ -1,6 +1,9 @@
 package client
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Options configures the connections to upstreams. Zero fields use the defaults.
 type Options struct {
@@ -9,6 +12,8 @@
 	// HeaderTimeout is the time limit from the last byte of the request to the headers
 	// of the response. An engine sends the headers before the first token.
 	HeaderTimeout time.Duration
+	// Source is the IP to connect from; nil leaves the choice to the system.
+	Source net.IP
 	// IdlePerHost is the maximum number of idle connections per upstream.
 	IdlePerHost int
 	// IdleTimeout is how long an idle connection is kept.
--- a/internal/upstream/client/transport.go
+++ b/internal/upstream/client/transport.go
@@ -10,6 +10,9 @@
 // Compression is off, since it would delay the chunks of a stream.
 func newTransport(o Options) *http.Transport {
 	dialer := net.Dialer{Timeout: o.DialTimeout}
+	if o.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: o.Source}
+	}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -90,7 +90,7 @@
 	if !c.relayed {
 		return "http://" + p.addrs.Main, nil
 	}
-	proxy := newVMProxy(c.network, id, p.addrs.Main)
+	proxy := newVMProxy(c.network, p.addrs.Main)
 	c.mu.Lock()
 	c.closers = append(c.closers, proxy.Close)
 	c.mu.Unlock()
--- a/scenario/cmd_start_test.go
+++ b/scenario/cmd_start_test.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"net"
+
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/hickorybank/hickorybank/internal/config"
@@ -88,9 +90,14 @@
 		return err
 	}
 	listen := uniqueListen()
+	ip, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return err
+	}
+	c.network.addSource(ip, id)
 	args := []string{
 		"entry", "--id", id, "--listen", listen, "--failure-domain", "manga", "--platform", url, "--register",
-		"--peer-listen", listen, "--admin-listen", listen, "--operator-key-hash", "operator=" + config.HashKey(example.OperatorKey),
+		"--peer-listen", listen, "--source-ip", ip, "--admin-listen", listen, "--operator-key-hash", "operator=" + config.HashKey(example.OperatorKey),
 	}
 	_, err = c.start(id, append(args, more...)...)
 	return err
--- a/scenario/network_test.go
+++ b/scenario/network_test.go
@@ -1,6 +1,9 @@
 package scenario
 
-import "sync"
+import (
+	"net"
+	"sync"
+)
 
 // pair is an unordered pair of processes.
 type pair struct{ a, b string }
@@ -12,7 +15,8 @@
 	return pair{a, b}
 }
 
-// link is the route from a process to one address of another process.
+// link is the route to one address of a process: from one process, or from any if from is
+// empty.
 type link struct {
 	from, to, target string
 }
@@ -22,10 +26,12 @@
 	mu     sync.Mutex
 	gates  map[pair]*gate
 	relays map[link]*relay
+	// sources are the processes by the IP from which they connect.
+	sources map[string]string
 }
 
 func newNetwork() *network {
-	return &network{gates: map[pair]*gate{}, relays: map[link]*relay{}}
+	return &network{gates: map[pair]*gate{}, relays: map[link]*relay{}, sources: map[string]string{}}
 }
 
 func (n *network) gate(a, b string) *gate {
@@ -43,8 +49,29 @@
 	return g
 }
 
-// route returns the relay address through which process from reaches address target of
-// process to.
+// addSource records the IP from which a process connects.
+func (n *network) addSource(ip, process string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sources[ip] = process
+}
+
+// sourceGate returns the gate between the process that connects from an address and process
+// to.
+func (n *network) sourceGate(from net.Addr, to string) *gate {
+	ip, _, err := net.SplitHostPort(from.String())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	source, ok := n.sources[ip]
+	if err != nil || !ok {
+		return newGate() // a caller, which is not part of the cluster
+	}
+	return n.gateLocked(source, to)
+}
+
+// route returns the relay address through which process from, or every process if from is
+// empty, reaches address target of process to. Nodes pass addresses on to each other, so an
+// address in a list must lead to the gate of the process that connects.
 func (n *network) route(from, to, target string) (string, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -52,7 +79,12 @@
 	if r := n.relays[key]; r != nil {
 		return r.addr(), nil
 	}
-	r, err := newRelay(target, n.gateLocked(from, to))
+	choose := func(source net.Addr) *gate { return n.sourceGate(source, to) }
+	if from != "" {
+		fixed := n.gateLocked(from, to)
+		choose = func(net.Addr) *gate { return fixed }
+	}
+	r, err := newRelay(target, choose)
 	if err != nil {
 		return "", err
 	}
--- a/scenario/relay_test.go
+++ b/scenario/relay_test.go
@@ -12,17 +12,18 @@
 type relay struct {
 	listener net.Listener
 	target   string
-	gate     *gate
-	done     chan struct{}
-	tasks    sync.WaitGroup
+	// gateOf returns the gate for a connection by its remote address.
+	gateOf func(net.Addr) *gate
+	done   chan struct{}
+	tasks  sync.WaitGroup
 }
 
-func newRelay(target string, g *gate) (*relay, error) {
+func newRelay(target string, gateOf func(net.Addr) *gate) (*relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, target: target, gate: g, done: make(chan struct{})}
+	r := &relay{listener: l, target: target, gateOf: gateOf, done: make(chan struct{})}
 	r.tasks.Go(r.accept)
 	return r, nil
 }
@@ -47,7 +48,8 @@
 
 func (r *relay) forward(from net.Conn) {
 	defer from.Close()
-	if !r.gate.pass(r.done) {
+	g := r.gateOf(from.RemoteAddr())
+	if !g.pass(r.done) {
 		return
 	}
 	to, err := net.Dial("tcp", r.target)
@@ -56,19 +58,19 @@
 	}
 	defer to.Close()
 	ended := make(chan struct{}, 2)
-	r.tasks.Go(func() { r.copy(to, from); ended <- struct{}{} })
-	r.tasks.Go(func() { r.copy(from, to); ended <- struct{}{} })
+	r.tasks.Go(func() { r.copy(g, to, from); ended <- struct{}{} })
+	r.tasks.Go(func() { r.copy(g, from, to); ended <- struct{}{} })
 	select {
 	case <-ended:
 	case <-r.done:
 	}
 }
 
-func (r *relay) copy(to, from net.Conn) {
+func (r *relay) copy(g *gate, to, from net.Conn) {
 	buffer := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && r.gate.pass(r.done) {
+		if n > 0 && g.pass(r.done) {
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				return
 			}
--- a/scenario/vmproxy_test.go
+++ b/scenario/vmproxy_test.go
@@ -14,9 +14,8 @@
 )
 
 // newVMProxy starts a reverse proxy between one process and the platform. It rewrites the VM
-// list so that the process reaches every other VM through its own relay, which the scenario
-// can cut for this pair alone.
-func newVMProxy(n *network, id, platform string) *httptest.Server {
+// list so that VMs reach each other through relays, which the scenario can cut for each pair.
+func newVMProxy(n *network, platform string) *httptest.Server {
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: platform})
 	proxy.FlushInterval = -1
 	proxy.ModifyResponse = func(resp *http.Response) error {
@@ -24,14 +23,14 @@
 		if request.Method != http.MethodGet || request.URL.Path != wire.PathVMs || resp.StatusCode != http.StatusOK {
 			return nil
 		}
-		return rerouteList(n, id, resp)
+		return rerouteList(n, resp)
 	}
 	// If the platform is down, the connection is aborted, as without the proxy.
 	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
 	return httptest.NewServer(proxy)
 }
 
-func rerouteList(n *network, id string, resp *http.Response) error {
+func rerouteList(n *network, resp *http.Response) error {
 	var list wire.VMsResponse
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return err
@@ -39,13 +38,10 @@
 	_ = resp.Body.Close()
 	for i := range list.VMs {
 		vm := &list.VMs[i]
-		if vm.ID == id {
-			continue
-		}
-		if err := reroute(n, id, vm.ID, &vm.Addr); err != nil {
+		if err := reroute(n, vm.ID, &vm.Addr); err != nil {
 			return err
 		}
-		if err := reroute(n, id, vm.ID, &vm.Peer); err != nil {
+		if err := reroute(n, vm.ID, &vm.Peer); err != nil {
 			return err
 		}
 	}
@@ -59,11 +55,11 @@
 	return nil
 }
 
-func reroute(n *network, from, to string, addr *string) error {
+func reroute(n *network, to string, addr *string) error {
 	if *addr == "" {
 		return nil
 	}
-	relayed, err := n.route(from, to, *addr)
+	relayed, err := n.route("", to, *addr)
 	*addr = relayed
 	return err
 }
