ledger: a node is unready before its bills become unsafe

What callers saw: 503 with outcome unknown, "the answer is whole but its bill could not be made safe", from a node that went on admitting requests after its first such bill: each further caller had its work done and got the same answer.

Cause: docs/design/ledger.md promises that Ready turns false before a bill is unsafe for want of peers; Ready looked at the number of bills in memory alone.

Change: the collector reports that further bills are at risk once a bill in memory is neither stored nor held, too few peers took a copy and both stores fail (down, or a write unanswered for half of the time that bills have); it no longer does when all bills are stored or held, which it tries by itself. Slow stores that do take rows leave the node ready (TestSlowStoresLeaveNodeReady). The check is made again when a request is sent, as it may have queued. Events 1315 and 1316 mark the change, 1308 says what was tried, 1317 names the request and what each node that was asked for its bill answered.

Why it works: a bill that is not safe stays in the memory of the node that got the request, since that is the last one asked, so the node itself knows of it until it is safe.

Not covered: requests that were admitted before the first bill failed.

--- a/internal/event/ledger.go
+++ b/internal/event/ledger.go
@@ -18,5 +18,8 @@
 	LedgerJanitorLate  = define(1311, slog.LevelWarn, "clean-up of old claims or bills failed")
 	LedgerPruned       = define(1314, slog.LevelInfo, "old rows of bills were moved from the table to the object store")
 	LedgerFolded       = define(1313, slog.LevelInfo, "small objects of bills were folded into one")
+	LedgerAtRisk       = define(1315, slog.LevelError, "bills cannot be made safe: new work is refused until they are")
+	LedgerSafeAgain    = define(1316, slog.LevelInfo, "all bills are safe: new work is admitted")
+	AnswerUnbilled     = define(1317, slog.LevelError, "an answer's bill could not be made safe: its caller was told that the outcome is unknown")
 	LedgerPeerSuspect  = define(1312, slog.LevelWarn, "a peer does not respond to the ledger; others are used for a while")
 )
--- a/internal/ledger/bill/batch.go
+++ b/internal/ledger/bill/batch.go
@@ -10,6 +10,11 @@
 	waiting   []uint64 // numbers of the bills that wait for a reply
 	// heldRows are the rows that peers hold copies of and whose bills are in this row.
 	heldRows []HeldRow
+	// copies is the number of copies that the last request to hold the row has made; it is
+	// -1 before the first one ends.
+	copies int
+	// gaveUp means that the row's bills were reported as unsafe.
+	gaveUp bool
 	// held means that heldRows cover all bills of the row.
 	held bool
 	// adopted means that the row was taken over from another owner.
--- a/internal/ledger/bill/collector.go
+++ b/internal/ledger/bill/collector.go
@@ -35,6 +35,9 @@
 // retryGap is the minimum time before a row is written again.
 const retryGap = 50 * time.Millisecond
 
+// notAsked is the number of copies of a row that no peer has been asked to hold.
+const notAsked = -1
+
 // waitingBill is a bill that is not yet in a batch.
 type waitingBill struct {
 	number uint64
@@ -60,7 +63,7 @@
 // reply.
 func (c *Collector) Add(number uint64, b Bill) {
 	if c.billCount >= c.settings.MaxWaiting {
-		c.replies = append(c.replies, Reply{Number: number, Safety: Unsafe})
+		c.replies = append(c.replies, Reply{Number: number, Safety: Unsafe, Tried: "none: memory is full"})
 		return
 	}
 	c.billCount++
@@ -161,9 +164,17 @@
 	b.waiting = nil
 }
 
+// replyUnsafe replies that the bills of a batch are not safe, and what was tried.
+func (c *Collector) replyUnsafe(b *batch, tried string) {
+	for _, number := range b.waiting {
+		c.replies = append(c.replies, Reply{Number: number, Safety: Unsafe, Tried: tried})
+	}
+	b.waiting = nil
+}
+
 func (c *Collector) newBatch(now time.Time, row Row) *batch {
 	c.lastBatch++
-	b := &batch{number: c.lastBatch, row: row, createdAt: now}
+	b := &batch{number: c.lastBatch, row: row, createdAt: now, copies: notAsked}
 	c.batches[b.number] = b
 	return b
 }
--- a/internal/ledger/bill/collector_decide.go
+++ b/internal/ledger/bill/collector_decide.go
@@ -111,7 +111,8 @@
 func (c *Collector) giveUp(now time.Time) {
 	for i := len(c.active) - 1; i >= 0; i-- {
 		if b := c.active[i]; now.Sub(b.createdAt) > c.settings.GiveUp {
-			c.reply(b, Unsafe)
+			b.gaveUp = true
+			c.replyUnsafe(b, c.describe(now, b))
 			c.moveToBacklog(b)
 		}
 	}
--- a/internal/ledger/bill/collector_hold.go
+++ b/internal/ledger/bill/collector_hold.go
@@ -15,6 +15,7 @@
 		return
 	}
 	b.hold.inFlight = false
+	b.copies = len(holders)
 	if len(holders) < c.settings.Copies {
 		b.hold.nextTry = now.Add(c.settings.Probe)
 		return
@@ -25,6 +26,7 @@
 	}
 	b.heldRows = []HeldRow{heldRow}
 	b.held = true
+	b.gaveUp = false
 	c.reply(b, InPeers)
 	c.moveToBacklog(b)
 }
--- a/internal/ledger/bill/collector_ready.go
+++ b/internal/ledger/bill/collector_ready.go
@@ -21,6 +21,8 @@
 type Reply struct {
 	Number uint64
 	Safety Safety
+	// Tried describes, for Unsafe, what became of the calls to stores and peers.
+	Tried string
 }
 
 // CollectorReady holds the calls to make for a collector, and replies.
--- a/internal/ledger/bill/form.go
+++ b/internal/ledger/bill/form.go
@@ -17,6 +17,7 @@
 	}
 	b := c.packBatch(now, bucket, append(bills, backlog.bills...))
 	b.waiting = waiting
+	b.gaveUp = backlog.gaveUp
 	b.heldRows = backlog.heldRows
 	c.active = append(c.active, b)
 	return b
@@ -56,6 +57,7 @@
 	b := c.packBatch(now, first.row.Bucket, all.bills)
 	b.heldRows = all.heldRows
 	b.held = all.held
+	b.gaveUp = all.gaveUp
 	c.moveToBacklog(b)
 	return b
 }
@@ -88,6 +90,7 @@
 	bills    []Bill
 	heldRows []HeldRow
 	held     bool
+	gaveUp   bool // of any of them
 }
 
 // mergeBatches ends batches and returns their content, for a new batch. The new batch
@@ -103,6 +106,7 @@
 		all.bills = append(all.bills, bills...)
 		all.heldRows = append(all.heldRows, b.heldRows...)
 		all.held = all.held && b.held
+		all.gaveUp = all.gaveUp || b.gaveUp
 		delete(c.batches, b.number)
 	}
 	return all
--- a/internal/ledger/bill/health.go
+++ b/internal/ledger/bill/health.go
@@ -28,6 +28,12 @@
 
 func (h *storeHealth) down() bool { return h.failures >= failuresToDown }
 
+// fails reports whether the store is down, or has left a write unanswered for longer than
+// limit.
+func (h *storeHealth) fails(now time.Time, limit time.Duration) bool {
+	return h.down() || slices.ContainsFunc(h.inFlight, func(sent time.Time) bool { return now.Sub(sent) > limit })
+}
+
 // healthy reports whether bills should wait for the store.
 func (h *storeHealth) healthy() bool { return !h.down() && !h.slow }
 
--- a/internal/ledger/billing.go
+++ b/internal/ledger/billing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,7 +39,14 @@
 // queuedBill is a bill to send, and the channel for its result.
 type queuedBill struct {
 	bill bill.Bill
-	safe chan<- bill.Safety
+	done chan<- billResult
+}
+
+// billResult is where a bill is stored, and what the nodes that were asked to collect it
+// answered.
+type billResult struct {
+	safety bill.Safety
+	asked  string
 }
 
 func newBillSender(l *Ledger) *billSender { return &billSender{ledger: l, loop: newEventLoop()} }
@@ -50,18 +58,19 @@
 }
 
 // send sends a bill to a collector and returns where it is stored.
-func (b *billSender) send(ctx context.Context, one bill.Bill) bill.Safety {
-	safe := make(chan bill.Safety, 1)
-	if !b.loop.post(func(time.Time) { b.queue = append(b.queue, queuedBill{one, safe}) }) {
-		return bill.Unsafe
+func (b *billSender) send(ctx context.Context, one bill.Bill) billResult {
+	closed := billResult{bill.Unsafe, "no node was asked: the ledger is closed"}
+	done := make(chan billResult, 1)
+	if !b.loop.post(func(time.Time) { b.queue = append(b.queue, queuedBill{one, done}) }) {
+		return closed
 	}
 	select {
-	case s := <-safe:
-		return s
+	case r := <-done:
+		return r
 	case <-ctx.Done():
-		return bill.Unsafe
+		return billResult{bill.Unsafe, "no node has answered: " + ctx.Err().Error()}
 	case <-b.loop.done:
-		return bill.Unsafe
+		return closed
 	}
 }
 
@@ -90,8 +99,8 @@
 		call: func(vm platform.VM) ([]byte, error) { return b.callCollect(vm, &args, bills) },
 	}
 	answers, _ := h.run(l.baseCtx, l.router.collectors(time.Now()))
-	for i, s := range batch {
-		s.safe <- safest(answers, i) // the channel has room for the one result
+	for i, q := range batch {
+		q.done <- billResult{safest(answers, i), describeAnswers(answers, i)} // never blocks: buffered for the only result
 	}
 	b.loop.post(func(time.Time) { b.inFlight-- })
 }
@@ -133,6 +142,19 @@
 	return safest
 }
 
+// describeAnswers describes what each node answered for a bill, for logs.
+func describeAnswers(answers []answer[[]byte], i int) string {
+	var all []string
+	for _, a := range answers {
+		if a.err != nil {
+			all = append(all, a.from.ID+": "+a.err.Error())
+			continue
+		}
+		all = append(all, a.from.ID+": "+bill.Safety(a.value[i]).String())
+	}
+	return strings.Join(all, "; ")
+}
+
 func safetyBytes(all []bill.Safety) []byte {
 	data := make([]byte, 0, len(all))
 	for _, s := range all {
--- a/internal/ledger/collecting.go
+++ b/internal/ledger/collecting.go
@@ -41,6 +41,7 @@
 	unstored atomic.Int64
 	held     atomic.Int64
 	full     atomic.Bool
+	atRisk   atomic.Bool
 }
 
 func newCollecting(s Settings, process string, st *store, r *router, h *holders, log *slog.Logger) *collecting {
@@ -107,9 +108,9 @@
 	for _, reply := range r.Replies {
 		c.replies[reply.Number](reply.Safety)
 		delete(c.replies, reply.Number)
-		c.logPlace(reply.Safety)
+		c.logPlace(reply)
 	}
-	c.updateSizes()
+	c.updateSizes(now)
 	return c.nextWake(now, r.Wake)
 }
 
@@ -138,7 +139,7 @@
 		for _, row := range c.holder.TakeAll(now) {
 			c.core.Adopt(now, row)
 		}
-		c.updateSizes()
+		c.updateSizes(now)
 	})
 }
 
@@ -154,21 +155,25 @@
 	return wake
 }
 
-func (c *collecting) updateSizes() {
+func (c *collecting) updateSizes(now time.Time) {
 	c.waiting.Store(int64(c.core.Waiting()))
 	c.unstored.Store(int64(c.core.Unstored()))
 	c.held.Store(int64(c.holder.Bills()))
 	c.full.Store(c.core.Full())
+	if atRisk := c.core.AtRisk(now); c.atRisk.Swap(atRisk) != atRisk {
+		c.logAtRisk(atRisk)
+	}
 }
 
 // logPlace logs a change of the place where bills are stored.
-func (c *collecting) logPlace(s bill.Safety) {
+func (c *collecting) logPlace(r bill.Reply) {
+	s := r.Safety
 	if s == c.lastPlace {
 		return
 	}
 	switch s {
 	case bill.Unsafe:
-		event.LedgerUnsafe.Log(c.log)
+		event.LedgerUnsafe.Log(c.log, slog.String("tried", r.Tried))
 	case bill.InTable:
 		event.LedgerTableBack.Log(c.log)
 	default:
@@ -177,6 +182,15 @@
 	c.lastPlace = s
 }
 
+// logAtRisk logs that further bills are at risk, or no longer are.
+func (c *collecting) logAtRisk(atRisk bool) {
+	e := event.LedgerSafeAgain
+	if atRisk {
+		e = event.LedgerAtRisk
+	}
+	e.Log(c.log, slog.Int("bills", c.core.Waiting()))
+}
+
 func (c *collecting) write(w bill.Write) {
 	f, err := c.store.createBills(c.baseCtx, w.Row)
 	c.panicOnEncodeError(err)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -162,12 +162,12 @@
 	return eris.Errorf("%d bills and %d settlements are in no store yet", left, l.retries.Len())
 }
 
-// Ready reports whether the ledger can take further bills. If not, new work should be
-// refused before it runs.
+// Ready reports whether a further bill can be expected to become safe. If not, new work must
+// be refused before it runs.
 func (l *Ledger) Ready() bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.open && !l.collecting.full.Load()
+	return l.open && !l.collecting.full.Load() && !l.collecting.atRisk.Load()
 }
 
 // Bill stores a bill, and returns once it is safe, with the place where it is stored. The
@@ -183,11 +183,11 @@
 func (l *Ledger) bill(ctx context.Context, b Bill) (Safety, error) {
 	l.stats.bills.Add(1)
 	b.At = b.At.Truncate(time.Millisecond)
-	safety := l.billSender.send(ctx, b)
-	if safety == bill.Unsafe {
-		return safety, eris.Wrap(ErrUnsafe, "no store and too few peers took the bill")
+	r := l.billSender.send(ctx, b)
+	if r.safety == bill.Unsafe {
+		return r.safety, eris.Wrap(ErrUnsafe, "no store and too few peers took the bill ("+r.asked+")")
 	}
-	return safety, nil
+	return r.safety, nil
 }
 
 // retryEntry tries once more to append an entry. It reports whether the entry needs no
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -79,9 +79,9 @@
 // mayRun checks the version against the configuration in force now. The request may have been
 // queued since its admission, and its version withdrawn meanwhile.
 func (r *chatRun) mayRun(version string) *request.Failure {
-	snapshot, fresh := r.node.sync.Current()
-	if !fresh {
-		return request.Refuse(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
+	snapshot, fail := r.node.readyToRun()
+	if fail != nil {
+		return fail
 	}
 	org := snapshot.Organisation(r.call.Org.Name)
 	if org == nil || !snapshot.Allowed(org, version) {
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -203,8 +203,8 @@
 	if d.Retry && !r.node.retryAllowed() {
 		return r.machine.Refused(request.CodeOverloaded, retrySoon, "too many requests are being retried")
 	}
-	if _, fresh := r.node.sync.Current(); !fresh {
-		return r.machine.Refused(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
+	if _, fail := r.node.readyToRun(); fail != nil {
+		return r.machine.Refused(fail.Code, fail.RetryAfter, fail.Message)
 	}
 	pick, ok := r.node.upstreams.pick(balance.Request{
 		Service: r.call.Service.Name, Kind: r.class.Kind, Exclude: d.Exclude, Isolated: r.node.suspects.isSuspect(r.fingerprint()),
@@ -266,6 +266,9 @@
 	b.Digest = billDigest(r.call.Key, r.fingerprint()) // without a claim, the key may cover several bodies
 	r.background(ctx, billTimeout, func(ctx context.Context) callEvent {
 		_, err := r.node.ledger.Bill(ctx, b)
+		if err != nil {
+			r.node.logUnbilled(b, r.id, err)
+		}
 		return func() []lifecycle.Decision { return r.machine.Billed(err == nil) }
 	})
 }
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -93,6 +93,12 @@
 	if n.stopping.refusesNew() {
 		return nil, request.Refuse(request.CodeStopping, retrySoon, "this VM stops; ask for the addresses again")
 	}
+	return n.readyToRun()
+}
+
+// readyToRun returns the configuration in force, or why no work may be sent to an upstream at
+// present. Requests that were admitted before are checked again when they are sent.
+func (n *Node) readyToRun() (*config.Snapshot, *request.Failure) {
 	snapshot, fresh := n.sync.Current()
 	if snapshot == nil || !fresh {
 		return nil, request.Refuse(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -192,6 +192,7 @@
 	select {
 	case err := <-done:
 		if err != nil {
+			r.node.logUnbilled(b, r.id, err)
 			return r.machine.BillFailed()
 		}
 		return r.machine.BillDurable()
