suspect: nodes that are behind together go on without a peer that is cut off

Cause: a node that is behind is up to date again when a peer that is not behind answers it, or when all its peers have answered. If the two were behind at once (starved, or both paused for 1.5 s), each got only the other's answers, which were behind too, and the third never answered. After 3 s without an answer a node goes on alone; but each answer of the other one ended that, so they went on for an instant every 3 s.

Change: after the same 3 s, a node that got answers within the last 1.5 s counts as up to date as of the oldest of them. That is the rule for a node alone, for a side of a partition: what its peers know has come with their answers.

--- a/internal/suspect/freshness.go
+++ b/internal/suspect/freshness.go
@@ -18,8 +18,9 @@
 	known bool
 	// behindSince is when the node was first found to be behind; 0 when fresh.
 	behindSince time.Duration
-	// answered are the peers that answered but are behind themselves.
-	answered map[string]bool
+	// answered is when the last pull was sent that each peer answered although it is behind
+	// itself.
+	answered map[string]time.Duration
 	// isolated is set if no peer has answered for long: the node is alone on its side of
 	// a network partition.
 	isolated bool
@@ -95,12 +96,31 @@
 	}
 	if f.behindSince == 0 {
 		f.behindSince = max(t.now, 1)
-		f.answered = map[string]bool{}
+		f.answered = map[string]time.Duration{}
 	}
 	if t.now > f.behindSince+2*t.settings.FreshnessTTL {
+		t.goOnWithoutSilentPeers()
+	}
+}
+
+// goOnWithoutSilentPeers ends the wait for peers that do not answer: they are on the other
+// side of a network partition. The peers that answer are behind themselves, and know
+// together with this node what is known on this side. Without any, the node is isolated.
+func (t *Tracker) goOnWithoutSilentPeers() {
+	f := &t.freshness
+	f.behindSince = 0
+	oldest, some := t.now, false
+	for _, at := range f.answered {
+		if t.now-at <= t.settings.FreshnessTTL {
+			oldest, some = min(oldest, at), true
+		}
+	}
+	if !some {
 		f.isolated = true
-		f.behindSince = 0
+		return
 	}
+	f.asOf = oldest
+	f.known = true
 }
 
 // handlePush handles the answer to a pull.
@@ -131,9 +151,9 @@
 	if f.behindSince == 0 || at < f.behindSince {
 		return
 	}
-	f.answered[id] = true
+	f.answered[id] = max(f.answered[id], at)
 	for _, p := range t.peers.neighbours {
-		if !f.answered[p.id] {
+		if _, ok := f.answered[p.id]; !ok {
 			return
 		}
 	}
