node: requests are not accused where peers could not be asked

Cause: suspects.mayStart refuses when the node has no answer of a peer from the last 1.5 s, as after a pause between admission and start, and the caller got the code of a suspect; suspects.admit did the same when its context ended. Neither logged a line.

Change: such a request is refused as peers_unreachable (503, not run, Retry-After), with event 1624 that names it. A request whose deadline has passed or whose caller has left while it waited gets that as its answer.

--- a/internal/api/error.go
+++ b/internal/api/error.go
@@ -41,6 +41,7 @@
 	request.CodeNotFresh:       http.StatusServiceUnavailable,
 	request.CodeLedger:         http.StatusServiceUnavailable,
 	request.CodeSuspect:        http.StatusUnprocessableEntity,
+	request.CodeUnconfirmed:    http.StatusServiceUnavailable,
 	request.CodeDuplicate:      http.StatusConflict,
 	request.CodeKeyReused:      http.StatusUnprocessableEntity,
 	request.CodeKeyTooOld:      http.StatusGone,
--- a/internal/event/load.go
+++ b/internal/event/load.go
@@ -12,5 +12,6 @@
 	UpstreamCrashed  = define(1620, slog.LevelWarn, "upstream crashed; its running requests are suspected")
 	SuspectRunsAlone = define(1621, slog.LevelInfo, "suspected request runs alone")
 	SuspectRefused   = define(1622, slog.LevelWarn, "suspected request was refused")
+	SuspectUnknown   = define(1624, slog.LevelWarn, "request was refused: peers did not answer whether it crashes upstreams")
 	SuspectConvicted = define(1623, slog.LevelError, "request was found to crash upstreams")
 )
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/hickorybank/hickorybank/internal/lifecycle"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
-	"github.com/hickorybank/hickorybank/internal/suspect"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
@@ -60,22 +59,20 @@
 	if !ok {
 		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+d.Version+": "+string(pick.Shortage.Reason))
 	}
-	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint, pick.VM.ID)
-	if verdict.Verdict == suspect.Refuse {
+	if fail := r.node.suspects.admit(ctx, r.id, r.fingerprint, pick.VM.ID); fail != nil {
 		r.node.upstreams.done(pick.Token, balance.Result{Outcome: balance.Abandoned})
-		return r.refuseSuspect(verdict)
+		if ctx.Err() != nil {
+			return r.interrupted(ctx)
+		}
+		if fail.Code == request.CodeSuspect && fail.RetryAfter == 0 {
+			return r.machine.Convicted()
+		}
+		return r.machine.Refused(fail.Code, fail.RetryAfter, fail.Message)
 	}
 	r.current = &activeAttempt{version: d.Version, vm: pick.VM, token: pick.Token, epoch: r.node.upstreams.epoch(pick.VM.ID), began: time.Now()}
 	return r.machine.Picked(pick.VM.ID)
 }
 
-func (r *chatRun) refuseSuspect(d suspect.Decision) []lifecycle.Decision {
-	if d.Convicted {
-		return r.machine.Convicted()
-	}
-	return r.machine.Refused(request.CodeSuspect, d.RetryAfter, "the request is suspected of crashing upstreams and may not run at present")
-}
-
 // mayRun checks the version against the configuration in force now. The request may have been
 // queued since its admission, and its version withdrawn meanwhile.
 func (r *chatRun) mayRun(version string) *request.Failure {
@@ -98,8 +95,8 @@
 	if err != nil {
 		return r.machine.NotSent(request.CodeBadRequest, 0, err.Error())
 	}
-	if !r.node.suspects.mayStart(r.id, r.fingerprint, r.current.vm.ID) {
-		return r.machine.NotSent(request.CodeSuspect, retrySoon, "the request is suspected of crashing upstreams and may not run at present")
+	if fail := r.node.suspects.mayStart(r.id, r.fingerprint, r.current.vm.ID); fail != nil {
+		return r.machine.NotSent(fail.Code, fail.RetryAfter, fail.Message)
 	}
 	if fail := r.mayRun(d.Version); fail != nil {
 		return r.machine.NotSent(fail.Code, fail.RetryAfter, fail.Message)
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -16,7 +16,6 @@
 	"github.com/hickorybank/hickorybank/internal/lifecycle"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
-	"github.com/hickorybank/hickorybank/internal/suspect"
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
 
@@ -212,10 +211,12 @@
 	if !ok {
 		return r.machine.Refused(request.CodeNoUpstream, pick.Shortage.RetryAfter, "no upstream for "+r.call.Service.Name+": "+string(pick.Shortage.Reason))
 	}
-	verdict := r.node.suspects.admit(ctx, r.id, r.fingerprint(), pick.VM.ID)
-	if verdict.Verdict == suspect.Refuse || !r.node.suspects.mayStart(r.id, r.fingerprint(), pick.VM.ID) {
+	if fail := r.admitSuspect(ctx, pick.VM.ID); fail != nil {
 		r.node.upstreams.done(pick.Token, balance.Result{Outcome: balance.Abandoned})
-		return r.machine.Refused(request.CodeSuspect, verdict.RetryAfter, "upstreams crashed on this request")
+		if ctx.Err() != nil {
+			return r.interrupted(ctx)
+		}
+		return r.machine.Refused(fail.Code, fail.RetryAfter, fail.Message)
 	}
 	r.vm = pick.VM
 	r.epoch = r.node.upstreams.epoch(pick.VM.ID)
@@ -223,6 +224,15 @@
 	return r.machine.Picked(pick.VM.ID)
 }
 
+// admitSuspect returns a refusal if the call may not run because it crashes upstreams, or may
+// do so.
+func (r *callRun) admitSuspect(ctx context.Context, vm string) *request.Failure {
+	if fail := r.node.suspects.admit(ctx, r.id, r.fingerprint(), vm); fail != nil {
+		return fail
+	}
+	return r.node.suspects.mayStart(r.id, r.fingerprint(), vm)
+}
+
 func (r *callRun) send(ctx context.Context) {
 	out := r.call.Request
 	out.Key = r.upstreamKey()
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -90,47 +90,84 @@
 }
 
 // admit decides whether an attempt may run at an upstream. It waits for the peers' answers if
-// the tracker needs them, at most until ctx ends.
-func (s *suspects) admit(ctx context.Context, attempt string, f request.Fingerprint, vm string) suspect.Decision {
+// the tracker needs them, for a few seconds at most and not longer than ctx. The result is nil
+// if the attempt may run.
+func (s *suspects) admit(ctx context.Context, attempt string, f request.Fingerprint, vm string) *request.Failure {
+	began := time.Now()
 	decided := make(chan suspect.Decision, 1)
 	s.mu.Lock()
-	d := s.tracker.AdmitAt(attempt, f, vm, time.Now())
+	d := s.tracker.AdmitAt(attempt, f, vm, began)
 	if d.Verdict == suspect.Wait {
 		s.waiting[attempt] = decided
 	}
 	s.flush()
 	s.mu.Unlock()
 	if d.Verdict != suspect.Wait {
-		return s.logDecision(d)
+		return s.conclude(d)
 	}
+	timeout := time.NewTimer(s.tracker.MaxWait() + decisionSlack)
+	defer timeout.Stop()
 	select {
 	case d = <-decided:
-		return s.logDecision(d)
+		return s.conclude(d)
+	case <-timeout.C:
 	case <-ctx.Done():
-		s.finished(attempt)
-		return suspect.Decision{Attempt: attempt, Verdict: suspect.Refuse, RetryAfter: retrySoon}
 	}
+	s.finished(attempt)
+	return s.refuseUnconfirmed(attempt, time.Since(began))
 }
 
-// logDecision logs the decision about a suspect and returns it.
-func (s *suspects) logDecision(d suspect.Decision) suspect.Decision {
-	switch d.Verdict {
-	case suspect.RunAlone:
-		event.SuspectRunsAlone.Log(s.node.deps.Log, slog.String("request", d.Attempt))
-	case suspect.Refuse:
-		event.SuspectRefused.Log(s.node.deps.Log, slog.String("request", d.Attempt), slog.Bool("convicted", d.Convicted))
+// decisionSlack is how much later than promised a decision of the tracker may come.
+const decisionSlack = time.Second
+
+// refuseUnconfirmed logs and returns the refusal of an attempt of which the node could not
+// learn whether it is a suspect. Nothing is held against its request.
+func (s *suspects) refuseUnconfirmed(attempt string, waited time.Duration) *request.Failure {
+	event.SuspectUnknown.Log(s.node.deps.Log, slog.String("request", attempt), slog.Duration("waited", waited), slog.Bool("fresh", s.fresh()))
+	return request.Refuse(request.CodeUnconfirmed, retrySoon, "this VM cannot learn from its peers whether the request crashes upstreams")
+}
+
+// conclude logs the decision about an attempt and returns its refusal, or nil if it may run.
+func (s *suspects) conclude(d suspect.Decision) *request.Failure {
+	id := slog.String("request", d.Attempt)
+	switch {
+	case d.Verdict == suspect.RunAlone:
+		event.SuspectRunsAlone.Log(s.node.deps.Log, id)
+		return nil
+	case d.Verdict != suspect.Refuse:
+		return nil
+	case d.Convicted:
+		event.SuspectRefused.Log(s.node.deps.Log, id, slog.Bool("convicted", true))
+		return request.Refuse(request.CodeSuspect, 0, "upstreams crash on this request")
+	default:
+		event.SuspectRefused.Log(s.node.deps.Log, id, slog.Bool("convicted", false))
+		return request.Refuse(request.CodeSuspect, d.RetryAfter, "the request is suspected of crashing upstreams and may not run at present")
 	}
-	return d
 }
 
-// mayStart records that the attempt is about to be sent and reports whether it still may be.
-// Since its admission the node may have been paused or informed of a crash.
-func (s *suspects) mayStart(attempt string, f request.Fingerprint, vm string) bool {
+func (s *suspects) fresh() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	may := s.tracker.Started(attempt, f, vm, time.Now())
+	return s.tracker.Fresh(time.Now())
+}
+
+// mayStart records that the attempt is about to be sent. It returns its refusal if it no longer
+// may be: since its admission the node may have been paused or informed of a crash.
+func (s *suspects) mayStart(attempt string, f request.Fingerprint, vm string) *request.Failure {
+	s.mu.Lock()
+	now := time.Now()
+	may := s.tracker.Started(attempt, f, vm, now)
+	fresh := s.tracker.Fresh(now)
 	s.flush()
-	return may
+	s.mu.Unlock()
+	switch {
+	case may:
+		return nil
+	case !fresh:
+		return s.refuseUnconfirmed(attempt, 0)
+	default:
+		return s.conclude(suspect.Decision{Attempt: attempt, Verdict: suspect.Refuse, RetryAfter: retrySoon})
+	}
 }
 
 // completed reports that an attempt returned its complete answer, which clears it.
--- a/internal/request/failure.go
+++ b/internal/request/failure.go
@@ -24,6 +24,7 @@
 	CodeNotFresh       Code = "configuration_not_fresh"
 	CodeLedger         Code = "ledger_unavailable"
 	CodeSuspect        Code = "request_crashes_upstreams"
+	CodeUnconfirmed    Code = "peers_unreachable"
 	CodeDuplicate      Code = "duplicate_request"
 	CodeKeyReused      Code = "idempotency_key_reused"
 	CodeKeyTooOld      Code = "idempotency_key_too_old"
--- a/internal/suspect/admit.go
+++ b/internal/suspect/admit.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// MaxWait is the longest time from [Wait] to the decision.
+func (t *Tracker) MaxWait() time.Duration { return t.settings.MaxWait() }
+
+// Fresh reports whether the node knows what its peers know, so that a request that it knows
+// nothing of may run.
+func (t *Tracker) Fresh(now time.Time) bool {
+	t.setTime(now)
+	return t.fresh()
+}
+
 // Started must be called just before an attempt is sent to an upstream. If it returns
 // false, the attempt must not be sent and is forgotten: since Admit this node has learned
 // that the request is a suspect, or was paused.
--- a/internal/suspect/settings.go
+++ b/internal/suspect/settings.go
@@ -56,6 +56,11 @@
 	defaultVoters           = 5
 )
 
+// MaxWait is the longest time from [Wait] to the decision: until the node knows what its peers
+// know or goes on without them, and for the votes of a suspect. Up to Grace of it is for the
+// time between two calls of Tick.
+func (s Settings) MaxWait() time.Duration { return 2*s.FreshnessTTL + s.VoteTimeout + s.Grace }
+
 func (s Settings) withDefaults(now time.Time) Settings {
 	if s.Born == 0 {
 		s.Born = uint64(now.UnixNano())
--- a/internal/suspect/verdict.go
+++ b/internal/suspect/verdict.go
@@ -11,8 +11,7 @@
 	Run Verdict = iota
 	// RunAlone means that the request is a suspect and may run, alone on its upstream.
 	RunAlone
-	// Wait means that a Decision follows in Ready, at the latest after
-	// Settings.VoteTimeout.
+	// Wait means that a Decision follows in Ready, at the latest after [Settings.MaxWait].
 	Wait
 	// Refuse means that the request is convicted, or did not get permission. It was not
 	// run.
