node: a request that ends without an answer has a line in the log

Cause: the entry node counted failed requests in metrics alone.

Change: event 1613 with request, organisation, key, code, outcome, reason and the time that it was queued and took in all; at most 20 lines a second, with a count of the others. The tests of dev deployments print their nodes' logs when they fail.

Measured: go test -race ./internal/node (49 s), ./internal/cli/dev (31 s).

--- a/internal/cli/dev/harness_test.go
+++ b/internal/cli/dev/harness_test.go
@@ -21,7 +21,7 @@
 	d, err := New(Settings{
 		Deployment: deployment, Listen: freePort, AdminListen: freePort, Entries: 2,
 		FirstToken: time.Millisecond, TokenGap: time.Millisecond, Tokens: 5, AddressTTL: 100 * time.Millisecond, Seed: 1,
-	}, slog.New(slog.DiscardHandler))
+	}, slog.New(slog.NewTextHandler(t.Output(), nil)))
 	is.NoErr(err)
 	is.NoErr(d.Start())
 	t.Cleanup(func() {
--- a/internal/event/load.go
+++ b/internal/event/load.go
@@ -9,6 +9,7 @@
 	UpstreamEjected  = define(1602, slog.LevelWarn, "upstream is slow and gets few requests")
 	PoolShort        = define(1604, slog.LevelWarn, "no upstream can take the request")
 	RetryBudgetSpent = define(1612, slog.LevelWarn, "retry budget is exhausted; the request is not retried")
+	RequestFailed    = define(1613, slog.LevelWarn, "request ended without an answer")
 	UpstreamCrashed  = define(1620, slog.LevelWarn, "upstream crashed; its running requests are suspected")
 	SuspectRunsAlone = define(1621, slog.LevelInfo, "suspected request runs alone")
 	SuspectRefused   = define(1622, slog.LevelWarn, "suspected request was refused")
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -34,6 +34,7 @@
 	class    *config.Class
 	id       string
 	deadline time.Time
+	admitted time.Time
 
 	machine *lifecycle.Call
 	events  chan callEvent
@@ -63,16 +64,18 @@
 // *request.Failure.
 func (n *Node) Service(ctx context.Context, call api.ServiceCall) (upstream.ServiceAnswer, error) {
 	n.running.Add(1) // before the check for a planned stop, or the stop may miss this call
+	arrived := time.Now()
 	run, fail := n.newCallRun(call)
 	if fail != nil {
 		n.running.Add(-1)
 		n.metrics.Failed(fail.Code)
+		n.logFailure(failedRequest{org: call.Org.Name, key: call.Key, arrived: arrived}, fail)
 		return upstream.ServiceAnswer{}, fail
 	}
-	arrived := time.Now()
 	result := run.run(ctx)
 	run.measure(arrived, result)
 	if result.failure != nil {
+		n.logFailure(failedRequest{id: run.id, org: call.Org.Name, key: call.Key, arrived: arrived, admitted: run.admitted}, result.failure)
 		return upstream.ServiceAnswer{}, result.failure
 	}
 	return result.answer, nil
@@ -88,6 +91,7 @@
 		r.node.running.Add(-1)
 		return callResult{failure: fail}
 	}
+	r.admitted = time.Now()
 	r.node.duties.Go(func() {
 		defer r.node.running.Add(-1)
 		r.drive(ctx)
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -27,13 +27,18 @@
 func (n *Node) Chat(ctx context.Context, call api.ChatCall, sink request.Sink) (request.Answer, error) {
 	n.running.Add(1)
 	defer n.running.Add(-1)
+	arrived := time.Now()
 	run, fail := n.newChatRun(call, sink)
 	if fail != nil {
 		n.metrics.Failed(fail.Code)
+		n.logFailure(failedRequest{org: call.Org.Name, key: call.Key, arrived: arrived}, fail)
 		return request.Answer{}, fail
 	}
 	answer, err := run.run(ctx)
 	run.measure(answer, err)
+	if err != nil {
+		n.logFailure(failedRequest{id: run.id, org: call.Org.Name, key: call.Key, arrived: arrived, admitted: run.admitted}, err)
+	}
 	return answer, err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 
 	running        atomic.Int64
 	retryBudgetLog logLimiter
+	failures       failureLog
 	stopping       *stopping
 
 	listener    net.Listener
