gateway: seeded draws of peers

Change: a generator in each node, seeded by its settings; 0 draws a seed, as for real nodes. Contacts are visited in order, as a map's order would undo the seed. contacts_test.go passes a generator; its checks are the same.

Measured: go test ./internal/gateway ./internal/transfer. What the seed fixes is the choice of peers alone.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,7 +30,7 @@
 	if len(allowed) > 0 {
 		serving = withinRegions(serving, region, allowed)
 	}
-	serving = draw(serving, maxAddresses)
+	serving = n.draw(serving, maxAddresses)
 	var all []string
 	for _, m := range serving {
 		all = append(all, m.Front)
@@ -41,12 +40,12 @@
 
 // draw returns all members, or a random selection of count if there are more. It may reorder
 // them.
-func draw(members []gossip.Member, count int) []gossip.Member {
+func (n *Node) draw(members []gossip.Member, count int) []gossip.Member {
 	if len(members) <= count {
 		return members
 	}
 	for i := range count {
-		k := i + rand.IntN(len(members)-i)
+		k := i + n.draws.IntN(len(members)-i)
 		members[i], members[k] = members[k], members[i]
 	}
 	return members[:count]
--- a/internal/gateway/contacts.go
+++ b/internal/gateway/contacts.go
@@ -1,7 +1,8 @@
 package gateway
 
 import (
-	"math/rand/v2"
+	"maps"
+	"slices"
 
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
@@ -36,24 +37,24 @@
 
 // pick returns a random contact that is alive, usually a near one; ok is false if there is
 // none.
-func (c contacts) pick(live liveMembers, near func(gossip.Member) bool) (m gossip.Member, ok bool) {
-	c.prune(live)
+func (c contacts) pick(random *draws, live liveMembers, near func(gossip.Member) bool) (m gossip.Member, ok bool) {
+	c.prune(random, live)
 	var chosen [2][]gossip.Member // near and far contacts
-	for id := range c {
+	for _, id := range slices.Sorted(maps.Keys(c)) {
 		m, _ := live.Get(id)
 		chosen[kindOf(near(m))] = append(chosen[kindOf(near(m))], m)
 	}
 	for kind, limit := range [2]int{nearContacts, farContacts} {
-		chosen[kind] = c.fill(chosen[kind], live, limit, func(m gossip.Member) bool { return kindOf(near(m)) == kind })
+		chosen[kind] = c.fill(random, chosen[kind], live, limit, func(m gossip.Member) bool { return kindOf(near(m)) == kind })
 	}
 	from := chosen[0]
-	if len(from) == 0 || len(chosen[1]) > 0 && rand.IntN(farOdds) == 0 {
+	if len(from) == 0 || len(chosen[1]) > 0 && random.IntN(farOdds) == 0 {
 		from = chosen[1]
 	}
 	if len(from) == 0 {
 		return gossip.Member{}, false
 	}
-	return from[rand.IntN(len(from))], true
+	return from[random.IntN(len(from))], true
 }
 
 // kindOf returns the index of near or far contacts.
@@ -65,9 +66,11 @@
 }
 
 // prune removes contacts that are no longer alive, and occasionally one that is.
-func (c contacts) prune(live liveMembers) {
-	renew := rand.IntN(renewOdds) == 0
-	for id := range c {
+func (c contacts) prune(random *draws, live liveMembers) {
+	renew := random.IntN(renewOdds) == 0
+	ids := slices.Sorted(maps.Keys(c))
+	random.Shuffle(len(ids), func(i, k int) { ids[i], ids[k] = ids[k], ids[i] })
+	for _, id := range ids {
 		_, lives := live.Get(id)
 		if renew || !lives {
 			delete(c, id)
@@ -78,13 +81,13 @@
 
 // fill returns the chosen contacts of a kind, after adding random members of that kind up to
 // the limit. It examines all members only if there are contacts to add.
-func (c contacts) fill(chosen []gossip.Member, live liveMembers, limit int, kind func(gossip.Member) bool) []gossip.Member {
+func (c contacts) fill(random *draws, chosen []gossip.Member, live liveMembers, limit int, kind func(gossip.Member) bool) []gossip.Member {
 	self, all := live.Self().ID, live.Alive()
 	if len(chosen) >= limit || len(all) <= 1 {
 		return chosen
 	}
-	start := rand.IntN(len(all))
-	for i, step := 0, coprimeStep(len(all)); i < len(all) && len(chosen) < limit; i++ {
+	start := random.IntN(len(all))
+	for i, step := 0, coprimeStep(random, len(all)); i < len(all) && len(chosen) < limit; i++ {
 		if m := all[(start+i*step)%len(all)]; m.ID != self && !c[m.ID] && kind(m) {
 			c[m.ID] = true
 			chosen = append(chosen, m)
@@ -94,9 +97,9 @@
 }
 
 // coprimeStep returns a random step by which all indexes of a list are visited in turn.
-func coprimeStep(length int) int {
+func coprimeStep(random *draws, length int) int {
 	for {
-		step := 1 + rand.IntN(length)
+		step := 1 + random.IntN(length)
 		if gcd(step, length) == 1 {
 			return step
 		}
--- a/internal/gateway/contacts_test.go
+++ b/internal/gateway/contacts_test.go
@@ -32,8 +32,9 @@
 // peersPicked returns the IDs of the peers that were picked in a number of rounds.
 func peersPicked(c contacts, rounds int, live func() []gossip.Member) map[string]bool {
 	met := map[string]bool{}
+	random := newDraws(1)
 	for range rounds {
-		if m, ok := c.pick(rosterOf(live()), inFirstDomain); ok {
+		if m, ok := c.pick(random, rosterOf(live()), inFirstDomain); ok {
 			met[m.ID] = true
 		}
 	}
@@ -51,9 +52,9 @@
 		is.True(!peersPicked(c, 100, func() []gossip.Member { return membersExcept(60, lost) })[lost])
 		break
 	}
-	_, ok := c.pick(rosterOf(nil), inFirstDomain)
+	_, ok := c.pick(newDraws(1), rosterOf(nil), inFirstDomain)
 	is.True(!ok)
-	m, ok := c.pick(rosterOf([]gossip.Member{{ID: "far", Domain: "9"}}), inFirstDomain)
+	m, ok := c.pick(newDraws(1), rosterOf([]gossip.Member{{ID: "far", Domain: "9"}}), inFirstDomain)
 	is.True(ok && m.ID == "far")
 }
 
--- a/internal/gateway/document_fetch.go
+++ b/internal/gateway/document_fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -70,7 +69,7 @@
 	candidates := slices.DeleteFunc(n.roster.Others(), func(m gossip.Member) bool {
 		return m.Peer == "" || !f.mayAsk(m, now) && !slices.Contains(f.suggestedPeers, m.ID)
 	})
-	rand.Shuffle(len(candidates), func(i, k int) { candidates[i], candidates[k] = candidates[k], candidates[i] })
+	n.draws.Shuffle(len(candidates), func(i, k int) { candidates[i], candidates[k] = candidates[k], candidates[i] })
 	slices.SortStableFunc(candidates, func(a, b gossip.Member) int { return f.preference(a) - f.preference(b) })
 	wait := time.Duration(0)
 	for _, m := range candidates {
@@ -113,7 +112,7 @@
 		if p.Busy {
 			f.suggestedPeers = p.Others
 			f.noteProgress()
-			f.backOff(peer, busyBackoff+rand.N(busyBackoff/2))
+			f.backOff(peer, busyBackoff+time.Duration(n.draws.Int64N(int64(busyBackoff/2))))
 			return
 		}
 		if p.To <= f.known() {
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -53,17 +52,17 @@
 	var picked []gossip.Member
 	if count <= readyPeers {
 		for range count {
-			contact, ok := n.contacts.pick(n.roster, n.sameDomain)
+			contact, ok := n.contacts.pick(n.draws, n.roster, n.sameDomain)
 			if ok && !slices.Contains(picked, contact) {
 				picked = append(picked, contact)
 			}
 		}
 	} else {
 		live := n.roster.Others()
-		rand.Shuffle(len(live), func(i, k int) { live[i], live[k] = live[k], live[i] })
+		n.draws.Shuffle(len(live), func(i, k int) { live[i], live[k] = live[k], live[i] })
 		picked = live[:min(len(live), count)]
 	}
-	if len(picked) >= count && rand.IntN(unknownPeerOdds) > 0 {
+	if len(picked) >= count && n.draws.IntN(unknownPeerOdds) > 0 {
 		return picked
 	}
 	if peer, ok := n.unknownPeer(now); ok {
@@ -114,7 +113,7 @@
 	if len(unknown) == 0 {
 		return gossip.Member{}, false
 	}
-	return unknown[rand.IntN(len(unknown))], true
+	return unknown[n.draws.IntN(len(unknown))], true
 }
 
 // exchangeUrgently gossips with several peers at once, for changes that can't wait for a
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -100,6 +100,7 @@
 	// peerStates is what peers last reported to have, by peer ID.
 	peerStates map[string]peerState
 	contacts   contacts
+	draws      *draws
 	listOffers listOffers
 	// invalidFieldLoggedAt is when an invalid field of an upstream's responses was last logged.
 	// noticeLabels are the upstreams with their own label in metrics.
@@ -180,10 +181,12 @@
 		allowedVersions: map[string]bool{}, firstListedAt: map[string]time.Time{},
 		rolloutStartedAt: map[string]time.Time{}, announcedRevision: map[string]uint64{},
 		invalidFieldLoggedAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
-		peerStates: map[string]peerState{}, contacts: contacts{}, verdictSeenAt: map[verdictKey]time.Time{},
+		peerStates: map[string]peerState{}, contacts: contacts{}, draws: newDraws(s.Seed), verdictSeenAt: map[verdictKey]time.Time{},
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
+	n.configSender.Seed(n.draws.Uint64())
+	n.listSender.Seed(n.draws.Uint64())
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
 	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.newestPeerVersion.Load(), n.configVersion())) })
 	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -77,7 +76,7 @@
 		}
 	}
 	if !open {
-		rand.Shuffle(len(leaders), func(i, k int) { leaders[i], leaders[k] = leaders[k], leaders[i] })
+		n.draws.Shuffle(len(leaders), func(i, k int) { leaders[i], leaders[k] = leaders[k], leaders[i] })
 		leaders = leaders[:min(len(leaders), urgentPeers)]
 	}
 	n.pushTo(ctx, leaders)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -67,7 +66,7 @@
 		h.Set(j.node.dialect.IDField(), id)
 	}
 	if ref.retryAfter > 0 {
-		after := retryAfterOf(ref.retryAfter, j.priority, rand.Float64())
+		after := retryAfterOf(ref.retryAfter, j.priority, j.node.draws.Float64())
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	body, err := json.Marshal(struct {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,8 @@
 	Front, Ready, Directory, Peer, Metrics string
 	// Seeds are the addresses of peers to contact first; some may be out of date.
 	Seeds []string
+	// Seed initialises the node's random choices; 0 means a random seed.
+	Seed uint64
 	// Bootstrap is set while the whole deployment starts for the first time.
 	Bootstrap bool
 	// MemoryMB is the memory of the process in MiB; 0 for no bound.
--- a/internal/transfer/sender.go
+++ b/internal/transfer/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	updates map[updateBase]*update
 	active  map[string]*activeTransfer
 	served  map[string]servedNode
+	random  *rand.Rand
 }
 
 // updateBase identifies the starting point of an update.
@@ -74,9 +76,17 @@
 	return &Sender{
 		maxInFlightBytes: int(bytesPerSecond * maxQueueTime.Seconds()),
 		updates:          map[updateBase]*update{}, active: map[string]*activeTransfer{}, served: map[string]servedNode{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), 0)),
 	}
 }
 
+// Seed makes the choice of alternatives repeatable.
+func (s *Sender) Seed(seed uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.random = rand.New(rand.NewPCG(seed, 0))
+}
+
 // Set replaces the document by a newer state; an older one is ignored. Transfers in
 // progress continue with the update that they started: otherwise frequent changes would
 // prevent any transfer from completing.
@@ -155,7 +165,8 @@
 			names = append(names, name)
 		}
 	}
-	rand.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
+	slices.Sort(names)
+	s.random.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
 	return names[:min(len(names), maxAlternatives)]
 }
 
