fleet: changes of a short list are edits, not a list to fetch

What callers saw: after an outage in which most entries of upstreams had lapsed, requests were refused for longer than they need be: nodes knew an upstream that is listed again up to 1.1 s later (TestUpstreamsThatLapsedAreBackSoon, 0.6 s may).

Cause, the first of five: edits that cover more than half of the list are replaced by an offer of the whole list, which is fetched in pieces, from other failure domains only after 0.4 s. 10 of 19 changes to a list of 20 are more than half.

Change: what counts is the cost. Up to 780 edits, 32 kB as a piece of the list, travel as edits unless they are more than the list has upstreams. The bound does not grow with the fleet, so that longer lists behave as before.

--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -31,6 +31,10 @@
 }
 
 const (
+	// messageEdits is how many edits one message carries, as it does a piece of the list: 32 kB
+	// of 42 bytes each. A list that has to be fetched is late by a round trip, and in another
+	// failure domain by the time for which that is put off.
+	messageEdits = 32 << 10 / 42
 	// minHistory is the minimum number of changes of the list that are remembered.
 	// historyPerUpstream is the number per upstream: when a failure domain's upstreams
 	// restart, each changes twice, at its start and at the end of its warm-up.
@@ -77,7 +81,9 @@
 }
 
 // EditsSince returns the edits from a list with a hash, read at a revision, to the current
-// list. ok is false if they are not known, or if they cover more than half of the list.
+// list. ok is false if they are not known, or if it is better to transfer the whole list: if
+// they are more than the list has upstreams, or cover more than half of it and are too long
+// for one message.
 //
 // Without edits, messages grow with the list: for 112 upstreams the full list has 20 kB,
 // and each change would send it to every node of a group.
@@ -103,7 +109,7 @@
 	for _, c := range changes {
 		ids[c.id] = true
 	}
-	if len(ids) > len(f.byID)/2 {
+	if len(ids) > max(len(f.byID)/2, min(len(f.byID), messageEdits)) {
 		return Edits{}, false
 	}
 	var put []Record
--- a/internal/fleet/edits_test.go
+++ b/internal/fleet/edits_test.go
@@ -167,3 +167,23 @@
 	_, ok = a.EditsSince(b.Hash()+1, base-1, now) // its reading is older than what is remembered
 	is.True(!ok)
 }
+
+// Guards against short lists that are fetched at each change: most of a list of 20 changes
+// at once when its upstreams are listed again.
+func TestEditsOfShortListsCoverMostOfThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		upstreams, changed int
+		edits              bool
+	}{{20, 19, true}, {20, 20, true}, {700, 600, true}, {2000, 1500, false}, {2000, 900, true}, {10_000, 6000, false}} {
+		f := newTestFleet(c.upstreams)
+		before := f.Hash()
+		for i := range c.changed {
+			f.Put(Record{ID: fmt.Sprintf("u%d", i), Service: "s", Addr: "10.0.0.9:1", Version: "v2", Slots: 1}, now)
+		}
+		e, ok := f.EditsSince(before, 0, now)
+		if ok != c.edits || ok && e.Len() != c.changed {
+			t.Errorf("%d of %d upstreams changed: got %d edits (ok: %t), want edits: %t", c.changed, c.upstreams, e.Len(), ok, c.edits)
+		}
+	}
+}
