gateway: a reading is not lost when its reader loses its place

Cause, the third of five: a node that read the table for others and ended its reading when a member that ranks higher had just started no longer led, and pushed to nobody. Its successor knew nothing of the reading and read a turn later.

Change: it informs those that it read for: its group and, as the reader, the other leaders.

TestReaderInformsThoseItHasReadFor is new; before, such a reading had no audience.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -28,12 +28,12 @@
 			}
 			continue
 		}
-		cause := n.readingCause(failures)
+		cause, before := n.readingCause(failures), n.readingAudience()
 		ok := r.read(withCause(ctx, cause))
 		n.noteSubstitution(ok && (cause == CauseMember || cause == CauseRetry))
 		if ok {
 			failures = 0
-			n.pushReading(ctx, cause)
+			n.pushReading(ctx, cause, before)
 		} else {
 			failures++
 			n.pushOutage(ctx, failures)
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -19,25 +19,49 @@
 	push := n.leadsGroup() && failures == 1
 	n.mu.Unlock()
 	if push {
-		n.pushReading(ctx, CauseReader)
+		n.pushReading(ctx, CauseReader, n.readingAudience())
 	}
 }
 
+// audience is the nodes to which a node pushes what it reads of the table.
+type audience struct {
+	// group is the node's group, leaders its leader group, which only leaders have.
+	group, leaders []gossip.Member
+	// leads is set if the node leads its group, reads if it also reads for its leader group.
+	leads, reads bool
+}
+
+// atEnd returns the audience of a reading that began with this one and ends with the audience
+// now. A node that no longer leads, as a member that ranks higher has started meanwhile, informs
+// those it has read for: its successor knows nothing of the reading, and all would wait for the
+// next one.
+func (a audience) atEnd(now audience) audience {
+	if !a.leads || now.leads {
+		return now
+	}
+	return audience{group: now.group, leaders: a.leaders, leads: true, reads: a.reads}
+}
+
+// readingAudience returns the audience of this node's readings at present.
+func (n *Node) readingAudience() audience {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return audience{group: n.roster.Group(), leaders: n.roster.LeaderGroup(), leads: n.leadsGroup(), reads: n.readsTable()}
+}
+
 // pushReading pushes what this node has read of the table: the reader to the leaders of its
 // leader group, a leader to its group. A node that reads in place of an unresponsive reader or
-// leader does so as well, since all others would read the same.
-func (n *Node) pushReading(ctx context.Context, cause CallCause) {
-	n.mu.Lock()
-	group, leaders := n.roster.Group(), n.roster.LeaderGroup()
-	leads, reads := n.leadsGroup(), n.readsTable()
-	n.mu.Unlock()
+// leader does so as well, since all others would read the same. before is the audience when the
+// reading began.
+func (n *Node) pushReading(ctx context.Context, cause CallCause, before audience) {
+	to := before.atEnd(n.readingAudience())
 	substitutes := cause == CauseMember || cause == CauseRetry
 	var pushes conc.WaitGroup
-	if reads || leads && substitutes {
-		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(leaders)) })
+	if to.reads || to.leads && substitutes {
+		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(to.leaders)) })
 	}
-	if leads || substitutes {
-		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(group)) })
+	if to.leads || substitutes {
+		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(to.group)) })
 	}
 	pushes.Wait()
 }
