gateway: the node that a reader takes for a leader passes its readings on

The reader pushes to the next member, which knows its leader, does not take itself for one, and keeps the reading to itself.

Change: a reader's push to a leader asks for passing on (ForGroup, a new field of the message that older nodes ignore), and whoever gets it from outside its group does so.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -24,7 +24,7 @@
 	for ctx.Err() == nil {
 		if wait := time.Until(n.nextReading(failures)); wait > 0 {
 			if n.awaitRemoteReading(ctx, min(wait, n.recheckInterval())) {
-				n.pushToGroup(ctx)
+				n.relayReading(ctx)
 			}
 			continue
 		}
@@ -49,8 +49,8 @@
 }
 
 // awaitRemoteReading waits for a time, until this node's reading may be due earlier, or until
-// a leader has received another node's reading of the table that it has to push to its group;
-// it reports whether it has.
+// it has received another node's reading of the table that it has to push to its group; it
+// reports whether it has.
 func (n *Node) awaitRemoteReading(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -65,9 +65,14 @@
 }
 
 // noteRemoteReading records that this node has received another node's reading of the
-// table; the caller holds mu.
-func (n *Node) noteRemoteReading(from string) {
-	if !n.leadsGroup() || n.inGroup(from) {
+// table, which it pushes to its group if it leads the group or the sender thinks so; the
+// caller holds mu.
+//
+// Nodes do not always agree on who leads: where the leader of a group has just started, the
+// reader may not know of it yet. The node that it takes for the leader would keep the reading
+// to itself.
+func (n *Node) noteRemoteReading(in gossip.Message) {
+	if n.inGroup(in.From) || !in.ForGroup && !n.leadsGroup() {
 		return
 	}
 	wake(n.remoteReading)
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -177,7 +177,7 @@
 	if first && n.view.outageAt.After(n.view.listAsOf) {
 		n.view.outageSince = now
 		wake(n.readingDue)
-		n.noteRemoteReading(in.From)
+		n.noteRemoteReading(in)
 	}
 }
 
@@ -215,7 +215,7 @@
 	if first {
 		n.view.gaplessSince = earlier(n.view.gaplessSince, peerGaplessSince)
 	}
-	n.noteRemoteReading(in.From)
+	n.noteRemoteReading(in)
 	n.view.listRevision = max(n.view.listRevision, in.Proof.FleetRevision)
 }
 
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -58,7 +58,7 @@
 	substitutes := cause == CauseMember || cause == CauseRetry
 	var pushes conc.WaitGroup
 	if to.reads || to.leads && substitutes {
-		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(to.leaders)) })
+		pushes.Go(func() { n.exchangeWithAll(ctx, n.withoutSelf(to.leaders), 1, n.leaderMessage) })
 	}
 	if to.leads || substitutes {
 		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(to.group)) })
@@ -66,6 +66,21 @@
 	pushes.Wait()
 }
 
+// leaderMessage returns what a reader pushes to the leader of another group.
+func (n *Node) leaderMessage(to gossip.Member) gossip.Message {
+	m := n.pushMessage(to)
+	m.ForGroup = true
+	return m
+}
+
+// relayReading pushes a reading that this node has received to its group.
+func (n *Node) relayReading(ctx context.Context) {
+	n.mu.Lock()
+	group := n.roster.Group()
+	n.mu.Unlock()
+	n.pushTo(ctx, n.withoutSelf(group))
+}
+
 // pushToGroup pushes this node's state to its group if it leads the group.
 func (n *Node) pushToGroup(ctx context.Context) {
 	n.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -37,6 +37,9 @@
 	// stay small with any number of upstreams.
 	Edits       fleet.Edits
 	ListOffered bool
+	// ForGroup asks the receiver to pass this reading of the table on to its group, of which
+	// the sender takes it for the leader.
+	ForGroup bool
 	// Orders are the rollouts that the sender knows, Tallies their counts.
 	Orders  []Order
 	Tallies []canary.Tally
