gateway: a reader that cannot read passes its members' readings on

The leaders of the other groups get nothing until they read themselves.

Change: a reader whose own latest reading failed pushes what its group's members have read to the leaders. A reader that can read does not: that would repeat every reading.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -30,7 +30,7 @@
 		}
 		cause, before := n.readingCause(failures), n.readingAudience()
 		ok := r.read(withCause(ctx, cause))
-		n.noteSubstitution(ok && (cause == CauseMember || cause == CauseRetry))
+		n.noteReading(ok, cause)
 		if ok {
 			failures = 0
 			n.pushReading(ctx, cause, before)
@@ -41,11 +41,13 @@
 	}
 }
 
-// noteSubstitution records whether this node has just read the table in place of its reader.
-func (n *Node) noteSubstitution(substituted bool) {
+// noteReading records whether this node's reading has succeeded, and whether it has read in
+// place of its reader.
+func (n *Node) noteReading(ok bool, cause CallCause) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.view.substituted = substituted
+	n.view.readFailed = !ok
+	n.view.substituted = ok && (cause == CauseMember || cause == CauseRetry)
 }
 
 // awaitRemoteReading waits for a time, until this node's reading may be due earlier, or until
@@ -71,8 +73,19 @@
 // Nodes do not always agree on who leads: where the leader of a group has just started, the
 // reader may not know of it yet. The node that it takes for the leader would keep the reading
 // to itself.
+//
+// A reader that cannot read passes the readings of its group's members on to the leaders: the
+// member that reads in its place informs the group alone.
 func (n *Node) noteRemoteReading(in gossip.Message) {
-	if n.inGroup(in.From) || !in.ForGroup && !n.leadsGroup() {
+	switch {
+	case n.inGroup(in.From):
+		if !n.view.readFailed || !n.readsTable() {
+			return
+		}
+		n.view.relayToLeaders = true
+	case in.ForGroup || n.leadsGroup():
+		n.view.relayToGroup = true
+	default:
 		return
 	}
 	wake(n.remoteReading)
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -73,12 +73,22 @@
 	return m
 }
 
-// relayReading pushes a reading that this node has received to its group.
+// relayReading pushes a reading that this node has received to its group, or to the leaders of
+// its leader group.
 func (n *Node) relayReading(ctx context.Context) {
 	n.mu.Lock()
-	group := n.roster.Group()
+	group, leaders := n.roster.Group(), n.roster.LeaderGroup()
+	toGroup, toLeaders := n.view.relayToGroup, n.view.relayToLeaders
+	n.view.relayToGroup, n.view.relayToLeaders = false, false
 	n.mu.Unlock()
-	n.pushTo(ctx, n.withoutSelf(group))
+	var pushes conc.WaitGroup
+	if toLeaders {
+		pushes.Go(func() { n.exchangeWithAll(ctx, n.withoutSelf(leaders), 1, n.leaderMessage) })
+	}
+	if toGroup {
+		pushes.Go(func() { n.pushTo(ctx, n.withoutSelf(group)) })
+	}
+	pushes.Wait()
 }
 
 // pushToGroup pushes this node's state to its group if it leads the group.
--- a/internal/gateway/table_view.go
+++ b/internal/gateway/table_view.go
@@ -31,6 +31,9 @@
 	// set if that reading was in place of the reader.
 	ownListAsOf time.Time
 	substituted bool
+	// readFailed is set if this node's latest reading failed. relayToGroup and relayToLeaders
+	// are set while a reading of another node has to be pushed on.
+	readFailed, relayToGroup, relayToLeaders bool
 	// messageAge is the age of the latest reading of another node when it arrived.
 	messageAge time.Duration
 	// pendingProof is a proof of operator orders whose configuration is in transfer.
