gateway: a node that starts gets retained upstreams with the list

Cause: a node without a list used to fetch it whole, with the upstreams that its peers retain. A list of 20 now comes as edits, which have none.

Change: while a node retains upstreams it offers its list to a node that has none.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -116,6 +116,11 @@
 	if n.view.listRevision == 0 || theirs.fleetHash == m.Proof.FleetHash {
 		return
 	}
+	if theirs.fleetRevision == 0 && len(n.view.retained) > 0 {
+		// The whole list has the retained upstreams as well, which a node that starts tries.
+		m.ListOffered = true
+		return
+	}
 	edits, ok := n.fleet.EditsSince(theirs.fleetHash, theirs.fleetRevision, time.Now())
 	m.Edits, m.ListOffered = edits, !ok
 }
