--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -116,8 +116,9 @@
 	if n.view.listRevision == 0 || theirs.fleetHash == m.Proof.FleetHash {
 		return
 	}
-	if theirs.fleetRevision == 0 && len(n.view.retained) > 0 {
-		// The whole list has the retained upstreams as well, which a node that starts tries.
+	if theirs.fleetRevision == 0 {
+		// A node without a list fetches it from one peer, compressed and with the retained
+		// upstreams. As edits it would come from each peer.
 		m.ListOffered = true
 		return
 	}
