--- a/internal/gateway/follow_list.go
+++ b/internal/gateway/follow_list.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/archive"
@@ -20,12 +19,6 @@
 	// farListDelay is how long a node leaves offers from other failure domains alone: a
 	// whole list crosses to a domain a few times, and spreads inside it.
 	farListDelay = 400 * time.Millisecond
-	// farListStep is how much later each next node of a group asks other failure domains:
-	// otherwise all would at once where no node of the domain has the list in time. It is the
-	// time in which a list passes on inside the domain.
-	farListStep = 50 * time.Millisecond
-	// maxFarListSteps bounds that wait.
-	maxFarListSteps = 8
 )
 
 // listOffers are the offers of peers' lists since this node last had the list of its peers.
@@ -86,14 +79,7 @@
 	if !offered || now.Sub(offeredAt) > listOfferTTL {
 		return false
 	}
-	return n.sameDomain(m) || now.Sub(n.listOffers.since) >= n.farListDelay() || n.receivesTableFrom(m.ID)
-}
-
-// farListDelay is how long this node leaves offers from other failure domains alone; the caller
-// holds mu.
-func (n *Node) farListDelay() time.Duration {
-	place := slices.IndexFunc(n.roster.Group(), func(m gossip.Member) bool { return m.ID == n.settings.ID })
-	return farListDelay + farListStep*time.Duration(min(max(place, 0), maxFarListSteps))
+	return n.sameDomain(m) || now.Sub(n.listOffers.since) >= farListDelay || n.receivesTableFrom(m.ID)
 }
 
 // errStaleList reports a list that is older than this node's own.
