peer: a call ends although its peer does not read

Cause: net/rpc writes a call's message before Pool.Call looks at the context. To a peer that is frozen or cut off the write blocks once the buffers are full, and so does each further call on the connection; nobody times out, so nobody drops the connection. A bill, a claim or a suspect's question then waits for as long as the peer is frozen.

Change: each write to a peer has 1 s. A write that fails ends the connection, as a call that times out does.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -107,3 +107,30 @@
 	is.True(pool.acquireExisting(server.Addr(), time.Now().Add(4*idleTimeout)) == nil) // idle
 	is.NoErr(pool.Call(context.Background(), server.Addr(), "Echo.Say", "again", &reply))
 }
+
+// Guards against calls that wait beyond their deadline for a peer that is frozen or cut off:
+// net/rpc writes a message before the call returns, and the peer does not read it.
+func TestCallToPeerThatDoesNotReadEnds(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	pool := NewPool()
+	defer pool.Close()
+	text := string(make([]byte, 64<<20)) // more than the system buffers
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		var reply string
+		done <- pool.Call(ctx, l.Addr().String(), "Echo.Say", text, &reply)
+	}()
+	select {
+	case err := <-done:
+		if !errors.Is(err, ErrUnknown) {
+			t.Fatalf("got %v, want an unknown result", err)
+		}
+	case <-time.After(time.Minute):
+		t.Fatal("the call has not ended after a minute")
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.add(addr, rpc.NewClient(netConn))
+	return p.add(addr, rpc.NewClient(&boundedConn{Conn: netConn}))
 }
 
 // acquireExisting returns the open connection to a peer and counts a call on it, or nil.
