--- a/internal/ledger/at_risk_test.go
+++ b/internal/ledger/at_risk_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,3 +65,37 @@
 		}
 	})
 }
+
+// Guards against bills that wait behind one another: at a node that is cut off from all, each
+// is reported within the time that a request waits for its bill, however many there are.
+func TestBillsOfACutOffNodeAreReportedInTime(t *testing.T) {
+	const requestWait = 15 * time.Second
+	for _, nodes := range []int{1, 3} {
+		inBubble(t, nodes, func(is *is.I, c *cluster) {
+			for i := range c.members {
+				c.members[i].FailureDomain = "d0"
+			}
+			hanging := fault.Fault{OneWay: true}
+			c.setFaults(fault.Change{Table: &hanging, Objects: &hanging})
+			for _, vm := range c.members[1:] {
+				c.fabric.mu.Lock()
+				c.fabric.frozen[vm.Peer] = make(chan struct{})
+				c.fabric.mu.Unlock()
+			}
+			var worst atomic.Int64
+			var wg sync.WaitGroup
+			for range 200 {
+				wg.Go(func() {
+					began := time.Now()
+					_, err := billIn(c.ledgers["e0"], time.Hour, billOf(newKey(), 1))
+					is.True(errors.Is(err, ErrUnsafe))
+					worst.Store(max(worst.Load(), int64(time.Since(began))))
+				})
+				time.Sleep(100 * time.Millisecond)
+			}
+			wg.Wait()
+			t.Logf("%d nodes: the last bill was reported after %v", nodes, time.Duration(worst.Load()))
+			is.True(time.Duration(worst.Load()) < requestWait)
+		})
+	}
+}
