--- a/scenario/network_test.go
+++ b/scenario/network_test.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 )
 
@@ -107,8 +109,9 @@
 
 func (n *network) close() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.relays {
+	relays := slices.Collect(maps.Values(n.relays))
+	n.mu.Unlock() // a relay that accepts a connection asks for its gate
+	for _, r := range relays {
 		r.close()
 	}
 }
