--- a/internal/fleet/edits_test.go
+++ b/internal/fleet/edits_test.go
@@ -168,7 +168,7 @@
 	is.True(!ok)
 }
 
-// Guards against short lists that are fetched at each change: most of a list of 20 changes
+// Fails if short lists are fetched at each change: most of a list of 20 changes
 // at once when its upstreams are listed again.
 func TestEditsOfShortListsCoverMostOfThem(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/gateway/audience_test.go
+++ b/internal/gateway/audience_test.go
@@ -8,7 +8,7 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// Guards against a reading that is lost because another node has become the leader while it
+// Fails if a reading is lost because another node has become the leader while it
 // was made.
 func TestReaderInformsThoseItHasReadFor(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/list_edits_test.go
+++ b/internal/gateway/list_edits_test.go
@@ -10,7 +10,7 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// Guards against a list that is late by a reading: a push was dropped because its edits start
+// Fails if a list is late by a reading: a push was dropped because its edits start
 // from a list that the receiver has since left by another node's push.
 func TestEditsFromAnEarlierListApply(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/reading_relay_test.go
+++ b/internal/gateway/reading_relay_test.go
@@ -8,7 +8,7 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// Guards against readings that stay with one node while nodes disagree on who leads, or the
+// Fails if readings stay with one node while nodes disagree on who leads, or the
 // reader itself cannot read.
 func TestReadingIsPassedOn(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/ledger/at_risk_test.go
+++ b/internal/ledger/at_risk_test.go
@@ -12,7 +12,7 @@
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
-// Guards against a node that admits work whose bill it cannot make safe: cut off from the
+// Fails if a node admits work whose bill it cannot make safe: cut off from the
 // stores and from peers, it must be unready before its first bill is reported as unsafe, and
 // ready again once that bill is stored.
 func TestNodeIsUnreadyBeforeABillIsUnsafe(t *testing.T) {
@@ -44,7 +44,7 @@
 	}
 }
 
-// Guards against a node that refuses work although its bills become safe, only later: both
+// Fails if a node refuses work although its bills become safe, only later: both
 // stores take a second, and no peer takes copies.
 func TestSlowStoresLeaveNodeReady(t *testing.T) {
 	inBubble(t, 1, func(is *is.I, c *cluster) {
@@ -66,7 +66,7 @@
 	})
 }
 
-// Guards against bills that wait behind one another: at a node that is cut off from all, each
+// Fails if bills wait behind one another: at a node that is cut off from all, each
 // is reported within the time that a request waits for its bill, however many there are.
 func TestBillsOfACutOffNodeAreReportedInTime(t *testing.T) {
 	const requestWait = 15 * time.Second
--- a/internal/node/call_run.go
+++ b/internal/node/call_run.go
@@ -228,15 +228,6 @@
 	return r.machine.Picked(pick.VM.ID)
 }
 
-// admitSuspect returns a refusal if the call may not run because it crashes upstreams, or may
-// do so.
-func (r *callRun) admitSuspect(ctx context.Context, vm string) *request.Failure {
-	if fail := r.node.suspects.admit(ctx, r.id, r.fingerprint(), vm); fail != nil {
-		return fail
-	}
-	return r.node.suspects.mayStart(r.id, r.fingerprint(), vm)
-}
-
 func (r *callRun) send(ctx context.Context) {
 	out := r.call.Request
 	out.Key = r.upstreamKey()
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -13,7 +13,7 @@
 	"github.com/hickorybank/hickorybank/internal/request"
 )
 
-// Guards against requests that wait for their whole deadline in the admission queue: the slot
+// Fails if requests wait for their whole deadline in the admission queue: the slot
 // that they wait for never comes free.
 func TestQueuedRequestIsRefusedWithoutASlot(t *testing.T) {
 	for kind, bound := range map[config.Kind]time.Duration{
--- a/internal/node/suspects_test.go
+++ b/internal/node/suspects_test.go
@@ -26,8 +26,8 @@
 	return s, log
 }
 
-// Guards against a request that waits for its whole deadline for a decision that never comes,
-// and is then accused of crashing upstreams.
+// Fails if a request waits for its whole deadline for a decision that never comes, and is then
+// accused of crashing upstreams.
 func TestRequestWithoutDecisionIsRefusedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -44,7 +44,7 @@
 	})
 }
 
-// Guards against a request that is accused of crashing upstreams because its node was paused
+// Fails if a request is accused of crashing upstreams because its node was paused
 // between its admission and its start.
 func TestRequestOfPausedNodeIsNotAccused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -108,7 +108,7 @@
 	is.NoErr(pool.Call(context.Background(), server.Addr(), "Echo.Say", "again", &reply))
 }
 
-// Guards against calls that wait beyond their deadline for a peer that is frozen or cut off:
+// Fails if calls wait beyond their deadline for a peer that is frozen or cut off:
 // net/rpc writes a message before the call returns, and the peer does not read it.
 func TestCallToPeerThatDoesNotReadEnds(t *testing.T) {
 	is := is.New(t)
--- a/internal/suspect/wait_test.go
+++ b/internal/suspect/wait_test.go
@@ -9,7 +9,7 @@
 	"github.com/hickorybank/hickorybank/internal/request"
 )
 
-// Guards against requests that wait for their whole deadline: however peers answer the node's
+// Fails if requests wait for their whole deadline: however peers answer the node's
 // questions, late, behind themselves or not at all, each decision follows within MaxWait.
 func TestDecisionFollowsWithinMaxWait(t *testing.T) {
 	const tick = 50 * time.Millisecond
--- a/scenario/network_cut_test.go
+++ b/scenario/network_cut_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a cut that a node gets around: with the address of a third node in a list
+// Fails if a node gets around a cut: with the address of a third node in a list
 // that it got from a peer, it went on to reach the node from which it was cut off.
 func TestCutHoldsForAddressesFromPeers(t *testing.T) {
 	is := is.New(t)
