--- a/internal/peer/bounded_conn.go
+++ b/internal/peer/bounded_conn.go
@@ -11,8 +11,8 @@
 // boundedConn is a connection whose writes fail if the peer does not read.
 //
 // A call to net/rpc writes its message before it returns. To a peer that is frozen or cut off,
-// that blocks once the buffers are full, for every call on the connection and whatever their
-// contexts say.
+// that blocks once the buffers are full, for every call on the connection and regardless of
+// their contexts.
 type boundedConn struct{ net.Conn }
 
 // Write implements [net.Conn].
--- a/scenario/call_log_test.go
+++ b/scenario/call_log_test.go
@@ -13,7 +13,7 @@
 const callLogName = "callers.log"
 
 // callLog writes a line for each call: when it was sent, how long it took, what it asked for
-// and how it ended. Without it, a call that ended late cannot be told from a late call.
+// and how it ended. Without it, a call that ended late cannot be distinguished from a late call.
 type callLog struct {
 	mu   sync.Mutex
 	path string
