node: a stop answers the request of the last accepted connection

What callers saw: during a planned stop a new connection ended without an answer to its request, so that its caller could not know whether it ran.

Cause: the stop looked for busy connections while the goroutine that accepts still held one that it had not added to the open ones. Shutdown followed, and net/http closes a connection that comes later once it has read its request.

Change: listener, server and tracking of callers' connections become one type, callerServer; its close waits for the end of the accept loop before it looks for busy connections.

Why it works: the accept loop is sequential, so that each accepted connection is known once it has ended.

--- /dev/null
+++ b/internal/node/caller_server.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+)
+
+// callerServer serves the connections of callers. Its close breaks off no request.
+type callerServer struct {
+	listener    net.Listener
+	connections *connections
+	http        http.Server
+	accepted    chan struct{} // closed when no further connection will be accepted
+}
+
+// newCallerServer returns a server for a listener, with TLS if secure is not nil.
+func newCallerServer(l net.Listener, secure *tls.Config) *callerServer {
+	s := &callerServer{connections: newConnections(), accepted: make(chan struct{})}
+	s.listener = withTLS(&callerListener{Listener: l, tracker: s.connections}, secure)
+	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.connections.stateChanged}
+	return s
+}
+
+// serve accepts connections until the listener is closed.
+func (s *callerServer) serve(h http.Handler) {
+	defer close(s.accepted)
+	s.http.Handler = h
+	_ = s.http.Serve(s.listener) // returns when the listener is closed
+}
+
+// close closes the listener, waits until all requests are answered and closes the connections.
+// Before, the handler must end each answer's connection.
+func (s *callerServer) close(ctx context.Context) {
+	_ = s.listener.Close() // the operating system refuses new connections from here on
+	s.awaitAccepted(ctx)
+	s.connections.waitIdle(ctx)
+	_ = s.http.Shutdown(ctx) // waits for answers that are still being written
+	_ = s.http.Close()
+}
+
+// awaitAccepted waits until the server has every connection that was accepted. One that
+// it gets after Shutdown is closed without an answer to its request.
+func (s *callerServer) awaitAccepted(ctx context.Context) {
+	select {
+	case <-s.accepted:
+	case <-ctx.Done():
+	}
+}
+
+// withTLS wraps a listener for callers or operators in TLS, unless secure is nil.
+func withTLS(l net.Listener, secure *tls.Config) net.Listener {
+	if secure == nil {
+		return l
+	}
+	return tls.NewListener(l, secure)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -72,11 +71,9 @@
 	failures       failureLog
 	stopping       *stopping
 
-	listener    net.Listener
-	server      *http.Server
-	connections *connections // from callers
-	duties      *duty.Group
-	stop        context.CancelFunc
+	callers *callerServer
+	duties  *duty.Group
+	stop    context.CancelFunc
 }
 
 // New returns a node that is not yet started. It returns an error when the session keys or
@@ -99,7 +96,6 @@
 		store:        admin.NewStore(d.Platform),
 		metrics:      telemetry.New(telemetry.Bounds{}),
 		duties:       new(duty.Group),
-		connections:  newConnections(),
 		pool:         peer.NewPoolFrom(s.Source, s.TLS.PeerClient),
 		syncPool:     peer.NewPoolFrom(s.Source, s.TLS.PeerClient),
 		peers:        peer.NewSecureServer(s.TLS.PeerServer),
@@ -130,7 +126,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", n.settings.Listen)
 	}
-	n.listener = n.withTLS(&callerListener{Listener: listener, tracker: n.connections})
+	n.callers = newCallerServer(listener, n.settings.TLS.Callers)
 	if err := n.listenOperators(); err != nil {
 		_ = listener.Close()
 		return err
@@ -146,14 +142,6 @@
 	return nil
 }
 
-// withTLS wraps a listener for callers or operators in TLS if it is configured.
-func (n *Node) withTLS(l net.Listener) net.Listener {
-	if n.settings.TLS.Callers == nil {
-		return l
-	}
-	return tls.NewListener(l, n.settings.TLS.Callers)
-}
-
 func (n *Node) build() {
 	log := n.deps.Log
 	n.upstreams = newUpstreams(n)
@@ -233,11 +221,8 @@
 func (n *Node) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	n.server = &http.Server{
-		Handler: n.stopping.closing(api.New(n)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ConnState: n.connections.stateChanged,
-	}
-	n.duties.Go(func() { _ = n.server.Serve(n.listener) }) // returns when closed
+	handler := n.stopping.closing(api.New(n))
+	n.duties.Go(func() { n.callers.serve(handler) })
 	n.registerGauges()
 	n.serveOperators()
 	n.duties.Go(func() { n.upstreams.poll(ctx) })
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for operators on %s", n.settings.AdminListen)
 	}
-	n.adminListener = n.withTLS(listener)
+	n.adminListener = withTLS(listener, n.settings.TLS.Callers)
 	return nil
 }
 
--- a/internal/node/stop_conn_test.go
+++ b/internal/node/stop_conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -165,3 +166,57 @@
 	f.nodes = nil
 	return n
 }
+
+// lateListener is a listener whose accepted connections reach the server only after the
+// listener was closed, as on a machine that is short of processors.
+type lateListener struct {
+	net.Listener
+	accepted  chan struct{} // closed when a connection was accepted
+	closed    chan struct{} // closed with the listener
+	closeOnce sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.closed
+		time.Sleep(100 * time.Millisecond) // a server that does not wait shuts down meanwhile
+	}
+	return conn, err
+}
+
+// Close implements net.Listener.
+func (l *lateListener) Close() error {
+	err := l.Listener.Close()
+	l.closeOnce.Do(func() { close(l.closed) })
+	return err
+}
+
+// Fails if a stop breaks off the request of a connection that was accepted at the moment in
+// which the listener was closed.
+func TestStopAnswersRequestOnLastAcceptedConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	late := &lateListener{Listener: inner, accepted: make(chan struct{}), closed: make(chan struct{})}
+	s := newCallerServer(late, nil)
+	var serving conc.WaitGroup
+	defer serving.Wait()
+	serving.Go(func() {
+		s.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }))
+	})
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, modelsRequest)
+	is.NoErr(err)
+	<-late.accepted
+	s.close(context.Background())
+	caller := keepAliveCaller{conn: conn, in: bufio.NewReader(conn)}
+	res, _, err := caller.read()
+	is.NoErr(err) // the request gets an answer
+	is.Equal(res.StatusCode, http.StatusOK)
+}
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -112,10 +112,7 @@
 // and stops all components. The error is that of ctx if it ended before the last step.
 func (n *Node) Close(ctx context.Context) error {
 	err := n.stopping.run(ctx)
-	_ = n.listener.Close() // the operating system refuses new connections from here on
-	n.connections.waitIdle(ctx)
-	_ = n.server.Shutdown(ctx) // waits for answers that are still being written
-	_ = n.server.Close()
+	n.callers.close(ctx)
 	if n.adminServer != nil {
 		_ = n.adminServer.Close()
 	}
