scenario, client: an answer of the table that breaks off fails no read

Cause: the scenarios' reverse proxy in front of the platform. If the answer begins while the proxy still reads the request's body, net/http closes that body, the proxy's transport takes the write of the request for failed and closes its connection in the middle of the answer. The client resent reads only before the first byte of an answer.

Change: the scenarios' proxy reads a request's body before it forwards the request. In the product, a read whose answer breaks off is sent once more within its time limit; a write is not, as it may have taken effect.

Measured: go test -race ./internal/platform/client passes; TestReadWithBrokenAnswerIsResent fails without the change of the client.

--- a/internal/platform/client/call.go
+++ b/internal/platform/client/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -59,13 +60,22 @@
 }
 
 // exchange makes one call and returns the body of a complete and successful response.
-// On status 304 the body is nil.
+// On status 304 the body is nil. A read whose response breaks off is sent once more.
 func (c *Client) exchange(ctx context.Context, op operation) ([]byte, error) {
 	if err := checkSize(op.body); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	data, err := c.send(ctx, op)
+	if errors.Is(err, errBrokenOff) && !op.mutates && ctx.Err() == nil {
+		return c.send(ctx, op)
+	}
+	return data, err
+}
+
+// send sends a call once.
+func (c *Client) send(ctx context.Context, op operation) ([]byte, error) {
 	var track sendTracker
 	req, err := c.request(track.trace(ctx), op)
 	if err != nil {
@@ -122,13 +132,16 @@
 // idempotencyKey is the header that marks requests that net/http may resend.
 const idempotencyKey = "X-Idempotency-Key"
 
-var errResponseTooLong = errors.New("answer too long")
+var (
+	errResponseTooLong = errors.New("answer too long")
+	errBrokenOff       = errors.New("answer broke off")
+)
 
 // readBody reads a response of at most wire.MaxBody bytes.
 func readBody(body io.Reader) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, wire.MaxBody+1))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errBrokenOff, err)
 	}
 	if len(data) > wire.MaxBody {
 		return nil, errResponseTooLong
--- a/internal/platform/client/resend_test.go
+++ b/internal/platform/client/resend_test.go
@@ -60,6 +60,38 @@
 	is.Equal(p.requestCount(), 3)
 }
 
+// Fails if a read fails because its answer breaks off while the platform is available.
+func TestReadWithBrokenAnswerIsResent(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, func(n int, conn net.Conn) bool {
+		answer := emptyObject
+		if n == 1 {
+			answer = answer[:len(answer)-1]
+		}
+		_, err := io.WriteString(conn, answer)
+		return err == nil && n != 1
+	})
+	client := New(p.url())
+	defer client.Close()
+	_, err := client.Get(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(p.requestCount(), 2)
+}
+
+// Fails if a commit is sent again because its answer broke off: it may have been applied.
+func TestCommitWithBrokenAnswerIsNotResent(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(t, func(_ int, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, emptyObject[:len(emptyObject)-1])
+		return false
+	})
+	client := New(p.url())
+	defer client.Close()
+	_, err := client.Commit(t.Context(), platform.Txn{})
+	is.True(errors.Is(err, platform.ErrUnknown))
+	is.Equal(p.requestCount(), 1)
+}
+
 // As for a commit, a Put of an object is sent only once.
 func TestPutIsNotResent(t *testing.T) {
 	is := is.New(t)
--- a/scenario/vmproxy_test.go
+++ b/scenario/vmproxy_test.go
@@ -27,7 +27,20 @@
 	}
 	// If the platform is down, the connection is aborted, as without the proxy.
 	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
-	return httptest.NewServer(proxy)
+	return httptest.NewServer(wholeRequests(proxy))
+}
+
+// wholeRequests reads each request's body before its handler runs. A reverse proxy that still
+// reads the body when the answer begins finds it closed, and breaks the answer off.
+func wholeRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
 }
 
 func rerouteList(n *network, resp *http.Response) error {
