ledger: rows at risk go to other collectors, and a node whose bills none takes is unready

What callers saw: 503 with outcome unknown, "the answer is whole but its bill could not be made safe", from a node that went on admitting requests after its first such bill.

Ready looked at the number of bills in memory alone. And a collector that cannot reach the stores asked no other node where it was the collector of its failure domain itself, so that its bills were reported as unsafe although a peer could store them.

Change: a row is at risk once half of its time has passed, both stores fail and too few peers took a copy. The collector offers such rows to two others of its failure domain, which decline if their stores fail. If one takes them they are safe, and until a store responds here again the node's bills go there first. If none does, Ready is false until all rows are safe.

Why it works: a bill that is not safe stays at the node that got the request, so that node knows of it, tries on, and is unready exactly while neither it nor another collector has it safe.

--- a/internal/ledger/at_risk_test.go
+++ b/internal/ledger/at_risk_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/fault"
 )
 
@@ -66,6 +67,87 @@
 	})
 }
 
+// Fails if a node that is cut off from the platform alone refuses work or reports bills as
+// unsafe, although another node of its failure domain can store them.
+func TestBillsOfNodeWithoutPlatformAreStoredByPeers(t *testing.T) {
+	inBubble(t, 12, func(is *is.I, c *cluster) {
+		c.keepDomain("d0")
+		l := c.ledgers["e0"]
+		c.cutOff["e0"].Store(true)
+		const bills = 200
+		var wg sync.WaitGroup
+		for range bills {
+			wg.Go(func() {
+				_, err := billIn(l, 15*time.Second, billOf(newKey(), 1))
+				is.NoErr(err)
+			})
+			time.Sleep(100 * time.Millisecond)
+			is.True(l.Ready())
+		}
+		wg.Wait()
+		is.Equal(len(c.allBills("e4")), bills)
+		c.cutOff["e0"].Store(false)
+		time.Sleep(10 * time.Second)
+		is.Equal(l.Stats().Waiting, 0) // its own stores have what the peers stored
+		is.Equal(len(c.allBills("e0")), bills)
+	})
+}
+
+// Fails if nodes that cannot make bills safe pass them on to each other: each would hold a
+// growing number of copies.
+func TestNodesWithoutStoresKeepBillsToThemselves(t *testing.T) {
+	inBubble(t, 12, func(is *is.I, c *cluster) {
+		nodes := c.keepDomain("d0")
+		c.storeDown(true)
+		const bills = 21
+		var wg sync.WaitGroup
+		for i := range bills {
+			wg.Go(func() {
+				_, err := billIn(nodes[i%len(nodes)], 15*time.Second, billOf(newKey(), 1))
+				is.True(errors.Is(err, ErrUnsafe))
+			})
+		}
+		wg.Wait()
+		waiting := func() int {
+			sum := 0
+			for _, l := range nodes {
+				is.True(!l.Ready())
+				sum += l.Stats().Waiting
+			}
+			return sum
+		}
+		time.Sleep(10 * time.Second)
+		before := waiting()
+		is.True(before <= bills*(maxCandidates+1)) // each collector that was asked has a copy
+		time.Sleep(5 * time.Minute)
+		is.Equal(waiting(), before)
+		c.storeDown(false)
+		time.Sleep(10 * time.Second)
+		for _, l := range nodes {
+			is.True(l.Ready())
+		}
+		is.Equal(len(c.allBills("e0")), bills)
+	})
+}
+
+// keepDomain removes the nodes of all other failure domains from the members and returns the
+// ledgers of those that are left.
+func (c *cluster) keepDomain(domain string) []*Ledger {
+	defer time.Sleep(2 * maxViewAge) // until the nodes use these members
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []platform.VM
+	var ledgers []*Ledger
+	for _, vm := range c.members {
+		if vm.FailureDomain == domain {
+			members = append(members, vm)
+			ledgers = append(ledgers, c.ledgers[vm.ID])
+		}
+	}
+	c.members = members
+	return ledgers
+}
+
 // Fails if bills wait behind one another: at a node that is cut off from all, each
 // is reported within the time that a request waits for its bill, however many there are.
 func TestBillsOfACutOffNodeAreReportedInTime(t *testing.T) {
--- a/internal/ledger/bill/batch.go
+++ b/internal/ledger/bill/batch.go
@@ -15,8 +15,10 @@
 	copies int
 	// gaveUp means that the row's bills were reported as unsafe.
 	gaveUp bool
-	// held means that heldRows cover all bills of the row.
+	// held means that heldRows cover all bills of the row, or that it is taken.
 	held bool
+	// taken means that another collector has made all bills of the row safe.
+	taken bool
 	// adopted means that the row was taken over from another owner.
 	adopted bool
 	// inBacklog means that no caller waits for the row any more.
--- a/internal/ledger/bill/collector.go
+++ b/internal/ledger/bill/collector.go
@@ -85,12 +85,12 @@
 func (c *Collector) Waiting() int { return c.billCount }
 
 // Unstored returns the number of bills that must be secured before the process can
-// stop. Its own bills must be in a store. Bills taken over must be in a store or have
-// CollectorSettings.Copies copies at peers.
+// stop. Its own bills must be in a store or taken by another collector. Bills taken over must
+// be in a store or have CollectorSettings.Copies copies at peers.
 func (c *Collector) Unstored() int {
 	left := c.billCount
 	for _, b := range c.backlog {
-		if b.adopted && b.held {
+		if b.held && (b.adopted || b.taken) {
 			left -= b.row.Bills.Len()
 		}
 	}
--- a/internal/ledger/bill/collector_hold.go
+++ b/internal/ledger/bill/collector_hold.go
@@ -53,7 +53,7 @@
 func (c *Collector) CopyLost(lost HeldRow) {
 	for _, b := range c.backlog {
 		for _, p := range b.heldRows {
-			if p.same(lost) {
+			if p.same(lost) && !b.taken {
 				b.held = false
 			}
 		}
--- a/internal/ledger/bill/form.go
+++ b/internal/ledger/bill/form.go
@@ -57,6 +57,7 @@
 	b := c.packBatch(now, first.row.Bucket, all.bills)
 	b.heldRows = all.heldRows
 	b.held = all.held
+	b.taken = all.taken
 	b.gaveUp = all.gaveUp
 	c.moveToBacklog(b)
 	return b
@@ -90,6 +91,7 @@
 	bills    []Bill
 	heldRows []HeldRow
 	held     bool
+	taken    bool
 	gaveUp   bool // of any of them
 }
 
@@ -97,7 +99,7 @@
 // takes over their held rows, which are dropped when the new row is stored. Holders may
 // still write the old rows; that does no harm, as the bills have the same keys.
 func (c *Collector) mergeBatches(batches []*batch) mergedBatches {
-	all := mergedBatches{held: true}
+	all := mergedBatches{held: true, taken: true}
 	for _, b := range batches {
 		bills, err := b.row.Bills.Unpack()
 		if err != nil {
@@ -106,6 +108,7 @@
 		all.bills = append(all.bills, bills...)
 		all.heldRows = append(all.heldRows, b.heldRows...)
 		all.held = all.held && b.held
+		all.taken = all.taken && b.taken
 		all.gaveUp = all.gaveUp || b.gaveUp
 		delete(c.batches, b.number)
 	}
--- a/internal/ledger/billing.go
+++ b/internal/ledger/billing.go
@@ -98,7 +98,7 @@
 		after: l.settings.HedgeAfter, router: l.router, calls: &b.calls, alive: l.alive, isFinal: allSafe,
 		call: func(vm platform.VM) ([]byte, error) { return b.callCollect(vm, &args, bills) },
 	}
-	answers, _ := h.run(l.baseCtx, l.router.collectors(time.Now()))
+	answers, _ := h.run(l.baseCtx, l.router.collectors(time.Now(), l.collecting.diverts.Load()))
 	for i, q := range batch {
 		q.done <- billResult{safest(answers, i), describeAnswers(answers, i)} // never blocks: buffered for the only result
 	}
@@ -108,7 +108,7 @@
 func (b *billSender) callCollect(vm platform.VM, args *wire.CollectArgs, bills []bill.Bill) ([]byte, error) {
 	l := b.ledger
 	if vm.ID == l.deps.Self.ID {
-		return safetyBytes(l.collecting.collect(bills)), nil
+		return safetyBytes(l.collecting.collect(bills, fromSelf)), nil
 	}
 	ctx, cancel := context.WithTimeout(l.baseCtx, collectTimeout)
 	defer cancel()
--- a/internal/ledger/collecting.go
+++ b/internal/ledger/collecting.go
@@ -33,6 +33,7 @@
 	lastNumber     uint64
 	lastMaintained time.Time
 	stopping       bool        // accepts no further copies
+	offer          offer       // of rows at risk to other collectors
 	lastPlace      bill.Safety // place of the last bill, to log changes
 	baseCtx        context.Context
 
@@ -41,7 +42,8 @@
 	unstored atomic.Int64
 	held     atomic.Int64
 	full     atomic.Bool
-	atRisk   atomic.Bool
+	stranded atomic.Bool // neither this node nor another collector can make bills safe
+	diverts  atomic.Bool // other collectors make this node's bills safe
 }
 
 func newCollecting(s Settings, process string, st *store, r *router, h *holders, log *slog.Logger) *collecting {
@@ -60,11 +62,15 @@
 }
 
 // collect stores bills and returns for each where it is stored.
-func (c *collecting) collect(bills []bill.Bill) []bill.Safety {
+func (c *collecting) collect(bills []bill.Bill, from billSource) []bill.Safety {
 	safe := make([]bill.Safety, len(bills))
 	remaining := len(bills)
 	done := make(chan struct{})
-	posted := c.loop.post(func(time.Time) {
+	posted := c.loop.post(func(now time.Time) {
+		if c.declines(now, from) {
+			close(done)
+			return
+		}
 		for i, b := range bills {
 			c.lastNumber++
 			c.replies[c.lastNumber] = func(s bill.Safety) {
@@ -110,6 +116,7 @@
 		delete(c.replies, reply.Number)
 		c.logPlace(reply)
 	}
+	c.offerRows(now)
 	c.updateSizes(now)
 	return c.nextWake(now, r.Wake)
 }
@@ -160,8 +167,11 @@
 	c.unstored.Store(int64(c.core.Unstored()))
 	c.held.Store(int64(c.holder.Bills()))
 	c.full.Store(c.core.Full())
-	if atRisk := c.core.AtRisk(now); c.atRisk.Swap(atRisk) != atRisk {
-		c.logAtRisk(atRisk)
+	if stranded := c.offer.failed && c.core.AtRisk(now); c.stranded.Swap(stranded) != stranded {
+		c.logChange(stranded, event.LedgerAtRisk, event.LedgerSafeAgain)
+	}
+	if !c.core.StoresFail(now) {
+		c.setDiverts(false)
 	}
 }
 
@@ -182,11 +192,11 @@
 	c.lastPlace = s
 }
 
-// logAtRisk logs that further bills are at risk, or no longer are.
-func (c *collecting) logAtRisk(atRisk bool) {
-	e := event.LedgerSafeAgain
-	if atRisk {
-		e = event.LedgerAtRisk
+// logChange logs that a state has begun or ended.
+func (c *collecting) logChange(begun bool, begins, ends event.Event) {
+	e := ends
+	if begun {
+		e = begins
 	}
 	e.Log(c.log, slog.Int("bills", c.core.Waiting()))
 }
--- a/internal/ledger/fabric_test.go
+++ b/internal/ledger/fabric_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,13 +125,14 @@
 	members  []platform.VM
 	ledgers  map[string]*Ledger
 	settings Settings
+	cutOff   map[string]*atomic.Bool // from the platform, by node
 	mu       sync.Mutex
 }
 
 // newCluster starts n nodes in four failure domains. If broken, the table ignores the
 // conditions of transactions.
 func newCluster(t *testing.T, n int, broken bool) *cluster {
-	c := &cluster{t: t, platform: memory.New(), fabric: newFabric(), ledgers: map[string]*Ledger{}, settings: DefaultSettings()}
+	c := &cluster{t: t, platform: memory.New(), fabric: newFabric(), ledgers: map[string]*Ledger{}, settings: DefaultSettings(), cutOff: map[string]*atomic.Bool{}}
 	c.table = c.platform
 	if broken {
 		c.table = unconditional{c.platform}
@@ -148,8 +150,10 @@
 }
 
 func (c *cluster) start(vm platform.VM) *Ledger {
+	cut := new(atomic.Bool)
+	c.cutOff[vm.ID] = cut
 	l := New(c.settings, Deps{
-		Table: c.table, Objects: c.platform.Objects(), Peers: c.fabric, Self: vm,
+		Table: cutTable{c.table, cut}, Objects: cutObjects{c.platform.Objects(), cut}, Peers: c.fabric, Self: vm,
 		Members: func() []platform.VM { return c.view() }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	if err := l.Start(); err != nil {
@@ -281,3 +285,33 @@
 	defer cancel()
 	return l.Bill(ctx, b)
 }
+
+// cutTable is a table whose writes hang while its node is cut off from the platform.
+type cutTable struct {
+	platform.Table
+	cut *atomic.Bool
+}
+
+// Commit implements platform.Table.
+func (t cutTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	if t.cut.Load() {
+		<-ctx.Done()
+		return platform.CommitResult{}, ctx.Err()
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// cutObjects is an object store whose writes hang while its node is cut off from the platform.
+type cutObjects struct {
+	platform.Objects
+	cut *atomic.Bool
+}
+
+// Put implements platform.Objects.
+func (o cutObjects) Put(ctx context.Context, key string, value []byte) error {
+	if o.cut.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return o.Objects.Put(ctx, key, value)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -162,12 +162,12 @@
 	return eris.Errorf("%d bills and %d settlements are in no store yet", left, l.retries.Len())
 }
 
-// Ready reports whether the ledger can take further bills. If not, new work should be
-// refused before it runs.
+// Ready reports whether a further bill can be expected to become safe, at this node or at another
+// collector of its failure domain. If not, new work must be refused before it runs.
 func (l *Ledger) Ready() bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.open && !l.collecting.full.Load()
+	return l.open && !l.collecting.full.Load() && !l.collecting.stranded.Load()
 }
 
 // Bill stores a bill, and returns once it is safe, with the place where it is stored. The
--- a/internal/ledger/route.go
+++ b/internal/ledger/route.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,10 +49,26 @@
 }
 
 // collectors returns the nodes that should collect this node's bills, in order of
-// preference. They are in its failure domain; this node is the last one.
-func (r *router) collectors(now time.Time) []platform.VM {
-	duty := "collect/" + r.self.FailureDomain + "/" + strconv.FormatInt(now.UnixNano()/int64(epoch), 10)
-	return r.withSelf(r.selectNodes(now, duty, r.currentView(now).sameDomain, maxCandidates))
+// preference. They are in its failure domain; this node is the last one. With others first, it
+// is so also where it is preferred itself.
+func (r *router) collectors(now time.Time, othersFirst bool) []platform.VM {
+	if othersFirst {
+		return append(r.otherCollectors(now), r.self)
+	}
+	return r.withSelf(r.selectNodes(now, collectDuty(now, r.self), r.currentView(now).sameDomain, maxCandidates))
+}
+
+// otherCollectors returns the nodes of this node's failure domain that can collect bills in
+// its place, in order of preference.
+func (r *router) otherCollectors(now time.Time) []platform.VM {
+	others := r.selectNodes(now, collectDuty(now, r.self), r.currentView(now).sameDomain, maxCandidates+1)
+	others = slices.DeleteFunc(others, func(vm platform.VM) bool { return vm.ID == r.self.ID })
+	return others[:min(len(others), maxCandidates)]
+}
+
+// collectDuty names the duty to collect the bills of a VM's failure domain.
+func collectDuty(now time.Time, vm platform.VM) string {
+	return "collect/" + vm.FailureDomain + "/" + strconv.FormatInt(now.UnixNano()/int64(epoch), 10)
 }
 
 // holders returns the nodes that should hold copies of a writer's rows, in order of
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -55,7 +55,11 @@
 	if err != nil {
 		return err
 	}
-	reply.Safety = safetyBytes(s.ledger.collecting.collect(bills))
+	from := fromPeer
+	if args.Offer {
+		from = fromOffer
+	}
+	reply.Safety = safetyBytes(s.ledger.collecting.collect(bills, from))
 	return nil
 }
 
