gateway: a node that reads in place of its reader reads the list as well

Cause: where operator orders change, the list is not read before it is due. A member whose reader reports that it cannot read then read the orders alone. Its knowledge of the list stayed that of its reader, from before the report, so that it was not the acting reader, whose calls wait for changes, and its turn was still due: it called again at once, until the list was due.

Change: only a reader, or a node that acts as one, leaves the list out.

Why it works: the first reading of a member is then one of both, after which it acts as reader and its calls wait for changes, or another node's newer reading sets its next turn.

TestMemberThatReadsInPlaceOfReaderReadsList fails without the change.

--- a/internal/gateway/follow_table_test.go
+++ b/internal/gateway/follow_table_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -60,3 +61,39 @@
 	is.True(member >= 3) // members do not rely on the reader alone
 	is.True(fresh >= reader)
 }
+
+// changingTable is a table whose operator orders are newer than any list.
+type changingTable struct {
+	oneRoute
+	lists int
+}
+
+func (*changingTable) Orders(context.Context, uint64, time.Duration) (OrdersChange, error) {
+	return OrdersChange{Revision: 9}, nil
+}
+
+func (t *changingTable) Fleet(context.Context, uint64) (FleetChange, error) {
+	t.lists++
+	return FleetChange{Revision: 8}, nil
+}
+
+// Fails if a member calls the table without a pause: its reader reports that it cannot
+// read, and the member's own reading leaves out the list, which is not due yet, so that its
+// next reading is due at once.
+func TestMemberThatReadsInPlaceOfReaderReadsList(t *testing.T) {
+	is := is.New(t)
+	n := newGroupNode(false)
+	table := &changingTable{}
+	n.source = table
+	reported := time.Now()
+	n.view.listAsOf, n.view.listRevision = reported.Add(-time.Millisecond), 7
+	n.view.ordersAsOf, n.view.ordersRevision = n.view.listAsOf, 7
+	n.view.outageAt, n.view.outageSince = reported, reported.Add(-time.Second)
+	is.True(!n.nextReading(0).After(time.Now())) // the member's turn has come
+
+	r := tableReader{node: n}
+	is.True(r.read(withCause(context.Background(), CauseMember)))
+	n.noteReading(true, CauseMember)
+	is.Equal(table.lists, 1)
+	is.True(n.actsAsReader()) // its next call waits for changes, as a reader's
+}
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -61,7 +61,8 @@
 //
 // It saves half of a reader's calls. Each write to the table gives it a newer revision, so
 // operator orders as of the list's revision also prove the list. While operator orders
-// change continuously, the list is read at its own interval.
+// change continuously, a reader reads the list at its own interval. A node that reads
+// because its reader cannot reads both: without the list its next reading would be due at once.
 func (n *Node) listIsFresh() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -73,6 +74,9 @@
 		n.view.ownListAsOf = n.view.listAsOf
 		return true
 	}
+	if !n.readsTable() && !n.actsAsReader() {
+		return false
+	}
 	return time.Until(n.view.listAsOf.Add(n.readerInterval())) > listMargin
 }
 
