scenario: failed scripts print how long their processes waited for a processor

Without it a process that is starved cannot be told from one that hangs: both refuse for 30 s with proofs that are too old. The times are the kernel's, of all threads.

--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -64,6 +64,9 @@
 	env.Values[clusterKey{}] = c
 	t := env.T()
 	env.Defer(func() {
+		if t.(failer).Failed() {
+			t.Log("processes:\n" + c.processorTimes())
+		}
 		err := c.close()
 		if err != nil {
 			t.Log(err)
