node: a resumption at an upstream that answers no polls waits 2 s

What callers see: a request whose engine is frozen waits 15 s for its first chunk and 15 s for each of two resumptions, 45 s before another engine is tried.

Cause: resumptions wait as long as a first chunk, though the node knows by then that the engine answers no polls.

Change: where no chunk has come and the engine's circuit breaker is open, a resumption waits 2 s. An attempt with chunks, or one whose caller has a part of the answer, waits as before, as its work would be lost.

--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -33,6 +33,12 @@
 	return list
 }
 
+// IsOpen reports whether the breaker withholds requests from an upstream.
+func (b *Balancer) IsOpen(vmID string) bool {
+	h := b.hosts[vmID]
+	return h != nil && h.breaker.open()
+}
+
 func (h *host) status(now time.Duration) HostStatus {
 	s := HostStatus{
 		VM:          h.vm,
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -22,6 +22,9 @@
 	// the request would wait for it until its deadline.
 	firstChunkTimeout = 15 * time.Second
 	nextChunkTimeout  = 5 * time.Second
+	// unreachableTimeout replaces firstChunkTimeout for a resumption at an upstream whose
+	// circuit breaker is open: it answers no polls either.
+	unreachableTimeout = 2 * time.Second
 )
 
 // activeAttempt is the attempt in flight of a chat request.
@@ -101,7 +104,7 @@
 	if fail := r.mayRun(d.Version); fail != nil {
 		return r.machine.NotSent(fail.Code, fail.RetryAfter, fail.Message)
 	}
-	stream, err := r.node.deps.Engines.Start(r.node.upstreams.withNotices(r.withStallTimer(ctx), r.current.vm), r.current.vm.Addr, upstream.Attempt{
+	stream, err := r.node.deps.Engines.Start(r.node.upstreams.withNotices(r.withStallTimer(ctx, firstChunkTimeout), r.current.vm), r.current.vm.Addr, upstream.Attempt{
 		ID: d.Attempt, Version: d.Version, Priority: priority(r.class.Kind), PrefixHash: r.call.PrefixHash, Body: body,
 	})
 	if err != nil {
@@ -113,7 +116,8 @@
 
 func (r *chatRun) resume(ctx context.Context, d lifecycle.Resume) []lifecycle.Decision {
 	r.current.close()
-	stream, err := r.node.deps.Engines.Resume(r.node.upstreams.withNotices(r.withStallTimer(ctx), r.current.vm), r.current.vm.Addr, d.Attempt, d.After)
+	timeout := r.node.upstreams.resumeTimeout(r.current)
+	stream, err := r.node.deps.Engines.Resume(r.node.upstreams.withNotices(r.withStallTimer(ctx, timeout), r.current.vm), r.current.vm.Addr, d.Attempt, d.After)
 	if err != nil {
 		return r.attemptFailed(ctx, err, true)
 	}
@@ -121,10 +125,22 @@
 	return nil
 }
 
+// resumeTimeout returns how long the resumption of an attempt may take until its next chunk. An
+// attempt that has made none yet is retried elsewhere at no loss, so it does not wait long
+// for an upstream that is known to be unreachable.
+func (u *upstreams) resumeTimeout(a *activeAttempt) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if a.chunks == 0 && !a.adopted && u.balancer.IsOpen(a.vm.ID) {
+		return unreachableTimeout
+	}
+	return firstChunkTimeout
+}
+
 // withStallTimer returns a context that is cancelled when no chunk arrives in time.
-func (r *chatRun) withStallTimer(ctx context.Context) context.Context {
+func (r *chatRun) withStallTimer(ctx context.Context, timeout time.Duration) context.Context {
 	ctx, cancel := context.WithCancel(ctx)
-	r.current.stallTimer = time.AfterFunc(firstChunkTimeout, cancel)
+	r.current.stallTimer = time.AfterFunc(timeout, cancel)
 	return ctx
 }
 
