--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"sync"
 	"time"
 )
@@ -11,7 +10,7 @@
 // Pool keeps idle connections to upstreams for reuse. It is safe for concurrent use.
 type Pool struct {
 	settings Settings
-	dialer   net.Dialer
+	dialer   Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -22,17 +21,10 @@
 // NewPool returns an empty pool; Close closes its idle connections.
 func NewPool(s Settings) *Pool {
 	s = s.withDefaults()
-	return &Pool{
-		settings: s,
-		dialer: net.Dialer{
-			Timeout: s.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: probeInterval, Interval: probeInterval,
-				Count: max(int(s.SilentTimeout/probeInterval), 1),
-			},
-		},
-		idle: map[string][]*conn{},
+	if s.Dialer == nil {
+		s.Dialer = newDirectDialer(s)
 	}
+	return &Pool{settings: s, dialer: s.Dialer, idle: map[string][]*conn{}}
 }
 
 // Opened returns how many connections were opened since the start.
@@ -116,14 +108,12 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp4", addr)
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	nc, err := p.dialer.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	if err := setUserTimeout(nc, p.settings.SilentTimeout); err != nil {
-		_ = nc.Close() // the error of the socket option is returned
-		return nil, err
-	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -15,6 +15,8 @@
 	MaxIdle time.Duration
 	// MaxIdlePerUpstream bounds the idle connections kept for one upstream (16).
 	MaxIdlePerUpstream int
+	// Dialer opens the connections; nil for one that connects from this host.
+	Dialer Dialer
 }
 
 const (
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -138,8 +138,10 @@
 	Log     *slog.Logger
 	Metrics *telemetry.Set
 	// Network is where the node listens and reaches its peers; nil for the operating
-	// system's. Upstreams are always reached over the operating system's network.
+	// system's.
 	Network network.Network
+	// Upstreams opens connections to upstreams; nil for the operating system's network.
+	Upstreams exchange.Dialer
 	// DroppedLogLines returns how many log lines have been dropped; nil if none ever are.
 	DroppedLogLines func() int64
 }
@@ -156,7 +158,7 @@
 	n := &Node{
 		droppedLogLines: d.DroppedLogLines,
 		settings:        s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
-		pool:           exchange.NewPool(exchange.Settings{}),
+		pool:           exchange.NewPool(exchange.Settings{Dialer: d.Upstreams}),
 		network:        d.Network,
 		gossipClient:   gossip.NewClient(d.Network),
 		transferClient: gossip.NewClient(d.Network),
