gateway: an upstream that is out of reach has not crashed

What callers saw: none yet; 32 lines 1923 (upstream crashed while it ran a request) in 11 s on three nodes that had lost their links, no upstream had crashed. Strikes reach all nodes: three block the request everywhere. Cause: suspectCrash took any failed probe for a crash, also one that timed out after 200 ms. Change: only a refused connection is a crash; the probe uses the pool's dialer. Measured: TestUnreachableUpstreamIsNoCrash fails with the earlier meaning of the probe (any error), passes with this one.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -120,6 +122,17 @@
 	return &conn{Conn: nc, addr: addr, in: bufio.NewReaderSize(nc, readBufferBytes)}, nil
 }
 
+// IsRefused connects to a host and port and reports whether it refuses the connection: nothing
+// listens there. No answer until ctx ends is no refusal.
+func (p *Pool) IsRefused(ctx context.Context, addr string) bool {
+	c, err := p.dialer.Dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // the connection only shows that the upstream listens
+	return false
+}
+
 // release returns a connection to the pool for up to keep, or Settings.MaxIdle if keep is 0.
 func (p *Pool) release(c *conn, keep time.Duration) {
 	now := time.Now()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
-	"net"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
@@ -208,11 +208,12 @@
 
 // suspectCrash checks whether an upstream that broke off an answer has crashed, which shows
 // in its address refusing connections. The crash then counts as a strike against the
-// request's fingerprint. An upstream that only lost one connection causes no strike.
+// request's fingerprint. An upstream that only lost one connection causes no strike, nor does
+// one that is out of reach.
 func (n *Node) suspectCrash(j *job, a *attempt) {
-	c, err := net.DialTimeout("tcp4", a.addr, crashProbeTimeout)
-	if err == nil {
-		_ = c.Close() // the connection only shows that the upstream listens
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	if !n.pool.IsRefused(ctx, a.addr) {
 		return
 	}
 	now := time.Now()
