relay, gateway: peers open connections to upstreams over lost links

What callers saw: nodes that lost their links to upstreams served 27 of 259 first tries while others served 388 of 388. Cause: a node had one way to an upstream, its own connection, and learned with each request anew that it was lost; what it learned it held against the upstreams (ejection, warm-up). Change: internal/relay. A connection is a race of the direct way and one through a peer, 150 ms later or at once when the direct one fails. Only the connection goes through the peer; choice, budgets, limits, resumption stay at the node, and 'not sent' stays exact. Two peers that do not reach the upstream either make it the upstream's fault; a peer that reaches it makes it the link's. Links are remembered as lost, probed with growing, jittered pauses; silent connections over links that are confirmed as lost are closed, exchanges that may repeat go on elsewhere. Peers carry for known processes, to listed upstreams, never over a third node, up to a bound of memory; the response comes in frames, so that a peer's end is no end of an answer; a planned stop finishes them.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +18,16 @@
 	idleSince time.Time
 	idleUntil time.Time
 	reused    bool
+	pool      *Pool
+	// relayed is set if the connection passes through a peer.
+	relayed bool
+	// sentAt is when the current exchange began, lastRead when bytes last came, in Unix
+	// nanoseconds.
+	sentAt, lastRead atomic.Int64
+	// abortable is set if the current exchange may be repeated elsewhere. aborted is set when
+	// it was ended because the link is lost.
+	abortable bool
+	aborted   atomic.Bool
 }
 
 // isHealthy reports whether an idle connection may carry another request.
@@ -43,20 +54,28 @@
 	return err == nil && noData
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that an upstream that stops acknowledging
-// data breaks the connection within the timeout.
-func setUserTimeout(c net.Conn, timeout time.Duration) error {
-	tcp := c.(*net.TCPConn)
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
+// Read reads from the connection and records when bytes came.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.relayed {
+		now := time.Now()
+		c.lastRead.Store(now.UnixNano())
+		c.pool.noteAlive(now)
 	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
+	return n, err
+}
+
+// begin marks the start of an exchange.
+func (c *conn) begin(abortable bool) {
+	c.abortable = abortable
+	c.sentAt.Store(time.Now().UnixNano())
+}
+
+// silentSince returns since when the upstream has owed bytes.
+func (c *conn) silentSince() time.Time { return time.Unix(0, max(c.sentAt.Load(), c.lastRead.Load())) }
+
+// abort closes the connection because its link is lost.
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	_ = c.Conn.Close() // the exchange fails with LinkLost
 }
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -17,12 +17,18 @@
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, *Failure) {
 	c, err := p.acquire(ctx, addr, req.MaxIdle)
 	if err != nil {
-		return nil, &Failure{Reason: reasonUnlessCancelled(ctx, NotConnected), Err: err}
+		reason := NotConnected
+		var link linkError
+		if errors.As(err, &link) && link.LinkLost() {
+			reason = LinkLost
+		}
+		return nil, &Failure{Reason: reasonUnlessCancelled(ctx, reason), Err: err}
 	}
 	if req.ShouldSend != nil && !req.ShouldSend() {
 		p.release(c, 0)
 		return nil, &Failure{Reason: Withdrawn, Err: errWithdrawn}
 	}
+	p.start(c, req.Repeatable)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	writeResult := make(chan error, 1)
 	sent := send(c, req, writeResult)
@@ -30,7 +36,11 @@
 	if failure != nil {
 		failure.Sent = sent
 		stop()
+		p.end(c)
 		_ = c.Close() // the exchange's failure is returned
+		if c.aborted.Load() {
+			failure.Reason = LinkLost
+		}
 		failure.Reason = reasonUnlessCancelled(ctx, failure.Reason)
 		return nil, failure
 	}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -18,6 +18,9 @@
 const (
 	// NotConnected means that no connection could be opened.
 	NotConnected Reason = "not_connected"
+	// LinkLost means that this host's link to the upstream is lost; the upstream may be sound.
+	// The connection was not opened, or it was silent and has been closed.
+	LinkLost Reason = "link_lost"
 	// Broken means that the connection ended before the head of the response was complete.
 	Broken Reason = "broken"
 	// InvalidResponse means that the received bytes are not an HTTP response, or that the
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
+	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/network"
 )
 
 // Pool keeps idle connections to upstreams for reuse. It is safe for concurrent use.
@@ -16,6 +17,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// active are the connections that carry an exchange.
+	active map[*conn]struct{}
 	// opened counts the connections opened since the start.
 	opened int64
 }
@@ -24,9 +27,9 @@
 func NewPool(s Settings) *Pool {
 	s = s.withDefaults()
 	if s.Dialer == nil {
-		s.Dialer = newDirectDialer(s)
+		s.Dialer = network.NewProbedDialer(s.DialTimeout, s.SilentTimeout)
 	}
-	return &Pool{settings: s, dialer: s.Dialer, idle: map[string][]*conn{}}
+	return &Pool{settings: s, dialer: s.Dialer, idle: map[string][]*conn{}, active: map[*conn]struct{}{}}
 }
 
 // Opened returns how many connections were opened since the start.
@@ -116,25 +119,27 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.newConn(addr, nc), nil
+}
+
+// newConn returns an opened connection.
+func (p *Pool) newConn(addr string, nc net.Conn) *conn {
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: nc, addr: addr, in: bufio.NewReaderSize(nc, readBufferBytes)}, nil
-}
-
-// IsRefused connects to a host and port and reports whether it refuses the connection: nothing
-// listens there. No answer until ctx ends is no refusal.
-func (p *Pool) IsRefused(ctx context.Context, addr string) bool {
-	c, err := p.dialer.Dial(ctx, addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.Close() // the connection only shows that the upstream listens
-	return false
+	c := &conn{Conn: nc, addr: addr, pool: p, relayed: isRelayed(nc)}
+	c.in = bufio.NewReaderSize(c, readBufferBytes)
+	return c
 }
 
-// release returns a connection to the pool for up to keep, or Settings.MaxIdle if keep is 0.
+// release returns a connection to the pool for up to keep, or Settings.MaxIdle if keep is 0. A
+// relayed connection is closed: its peer may stop at any time, without regard to requests
+// that are just being written.
 func (p *Pool) release(c *conn, keep time.Duration) {
+	if c.relayed {
+		_ = c.Close() // it carries nothing any more
+		return
+	}
 	now := time.Now()
 	if keep <= 0 {
 		keep = p.settings.MaxIdle
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -48,6 +48,7 @@
 		return
 	}
 	r.closed = true
+	r.pool.end(r.conn)
 	notCancelled := r.stop()
 	// The read deadline of this response must not apply to the next one.
 	deadlineCleared := r.conn.SetReadDeadline(time.Time{}) == nil
@@ -58,6 +59,12 @@
 	r.pool.release(r.conn, keepAliveTimeout(r.Header))
 }
 
+// LinkLost reports whether the exchange was ended because the link to the upstream is lost.
+func (r *Response) LinkLost() bool { return r.conn.aborted.Load() }
+
+// Relayed reports whether the exchange passed through a peer.
+func (r *Response) Relayed() bool { return r.conn.relayed }
+
 // reusable reports whether the connection may carry another request.
 func (r *Response) reusable() bool {
 	if !r.complete || r.closeAfter || r.conn.in.Buffered() > 0 {
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -17,6 +17,9 @@
 	MaxIdlePerUpstream int
 	// Dialer opens the connections; nil for one that connects from this host.
 	Dialer Dialer
+	// NoteAlive is called when an upstream has sent bytes on a direct connection; nil for
+	// nothing.
+	NoteAlive func(now time.Time)
 }
 
 const (
@@ -24,8 +27,9 @@
 	defaultSilentTimeout = 2 * time.Second
 	defaultMaxIdle       = 4 * time.Second
 	defaultMaxIdleConns  = 16
-	// probeInterval is the interval of TCP keep-alive probes.
-	probeInterval = time.Second
+	// silentAfter is how long an upstream may owe bytes on all connections until its link is
+	// in doubt.
+	silentAfter = 250 * time.Millisecond
 	// maxSyncWriteBytes is the largest request that is written before its response is
 	// read. A larger one is written concurrently, since an upstream may respond before
 	// it has read a long body and then block the writer.
@@ -50,6 +54,9 @@
 	if s.SilentTimeout == 0 {
 		s.SilentTimeout = defaultSilentTimeout
 	}
+	if s.NoteAlive == nil {
+		s.NoteAlive = func(time.Time) {}
+	}
 	if s.MaxIdle == 0 {
 		s.MaxIdle = defaultMaxIdle
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -209,6 +209,9 @@
 // Get returns the upstream with an ID, or nil.
 func (f *Fleet) Get(id string) *Upstream { return f.byID[id] }
 
+// HasAddr reports whether an upstream is known at a host and port.
+func (f *Fleet) HasAddr(addr string) bool { return f.byAddr[addr] != nil }
+
 // End records the end of an attempt at u.
 func (f *Fleet) End(u *Upstream, w *Work, result Result, now time.Time) {
 	f.leaveQueue(u, w)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -202,9 +202,9 @@
 	return n.budget(service, now).Allow(now, reserve)
 }
 
-// crashProbeTimeout bounds the connection attempt that checks whether an upstream still
-// listens.
-const crashProbeTimeout = 200 * time.Millisecond
+// crashProbeTimeout bounds the connection attempts, direct and through a peer, that check
+// whether an upstream still listens.
+const crashProbeTimeout = 300 * time.Millisecond
 
 // suspectCrash checks whether an upstream that broke off an answer has crashed, which shows
 // in its address refusing connections. The crash then counts as a strike against the
@@ -213,7 +213,7 @@
 func (n *Node) suspectCrash(j *job, a *attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	if !n.pool.IsRefused(ctx, a.addr) {
+	if !n.links.dialer.IsRefused(ctx, a.addr) {
 		return
 	}
 	now := time.Now()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -67,7 +67,9 @@
 	roomAt time.Time
 	// connectFailures counts the upstreams to which no connection could be opened.
 	connectFailures int
-	outcome         string
+	// linkLost is set if an attempt failed because this node's link to the upstream is lost.
+	linkLost bool
+	outcome  string
 }
 
 // bufferedAnswer is a complete answer of an upstream.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -33,6 +33,7 @@
 	log          *slog.Logger
 	metrics      *telemetry.Set
 	pool         *exchange.Pool
+	links        *links
 	network      network.Network
 	gossipClient *gossip.Client
 	// transferClient has its own connections to peers: gossip would queue behind large
@@ -140,7 +141,8 @@
 	// Network is where the node listens and reaches its peers; nil for the operating
 	// system's.
 	Network network.Network
-	// Upstreams opens connections to upstreams; nil for the operating system's network.
+	// Upstreams opens this node's own connections to upstreams; nil for the operating
+	// system's network.
 	Upstreams exchange.Dialer
 	// DroppedLogLines returns how many log lines have been dropped; nil if none ever are.
 	DroppedLogLines func() int64
@@ -158,7 +160,6 @@
 	n := &Node{
 		droppedLogLines: d.DroppedLogLines,
 		settings:        s, dialect: d.Dialect, source: d.Source, log: d.Log, metrics: d.Metrics,
-		pool:           exchange.NewPool(exchange.Settings{Dialer: d.Upstreams}),
 		network:        d.Network,
 		gossipClient:   gossip.NewClient(d.Network),
 		transferClient: gossip.NewClient(d.Network),
@@ -187,6 +188,7 @@
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
+	n.links, n.pool = newLinks(n, d.Upstreams)
 	n.configSender.Seed(n.draws.Uint64())
 	n.listSender.Seed(n.draws.Uint64())
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -27,6 +27,7 @@
 	tooManyBodies   = &refusal{status: http.StatusServiceUnavailable, reason: "memory", text: "too many bodies are under way", retryAfter: refusedRetryAfter}
 	crashingRequest = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "this request crashed the upstreams that ran it", retryAfter: crashingRetryAfter}
 	noUpstream      = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
+	noLink          = &refusal{status: http.StatusServiceUnavailable, reason: "no_link", text: "this node does not reach the upstreams", retryAfter: refusedRetryAfter}
 	notInTime       = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
 	upstreamsFull   = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
 	upstreamFailed  = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -61,6 +61,8 @@
 		j.refuse(upstreamsPaced(time.Until(j.roomAt)))
 	case j.attemptsReached > 0:
 		j.refuse(upstreamsFull)
+	case j.linkLost:
+		j.refuse(noLink)
 	default:
 		j.refuse(noUpstream)
 	}
@@ -200,7 +202,7 @@
 		Fields: j.node.dialect.Forward(j.r.Header, &j.headers, &order),
 		Body:   j.body, HasBody: len(j.body) > 0 || j.r.ContentLength == 0 && j.r.Method != http.MethodGet && j.r.Method != http.MethodHead,
 		IDField: j.node.dialect.IDField(), ID: j.headers.ID,
-		ShouldSend: a.upstreamAccepts,
+		ShouldSend: a.upstreamAccepts, Repeatable: j.route.Repeatable(),
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdle = nonIdempotentMaxIdle
@@ -213,6 +215,9 @@
 	result := fleet.Unreached
 	reason := string(f.Reason)
 	switch {
+	case f.Reason == exchange.LinkLost:
+		result = fleet.Abandoned // the upstream may be sound
+		j.linkLost = true
 	case f.Reason == exchange.Withdrawn:
 		result = fleet.Abandoned
 		j.tried = j.tried[:len(j.tried)-1] // the request was not sent there
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/relay"
 )
 
 // Run serves until ctx ends, then stops gracefully within the settings' Grace. directory
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := gossip.NewServer(peer, n)
+	peers, err := gossip.NewServer(relay.Split(peer, n.links.carrier), n)
 	if err != nil {
 		return eris.Wrapf(err, "gossip server on %s", n.settings.Peer)
 	}
@@ -116,6 +117,7 @@
 			reported = dropped
 		}
 		n.pool.Sweep(time.Now())
+		n.links.check(time.Now())
 		n.sweepNotices()
 	}
 }
@@ -130,6 +132,7 @@
 func (n *Node) stop(ctx context.Context, front *http.Server, conns *connections) {
 	began := time.Now()
 	n.stopping.Store(true)
+	n.links.carrier.Stop()
 	n.mu.Lock()
 	n.roster.SetSelf(false, true)
 	n.mu.Unlock()
@@ -146,6 +149,7 @@
 	if err := front.Shutdown(shutdownCtx); err != nil {
 		event.ForwardGraceExpired.Log(n.log, slog.Int64("active", n.active.Load()), slog.String("err", err.Error()))
 	}
+	n.links.carrier.Wait(shutdownCtx)
 }
 
 // connections counts callers' connections and configures their server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -209,12 +209,19 @@
 		}
 		return false
 	}
-	a.finish(fleet.Failed)
-	a.reportOutcome(true, pause)
 	reason := "broke"
-	if isTimeout(err) {
+	switch {
+	case resp.LinkLost():
+		reason = "link_lost"
+	case isTimeout(err):
 		reason = "silent"
 	}
+	if reason == "link_lost" {
+		a.finish(fleet.Abandoned) // the upstream may be sound
+	} else {
+		a.finish(fleet.Failed)
+		a.reportOutcome(true, pause)
+	}
 	resp.Close()
 	j.node.logEvent(event.ForwardResumed, j, slog.String("upstream", a.id), slog.String("reason", reason),
 		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent))
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -28,6 +28,10 @@
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
 	switch {
+	case err != nil && resp.LinkLost():
+		a.finish(fleet.Abandoned) // the upstream may be sound
+		j.node.logEvent(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "link_lost"), slog.String("err", err.Error()))
+		return false
 	case err != nil:
 		j.noteTruncated(a, err)
 		return false
--- /dev/null
+++ b/internal/relay/peer.go
@@ -0,0 +1,19 @@
+package relay
+
+// Peer is a node that may open connections for this one.
+type Peer struct {
+	ID string
+	// Addr is the address for other nodes, as host:port.
+	Addr string
+}
+
+// Peers is what a node knows of the other nodes and of the upstreams.
+type Peers interface {
+	// Pick returns up to count live peers in random order, those of this node's failure domain
+	// first. It leaves out those for which avoid returns true.
+	Pick(count int, avoid func(id string) bool) []Peer
+	// IsPeer reports whether a process of another node is known and has this IP.
+	IsPeer(process Identity, ip string) bool
+	// IsUpstream reports whether an upstream is listed at a host and port.
+	IsUpstream(addr string) bool
+}
