relay: a peer that has lost its own links is no witness against an upstream

Cause: the peers of a failure domain whose links are all lost were asked first, their connections were refused as well, and two such answers counted as the upstream's fault: ejection, warm-up, refusals no_upstream and upstreams_paced. Change: one peer of the own failure domain is asked, then others. Peers that could not help are not asked about the same upstream for 300 ms.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -129,7 +129,7 @@
 	n := l.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var near, far sampler
+	near, far := sampler{}, sampler{}
 	for _, m := range n.roster.Alive() {
 		if m.ID == n.settings.ID || !m.Ready || m.Leaving || avoid(m.ID) {
 			continue
@@ -140,10 +140,11 @@
 			far.offer(m, count)
 		}
 	}
-	// If all nodes of this failure domain have lost their links, only others can help.
-	all := near.sample
-	if len(far.sample) > 0 {
-		all = append(all[:min(len(all), max(count-1, 1))], far.sample...)
+	// One peer of this failure domain, then others: its nodes often lose their links together.
+	all := near.sample[:min(len(near.sample), 1)]
+	all = append(all, far.sample...)
+	if len(near.sample) > 1 {
+		all = append(all, near.sample[1:]...)
 	}
 	var picked []relay.Peer
 	for _, m := range all[:min(len(all), count)] {
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -140,11 +140,13 @@
 	upstream, err := c.direct.Dial(ctx, req.To)
 	if err != nil {
 		c.release()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, Refused
-		}
-		if !c.paths.isAlive(time.Now()) {
+		c.paths.noteFailed(req.To)
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		switch {
+		case !c.paths.isWitness(refused, time.Now()):
 			return nil, LinkDoubtful
+		case refused:
+			return nil, Refused
 		}
 		return nil, Unanswered
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -16,8 +16,23 @@
 	via   network.Network
 
 	mu sync.Mutex
-	// avoided holds peers that could not help, with the time until which they are left out.
-	avoided map[string]time.Time
+	// avoided holds peers that could not help a moment ago.
+	avoided map[string]avoidance
+}
+
+// avoidance is the time until which a peer is left out. One that is not excluded is asked if there is no
+// other.
+type avoidance struct {
+	until    time.Time
+	excluded bool
+}
+
+// pick returns the peers to ask.
+func (c *client) pick() []Peer {
+	if picked := c.peers.Pick(maxPeers, func(id string) bool { return c.isAvoided(id, false) }); len(picked) > 0 {
+		return picked
+	}
+	return c.peers.Pick(maxPeers, func(id string) bool { return c.isAvoided(id, true) })
 }
 
 // connect connects to an upstream through a peer. Another peer is asked if one has not tried the
@@ -26,14 +41,14 @@
 func (c *client) connect(ctx context.Context, addr string) (*Conn, Outcome) {
 	var last, verdict Outcome
 	opinions := 0
-	for _, p := range c.peers.Pick(maxPeers, c.isAvoided) {
+	for _, p := range c.pick() {
 		conn, outcome := c.ask(ctx, p, addr)
 		if conn != nil || ctx.Err() != nil {
 			return conn, outcome
 		}
 		last = outcome
-		if outcome.excludesPeer() {
-			c.avoid(p.ID)
+		if outcome.excludesPeer() || outcome.deprefersPeer() {
+			c.avoid(p.ID, outcome.excludesPeer())
 		}
 		if outcome.isVerdict() {
 			verdict = outcome
@@ -97,20 +112,23 @@
 	return answer.Outcome
 }
 
-func (c *client) isAvoided(id string) bool {
+// isAvoided reports whether a peer is left out now; with excludedOnly only if it can't help.
+func (c *client) isAvoided(id string, excludedOnly bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.avoided[id])
+	a, known := c.avoided[id]
+	return known && time.Now().Before(a.until) && (a.excluded || !excludedOnly)
 }
 
-func (c *client) avoid(id string) {
+// avoid leaves a peer out for a while.
+func (c *client) avoid(id string, excluded bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for known, until := range c.avoided {
-		if now.After(until) {
+	for known, a := range c.avoided {
+		if now.After(a.until) {
 			delete(c.avoided, known)
 		}
 	}
-	c.avoided[id] = now.Add(avoidFor)
+	c.avoided[id] = avoidance{now.Add(avoidFor), excluded}
 }
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -38,7 +38,7 @@
 func New(s Settings, direct direct, via network.Network, peers Peers, o Observer) *Dialer {
 	return &Dialer{
 		settings: s.withDefaults(), peers: peers, direct: direct, paths: newPaths(), observer: o,
-		client: &client{self: s.Self, peers: peers, via: via, avoided: map[string]time.Time{}},
+		client: &client{self: s.Self, peers: peers, via: via, avoided: map[string]avoidance{}},
 	}
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -14,8 +14,8 @@
 	LinkLost Outcome = "link_lost"
 	// AllLinksLost means that all links of the peer are lost.
 	AllLinksLost Outcome = "all_links_lost"
-	// LinkDoubtful means that the upstream did not answer, but neither did any other a moment
-	// ago: the peer's own links may be lost.
+	// LinkDoubtful means that the upstream was not reached, but neither were others a moment ago:
+	// the peer's own links may be lost.
 	LinkDoubtful Outcome = "link_doubtful"
 	// Busy means that the peer carries as many connections as it may.
 	Busy Outcome = "busy"
@@ -40,3 +40,6 @@
 	}
 	return false
 }
+
+// deprefersPeer reports whether other peers are more likely to help with any upstream.
+func (o Outcome) deprefersPeer() bool { return o == LinkLost || o == LinkDoubtful }
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -22,7 +22,9 @@
 	// probes is the number of direct connections since; the next may begin at nextProbe.
 	probes    int
 	nextProbe time.Time
-	usedAt    time.Time
+	// askAfter is when peers may be asked again; none could help before.
+	askAfter time.Time
+	usedAt   time.Time
 }
 
 // paths holds the state of this node's links to upstreams. Only links that have failed have an
@@ -35,6 +37,9 @@
 	byAddr map[string]*path
 	// downUntil holds the upstreams that a peer did not reach either.
 	downUntil map[string]time.Time
+	// failing holds upstreams to which direct connections have failed since the last one that
+	// was opened.
+	failing map[string]struct{}
 	// checkedAt is when silent upstreams were last checked. checks bounds such checks while
 	// no link is lost.
 	checkedAt map[string]time.Time
@@ -52,6 +57,9 @@
 	minLostPaths = 3
 	// aliveFor is how long a sign of life shows that this node's links work.
 	aliveFor = 500 * time.Millisecond
+	// askInterval is the pause before peers are asked again about an upstream with which none
+	// could help.
+	askInterval = 300 * time.Millisecond
 	// pathTTL is how long a lost link is remembered unused.
 	pathTTL = 30 * time.Second
 	// maxPaths bounds the upstreams that are remembered as down or checked.
@@ -66,7 +74,7 @@
 
 func newPaths() *paths {
 	return &paths{
-		byAddr: map[string]*path{}, downUntil: map[string]time.Time{}, checkedAt: map[string]time.Time{},
+		byAddr: map[string]*path{}, downUntil: map[string]time.Time{}, checkedAt: map[string]time.Time{}, failing: map[string]struct{}{},
 		checks: rate.NewLimiter(checksPerSecond, checksAtOnce),
 	}
 }
@@ -89,7 +97,7 @@
 		if due {
 			e.scheduleProbe(now)
 		}
-		return plan{direct: due, relay: true, relayFirst: true}
+		return plan{direct: due, relay: !now.Before(e.askAfter), relayFirst: true}
 	}
 	if !p.allLostSince.IsZero() {
 		due := !now.Before(p.nextProbe)
@@ -126,6 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.downUntil, addr)
+	clear(p.failing)
 	if e := p.byAddr[addr]; e != nil {
 		lostFor = now.Sub(e.since)
 		delete(p.byAddr, addr)
@@ -141,6 +150,27 @@
 	return lostFor, all
 }
 
+// noteFailed records that a direct connection has failed, whatever the cause.
+func (p *paths) noteFailed(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.failing) < minLostPaths {
+		p.failing[addr] = struct{}{}
+	}
+}
+
+// isWitness reports whether a failed direct connection of this node says anything about the
+// upstream. It does not if connections to several upstreams have failed and none was opened
+// since, or if one was not answered and no upstream has sent anything a moment ago either.
+func (p *paths) isWitness(refused bool, now time.Time) bool {
+	if !refused && !p.isAlive(now) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.failing) < minLostPaths
+}
+
 // noteLost records that a direct connection that was begun at a time has failed, while a peer
 // reached the upstream if confirmed is set, else without any peer that could tell. It reports
 // whether the loss is newly confirmed, and whether all links count as lost from now on.
@@ -184,6 +214,15 @@
 	}
 }
 
+// noteUnhelped records that no peer could help with a lost link.
+func (p *paths) noteUnhelped(addr string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.byAddr[addr]; e != nil {
+		e.askAfter = now.Add(askInterval)
+	}
+}
+
 // noteDown records that neither this node nor a peer reached the upstream.
 func (p *paths) noteDown(addr string, now time.Time) {
 	p.mu.Lock()
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -9,8 +9,8 @@
 
 // Peers is what a node knows of the other nodes and of the upstreams.
 type Peers interface {
-	// Pick returns up to count live peers in random order, those of this node's failure domain
-	// first. It leaves out those for which avoid returns true.
+	// Pick returns up to count random live peers: first one of this node's failure domain, then
+	// others. It leaves out those for which avoid returns true.
 	Pick(count int, avoid func(id string) bool) []Peer
 	// IsPeer reports whether a process of another node is known and has this IP.
 	IsPeer(process Identity, ip string) bool
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -48,6 +48,9 @@
 	failure := &Error{Addr: r.addr}
 	directLeft, relayLeft := r.plan.direct, r.plan.relay
 	for {
+		if !directLeft && !relayLeft {
+			return nil, r.fail(failure)
+		}
 		select {
 		case <-ctx.Done():
 			r.abandonDirect(directLeft)
@@ -63,6 +66,7 @@
 				return res.conn, nil
 			}
 			failure.Direct = res.err
+			r.dialer.paths.noteFailed(r.addr)
 			r.startRelay(relayCtx)
 		case res := <-r.relay:
 			relayLeft = false
@@ -73,9 +77,6 @@
 			}
 			failure.Peer = res.outcome
 		}
-		if !directLeft && !relayLeft {
-			return nil, r.fail(failure)
-		}
 	}
 }
 
@@ -126,6 +127,7 @@
 		res = <-r.direct
 	}
 	if res.err != nil {
+		r.dialer.paths.noteFailed(r.addr)
 		r.dialer.noteLost(r.addr, peer, r.directBegan, isUnanswered(res.err))
 		return
 	}
@@ -167,6 +169,7 @@
 	if e.Direct != nil && isUnanswered(e.Direct) {
 		r.dialer.noteLost(r.addr, "", r.directBegan, true)
 	}
+	r.dialer.paths.noteUnhelped(r.addr, time.Now())
 	e.linkLost = r.dialer.paths.isLost(r.addr, time.Now())
 	return e
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -316,7 +316,7 @@
 	addr := startEcho(t)
 	nodes := startNodes(t, 2, addr)
 	for _, stranger := range []Identity{{"stranger", 1}, {"node-0", 99}, {}} {
-		c := client{self: stranger, peers: nodes[0], via: &network.OS{}, avoided: map[string]time.Time{}}
+		c := client{self: stranger, peers: nodes[0], via: &network.OS{}, avoided: map[string]avoidance{}}
 		conn, outcome := c.connect(context.Background(), addr)
 		is.Equal(conn, nil)
 		is.Equal(outcome, UnknownNode)
