gateway: orders stand, and records are written again, after the table is restored

Change: an order with the same content in a later era is the known one (canary.Renew): evidence and verdict stand, and the verdict is recorded again, once, in turns. For 2.5 s after a restore an absent evacuation has not ended, one that has ended does not return, and an order of another version waits; then all orders are read. A condition that passed in another era than it was read in is checked anew. Measured: TestOrdersStandAfterTheTableIsRestored, copy without the order: fails on (0 of 12 nodes evacuate), passes now; with the order it passes on both; TestRenewedOrderKeepsItsVerdict; platform tests of restores, evacuations, verdicts pass.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -49,9 +49,10 @@
 // set if the table holds it. It reports whether the verdict differs from the known one.
 func (c *Canary) ApplyVerdict(service string, at revision.Revision, v Verdict, written bool) bool {
 	r := c.rollouts[service]
-	if r == nil || r.order.Revision != at || v == Open {
+	if r == nil || !r.isOf(at) || v == Open {
 		return false
 	}
+	written = written && at == r.order.Revision // the table may have lost an earlier record
 	changed := r.verdict != v
 	// A verdict in the table is final. One that is not recorded yet is overridden by it.
 	if r.verdict == Open || written && !r.written {
@@ -82,7 +83,7 @@
 // time it was sent.
 func (c *Canary) CountEnded(service, version string, at revision.Revision) {
 	r := c.rollouts[service]
-	if r == nil || r.order.Revision != at || version == r.order.Target {
+	if r == nil || !r.isOf(at) || version == r.order.Target {
 		return
 	}
 	r.own.OldInFlight = max(r.own.OldInFlight-1, 0)
--- a/internal/canary/exchange.go
+++ b/internal/canary/exchange.go
@@ -54,13 +54,16 @@
 // Merge adds a peer's tally. It reports whether the tally changed the verdict.
 func (c *Canary) Merge(t Tally, now time.Time) bool {
 	r := c.rollouts[t.Service]
-	if r == nil || r.order.Revision != t.Revision || t.Node == c.node && t.Born == c.born {
+	if r == nil || !r.isOf(t.Revision) || t.Node == c.node && t.Born == c.born {
 		return false
 	}
 	key := runKey{t.Node, t.Born}
 	if old, ok := r.peers[key]; ok && old.Seq >= t.Seq {
 		return false
 	}
+	// The table may have lost what it held of an earlier revision. Others may not know that one.
+	t.Written = t.Written && t.Revision == r.order.Revision
+	t.Revision = r.order.Revision
 	r.peers[key] = t
 	if t.Widened && r.widenedAt.IsZero() {
 		r.widenedAt = now
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -1,6 +1,10 @@
 package canary
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/revision"
+)
 
 // Answer is one attempt that succeeded or failed; a stream counts after its first events.
 type Answer struct {
@@ -13,7 +17,9 @@
 
 // rollout is one order and the evidence on its version.
 type rollout struct {
-	order   Order
+	order Order
+	// former are the order's earlier revisions.
+	former  []revision.Revision
 	started time.Time
 	own     Tally
 	counts  map[string]*RouteCount
--- a/internal/evacuation/orders.go
+++ b/internal/evacuation/orders.go
@@ -47,6 +47,12 @@
 	return ok && !o.Ended
 }
 
+// HasEnded reports whether a domain's last order is known to have ended.
+func (s *Orders) HasEnded(domain string) bool {
+	o, ok := s.byDomain[domain]
+	return ok && o.Ended
+}
+
 // All returns the state of each domain that ever had an order, sorted by domain name.
 func (s *Orders) All() []Order {
 	return slices.SortedFunc(maps.Values(s.byDomain), func(a, b Order) int { return strings.Compare(a.Domain, b.Domain) })
--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -18,6 +18,7 @@
 	joined := false
 	var tried time.Time
 	for {
+		joined = joined && !n.takeRejoin()
 		if !joined && time.Since(tried) >= maxRetryDelay && n.shouldJoin() {
 			tried = time.Now()
 			joined = n.join(ctx)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -25,11 +25,15 @@
 	for _, r := range c.Unreadable {
 		n.noteUnreadable(r)
 	}
-	n.applyEvacuations(c.Evacuations, fromTable)
-	if c.Complete {
+	restoring := n.isRestoring(time.Now())
+	n.applyEvacuations(n.withoutOutdated(c.Evacuations, restoring), fromTable)
+	if c.Complete && !restoring {
 		n.endMissingEvacuations(c)
 	}
 	for _, o := range c.Rollouts {
+		if restoring && n.replacesRollout(o) {
+			continue // the copy may hold an earlier order; the reading after the restore decides
+		}
 		if asOf := n.view.ordersAsOf; !waited && !asOf.IsZero() {
 			o.Late = min(time.Since(asOf), maxOrderDelay)
 		}
@@ -189,7 +193,7 @@
 // applyRollout starts a rollout that has been under way for age; the caller holds mu.
 func (n *Node) applyRollout(o canary.Order, age time.Duration, from string) {
 	started := time.Now().Add(-age)
-	if !n.canary.AddOrder(o, started) {
+	if n.renewRollout(o) || !n.canary.AddOrder(o, started) {
 		return
 	}
 	if len(n.rollouts) == 0 {
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -2,18 +2,25 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/evacuation"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/gossip"
 	"github.com/hickorybank/hickorybank/internal/revision"
 )
 
 // The table may be restored from an older copy of itself. It then lacks what was written since,
-// and gives versions out again. Operators and upstreams write again what they wrote; what
-// nodes wrote is lost. The table's era tells its histories apart. A node that
+// and gives versions out again. Operators and upstreams write again what they wrote, within
+// restoreWindow; what nodes wrote is lost. The table's era tells its histories apart. A node that
 // learns of a later era takes nothing from an earlier one any more.
 
+// restoreWindow is how long after a restore the table may lack what operators and upstreams have
+// written before.
+const restoreWindow = 2500 * time.Millisecond
+
 // noteEra records the era of a reading, by this node or a peer. It reports whether the reading
 // is of the latest known era: others must not be used. The caller holds mu.
 func (n *Node) noteEra(r revision.Revision, now time.Time) (latest bool) {
@@ -57,6 +64,12 @@
 	}
 }
 
+// isRestoring reports whether the table may still lack what operators and upstreams have written
+// before its restore. The caller holds mu.
+func (n *Node) isRestoring(now time.Time) bool {
+	return !n.view.restoredAt.IsZero() && now.Sub(n.view.restoredAt) < restoreWindow
+}
+
 // isListNewer reports whether a reading of the list, at a revision and at a time of the table's
 // own clock, is newer than this node's. The clock orders the readings of one era only. The
 // caller holds mu.
@@ -80,3 +93,70 @@
 func (n *Node) isFirstOfEra(r revision.Revision) bool {
 	return n.view.listRevision > 0 && r.Era() > n.view.listRevision.Era()
 }
+
+// renewRollout applies another revision of a known order: the operator wrote it again after a
+// restore of the table. It reports whether o is such an order. The caller holds mu.
+func (n *Node) renewRollout(o canary.Order) bool {
+	known := n.canary.Revision(o.Service)
+	rewritten := o.Revision.Era() > known.Era() || time.Since(n.view.restoredAt) < restoreWindow+n.readInterval()
+	if known == 0 || !rewritten || !n.canary.Renew(o) {
+		return false
+	}
+	for i := range n.rollouts {
+		if n.rollouts[i].Service == o.Service {
+			n.rollouts[i].Revision = o.Revision
+		}
+	}
+	return true
+}
+
+// replacesRollout reports whether an order of the table names another version than the known
+// order of its service. The caller holds mu.
+func (n *Node) replacesRollout(o canary.Order) bool {
+	target := n.canary.Target(o.Service)
+	return target != "" && target != o.Target
+}
+
+// withoutOutdated returns the evacuation orders of a reading. While the table may lack the end of
+// an order, one that is known to have ended is left out. The caller holds mu.
+func (n *Node) withoutOutdated(orders []evacuation.Order, restoring bool) []evacuation.Order {
+	if !restoring {
+		return orders
+	}
+	return slices.DeleteFunc(slices.Clone(orders), func(o evacuation.Order) bool { return !o.Ended && n.evacuations.HasEnded(o.Domain) })
+}
+
+// ordersAfter returns the revision after which operator orders are read: 0, once, when a restore
+// of the table is over. Only a reading of all orders shows which are gone. The caller holds mu.
+func (n *Node) ordersAfter(now time.Time) revision.Revision {
+	if n.view.restoredAt.After(n.view.ordersReadWholeAt) && !n.isRestoring(now) {
+		return 0
+	}
+	return n.view.ordersRevision
+}
+
+// noteOrdersReadWhole records that all operator orders were read by a call that began at a time.
+func (n *Node) noteOrdersReadWhole(began time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.isRestoring(began) {
+		n.view.ordersReadWholeAt = began
+	}
+}
+
+// takeRejoin reports whether the table has lost what nodes wrote since the last call: this node
+// has to record itself again.
+func (n *Node) takeRejoin() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	due := n.view.restoredAt.After(n.view.rejoinedAt)
+	n.view.rejoinedAt = n.view.restoredAt
+	return due
+}
+
+// lastRestore returns when the table was last known to be restored.
+func (n *Node) lastRestore() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.restoredAt
+}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -26,8 +26,11 @@
 // followSnapshots keeps the snapshot of the list up to date; only one node of the
 // deployment writes.
 func (n *Node) followSnapshots(ctx context.Context) {
-	saved := uint64(0)
+	saved, restore := uint64(0), time.Time{}
 	for pause(ctx, snapshotInterval) {
+		if last := n.lastRestore(); last != restore {
+			saved, restore = 0, last // the copy holds an earlier snapshot or none
+		}
 		records, hash := n.snapshotDue(saved)
 		if len(records) > 0 && n.saveSnapshot(ctx, records) {
 			saved = hash
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -128,15 +128,19 @@
 	n.mu.Unlock()
 	read, clock := revision.Revision(0), time.Duration(0)
 	for {
+		began := time.Now()
 		n.mu.Lock()
-		after := n.view.ordersRevision
+		after, first := n.ordersAfter(began), n.view.ordersRevision == 0
 		n.mu.Unlock()
 		orders, err := n.fetchOrders(ctx, after, wait)
 		n.sourceResult("orders", err)
 		if err != nil || !n.noteReadingEra(orders.Revision, time.Now()) {
 			return false
 		}
-		n.applyOrdersChange(ctx, orders, after == 0, wait > 0)
+		n.applyOrdersChange(ctx, orders, first, wait > 0)
+		if after == 0 {
+			n.noteOrdersReadWhole(began)
+		}
 		read, clock = orders.Revision, orders.Clock
 		if len(orders.Config) < largeConfigBytes || orders.Revision <= after {
 			break
--- a/internal/gateway/table_view.go
+++ b/internal/gateway/table_view.go
@@ -19,6 +19,10 @@
 	era        uint64
 	eraKnown   bool
 	restoredAt time.Time
+	// rejoinedAt is the restore after which this node has recorded itself again.
+	rejoinedAt time.Time
+	// ordersReadWholeAt is when this node last read all operator orders after a restore.
+	ordersReadWholeAt time.Time
 	// listAsOf is when the latest reading of the list began that the node has applied, its
 	// own or a peer's. ordersAsOf is the time as of which operator orders are known.
 	// ordersPendingAt is when a large order was last known to be in transfer to the reader.
