node: an upstream that is out of reach has not crashed

The requests that ran there became suspects at all nodes. Change: only a refused connection is a crash. Without peers to ask, a node whose connections are refused on its own link still accuses.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -245,10 +245,10 @@
 }
 
 // streamLost reports whether the error of a resumption shows that the engine that ran the
-// attempt crashed: it cannot be connected to, or it has restarted without the attempt. An
-// engine that is only slow or briefly unreachable still has the stream.
+// attempt crashed: it refuses connections, or it has restarted without the attempt. An
+// engine that is only slow or unreachable still has the stream.
 func streamLost(err error) bool {
-	return reachOf(err) == upstream.NotSent || errors.Is(err, upstream.ErrUnknownStream)
+	return isRefused(err) || errors.Is(err, upstream.ErrUnknownStream)
 }
 
 func reachOf(err error) upstream.Reach {
--- a/internal/node/crash.go
+++ b/internal/node/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/platform"
@@ -43,15 +45,21 @@
 		switch {
 		case err == nil:
 			return epoch != 0 && report.Epoch != epoch
-		case reachOf(err) == upstream.NotSent:
+		case isRefused(err):
 			return true
-		case ctx.Err() != nil:
+		case ctx.Err() != nil || reachOf(err) == upstream.NotSent:
 			return false
 		}
 	}
 	return true
 }
 
+// isRefused reports whether a call failed because nothing listens at the upstream's address, as
+// opposed to one that is out of reach.
+func isRefused(err error) bool {
+	return reachOf(err) == upstream.NotSent && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // pause waits for d; it returns false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
