--- a/internal/upstream/client/options.go
+++ b/internal/upstream/client/options.go
@@ -1,10 +1,17 @@
 package client
 
 import (
+	"context"
 	"net"
 	"time"
 )
 
+// Dialer opens connections to upstreams.
+type Dialer interface {
+	// Dial connects to a host and port. ctx bounds the connection set-up only.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
 // Options configures the connections to upstreams. Zero fields use the defaults.
 type Options struct {
 	// DialTimeout is the time limit for connecting.
@@ -12,6 +19,9 @@
 	// HeaderTimeout is the time limit from the last byte of the request to the headers
 	// of the response. An engine sends the headers before the first token.
 	HeaderTimeout time.Duration
+	// Dialer opens the connections; nil for one that connects from this host. DialTimeout
+	// and Source are then its own.
+	Dialer Dialer
 	// Source is the IP to connect from; nil leaves the choice to the system.
 	Source net.IP
 	// IdlePerHost is the maximum number of idle connections per upstream.
--- a/internal/upstream/client/transport.go
+++ b/internal/upstream/client/transport.go
@@ -9,12 +9,12 @@
 // newTransport returns an HTTP transport whose connections are all of type *sealableConn.
 // Compression is off, since it would delay the chunks of a stream.
 func newTransport(o Options) *http.Transport {
-	dialer := net.Dialer{Timeout: o.DialTimeout}
-	if o.Source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: o.Source}
+	dialer := o.Dialer
+	if dialer == nil {
+		dialer = NewDirectDialer(o)
 	}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, addr)
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) {
+		c, err := dialer.Dial(ctx, addr)
 		if err != nil {
 			return nil, err
 		}
