node: an engine that does not know an attempt has not failed its version

What callers saw: in a test, all requests of a version refused with version_held at all nodes, 98 each at four nodes, for the rest of the run; event 1500, reason=errors, a fifth of a second after two of four nodes had lost their links. Cause: a resumption that the engine answers with 404, as it never received the attempt or has restarted, counted as an error that the engine reported of the version; with many at once the version turned bad and was held for good. The check for a crash behind it was never reached. Change: such an attempt is abandoned as before, without evidence against the version; it is a crash only if the engine refuses connections or has another epoch.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -225,13 +225,15 @@
 		return r.interrupted(ctx)
 	}
 	r.node.observe(r.current.vm.Addr, err)
+	if resuming && errors.Is(err, upstream.ErrUnknownStream) {
+		return r.streamUnknown()
+	}
 	if r.engineFailed(err) {
 		r.node.chooser.ObserveError(r.current.version, r.class.Name, time.Now())
 		return r.machine.EngineFailed(r.current.attempt)
 	}
-	if resuming && !r.current.adopted && (streamLost(err) || r.node.hasCrashed(r.current.vm, r.current.epoch)) {
-		r.node.suspects.crashed(r.current.vm.ID, r.current.epoch)
-		r.current.concluded = true
+	if resuming && (isRefused(err) || r.node.hasCrashed(r.current.vm, r.current.epoch)) {
+		r.upstreamCrashed()
 	}
 	return r.machine.ConnectionFailed(r.current.attempt, reachOf(err), resuming)
 }
@@ -244,13 +246,6 @@
 	return reachOf(err) == upstream.MaybeRun && (errors.As(err, &status) || errors.As(err, &inStream))
 }
 
-// streamLost reports whether the error of a resumption shows that the engine that ran the
-// attempt crashed: it refuses connections, or it has restarted without the attempt. An
-// engine that is only slow or unreachable still has the stream.
-func streamLost(err error) bool {
-	return isRefused(err) || errors.Is(err, upstream.ErrUnknownStream)
-}
-
 func reachOf(err error) upstream.Reach {
 	var e *upstream.Error
 	if errors.As(err, &e) {
