--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -140,36 +140,27 @@
 			far.offer(m, count)
 		}
 	}
-	// One peer of this failure domain, then others: its nodes often lose their links together.
-	all := near.sample[:min(len(near.sample), 1)]
-	all = append(all, far.sample...)
-	if len(near.sample) > 1 {
-		all = append(all, near.sample[1:]...)
-	}
-	var picked []relay.Peer
-	for _, m := range all[:min(len(all), count)] {
-		picked = append(picked, relay.Peer{ID: m.ID, Addr: m.Peer})
-	}
-	return picked
+	return relay.Prefer(near.sample, far.sample, count)
 }
 
 // sampler draws a random sample of members in one pass.
 type sampler struct {
-	sample  []gossip.Member
+	sample  []relay.Peer
 	offered int
 }
 
 // offer includes a member in a sample of count members with equal probability.
 func (s *sampler) offer(m gossip.Member, count int) {
+	p := relay.Peer{ID: m.ID, Addr: m.Peer}
 	s.offered++
 	if len(s.sample) < count {
-		s.sample = append(s.sample, m)
+		s.sample = append(s.sample, p)
 		i := rand.IntN(len(s.sample))
 		s.sample[i], s.sample[len(s.sample)-1] = s.sample[len(s.sample)-1], s.sample[i]
 		return
 	}
 	if i := rand.IntN(s.offered); i < count {
-		s.sample[i] = m
+		s.sample[i] = p
 	}
 }
 
--- a/internal/network/probed_dialer.go
+++ b/internal/network/probed_dialer.go
@@ -58,7 +58,7 @@
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT. On Linux it also decides when keep-alive probes give
-// up, whatever their count.
+// up, regardless of their count.
 func setUserTimeout(c *net.TCPConn, timeout time.Duration) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -109,9 +109,7 @@
 	}
 	shuffle(near)
 	shuffle(far)
-	first := min(len(near), 1)
-	all := append(append(append([]relay.Peer{}, near[:first]...), far...), near[first:]...)
-	return all[:min(len(all), count)]
+	return relay.Prefer(near, far, count)
 }
 
 // IsPeer implements [relay.Peers]. Between nodes with certificates, the connection itself has
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -35,7 +35,7 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 }
 
-// CarrierObserver is told what a carrier does. Its methods are called concurrently.
+// CarrierObserver receives the events of a carrier. Its methods are called concurrently.
 type CarrierObserver interface {
 	// Answered reports the answer to a process that asked for a connection.
 	Answered(from Identity, addr string, o Outcome)
@@ -219,7 +219,7 @@
 }
 
 // passResponse passes the upstream's bytes on in frames. It returns true if the upstream has
-// closed its connection properly and the node has been told.
+// closed its connection properly and the end has been passed on.
 func (c *Carrier) passResponse(node, upstream net.Conn) bool {
 	buf := buffers.Get().(*[frameHeadBytes + carryBufferBytes]byte)
 	defer buffers.Put(buf)
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -18,8 +18,7 @@
 	observer Observer
 }
 
-// Observer is told what a dialer learns of the node's links. Its methods are called
-// concurrently.
+// Observer receives the changes of the node's links. Its methods are called concurrently.
 type Observer interface {
 	// LinkLost reports that the direct link to an upstream is lost.
 	LinkLost(l Loss)
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -150,7 +150,7 @@
 	return lostFor, all
 }
 
-// noteFailed records that a direct connection has failed, whatever the cause.
+// noteFailed records that a direct connection has failed for any reason.
 func (p *paths) noteFailed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -17,3 +17,14 @@
 	// IsUpstream reports whether an upstream is listed at a host and port.
 	IsUpstream(addr string) bool
 }
+
+// Prefer returns up to count peers: one of this node's failure domain, then others, then the rest of
+// its own. Nodes of a failure domain often lose their links together.
+func Prefer(near, far []Peer, count int) []Peer {
+	first := min(len(near), 1)
+	all := make([]Peer, 0, len(near)+len(far))
+	all = append(all, near[:first]...)
+	all = append(all, far...)
+	all = append(all, near[first:]...)
+	return all[:min(len(all), count)]
+}
