--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -25,15 +25,14 @@
 // is of the latest known era: others must not be used. The caller holds mu.
 func (n *Node) noteEra(r revision.Revision, now time.Time) (latest bool) {
 	era := r.Era()
-	if era <= n.view.era {
-		return era == n.view.era
-	}
-	restored := n.view.eraKnown
-	n.view.era, n.view.eraKnown = era, true
-	if !restored {
+	switch {
+	case !n.view.eraKnown:
+		n.view.era, n.view.eraKnown = era, true
 		return true
+	case era <= n.view.era:
+		return era == n.view.era
 	}
-	n.view.restoredAt = now
+	n.view.era, n.view.restoredAt = era, now
 	n.view.gaplessSince = now // the list is read often until all entries are back
 	n.fleet.NoteRestore(now)
 	event.TableRestored.Log(n.log, slog.Uint64("era", era), slog.Uint64("list_version", n.view.listRevision.Version()),
@@ -45,22 +44,15 @@
 func (n *Node) noteReadingEra(r revision.Revision, now time.Time) (latest bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.view.eraKnown {
-		n.view.era, n.view.eraKnown = r.Era(), true
-	}
 	return n.noteEra(r, now)
 }
 
 // noteProofEra records the era of a peer's readings. The caller holds mu.
 func (n *Node) noteProofEra(p *gossip.Proof, now time.Time) {
 	for _, read := range []revision.Revision{p.ListRead, p.OrdersRead} {
-		if read == 0 {
-			continue
-		}
-		if !n.view.eraKnown {
-			n.view.era, n.view.eraKnown = read.Era(), true
+		if read != 0 {
+			n.noteEra(read, now)
 		}
-		n.noteEra(read, now)
 	}
 }
 
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -20,8 +20,8 @@
 	avoided map[string]avoidance
 }
 
-// avoidance is the time until which a peer is left out. One that is not excluded is asked if there is no
-// other.
+// avoidance is the time until which a peer is left out. One that is not excluded is asked if
+// there is no other.
 type avoidance struct {
 	until    time.Time
 	excluded bool
