--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,7 +24,9 @@
 	version  string
 	revision revision.Revision
 	began    time.Time
-	ended    bool
+	// firstEventAt is when the first event of the attempt's stream arrived; zero before.
+	firstEventAt time.Time
+	ended        bool
 	// reported is set once the attempt's outcome has been reported to the rollout.
 	reported bool
 	// mayHaveRunBefore is set if an earlier attempt may have run the request.
@@ -224,6 +226,7 @@
 	n.mu.Unlock()
 	n.pool.Forget(a.addr)
 	if fresh {
-		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.Int("strikes", strikes))
+		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.Int("strikes", strikes),
+			slog.Bool("begun", !a.firstEventAt.IsZero()), slog.String("parts", j.sharedParts()))
 	}
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -158,3 +158,13 @@
 	j.service = pickService(j.route, j.affinityHash)
 	j.fingerprint = crashguard.Fingerprint(j.orgName, path, j.body)
 }
+
+// sharedParts returns the IDs of the prompt's parts that other requests may share, in order.
+func (j *job) sharedParts() string {
+	blocks := j.headers.PromptBlocks
+	ids := make([]string, 0, len(blocks))
+	for _, b := range blocks[:max(len(blocks)-1, 0)] {
+		ids = append(ids, b.ID)
+	}
+	return strings.Join(ids, ",")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,7 @@
 		if len(chunk) > 0 {
 			now := time.Now()
 			if count == 0 {
-				first = now
+				first, a.firstEventAt = now, now
 			} else {
 				j.longestPause = max(j.longestPause, now.Sub(last))
 			}
