--- /dev/null
+++ b/internal/crashguard/entry.go
@@ -0,0 +1,27 @@
+package crashguard
+
+import "time"
+
+// entry is what a guard knows of a key.
+type entry struct {
+	key Key
+	// parent is the key before it in the chain of the newest strike; 0 for none.
+	parent Key
+	// struck are the crashes of upstreams that were about to answer a request with the key,
+	// cleared those of them after which such a request was answered.
+	struck, cleared crashSet
+	// sequels are those strikes whose request was sent after an earlier strike: not even crashes
+	// in quick succession then have a common cause elsewhere.
+	sequels crashSet
+	// clearedAt is when this node last learned that a strike was cleared.
+	clearedAt time.Time
+	// convictedAt is when this node convicted the key; zero if it is not convicted.
+	convictedAt time.Time
+	// trials counts the requests that were let through since the first conviction, at all
+	// nodes; trialAt is when the last one was.
+	trials  int
+	trialAt time.Time
+}
+
+// live returns the strikes that count.
+func (e *entry) live() crashSet { return e.struck.without(&e.cleared) }
--- /dev/null
+++ b/internal/crashguard/faults_test.go
@@ -0,0 +1,96 @@
+package crashguard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Fails if a bad part is not refused in time, or a sound one stays refused, beside losses of
+// engines, cuts between nodes and lost exchanges.
+func TestConvictionUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkFaults(t, drawFaults(t)) })
+}
+
+// faultCase is a spec, its bad parts, and its sound ones.
+type faultCase struct {
+	worldSpec
+	badParts, soundParts []string
+	// badFrom is when the bad parts begin to crash engines, mendedAt when they become sound;
+	// never if 0.
+	badFrom, mendedAt time.Duration
+}
+
+func drawFaults(t *rapid.T) *faultCase {
+	c := &faultCase{}
+	c.seed = rapid.Uint64().Draw(t, "seed")
+	c.nodes = rapid.IntRange(2, 40).Draw(t, "nodes")
+	c.engines = rapid.IntRange(18, 60).Draw(t, "engines")
+	c.soundPerSecond = float64(rapid.IntRange(40, 300).Draw(t, "sound"))
+	c.badPerSecond = float64(rapid.IntRange(0, 20).Draw(t, "bad"))
+	c.lost = rapid.Float64Range(0, 0.2).Draw(t, "lost")
+	siblings := rapid.IntRange(2, 300).Draw(t, "siblings")
+	c.sound, c.soundParts = soundParts(siblings), allSoundParts(siblings)
+	switch rapid.IntRange(0, 3).Draw(t, "shape") {
+	case 0:
+		c.badParts = []string{"bad"}
+		c.bad = func(*rand.Rand) []string { return []string{"first", "bad"} }
+	case 1:
+		c.badParts = []string{"bad"}
+		c.bad = func(r *rand.Rand) []string { return []string{"bad", fmt.Sprint("behind", r.IntN(siblings))} }
+	case 2:
+		c.badParts = []string{"bad"}
+		c.bad = func(r *rand.Rand) []string { return append(soundParts(siblings)(r), "bad") }
+	case 3:
+		c.badParts = []string{"bad", "worse"}
+		c.bad = func(r *rand.Rand) []string { return []string{"first", c.badParts[r.IntN(2)]} }
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "losses") {
+		c.losses = append(c.losses, time.Duration(rapid.IntRange(0, 12_000).Draw(t, "loss"))*time.Millisecond)
+	}
+	c.share = rapid.Float64Range(0.1, 1).Draw(t, "share")
+	if rapid.Bool().Draw(t, "cut") {
+		c.cutNodes = rapid.IntRange(0, c.nodes/2).Draw(t, "cut nodes")
+		c.cutFrom = time.Duration(rapid.IntRange(0, 10_000).Draw(t, "cut from")) * time.Millisecond
+		c.cutUntil = c.cutFrom + time.Duration(rapid.IntRange(0, 5_000).Draw(t, "cut for"))*time.Millisecond
+	}
+	if rapid.Bool().Draw(t, "sound at first") {
+		c.badFrom = 2 * time.Second
+	}
+	if rapid.Bool().Draw(t, "mended") {
+		c.mendedAt = 15 * time.Second
+	}
+	return c
+}
+
+func checkFaults(t *rapid.T, c *faultCase) {
+	c.isBad = func(part string, at time.Duration) bool {
+		if at < c.badFrom || c.mendedAt > 0 && at >= c.mendedAt {
+			return false
+		}
+		for _, p := range c.badParts {
+			if p == part {
+				return true
+			}
+		}
+		return false
+	}
+	w := newWorld(c.worldSpec)
+	w.run(30 * time.Second)
+	if c.cutNodes == 0 && c.mendedAt == 0 {
+		for _, part := range c.badParts {
+			if late := w.late(part, 3*time.Second); late > 3 {
+				t.Fatalf("%d requests with the part %s reached engines late", late, part)
+			}
+		}
+	}
+	if wrong := w.convicted(c.soundParts); len(wrong) > 0 {
+		t.Fatalf("sound parts are refused: %v", wrong)
+	}
+	if share := w.refusedIn(20*time.Second, 30*time.Second); share > 0.5 {
+		t.Fatalf("%.3f of the sound requests are refused", share)
+	}
+}
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -1,121 +1,254 @@
-// Package crashguard refuses requests that have crashed several upstreams, so that
-// retries of one request cannot crash the whole service.
+// Package crashguard finds out what crashes upstreams, a part that prompts share or a single
+// request, and refuses requests that contain it.
 //
-// Callers retry such a request at any node. A strike records that an upstream crashed
-// while it ran the request. Nodes exchange strikes with their peers. A request with too
-// many strikes is refused. The package does no I/O and takes no locks.
+// A crash strikes the keys of all requests that the upstream was about to answer. An answer
+// clears the earlier strikes of its keys. Nodes exchange strikes and clearances. A key is
+// convicted if it has several strikes that no other convicted key explains; see verdict.go.
+// The verdict follows from the evidence alone, so later evidence ends a wrong conviction. A
+// few trials find out whether a convicted key still crashes upstreams. The package does no
+// I/O and takes no locks.
 package crashguard
 
 import (
+	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// strikeLimit is the number of strikes at which a request is refused. One crash
-	// strikes every request that was running at the upstream. Three unrelated crashes
-	// hardly ever strike the same request.
-	strikeLimit = 3
-	// strikeTTL is how long a strike counts.
-	strikeTTL = 5 * time.Minute
-	// maxStored bounds the strikes in memory; the oldest are dropped first.
-	maxStored = 2048
-	// maxSent bounds the strikes in one message to a peer; the newest are sent.
-	maxSent = 128
+	// strikeTTL is how long a crash counts against keys that are not convicted.
+	strikeTTL = 10 * time.Minute
+	// convictionTTL is how long a crash counts against a convicted key.
+	convictionTTL = 24 * time.Hour
+	// maxKeys bounds the keys in memory.
+	maxKeys = 2048
 )
 
-// Fingerprint identifies requests with the same organisation, path and body, whatever
-// their IDs.
-func Fingerprint(organisation, path string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(organisation) // hash writes never fail
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(path)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
-// Strike is one crash of an upstream that was running the request.
-type Strike struct {
-	Fingerprint uint64
-	// Upstream identifies one incarnation of an upstream: after a restart under the same ID it
-	// can be crashed again.
-	Upstream string
-	// Age is the time since the crash, set in messages to peers.
-	Age time.Duration
-}
-
-// storedStrike is a strike with the local time of the crash.
-type storedStrike struct {
-	Strike
+// crash is the crash of one incarnation of an upstream.
+type crash struct {
+	id CrashID
+	// at is when it happened, by the clock of this node; zero if the slot is free.
 	at time.Time
 }
 
-// Guard stores the strikes that a node knows of. It is not safe for concurrent use.
+// Guard stores what a node knows of crashes. It is not safe for concurrent use.
 type Guard struct {
-	strikes []storedStrike
-	counts  map[uint64]int
+	crashes [maxCrashes]crash
+	slots   map[CrashID]int
+	keys    map[Key]*entry
+	answers answerLog
+	// dirty is set if the verdicts have to be found anew.
+	dirty bool
+	// order is the slots of all crashes by time, as of the last verdicts.
+	order     []int
+	convicted map[Key]*entry
+	verdicts  []Verdict
+}
+
+// New returns a guard that knows of no crash.
+func New() *Guard {
+	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}}
 }
 
-// New returns a guard without strikes.
-func New() *Guard { return &Guard{counts: map[uint64]int{}} }
+// Knows reports whether the crash is known.
+func (g *Guard) Knows(id CrashID) bool {
+	_, ok := g.slots[id]
+	return ok
+}
 
-// Add stores a strike and reports whether it is new. Expired strikes are ignored.
-func (g *Guard) Add(s Strike, now time.Time) bool {
-	if s.Age > strikeTTL {
+// Strike records that an upstream crashed, at the given time, while it was about to answer a
+// request with these keys, which was sent before. It reports whether a strike is new.
+func (g *Guard) Strike(id CrashID, chain Chain, sent, at, now time.Time) (fresh bool) {
+	slot := g.slot(id, at, now)
+	if slot < 0 {
 		return false
 	}
-	for _, k := range g.strikes {
-		if k.Fingerprint == s.Fingerprint && k.Upstream == s.Upstream {
-			return false
+	for i, key := range chain {
+		e := g.entry(key)
+		if i > 0 {
+			e.parent = chain[i-1]
+		}
+		if e.struck.has(slot) {
+			continue
+		}
+		if g.anyBefore(e.live(), sent) {
+			e.sequels.add(slot)
 		}
+		e.struck.add(slot)
+		fresh = true
 	}
-	g.strikes = append(g.strikes, storedStrike{s, now.Add(-s.Age)})
-	g.counts[s.Fingerprint]++
-	g.prune(now)
-	return true
+	g.dirty = g.dirty || fresh
+	g.bound(now)
+	return fresh
 }
 
-// Blocked reports whether the request has reached the strike limit.
-func (g *Guard) Blocked(fingerprint uint64) bool { return g.counts[fingerprint] >= strikeLimit }
+// anyBefore reports whether any of some crashes happened before a time.
+func (g *Guard) anyBefore(set crashSet, at time.Time) (any bool) {
+	set.each(func(slot int) { any = any || g.crashes[slot].at.Before(at) })
+	return any
+}
 
-// Strikes returns the number of strikes of the request.
-func (g *Guard) Strikes(fingerprint uint64) int { return g.counts[fingerprint] }
+// Answered records that an upstream began to answer a request with these keys at the given time,
+// and did not crash. Their earlier strikes are cleared. It reports whether there were any that
+// others should learn of.
+func (g *Guard) Answered(chain Chain, at, now time.Time) (fresh bool) {
+	for _, key := range chain {
+		g.answers.add(key, now)
+		e := g.keys[key]
+		if e == nil {
+			continue
+		}
+		e.live().each(func(slot int) {
+			if g.crashes[slot].at.Before(at) {
+				e.cleared.add(slot)
+				e.clearedAt, g.dirty, fresh = now, true, true
+			}
+		})
+	}
+	return fresh
+}
 
-// Recent returns the newest strikes, to be sent to a peer.
-func (g *Guard) Recent(now time.Time) []Strike {
-	g.prune(now)
-	var out []Strike
-	for _, k := range g.strikes[max(0, len(g.strikes)-maxSent):] {
-		s := k.Strike
-		s.Age = now.Sub(k.at)
-		out = append(out, s)
+// Strikes returns the number of strikes that count against a key.
+func (g *Guard) Strikes(key Key) int {
+	if e := g.keys[key]; e != nil {
+		return e.live().size()
 	}
-	return out
+	return 0
+}
+
+// slot returns the slot of a crash, which is added if it is unknown; -1 if it has expired.
+func (g *Guard) slot(id CrashID, at, now time.Time) int {
+	if slot, ok := g.slots[id]; ok {
+		// A time that went through peers is late by the transit, so the earliest is closest.
+		if at.Before(g.crashes[slot].at) {
+			g.crashes[slot].at = at
+		}
+		return slot
+	}
+	if now.Sub(at) > convictionTTL {
+		return -1
+	}
+	slot := slices.IndexFunc(g.crashes[:], func(c crash) bool { return c.at.IsZero() })
+	if slot < 0 {
+		slot = g.oldest()
+		g.forget(slot)
+	}
+	g.crashes[slot] = crash{id: id, at: at}
+	g.slots[id] = slot
+	return slot
+}
+
+// oldest returns the oldest crash that strikes no convicted key, or the oldest of all.
+func (g *Guard) oldest() int {
+	var kept crashSet
+	for _, e := range g.convicted {
+		kept.merge(&e.struck)
+	}
+	oldest := 0
+	for slot, c := range g.crashes {
+		if kept.has(slot) != kept.has(oldest) {
+			if kept.has(oldest) {
+				oldest = slot
+			}
+		} else if c.at.Before(g.crashes[oldest].at) {
+			oldest = slot
+		}
+	}
+	return oldest
 }
 
-// prune drops expired strikes and the oldest ones beyond maxStored.
-func (g *Guard) prune(now time.Time) {
-	g.strikes = slices.DeleteFunc(g.strikes, func(k storedStrike) bool {
-		old := now.Sub(k.at) > strikeTTL
-		if old {
-			g.decrement(k.Fingerprint)
+// forget frees the slot of a crash.
+func (g *Guard) forget(slot int) {
+	delete(g.slots, g.crashes[slot].id)
+	g.crashes[slot] = crash{}
+	for key, e := range g.keys {
+		e.struck.remove(slot)
+		e.cleared.remove(slot)
+		e.sequels.remove(slot)
+		if e.struck.empty() && e.trials == 0 {
+			delete(g.keys, key)
+			delete(g.convicted, key)
 		}
-		return old
+	}
+	g.dirty = true
+}
+
+// entry returns the entry of a key, which is added if there is none.
+func (g *Guard) entry(key Key) *entry {
+	e := g.keys[key]
+	if e == nil {
+		e = &entry{key: key}
+		g.keys[key] = e
+	}
+	return e
+}
+
+// bound drops expired crashes, and beyond maxKeys the keys that matter least.
+func (g *Guard) bound(now time.Time) {
+	for slot, c := range g.crashes {
+		if c.at.IsZero() || now.Sub(c.at) <= strikeTTL {
+			continue
+		}
+		if now.Sub(c.at) > convictionTTL || !g.strikesConvicted(slot) {
+			g.forget(slot)
+		}
+	}
+	if len(g.keys) <= maxKeys {
+		return
+	}
+	all := g.byWeight(maps.Values(g.keys))
+	for _, e := range all[maxKeys*3/4:] {
+		delete(g.keys, e.key)
+		delete(g.convicted, e.key)
+	}
+	g.dirty = true
+}
+
+func (g *Guard) strikesConvicted(slot int) bool {
+	for _, e := range g.convicted {
+		if e.struck.has(slot) {
+			return true
+		}
+	}
+	return false
+}
+
+// byWeight sorts keys, the most important first: convicted ones, those that were tried, and then by
+// their strikes, the newest first.
+func (g *Guard) byWeight(keys iter.Seq[*entry]) []*entry {
+	type weighed struct {
+		*entry
+		class, strikes int
+		newest         time.Time
+	}
+	var all []weighed
+	for e := range keys {
+		live := e.live()
+		w := weighed{entry: e, strikes: live.size()}
+		live.each(func(slot int) { w.newest = later(w.newest, g.crashes[slot].at) })
+		switch {
+		case !e.convictedAt.IsZero():
+			w.class = 2
+		case e.trials > 0:
+			w.class = 1
+		}
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		return cmp.Or(-cmp.Compare(a.class, b.class), -cmp.Compare(a.strikes, b.strikes), -a.newest.Compare(b.newest), cmp.Compare(a.key, b.key))
 	})
-	for len(g.strikes) > maxStored {
-		g.decrement(g.strikes[0].Fingerprint)
-		g.strikes = g.strikes[1:]
+	out := make([]*entry, len(all))
+	for i, w := range all {
+		out[i] = w.entry
 	}
+	return out
 }
 
-// decrement lowers the request's count after one of its strikes was dropped.
-func (g *Guard) decrement(fingerprint uint64) {
-	g.counts[fingerprint]--
-	if g.counts[fingerprint] <= 0 {
-		delete(g.counts, fingerprint)
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -8,56 +8,213 @@
 	"github.com/matryer/is"
 )
 
-// A request that crashes one upstream after the other is blocked. Strikes from several
-// nodes add up, and the third one blocks the request. A request that ran beside it once
-// is not blocked.
-func TestRequestIsBlockedAfterThreeCrashes(t *testing.T) {
+// evidence builds the evidence of one guard step by step.
+type evidence struct {
+	g   *Guard
+	now time.Time
+	n   int
+}
+
+func newEvidence() *evidence { return &evidence{g: New(), now: time.Unix(1000, 0)} }
+
+// chain returns the chain of a new request with some parts.
+func (e *evidence) chain(parts ...string) Chain {
+	e.n++
+	var c Chain
+	for _, p := range parts {
+		c = append(c, PartKey(p))
+	}
+	return append(c, RequestKey("org", "/a", []byte(fmt.Sprint(e.n))))
+}
+
+// crash lets an upstream crash under some requests, half a second after the crash before.
+func (e *evidence) crash(running ...Chain) {
+	e.now = e.now.Add(500 * time.Millisecond)
+	e.n++
+	for _, c := range running {
+		e.g.Strike(NewCrashID(fmt.Sprint(e.n)), c, e.now, e.now, e.now)
+	}
+}
+
+// answer answers a new request with some parts.
+func (e *evidence) answer(parts ...string) bool {
+	e.now = e.now.Add(10 * time.Millisecond)
+	return e.g.Answered(e.chain(parts...), e.now, e.now)
+}
+
+func (e *evidence) convicted(part string) bool {
+	return len(e.g.Convicted(Chain{PartKey(part)}, e.now)) > 0
+}
+
+// Fails if a request that crashes one upstream after the other is not refused everywhere, or one
+// that ran beside it once is.
+func TestRequestIsConvictedAfterThreeCrashes(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
 	here, there := New(), New()
-	crasher, bystander := Fingerprint("org", "/a", []byte("x")), Fingerprint("org", "/a", []byte("y"))
-	is.True(here.Add(Strike{Fingerprint: crasher, Upstream: "i-1"}, now))
-	is.True(!here.Add(Strike{Fingerprint: crasher, Upstream: "i-1"}, now)) // a duplicate of the same crash
-	is.True(here.Add(Strike{Fingerprint: bystander, Upstream: "i-1"}, now))
-	is.True(there.Add(Strike{Fingerprint: crasher, Upstream: "i-2"}, now))
-	for _, s := range here.Recent(now) {
-		there.Add(s, now)
+	now := time.Unix(1000, 0)
+	crasher, bystander := Chain{RequestKey("org", "/a", []byte("x"))}, Chain{RequestKey("org", "/a", []byte("y"))}
+	is.True(here.Strike(NewCrashID("i-1"), crasher, now, now, now))
+	is.True(!here.Strike(NewCrashID("i-1"), crasher, now, now, now)) // a duplicate of the same crash
+	is.True(here.Strike(NewCrashID("i-1"), bystander, now, now, now))
+	is.True(there.Strike(NewCrashID("i-2"), crasher, now.Add(time.Second), now.Add(time.Second), now.Add(time.Second)))
+	now = now.Add(2 * time.Second)
+	is.True(there.Merge(here.Report(now), now)) // others should learn of it
+	is.Equal(len(there.Convicted(crasher, now)), 0)
+	is.True(there.Strike(NewCrashID("i-3"), crasher, now, now, now))
+	is.Equal(len(there.Convicted(crasher, now)), 1)
+	is.Equal(there.Strikes(crasher[0]), 3)
+	is.Equal(len(there.Convicted(bystander, now)), 0)
+	here.Merge(there.Report(now), now)
+	is.Equal(len(here.Convicted(crasher, now)), 1)
+}
+
+// Fails if different requests with a common part never add up, or the parts beside it are convicted
+// for it.
+func TestCommonPartIsConvicted(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.answer("first", "sound")
+	for i := range 3 {
+		e.crash(e.chain("first", "bad"), e.chain("first", fmt.Sprint("beside", i)), e.chain("first", "sound"))
+		is.Equal(e.convicted("bad"), i == 2)
 	}
-	is.True(!there.Blocked(crasher))
-	is.True(there.Add(Strike{Fingerprint: crasher, Upstream: "i-3"}, now))
-	is.True(there.Blocked(crasher))
-	is.Equal(there.Strikes(crasher), 3)
-	is.True(!there.Blocked(bystander))
+	is.True(!e.convicted("first"))
+	is.True(!e.convicted("sound"))
+	is.True(!e.convicted("beside0"))
 }
 
-// Memory and messages stay bounded: strikes expire, and the numbers stored and sent are
-// limited.
-func TestStrikesExpireAndAreBounded(t *testing.T) {
+// Fails if the first part of prompts is not convicted because each of its crashes has another part
+// behind it.
+func TestPartIsConvictedBeforeThoseBehindIt(t *testing.T) {
 	is := is.New(t)
-	g := New()
-	now := time.Unix(1000, 0)
-	for i := range maxStored + 10 {
-		g.Add(Strike{Fingerprint: uint64(i), Upstream: "i-1"}, now)
+	e := newEvidence()
+	for i := range 4 {
+		e.crash(e.chain("bad", fmt.Sprint("behind", i%2)))
+	}
+	is.True(e.convicted("bad"))
+	is.True(!e.convicted("behind0"))
+}
+
+// Fails if a part is convicted for a loss of many upstreams at once.
+func TestLossOfManyUpstreamsConvictsNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for i := range 20 {
+		at := e.now.Add(time.Duration(i) * time.Millisecond)
+		e.g.Strike(NewCrashID(fmt.Sprint("i-", i)), e.chain("first", "second"), e.now.Add(-time.Second), at, at)
+	}
+	e.now = e.now.Add(time.Minute)
+	is.True(!e.convicted("first"))
+	is.True(!e.convicted("second"))
+}
+
+// Fails if answers between crashes do not speak for a part, or those before the crashes for good.
+func TestAnswersClearEarlierStrikes(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.answer("part")
+	e.crash(e.chain("part"))
+	e.crash(e.chain("part"))
+	is.True(e.answer("part"))
+	is.True(!e.answer("part")) // nothing is left to clear
+	for range minMomentsAnswered {
+		is.True(!e.convicted("part"))
+		e.crash(e.chain("part"))
+	}
+	is.True(e.convicted("part"))
+}
+
+// Fails if a conviction on a part of the evidence stays when the rest is known.
+func TestLaterEvidenceEndsAWrongConviction(t *testing.T) {
+	is := is.New(t)
+	e, other := newEvidence(), New()
+	for range 5 {
+		e.crash(e.chain("first", "beside"))
+		if e.n > 2 {
+			other.Strike(NewCrashID(fmt.Sprint(e.n)), e.chain("first", "bad"), e.now, e.now, e.now)
+		}
+	}
+	is.True(e.convicted("beside"))
+	for i := range 5 {
+		e.crash()
+		at := e.now
+		other.Strike(NewCrashID(fmt.Sprint("other", i)), e.chain("first", "bad"), at, at, at)
+	}
+	e.g.Merge(other.Report(e.now), e.now)
+	is.True(e.convicted("bad"))
+	is.True(!e.convicted("beside"))
+}
+
+// Fails if trials of a convicted part never come, have no bound, or do not end the conviction.
+func TestTrialsEndAConviction(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for range 3 {
+		e.crash(e.chain("part"))
+	}
+	key := PartKey("part")
+	is.True(e.convicted("part"))
+	_, due := e.g.TrialDue(key, e.now.Add(trialDelays[0]-time.Second))
+	is.True(!due)
+	for _, delay := range trialDelays {
+		e.now = e.now.Add(delay)
+		_, due = e.g.TrialDue(key, e.now)
+		is.True(due)
+		e.g.StartTrial(key, e.now)
+	}
+	_, due = e.g.TrialDue(key, e.now.Add(12*time.Hour))
+	is.True(!due)
+	peer := New()
+	peer.Merge(e.g.Report(e.now), e.now)
+	_, due = peer.TrialDue(key, e.now.Add(12*time.Hour))
+	is.True(!due) // trials count at all nodes
+	is.True(e.answer("part"))
+	is.True(!e.convicted("part"))
+	is.True(peer.Merge(e.g.Report(e.now), e.now))
+	is.Equal(len(peer.Convicted(Chain{key}, e.now)), 0)
+}
+
+// Fails if a conviction does not outlast a storm, or memory and reports are not bounded.
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for range 3 {
+		e.crash(e.chain("bad"))
+	}
+	is.True(e.convicted("bad"))
+	for i := range 2 * maxCrashes {
+		var running []Chain
+		for k := range 20 {
+			running = append(running, e.chain(fmt.Sprint("p", i, k)))
+		}
+		e.crash(running...)
 	}
-	is.Equal(len(g.strikes), maxStored)
-	is.Equal(len(g.Recent(now)), maxSent)
-	is.Equal(len(g.Recent(now.Add(strikeTTL+time.Second))), 0)
-	is.Equal(len(g.counts), 0)
-	is.True(!g.Add(Strike{Fingerprint: 1, Upstream: "i-1", Age: strikeTTL + 1}, now))
+	is.True(e.convicted("bad"))
+	is.True(len(e.g.keys) <= maxKeys)
+	is.True(len(e.g.slots) <= maxCrashes)
+	r := e.g.Report(e.now)
+	is.True(len(r.Keys) <= maxSentKeys)
+	is.True(len(r.Crashes) <= maxCrashes)
+	peer := New()
+	peer.Merge(r, e.now)
+	is.Equal(len(peer.Convicted(Chain{PartKey("bad")}, e.now)), 1)
+	e.now = e.now.Add(convictionTTL + time.Minute)
+	is.Equal(len(e.g.Report(e.now).Keys), 0)
+	is.Equal(len(e.g.slots), 0)
+	is.True(!e.convicted("bad"))
 }
 
-// Fingerprints do not collide: requests that differ in organisation, path or body have
-// different ones.
-func TestDifferentRequestsHaveDifferentFingerprints(t *testing.T) {
+// Fails if requests that differ in organisation, path or body have one key.
+func TestDifferentRequestsHaveDifferentKeys(t *testing.T) {
 	is := is.New(t)
-	seen := map[uint64]string{}
+	seen := map[Key]string{}
 	for _, org := range []string{"", "a", "ab"} {
 		for _, path := range []string{"", "a", "b"} {
 			for _, body := range []string{"", "a", "\x00"} {
-				fingerprint := Fingerprint(org, path, []byte(body))
+				key := RequestKey(org, path, []byte(body))
 				name := fmt.Sprintf("%q %q %q", org, path, body)
-				is.Equal(seen[fingerprint], "") // no other request has this fingerprint
-				seen[fingerprint] = name
+				is.Equal(seen[key], "") // no other request has this key
+				seen[key] = name
 			}
 		}
 	}
--- /dev/null
+++ b/internal/crashguard/report.go
@@ -0,0 +1,177 @@
+package crashguard
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxSentKeys bounds the keys of one report.
+	maxSentKeys = 48
+	// clearanceTime is for how long a clearance is sent first.
+	clearanceTime = 5 * time.Second
+)
+
+// Report is a part of what a node knows of crashes, as it is sent to peers.
+type Report struct {
+	Crashes []ReportedCrash
+	Keys    []ReportedKey
+}
+
+// ReportedCrash is a crash and the time since then.
+type ReportedCrash struct {
+	ID  CrashID
+	Age time.Duration
+}
+
+// ReportedKey is what a node knows of a key. Struck, Cleared and Sequels are bit sets of indexes
+// into the report's crashes.
+type ReportedKey struct {
+	Key, Parent              Key
+	Struck, Cleared, Sequels []byte
+	Trials                   int
+	// TrialAge is the time since the last trial.
+	TrialAge time.Duration
+}
+
+// Report returns the most important part of what the guard knows.
+func (g *Guard) Report(now time.Time) Report {
+	if len(g.keys) == 0 {
+		return Report{}
+	}
+	g.bound(now)
+	g.judge(now)
+	var r Report
+	index := map[int]int{}
+	for _, e := range g.toReport(now) {
+		k := ReportedKey{Key: e.key, Parent: e.parent, Trials: e.trials}
+		if e.trials > 0 {
+			k.TrialAge = now.Sub(e.trialAt)
+		}
+		e.struck.each(func(slot int) {
+			i, ok := index[slot]
+			if !ok {
+				i = len(r.Crashes)
+				index[slot] = i
+				r.Crashes = append(r.Crashes, ReportedCrash{ID: g.crashes[slot].id, Age: now.Sub(g.crashes[slot].at)})
+			}
+			k.Struck = setBit(k.Struck, i)
+			if e.cleared.has(slot) {
+				k.Cleared = setBit(k.Cleared, i)
+			}
+			if e.sequels.has(slot) {
+				k.Sequels = setBit(k.Sequels, i)
+			}
+		})
+		r.Keys = append(r.Keys, k)
+	}
+	return r
+}
+
+// toReport returns the keys to report: convicted ones, recent clearances, and the others by their
+// strikes.
+func (g *Guard) toReport(now time.Time) []*entry {
+	newest := g.newestCrashes()
+	var first, rest []*entry
+	for _, e := range g.byWeight(func(yield func(*entry) bool) {
+		for _, e := range g.keys {
+			if (g.isSentFirst(e, now) || e.live().size() > 1 || e.live().common(&newest) > 0) && !yield(e) {
+				return
+			}
+		}
+	}) {
+		if g.isSentFirst(e, now) {
+			first = append(first, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	all := slices.Concat(first[:min(len(first), maxSentKeys*3/4)], rest)
+	return all[:min(len(all), maxSentKeys)]
+}
+
+func (g *Guard) isSentFirst(e *entry, now time.Time) bool {
+	return !e.convictedAt.IsZero() || e.trials > 0 || !e.clearedAt.IsZero() && now.Sub(e.clearedAt) < clearanceTime
+}
+
+// sentCrashes is the number of crashes whose keys are sent with a single strike.
+const sentCrashes = 4
+
+// newestCrashes returns the newest crashes.
+func (g *Guard) newestCrashes() (newest crashSet) {
+	for range sentCrashes {
+		best := -1
+		for slot, c := range g.crashes {
+			if !c.at.IsZero() && !newest.has(slot) && (best < 0 || c.at.After(g.crashes[best].at)) {
+				best = slot
+			}
+		}
+		if best >= 0 {
+			newest.add(best)
+		}
+	}
+	return newest
+}
+
+// Merge adds what a peer reports. It reports whether that matters to other nodes soon: a key has
+// repeated strikes that are new here, or its verdict, strikes or trials have changed.
+func (g *Guard) Merge(r Report, now time.Time) (urgent bool) {
+	slots := make([]int, len(r.Crashes))
+	for i, c := range r.Crashes {
+		slots[i] = g.slot(c.ID, now.Add(-c.Age), now)
+	}
+	for i, slot := range slots {
+		if slot >= 0 && g.crashes[slot].id != r.Crashes[i].ID {
+			slots[i] = -1 // a later one has taken its slot
+		}
+	}
+	for i := range r.Keys {
+		urgent = g.mergeKey(&r.Keys[i], slots, now) || urgent
+	}
+	g.bound(now)
+	return urgent
+}
+
+func (g *Guard) mergeKey(k *ReportedKey, slots []int, now time.Time) (urgent bool) {
+	e := g.entry(k.Key)
+	if e.parent == 0 {
+		e.parent = k.Parent
+	}
+	struck, cleared, sequels, before := e.struck, e.cleared, e.sequels, e.live()
+	for i, slot := range slots {
+		if slot < 0 || !hasBit(k.Struck, i) {
+			continue
+		}
+		e.struck.add(slot)
+		if hasBit(k.Cleared, i) {
+			e.cleared.add(slot)
+		}
+		if hasBit(k.Sequels, i) {
+			e.sequels.add(slot)
+		}
+	}
+	if e.cleared != cleared && !before.empty() {
+		e.clearedAt, urgent = now, true
+	}
+	if live := e.live(); e.struck != struck && live != before && live.common(&live) >= rivalCrashes {
+		urgent = true
+	}
+	if k.Trials > e.trials {
+		e.trials, e.trialAt, urgent = k.Trials, now.Add(-k.TrialAge), true
+	}
+	g.dirty = g.dirty || e.struck != struck || e.cleared != cleared || e.sequels != sequels
+	if e.struck.empty() && e.trials == 0 {
+		delete(g.keys, k.Key) // all its crashes have expired
+	}
+	return urgent
+}
+
+func setBit(set []byte, i int) []byte {
+	for len(set) <= i/8 {
+		set = append(set, 0)
+	}
+	set[i/8] |= 1 << (i % 8)
+	return set
+}
+
+func hasBit(set []byte, i int) bool { return i/8 < len(set) && set[i/8]&(1<<(i%8)) != 0 }
--- /dev/null
+++ b/internal/crashguard/trial.go
@@ -0,0 +1,32 @@
+package crashguard
+
+import "time"
+
+// trialDelays are the times from a conviction to the first trial of the key, and from each trial
+// to the next. There are no more trials than delays: each of them may crash an upstream.
+var trialDelays = [...]time.Duration{5 * time.Second, time.Minute}
+
+// trialRankStep is the time after which the number of nodes that may make a trial doubles. A
+// trial is known to all nodes before the next one may make another.
+const trialRankStep = 2 * time.Second
+
+// TrialDue returns for how long a trial of a convicted key has been due; false if none is due.
+func (g *Guard) TrialDue(key Key, now time.Time) (time.Duration, bool) {
+	e := g.convicted[key]
+	if e == nil || e.trials >= len(trialDelays) {
+		return 0, false
+	}
+	due := now.Sub(later(e.convictedAt, e.trialAt)) - trialDelays[e.trials]
+	return due, due >= 0
+}
+
+// TrialNodes returns how many nodes may make a trial that has been due for some time.
+func TrialNodes(due time.Duration) int { return 1 << min(due/trialRankStep, 20) }
+
+// StartTrial records that a request with the convicted key is let through.
+func (g *Guard) StartTrial(key Key, now time.Time) {
+	if e := g.convicted[key]; e != nil {
+		e.trials++
+		e.trialAt = now
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"context"
-	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
-	"github.com/hickorybank/hickorybank/internal/crashguard"
-	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/revision"
 )
@@ -24,9 +21,14 @@
 	version  string
 	revision revision.Revision
 	began    time.Time
-	// firstEventAt is when the first event of the attempt's stream arrived; zero before.
-	firstEventAt time.Time
-	ended        bool
+	// startedAt is when the head of the answer arrived, firstEventAt when the first event of
+	// its stream did; zero before.
+	startedAt, firstEventAt time.Time
+	// answered is set once the parts of the prompt are known not to have crashed the upstream.
+	answered bool
+	// convicted is set once the attempt is cancelled because a part of it was convicted.
+	convicted atomic.Bool
+	ended     bool
 	// reported is set once the attempt's outcome has been reported to the rollout.
 	reported bool
 	// mayHaveRunBefore is set if an earlier attempt may have run the request.
@@ -87,8 +89,7 @@
 		Regions: j.regions(),
 		Seed:    j.affinityHash ^ uint64(j.node.incarnation) ^ uint64(j.start.UnixNano()) ^ uint64(len(j.tried)),
 	}
-	// The last part belongs to this request alone.
-	for _, p := range j.headers.PromptBlocks[:max(len(j.headers.PromptBlocks)-1, 0)] {
+	for _, p := range j.sharedBlocks() {
 		spec.PrefixBlocks = append(spec.PrefixBlocks, fleet.PrefixBlock{ID: p.ID, Tokens: p.Tokens})
 	}
 	return spec
@@ -121,21 +122,24 @@
 	return j.headers.Model
 }
 
-// upstreamAccepts reports whether the attempt's upstream still accepts new work. The
-// upstream may have announced a limit or its end while the attempt waited for a connection.
-func (a *attempt) upstreamAccepts() bool {
+// maySend reports whether the attempt's upstream still accepts new work, and its request may
+// still run. While the attempt waited for a connection, the upstream may have announced a
+// limit or its end, and a part of the request may have been convicted.
+func (a *attempt) maySend() bool {
 	n := a.job.node
+	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.StillAccepts(a.up, time.Now())
+	return n.fleet.StillAccepts(a.up, now) && n.mayRun(a.job, now)
 }
 
 // markStarted records that the attempt's answer has begun.
 func (a *attempt) markStarted() {
 	n := a.job.node
+	a.startedAt = time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.fleet.ResponseStarted(a.up, a.work, time.Now())
+	n.fleet.ResponseStarted(a.up, a.work, a.startedAt)
 }
 
 // finish records the attempt's result; only the first call counts.
@@ -148,6 +152,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.pending, a)
 	n.fleet.End(a.up, a.work, result, now)
 	n.canary.CountEnded(a.job.service, a.version, a.revision)
 }
@@ -180,14 +185,6 @@
 	n.fleet.MarkReplaced(a.up)
 }
 
-// blocked reports whether requests with this fingerprint are blocked for crashing
-// upstreams.
-func (n *Node) blocked(print uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.crashGuard.Blocked(print)
-}
-
 // countRequest adds a request to its service's retry budget.
 func (n *Node) countRequest(service string) {
 	now := time.Now()
@@ -204,29 +201,3 @@
 	defer n.mu.Unlock()
 	return n.budget(service, now).Allow(now, reserve)
 }
-
-// crashProbeTimeout bounds the connection attempts, direct and through a peer, that check
-// whether an upstream still listens.
-const crashProbeTimeout = 300 * time.Millisecond
-
-// suspectCrash checks whether an upstream that broke off an answer has crashed, which shows
-// in its address refusing connections. The crash then counts as a strike against the
-// request's fingerprint. An upstream that only lost one connection causes no strike, nor does
-// one that is out of reach.
-func (n *Node) suspectCrash(j *job, a *attempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	if !n.links.dialer.IsRefused(ctx, a.addr) {
-		return
-	}
-	now := time.Now()
-	n.mu.Lock()
-	fresh := n.crashGuard.Add(crashguard.Strike{Fingerprint: j.fingerprint, Upstream: a.up.Incarnation()}, now)
-	strikes := n.crashGuard.Strikes(j.fingerprint)
-	n.mu.Unlock()
-	n.pool.Forget(a.addr)
-	if fresh {
-		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.Int("strikes", strikes),
-			slog.Bool("begun", !a.firstEventAt.IsZero()), slog.String("parts", j.sharedParts()))
-	}
-}
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/gossip"
+)
+
+const (
+	// crashProbeTimeout bounds the connection attempts, direct and through a peer, that check
+	// whether an upstream still listens.
+	crashProbeTimeout = 300 * time.Millisecond
+	// answerProofTime is how long after its first event an attempt shows that the parts of its
+	// prompt do not crash the upstream.
+	answerProofTime = 250 * time.Millisecond
+	// maxRequestCrashes is the number of upstreams that may crash while they are about to
+	// answer one request. Others may be the cause of one of them.
+	maxRequestCrashes = 2
+	// crashNewsInterval is the pause between two exchanges of news of crashes, crashNewsPeers
+	// the number of peers in each.
+	crashNewsInterval = 250 * time.Millisecond
+	crashNewsPeers    = 2
+)
+
+// suspectCrash checks whether an upstream that broke off an answer has crashed, which shows
+// in its address refusing connections. The crash then counts against the request, and against
+// the parts of its prompt if its answer had not begun. An upstream that only lost one
+// connection causes no strike, nor does one that is out of reach.
+func (n *Node) suspectCrash(j *job, a *attempt) {
+	at := time.Now()
+	id := crashguard.NewCrashID(a.up.Incarnation())
+	begun := !a.firstEventAt.IsZero() && at.Sub(a.firstEventAt) >= answerProofTime
+	if !n.isCrashed(id, a.addr) {
+		return
+	}
+	chain := j.chain
+	if begun {
+		chain = chain.Request()
+	} else {
+		j.crashes++
+	}
+	n.mu.Lock()
+	fresh := n.crashGuard.Strike(id, chain, a.began, at, time.Now())
+	strikes := n.crashGuard.Strikes(j.chain[len(j.chain)-1])
+	n.mu.Unlock()
+	n.pool.Forget(a.addr)
+	if fresh {
+		n.metrics.Counter("hickorybank_crash_strikes_total").Inc()
+		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.Int("strikes", strikes),
+			slog.Bool("begun", begun), slog.String("parts", j.sharedParts()))
+		wake(n.crashNews)
+	}
+}
+
+// isCrashed reports whether an incarnation of an upstream has crashed: the crash is known, or the
+// address refuses connections.
+func (n *Node) isCrashed(id crashguard.CrashID, addr string) bool {
+	n.mu.Lock()
+	known := n.crashGuard.Knows(id)
+	n.mu.Unlock()
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	return n.links.dialer.IsRefused(ctx, addr)
+}
+
+// noteAnswered records that the upstream began to answer at the given time and did not crash.
+func (a *attempt) noteAnswered(chain crashguard.Chain, at time.Time) {
+	a.answered = true
+	n := a.job.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.pending, a)
+	if n.crashGuard.Answered(chain, at, time.Now()) {
+		wake(n.crashNews)
+	}
+}
+
+// mayRun reports whether the job may make a further attempt: no part of it is convicted of
+// crashing upstreams, and few have crashed while they were about to answer it.
+func (j *job) mayRun() bool {
+	j.node.mu.Lock()
+	defer j.node.mu.Unlock()
+	return j.crashes < maxRequestCrashes && j.node.mayRun(j, time.Now())
+}
+
+// mayRun reports whether no part of the job is convicted, or the job is a trial of the convicted
+// key; the caller holds mu.
+func (n *Node) mayRun(j *job, now time.Time) bool {
+	keys := n.crashGuard.Convicted(j.chain, now)
+	switch {
+	case len(keys) == 0:
+		return true
+	case len(keys) > 1 || j.attemptsReached > 0:
+	case j.trial == keys[0]:
+		return true
+	case n.allowTrial(keys[0], now):
+		j.trial = keys[0]
+		n.crashGuard.StartTrial(keys[0], now)
+		n.logEvent(event.CrashTrial, j, slog.String("key", keyText(keys[0])), slog.String("parts", j.sharedParts()))
+		wake(n.crashNews)
+		return true
+	}
+	j.convicted = keys[0]
+	return false
+}
+
+// allowTrial reports whether this node may let a request with a convicted key through; the caller
+// holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
+func (n *Node) allowTrial(key crashguard.Key, now time.Time) bool {
+	due, ok := n.crashGuard.TrialDue(key, now)
+	if !ok {
+		return false
+	}
+	own, before := trialHash(n.settings.ID, key), 0
+	for _, m := range n.roster.Alive() {
+		if trialHash(m.ID, key) < own {
+			before++
+		}
+	}
+	return before < crashguard.TrialNodes(due)
+}
+
+// trialHash orders the nodes that may make a trial of a key.
+func trialHash(node string, key crashguard.Key) uint64 {
+	return xxhash.Sum64String(node + keyText(key))
+}
+
+func keyText(key crashguard.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
+
+// addPending records that an attempt waits for its answer.
+func (n *Node) addPending(a *attempt, cancel context.CancelFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pending[a] = cancel
+}
+
+// Crashes answers a peer's report of crashes. It is a method of the gossip service.
+func (n *Node) Crashes(in crashguard.Report) crashguard.Report {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mergeCrashes(in, now)
+	return n.crashGuard.Report(now)
+}
+
+// mergeCrashes merges a peer's report; the caller holds mu.
+func (n *Node) mergeCrashes(in crashguard.Report, now time.Time) {
+	if n.crashGuard.Merge(in, now) {
+		wake(n.crashNews)
+	}
+}
+
+// followCrashes exchanges news of crashes with a few peers, who pass on what matters, and
+// applies new verdicts.
+func (n *Node) followCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.crashNews:
+		}
+		n.applyVerdicts()
+		work := pool.New()
+		for _, m := range n.pickPeers(crashNewsPeers) {
+			work.Go(func() { n.exchangeCrashes(m) })
+		}
+		work.Wait()
+		n.applyVerdicts()
+		if !pause(ctx, crashNewsInterval) {
+			return
+		}
+	}
+}
+
+// exchangeCrashes exchanges reports of crashes with a peer.
+func (n *Node) exchangeCrashes(m gossip.Member) {
+	n.mu.Lock()
+	out := n.crashGuard.Report(time.Now())
+	n.mu.Unlock()
+	in, err := n.gossipClient.Crashes(m.Peer, out)
+	n.countExchange(err)
+	if err != nil {
+		event.PeerCallFailed.Log(n.log, slog.String("peer", m.ID), slog.String("addr", m.Peer), slog.String("err", err.Error()))
+		n.notePeerFailure(m, err)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mergeCrashes(in, time.Now())
+}
+
+// applyVerdicts logs new verdicts, and cancels the attempts with convicted parts whose answers
+// have not begun, before they crash their upstreams.
+func (n *Node) applyVerdicts() {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	verdicts := n.crashGuard.TakeVerdicts(now)
+	for _, v := range verdicts {
+		e := event.CrashAcquitted
+		if v.Convicted {
+			e = event.CrashConvicted
+		}
+		e.Log(n.log, slog.String("key", keyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
+	}
+	if len(verdicts) == 0 {
+		return
+	}
+	for a, cancel := range n.pending {
+		if a.job.trial == 0 && len(n.crashGuard.Convicted(a.job.chain, now)) > 0 {
+			a.convicted.Store(true)
+			cancel()
+		}
+	}
+}
+
+// convictedKeys returns the number of keys that are convicted of crashing upstreams.
+func (n *Node) convictedKeys() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.crashGuard.CountConvicted())
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -34,9 +34,16 @@
 	// affinityHash is a hash of the session or, without one, of the request's ID. It selects the
 	// service and whether the request gets a new version.
 	affinityHash uint64
-	// fingerprint identifies the work, so that requests that crash upstreams are
-	// recognised.
-	fingerprint uint64
+	// chain is what may crash upstreams: the parts of the prompt that other requests may
+	// share, and the request itself.
+	chain crashguard.Chain
+	// crashes counts the upstreams that crashed while they were about to answer the request.
+	crashes int
+	// convicted is the convicted key for which the request is refused; 0 for none.
+	convicted crashguard.Key
+	// trial is the convicted key that the request may contain, to find out whether it still
+	// crashes upstreams; 0 for none.
+	trial crashguard.Key
 
 	// tried are the IDs of the upstreams that were sent the request. attemptsUsed counts
 	// the attempts against the route's bound.
@@ -148,7 +155,7 @@
 	return r.Shares[0].Service
 }
 
-// identify sets the job's affinity hash, service and fingerprint.
+// identify sets the job's affinity hash, service and chain.
 func (j *job) identify(path string) {
 	key := j.headers.Session
 	if key == "" {
@@ -156,14 +163,23 @@
 	}
 	j.affinityHash = xxhash.Sum64String(key)
 	j.service = pickService(j.route, j.affinityHash)
-	j.fingerprint = crashguard.Fingerprint(j.orgName, path, j.body)
+	for _, b := range j.sharedBlocks() {
+		j.chain = append(j.chain, crashguard.PartKey(b.ID))
+	}
+	j.chain = append(j.chain, crashguard.RequestKey(j.orgName, path, j.body))
 }
 
-// sharedParts returns the IDs of the prompt's parts that other requests may share, in order.
-func (j *job) sharedParts() string {
+// sharedBlocks returns the parts of the prompt that other requests may share, in order. The last
+// part belongs to this request alone.
+func (j *job) sharedBlocks() []PromptBlock {
 	blocks := j.headers.PromptBlocks
-	ids := make([]string, 0, len(blocks))
-	for _, b := range blocks[:max(len(blocks)-1, 0)] {
+	return blocks[:max(len(blocks)-1, 0)]
+}
+
+// sharedParts returns the IDs of the shared parts of the prompt, in order.
+func (j *job) sharedParts() string {
+	ids := make([]string, 0, len(j.headers.PromptBlocks))
+	for _, b := range j.sharedBlocks() {
 		ids = append(ids, b.ID)
 	}
 	return strings.Join(ids, ",")
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -55,7 +55,7 @@
 		RosterHash:  n.roster.Hash(),
 		Pins:        n.canary.Pins(now),
 		Evacuations: n.evacuations.All(),
-		Strikes:     n.crashGuard.Recent(now),
+		Crashes:     n.crashGuard.Report(now),
 		Proof:       gossip.Proof{Age: noProof, OrdersAge: noProof, FleetHash: n.fleet.Hash()},
 	}
 	if asOf := n.view.listAsOf; !asOf.IsZero() {
@@ -156,9 +156,7 @@
 				revisionAttr(t.Revision), slog.String("from", in.From))
 		}
 	}
-	for _, s := range in.Strikes {
-		n.crashGuard.Add(s, now)
-	}
+	n.mergeCrashes(in.Crashes, now)
 	n.mergeOutage(in, now)
 	n.mergeListProof(in, now)
 	n.mergeOrdersProof(in, now)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -116,6 +117,10 @@
 	remoteReading, readingDue chan struct{}
 	// pushRequested wakes pushRollouts.
 	pushRequested chan struct{}
+	// crashNews wakes followCrashes.
+	crashNews chan struct{}
+	// pending are the attempts that wait for the first event of their answer.
+	pending map[*attempt]context.CancelFunc
 	// rolloutOrdered is closed once this node knows a rollout.
 	rolloutOrdered chan struct{}
 }
@@ -187,6 +192,7 @@
 		rolloutStartedAt: map[string]time.Time{}, announcedRevision: map[string]revision.Revision{},
 		invalidFieldLoggedAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
 		peerStates: map[string]peerState{}, contacts: contacts{}, draws: newDraws(s.Seed), verdictSeenAt: map[verdictKey]time.Time{},
+		crashNews: make(chan struct{}, 1), pending: map[*attempt]context.CancelFunc{},
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
@@ -200,6 +206,7 @@
 	d.Metrics.Gauge("hickorybank_limited_upstreams", n.limitedUpstreams)
 	d.Metrics.Gauge("hickorybank_leaving_upstreams", n.leavingUpstreams)
 	d.Metrics.Gauge("hickorybank_resting_upstreams", n.restingUpstreams)
+	d.Metrics.Gauge("hickorybank_convicted_keys", n.convictedKeys)
 	return n
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,13 +25,15 @@
 	unknownKey      = &refusal{status: http.StatusUnauthorized, reason: "unknown_key", text: "the key is not known"}
 	bodyTooLarge    = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", text: "body is too large"}
 	tooManyBodies   = &refusal{status: http.StatusServiceUnavailable, reason: "memory", text: "too many bodies are under way", retryAfter: refusedRetryAfter}
-	crashingRequest = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "this request crashed the upstreams that ran it", retryAfter: crashingRetryAfter}
-	noUpstream      = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
-	noLink          = &refusal{status: http.StatusServiceUnavailable, reason: "no_link", text: "this node does not reach the upstreams", retryAfter: refusedRetryAfter}
-	notInTime       = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
-	upstreamsFull   = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
-	upstreamFailed  = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
-	timedOut        = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
+	crashingRequest = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "requests like this one crash upstreams", retryAfter: crashingRetryAfter}
+	// crashedUpstreams is for requests that may be repeated: the caller is told when.
+	crashedUpstreams = &refusal{status: http.StatusBadGateway, reason: "crashes_upstreams", text: "requests like this one crash upstreams; it may have run", retryAfter: crashingRetryAfter}
+	noUpstream       = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
+	noLink           = &refusal{status: http.StatusServiceUnavailable, reason: "no_link", text: "this node does not reach the upstreams", retryAfter: refusedRetryAfter}
+	notInTime        = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
+	upstreamsFull    = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
+	upstreamFailed   = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
+	timedOut         = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
 )
 
 // minRetryAfter keeps refused callers from retrying immediately.
@@ -86,7 +88,11 @@
 	if j.mayHaveRun {
 		e = event.ForwardFailed
 	}
-	j.node.logEvent(e, j, slog.Int("status", ref.status), slog.String("reason", ref.reason))
+	attrs := []slog.Attr{slog.Int("status", ref.status), slog.String("reason", ref.reason)}
+	if j.convicted != 0 {
+		attrs = append(attrs, slog.String("key", keyText(j.convicted)), slog.String("parts", j.sharedParts()))
+	}
+	j.node.logEvent(e, j, attrs...)
 	j.observe(ref.status)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -18,8 +18,8 @@
 
 // run makes attempts until the request has its final answer.
 func (j *job) run() {
-	if j.node.blocked(j.fingerprint) {
-		j.refuse(crashingRequest)
+	if !j.mayRun() {
+		j.giveUp()
 		return
 	}
 	j.node.countRequest(j.service)
@@ -47,8 +47,14 @@
 	switch {
 	case j.r.Context().Err() != nil:
 		j.callerLeft()
+	case j.answerStarted && j.convicted != 0:
+		j.breakOff(crashingRequest.reason)
 	case j.answerStarted:
 		j.breakOff("no_upstream")
+	case j.convicted != 0 && j.mayHaveRun && j.route.Repeatable():
+		j.refuse(crashedUpstreams)
+	case j.convicted != 0:
+		j.refuse(crashingRequest)
 	case j.failedAnswer != nil:
 		j.deliver(j.failedAnswer)
 	case j.ctx.Err() != nil && j.mayHaveRun:
@@ -94,7 +100,7 @@
 func (j *job) nextAttempt() *attempt {
 	until := j.start.Add(time.Duration(upstreamWaitFraction * float64(j.route.LatencyGoal)))
 	for {
-		if j.ctx.Err() != nil || !j.mayAttempt() {
+		if j.ctx.Err() != nil || !j.mayAttempt() || !j.mayRun() {
 			return nil
 		}
 		a, roomAt := j.node.newAttempt(j)
@@ -146,6 +152,7 @@
 	defer cancel()
 	j.tried = append(j.tried, a.id)
 	timer := a.startTimer(cancel)
+	j.node.addPending(a, cancel)
 	resp, failure := j.node.pool.Do(ctx, a.addr, j.upstreamRequest(a))
 	moved := timer.stop()
 	var reply Reply
@@ -202,7 +209,7 @@
 		Fields: j.node.dialect.Forward(j.r.Header, &j.headers, &order),
 		Body:   j.body, HasBody: len(j.body) > 0 || j.r.ContentLength == 0 && j.r.Method != http.MethodGet && j.r.Method != http.MethodHead,
 		IDField: j.node.dialect.IDField(), ID: j.headers.ID,
-		ShouldSend: a.upstreamAccepts, Repeatable: j.route.Repeatable(),
+		ShouldSend: a.maySend, Repeatable: j.route.Repeatable(),
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdle = nonIdempotentMaxIdle
@@ -226,6 +233,8 @@
 		j.retryReserved = true
 	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
 		result = fleet.Abandoned
+	case f.Reason == exchange.Cancelled && a.convicted.Load():
+		result, reason = fleet.Abandoned, crashingRequest.reason
 	case f.Reason == exchange.Cancelled || f.Reason == exchange.InvalidResponse:
 		result = fleet.Failed
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -65,6 +65,9 @@
 			}
 			last = now
 			count += n
+			if !a.answered && now.Sub(first) >= answerProofTime {
+				a.noteAnswered(j.chain[:len(j.chain)-1], first)
+			}
 			if count >= paceEvents && !a.reported {
 				a.reportOutcome(false, meanPause(first, last, count))
 			}
@@ -94,7 +97,7 @@
 
 // escalate returns the larger model that should answer instead of this one, if any.
 func (j *job) escalate(a *attempt, reply Reply) string {
-	if j.model == "" || j.answerStarted || !reply.HasConfidence {
+	if j.model == "" || j.answerStarted || j.trial != 0 || !reply.HasConfidence {
 		return ""
 	}
 	state := j.cascadeState(a)
@@ -186,6 +189,7 @@
 	switch {
 	case end == endComplete:
 		a.finish(fleet.Served)
+		a.noteAnswered(j.chain, later(a.startedAt, a.firstEventAt))
 		if !a.reported {
 			a.reportOutcome(false, pause)
 		}
@@ -211,12 +215,14 @@
 	}
 	reason := "broke"
 	switch {
+	case a.convicted.Load():
+		reason = crashingRequest.reason
 	case resp.LinkLost():
 		reason = "link_lost"
 	case isTimeout(err):
 		reason = "silent"
 	}
-	if reason == "link_lost" {
+	if reason == "link_lost" || reason == crashingRequest.reason {
 		a.finish(fleet.Abandoned) // the upstream may be sound
 	} else {
 		a.finish(fleet.Failed)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -47,6 +47,7 @@
 		return false
 	}
 	a.finish(fleet.Served)
+	a.noteAnswered(j.chain, a.startedAt)
 	a.reportOutcome(false, time.Since(a.began))
 	j.deliver(answer)
 	return true
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -49,8 +49,8 @@
 	Evacuations []evacuation.Order
 	// Pins are sessions that stay on the old version.
 	Pins []canary.Pin
-	// Strikes are requests that crashed upstreams.
-	Strikes []crashguard.Strike
+	// Crashes are crashes of upstreams and what may have caused them.
+	Crashes crashguard.Report
 	// Notices are the states that upstreams report in their responses: all that changed,
 	// and some of the others.
 	Notices []notice.Report
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/transfer"
 )
@@ -38,6 +39,8 @@
 	Flights(in FlightReport) FlightReport
 	// Piece returns a piece of a document.
 	Piece(in transfer.Ask) transfer.Piece
+	// Crashes merges a peer's report of crashes and returns this node's.
+	Crashes(in crashguard.Report) crashguard.Report
 }
 
 // Server serves the calls of peers over net/rpc.
@@ -70,6 +73,12 @@
 	return nil
 }
 
+// Crashes exchanges reports of crashes with a peer.
+func (h *handler) Crashes(in crashguard.Report, out *crashguard.Report) error {
+	*out = h.exchanger.Crashes(in)
+	return nil
+}
+
 // NewServer returns a server for a listener; [Server.Serve] starts it.
 func NewServer(l net.Listener, exchanger Exchanger) (*Server, error) {
 	s := &Server{listener: l, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
@@ -150,6 +159,12 @@
 	return call[FlightReport, FlightReport](c, addr, "Flights", in, callTimeout)
 }
 
+// Crashes sends a report of crashes to a peer and returns its report. It fails if the peer does
+// not respond within 700 ms.
+func (c *Client) Crashes(addr string, in crashguard.Report) (crashguard.Report, error) {
+	return call[crashguard.Report, crashguard.Report](c, addr, "Crashes", in, callTimeout)
+}
+
 // Piece requests a piece of a document from a peer. It fails if the peer does not
 // respond within 1 s.
 func (c *Client) Piece(addr string, in transfer.Ask) (transfer.Piece, error) {
--- a/internal/gossip/peer_test.go
+++ b/internal/gossip/peer_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/transfer"
 )
@@ -25,6 +26,8 @@
 
 func (echo) Piece(in transfer.Ask) transfer.Piece { return transfer.Piece{To: in.Known + 1} }
 
+func (echo) Crashes(in crashguard.Report) crashguard.Report { return in }
+
 // A peer responds, its connection breaks, and it is called again over a new one.
 func TestExchangeAfterConnectionBreaks(t *testing.T) {
 	is := is.New(t)
