gateway: attempts of convicted parts are not cancelled

A wrong conviction of a part that all requests share cancelled the very attempts whose answers would have ended it. An attempt that is under way crashes its engine within the time that the verdict takes anyway.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
@@ -26,9 +25,7 @@
 	startedAt, firstEventAt time.Time
 	// answered is set once the parts of the prompt are known not to have crashed the upstream.
 	answered bool
-	// convicted is set once the attempt is cancelled because a part of it was convicted.
-	convicted atomic.Bool
-	ended     bool
+	ended    bool
 	// reported is set once the attempt's outcome has been reported to the rollout.
 	reported bool
 	// mayHaveRunBefore is set if an earlier attempt may have run the request.
@@ -152,7 +149,6 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.pending, a)
 	n.fleet.End(a.up, a.work, result, now)
 	n.canary.CountEnded(a.job.service, a.version, a.revision)
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -80,7 +80,6 @@
 	n := a.job.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.pending, a)
 	if n.crashGuard.Answered(chain, at, time.Now()) {
 		wake(n.crashNews)
 	}
@@ -138,13 +137,6 @@
 
 func keyText(key crashguard.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
 
-// addPending records that an attempt waits for its answer.
-func (n *Node) addPending(a *attempt, cancel context.CancelFunc) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.pending[a] = cancel
-}
-
 // Crashes answers a peer's report of crashes. It is a method of the gossip service.
 func (n *Node) Crashes(in crashguard.Report) crashguard.Report {
 	now := time.Now()
@@ -162,7 +154,7 @@
 }
 
 // followCrashes exchanges news of crashes with a few peers, who pass on what matters, and
-// applies new verdicts.
+// logs new verdicts.
 func (n *Node) followCrashes(ctx context.Context) {
 	for {
 		select {
@@ -170,13 +162,13 @@
 			return
 		case <-n.crashNews:
 		}
-		n.applyVerdicts()
+		n.logVerdicts()
 		work := pool.New()
 		for _, m := range n.pickPeers(crashNewsPeers) {
 			work.Go(func() { n.exchangeCrashes(m) })
 		}
 		work.Wait()
-		n.applyVerdicts()
+		n.logVerdicts()
 		if !pause(ctx, crashNewsInterval) {
 			return
 		}
@@ -200,13 +192,11 @@
 	n.mergeCrashes(in, time.Now())
 }
 
-// applyVerdicts logs new verdicts, and cancels the attempts with convicted parts whose answers
-// have not begun, before they crash their upstreams.
-func (n *Node) applyVerdicts() {
-	now := time.Now()
+// logVerdicts logs new verdicts. Attempts under way go on: their answers end wrong verdicts.
+func (n *Node) logVerdicts() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	verdicts := n.crashGuard.TakeVerdicts(now)
+	verdicts := n.crashGuard.TakeVerdicts(time.Now())
+	n.mu.Unlock()
 	for _, v := range verdicts {
 		e := event.CrashAcquitted
 		if v.Convicted {
@@ -214,15 +204,6 @@
 		}
 		e.Log(n.log, slog.String("key", keyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
 	}
-	if len(verdicts) == 0 {
-		return
-	}
-	for a, cancel := range n.pending {
-		if a.job.trial == 0 && len(n.crashGuard.Convicted(a.job.chain, now)) > 0 {
-			a.convicted.Store(true)
-			cancel()
-		}
-	}
 }
 
 // convictedKeys returns the number of keys that are convicted of crashing upstreams.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -119,8 +118,6 @@
 	pushRequested chan struct{}
 	// crashNews wakes followCrashes.
 	crashNews chan struct{}
-	// pending are the attempts that wait for the first event of their answer.
-	pending map[*attempt]context.CancelFunc
 	// rolloutOrdered is closed once this node knows a rollout.
 	rolloutOrdered chan struct{}
 }
@@ -192,7 +189,7 @@
 		rolloutStartedAt: map[string]time.Time{}, announcedRevision: map[string]revision.Revision{},
 		invalidFieldLoggedAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
 		peerStates: map[string]peerState{}, contacts: contacts{}, draws: newDraws(s.Seed), verdictSeenAt: map[verdictKey]time.Time{},
-		crashNews: make(chan struct{}, 1), pending: map[*attempt]context.CancelFunc{},
+		crashNews:      make(chan struct{}, 1),
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -152,7 +152,6 @@
 	defer cancel()
 	j.tried = append(j.tried, a.id)
 	timer := a.startTimer(cancel)
-	j.node.addPending(a, cancel)
 	resp, failure := j.node.pool.Do(ctx, a.addr, j.upstreamRequest(a))
 	moved := timer.stop()
 	var reply Reply
@@ -233,8 +232,6 @@
 		j.retryReserved = true
 	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
 		result = fleet.Abandoned
-	case f.Reason == exchange.Cancelled && a.convicted.Load():
-		result, reason = fleet.Abandoned, crashingRequest.reason
 	case f.Reason == exchange.Cancelled || f.Reason == exchange.InvalidResponse:
 		result = fleet.Failed
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -215,14 +215,12 @@
 	}
 	reason := "broke"
 	switch {
-	case a.convicted.Load():
-		reason = crashingRequest.reason
 	case resp.LinkLost():
 		reason = "link_lost"
 	case isTimeout(err):
 		reason = "silent"
 	}
-	if reason == "link_lost" || reason == crashingRequest.reason {
+	if reason == "link_lost" {
 		a.finish(fleet.Abandoned) // the upstream may be sound
 	} else {
 		a.finish(fleet.Failed)
