gateway: a broken-off answer to an HTTP/1.0 caller ends with a reset

An answer without a length or chunks ends with its connection. To a caller whose protocol has no chunks, every forwarded stream is such an answer, and a broken-off one was closed like a complete one. Its connection is reset now.

--- a/internal/gateway/idle_listener.go
+++ b/internal/gateway/idle_listener.go
@@ -36,6 +36,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetLinger sets how long a close waits for unsent bytes, in seconds; 0 resets the connection.
+func (c *idleConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // idleLimit returns how long a caller's connection may be idle.
 func (n *Node) idleLimit() time.Duration {
 	if c := n.config.Load(); c != nil && c.Limits.IdleTimeout > 0 {
