crashguard: convictions hold beside losses, and trials are made by one node

Rapid cases in virtual time (2 to 40 nodes, losses of engines, cuts, lost exchanges) found: a parent that is convicted gave way to one of its children, and each then had trials; a part that was answered by requests sent before it turned bad counted as answered between crashes; a loss of all engines left strikes that no nested part explained, so that the common first part was convicted and stayed refused after a trial with the bad part in it; all nodes at once made a trial that had waited for a request without other keys in question. Rules: clearances weigh against the strikes that count, a convicted parent stays, a nested key may leave a third of the moments unexplained, trials wait for a request without struck nested keys, and their order of nodes begins then.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -154,19 +154,19 @@
 	}
 	key := PartKey("part")
 	is.True(e.convicted("part"))
-	_, due := e.g.TrialDue(key, e.now.Add(trialDelays[0]-time.Second))
+	_, due := e.g.TrialDue(Chain{key}, key, e.now.Add(trialDelays[0]-time.Second))
 	is.True(!due)
 	for _, delay := range trialDelays {
 		e.now = e.now.Add(delay)
-		_, due = e.g.TrialDue(key, e.now)
+		_, due = e.g.TrialDue(Chain{key}, key, e.now)
 		is.True(due)
 		e.g.StartTrial(key, e.now)
 	}
-	_, due = e.g.TrialDue(key, e.now.Add(12*time.Hour))
+	_, due = e.g.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
 	is.True(!due)
 	peer := New()
 	peer.Merge(e.g.Report(e.now), e.now)
-	_, due = peer.TrialDue(key, e.now.Add(12*time.Hour))
+	_, due = peer.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
 	is.True(!due) // trials count at all nodes
 	is.True(e.answer("part"))
 	is.True(!e.convicted("part"))
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -1,6 +1,9 @@
 package crashguard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // trialDelays are the times from a conviction to the first trial of the key, and from each trial
 // to the next. There are no more trials than delays: each of them may crash an upstream.
@@ -10,13 +13,21 @@
 // trial is known to all nodes before the next one may make another.
 const trialRankStep = 2 * time.Second
 
-// TrialDue returns for how long a trial of a convicted key has been due; false if none is due.
-func (g *Guard) TrialDue(key Key, now time.Time) (time.Duration, bool) {
+// cleanTrialTime is how long a trial waits for a request without other keys in question.
+const cleanTrialTime = 15 * time.Second
+
+// TrialDue returns for how long a trial of a convicted key, by a request with this chain, has
+// been due; false if none is due. A request with a nested key that was struck repeatedly may
+// crash an upstream for that, and is no trial at first.
+func (g *Guard) TrialDue(chain Chain, key Key, now time.Time) (time.Duration, bool) {
 	e := g.convicted[key]
 	if e == nil || e.trials >= len(trialDelays) {
 		return 0, false
 	}
 	due := now.Sub(later(e.convictedAt, e.trialAt)) - trialDelays[e.trials]
+	if slices.ContainsFunc(chain[slices.Index(chain, key)+1:], func(k Key) bool { return g.Strikes(k) >= rivalCrashes }) {
+		due -= cleanTrialTime
+	}
 	return due, due >= 0
 }
 
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -23,9 +23,13 @@
 	// explainedFraction is the fraction of a key's moments that a nested key has to explain to be
 	// convicted before it, if requests with the outer key were answered.
 	explainedFraction = 1.0 / 3
-	// unnestedMoments is the number of moments that a nested key does not explain, from which a
-	// key with which no request was answered is convicted before it.
-	unnestedMoments = 2
+	// unexplainedFraction is the fraction of a key's moments that a nested key may leave
+	// unexplained to be convicted before it, if no requests with the outer key were answered
+	// between crashes. Losses of upstreams beside leave some.
+	unexplainedFraction = 1.0 / 3
+	// clearedWeight is how many strikes that count outweigh one that was cleared: a part that was
+	// answered at first may crash upstreams from some moment on.
+	clearedWeight = 3
 	// rivalCrashes is the number of common crashes from which two keys are rivals.
 	rivalCrashes = 2
 )
@@ -64,7 +68,7 @@
 
 func (g *Guard) doubtOf(e *entry) doubt {
 	switch {
-	case !e.cleared.empty():
+	case clearedWeight*e.cleared.size() >= e.live().size() && !e.cleared.empty():
 		return answeredBetween
 	case g.answers.has(e.key):
 		return answeredBefore
@@ -201,8 +205,8 @@
 // nested one lacks count.
 func (g *Guard) explains(nested, outer *candidate) bool {
 	left, _ := g.moments(outer.entry, outer.unexplained.without(&nested.unexplained))
-	if outer.doubt != answeredBetween {
-		return left < unnestedMoments
+	if outer.doubt != answeredBetween || !outer.convictedAt.IsZero() {
+		return float64(left) <= unexplainedFraction*float64(outer.moments)
 	}
 	return float64(outer.moments-left) >= explainedFraction*float64(outer.moments)
 }
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -150,7 +150,7 @@
 func (w *world) send(a *worldAttempt) {
 	g := w.guards[a.node]
 	if keys := g.Convicted(a.chain, w.time()); len(keys) > 0 {
-		due, ok := g.TrialDue(keys[0], w.time())
+		due, ok := g.TrialDue(a.chain, keys[0], w.time())
 		if !ok || len(keys) > 1 || !a.first || w.rank(a.node, keys[0]) >= TrialNodes(due) {
 			if !a.bad && a.first {
 				w.refused[int(w.now/time.Second)]++
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -103,7 +103,7 @@
 	case len(keys) > 1 || j.attemptsReached > 0:
 	case j.trial == keys[0]:
 		return true
-	case n.allowTrial(keys[0], now):
+	case n.allowTrial(j.chain, keys[0], now):
 		j.trial = keys[0]
 		n.crashGuard.StartTrial(keys[0], now)
 		n.logEvent(event.CrashTrial, j, slog.String("key", keyText(keys[0])), slog.String("parts", j.sharedParts()))
@@ -116,8 +116,8 @@
 
 // allowTrial reports whether this node may let a request with a convicted key through; the caller
 // holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
-func (n *Node) allowTrial(key crashguard.Key, now time.Time) bool {
-	due, ok := n.crashGuard.TrialDue(key, now)
+func (n *Node) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
+	due, ok := n.crashGuard.TrialDue(chain, key, now)
 	if !ok {
 		return false
 	}
