node: messages that crash engines are found and refused at the own door

Cause: internal/suspect knows a request by organisation and whole body; requests that share one message never add up, and the third upstream lost within 2 s makes no suspects at all.

Change: beside the suspects, the node keeps the evidence of internal/crashguard for each message of a chat but the last, exchanges it with peers (one a second, two while there is news) and refuses chats with a convicted message as suspect, not run. The two trials of a conviction are made as at the gateway.

--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -116,6 +116,7 @@
 	call.Fields = fields
 	call.Prompt = prompt
 	call.PrefixHash = prefixHash(messages)
+	call.MessageHashes = messageHashes(messages[:len(messages)-1])
 	call.Body = body
 	call.SeparateUsage = wantsUsageChunk(fields["stream_options"])
 	return stream, nil
@@ -250,6 +251,14 @@
 	return h.Sum64()
 }
 
+// messageHashes returns the hash of each message.
+func messageHashes(messages []message) (hashes []uint64) {
+	for _, m := range messages {
+		hashes = append(hashes, xxhash.Sum64String(m.Role+"\x00"+string(m.Content)))
+	}
+	return hashes
+}
+
 // idempotencyKey returns the idempotency key; empty if there is none.
 func idempotencyKey(r *http.Request) (string, *request.Failure) {
 	key := r.Header.Get(headerKey)
--- a/internal/api/router.go
+++ b/internal/api/router.go
@@ -54,6 +54,8 @@
 	Prompt string
 	// PrefixHash is the hash of all messages except the last.
 	PrefixHash uint64
+	// MessageHashes are the hashes of the single messages, except the last.
+	MessageHashes []uint64
 	// Body is the body as received.
 	Body []byte
 }
--- a/internal/crashguard/key.go
+++ b/internal/crashguard/key.go
@@ -26,7 +26,10 @@
 type Chain []Key
 
 // Request returns the key of the request itself as a chain.
-func (c Chain) Request() Chain { return c[len(c)-1:] }
+func (c Chain) Request() Chain { return c[max(len(c)-1, 0):] }
+
+// Parts returns the keys that other requests may share.
+func (c Chain) Parts() Chain { return c[:max(len(c)-1, 0)] }
 
 // CrashID identifies a crash by the incarnation of the upstream, which crashes once.
 type CrashID uint64
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,7 @@
 			last = now
 			count += n
 			if !a.answered && now.Sub(first) >= answerProofTime {
-				a.noteAnswered(j.chain[:len(j.chain)-1], first)
+				a.noteAnswered(j.chain.Parts(), first)
 			}
 			if count >= paceEvents && !a.reported {
 				a.reportOutcome(false, meanPause(first, last, count))
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -44,6 +44,7 @@
 	err        error // the last failure
 	concluded  bool  // the suspects know how the attempt ended
 	adopted    bool  // begun elsewhere: unknown to the balancer and the suspects
+	answered   bool  // the messages are known not to have crashed the upstream
 }
 
 // pick selects an upstream for the next attempt after checking the retry budget and the
@@ -77,8 +78,9 @@
 	return r.machine.Picked(pick.VM.ID)
 }
 
-// mayRun checks the version against the configuration in force now. The request may have been
-// queued since its admission, and its version withdrawn meanwhile.
+// mayRun checks the version against the configuration in force now, and the messages against those
+// that crash upstreams. The request may have been queued since its admission, and its version
+// withdrawn meanwhile.
 func (r *chatRun) mayRun(version string) *request.Failure {
 	snapshot, fail := r.node.readyToRun()
 	if fail != nil {
@@ -88,7 +90,7 @@
 	if org == nil || !snapshot.Allowed(org, version) {
 		return withdrawn(version, r.session.version != "")
 	}
-	return nil
+	return r.node.crashes.mayRun(r)
 }
 
 // start sends the attempt. The checks are repeated immediately before sending: a node that was
@@ -185,6 +187,10 @@
 	a.chunks++
 	a.stallTimer.Reset(nextChunkTimeout)
 	a.text.WriteString(chunk.Text)
+	if !a.answered && a.firstToken > 0 && time.Since(a.began)-a.firstToken >= answerProofTime {
+		a.answered = true
+		r.node.crashes.answered(r.chain.Parts(), a.began.Add(a.firstToken))
+	}
 	if a.firstToken == 0 && !a.adopted {
 		a.firstToken = time.Since(a.began)
 		r.node.upstreams.firstToken(a.token, a.firstToken)
@@ -205,6 +211,7 @@
 		InputTokens: chunk.Usage.InputTokens, OutputTokens: chunk.Usage.OutputTokens, Now: now,
 	})
 	r.node.suspects.completed(r.id)
+	r.node.crashes.answered(r.chain, a.began.Add(a.firstToken))
 	a.concluded = true
 	// A cascade rates its first answer in any case. Rating it here too would count it twice,
 	// also as evidence against its version.
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -89,7 +89,7 @@
 	return &chatRun{
 		node: n, call: call, sink: sink, class: t.class, plan: plan, session: session,
 		id: uuid.Must(uuid.NewV7()).String(), arrived: now, deadline: deadline,
-		fingerprint: fingerprint, digest: billDigest(call.Key, fingerprint),
+		fingerprint: fingerprint, chain: chainOf(call.MessageHashes, fingerprint), digest: billDigest(call.Key, fingerprint),
 	}, nil
 }
 
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -9,6 +9,7 @@
 	"github.com/hickorybank/hickorybank/internal/api"
 	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/config"
+	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/ledger"
 	"github.com/hickorybank/hickorybank/internal/ledger/bill"
 	"github.com/hickorybank/hickorybank/internal/lifecycle"
@@ -37,7 +38,10 @@
 	cachedTokens int
 	deadline     time.Time
 	fingerprint  request.Fingerprint
-	digest       uint64 // of the bill
+	chain        crashguard.Chain // what may crash upstreams
+	trial        crashguard.Key   // the convicted key that the request may contain; 0 for none
+	struck       bool             // an upstream crashed while it was about to answer
+	digest       uint64           // of the bill
 
 	machine        *lifecycle.Chat
 	current        *activeAttempt // the attempt in flight
--- /dev/null
+++ b/internal/node/crash_parts.go
@@ -0,0 +1,224 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorybank/hickorybank/internal/crashguard"
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/membership"
+	"github.com/hickorybank/hickorybank/internal/request"
+)
+
+const (
+	crashService      = "Crashes"
+	crashExchange     = crashService + ".Exchange"
+	crashCallTimeout  = time.Second
+	crashNewsInterval = 250 * time.Millisecond
+	// crashInterval is the pause between two exchanges without news, by which nodes that start
+	// or return from a network partition learn what others know.
+	crashInterval  = time.Second
+	crashNewsPeers = 2
+	// answerProofTime is how long after its first chunk an attempt shows that the messages of its
+	// prompt do not crash the upstream.
+	answerProofTime = 250 * time.Millisecond
+	// crashRetryAfter is the RetryAfter of requests with a convicted message.
+	crashRetryAfter = 30 * time.Second
+)
+
+// crashParts finds the messages that crash upstreams, whatever the requests that share them hold
+// beside, and exchanges the evidence with peers.
+type crashParts struct {
+	node *Node
+	news chan struct{}
+
+	mu    sync.Mutex
+	guard *crashguard.Guard
+	ids   []string // of all nodes
+	addrs []string // of the peers
+}
+
+func newCrashParts(n *Node) *crashParts {
+	return &crashParts{node: n, news: make(chan struct{}, 1), guard: crashguard.New()}
+}
+
+// chainOf returns the keys of a chat: all messages but the last, and the request.
+func chainOf(messages []uint64, f request.Fingerprint) (chain crashguard.Chain) {
+	for _, m := range messages {
+		chain = append(chain, crashguard.PartKey(strconv.FormatUint(m, 16)))
+	}
+	return append(chain, crashguard.RequestKey("", "", f[:]))
+}
+
+func (c *crashParts) setPeers(v *membership.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids, c.addrs = nil, nil
+	for _, m := range v.Entries {
+		c.ids = append(c.ids, m.ID)
+		if m.ID != c.node.settings.ID {
+			c.addrs = append(c.addrs, m.Peer)
+		}
+	}
+}
+
+// mayRun returns the refusal of a chat that contains a convicted message, or nil if it may run.
+func (c *crashParts) mayRun(r *chatRun) *request.Failure {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keys := c.guard.Convicted(r.chain, now)
+	switch {
+	case len(keys) == 0:
+		return nil
+	case len(keys) > 1 || r.struck:
+	case r.trial == keys[0]:
+		return nil
+	case c.allowTrial(r.chain, keys[0], now):
+		r.trial = keys[0]
+		c.guard.StartTrial(keys[0], now)
+		event.CrashTrial.Log(c.node.deps.Log, slog.String("request", r.id), slog.String("key", crashKeyText(keys[0])))
+		c.wake()
+		return nil
+	}
+	return request.Refuse(request.CodeSuspect, crashRetryAfter, "requests like this one crash upstreams")
+}
+
+// allowTrial reports whether this node may let a request with a convicted key through; the caller
+// holds mu.
+func (c *crashParts) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
+	due, ok := c.guard.TrialDue(chain, key, now)
+	if !ok {
+		return false
+	}
+	rank := func(id string) uint64 { return xxhash.Sum64String(id + crashKeyText(key)) }
+	before, own := 0, rank(c.node.settings.ID)
+	for _, id := range c.ids {
+		if rank(id) < own {
+			before++
+		}
+	}
+	return before < crashguard.TrialNodes(due)
+}
+
+// crashed records that the upstream of a chat's attempt has crashed.
+func (c *crashParts) crashed(r *chatRun) {
+	a, now := r.current, time.Now()
+	chain := r.chain
+	if a.firstToken > 0 && now.Sub(a.began)-a.firstToken >= answerProofTime {
+		chain = chain.Request()
+	} else {
+		r.struck = true
+	}
+	id := crashguard.NewCrashID(a.vm.ID + "/" + strconv.FormatUint(a.epoch, 10))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard.Strike(id, chain, a.began, now, now) {
+		c.wake()
+	}
+}
+
+// answered records that an upstream began to answer requests with these keys at the given time.
+func (c *crashParts) answered(chain crashguard.Chain, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard.Answered(chain, at, time.Now()) {
+		c.wake()
+	}
+}
+
+func (c *crashParts) wake() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
+}
+
+// run exchanges the evidence with peers until ctx ends.
+func (c *crashParts) run(ctx context.Context) {
+	timer := time.NewTimer(crashInterval)
+	defer timer.Stop()
+	for {
+		peers := 1
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.news:
+			peers = crashNewsPeers
+		}
+		for _, addr := range c.pickPeers(peers) {
+			c.node.duties.Go(func() { c.exchange(ctx, addr) })
+		}
+		c.logVerdicts()
+		if !pause(ctx, crashNewsInterval) {
+			return
+		}
+		timer.Reset(crashInterval)
+	}
+}
+
+func (c *crashParts) pickPeers(count int) (picked []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range min(count, len(c.addrs)) {
+		picked = append(picked, c.addrs[rand.IntN(len(c.addrs))])
+	}
+	return picked
+}
+
+func (c *crashParts) exchange(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, crashCallTimeout)
+	defer cancel()
+	c.mu.Lock()
+	out := c.guard.Report(time.Now())
+	c.mu.Unlock()
+	var in crashguard.Report
+	if c.node.pool.Call(ctx, addr, crashExchange, &out, &in) != nil {
+		return // another peer is called next time
+	}
+	c.merge(in)
+}
+
+func (c *crashParts) merge(in crashguard.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard.Merge(in, time.Now()) {
+		c.wake()
+	}
+}
+
+func (c *crashParts) logVerdicts() {
+	c.mu.Lock()
+	verdicts := c.guard.TakeVerdicts(time.Now())
+	c.mu.Unlock()
+	for _, v := range verdicts {
+		e := event.CrashAcquitted
+		if v.Convicted {
+			e = event.CrashConvicted
+		}
+		e.Log(c.node.deps.Log, slog.String("key", crashKeyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
+	}
+}
+
+func crashKeyText(key crashguard.Key) string {
+	return strconv.FormatUint(uint64(key), 16)
+}
+
+// crashReceiver is the RPC receiver for the reports of peers.
+type crashReceiver struct{ c *crashParts }
+
+// Exchange merges a peer's report and returns this node's. It never returns an error.
+func (r *crashReceiver) Exchange(in *crashguard.Report, out *crashguard.Report) error {
+	r.c.merge(*in)
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	*out = r.c.guard.Report(time.Now())
+	return nil
+}
--- a/internal/node/lost_stream.go
+++ b/internal/node/lost_stream.go
@@ -17,5 +17,6 @@
 		return
 	}
 	r.node.suspects.crashed(r.current.vm.ID, r.current.epoch)
+	r.node.crashes.crashed(r)
 	r.current.concluded = true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	gate      *gate
 	limits    *limits
 	suspects  *suspects
+	crashes   *crashParts
 	raters    *raters
 	sealer    *seal.Sealer
 	sessions  *session.Signer
@@ -156,6 +157,7 @@
 	n.gate = newGate(n.settings)
 	n.limits = newLimits(n)
 	n.suspects = newSuspects(n)
+	n.crashes = newCrashParts(n)
 	n.raters = newRaters(n)
 	n.chooser = choice.New(choice.Settings{Node: n.settings.ID, Epoch: uint64(time.Now().UnixNano())})
 	n.members = membership.New(
@@ -209,6 +211,9 @@
 	if err := n.peers.Register(limitService, &limitReceiver{limits: n.limits}); err != nil {
 		return err
 	}
+	if err := n.peers.Register(crashService, &crashReceiver{n.crashes}); err != nil {
+		return err
+	}
 	return n.peers.Register(suspectService, n.suspects.receiver())
 }
 
@@ -239,6 +244,7 @@
 	}
 	n.duties.Go(func() { n.gate.expireQueued(ctx) })
 	n.duties.Go(func() { n.suspects.run(ctx) })
+	n.duties.Go(func() { n.crashes.run(ctx) })
 	n.duties.Go(func() { n.limits.run(ctx) })
 	for range raterWorkers {
 		n.duties.Go(func() { n.raters.run(ctx) })
@@ -261,6 +267,7 @@
 func (n *Node) viewChanged(v *membership.View) {
 	n.upstreams.setView(v)
 	n.suspects.setPeers(v)
+	n.crashes.setPeers(v)
 	ids, domain := liveEntries(v, n.self.FailureDomain)
 	n.gate.setNodes(ids, domain)
 	n.limits.setNodes(ids)
