--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -42,7 +42,9 @@
 	// dirty is set if the verdicts have to be found anew.
 	dirty bool
 	// order is the slots of all crashes by time, as of the last verdicts.
-	order     []int
+	order []int
+	// losses are the crashes of many upstreams together.
+	losses    crashSet
 	convicted map[Key]*entry
 	verdicts  []Verdict
 }
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -12,21 +12,27 @@
 	// minMomentsInDoubt is the number for keys with which requests were answered lately, and
 	// for those with a rival that was struck by the same crashes; minMomentsAnswered for those
 	// with which requests were answered between crashes.
-	minMomentsInDoubt  = 5
-	minMomentsAnswered = 6
+	minMomentsInDoubt  = 4
+	minMomentsAnswered = 5
 	// momentGap separates two moments. Upstreams that are lost together, as with a failure
 	// domain, crash within one moment, and no request is the cause.
-	momentGap = 100 * time.Millisecond
+	momentGap = 40 * time.Millisecond
 	// doubtTime is how long after its first strike a key with answers is not convicted, so
 	// that answers at other nodes become known.
 	doubtTime = time.Second
-	// explainedFraction is the fraction of a key's moments that a nested key has to explain to be
-	// convicted before it, if requests with the outer key were answered.
+	// explainedFraction is the fraction of a key's moments that nested keys have to explain to be
+	// convicted before it, if requests with it were answered between crashes.
 	explainedFraction = 1.0 / 3
-	// unexplainedFraction is the fraction of a key's moments that a nested key may leave
-	// unexplained to be convicted before it, if no requests with the outer key were answered
-	// between crashes. Losses of upstreams beside leave some.
-	unexplainedFraction = 1.0 / 3
+	// maxUnexplained is the number of moments that nested keys may leave unexplained to be
+	// convicted before the outer one.
+	maxUnexplained = 1
+	// lossSize is the number of upstreams that crash within lossWindow from which the crashes are
+	// taken for a loss, which a nested key need not explain.
+	lossSize   = 4
+	lossWindow = 25 * time.Millisecond
+	// lossWeight is how many moments weigh as much as one without losses, for keys with which
+	// requests were answered. A long series of losses still convicts them.
+	lossWeight = 2
 	// clearedWeight is how many strikes that count outweigh one that was cleared: a part that was
 	// answered at first may crash upstreams from some moment on.
 	clearedWeight = 3
@@ -168,6 +174,10 @@
 		}
 		c.moments, c.first = g.moments(e, c.unexplained)
 		c.doubt = g.doubtOf(e)
+		if c.doubt != neverAnswered {
+			apart, _ := g.moments(e, c.unexplained.without(&g.losses))
+			c.moments = max(apart, c.moments/lossWeight)
+		}
 		if c.margin() < 0 {
 			continue
 		}
@@ -187,12 +197,7 @@
 // margin.
 func (g *Guard) next(all []candidate) *candidate {
 	for i := range all {
-		c := &all[i]
-		for k := range all {
-			if d := &all[k]; g.nested(d.key, c.key) && g.explains(d, c) {
-				c = d
-			}
-		}
+		c := g.deepest(&all[i], all)
 		if c.moments >= minMomentsInDoubt || !c.convictedAt.IsZero() || !g.hasRival(c, all) {
 			return c
 		}
@@ -200,15 +205,48 @@
 	return nil
 }
 
-// explains reports whether a nested key explains the strikes of an outer one. Answers between the
-// crashes show that the outer one is not the cause by itself; without any, the strikes that the
-// nested one lacks count.
-func (g *Guard) explains(nested, outer *candidate) bool {
-	left, _ := g.moments(outer.entry, outer.unexplained.without(&nested.unexplained))
-	if outer.doubt != answeredBetween || !outer.convictedAt.IsZero() {
-		return float64(left) <= unexplainedFraction*float64(outer.moments)
+// deepest returns the candidate that explains the strikes of an outer one, or the outer one itself.
+func (g *Guard) deepest(outer *candidate, all []candidate) *candidate {
+	var best *candidate
+	var union crashSet
+	for i := range all {
+		d := &all[i]
+		if !g.nested(d.key, outer.key) {
+			continue
+		}
+		if g.unexplainedBy(outer, &d.unexplained) <= maxUnexplained {
+			return g.deepest(d, all)
+		}
+		if best == nil {
+			best = d
+		}
+		union.merge(&d.unexplained)
+	}
+	if best != nil && g.explain(outer, &union) {
+		return g.deepest(best, all)
+	}
+	return outer
+}
+
+// explain reports whether several nested keys together explain the strikes of an outer one. A
+// convicted key without answers stays the cause: its nested keys share its strikes.
+func (g *Guard) explain(outer *candidate, nested *crashSet) bool {
+	if outer.doubt == neverAnswered && !outer.convictedAt.IsZero() {
+		return false
 	}
-	return float64(outer.moments-left) >= explainedFraction*float64(outer.moments)
+	if g.unexplainedBy(outer, nested) <= maxUnexplained {
+		return true
+	}
+	left, _ := g.moments(outer.entry, outer.unexplained.without(nested))
+	return outer.doubt == answeredBetween && float64(outer.moments-left) >= explainedFraction*float64(outer.moments)
+}
+
+// unexplainedBy returns the number of moments of an outer key, less losses, that nested strikes do
+// not explain.
+func (g *Guard) unexplainedBy(outer *candidate, nested *crashSet) int {
+	rest := outer.unexplained.without(nested)
+	left, _ := g.moments(outer.entry, rest.without(&g.losses))
+	return left
 }
 
 // hasRival reports whether another candidate has as many moments, was struck by the same crashes,
@@ -257,7 +295,7 @@
 	return count, first
 }
 
-// sortCrashes sorts the slots of all crashes by time.
+// sortCrashes sorts the slots of all crashes by time, and finds the losses among them.
 func (g *Guard) sortCrashes() {
 	g.order = g.order[:0]
 	for slot, c := range g.crashes {
@@ -266,4 +304,13 @@
 		}
 	}
 	slices.SortFunc(g.order, func(a, b int) int { return g.crashes[a].at.Compare(g.crashes[b].at) })
+	g.losses = crashSet{}
+	for i := range len(g.order) - lossSize + 1 {
+		group := g.order[i : i+lossSize]
+		if g.crashes[group[lossSize-1]].at.Sub(g.crashes[group[0]].at) < lossWindow {
+			for _, slot := range group {
+				g.losses.add(slot)
+			}
+		}
+	}
 }
