--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -10,7 +10,7 @@
 	// struck are the crashes of upstreams that were about to answer a request with the key,
 	// cleared those of them after which such a request was answered.
 	struck, cleared crashSet
-	// sequels are those strikes whose request was sent after an earlier strike: not even crashes
+	// sequels are those strikes whose request was sent after all earlier ones: not even crashes
 	// in quick succession then have a common cause elsewhere.
 	sequels crashSet
 	// clearedAt is when this node last learned that a strike was cleared.
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -75,7 +75,7 @@
 		if e.struck.has(slot) {
 			continue
 		}
-		if g.anyBefore(e.live(), sent) {
+		if live := e.live(); !live.empty() && g.allBefore(live, sent) {
 			e.sequels.add(slot)
 		}
 		e.struck.add(slot)
@@ -86,10 +86,11 @@
 	return fresh
 }
 
-// anyBefore reports whether any of some crashes happened before a time.
-func (g *Guard) anyBefore(set crashSet, at time.Time) (any bool) {
-	set.each(func(slot int) { any = any || g.crashes[slot].at.Before(at) })
-	return any
+// allBefore reports whether all of some crashes happened before a time.
+func (g *Guard) allBefore(set crashSet, at time.Time) bool {
+	all := true
+	set.each(func(slot int) { all = all && g.crashes[slot].at.Before(at) })
+	return all
 }
 
 // Answered records that an upstream began to answer a request with these keys at the given time,
