crashguard: after a storm only convicted keys are sent

In virtual time with 1,600 nodes (40 bad requests a second, 88 crashes, 1 late; 2 a second, 11 crashes, none late) each exchange carried 44 keys, and would have for ten minutes, as strikes expire then: some 3 kB each way, more than a node may spend. Keys that are not convicted are sent for 30 s after their last strike.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -198,6 +198,8 @@
 	peer := New()
 	peer.Merge(r, e.now)
 	is.Equal(len(peer.Convicted(Chain{PartKey("bad")}, e.now)), 1)
+	e.now = e.now.Add(newsTime + time.Second)
+	is.Equal(len(e.g.Report(e.now).Keys), 1) // after the storm only the convicted key is sent
 	e.now = e.now.Add(convictionTTL + time.Minute)
 	is.Equal(len(e.g.Report(e.now).Keys), 0)
 	is.Equal(len(e.g.slots), 0)
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -71,11 +71,14 @@
 // toReport returns the keys to report: convicted ones, recent clearances, and the others by their
 // strikes.
 func (g *Guard) toReport(now time.Time) []*entry {
-	newest := g.newestCrashes()
+	recent := g.crashesSince(now.Add(-newsTime))
+	newest := g.newestCrashes(&recent)
 	var first, rest []*entry
 	for _, e := range g.byWeight(func(yield func(*entry) bool) {
 		for _, e := range g.keys {
-			if (g.isSentFirst(e, now) || e.live().size() > 1 || e.live().common(&newest) > 0) && !yield(e) {
+			live := e.live()
+			isNews := live.common(&recent) > 0 && live.size() > 1 || live.common(&newest) > 0
+			if (g.isSentFirst(e, now) || isNews) && !yield(e) {
 				return
 			}
 		}
@@ -94,18 +97,23 @@
 	return !e.convictedAt.IsZero() || e.trials > 0 || !e.clearedAt.IsZero() && now.Sub(e.clearedAt) < clearanceTime
 }
 
-// sentCrashes is the number of crashes whose keys are sent with a single strike.
-const sentCrashes = 4
+const (
+	// sentCrashes is the number of crashes whose keys are sent with a single strike.
+	sentCrashes = 4
+	// newsTime is for how long keys that are not convicted are sent after their last strike. All
+	// nodes know them by then.
+	newsTime = 30 * time.Second
+)
 
-// newestCrashes returns the newest crashes.
-func (g *Guard) newestCrashes() (newest crashSet) {
+// newestCrashes returns the newest crashes, less those that are no news.
+func (g *Guard) newestCrashes(recent *crashSet) (newest crashSet) {
 	for range sentCrashes {
 		best := -1
-		for slot, c := range g.crashes {
-			if !c.at.IsZero() && !newest.has(slot) && (best < 0 || c.at.After(g.crashes[best].at)) {
+		recent.without(&newest).each(func(slot int) {
+			if best < 0 || g.crashes[slot].at.After(g.crashes[best].at) {
 				best = slot
 			}
-		}
+		})
 		if best >= 0 {
 			newest.add(best)
 		}
@@ -113,6 +121,16 @@
 	return newest
 }
 
+// crashesSince returns the crashes since a time.
+func (g *Guard) crashesSince(from time.Time) (recent crashSet) {
+	for slot, c := range g.crashes {
+		if c.at.After(from) {
+			recent.add(slot)
+		}
+	}
+	return recent
+}
+
 // Merge adds what a peer reports. It reports whether that matters to other nodes soon: a key has
 // repeated strikes that are new here, or its verdict, strikes or trials have changed.
 func (g *Guard) Merge(r Report, now time.Time) (urgent bool) {
