--- a/internal/crashguard/faults_test.go
+++ b/internal/crashguard/faults_test.go
@@ -1,6 +1,7 @@
 package crashguard
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -12,6 +13,12 @@
 // Fails if a bad part is not refused in time, or a sound one stays refused, beside losses of
 // engines, cuts between nodes and lost exchanges.
 func TestConvictionUnderFaults(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	if checks.Value.String() == checks.DefValue {
+		if err := checks.Value.Set(defaultChecks); err != nil {
+			t.Fatal(err)
+		}
+	}
 	rapid.Check(t, func(t *rapid.T) { checkFaults(t, drawFaults(t)) })
 }
 
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -41,6 +41,8 @@
 	answers answerLog
 	// dirty is set if the verdicts have to be found anew.
 	dirty bool
+	// judgeAt is when verdicts may change by time alone; zero for never.
+	judgeAt time.Time
 	// order is the slots of all crashes by time, as of the last verdicts.
 	order []int
 	// losses are the crashes of many upstreams together.
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -206,6 +206,18 @@
 	is.True(!e.convicted("bad"))
 }
 
+// Fails if prompts that hold the same parts in any order, or one part repeatedly, make the search for
+// a verdict endless.
+func TestPartsInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for range 4 {
+		e.crash(e.chain("a", "b", "c"), e.chain("c", "b", "a"), e.chain("a", "a"), e.chain("b", "a", "b"))
+		e.crash(e.chain("c", "a"))
+	}
+	is.True(e.convicted("a") || e.convicted("b") || e.convicted("c"))
+}
+
 // Fails if requests that differ in organisation, path or body have one key.
 func TestDifferentRequestsHaveDifferentKeys(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -163,7 +163,8 @@
 	}
 	j.affinityHash = xxhash.Sum64String(key)
 	j.service = pickService(j.route, j.affinityHash)
-	for _, b := range j.sharedBlocks() {
+	shared := j.sharedBlocks()
+	for _, b := range shared[:min(len(shared), maxChainParts)] {
 		j.chain = append(j.chain, crashguard.PartKey(b.ID))
 	}
 	j.chain = append(j.chain, crashguard.RequestKey(j.orgName, path, j.body))
@@ -176,6 +177,9 @@
 	return blocks[:max(len(blocks)-1, 0)]
 }
 
+// maxChainParts bounds the parts of a prompt that are watched for crashes.
+const maxChainParts = 64
+
 // sharedParts returns the IDs of the shared parts of the prompt, in order.
 func (j *job) sharedParts() string {
 	ids := make([]string, 0, len(j.headers.PromptBlocks))
--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -28,6 +28,8 @@
 	// answerProofTime is how long after its first chunk an attempt shows that the messages of its
 	// prompt do not crash the upstream.
 	answerProofTime = 250 * time.Millisecond
+	// maxChainMessages bounds the messages of a chat that are watched for crashes.
+	maxChainMessages = 64
 	// crashRetryAfter is the RetryAfter of requests with a convicted message.
 	crashRetryAfter = 30 * time.Second
 )
@@ -50,7 +52,7 @@
 
 // chainOf returns the keys of a chat: all messages but the last, and the request.
 func chainOf(messages []uint64, f request.Fingerprint) (chain crashguard.Chain) {
-	for _, m := range messages {
+	for _, m := range messages[:min(len(messages), maxChainMessages)] {
 		chain = append(chain, crashguard.PartKey(strconv.FormatUint(m, 16)))
 	}
 	return append(chain, crashguard.RequestKey("", "", f[:]))
