gossip: a reply that arrives at its call's timeout is not decoded into shared memory

Callers would have lost all that ran there.

Cause: call decoded into its named result and, after a timeout, assigned zero to it while the connection's reader was still decoding. The reply has memory of its own now, which is read only when the call is done.

Test: TestReplyAtTheTimeoutIsNotShared, replies about at the timeout, fails before under the race detector (data races in 3 of 3 runs), passes 5 of 5 after. peer.Pool.Call's callers do not touch the reply after an error.

--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -172,12 +172,16 @@
 }
 
 // call calls a method of a peer and drops the connection on any error.
-func call[In, Out any](c *Client, addr, method string, in In, limit time.Duration) (out Out, err error) {
+//
+// After a timeout the connection may still decode the reply, so nothing else uses its memory.
+func call[In, Out any](c *Client, addr, method string, in In, limit time.Duration) (Out, error) {
+	var none Out
 	conn, err := c.conn(addr)
 	if err != nil {
-		return out, err
+		return none, err
 	}
-	call := conn.Go(service+"."+method, in, &out, make(chan *rpc.Call, 1))
+	reply := new(Out)
+	call := conn.Go(service+"."+method, in, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -188,9 +192,9 @@
 	}
 	if err != nil {
 		c.drop(addr, conn)
-		return *new(Out), err
+		return none, err
 	}
-	return out, nil
+	return *reply, nil
 }
 
 func (c *Client) conn(addr string) (*rpc.Client, error) {
