--- a/internal/ledger/entries.go
+++ b/internal/ledger/entries.go
@@ -56,8 +56,10 @@
 	defer cancel()
 	var reply wire.AppendReply
 	args := appendArgs(name, e, wait)
-	err := l.deps.Peers.Call(ctx, vm.Peer, methodAppend, &args, &reply)
-	return reply, err
+	if err := l.deps.Peers.Call(ctx, vm.Peer, methodAppend, &args, &reply); err != nil {
+		return wire.AppendReply{}, err // the connection may still decode the reply
+	}
+	return reply, nil
 }
 
 // appendLocal appends an entry to a log through this node's batcher.
