--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -43,7 +45,7 @@
 	mu    sync.Mutex
 	guard *crashguard.Guard
 	ids   []string // of all nodes
-	addrs []string // of the peers
+	addrs []string // of the peers that are called
 }
 
 func newCrashParts(n *Node) *crashParts {
@@ -58,15 +60,20 @@
 	return append(chain, crashguard.RequestKey("", "", f[:]))
 }
 
+// setPeers sets the nodes. Of a ring of all, sorted by ID, those at distances 1, 2, 4, ... are
+// called: the connections of a node do not grow with the fleet, and news reaches all in as many
+// rounds as there are distances.
 func (c *crashParts) setPeers(v *membership.View) {
+	all := slices.SortedFunc(slices.Values(v.Entries), func(a, b membership.Member) int { return cmp.Compare(a.ID, b.ID) })
+	self := slices.IndexFunc(all, func(m membership.Member) bool { return m.ID == c.node.settings.ID })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ids, c.addrs = nil, nil
-	for _, m := range v.Entries {
+	for _, m := range all {
 		c.ids = append(c.ids, m.ID)
-		if m.ID != c.node.settings.ID {
-			c.addrs = append(c.addrs, m.Peer)
-		}
+	}
+	for distance := 1; self >= 0 && distance < len(all); distance *= 2 {
+		c.addrs = append(c.addrs, all[(self+distance)%len(all)].Peer)
 	}
 }
 
