--- a/internal/crashguard/key.go
+++ b/internal/crashguard/key.go
@@ -6,11 +6,11 @@
 type Key uint64
 
 // PartKey returns the key of a part of prompts by its ID. A part is the same for all
-// organisations, routes and models: it crashes an upstream whatever else a request holds.
+// organisations, routes and models, since the rest of a request does not matter to a crash.
 func PartKey(id string) Key { return Key(xxhash.Sum64String("part\x00" + id)) }
 
-// RequestKey returns the key of requests with the same organisation, path and body, whatever
-// their IDs.
+// RequestKey returns the key of requests with the same organisation, path and body. Their IDs do
+// not matter.
 func RequestKey(organisation, path string, body []byte) Key {
 	d := xxhash.New()
 	_, _ = d.WriteString(organisation) // hash writes never fail
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -192,7 +192,7 @@
 	n.mergeCrashes(in, time.Now())
 }
 
-// logVerdicts logs new verdicts. Attempts under way go on: their answers end wrong verdicts.
+// logVerdicts logs new verdicts. Attempts in flight continue: their answers end wrong verdicts.
 func (n *Node) logVerdicts() {
 	n.mu.Lock()
 	verdicts := n.crashGuard.TakeVerdicts(time.Now())
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,7 +26,7 @@
 	bodyTooLarge    = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", text: "body is too large"}
 	tooManyBodies   = &refusal{status: http.StatusServiceUnavailable, reason: "memory", text: "too many bodies are under way", retryAfter: refusedRetryAfter}
 	crashingRequest = &refusal{status: http.StatusServiceUnavailable, reason: "crashes_upstreams", text: "requests like this one crash upstreams", retryAfter: crashingRetryAfter}
-	// crashedUpstreams is for requests that may be repeated: the caller is told when.
+	// crashedUpstreams carries a Retry-After, as its requests may be repeated.
 	crashedUpstreams = &refusal{status: http.StatusBadGateway, reason: "crashes_upstreams", text: "requests like this one crash upstreams; it may have run", retryAfter: crashingRetryAfter}
 	noUpstream       = &refusal{status: http.StatusServiceUnavailable, reason: "no_upstream", text: "no upstream can take the request now", retryAfter: refusedRetryAfter}
 	noLink           = &refusal{status: http.StatusServiceUnavailable, reason: "no_link", text: "this node does not reach the upstreams", retryAfter: refusedRetryAfter}
