crashguard: trials are forgotten with the crashes of their conviction

A key that had used its trials kept them for as long as the node ran, so that a later conviction would have had no way back by trials. TestTrialsExpireWithTheirConviction fails before.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -172,7 +172,7 @@
 		e.struck.remove(slot)
 		e.cleared.remove(slot)
 		e.sequels.remove(slot)
-		if e.struck.empty() && e.trials == 0 {
+		if e.struck.empty() {
 			delete(g.keys, key)
 			delete(g.convicted, key)
 		}
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -204,6 +204,28 @@
 	is.Equal(len(e.g.Report(e.now).Keys), 0)
 	is.Equal(len(e.g.slots), 0)
 	is.True(!e.convicted("bad"))
+	is.Equal(len(e.g.keys), 0)
+}
+
+// Fails if trials are counted for longer than the conviction may last.
+func TestTrialsExpireWithTheirConviction(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	key := PartKey("part")
+	for range 2 {
+		for range 3 {
+			e.crash(e.chain("part"))
+		}
+		is.True(e.convicted("part"))
+		for range trialDelays {
+			e.now = e.now.Add(time.Hour)
+			_, due := e.g.TrialDue(Chain{key}, key, e.now)
+			is.True(due)
+			e.g.StartTrial(key, e.now)
+		}
+		e.now = e.now.Add(convictionTTL)
+		e.g.Report(e.now)
+	}
 }
 
 // Fails if prompts that hold the same parts in any order, or one part repeatedly, make the search for
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -178,7 +178,7 @@
 		e.trials, e.trialAt, urgent = k.Trials, now.Add(-k.TrialAge), true
 	}
 	g.dirty = g.dirty || e.struck != struck || e.cleared != cleared || e.sequels != sequels
-	if e.struck.empty() && e.trials == 0 {
+	if e.struck.empty() {
 		delete(g.keys, k.Key) // all its crashes have expired
 	}
 	return urgent
