--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -36,8 +36,8 @@
 	crashRetryAfter = 30 * time.Second
 )
 
-// crashParts finds the messages that crash upstreams, whatever the requests that share them hold
-// beside, and exchanges the evidence with peers.
+// crashParts finds the messages that crash upstreams in requests that share nothing else, and
+// exchanges the evidence with peers.
 type crashParts struct {
 	node *Node
 	news chan struct{}
