logring: a line after Close is dropped instead of ending the process

Callers saw nothing, whoever starts the process did: a node stopped by SIGTERM ended with exit status 2.

Cause: Close closed the channel that Write sends on. The goroutine that reloads settings on SIGHUP handles signals until the process is gone, on purpose, and logs each reload; goroutines of abandoned connections outlive the node too. A line between the close and the end of the process panics.

--- a/internal/logring/writer.go
+++ b/internal/logring/writer.go
@@ -28,8 +28,11 @@
 	dest    io.Writer
 	lines   chan []byte
 	done    chan struct{}
-	once    sync.Once
 	dropped atomic.Int64
+
+	// mu orders the close of lines after all sends.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New starts a writer that writes to dest in the background; Close ends it.
@@ -39,10 +42,16 @@
 	return w
 }
 
-// Write queues a copy of the line, or drops and counts it when the queue is full.
-// It never returns an error.
+// Write queues a copy of the line, or drops and counts it when the queue is full or the writer
+// is closed. It never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
 	queued := append([]byte(nil), line...)
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- queued:
 	default:
@@ -51,12 +60,18 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines a full queue has dropped since the start.
+// Dropped returns how many lines were dropped since the start.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines and ends the writer. Write must not be called afterwards.
+// Close writes the queued lines and ends the writer. Later lines are dropped: goroutines that
+// outlive the node may still log.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
 
--- a/internal/logring/writer_test.go
+++ b/internal/logring/writer_test.go
@@ -32,6 +32,28 @@
 	is.Equal(int64(strings.Count(dest.text(), "line\n"))+w.Dropped(), int64(3*queueLines))
 }
 
+// Regression: a line after Close ended the process with a panic, as late goroutines still log.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var dest bytes.Buffer
+	w := New(&dest)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 500 {
+				_, _ = w.Write([]byte("line\n")) // never fails
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	n, err := w.Write([]byte("line\n"))
+	is.NoErr(err)
+	is.Equal(n, 5)
+	w.Close()                                                                        // has no further effect
+	is.Equal(int64(strings.Count(dest.String(), "line\n"))+w.Dropped(), int64(2001)) // written or counted
+}
+
 // blockedWriter blocks each write until released is closed.
 type blockedWriter struct {
 	released chan struct{}
