node: engines that start or have no room do not hold a version

Callers saw 409 version_held for a sound version, until an operator lifted the hold.

Cause: each status that an engine reported, unless it declined with the header of the contract, was evidence against the version: 429, 502 and 503 of an engine that starts or is full too.

Change: 429, 502, 503, 504 and an unknown version fail the attempt as before and count as no evidence. 500, other statuses and errors within a stream do.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/request"
 	"github.com/hickorybank/hickorybank/internal/upstream"
-	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
 
 const (
@@ -235,8 +234,10 @@
 	if resuming && errors.Is(err, upstream.ErrUnknownStream) {
 		return r.streamUnknown()
 	}
-	if r.engineFailed(err) {
-		r.node.chooser.ObserveError(r.current.version, r.class.Name, time.Now())
+	if engineFailed(err) {
+		if blamesVersion(err) {
+			r.node.chooser.ObserveError(r.current.version, r.class.Name, time.Now())
+		}
 		return r.machine.EngineFailed(r.current.attempt)
 	}
 	if resuming && (isRefused(err) || r.node.hasCrashed(r.current.vm, r.current.epoch)) {
@@ -245,14 +246,6 @@
 	return r.machine.ConnectionFailed(r.current.attempt, reachOf(err), resuming)
 }
 
-// engineFailed reports whether err is a failure that the engine itself reported, as opposed to
-// a lost connection.
-func (r *chatRun) engineFailed(err error) bool {
-	var status *upstreamclient.StatusError
-	var inStream *upstreamclient.StreamError
-	return reachOf(err) == upstream.MaybeRun && (errors.As(err, &status) || errors.As(err, &inStream))
-}
-
 func reachOf(err error) upstream.Reach {
 	var e *upstream.Error
 	if errors.As(err, &e) {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/hickorybank/hickorybank/internal/standin/engine"
 	"github.com/hickorybank/hickorybank/internal/standin/platform/memory"
 	"github.com/hickorybank/hickorybank/internal/standin/service"
+	"github.com/hickorybank/hickorybank/internal/upstream"
 	upstreamclient "github.com/hickorybank/hickorybank/internal/upstream/client"
 )
 
@@ -50,6 +51,8 @@
 	tokens     int // of each answer
 	tokenGap   time.Duration
 	firstToken time.Duration // time to the first token
+	// through is what the nodes' requests to engines pass through, if set.
+	through func(upstream.Engines) upstream.Engines
 }
 
 var domains = []string{"manga", "bocagrande", "mamonal", "getsemani"}
@@ -70,7 +73,7 @@
 		f.addService(i)
 	}
 	for i := range size.nodes {
-		f.addNode(i)
+		f.addNode(i, size.through)
 	}
 	f.t.Cleanup(f.closeNodes)
 	for _, n := range f.nodes {
@@ -120,17 +123,21 @@
 	}))
 }
 
-func (f *fleet) addNode(i int) *Node {
+func (f *fleet) addNode(i int, through func(upstream.Engines) upstream.Engines) *Node {
 	is := is.New(f.t)
 	lossy := &lossyLinks{}
 	f.links = append(f.links, lossy)
 	links := NewLinks(lossy)
+	var engines upstream.Engines = upstreamclient.NewEngines(upstreamclient.Options{Dialer: links})
+	if through != nil {
+		engines = through(engines)
+	}
 	n, err := New(Settings{
 		ID: "e" + strconv.Itoa(i), FailureDomain: domains[i%len(domains)],
 		Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AddressTTL: 200 * time.Millisecond,
 		SessionKeys: [][]byte{[]byte(strings.Repeat("k", seal.MinKeyBytes))}, Seed: uint64(i),
 	}, Deps{
-		Platform: f.store, Engines: upstreamclient.NewEngines(upstreamclient.Options{Dialer: links}),
+		Platform: f.store, Engines: engines,
 		Services: upstreamclient.NewServices(upstreamclient.Options{Dialer: links}), Links: links, Log: discardLogs(),
 	})
 	is.NoErr(err)
