crashguard: a trial counts once it may have run

Callers would see requests that share a sound part refused for 30 s more than need be, or 24 hours after the second time.

Cause: a trial of a convicted part counted when its request was let through, before an upstream was chosen. In the case all engines were down at that moment; an engine that declines has the same effect. A part has two trials, 30 s apart.

Change, at both doors: a trial begins at the write, and other nodes learn its time and wait; it counts once it may have run. A trial that was declined goes on at another upstream.

Measured: TestLossOfAllDuringTrials (the case, without its random draws) and TestDeclinedTrialIsRepeated (engines decline the first trial; not served within 20 s) failed before, pass now. Race detector: internal/gateway passed.

No case or check is changed.

--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -18,10 +18,13 @@
 	// convictedAt is when this node convicted the key; zero if it is not convicted.
 	convictedAt time.Time
 	// trials counts the requests that were let through since the first conviction, at all
-	// nodes; trialAt is when the last one was.
+	// nodes, and may have run; trialAt is when the last one was sent, whether it ran or not.
 	trials  int
 	trialAt time.Time
 }
 
+// tried reports whether a request was let through since the first conviction.
+func (e *entry) tried() bool { return !e.trialAt.IsZero() }
+
 // live returns the strikes that count.
 func (e *entry) live() crashSet { return e.struck.without(&e.cleared) }
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -236,7 +236,7 @@
 		switch {
 		case !e.convictedAt.IsZero():
 			w.class = 2
-		case e.trials > 0:
+		case e.tried():
 			w.class = 1
 		}
 		all = append(all, w)
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -8,6 +8,9 @@
 const (
 	// maxSentKeys bounds the keys of one report.
 	maxSentKeys = 48
+	// trialSpacing is the time beyond which two reported times are those of two trials. Reports
+	// are late by their transit.
+	trialSpacing = time.Second
 	// clearanceTime is for how long a clearance is sent first.
 	clearanceTime = 5 * time.Second
 )
@@ -30,7 +33,7 @@
 	Key, Parent              Key
 	Struck, Cleared, Sequels []byte
 	Trials                   int
-	// TrialAge is the time since the last trial.
+	// TrialAge is the time since the last trial; 0 for none.
 	TrialAge time.Duration
 }
 
@@ -45,8 +48,8 @@
 	index := map[int]int{}
 	for _, e := range g.toReport(now) {
 		k := ReportedKey{Key: e.key, Parent: e.parent, Trials: e.trials}
-		if e.trials > 0 {
-			k.TrialAge = now.Sub(e.trialAt)
+		if e.tried() {
+			k.TrialAge = max(now.Sub(e.trialAt), 1)
 		}
 		e.struck.each(func(slot int) {
 			i, ok := index[slot]
@@ -94,7 +97,7 @@
 }
 
 func (g *Guard) isSentFirst(e *entry, now time.Time) bool {
-	return !e.convictedAt.IsZero() || e.trials > 0 || !e.clearedAt.IsZero() && now.Sub(e.clearedAt) < clearanceTime
+	return !e.convictedAt.IsZero() || e.tried() || !e.clearedAt.IsZero() && now.Sub(e.clearedAt) < clearanceTime
 }
 
 const (
@@ -175,7 +178,10 @@
 		urgent = true
 	}
 	if k.Trials > e.trials {
-		e.trials, e.trialAt, urgent = k.Trials, now.Add(-k.TrialAge), true
+		e.trials, urgent = k.Trials, true
+	}
+	if at := now.Add(-k.TrialAge); k.TrialAge > 0 && at.Sub(e.trialAt) > trialSpacing {
+		e.trialAt, urgent = at, true
 	}
 	g.dirty = g.dirty || e.struck != struck || e.cleared != cleared || e.sequels != sequels
 	if e.struck.empty() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,7 +127,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.fleet.StillAccepts(a.up, now) && n.mayRun(a.job, now)
+	return n.fleet.StillAccepts(a.up, now) && n.mayRun(a.job, now, true)
 }
 
 // markStarted records that the attempt's answer has begun.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -90,22 +90,25 @@
 func (j *job) mayRun() bool {
 	j.node.mu.Lock()
 	defer j.node.mu.Unlock()
-	return j.crashes < maxRequestCrashes && j.node.mayRun(j, time.Now())
+	return j.crashes < maxRequestCrashes && j.node.mayRun(j, time.Now(), false)
 }
 
-// mayRun reports whether no part of the job is convicted, or the job is a trial of the convicted
-// key; the caller holds mu.
-func (n *Node) mayRun(j *job, now time.Time) bool {
+// mayRun reports whether no part of the job is convicted, or the job may be a trial of the
+// convicted key, which begins when it is about to be sent; the caller holds mu.
+func (n *Node) mayRun(j *job, now time.Time, sending bool) bool {
 	keys := n.crashGuard.Convicted(j.chain, now)
 	switch {
 	case len(keys) == 0:
 		return true
-	case len(keys) > 1 || j.attemptsReached > 0:
+	case len(keys) > 1 || j.mayHaveRun:
 	case j.trial == keys[0]:
 		return true
 	case n.allowTrial(j.chain, keys[0], now):
+		if !sending {
+			return true
+		}
 		j.trial = keys[0]
-		n.crashGuard.StartTrial(keys[0], now)
+		n.crashGuard.BeginTrial(keys[0], now)
 		n.logEvent(event.CrashTrial, j, slog.String("key", keyText(keys[0])), slog.String("parts", j.sharedParts()))
 		wake(n.crashNews)
 		return true
@@ -114,6 +117,19 @@
 	return false
 }
 
+// countTrial counts a trial once it may have run.
+func (j *job) countTrial() {
+	if j.trial == 0 || j.trialCounted {
+		return
+	}
+	j.trialCounted = true
+	n := j.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashGuard.CountTrial(j.trial)
+	wake(n.crashNews)
+}
+
 // allowTrial reports whether this node may let a request with a convicted key through; the caller
 // holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
 func (n *Node) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -44,6 +44,8 @@
 	// trial is the convicted key that the request may contain, to find out whether it still
 	// crashes upstreams; 0 for none.
 	trial crashguard.Key
+	// trialCounted is set once the trial may have run.
+	trialCounted bool
 
 	// tried are the IDs of the upstreams that were sent the request. attemptsUsed counts
 	// the attempts against the route's bound.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -195,6 +195,7 @@
 		j.noteDeclined(a, resp)
 		return false
 	}
+	j.countTrial()
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
 		return j.forwardStream(a, resp, reply)
 	}
@@ -256,6 +257,7 @@
 		j.attemptsReached++
 		j.attemptsUsed++
 		j.mayHaveRun = true
+		j.countTrial()
 	} else if f.Reason != exchange.Withdrawn {
 		j.connectFailures++
 	}
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -40,6 +40,7 @@
 	fingerprint  request.Fingerprint
 	chain        crashguard.Chain // what may crash upstreams
 	trial        crashguard.Key   // the convicted key that the request may contain; 0 for none
+	trialCounted bool             // the trial may have run
 	struck       bool             // an upstream crashed while it was about to answer
 	digest       uint64           // of the bill
 
