crashguard: a trial's crash keeps the part convicted

Cause: the part had been answered until it turned bad. A trial's crash then let the parts behind it, struck three times each, explain its strikes together, and nodes convicted those in its place by turns. A part that was never answered stays the cause in this state; this one counted as answered for minutes.

Change: it stays the cause, too, if nothing with it was answered between crashes and a trial has run.

Measured: TestTrialKeepsThePartConvicted (the case) has 6 late before, passes now. A trial that crashes for another part now keeps a wrong conviction up to the next one, 30 s later; no random case shows it.

--- a/internal/crashguard/faults_test.go
+++ b/internal/crashguard/faults_test.go
@@ -124,3 +124,18 @@
 		t.Errorf("sound parts are refused: %v", wrong)
 	}
 }
+
+// Fails if a trial that crashes an engine moves the conviction of a part to those behind it.
+func TestTrialKeepsThePartConvicted(t *testing.T) {
+	const siblings = 4
+	w := newWorld(worldSpec{
+		nodes: 5, engines: 59, soundPerSecond: 113, badPerSecond: 6, lost: 0.0020072948987213124, share: 0.5147705078125, seed: 0xe32,
+		sound: soundParts(siblings), losses: []time.Duration{0, time.Millisecond, 3 * time.Millisecond},
+		bad:   func(r *rand.Rand) []string { return []string{"bad", fmt.Sprint("behind", r.IntN(siblings))} },
+		isBad: func(part string, at time.Duration) bool { return at >= 2*time.Second && part == "bad" },
+	})
+	w.run(30 * time.Second)
+	if late := w.late("bad", 3*time.Second); late > 3 {
+		t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
+	}
+}
--- a/internal/crashguard/nesting.go
+++ b/internal/crashguard/nesting.go
@@ -52,9 +52,11 @@
 }
 
 // explain reports whether several nested keys together explain the strikes of an outer one. A
-// convicted key without answers stays the cause: its nested keys share its strikes.
+// convicted key stays the cause if it has no answers, or none between crashes and a trial has run:
+// its nested keys share its strikes.
 func (g *Guard) explain(outer *candidate, nested *crashSet) bool {
-	if outer.doubt == neverAnswered && !outer.convictedAt.IsZero() {
+	unanswered := outer.doubt == neverAnswered || outer.doubt == answeredBefore && outer.trials > 0
+	if unanswered && !outer.convictedAt.IsZero() {
 		return false
 	}
 	if g.unexplainedBy(outer, nested) <= maxUnexplained {
