crashguard: nodes that may make a trial double from the first request

With requests that crash upstreams pausing for half a minute and coming back, 7 of them reached upstreams at 8 nodes, 22 at 40 and 36 at 192, in virtual time; three may.

Cause: one node makes a trial, by its rank, and twice as many may after each 2 s from when the trial was due, so that a node without such requests does not hold it up. After a pause that time has run for all nodes.

With that, the rate of further trials when the first one passes is ln 2 / 8 s by any number of nodes and rate of requests; at 2 s it was 0.35 a second, and news takes about one.

Not tried beyond 192 nodes.

--- a/internal/crashguard/faults_test.go
+++ b/internal/crashguard/faults_test.go
@@ -139,3 +139,26 @@
 		t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
 	}
 }
+
+// Fails if many nodes make a trial at once when requests with a bad part come back after a pause.
+func TestRequestsThatComeBackAfterAPause(t *testing.T) {
+	for _, nodes := range []int{8, 40, 192} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(worldSpec{
+				nodes: nodes, engines: 60, soundPerSecond: 60, badPerSecond: 20, lost: 0.05, seed: 3, sound: soundParts(100),
+				bad:   func(*rand.Rand) []string { return []string{"first", "bad"} },
+				isBad: func(part string, _ time.Duration) bool { return part == "bad" },
+			})
+			for i, until := range []time.Duration{4, 40, 60, 120, 140} {
+				w.badPerSecond = float64(20 * ((i + 1) % 2)) // a pause after each period
+				w.run(until * time.Second)
+			}
+			late := w.late("bad", 3*time.Second)
+			t.Logf("%d crashes, %d late", len(w.crashes["bad"]), late)
+			if late > 3 {
+				t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
+			}
+		})
+	}
+}
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -9,30 +9,45 @@
 // to the next. No more trials than delays may run: each of them may crash an upstream.
 var trialDelays = [...]time.Duration{5 * time.Second, 30 * time.Second}
 
-// trialRankStep is the time after which the number of nodes that may make a trial doubles. A
-// trial is known to all nodes before the next one may make another.
-const trialRankStep = 2 * time.Second
+// trialRankStep is the time after which the number of nodes that may make a trial doubles, from
+// the first request that might be one. A trial is known to all nodes before the next one may make
+// another.
+const trialRankStep = 8 * time.Second
 
 // cleanTrialTime is how long a trial waits for a request without other keys in question.
 const cleanTrialTime = 4 * time.Second
 
-// TrialDue returns for how long a trial of a convicted key, by a request with this chain, has
-// been due; false if none is due. A request with a nested key that was struck repeatedly may
-// crash an upstream for that, and is no trial at first.
+// TrialDue returns for how long requests have come that might be the trial of a convicted key that
+// is due, this one with its chain among them; false if none is due. A request with a nested key
+// that was struck repeatedly may crash an upstream for that, and is no trial at first.
 func (g *Guard) TrialDue(chain Chain, key Key, now time.Time) (time.Duration, bool) {
 	e := g.convicted[key]
 	if e == nil {
 		return 0, false
 	}
-	trials, last := g.trialsOf(e)
-	if trials >= len(trialDelays) {
+	at, ok := g.nextTrial(e)
+	if !ok {
 		return 0, false
 	}
-	due := now.Sub(later(e.convictedAt, last)) - trialDelays[trials]
 	if slices.ContainsFunc(chain[slices.Index(chain, key)+1:], func(k Key) bool { return g.Strikes(k) >= rivalCrashes }) {
-		due -= cleanTrialTime
+		at = at.Add(cleanTrialTime)
+	}
+	if now.Before(at) {
+		return 0, false
+	}
+	if e.askedAt.IsZero() {
+		e.askedAt = now
+	}
+	return now.Sub(later(at, e.askedAt)), true
+}
+
+// nextTrial returns when the next trial of a convicted key is due; false if there is none.
+func (g *Guard) nextTrial(e *entry) (time.Time, bool) {
+	trials, last := g.trialsOf(e)
+	if trials >= len(trialDelays) {
+		return time.Time{}, false
 	}
-	return due, due >= 0
+	return later(e.convictedAt, last).Add(trialDelays[trials]), true
 }
 
 // trialsOf returns the number of trials of a key, and the time of the last. Convicted keys with one
@@ -60,7 +75,7 @@
 // BeginTrial records that a request with the convicted key is about to be sent.
 func (g *Guard) BeginTrial(key Key, now time.Time) {
 	if e := g.convicted[key]; e != nil {
-		e.trialAt = now
+		e.trialAt, e.askedAt = now, time.Time{}
 	}
 }
 
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -80,7 +80,7 @@
 		explained.merge(&live)
 		g.convicted[c.key] = c.entry
 		if c.convictedAt.IsZero() {
-			c.convictedAt = now
+			c.convictedAt, c.askedAt = now, time.Time{}
 			g.noteVerdict(c.entry, true)
 		}
 	}
