crashguard: no trial before the result of the last one is known

Change: the next trial waits 30 s while the result of the last one is not known, longer than requests wait for answers. The node that made a trial knows when it was declined and repeats it 5 s later, as before.

--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -21,6 +21,8 @@
 	// nodes, and may have run; trialAt is when the last one was sent, whether it ran or not.
 	trials  int
 	trialAt time.Time
+	// inTrial is set while it is not known here whether the last trial ran.
+	inTrial bool
 	// askedAt is when the first request came, at any node, that the next trial might be; zero if
 	// none has come since the trial was due.
 	askedAt time.Time
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -180,7 +180,8 @@
 	is.Equal(len(peer.Convicted(Chain{key}, e.now)), 0)
 }
 
-// Fails if a trial that did not run uses up one of the few, or another one begins at once.
+// Fails if a trial that did not run uses up one of the few, or another one begins before its result
+// is known.
 func TestTrialThatDidNotRunIsRepeated(t *testing.T) {
 	is := is.New(t)
 	e := newEvidence()
@@ -190,17 +191,23 @@
 	key := PartKey("part")
 	is.True(e.convicted("part"))
 	peer := New()
+	due := func(g *Guard, after time.Duration) bool {
+		_, due := g.TrialDue(Chain{key}, key, e.now.Add(after))
+		return due
+	}
 	for range 2 * len(trialDelays) {
 		e.now = e.now.Add(trialDelays[0])
-		_, due := e.g.TrialDue(Chain{key}, key, e.now)
-		is.True(due)
+		is.True(due(e.g, 0))
 		e.g.BeginTrial(key, e.now)
 		peer.Merge(e.g.Report(e.now), e.now)
 		is.Equal(len(peer.Convicted(Chain{key}, e.now)), 1)
 		for _, g := range []*Guard{e.g, peer} {
-			_, due = g.TrialDue(Chain{key}, key, e.now.Add(trialDelays[0]-time.Second))
-			is.True(!due)
+			is.True(!due(g, trialTimeout-time.Second))
 		}
+		e.g.DeclineTrial(key)
+		is.True(!due(e.g, trialDelays[0]-time.Second))
+		is.True(!due(peer, trialTimeout-time.Second))
+		is.True(due(peer, trialTimeout))
 	}
 }
 
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -182,11 +182,11 @@
 	if live := e.live(); e.struck != struck && live != before && live.common(&live) >= rivalCrashes {
 		urgent = true
 	}
-	if k.Trials > e.trials {
-		e.trials, urgent = k.Trials, true
-	}
 	if at := now.Add(-k.TrialAge); k.TrialAge > 0 && at.Sub(e.trialAt) > trialSpacing {
-		e.trialAt, e.askedAt, urgent = at, time.Time{}, true
+		e.trialAt, e.askedAt, e.inTrial, urgent = at, time.Time{}, true, true
+	}
+	if k.Trials > e.trials {
+		e.trials, e.inTrial, urgent = k.Trials, false, true
 	}
 	g.mergeAsked(e, now.Add(-k.AskedAge), k.AskedAge > 0)
 	g.dirty = g.dirty || e.struck != struck || e.cleared != cleared || e.sequels != sequels
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -17,6 +17,10 @@
 // cleanTrialTime is how long a trial waits for a request without other keys in question.
 const cleanTrialTime = 4 * time.Second
 
+// trialTimeout is how long the next trial waits for the result of the last one, which may be at
+// another node or have ended with it. It is longer than requests wait for answers.
+const trialTimeout = 30 * time.Second
+
 // TrialDue returns for how long requests have come that might be the trial of a convicted key that
 // is due, this one with its chain among them; false if none is due. A request with a nested key
 // that was struck repeatedly may crash an upstream for that, and is no trial at first.
@@ -47,7 +51,11 @@
 	if trials >= len(trialDelays) {
 		return time.Time{}, false
 	}
-	return later(e.convictedAt, last).Add(trialDelays[trials]), true
+	delay := trialDelays[trials]
+	if e.inTrial {
+		delay = trialTimeout
+	}
+	return later(e.convictedAt, last).Add(delay), true
 }
 
 // trialsOf returns the number of trials of a key, and the time of the last. Convicted keys with one
@@ -75,7 +83,7 @@
 // BeginTrial records that a request with the convicted key is about to be sent.
 func (g *Guard) BeginTrial(key Key, now time.Time) {
 	if e := g.convicted[key]; e != nil {
-		e.trialAt, e.askedAt = now, time.Time{}
+		e.trialAt, e.askedAt, e.inTrial = now, time.Time{}, true
 	}
 }
 
@@ -83,5 +91,13 @@
 func (g *Guard) CountTrial(key Key) {
 	if e := g.convicted[key]; e != nil {
 		e.trials++
+		e.inTrial = false
+	}
+}
+
+// DeclineTrial records that no upstream ran a request that was let through.
+func (g *Guard) DeclineTrial(key Key) {
+	if e := g.keys[key]; e != nil {
+		e.inTrial = false
 	}
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -130,6 +130,16 @@
 	wake(n.crashNews)
 }
 
+// endTrial records the end of a job that was let through and did not run.
+func (j *job) endTrial() {
+	if j.trial == 0 || j.trialCounted {
+		return
+	}
+	j.node.mu.Lock()
+	defer j.node.mu.Unlock()
+	j.node.crashGuard.DeclineTrial(j.trial)
+}
+
 // allowTrial reports whether this node may let a request with a convicted key through; the caller
 // holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
 func (n *Node) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,6 +44,7 @@
 
 // giveUp sends the final answer of a request for which no further attempt is made.
 func (j *job) giveUp() {
+	j.endTrial()
 	switch {
 	case j.r.Context().Err() != nil:
 		j.callerLeft()
--- a/internal/node/chat_run.go
+++ b/internal/node/chat_run.go
@@ -76,6 +76,7 @@
 		queue = append(queue[1:], r.flushAndCarryOut(ctx, next)...)
 	}
 	r.endAttempt()
+	r.node.crashes.endTrial(r)
 	if r.failure != nil {
 		return request.Answer{}, r.failure
 	}
--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -115,6 +115,16 @@
 	c.wake()
 }
 
+// endTrial records the end of a chat that was let through and did not run.
+func (c *crashParts) endTrial(r *chatRun) {
+	if r.trial == 0 || r.trialCounted {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.DeclineTrial(r.trial)
+}
+
 // allowTrial reports whether this node may let a request with a convicted key through; the caller
 // holds mu.
 func (c *crashParts) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
