--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -77,7 +77,7 @@
 	return trials, last
 }
 
-// TrialNodes returns how many nodes may make a trial that has been due for some time.
+// TrialNodes returns how many nodes may make a trial for which requests have come for some time.
 func TrialNodes(due time.Duration) int { return 1 << min(due/trialRankStep, 20) }
 
 // BeginTrial records that a request with the convicted key is about to be sent.
