A slower version is no longer completed: delays are compared with the old version's

Cause: an answer with too few events to have a pace counted as a good one; most of the new version's answers are such. The time until an answer begins was no evidence at all. A pace had to be four times a node's mean, which slow upstreams and bursts raise. Slow answers arrive late, so that those which had arrived were the quick ones. And a version was completed for lack of evidence against it.

Change: the wait (relative to the attempt's work) and the pace are each graded in octaves of the node's median for the route and model; an unknown one is no evidence. Nodes exchange counts by grade, packed. All nodes compare the new version's grades with the old one's of the last seconds by the likelihood of four slowdowns (all answers twice or more, half or a quarter several times), by route and for all routes, and by a sequential test for versions that become slow late. Attempts without an answer yet, or cut off, count by the grade that they have reached. All sessions go to a version, and it is completed, only if the delays speak for "as quick" with a log likelihood ratio of 3. Both verdicts use the same sums.

Unfinished attempts undo the bias to quick answers.

TestLateShiftIsCompletedAtOnce now begins with the answers that a shift needs: it forced a shift without any, which cannot come about.

--- /dev/null
+++ b/internal/canary/add_evidence.go
@@ -0,0 +1,59 @@
+package canary
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// addEvidence takes the answers up to now. It rolls the version back if they speak against it,
+// and fills in the decision where they do so most.
+func (r *rollout) addEvidence(d *Decision, now time.Time) {
+	trial := r.shiftedAt.IsZero()
+	all, slow, doubt := RouteCount{}, false, false
+	var delays addedDelays
+	totals := r.total()
+	for _, route := range slices.Sorted(maps.Keys(totals)) {
+		sum := totals[route]
+		all.merge(sum)
+		test := r.tests[route]
+		if test == nil {
+			test = &routeEvidence{}
+			r.tests[route] = test
+		}
+		test.failures.add(sum, now)
+		test.addDelays(sum, now, &delays)
+		d.Doubt = d.Doubt || test.failures.likelihood >= doubtThreshold
+		d.note(failureEvidence, test.failures.likelihood, sum)
+		if test.failures.rejects(now, trial) {
+			r.verdict = RolledBack
+		}
+		slow = r.judgeDelays(test, d, sum, now) || slow
+		doubt = doubt || test.doubtsDelays()
+	}
+	r.allRoutes.sumDelays(&delays, now)
+	slow = r.judgeDelays(&r.allRoutes, d, all, now) || slow
+	doubt = doubt || r.allRoutes.doubtsDelays()
+	d.AsQuick = r.allRoutes.asQuick()
+	if slow {
+		r.verdict = RolledBack
+	}
+	d.Doubt = d.Doubt || doubt
+}
+
+// judgeDelays reports whether the delays speak against the version.
+func (r *rollout) judgeDelays(test *routeEvidence, d *Decision, sum RouteCount, now time.Time) bool {
+	m, likelihood := test.worstDelay()
+	d.note(m.String(), likelihood, sum)
+	return test.rejectsDelays(sum, now, r.shiftedAt.IsZero())
+}
+
+// failureEvidence names the evidence from failed answers in decisions.
+const failureEvidence = "failures"
+
+// note records the strongest evidence against the version.
+func (d *Decision) note(by string, likelihood float64, sum RouteCount) {
+	if likelihood > d.Likelihood {
+		d.Likelihood, d.Evidence, d.Route, d.Counts = likelihood, by, sum.Route, sum
+	}
+}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -209,7 +209,7 @@
 	c := New(testSettings, "n1", 1)
 	now := time.Unix(1000, 0)
 	answer := func(version string, pace time.Duration) {
-		c.CountAnswer(Answer{Service: serviceName, Version: version, Route: "r", Model: "m", EventDelay: pace})
+		c.CountPace(c.Begin(Attempt{Service: serviceName, Version: version, Route: "r", Model: "m"}, true, now), pace)
 	}
 	for range 20 {
 		answer(oldVersion, 40*time.Millisecond)
@@ -324,7 +324,12 @@
 			view := View{Count: func(string, string) (int, int) { return 60, 120 }}
 			is.True(c.AddOrder(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, now))
 			answer := func(version string, failed bool) {
-				c.CountAnswer(Answer{Service: serviceName, Version: version, Route: "r", Model: "m", Failed: failed})
+				a := c.Begin(Attempt{Service: serviceName, Version: version, Route: "r", Model: "m"}, true, now)
+				if failed {
+					c.CountFailure(a)
+				} else {
+					c.CountPace(a, 0)
+				}
 			}
 			for range 480 {
 				answer(oldVersion, false)
@@ -360,6 +365,16 @@
 	c := New(testSettings, "n1", 1)
 	c.AddOrder(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, start)
 	r := c.rollouts[serviceName]
+	for i := range 2 * minAnswers { // the evidence that a shift needs
+		version := newVersion
+		if i%2 == 0 {
+			version = oldVersion
+		}
+		a := c.Begin(Attempt{Service: serviceName, Version: version, Route: "r", Model: "m"}, true, start)
+		c.Start(a, start.Add(40*time.Millisecond))
+		c.CountPace(a, 0)
+		c.End(a, false, start)
+	}
 	r.shiftedAt = r.deadline(testSettings).Add(200 * time.Millisecond)
 	decisions := c.Tick(r.shiftedAt.Add(100*time.Millisecond), View{Complete: true, Count: func(string, string) (int, int) { return 1, 2 }})
 	is.Equal(len(decisions), 1)
--- /dev/null
+++ b/internal/canary/delay_model_test.go
@@ -0,0 +1,89 @@
+package canary
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// delayModel draws the delays of answers.
+type delayModel struct {
+	// spread is the standard deviation of the logarithm of the waits; that of the pauses is a
+	// third of it.
+	spread float64
+	// slow returns the share of the new version's answers that are slower at a time after the
+	// order, and how many times; nil for none.
+	slow func(after time.Duration) (share, factor float64)
+	// slowRoute is the only route that is slower; empty for all.
+	slowRoute string
+	// slowUpstreams is the part of the old version's answers that come from upstreams which take
+	// four times as long.
+	slowUpstreams float64
+	// burst is how many times as long all waits are from 4 to 10 s after the order; 0 for
+	// none.
+	burst float64
+	// cold is how many times as long the new version's waits are in its first second.
+	cold float64
+}
+
+// usualDelays are those of an ordinary day.
+var usualDelays = delayModel{spread: 0.8}
+
+// answerDelays are the delays of one answer.
+type answerDelays struct {
+	route       string
+	wait, pause time.Duration // a pause of 0 is not known
+}
+
+func (m *delayModel) draw(rnd *rand.Rand, onNew bool, t time.Duration) answerDelays {
+	factor := 1.0
+	d := answerDelays{route: "long"}
+	if rnd.IntN(2) == 0 {
+		d.route = "short"
+	}
+	switch {
+	case onNew && m.slow != nil && (m.slowRoute == "" || m.slowRoute == d.route):
+		if share, times := m.slow(t); rnd.Float64() < share {
+			factor = times
+		}
+	case !onNew && rnd.Float64() < m.slowUpstreams:
+		factor = 4
+	}
+	wait := 0.25 * factor * math.Exp(m.spread*rnd.NormFloat64())
+	pause := 0.03 * factor * math.Exp(m.spread/3*rnd.NormFloat64())
+	if m.burst > 0 && t > 4*time.Second && t < 10*time.Second {
+		wait *= m.burst
+		pause *= math.Sqrt(m.burst)
+	}
+	if onNew && m.cold > 0 && t < trialDelay+time.Second {
+		wait *= m.cold
+	}
+	d.wait = time.Duration(wait * float64(time.Second))
+	if d.route == "long" {
+		d.pause = time.Duration(pause * float64(time.Second))
+	}
+	return d
+}
+
+// dueEvents are what happens later, in order of time.
+type dueEvents struct{ events []dueEvent }
+
+type dueEvent struct {
+	at time.Time
+	do func()
+}
+
+func (d *dueEvents) add(at time.Time, do func()) {
+	i, _ := slices.BinarySearchFunc(d.events, at, func(e dueEvent, at time.Time) int { return e.at.Compare(at) })
+	d.events = slices.Insert(d.events, i, dueEvent{at, do})
+}
+
+func (d *dueEvents) run(now time.Time) {
+	n := 0
+	for n < len(d.events) && !d.events[n].at.After(now) {
+		d.events[n].do()
+		n++
+	}
+	d.events = slices.Delete(d.events, 0, n)
+}
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -15,10 +15,16 @@
 	// Widened is set when this call let more sessions take part in the trial, Shift when
 	// it began to shift all.
 	Widened, Shift bool
-	// Likelihood is the log likelihood ratio against the version at Route, its worst
-	// route.
+	// Likelihood is the log likelihood ratio against the version by Evidence at Route, where
+	// it is strongest; an empty route stands for all. Doubt is set if it is too strong for a
+	// shift.
 	Likelihood float64
+	Evidence   string
 	Route      string
+	Doubt      bool
+	// AsQuick is the log likelihood ratio of "as quick as the old version" against the
+	// likeliest slowdown, by all answers.
+	AsQuick float64
 	// Counts are the answers of that route, Answers all answers of the new version.
 	Counts  RouteCount
 	Answers int64
@@ -41,6 +47,7 @@
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
 		if r.verdict == Open {
+			c.countUnfinished(r, now)
 			d.Reached = c.evaluate(r, &d, now, view)
 		}
 		d.Verdict = r.verdict
@@ -55,20 +62,7 @@
 // evaluate updates the evidence, widens or shifts the trial when it is due, and reports
 // whether it reached a verdict. Only a node whose view is whole completes a rollout.
 func (c *Canary) evaluate(r *rollout, d *Decision, now time.Time, view View) bool {
-	for route, sum := range r.total() {
-		test := r.tests[route]
-		if test == nil {
-			test = &evidence{}
-			r.tests[route] = test
-		}
-		test.add(sum, now)
-		if test.likelihood > d.Likelihood {
-			d.Likelihood, d.Route, d.Counts = test.likelihood, route, sum
-		}
-		if test.rejects(now, r.shiftedAt.IsZero()) {
-			r.verdict = RolledBack
-		}
-	}
+	r.addEvidence(d, now)
 	d.Answers = r.newAnswers()
 	if r.verdict != Open {
 		return true
@@ -82,7 +76,7 @@
 	}
 	ofVersion, all := view.Count(r.order.Service, r.order.Target)
 	enough := d.Answers >= minAnswers && ofVersion > 0 && 3*ofVersion >= all
-	good := enough && d.Likelihood < doubtThreshold
+	good := enough && !d.Doubt && d.AsQuick >= quickThreshold
 	deadline := r.deadline(c.settings)
 	if good {
 		// Only the bound on its requests delays the shift. The order's start is uncertain
@@ -103,6 +97,13 @@
 	if r.shiftedAt.IsZero() {
 		return false
 	}
+	if d.AsQuick < quickThreshold {
+		if now.Before(r.deadline(c.settings)) {
+			return false
+		}
+		r.verdict = RolledBack
+		return true
+	}
 	soaked := now.Sub(r.shiftedAt) >= soakTime && r.oldInFlight() == 0
 	if now.Before(r.deadline(c.settings)) && (r.share(c.settings, now) < 1 || !soaked) {
 		return false
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -14,9 +14,7 @@
 	baseAnswers, baseBad float64 // the old version's recent answers, decayed with baseHalfLife
 	decayedAt            time.Time
 	likelihood           float64
-	// aboveSince is when the likelihood last rose above rollbackThreshold; zero while it
-	// is below.
-	aboveSince time.Time
+	alarm                alarm
 }
 
 // add takes the counts up to now.
@@ -36,12 +34,7 @@
 	worse := baseline + excess*(1-baseline)
 	e.likelihood += bad*math.Log(worse/baseline) + good*math.Log((1-worse)/(1-baseline))
 	e.likelihood = max(e.likelihood, 0)
-	switch {
-	case e.likelihood < rollbackThreshold:
-		e.aboveSince = time.Time{}
-	case e.aboveSince.IsZero():
-		e.aboveSince = now
-	}
+	e.alarm.set(e.likelihood >= rollbackThreshold, now)
 }
 
 // rejects reports whether the version counts as bad; trial is set until all sessions are
@@ -53,10 +46,7 @@
 // lower it again. There is no wait once most answers are bad, or once all sessions go to
 // the version.
 func (e *evidence) rejects(now time.Time, trial bool) bool {
-	if e.aboveSince.IsZero() {
-		return false
-	}
-	return !trial || 2*e.counted.NewBad > e.counted.New || now.Sub(e.aboveSince) >= persistTime
+	return e.alarm.stands(now, trial, 2*e.counted.NewBad > e.counted.New)
 }
 
 // longRunBadShare is the old version's share of bad answers since the order, pulled
--- a/internal/canary/exchange.go
+++ b/internal/canary/exchange.go
@@ -13,6 +13,7 @@
 		if r.expired(now) {
 			continue
 		}
+		c.countUnfinished(r, now)
 		r.own.Seq++
 		t := r.own
 		t.Verdict, t.Written = r.verdict, r.written
@@ -64,6 +65,9 @@
 	// The table may have lost what it held of an earlier revision. Others may not know that one.
 	t.Written = t.Written && t.Revision == r.order.Revision
 	t.Revision = r.order.Revision
+	if !t.isPlausible() {
+		t.Routes = nil
+	}
 	r.peers[key] = t
 	if t.Widened && r.widenedAt.IsZero() {
 		r.widenedAt = now
@@ -88,6 +92,9 @@
 		for key, t := range r.peers {
 			if t.OldInFlight > 0 && !alive(key.node, key.born) {
 				t.OldInFlight = 0
+				if !t.isPlausible() {
+					t.Routes = nil
+				}
 				r.peers[key] = t
 			}
 		}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -6,15 +6,6 @@
 	"github.com/hickorybank/hickorybank/internal/revision"
 )
 
-// Answer is one attempt that succeeded or failed; a stream counts after its first events.
-type Answer struct {
-	Service, Version, Route, Model string
-	// Failed is set if the upstream failed or the answer broke off.
-	Failed bool
-	// EventDelay is the mean delay between the events of the stream; 0 if it is not known.
-	EventDelay time.Duration
-}
-
 // rollout is one order and the evidence on its version.
 type rollout struct {
 	order Order
@@ -24,8 +15,14 @@
 	own     Tally
 	counts  map[string]*RouteCount
 	peers   map[runKey]Tally
-	tests   map[string]*evidence
-	verdict Verdict
+	tests   map[string]*routeEvidence
+	// running are this node's unfinished attempts on the new version. cut are the grades that
+	// those ended early had reached, by route.
+	running map[*Attempt]struct{}
+	cut     map[string]*[measures]DelayCounts
+	// allRoutes is the evidence from the delays of all routes.
+	allRoutes routeEvidence
+	verdict   Verdict
 	// written is set when the platform's table holds the verdict.
 	written bool
 	// widenedAt is when more sessions began to take part in the trial; zero before.
@@ -56,10 +53,7 @@
 	add := func(c RouteCount) {
 		t := sum[c.Route]
 		t.Route = c.Route
-		t.New += c.New
-		t.NewBad += c.NewBad
-		t.Base += c.Base
-		t.BaseBad += c.BaseBad
+		t.merge(c)
 		sum[c.Route] = t
 	}
 	for _, c := range r.counts {
--- /dev/null
+++ b/internal/canary/route_evidence.go
@@ -0,0 +1,90 @@
+package canary
+
+import "time"
+
+// routeEvidence is the evidence from one route's answers, or from all routes together.
+type routeEvidence struct {
+	failures evidence
+	delays   [measures]delayEvidence
+	// slowAlarms are raised while a measure's evidence is above slowRollbackThreshold.
+	slowAlarms [measures]alarm
+}
+
+// alarm tells since when a value has been above its threshold.
+type alarm struct{ since time.Time }
+
+func (a *alarm) set(above bool, now time.Time) {
+	switch {
+	case !above:
+		a.since = time.Time{}
+	case a.since.IsZero():
+		a.since = now
+	}
+}
+
+// stands reports whether the alarm counts. Without a wait, a burst of bad answers at one moment
+// would decide; mostly is set if most answers are bad, trial until all sessions are shifted.
+func (a *alarm) stands(now time.Time, trial, mostly bool) bool {
+	if a.since.IsZero() {
+		return false
+	}
+	return !trial || mostly || now.Sub(a.since) >= persistTime
+}
+
+// addDelays takes the counts of the delays up to now.
+func (e *routeEvidence) addDelays(c RouteCount, now time.Time, all *addedDelays) {
+	for m := range measures {
+		added, unfinished := e.delays[m].add(c.Delays[m], now)
+		all.added[m].add(added)
+		all.unfinished[m].add(unfinished)
+		e.slowAlarms[m].set(e.delays[m].rejects(), now)
+	}
+}
+
+// addedDelays is what all routes' delays add to the evidence.
+type addedDelays struct{ added, unfinished [measures]slowdownScores }
+
+// sumDelays adds what the routes' delays add to the evidence of all routes.
+func (e *routeEvidence) sumDelays(all *addedDelays, now time.Time) {
+	for m := range measures {
+		e.delays[m].sum(all.added[m], all.unfinished[m])
+		e.slowAlarms[m].set(e.delays[m].rejects(), now)
+	}
+}
+
+// rejectsDelays reports whether the version counts as too slow.
+func (e *routeEvidence) rejectsDelays(c RouteCount, now time.Time, trial bool) bool {
+	for m := range measures {
+		n := c.Delays[m].New
+		if e.slowAlarms[m].stands(now, trial, 2*n.slow() > n.total()) {
+			return true
+		}
+	}
+	return false
+}
+
+// doubtsDelays reports whether the version may be too slow.
+func (e *routeEvidence) doubtsDelays() bool {
+	return e.delays[Wait].doubts() || e.delays[Pace].doubts()
+}
+
+// worstDelay returns the measure with the most evidence against the version.
+func (e *routeEvidence) worstDelay() (m Measure, likelihood float64) {
+	for i := range measures {
+		if v := e.delays[i].likelihood(); v > likelihood {
+			m, likelihood = i, v
+		}
+	}
+	return m, likelihood
+}
+
+// asQuick returns the log likelihood ratio of "as quick as the old version" against the
+// likeliest slowdown.
+func (e *routeEvidence) asQuick() float64 {
+	var all slowdownScores
+	for m := range measures {
+		all.add(e.delays[m].total)
+		all.add(e.delays[m].unfinished)
+	}
+	return -all.max()
+}
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -89,10 +89,19 @@
 	// baseHalfLife is the half-life of the old version's counts: faults that hit both
 	// versions must not count against the new one.
 	baseHalfLife = 3 * time.Second
-	// slowFactor is the multiple of the usual delay above which an answer is slow.
-	slowFactor = 4.0
-	// minSlowDelay is the least delay that counts as slow.
-	minSlowDelay = 60 * time.Millisecond
+	// slowRollbackThreshold is the log likelihood ratio of all delays at which a version counts
+	// as too slow: at most one good version in a thousand reaches it by a test.
+	slowRollbackThreshold = 6.9
+	// lateRollbackThreshold and lateDoubtThreshold are the bounds for the sequential test, which
+	// tries each answer as the first slow one.
+	lateRollbackThreshold = 10.0
+	lateDoubtThreshold    = 6.0
+	// quickThreshold is the log likelihood ratio of "as quick as the old version" that a version
+	// needs: one in twenty that is slower has it.
+	quickThreshold = 3.0
+	// PaceEvents is the number of events from which a stream's pace is taken. At the end of
+	// the stream, the pace of a slow version would be known only after all sessions had moved.
+	PaceEvents = 6
 	// reportTime is how long after its limit an ended rollout is still sent to peers.
 	reportTime = 30 * time.Second
 	// shareScale is the resolution of hashed shares.
--- a/internal/canary/simulation_test.go
+++ b/internal/canary/simulation_test.go
@@ -12,8 +12,10 @@
 type world struct {
 	nodes []*Canary
 	rnd   *rand.Rand
-	start time.Time
-	now   time.Time
+	// delayRnd draws the delays, so that they leave the sessions of a seed as they are.
+	delayRnd *rand.Rand
+	start    time.Time
+	now      time.Time
 	// badShare is the share of the new version's answers that fail at a time after the
 	// order; baseBadShare is the old version's.
 	badShare     func(after time.Duration) float64
@@ -36,6 +38,9 @@
 	rate int
 	// late is Order.Late of the order.
 	late time.Duration
+	// delays of the answers, and what is due at a time.
+	delays delayModel
+	due    dueEvents
 	// requests, exposed and badAnswers count from the order on.
 	requests, exposed, badAnswers int
 	// verdict is the one that was recorded, verdictAfter the time from the order until
@@ -65,8 +70,8 @@
 
 func newWorld(seed uint64, nodes int) *world {
 	w := &world{
-		rnd: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), lastServed: map[int]servedBy{},
-		badShare: func(time.Duration) float64 { return 0.01 }, baseBadShare: 0.01,
+		rnd: rand.New(rand.NewPCG(seed, 1)), delayRnd: rand.New(rand.NewPCG(seed, 2)), start: time.Unix(1000, 0), lastServed: map[int]servedBy{},
+		badShare: func(time.Duration) float64 { return 0.01 }, baseBadShare: 0.01, delays: usualDelays,
 	}
 	for i := range w.sessions {
 		w.newest++
@@ -103,6 +108,7 @@
 			}
 			taken = true
 		}
+		w.due.run(w.now)
 		w.request(t)
 		if w.now.Sub(exchangedAt) >= exchangeInterval {
 			exchangedAt = w.now
@@ -153,13 +159,32 @@
 	if version == newVersion && failed {
 		w.badAnswers++
 	}
-	c.CountSent(serviceName, version, true)
+	w.attempt(c, version, failed, true, t)
 	if w.secondAttempts > 0 && w.rnd.Float64() < w.secondAttempts {
-		c.CountEnded(serviceName, version, c.Revision(serviceName))
-		c.CountSent(serviceName, version, false)
+		w.attempt(c, version, failed, false, t)
 	}
-	c.CountEnded(serviceName, version, c.Revision(serviceName))
-	c.CountAnswer(Answer{Service: serviceName, Version: version, Route: "r", Model: "m", Failed: failed, EventDelay: 20 * time.Millisecond})
+}
+
+// attempt begins an attempt; its answer follows in virtual time.
+func (w *world) attempt(c *Canary, version string, failed, first bool, t time.Duration) {
+	d := w.delays.draw(w.delayRnd, version == newVersion, t)
+	a := c.Begin(Attempt{
+		Service: serviceName, Version: version, Route: d.route, Model: "m",
+		Noticeable: [measures]time.Duration{60 * time.Millisecond, 24 * time.Millisecond},
+	}, first, w.now)
+	answered := w.now.Add(d.wait)
+	if failed {
+		w.due.add(answered, func() {
+			c.CountFailure(a)
+			c.End(a, false, w.now)
+		})
+		return
+	}
+	w.due.add(answered, func() { c.Start(a, w.now) })
+	w.due.add(answered.Add(5*d.pause), func() {
+		c.CountPace(a, d.pause)
+		c.End(a, false, w.now)
+	})
 }
 
 // exchange exchanges tallies and pins between the first node, the reader, and all others.
@@ -184,6 +209,8 @@
 		view := View{Count: func(string, string) (int, int) { return 18, 36 }, Complete: i == 0}
 		for _, d := range c.Tick(w.now, view) {
 			if d.Verdict == Open {
+				if d.Shift {
+				}
 				w.exchange() // a shift is sent at once
 				continue
 			}
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -35,9 +35,36 @@
 }
 
 // RouteCount counts one route's answers: New of the new version and Base of the old one,
-// with NewBad and BaseBad of them bad.
+// with NewBad and BaseBad of them failed. Delays counts their delays by measure.
 type RouteCount struct {
 	Route         string
 	New, NewBad   int64
 	Base, BaseBad int64
+	Delays        [measures]DelayCount
+}
+
+// merge adds another route's counts.
+func (c *RouteCount) merge(other RouteCount) {
+	c.New += other.New
+	c.NewBad += other.NewBad
+	c.Base += other.Base
+	c.BaseBad += other.BaseBad
+	for m := range c.Delays {
+		c.Delays[m].New.add(other.Delays[m].New)
+		c.Delays[m].Base.add(other.Delays[m].Base)
+		c.Delays[m].Unfinished.add(other.Delays[m].Unfinished)
+	}
+}
+
+// isPlausible reports whether the new version's answers can come from the attempts that the node
+// made. A node that counts nonsense must not decide for all.
+func (t *Tally) isPlausible() bool {
+	waits := int64(0)
+	for _, c := range t.Routes {
+		if c.NewBad > c.New || c.BaseBad > c.Base {
+			return false
+		}
+		waits += c.Delays[Wait].New.total()
+	}
+	return waits <= t.Exposed
 }
--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -25,6 +25,13 @@
 // expected to be cached.
 func (w *Work) PrefixTokens() (asked, kept int) { return w.prefix, int(w.kept) }
 
+// RelativeWork returns an attempt's work and that of an average attempt of its service which is
+// queued before it, relative to the latter.
+func (f *Fleet) RelativeWork(w *Work) float64 {
+	mean := f.meanWorks[w.key.service]
+	return (w.amount + mean) / mean
+}
+
 // Begin records an attempt that is sent to u. The result is passed to ResponseStarted and
 // End.
 func (f *Fleet) Begin(u *Upstream, spec *AttemptSpec, now time.Time) *Work {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,7 +5,6 @@
 
 	"github.com/hickorybank/hickorybank/internal/canary"
 	"github.com/hickorybank/hickorybank/internal/fleet"
-	"github.com/hickorybank/hickorybank/internal/revision"
 	"github.com/hickorybank/hickorybank/internal/route"
 )
 
@@ -16,21 +15,24 @@
 	// id and addr are the upstream's when it was chosen; its record may change during the
 	// attempt.
 	id, addr string
-	// version and revision are those of the upstream and of the rollout when the attempt
-	// began.
-	version  string
-	revision revision.Revision
-	began    time.Time
+	// version is the upstream's when the attempt began.
+	version string
+	began   time.Time
 	// startedAt is when the head of the answer arrived, firstEventAt when the first event of
 	// its stream did; zero before.
 	startedAt, firstEventAt time.Time
 	// answered is set once the parts of the prompt are known not to have crashed the upstream.
 	answered bool
 	ended    bool
+	// unreachable is set if the upstream did not get the request, timedOut if it got half of the
+	// time left and did not answer.
+	unreachable, timedOut bool
 	// reported is set once the attempt's outcome has been reported to the rollout.
 	reported bool
 	// mayHaveRunBefore is set if an earlier attempt may have run the request.
 	mayHaveRunBefore bool
+	// trial is the attempt's record in the comparison of versions.
+	trial *canary.Attempt
 	// work is the attempt's load on its upstream, rank its position in the upstream's
 	// queue.
 	work *fleet.Work
@@ -53,16 +55,30 @@
 	if up == nil {
 		return nil, p.roomAt
 	}
-	n.canary.CountSent(j.service, up.Version, j.attemptsReached == 0)
 	rank, usualDelay := n.fleet.Rank(up, &spec, j.priority, now), n.fleet.ExpectedWait(&spec, now)
 	work := n.fleet.Begin(up, &spec, now)
 	n.countPrefix(work)
 	return &attempt{
-		job: j, up: up, id: up.ID, addr: up.Addr, version: up.Version, revision: n.canary.Revision(j.service), began: now,
+		job: j, up: up, id: up.ID, addr: up.Addr, version: up.Version, began: now,
 		spec: spec, rank: rank, usualDelay: usualDelay, mayHaveRunBefore: j.mayHaveRun, work: work,
+		trial: n.canary.Begin(canary.Attempt{
+			Service: j.service, Version: up.Version, Route: j.route.Name, Model: j.requestedModel(),
+			Work: n.fleet.RelativeWork(work), Noticeable: j.noticeableDelays(),
+		}, j.attemptsReached == 0, now),
 	}, time.Time{}
 }
 
+// noticeableDelays returns the differences that callers begin to notice in the wait for an answer
+// and in its pace: a small part of what the route aims for.
+func (j *job) noticeableDelays() [2]time.Duration {
+	const part = 50
+	gap := j.route.GapGoal
+	if gap <= 0 {
+		gap = j.route.LatencyGoal
+	}
+	return [2]time.Duration{canary.Wait: j.route.LatencyGoal / part, canary.Pace: gap / part}
+}
+
 // attemptSpec returns what the job's next attempt requires of an upstream.
 func (j *job) attemptSpec(rule canary.Rule) fleet.AttemptSpec {
 	spec := fleet.AttemptSpec{
@@ -127,6 +143,14 @@
 	n.fleet.ResponseStarted(a.up, a.work, a.startedAt)
 }
 
+// noteAnswering records that the upstream's answer to the request has begun.
+func (a *attempt) noteAnswering() {
+	n := a.job.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.canary.Start(a.trial, a.startedAt)
+}
+
 // finish records the attempt's result; only the first call counts.
 func (a *attempt) finish(result fleet.Result) {
 	if a.ended {
@@ -138,11 +162,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.fleet.End(a.up, a.work, result, now)
-	n.canary.CountEnded(a.job.service, a.version, a.revision)
+	n.canary.End(a.trial, a.cutOff(result), now)
+}
+
+// cutOff reports whether this node or its caller ended an attempt that its upstream may have been
+// working on.
+func (a *attempt) cutOff(result fleet.Result) bool {
+	return result == fleet.Moved || a.timedOut || result == fleet.Abandoned && !a.unreachable
 }
 
 // reportOutcome reports the attempt's outcome to the rollout. pace is the mean pause
-// between events, or the duration of a complete answer; 0 if unknown.
+// between events, or the time in which the body of a complete answer came; 0 if unknown.
 func (a *attempt) reportOutcome(failed bool, pace time.Duration) {
 	a.reported = true
 	n := a.job.node
@@ -151,10 +181,11 @@
 	if !failed && a.job.route.Kind == route.Stream {
 		n.fleet.ObservePause(a.up, a.work, pace, time.Now())
 	}
-	n.canary.CountAnswer(canary.Answer{
-		Service: a.job.service, Version: a.version, Route: a.job.route.Name, Model: a.job.requestedModel(),
-		Failed: failed, EventDelay: pace,
-	})
+	if failed {
+		n.canary.CountFailure(a.trial)
+	} else {
+		n.canary.CountPace(a.trial, pace)
+	}
 }
 
 // noteNotConnected records that no connection to the upstream could be opened; closed is set if
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -165,6 +165,7 @@
 func (j *job) runAttempt(a *attempt) bool {
 	if j.attemptsReached > 0 && !j.retryReserved && !j.node.allowRetry(j.service, 0) {
 		j.attemptsUsed = max(j.route.MaxAttempts, 1) // no more attempts
+		a.unreachable = true
 		a.finish(fleet.Abandoned)
 		j.node.logEvent(event.ForwardAttempt, j, slog.String("reason", "retry_budget"))
 		return false
@@ -201,6 +202,9 @@
 		j.noteDeclined(a, resp)
 		return false
 	}
+	if resp.Status < http.StatusInternalServerError {
+		a.noteAnswering()
+	}
 	j.countTrial()
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
 		return j.forwardStream(a, resp, reply)
@@ -247,16 +251,18 @@
 	switch {
 	case f.Reason == exchange.LinkLost:
 		result = fleet.Abandoned // the upstream may be sound
-		j.linkLost = true
+		j.linkLost, a.unreachable = true, true
 	case f.Reason == exchange.Withdrawn:
-		result = fleet.Abandoned
+		result, a.unreachable = fleet.Abandoned, true
 		j.tried = j.tried[:len(j.tried)-1] // the request was not sent there
 	case f.Reason == exchange.Cancelled && moved:
 		result, reason = fleet.Moved, "waited_too_long"
 		j.retryReserved = true
 	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
 		result = fleet.Abandoned
-	case f.Reason == exchange.Cancelled || f.Reason == exchange.InvalidResponse:
+	case f.Reason == exchange.Cancelled:
+		result, a.timedOut = fleet.Failed, true
+	case f.Reason == exchange.InvalidResponse:
 		result = fleet.Failed
 	}
 	if f.Sent {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,14 +22,6 @@
 	maxEventBytes = 1 << 20
 )
 
-// paceEvents is the number of events after which a stream's pace is reported to the
-// rollout.
-//
-// An early report exposes a slow version, whose streams take many times as long. Reported
-// only at their end, they would show the fault after all sessions had moved to the
-// version.
-const paceEvents = 6
-
 // streamEnd is how the reading of a stream ended.
 type streamEnd int
 
@@ -69,7 +61,7 @@
 			if !a.answered && now.Sub(first) >= answerProofTime {
 				a.noteAnswered(j.chain.Parts(), first)
 			}
-			if count >= paceEvents && !a.reported {
+			if count >= canary.PaceEvents && !a.reported {
 				a.reportOutcome(false, meanPause(first, last, count))
 			}
 			if e := j.sendEvents(resp, chunk, id); e != nil {
@@ -234,6 +226,7 @@
 		reason = "silent"
 	}
 	if reason == "link_lost" {
+		a.unreachable = true
 		a.finish(fleet.Abandoned) // the upstream may be sound
 	} else {
 		a.finish(fleet.Failed)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -29,6 +29,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
 	switch {
 	case err != nil && resp.LinkLost():
+		a.unreachable = true
 		a.finish(fleet.Abandoned) // the upstream may be sound
 		j.node.logEvent(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "link_lost"), slog.String("err", err.Error()))
 		return false
@@ -48,7 +49,7 @@
 	}
 	a.finish(fleet.Served)
 	a.noteAnswered(j.chain, a.startedAt)
-	a.reportOutcome(false, time.Since(a.began))
+	a.reportOutcome(false, time.Since(a.startedAt))
 	j.deliver(answer)
 	return true
 }
