A trial is widened where its answers leave open whether the version is good

Callers saw: with eight requests a second, nearly every good version was rolled back at its time limit; and one of fifteen bad ones (a quarter of the answers eight times slower; half of them beside slow old upstreams and a burst) was still completed.

Cause: the trial was widened only for fewer than 18 answers, not for evidence near the limit, and the wider share took no account of the fixed slack: with few requests the bound is mostly slack.

Change: the trial is widened from 0.55 of the time limit if the answers are few or the evidence for "as quick" is positive but short of what a completion needs. The share follows what is left of the bound (less what the time after the shift needs) at the measured rate of attempts; it travels with the tallies, so that all nodes use the same one.

--- a/internal/canary/attempt.go
+++ b/internal/canary/attempt.go
@@ -49,6 +49,7 @@
 	if first {
 		r.own.Requests++
 	}
+	r.own.Attempts++
 	if a.Version == r.order.Target {
 		r.own.Exposed++
 		a.onNew = true
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -70,8 +70,8 @@
 	if !view.Complete {
 		return false
 	}
-	if r.shouldWiden(now, d.Answers) {
-		r.widenedAt = now
+	if r.shouldWiden(now, d.Answers, d.AsQuick) {
+		r.widenedShare = r.widened(c.settings, now)
 		d.Widened = true
 	}
 	ofVersion, all := view.Count(r.order.Service, r.order.Target)
--- a/internal/canary/exchange.go
+++ b/internal/canary/exchange.go
@@ -17,7 +17,7 @@
 		r.own.Seq++
 		t := r.own
 		t.Verdict, t.Written = r.verdict, r.written
-		t.Widened = !r.widenedAt.IsZero()
+		t.WidenedShare = r.widenedShare
 		if !r.shiftedAt.IsZero() {
 			t.Shifted, t.ShiftAge = true, now.Sub(r.shiftedAt)
 		}
@@ -69,9 +69,7 @@
 		t.Routes = nil
 	}
 	r.peers[key] = t
-	if t.Widened && r.widenedAt.IsZero() {
-		r.widenedAt = now
-	}
+	r.widenedShare = max(r.widenedShare, t.WidenedShare)
 	if t.Shifted && r.shiftedAt.IsZero() {
 		r.shiftedAt = now.Add(-t.ShiftAge)
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -25,8 +25,9 @@
 	verdict   Verdict
 	// written is set when the platform's table holds the verdict.
 	written bool
-	// widenedAt is when more sessions began to take part in the trial; zero before.
-	widenedAt time.Time
+	// widenedShare is the share of the sessions in the trial since more of them take part; 0
+	// before.
+	widenedShare float64
 	// shiftedAt is when the shift of all sessions began; zero before.
 	shiftedAt time.Time
 }
@@ -74,10 +75,10 @@
 		return 1
 	case r.verdict == RolledBack:
 		return 0
-	case r.shiftedAt.IsZero() && r.widenedAt.IsZero():
+	case r.shiftedAt.IsZero() && r.widenedShare == 0:
 		return s.ShareBound * canaryPart
 	case r.shiftedAt.IsZero():
-		return s.ShareBound * widenedPart
+		return r.widenedShare
 	case now.Sub(r.shiftedAt) < halfTime:
 		return 0.5
 	default:
@@ -99,11 +100,10 @@
 	if r.sessionsFixed(now) || age <= 0 {
 		return false
 	}
-	requests, exposed := r.exposure()
-	rate := requests / age.Seconds()
+	_, exposed := r.exposure()
+	rate := r.rate(now)
 	remaining := max((r.order.Limit - age).Seconds(), 0)
-	bound := s.ShareBound*rate*r.order.Limit.Seconds() + s.Slack
-	return exposed+rate*remaining <= shiftPart*bound
+	return exposed+rate*remaining <= shiftPart*r.bound(s, rate)
 }
 
 // shouldWiden reports whether the trial is heading for too few answers for a verdict, so
@@ -113,13 +113,47 @@
 // trust a good version, and it was rolled back. The share grows only after sessions may
 // change their version. From then on it never shrinks, so that no session returns to the
 // old version.
-func (r *rollout) shouldWiden(now time.Time, answers int64) bool {
-	if !r.widenedAt.IsZero() || !r.shiftedAt.IsZero() || now.Sub(r.started) < time.Duration(widenPart*float64(r.order.Limit)) {
+func (r *rollout) shouldWiden(now time.Time, answers int64, asQuick float64) bool {
+	if r.widenedShare > 0 || !r.shiftedAt.IsZero() || now.Sub(r.started) < time.Duration(widenPart*float64(r.order.Limit)) {
 		return false
 	}
 	elapsed := (now.Sub(r.started) - trialDelay).Seconds()
 	duration := (r.order.Limit - trialDelay).Seconds()
-	return float64(answers)*duration < minAnswers*elapsed
+	return float64(answers)*duration < minAnswers*elapsed || asQuick >= 0 && asQuick < quickThreshold
+}
+
+// widened returns the share of the sessions that the trial may have from now on.
+func (r *rollout) widened(s Settings, now time.Time) float64 {
+	share := r.share(s, now)
+	requests, exposed := r.exposure()
+	attempts := float64(r.own.Attempts)
+	for _, t := range r.peers {
+		attempts += float64(t.Attempts)
+	}
+	attemptRate := r.rate(now) * max(attempts/max(requests, 1), 1)
+	free := r.trialBound(s, now) - exposed
+	until := r.deadline(s).Sub(now).Seconds()
+	return max(share, min(widenedPart*free/(attemptRate*until), maxWidenedShare))
+}
+
+// trialBound returns how many requests the version may get in its trial. The rest of the bound
+// is for the time between the shift of all sessions and the time limit.
+func (r *rollout) trialBound(s Settings, now time.Time) float64 {
+	rate := r.rate(now)
+	afterShift := rate * (r.order.Limit - r.deadline(s).Sub(r.started)).Seconds()
+	return shiftPart*r.bound(s, rate) - afterShift
+}
+
+// rate returns the service's requests a second since the order.
+func (r *rollout) rate(now time.Time) float64 {
+	requests, _ := r.exposure()
+	return max(requests, 1) / max(now.Sub(r.started).Seconds(), 0.1)
+}
+
+// bound returns how many requests the version may get until the time limit at a rate of
+// requests a second.
+func (r *rollout) bound(s Settings, rate float64) float64 {
+	return s.ShareBound*rate*r.order.Limit.Seconds() + s.Slack
 }
 
 // sessionsFixed reports whether no session may change its version yet.
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -52,7 +52,7 @@
 		return Rule{Version: r.order.Target}, staysOnOld
 	}
 	share := r.share(c.settings, now)
-	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r) {
+	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r, now) {
 		return Rule{Excluded: c.excluded(service, r)}, staysOnOld
 	}
 	return Rule{Version: r.order.Target, UpstreamPart: upstreamPart(share)}, staysOnOld
@@ -86,14 +86,14 @@
 // raise the new version's share of the requests above its share of the sessions. The sum
 // over all nodes is needed: a node that used only its own few requests turned sessions
 // back although the total was well within the bound.
-func (c *Canary) overexposed(r *rollout) bool {
+func (c *Canary) overexposed(r *rollout, now time.Time) bool {
 	if !r.shiftedAt.IsZero() {
 		return false
 	}
-	share := capPart
-	if !r.widenedAt.IsZero() {
-		share = widenedCapPart
-	}
 	requests, exposed := r.exposure()
-	return exposed > c.settings.ShareBound*share*requests+slackPart*c.settings.Slack
+	bound := c.settings.ShareBound*capPart*requests + slackPart*c.settings.Slack
+	if r.widenedShare > 0 {
+		bound = max(bound, r.trialBound(c.settings, now))
+	}
+	return exposed > bound
 }
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -21,16 +21,17 @@
 	// then every request counts against the bound, since the version may still turn out
 	// bad.
 	canaryPart = 0.3
-	// widenedPart is the same part after the trial was widened because answers were few;
-	// over the whole trial it stays within the bound.
-	widenedPart = 0.75
+	// widenedPart is the part of what is left of the bound that the trial uses after it was
+	// widened.
+	widenedPart = 0.7
 	// capPart and slackPart are the parts of the bound's share and slack at which nodes
 	// stop sending to the new version before the shift. Requests sent since the last
 	// exchange of tallies come on top.
 	capPart   = 0.6
 	slackPart = 0.5
-	// widenedCapPart replaces capPart after the trial was widened.
-	widenedCapPart = 0.7
+	// maxWidenedShare bounds the share of the sessions: where requests are few, the slack alone
+	// would allow all.
+	maxWidenedShare = 0.4
 	// trialSpread is the ratio of a version's part of its upstreams to its share of the
 	// sessions during the trial: seven of sixty upstreams in place of two, three of
 	// eighteen in place of one.
@@ -53,7 +54,7 @@
 	// widenPart is the part of the time limit after which the number of answers is
 	// projected. It lies after fixedPart, because sessions that were under way take part
 	// only from then on.
-	widenPart = 0.6
+	widenPart = 0.55
 	// recordMargin is the time reserved for writing the verdict before the time limit.
 	recordMargin = 900 * time.Millisecond
 	// shiftGrace is how much later than the deadline a version without doubt may still be
--- a/internal/canary/slow_version_test.go
+++ b/internal/canary/slow_version_test.go
@@ -62,6 +62,8 @@
 		{"half eight times, few requests", delayModel{spread: 0.8, slow: always(0.5, 8)}, 8},
 		{"three times, few requests", delayModel{spread: 0.8, slow: always(1, 3)}, 8},
 		{"three times, slow old upstreams, burst", delayModel{spread: 0.8, slow: always(1, 3), slowUpstreams: 0.25, burst: 3}, 0},
+		{"half eight times, slow old upstreams, burst", delayModel{spread: 0.8, slow: always(0.5, 8), slowUpstreams: 0.25, burst: 3}, 0},
+		{"quarter eight times", delayModel{spread: 0.8, slow: always(0.25, 8)}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -81,6 +83,7 @@
 		{"slow old upstreams", delayModel{spread: 0.8, slowUpstreams: 0.25}, 0},
 		{"burst", delayModel{spread: 0.8, burst: 3}, 0},
 		{"cold upstreams", delayModel{spread: 0.8, cold: 3}, 0},
+		{"few requests", delayModel{spread: 0.8}, 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -16,13 +16,14 @@
 	Born int64
 	// Routes are the counts for each route.
 	Routes []RouteCount
-	// Requests is how many requests the service had since the order, and Exposed how many
-	// attempts went to the new version.
-	Requests, Exposed int64
+	// Requests is how many requests the service had since the order, Attempts how many attempts
+	// they made, and Exposed how many of these went to the new version.
+	Requests, Attempts, Exposed int64
 	// OldInFlight is how many attempts run on the old version now.
 	OldInFlight int
-	// Widened is set when the node lets more sessions take part in the trial.
-	Widened bool
+	// WidenedShare is the share of the sessions in the trial since more of them take part; 0
+	// before.
+	WidenedShare float64
 	// Shifted is set when the node shifts all sessions, since ShiftAge.
 	Shifted  bool
 	ShiftAge time.Duration
