A slow upstream of a trial no longer speaks against its version

Cause: a trial uses 3 or 4 of 12 to 18 upstreams. Where one or two of them have slow machines, a third of the new version's answers is slow; the old version has others to avoid such ones.

Change: nodes also count the new version's delays by 16 hashed classes of upstreams. If the classes in which most answers are slow hold at most half of the delays and the others are as quick as the old version, the delays neither roll back the version nor keep it from the shift. A slow version has slow answers in all classes. A trial uses 4 upstreams or more.

--- a/internal/canary/add_evidence.go
+++ b/internal/canary/add_evidence.go
@@ -35,10 +35,14 @@
 	slow = r.judgeDelays(&r.allRoutes, d, all, now) || slow
 	doubt = doubt || r.allRoutes.doubtsDelays()
 	d.AsQuick = r.allRoutes.asQuick()
-	if slow {
+	others := r.compareClasses(all)
+	if others.blames() {
+		d.AsQuick = max(d.AsQuick, others.asQuick)
+	}
+	if slow && !others.blames() {
 		r.verdict = RolledBack
 	}
-	d.Doubt = d.Doubt || doubt
+	d.Doubt = d.Doubt || doubt && !others.blames()
 }
 
 // judgeDelays reports whether the delays speak against the version.
--- a/internal/canary/attempt.go
+++ b/internal/canary/attempt.go
@@ -8,7 +8,7 @@
 
 // Attempt is one attempt at an upstream, from [Canary.Begin] to [Canary.End].
 type Attempt struct {
-	Service, Version, Route, Model string
+	Service, Version, Route, Model, Upstream string
 	// Work is the attempt's work relative to others of its service: its wait is expected to
 	// grow in proportion. 0 counts as 1.
 	Work float64
@@ -136,6 +136,7 @@
 	count := &r.count(a.Route).Delays[m]
 	if onNew {
 		count.New[g]++
+		r.own.Classes.count(a.Upstream, m, g)
 	} else {
 		count.Base[g]++
 	}
--- a/internal/canary/delay_model_test.go
+++ b/internal/canary/delay_model_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,8 +19,9 @@
 	// slowRoute is the only route that is slower; empty for all.
 	slowRoute string
 	// slowUpstreams is the part of the old version's answers that come from upstreams which take
-	// four times as long.
+	// four times as long; slowNew is set if one of the new version's four does.
 	slowUpstreams float64
+	slowNew       bool
 	// burst is how many times as long all waits are from 4 to 10 s after the order; 0 for
 	// none.
 	burst float64
@@ -33,12 +35,13 @@
 // answerDelays are the delays of one answer.
 type answerDelays struct {
 	route       string
+	upstream    string
 	wait, pause time.Duration // a pause of 0 is not known
 }
 
 func (m *delayModel) draw(rnd *rand.Rand, onNew bool, t time.Duration) answerDelays {
 	factor := 1.0
-	d := answerDelays{route: "long"}
+	d := answerDelays{route: "long", upstream: fmt.Sprint("u", rnd.IntN(4))}
 	if rnd.IntN(2) == 0 {
 		d.route = "short"
 	}
@@ -47,6 +50,8 @@
 		if share, times := m.slow(t); rnd.Float64() < share {
 			factor = times
 		}
+	case onNew && m.slowNew && d.upstream == "u0":
+		factor = 4
 	case !onNew && rnd.Float64() < m.slowUpstreams:
 		factor = 4
 	}
--- a/internal/canary/exchange.go
+++ b/internal/canary/exchange.go
@@ -66,7 +66,7 @@
 	t.Written = t.Written && t.Revision == r.order.Revision
 	t.Revision = r.order.Revision
 	if !t.isPlausible() {
-		t.Routes = nil
+		t.Routes, t.Classes = nil, ClassCounts{}
 	}
 	r.peers[key] = t
 	r.widenedShare = max(r.widenedShare, t.WidenedShare)
@@ -91,7 +91,7 @@
 			if t.OldInFlight > 0 && !alive(key.node, key.born) {
 				t.OldInFlight = 0
 				if !t.isPlausible() {
-					t.Routes = nil
+					t.Routes, t.Classes = nil, ClassCounts{}
 				}
 				r.peers[key] = t
 			}
--- a/internal/canary/packed_counts.go
+++ b/internal/canary/packed_counts.go
@@ -58,3 +58,28 @@
 	copy(c.Unfinished[:], flat[2*delayGrades:])
 	return nil
 }
+
+// GobEncode returns the counts in packed form.
+func (c ClassCounts) GobEncode() ([]byte, error) {
+	flat := make([]int64, 0, upstreamClasses*int(measures)*delayGrades)
+	for _, class := range c {
+		for _, counts := range class {
+			flat = append(flat, counts[:]...)
+		}
+	}
+	return packCounts(flat), nil
+}
+
+// GobDecode reads the packed form.
+func (c *ClassCounts) GobDecode(b []byte) error {
+	var flat [upstreamClasses * int(measures) * delayGrades]int64
+	if err := unpackCounts(b, flat[:]); err != nil {
+		return err
+	}
+	for i := range c {
+		for m := range c[i] {
+			copy(c[i][m][:], flat[(i*int(measures)+m)*delayGrades:])
+		}
+	}
+	return nil
+}
--- a/internal/canary/packed_counts_test.go
+++ b/internal/canary/packed_counts_test.go
@@ -13,12 +13,13 @@
 	is := is.New(t)
 	sent := Tally{Service: "s", Routes: []RouteCount{{Route: "r", New: 3}}}
 	sent.Routes[0].Delays[Pace] = DelayCount{New: DelayCounts{1, 0, 300}, Base: DelayCounts{5: 2}, Unfinished: DelayCounts{3: 1}}
+	sent.Classes.count("u1", Wait, 5)
 	var wire bytes.Buffer
 	is.NoErr(gob.NewEncoder(&wire).Encode(sent))
 	var got Tally
 	is.NoErr(gob.NewDecoder(&wire).Decode(&got))
 	is.Equal(got, sent)
-	empty, err := DelayCount{}.GobEncode()
+	empty, err := ClassCounts{}.GobEncode()
 	is.NoErr(err)
 	is.Equal(len(empty), 0)
 }
--- a/internal/canary/slow_version_test.go
+++ b/internal/canary/slow_version_test.go
@@ -81,6 +81,7 @@
 		{"narrow", delayModel{spread: 0.3}, 0},
 		{"scattered", delayModel{spread: 1.2}, 0},
 		{"slow old upstreams", delayModel{spread: 0.8, slowUpstreams: 0.25}, 0},
+		{"one slow upstream of the trial", delayModel{spread: 0.8, slowUpstreams: 0.05, slowNew: true}, 0},
 		{"burst", delayModel{spread: 0.8, burst: 3}, 0},
 		{"cold upstreams", delayModel{spread: 0.8, cold: 3}, 0},
 		{"few requests", delayModel{spread: 0.8}, 8},
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -19,6 +19,8 @@
 	// Requests is how many requests the service had since the order, Attempts how many attempts
 	// they made, and Exposed how many of these went to the new version.
 	Requests, Attempts, Exposed int64
+	// Classes are the new version's delays by class of upstream.
+	Classes ClassCounts
 	// OldInFlight is how many attempts run on the old version now.
 	OldInFlight int
 	// WidenedShare is the share of the sessions in the trial since more of them take part; 0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 		job: j, up: up, id: up.ID, addr: up.Addr, version: up.Version, began: now,
 		spec: spec, rank: rank, usualDelay: usualDelay, mayHaveRunBefore: j.mayHaveRun, work: work,
 		trial: n.canary.Begin(canary.Attempt{
-			Service: j.service, Version: up.Version, Route: j.route.Name, Model: j.requestedModel(),
+			Service: j.service, Version: up.Version, Upstream: up.ID, Route: j.route.Name, Model: j.requestedModel(),
 			Work: n.fleet.RelativeWork(work), Noticeable: j.noticeableDelays(),
 		}, j.attemptsReached == 0, now),
 	}, time.Time{}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -21,6 +21,9 @@
 	return canary.Caller{Hash: j.affinityHash, Session: j.headers.Session != ""}
 }
 
+// minTrialUpstreams leaves a choice where one of the upstreams is slow.
+const minTrialUpstreams = 4
+
 // place chooses an upstream for the job's next attempt under a roll-out's rule and without a held
 // version, empty for none; the caller holds mu.
 func (n *Node) place(j *job, rule canary.Rule, held string, now time.Time) placement {
@@ -30,7 +33,7 @@
 	}
 	if rule.UpstreamPart > 0 {
 		ofVersion, _ := n.fleet.Count(j.service, rule.Version, now)
-		p.spec.MaxUpstreams = max(1, int(rule.UpstreamPart*float64(ofVersion)+0.5))
+		p.spec.MaxUpstreams = max(minTrialUpstreams, int(rule.UpstreamPart*float64(ofVersion)+0.5))
 	}
 	p.upstream = n.fleet.Choose(p.spec, now)
 	if p.upstream == nil {
