Attempts whose answer a larger model replaces count for their version

Callers saw: a slower version was judged by a part of its answers only.

Cause: forwardStream returned for an escalated attempt before it reported the answer to the roll-out. The small model's poor answers, often the only ones that took long, were never counted.

Change: an escalated attempt is reported as an answer; the wait for its head counts already.

Evidence: TestEscalatedAttemptCountsForItsVersion fails before with 1 != 2 answers.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,6 +37,7 @@
 	defer resp.Close()
 	if next := j.escalate(a, reply); next != "" {
 		a.finish(fleet.Served)
+		a.reportOutcome(false, 0)
 		j.model = next
 		return false
 	}
