The event of a roll-out's decision tells what it rests on

Operators saw: event 1961 of a completed version with new=0 old=0, likelihood=0 and no route. Nobody could see from it why the version was taken for good.

Cause: the counts were those of the worst route, and there is none without evidence against it.

Change: without one, the counts are those of all routes. The kind of evidence and the one for "as quick as the old version" are attributes of events 1961, 1964 and 1965.

Evidence: TestDecisionTellsItsEvidence, of a completed version, fails before (0, 0 in place of 40, 40).

--- a/internal/canary/add_evidence.go
+++ b/internal/canary/add_evidence.go
@@ -43,6 +43,9 @@
 		r.verdict = RolledBack
 	}
 	d.Doubt = d.Doubt || doubt && !others.blames()
+	if d.Evidence == "" {
+		d.Counts = all
+	}
 }
 
 // judgeDelays reports whether the delays speak against the version.
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -33,8 +33,8 @@
 func (n *Node) applyDecision(ctx context.Context, d canary.Decision, retryAt map[string]time.Time) {
 	attrs := []slog.Attr{
 		slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("verdict", d.Verdict.String()),
-		slog.Float64("likelihood", d.Likelihood), slog.String("route", d.Route),
-		slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
+		slog.Float64("likelihood", d.Likelihood), slog.String("evidence", d.Evidence), slog.String("route", d.Route),
+		slog.Float64("as_quick", d.AsQuick), slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
 		slog.Int64("old", d.Counts.Base), slog.Int64("old_bad", d.Counts.BaseBad), revisionAttr(d.Order.Revision),
 	}
 	if d.Widened {
