The head of an answer has a bound

Cause: readHead gave an unbounded reader to http.ReadResponse. An answer to another request was skipped for a megabyte, and what followed was parsed as the next head.

Change: a connection reads at most 32 KiB for a head. Beyond, the exchange fails with TooLong and the connection is closed, not drained. A longer answer to another request fails in the same way, and so do a chunk's length and a trailer that net/http bounds.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,8 +30,18 @@
 	// it was ended because the link is lost.
 	abortable bool
 	aborted   atomic.Bool
+	// headLeft is how many more bytes the head that is being read may have; negative without a
+	// bound.
+	headLeft int
 }
 
+var errHeadTooLong = errors.New("response head is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
+
+// boundHead bounds what is read until unboundHead is called.
+func (c *conn) boundHead() { c.headLeft = maxHeadBytes }
+
+func (c *conn) unboundHead() { c.headLeft = -1 }
+
 // isHealthy reports whether an idle connection may carry another request.
 //
 // It detects a connection that the upstream has closed, or on which it has sent
@@ -56,7 +68,16 @@
 
 // Read reads from the connection and records when bytes came.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if c.headLeft > 0 {
+		p = p[:min(len(p), c.headLeft)]
+	}
 	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
 	if n > 0 && !c.relayed {
 		now := time.Now()
 		c.lastRead.Store(now.UnixNano())
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -109,7 +109,13 @@
 func readHead(c *conn, req *Request) (*http.Response, *Failure) {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxStrayResponses {
+		c.boundHead()
 		resp, err := http.ReadResponse(c.in, httpRequest)
+		tooLong := c.headLeft == 0
+		c.unboundHead()
+		if err != nil && tooLong {
+			err = errHeadTooLong // net/http may call the part that was read malformed
+		}
 		if err != nil {
 			return nil, &Failure{Sent: true, Reason: readFailureReason(err), Err: err}
 		}
@@ -122,17 +128,30 @@
 		if resp.Header.Get(req.IDField) == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errors.New("answer names no request")}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBodyBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBodyBytes+1))
+		if err != nil {
 			return nil, &Failure{Sent: true, Reason: readFailureReason(err), Err: err}
 		}
+		if n > maxStrayBodyBytes {
+			// What follows belongs to that answer, not to the next one.
+			return nil, &Failure{Sent: true, Reason: TooLong, Err: errStrayTooLong}
+		}
 	}
 	return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errors.New("only answers to other requests")}
 }
 
+var errStrayTooLong = errors.New("answer to another request is longer than " + strconv.Itoa(maxStrayBodyBytes) + " bytes")
+
 // readFailureReason distinguishes malformed bytes from a connection that ended. net/http
 // gives no error types for the former, so the text decides.
 func readFailureReason(err error) Reason {
+	if errors.Is(err, errHeadTooLong) {
+		return TooLong
+	}
 	text := err.Error()
+	if strings.Contains(text, "too long") || strings.Contains(text, "suspiciously long") {
+		return TooLong // a chunk's length or the trailer, bounded by net/http
+	}
 	if strings.Contains(text, "malformed") || strings.Contains(text, "invalid") {
 		return InvalidResponse
 	}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -26,6 +26,9 @@
 	// InvalidResponse means that the received bytes are not an HTTP response, or that the
 	// response belongs to another request.
 	InvalidResponse Reason = "garbled"
+	// TooLong means that bytes without end came in place of a response: its head, or a response
+	// to another request, did not end within its bound.
+	TooLong Reason = "too_long"
 	// Withdrawn means that [Request.ShouldSend] returned false once there was a connection;
 	// nothing was sent.
 	Withdrawn Reason = "withdrawn"
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -127,7 +127,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &conn{Conn: nc, addr: addr, pool: p, relayed: isRelayed(nc)}
+	c := &conn{Conn: nc, addr: addr, pool: p, relayed: isRelayed(nc), headLeft: -1}
 	c.in = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -42,6 +42,9 @@
 	// maxStrayResponses is how many responses to other requests are skipped before
 	// the connection is closed.
 	maxStrayResponses = 3
+	// maxHeadBytes bounds the head of a response. It is some times what callers may send, and a
+	// node has room for as many as it has connections.
+	maxHeadBytes = 32 << 10
 	// maxStrayBodyBytes bounds how much of the body of such a response is read.
 	maxStrayBodyBytes = 1 << 20
 )
--- a/internal/gateway/escalated_attempt_test.go
+++ b/internal/gateway/escalated_attempt_test.go
@@ -28,7 +28,7 @@
 		reply(c, http.StatusOK, "id: 1\ndata: x\n\n")
 		_, _ = c.Read(make([]byte, 1)) // until the node closes the connection
 	}
-	n := newPlainNode(pipeDialer{"u0": event, "u1": event}, 100)
+	n := newPipeNode(pipeDialer{"u0": event, "u1": event}, 100)
 	n.dialect = unsureDialect{}
 	n.cascadePolicy = cascade.New(cascade.Settings{Accept: 60, AcceptBusy: 60, AcceptFull: 60})
 	is.True(n.canary.AddOrder(canary.Order{Service: "s", Target: "v2", Limit: time.Minute, Revision: 1}, time.Now()))
--- a/internal/gateway/silent_attempt_test.go
+++ b/internal/gateway/silent_attempt_test.go
@@ -56,6 +56,21 @@
 // newPlainNode returns a node with a plain service at the dialer's upstreams, whose usual
 // response time it knows. The upstreams after the first one are loaded.
 func newPlainNode(d pipeDialer, budget float64) *Node {
+	n := newPipeNode(d, budget)
+	now := time.Now()
+	spec := fleet.AttemptSpec{Service: "s", Plain: true}
+	for range 20 {
+		u := n.fleet.Get("u0")
+		w := n.fleet.Begin(u, &spec, now)
+		n.fleet.ResponseStarted(u, w, now.Add(time.Millisecond))
+		n.fleet.End(u, w, fleet.Served, now.Add(time.Millisecond))
+	}
+	return n
+}
+
+// newPipeNode returns a node with a service at the dialer's upstreams. The upstreams after the
+// first one are loaded.
+func newPipeNode(d pipeDialer, budget float64) *Node {
 	n := New(Settings{ID: "n", RetrySlack: budget, RetryWindow: 10 * time.Second}, Deps{
 		Dialect: plainDialect{}, Upstreams: d, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.New(telemetry.Bounds{}),
 	})
@@ -65,13 +80,6 @@
 		n.fleet.Put(fleet.Record{ID: addr, Addr: addr, Service: "s", Version: "v1", Slots: 6}, now.Add(-time.Minute))
 		n.fleet.ReportLoad(n.fleet.Get(addr), i*6, i*6, now)
 	}
-	spec := fleet.AttemptSpec{Service: "s", Plain: true}
-	for range 20 {
-		u := n.fleet.Get("u0")
-		w := n.fleet.Begin(u, &spec, now)
-		n.fleet.ResponseStarted(u, w, now.Add(time.Millisecond))
-		n.fleet.End(u, w, fleet.Served, now.Add(time.Millisecond))
-	}
 	return n
 }
 
