Streams and answers without end are ended at a bound

Callers saw (stand-ins of the tests): a stream of blank lines, of events that go on after the answer's last token, or with an event that trickles in byte by byte was passed on, or waited for, until their deadline. An event longer than a megabyte counted as a crash of its upstream, so that its request could be refused as one that crashes upstreams.

Cause: the bound on an event counted incomplete lines only. Each read, of whatever bytes, put off the stall timeout. Nothing bounded the events of a stream or a body that states no length.

Change: an event and what precedes it may have 256 KiB. Only whole events put off the stall timeout. A stream may have twice as many events as its request allows tokens, and 64; it is broken off beyond, since its caller has had more than an answer. A body that states no length is broken off after 64 MiB.

--- a/internal/gateway/endless_answer_test.go
+++ b/internal/gateway/endless_answer_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -43,3 +47,83 @@
 		})
 	}
 }
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	wholeEvent = "id: 1\ndata: whole\n\n"
+)
+
+// chunk returns one chunk of a body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// Fails if a stream whose next event never ends, or trickles in for ever, keeps its caller from
+// another upstream, or if its request is taken for one that crashes upstreams.
+func TestEndlessEventGoesElsewhere(t *testing.T) {
+	for name, part := range map[string]string{
+		"line": strings.Repeat("x", 4096), "blank lines": strings.Repeat("\n", 4096), "lines": strings.Repeat("data: x\n", 512),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newPipeNode(pipeDialer{
+				"u0": func(c net.Conn) { writeEndlessly(c, streamHead, chunk(part)) },
+				"u1": func(c net.Conn) { writeEndlessly(c, streamHead+chunk(wholeEvent)+"0\r\n\r\n", "") },
+			}, 100)
+			w := httptest.NewRecorder()
+			j := newStreamJob(t, n, w)
+			j.run()
+			is.True(strings.HasSuffix(w.Body.String(), wholeEvent))
+			is.Equal(j.crashes, 0)
+			is.Equal(n.metrics.Counter("hickorybank_endless_answers_total", "service", "s").Get(), uint64(1))
+		})
+	}
+}
+
+// Fails if bytes that trickle in without an event count as progress of a stream.
+func TestTricklingEventGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	n := newPipeNode(pipeDialer{
+		"u0": func(c net.Conn) {
+			_, err := c.Write([]byte(streamHead + chunk("id: 0\n\n")))
+			for err == nil {
+				time.Sleep(time.Millisecond)
+				_, err = c.Write([]byte(chunk("x")))
+			}
+		},
+		"u1": func(c net.Conn) { writeEndlessly(c, streamHead+chunk(wholeEvent)+"0\r\n\r\n", "") },
+	}, 100)
+	w := httptest.NewRecorder()
+	newStreamJob(t, n, w).run()
+	is.True(strings.HasSuffix(w.Body.String(), wholeEvent))
+}
+
+// Fails if a stream or a body that never ends is passed on until the caller's deadline.
+func TestAnswerWithoutEndIsBrokenOff(t *testing.T) {
+	for _, test := range []struct {
+		name, start, part string
+		kind              route.Kind
+	}{
+		{"events", streamHead, chunk(strings.Repeat("id: 1\n\n", 64)), route.Stream},
+		{"body", streamHead, chunk(strings.Repeat("x", 64<<10)), route.Once},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newPipeNode(pipeDialer{"u0": func(c net.Conn) { writeEndlessly(c, test.start, test.part) }}, 100)
+			j := newStreamJob(t, n, discardWriter{http.Header{}})
+			j.route.Kind, j.headers.TokensOut = test.kind, 80
+			func() {
+				defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+				j.run()
+			}()
+			is.Equal(j.outcome, "broken_off")
+			is.True(time.Now().Before(j.deadline))
+		})
+	}
+}
+
+// discardWriter discards an answer.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header       { return w.header }
+func (discardWriter) WriteHeader(int)             {}
+func (discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (discardWriter) Flush()                      {}
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -3,17 +3,20 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 )
 
 var errTruncatedEvent = errors.New("stream ended inside an event")
-var errEventTooLong = errors.New("event is too long")
+var errEventTooLong = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
 
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
 	from    io.Reader
 	pending []byte
-	buf     [readBufferBytes]byte
+	// idle is the number of complete lines' bytes that came without an event.
+	idle int
+	buf  [readBufferBytes]byte
 }
 
 // next returns the bytes of the events that are complete, the last event ID among them, and
@@ -26,10 +29,14 @@
 	events = s.pending[:end:end]
 	s.pending = s.pending[end:]
 	id = lastID(events)
+	s.idle += end
+	if count > 0 {
+		s.idle = 0
+	}
 	switch {
 	case err == io.EOF && len(s.pending) > 0:
 		err = errTruncatedEvent
-	case err == nil && len(s.pending) > maxEventBytes:
+	case err == nil && len(s.pending)+s.idle > maxEventBytes:
 		err = errEventTooLong
 	}
 	return events, id, count, err
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -124,6 +124,9 @@
 	nonIdempotentMaxIdle = time.Second
 	// maxBufferedBytes is the largest answer that is buffered; a larger one is streamed.
 	maxBufferedBytes = 512 << 10
+	// maxUnframedBytes bounds an answer that states no length. Its caller could not tell its end
+	// from bytes without end.
+	maxUnframedBytes = 64 << 20
 	// defaultTimeout bounds requests of routes without a timeout.
 	defaultTimeout = 30 * time.Second
 	// stopReserve is how long before the end of the grace a stopping node abandons the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,7 +21,7 @@
 	// readBufferBytes is the size of the reads from a stream.
 	readBufferBytes = 4 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // streamEnd is how the reading of a stream ended.
@@ -44,8 +46,9 @@
 	s := &eventReader{from: resp}
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
+	stall := j.stallDeadline(0)
 	for {
-		if e := resp.Deadline(j.stallDeadline(count)); e != nil {
+		if e := resp.Deadline(stall); e != nil {
 			end, err = endBroken, e
 			break
 		}
@@ -59,6 +62,9 @@
 			}
 			last = now
 			count += n
+			if n > 0 { // bytes that trickle in without an event are no progress
+				stall = j.stallDeadline(count)
+			}
 			if !a.answered && now.Sub(first) >= answerProofTime {
 				a.noteAnswered(j.chain.Parts(), first)
 			}
@@ -73,6 +79,9 @@
 		if e == io.EOF {
 			break
 		}
+		if e == nil && count > j.maxEvents() {
+			e = errTooManyEvents
+		}
 		if e != nil {
 			end, err = endBroken, e
 			break
@@ -89,6 +98,22 @@
 	return last.Sub(first) / time.Duration(count-1)
 }
 
+// maxEvents returns how many events an answer may have. An event holds at least one token of it;
+// the rest is for events that hold none.
+func (j *job) maxEvents() int {
+	if j.headers.TokensOut <= 0 {
+		return math.MaxInt
+	}
+	return 2*j.headers.TokensOut + 64
+}
+
+var errTooManyEvents = errors.New("stream has more events than twice the tokens that its request allows")
+
+// isEndless reports whether a stream was ended because a bound was reached.
+func isEndless(err error) bool {
+	return errors.Is(err, errEventTooLong) || errors.Is(err, errTooManyEvents)
+}
+
 // escalate returns the larger model that should answer instead of this one, if any.
 func (j *job) escalate(a *attempt, reply Reply) string {
 	if j.model == "" || j.answerStarted || j.trial != 0 || !reply.HasConfidence {
@@ -221,6 +246,9 @@
 	}
 	reason := "broke"
 	switch {
+	case isEndless(err):
+		reason = "too_long"
+		j.noteEndless(a, err)
 	case resp.LinkLost():
 		reason = "link_lost"
 	case isTimeout(err):
@@ -239,7 +267,7 @@
 	if reason == "broke" {
 		j.node.suspectCrash(j, a)
 	}
-	if j.answerStarted && (!j.route.Resumable || j.attemptsLeft() < 1) {
+	if j.answerStarted && (!j.route.Resumable || j.attemptsLeft() < 1 || errors.Is(err, errTooManyEvents)) {
 		j.breakOff(reason)
 	}
 	return false
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -81,6 +82,8 @@
 	j.observe(answer.status)
 }
 
+var errAnswerTooLong = fmt.Errorf("answer without a stated length is longer than %d bytes", maxUnframedBytes)
+
 // forwardUnbuffered forwards a large answer as it arrives. A truncated answer is broken off
 // towards the caller as well.
 func (j *job) forwardUnbuffered(a *attempt, resp *exchange.Response, head []byte) bool {
@@ -91,8 +94,17 @@
 	j.answerStarted = true
 	j.w.WriteHeader(resp.Status)
 	_, err := j.w.Write(head)
-	if err == nil {
+	copied := int64(0)
+	if err == nil && resp.Length >= 0 {
 		_, err = io.Copy(j.w, resp)
+	} else if err == nil {
+		copied, err = io.Copy(j.w, io.LimitReader(resp, maxUnframedBytes+1))
+	}
+	if copied > maxUnframedBytes {
+		a.finish(fleet.Failed)
+		a.reportOutcome(true, 0)
+		j.noteEndless(a, errAnswerTooLong)
+		j.breakOff("too_long")
 	}
 	if err != nil {
 		a.finish(fleet.Failed)
