The own door's readers have bounds too

Same fault, other places (found by reading all that reads from outside): the decoder of an engine's stream bounded a line but neither the data lines of an event nor comments and blank lines without one; engines, services and the table could send headers of 10 MB each, callers and operators 1 MB; a whole answer could have 16 MB where a node may have 32 MB in all.

Change: an event with what precedes it may have 256 KiB, a response's header 32 KiB (64 KiB what callers and operators send, as at the gateway), a whole answer 4 MiB. Already bounded: error texts, the table's answers, archives, admin answers, callers' bodies, relayed connections (fixed buffers).

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, ErrorLog: discardLog})
+		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog})
 		listeners = append(listeners, l)
 	}
 	loopCtx, stopLoops := context.WithCancel(context.Background())
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -19,7 +19,7 @@
 func newCallerServer(l net.Listener, secure *tls.Config) *callerServer {
 	s := &callerServer{connections: newConnections(), accepted: make(chan struct{})}
 	s.listener = withTLS(&callerListener{Listener: l, tracker: s.connections}, secure)
-	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.connections.stateChanged}
+	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connections.stateChanged}
 	return s
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,8 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
 	idleTimeout       = 60 * time.Second
 )
 
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -58,7 +58,7 @@
 	mux.Handle("/debug/pprof/profile", n.operatorsOnly(http.HandlerFunc(pprof.Profile)))
 	mux.Handle("/healthz", telemetry.Healthz())
 	mux.Handle("/readyz", telemetry.Readyz(n.notReady))
-	n.adminServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	n.adminServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.duties.Go(func() { _ = n.adminServer.Serve(n.adminListener) }) // returns when closed
 }
 
--- a/internal/platform/client/conn.go
+++ b/internal/platform/client/conn.go
@@ -21,6 +21,9 @@
 	return c.Conn.Write(b)
 }
 
+// maxHeaderBytes is the maximum size of a response's header.
+const maxHeaderBytes = 32 << 10
+
 // newTransport returns an HTTP transport whose connections are all of type
 // *countingConn.
 func newTransport(o options) *http.Transport {
@@ -40,5 +43,7 @@
 		MaxIdleConnsPerHost: DefaultConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
--- a/internal/upstream/client/decoder.go
+++ b/internal/upstream/client/decoder.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// maxLineBytes is the maximum length of one line of a stream, in bytes.
-	maxLineBytes = 1 << 20
+	// maxEventBytes is the maximum length of one event of a stream with the comments before it,
+	// in bytes.
+	maxEventBytes = 256 << 10
 	// bufferBytes is the size of the read buffer, in bytes. Several chunks fit into it.
 	bufferBytes = 2 << 10
 	// errorEvent is the name of an event that reports an error.
@@ -28,6 +29,8 @@
 	carriageReturn = []byte("\r")
 )
 
+var errEventTooLong = eris.Errorf("event is longer than %d bytes", maxEventBytes)
+
 // StreamError is an error that an engine reported within a stream.
 type StreamError struct{ Message string }
 
@@ -39,6 +42,7 @@
 type decoder struct {
 	reader    *bufio.Reader
 	longLine  []byte // a line longer than the buffer
+	length    int    // of the event that is being read
 	data      []byte
 	eventName string
 	parser    chunkParser
@@ -59,12 +63,14 @@
 func (d *decoder) line() ([]byte, error) {
 	d.longLine = d.longLine[:0]
 	line, err := d.reader.ReadSlice('\n')
-	for err == bufio.ErrBufferFull {
+	d.length += len(line)
+	for err == bufio.ErrBufferFull && d.length <= maxEventBytes {
 		d.longLine = append(d.longLine, line...)
-		if len(d.longLine) > maxLineBytes {
-			return nil, bufio.ErrTooLong
-		}
 		line, err = d.reader.ReadSlice('\n')
+		d.length += len(line)
+	}
+	if d.length > maxEventBytes {
+		return nil, errEventTooLong
 	}
 	if err != nil {
 		return nil, err
@@ -80,6 +86,7 @@
 // since only a chunk with Done ends an answer.
 func (d *decoder) next() (upstream.Chunk, error) {
 	d.reset()
+	d.length = 0
 	for {
 		line, err := d.line()
 		if err == io.EOF {
--- a/internal/upstream/client/read.go
+++ b/internal/upstream/client/read.go
@@ -10,7 +10,10 @@
 )
 
 // maxResponseBytes is the maximum size of a response that is not streamed, in bytes.
-const maxResponseBytes = 16 << 20
+const maxResponseBytes = 4 << 20
+
+// maxHeaderBytes is the maximum size of a response's header, in bytes.
+const maxHeaderBytes = 32 << 10
 
 // readBody reads and closes the body of a response. It returns an error if the body is
 // longer than maxResponseBytes, so that a truncated body is not taken for a complete
--- a/internal/upstream/client/transport.go
+++ b/internal/upstream/client/transport.go
@@ -27,5 +27,7 @@
 		IdleConnTimeout:       o.IdleTimeout,
 		ResponseHeaderTimeout: o.HeaderTimeout,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}, open
 }
