--- a/internal/gateway/endless_answer_test.go
+++ b/internal/gateway/endless_answer_test.go
@@ -71,7 +71,7 @@
 			w := httptest.NewRecorder()
 			j := newStreamJob(t, n, w)
 			j.run()
-			is.True(strings.HasSuffix(w.Body.String(), wholeEvent))
+			is.Equal(w.Body.String(), wholeEvent) // and nothing of the other upstream
 			is.Equal(j.crashes, 0)
 			is.Equal(n.metrics.Counter("hickorybank_endless_answers_total", "service", "s").Get(), uint64(1))
 		})
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -14,9 +14,7 @@
 type eventReader struct {
 	from    io.Reader
 	pending []byte
-	// idle is the number of complete lines' bytes that came without an event.
-	idle int
-	buf  [readBufferBytes]byte
+	buf     [readBufferBytes]byte
 }
 
 // next returns the bytes of the events that are complete, the last event ID among them, and
@@ -29,21 +27,23 @@
 	events = s.pending[:end:end]
 	s.pending = s.pending[end:]
 	id = lastID(events)
-	s.idle += end
-	if count > 0 {
-		s.idle = 0
-	}
 	switch {
-	case err == io.EOF && len(s.pending) > 0:
+	case err == io.EOF && isBlank(s.pending):
+		events, s.pending = append(events, s.pending...), nil
+	case err == io.EOF:
 		err = errTruncatedEvent
-	case err == nil && len(s.pending)+s.idle > maxEventBytes:
+	case err == nil && len(s.pending) > maxEventBytes:
 		err = errEventTooLong
 	}
 	return events, id, count, err
 }
 
+// isBlank reports whether bytes are empty lines only.
+func isBlank(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
+
 // completeEvents returns the offset after the last complete event and the number of events.
-// An event ends with an empty line.
+// An event ends with an empty line. Further empty lines belong to the next event: an upstream may
+// send them without end.
 func completeEvents(b []byte) (end, count int) {
 	line := 0
 	empty := true
@@ -55,9 +55,9 @@
 		if len(text) == 0 {
 			if !empty {
 				count++
+				end = i + 1
 			}
 			empty = true
-			end = i + 1
 		} else {
 			empty = false
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
-	idleTimeout       = 60 * time.Second
+	idleTimeout    = 60 * time.Second
 )
 
 // Node is one entry node.
