--- a/internal/canary/add_evidence.go
+++ b/internal/canary/add_evidence.go
@@ -36,13 +36,13 @@
 	doubt = doubt || r.allRoutes.doubtsDelays()
 	d.AsQuick = r.allRoutes.asQuick()
 	others := r.compareClasses(all)
-	if others.blames() {
+	if others.explainSlowness() {
 		d.AsQuick = max(d.AsQuick, others.asQuick)
 	}
-	if slow && !others.blames() {
+	if slow && !others.explainSlowness() {
 		r.verdict = RolledBack
 	}
-	d.Doubt = d.Doubt || doubt && !others.blames()
+	d.Doubt = d.Doubt || doubt && !others.explainSlowness()
 	if d.Evidence == "" {
 		d.Counts = all
 	}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -365,18 +365,19 @@
 	c := New(testSettings, "n1", 1)
 	c.AddOrder(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, start)
 	r := c.rollouts[serviceName]
-	for i := range 2 * minAnswers { // the evidence that a shift needs
-		version := newVersion
-		if i%2 == 0 {
-			version = oldVersion
-		}
-		a := c.Begin(Attempt{Service: serviceName, Version: version, Route: "r", Model: "m"}, true, start)
-		c.Start(a, start.Add(40*time.Millisecond))
-		c.CountPace(a, 0)
-		c.End(a, false, start)
-	}
+	addQuickAnswers(c, 2*minAnswers, start) // the evidence that a shift needs
 	r.shiftedAt = r.deadline(testSettings).Add(200 * time.Millisecond)
 	decisions := c.Tick(r.shiftedAt.Add(100*time.Millisecond), View{Complete: true, Count: func(string, string) (int, int) { return 1, 2 }})
 	is.Equal(len(decisions), 1)
 	is.Equal(decisions[0].Verdict, Completed)
 }
+
+// addQuickAnswers adds answers of both versions, half of them each, that take the same time.
+func addQuickAnswers(c *Canary, answers int, start time.Time) {
+	for i := range answers {
+		a := c.Begin(Attempt{Service: serviceName, Version: []string{oldVersion, newVersion}[i%2], Route: "r", Model: "m"}, true, start)
+		c.Start(a, start.Add(40*time.Millisecond))
+		c.CountPace(a, 0)
+		c.End(a, false, start)
+	}
+}
--- a/internal/canary/decision_test.go
+++ b/internal/canary/decision_test.go
@@ -13,16 +13,7 @@
 	start := time.Unix(1000, 0)
 	c := New(testSettings, "n1", 1)
 	is.True(c.AddOrder(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, start))
-	for i := range 80 {
-		version := newVersion
-		if i%2 == 0 {
-			version = oldVersion
-		}
-		a := c.Begin(Attempt{Service: serviceName, Version: version, Route: "r", Model: "m"}, true, start)
-		c.Start(a, start.Add(40*time.Millisecond))
-		c.CountPace(a, 0)
-		c.End(a, false, start)
-	}
+	addQuickAnswers(c, 80, start)
 	r := c.rollouts[serviceName]
 	r.shiftedAt = start.Add(15 * time.Second)
 	d := c.Tick(r.deadline(testSettings), View{Complete: true, Count: func(string, string) (int, int) { return 1, 2 }})
--- a/internal/canary/delay_count.go
+++ b/internal/canary/delay_count.go
@@ -51,11 +51,6 @@
 	return min(max(int(math.Floor(octaves))+usualGrade+1, 0), delayGrades-1)
 }
 
-// atLeast returns the shortest delay of a grade.
-func atLeast(grade int, usual, noticeable time.Duration) time.Duration {
-	return time.Duration(float64(usual+noticeable)*math.Exp2(float64(grade-usualGrade-1))) - noticeable
-}
-
 func (c *DelayCounts) add(other DelayCounts) {
 	for i, n := range other {
 		c[i] += n
--- a/internal/canary/delay_evidence.go
+++ b/internal/canary/delay_evidence.go
@@ -113,7 +113,7 @@
 	return e.likelihood() >= doubtThreshold || e.becameSlow() >= lateDoubtThreshold
 }
 
-// becameSlow returns the evidence that the version is slow now, whatever it was before.
+// becameSlow returns the evidence that the version is slow now, regardless of its earlier answers.
 func (e *delayEvidence) becameSlow() float64 { return e.recent.max() }
 
 // usualShares returns the shares of the old version's grades: the recent ones, pulled towards
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -16,7 +16,7 @@
 	// it began to shift all.
 	Widened, Shift bool
 	// Likelihood is the log likelihood ratio against the version by Evidence at Route, where
-	// it is strongest; an empty route stands for all. Doubt is set if it is too strong for a
+	// it is strongest; an empty route means all routes. Doubt is set if it is too strong for a
 	// shift.
 	Likelihood float64
 	Evidence   string
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -46,7 +46,7 @@
 // lower it again. There is no wait once most answers are bad, or once all sessions go to
 // the version.
 func (e *evidence) rejects(now time.Time, trial bool) bool {
-	return e.alarm.stands(now, trial, 2*e.counted.NewBad > e.counted.New)
+	return e.alarm.isConfirmed(now, trial, 2*e.counted.NewBad > e.counted.New)
 }
 
 // longRunBadShare is the old version's share of bad answers since the order, pulled
--- a/internal/canary/references.go
+++ b/internal/canary/references.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// referenceKey identifies attempts whose delays are comparable. Without a route it stands for
+// referenceKey identifies attempts whose delays are comparable. Without a route it covers
 // all routes of the service.
 type referenceKey struct {
 	service, route, model string
--- a/internal/canary/route_evidence.go
+++ b/internal/canary/route_evidence.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// stands reports whether the alarm counts. Without a wait, a burst of bad answers at one moment
+// isConfirmed reports whether the alarm counts. Without a wait, a burst of bad answers at one moment
 // would decide; mostly is set if most answers are bad, trial until all sessions are shifted.
-func (a *alarm) stands(now time.Time, trial, mostly bool) bool {
+func (a *alarm) isConfirmed(now time.Time, trial, mostly bool) bool {
 	if a.since.IsZero() {
 		return false
 	}
@@ -56,7 +56,7 @@
 func (e *routeEvidence) rejectsDelays(c RouteCount, now time.Time, trial bool) bool {
 	for m := range measures {
 		n := c.Delays[m].New
-		if e.slowAlarms[m].stands(now, trial, 2*n.slow() > n.total()) {
+		if e.slowAlarms[m].isConfirmed(now, trial, 2*n.slow() > n.total()) {
 			return true
 		}
 	}
--- a/internal/canary/upstream_class.go
+++ b/internal/canary/upstream_class.go
@@ -80,8 +80,11 @@
 	likelihood, asQuick float64
 }
 
-// blames reports whether the delays are explained by a few slow upstreams.
-func (o otherClasses) blames() bool { return o.trimmed > 0 && o.likelihood < othersQuickThreshold }
+// explainSlowness reports whether the slow delays come from a few upstreams, since the others are
+// quick.
+func (o otherClasses) explainSlowness() bool {
+	return o.trimmed > 0 && o.likelihood < othersQuickThreshold
+}
 
 // compareClasses compares the classes that are not slow; all are the counts of all routes.
 func (r *rollout) compareClasses(all RouteCount) otherClasses {
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// Fails if any start of an answer that goes on without end is read past the bounds.
+func FuzzEndlessAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nX: ", "x")
+	f.Add("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nHTTP\r\n")
+	f.Fuzz(func(t *testing.T, start, part string) {
+		u := &endlessUpstream{start: start, part: part + "x"}
+		p := NewPool(Settings{Dialer: u})
+		defer p.Close()
+		resp, failure := p.Do(context.Background(), "u", &Request{Method: http.MethodGet, Target: "/", Host: "h", IDField: idField, ID: "1"})
+		if failure == nil {
+			resp.Close() // its body is the caller's to bound
+		}
+		if <-u.done; u.sent > 4*maxStrayResponses*maxStrayBodyBytes {
+			t.Fatalf("%d bytes were read of %q and %q without end", u.sent, start, part)
+		}
+	})
+}
+
 // Fails if a head within the bound is refused, or the bound cuts off a long body.
 func TestLongAnswerPassesTheBoundOnHeads(t *testing.T) {
 	is := is.New(t)
