--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -49,12 +49,17 @@
 	}
 	n.mu.Lock()
 	fresh := n.crashGuard.Strike(id, chain, a.began, at, time.Now())
-	strikes := n.crashGuard.Strikes(j.chain[len(j.chain)-1])
+	key := j.chain[len(j.chain)-1]
+	evidence := n.crashGuard.Evidence(key, time.Now())
 	n.mu.Unlock()
 	n.pool.Forget(a.addr)
 	if fresh {
 		n.metrics.Counter("hickorybank_crash_strikes_total").Inc()
-		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.Int("strikes", strikes),
+		if evidence.Late > 0 {
+			n.metrics.Counter("hickorybank_crash_late_strikes_total").Inc()
+		}
+		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.String("key", keyText(key)),
+			slog.Int("strikes", evidence.Strikes), slog.Int("moments", evidence.Moments), slog.Int("late", evidence.Late),
 			slog.Bool("begun", begun), slog.String("parts", j.sharedParts()))
 		wake(n.crashNews)
 	}
