A request that crashes a small service in waves, red

In the simulation a repeat is sent after the crash before it, as by real nodes; both fell on one tick, so that sequels counted as the same moment.

--- a/internal/crashguard/faults_test.go
+++ b/internal/crashguard/faults_test.go
@@ -96,7 +96,7 @@
 	w.run(30 * time.Second)
 	if c.cutNodes == 0 && c.mendedAt == 0 {
 		for _, part := range c.badParts {
-			if late := w.late(part, 3*time.Second); late > 3 {
+			if late := w.late(part, partCrashes, 3*time.Second); late > 3 {
 				t.Fatalf("%d requests with the part %s reached engines late", late, part)
 			}
 		}
@@ -135,7 +135,7 @@
 		isBad: func(part string, at time.Duration) bool { return at >= 2*time.Second && part == "bad" },
 	})
 	w.run(30 * time.Second)
-	if late := w.late("bad", 3*time.Second); late > 3 {
+	if late := w.late("bad", partCrashes, 3*time.Second); late > 3 {
 		t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
 	}
 }
@@ -154,7 +154,7 @@
 				w.badPerSecond = float64(20 * ((i + 1) % 2)) // a pause after each period
 				w.run(until * time.Second)
 			}
-			late := w.late("bad", 3*time.Second)
+			late := w.late("bad", partCrashes, 3*time.Second)
 			t.Logf("%d crashes, %d late", len(w.crashes["bad"]), late)
 			if late > 3 {
 				t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
--- a/internal/crashguard/spread_test.go
+++ b/internal/crashguard/spread_test.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// partCrashes is the number of crashes after which the bound for requests with a bad part begins.
+const partCrashes = 5
+
 // soundParts returns prompts with a common first part and one of count second parts.
 func soundParts(count int) func(r *rand.Rand) []string {
 	return func(r *rand.Rand) []string { return []string{"first", fmt.Sprint("second", r.IntN(count))} }
@@ -46,9 +49,9 @@
 	crashes := w.crashes["bad"]
 	wrong := w.convicted(allSoundParts(parts))
 	t.Logf("%d crashes, fifth at %v, %d late; sound refused %.4f in all, %.4f from 7 s on; %d exchanges with %.1f keys; wrong %v",
-		len(crashes), crashes[min(4, len(crashes)-1)], w.late("bad", 3*time.Second), w.refusedIn(0, 20*time.Second), w.refusedIn(7*time.Second, 20*time.Second),
+		len(crashes), crashes[min(4, len(crashes)-1)], w.late("bad", partCrashes, 3*time.Second), w.refusedIn(0, 20*time.Second), w.refusedIn(7*time.Second, 20*time.Second),
 		w.exchanges, float64(w.sentKeys)/float64(max(w.exchanges, 1)), wrong)
-	if late := w.late("bad", 3*time.Second); late > 3 {
+	if late := w.late("bad", partCrashes, 3*time.Second); late > 3 {
 		t.Errorf("%d requests with the bad part reached engines late, 3 may", late)
 	}
 	if len(wrong) > 0 {
--- /dev/null
+++ b/internal/crashguard/waves_test.go
@@ -0,0 +1,141 @@
+package crashguard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+)
+
+// wave is one request that is sent several times at once, again and again, and crashes each engine
+// that begins to run it.
+type wave struct {
+	together      int
+	pause         time.Duration
+	until         time.Duration
+	delay, jitter time.Duration
+	// parts are the shared parts of its prompt, of which the last crashes engines. Without parts
+	// the request itself does.
+	parts []string
+	// mendedAt is when it no longer crashes engines; never if 0.
+	mendedAt time.Duration
+}
+
+// waveName is the name under which crashes and arrivals of a wave's request are counted.
+const waveName = "wave"
+
+// sendWave sends the copies that are due, each to another node if there are enough.
+func (w *world) sendWave() {
+	v := w.wave
+	if v == nil || w.now < time.Second || w.now >= v.until || (w.now-time.Second)%v.pause >= worldTick {
+		return
+	}
+	nodes := w.r.Perm(w.nodes)
+	for i := range v.together {
+		w.send(w.waveAttempt(nodes[i%w.nodes]))
+	}
+}
+
+func (w *world) waveAttempt(node int) *worldAttempt {
+	a := &worldAttempt{node: node, first: true, bad: true, parts: w.wave.parts}
+	for _, p := range a.parts {
+		a.chain = append(a.chain, PartKey(p))
+	}
+	body := waveName
+	if len(a.parts) > 0 {
+		w.nextID++
+		body = fmt.Sprint(w.nextID)
+	}
+	a.chain = append(a.chain, RequestKey("org", "/wave", []byte(body)))
+	return a
+}
+
+// runWave lets an attempt of a wave crash its engine after the wave's delay.
+func (w *world) runWave(a *worldAttempt) {
+	v := w.wave
+	w.arrivals[waveName] = append(w.arrivals[waveName], w.now)
+	if v.mendedAt > 0 && w.now >= v.mendedAt {
+		return
+	}
+	a.badPart = waveName
+	a.crashesAt = w.now + v.delay
+	if v.jitter > 0 {
+		a.crashesAt += w.random(int(v.jitter / time.Millisecond))
+	}
+	a.begins, a.ends = a.crashesAt+time.Hour, a.crashesAt+time.Hour
+}
+
+// hotRequest is the request that a share of all sound requests equals.
+var hotRequest = Chain{RequestKey("org", "/hot", nil)}
+
+// waveWorld returns a plain service beside a wave: sound requests have no parts.
+func waveWorld(nodes, engines int, seed uint64, v *wave) *world {
+	return newWorld(worldSpec{
+		nodes: nodes, engines: engines, soundPerSecond: float64(max(2*nodes, 30)), seed: seed, lost: 0.02, wave: v,
+		sound: func(*rand.Rand) []string { return nil }, bad: func(*rand.Rand) []string { return nil },
+		isBad: func(string, time.Duration) bool { return false },
+	})
+}
+
+// waveCases are the waves that are played, and the services that they meet. HICKORYBANK_WAVES=all
+// plays all of them, at more nodes.
+var waveCases = struct {
+	nodes, engines, together []int
+	pauses                   []time.Duration
+	// delays are the times until a crash in ms, and the jitter beyond.
+	delays [][2]time.Duration
+}{
+	[]int{8}, []int{1, 2, 3, 4, 18}, []int{1, 4, 8},
+	[]time.Duration{3500 * time.Millisecond, 10 * time.Second},
+	[][2]time.Duration{{5, 0}, {44, 0}, {20, 60}},
+}
+
+func init() {
+	if os.Getenv("HICKORYBANK_WAVES") == "all" {
+		waveCases.nodes, waveCases.together = []int{4, 8, 40}, []int{1, 2, 3, 4, 8}
+		waveCases.pauses = append(waveCases.pauses, time.Second, 30*time.Second)
+		waveCases.delays = append(waveCases.delays, [2]time.Duration{500, 0})
+	}
+}
+
+// Fails if a request that is sent several times at once crashes a small service in waves.
+func TestRequestThatCrashesInWaves(t *testing.T) { playAllWaves(t, nil, costlyStrikes) }
+
+// Fails if requests that share a part and are sent at once crash a service in waves.
+func TestPartThatCrashesInWaves(t *testing.T) { playAllWaves(t, []string{"first", "bad"}, partCrashes) }
+
+func playAllWaves(t *testing.T, parts []string, crashes int) {
+	for _, nodes := range waveCases.nodes {
+		for _, engines := range waveCases.engines {
+			t.Run(fmt.Sprintf("%d nodes, %d engines", nodes, engines), func(t *testing.T) {
+				t.Parallel()
+				playWaves(t, nodes, engines, parts, crashes)
+			})
+		}
+	}
+}
+
+// playWaves plays the waves. From lateAfter after a number of crashes on, at most three runs may be
+// sent to engines.
+func playWaves(t *testing.T, nodes, engines int, parts []string, crashes int) {
+	const maxLate = 3
+	failed, plays, worst := 0, 0, 0
+	for _, together := range waveCases.together {
+		for _, pause := range waveCases.pauses {
+			for _, delay := range waveCases.delays {
+				v := &wave{together: together, pause: pause, until: time.Second + 6*pause, parts: parts, delay: delay[0] * time.Millisecond, jitter: delay[1] * time.Millisecond}
+				w := waveWorld(nodes, engines, uint64(together)+uint64(pause), v)
+				w.run(v.until + time.Second)
+				late := w.late(waveName, crashes, lateAfter)
+				plays, worst = plays+1, max(worst, late)
+				if late > maxLate {
+					failed++
+					t.Errorf("%d together each %v, crashes after %d ms and up to %d more: %d late, %d may; %d crashes",
+						together, pause, delay[0], delay[1], late, maxLate, len(w.crashes[waveName]))
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d plays failed, %d late at the worst", failed, plays, worst)
+}
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -39,6 +39,10 @@
 	// lost is the share of exchanges that fail.
 	lost float64
 	seed uint64
+	// wave is a request that is sent several times at once; nil for none.
+	wave *wave
+	// hot is the share of sound requests that are one and the same.
+	hot float64
 }
 
 type worldEngine struct {
@@ -59,6 +63,8 @@
 	crashes       int
 	trial, proved bool
 	first         bool
+	// repeated is set for a caller's repeat.
+	repeated bool
 }
 
 // world plays a spec.
@@ -117,6 +123,7 @@
 		}
 		w.arrive(w.soundPerSecond, w.sound, false)
 		w.arrive(w.badPerSecond, w.bad, true)
+		w.sendWave()
 		for _, e := range w.engines {
 			w.advance(e)
 		}
@@ -139,6 +146,9 @@
 			a.chain = append(a.chain, PartKey(p))
 		}
 		a.chain = append(a.chain, RequestKey("org", "/", []byte(fmt.Sprint(w.nextID))))
+		if !bad && w.r.Float64() < w.hot {
+			a.chain = hotRequest
+		}
 		if !bad {
 			w.sent[int(w.now/time.Second)]++
 		}
@@ -176,13 +186,17 @@
 		w.news[a.node] = true
 	}
 	a.first, a.proved = false, false
-	a.sent, a.begins, a.ends, a.crashesAt = w.now, w.now+40*time.Millisecond+w.random(100), w.now+600*time.Millisecond, 0
+	// The crash before a repeat happened earlier in the tick.
+	a.sent, a.begins, a.ends, a.crashesAt = w.now+worldTick/10, w.now+40*time.Millisecond+w.random(100), w.now+600*time.Millisecond, 0
 	if i := slices.IndexFunc(a.parts, func(p string) bool { return w.isBad(p, w.now) }); i >= 0 {
 		a.badPart = a.parts[i]
 		w.arrivals[a.badPart] = append(w.arrivals[a.badPart], w.now)
 		a.crashesAt = w.now + 30*time.Millisecond + w.random(200)
 		a.begins, a.ends = a.crashesAt+time.Hour, a.crashesAt+time.Hour
 	}
+	if a.bad && w.wave != nil {
+		w.runWave(a)
+	}
 	up[0].attempts = append(up[0].attempts, a)
 }
 
@@ -240,6 +254,10 @@
 		w.news[a.node] = w.guards[a.node].Strike(id, chain, worldEpoch.Add(a.sent), w.time(), w.time()) || w.news[a.node]
 		if a.crashes < 2 && !a.trial {
 			w.send(a)
+		} else if a.bad && w.wave != nil && !a.repeated {
+			again := w.waveAttempt(w.r.IntN(w.nodes)) // its caller's one repeat
+			again.repeated = true
+			w.send(again)
 		}
 	}
 }
@@ -281,13 +299,14 @@
 	return i < w.cutNodes && w.now >= w.cutFrom && w.now < w.cutUntil
 }
 
-// late returns the arrivals of requests with a bad part later than bound after its fifth crash.
-func (w *world) late(part string, bound time.Duration) (late int) {
-	if len(w.crashes[part]) < 5 {
+// late returns the arrivals of requests with a bad part later than bound after a number of its
+// crashes.
+func (w *world) late(part string, crashes int, bound time.Duration) (late int) {
+	if len(w.crashes[part]) < crashes {
 		return 0
 	}
 	for _, at := range w.arrivals[part] {
-		if at > w.crashes[part][4]+bound {
+		if at > w.crashes[part][crashes-1]+bound {
 			late++
 		}
 	}
