A request that crashed three upstreams without an answer runs one at a time

What callers saw: all upstreams of a small service lost in waves, by copies of one request at once (BUDGET: sent four times more than 3 s after the third crash).

Cause: crashes count by moments 40 ms apart, so that a lost failure domain convicts nothing. Copies of one request crash three or four upstreams within one or two moments, so a second wave was needed, and was late. A bystander with as many strikes could be convicted in its place. Trials did not count what a late wave had used.

Change: a key with three crashes (parts of prompts: five outside losses), no answer and no convicted key with better evidence is quarantined: refused with Retry-After 1 s but for one trial a second later, over all nodes. An answer ends it everywhere; a crash counts as a moment of its own. A request with two late strikes gets no trial. Event 1919, hickorybank_quarantined_keys. The own door does the same.

Remains: waves 30 s apart still let several nodes make a trial at once.

--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -7,6 +7,8 @@
 	key Key
 	// parent is the key before it in the chain of the newest strike; 0 for none.
 	parent Key
+	// part is set for a part of prompts that requests share.
+	part bool
 	// struck are the crashes of upstreams that were about to answer a request with the key,
 	// cleared those of them after which such a request was answered.
 	struck, cleared crashSet
@@ -17,8 +19,10 @@
 	clearedAt time.Time
 	// convictedAt is when this node convicted the key; zero if it is not convicted.
 	convictedAt time.Time
-	// trials counts the requests that were let through since the first conviction, at all
-	// nodes, and may have run; trialAt is when the last one was sent, whether it ran or not.
+	// quarantinedAt is when this node quarantined the key; zero if it is not quarantined.
+	quarantinedAt time.Time
+	// trials counts the requests that were let through since the first conviction or quarantine,
+	// at all nodes, and may have run; trialAt is when the last one was sent, whether it ran or not.
 	trials  int
 	trialAt time.Time
 	// inTrial is set while it is not known here whether the last trial ran.
@@ -28,6 +32,9 @@
 	askedAt time.Time
 }
 
+// blockedAt returns when the key was convicted or quarantined; zero if it is neither.
+func (e *entry) blockedAt() time.Time { return later(e.convictedAt, e.quarantinedAt) }
+
 // tried reports whether a request was let through since the first conviction.
 func (e *entry) tried() bool { return !e.trialAt.IsZero() }
 
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -5,8 +5,9 @@
 // clears the earlier strikes of its keys. Nodes exchange strikes and clearances. A key is
 // convicted if it has several strikes that no other convicted key explains; see verdict.go.
 // The verdict follows from the evidence alone, so later evidence ends a wrong conviction. A
-// few trials find out whether a convicted key still crashes upstreams. The package does no
-// I/O and takes no locks.
+// few trials find out whether a convicted key still crashes upstreams. Before that, a key whose
+// requests crashed several upstreams and were never answered is quarantined; see quarantine.go.
+// The package does no I/O and takes no locks.
 package crashguard
 
 import (
@@ -48,12 +49,14 @@
 	// losses are the crashes of many upstreams together.
 	losses    crashSet
 	convicted map[Key]*entry
-	verdicts  []Verdict
+	// quarantined are the keys that are not convicted and whose requests run one at a time.
+	quarantined map[Key]*entry
+	verdicts    []Verdict
 }
 
 // New returns a guard that knows of no crash.
 func New() *Guard {
-	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}}
+	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}, quarantined: map[Key]*entry{}}
 }
 
 // Knows reports whether the crash is known.
@@ -74,6 +77,7 @@
 		if i > 0 {
 			e.parent = chain[i-1]
 		}
+		e.part = e.part || i < len(chain)-1
 		if e.struck.has(slot) {
 			continue
 		}
@@ -175,6 +179,7 @@
 		if e.struck.empty() {
 			delete(g.keys, key)
 			delete(g.convicted, key)
+			delete(g.quarantined, key)
 		}
 	}
 	g.dirty = true
@@ -207,6 +212,7 @@
 	for _, e := range all[maxKeys*3/4:] {
 		delete(g.keys, e.key)
 		delete(g.convicted, e.key)
+		delete(g.quarantined, e.key)
 	}
 	g.dirty = true
 }
--- /dev/null
+++ b/internal/crashguard/quarantine.go
@@ -0,0 +1,123 @@
+package crashguard
+
+import "time"
+
+const (
+	// costlyStrikes is the number of crashes that an unanswered key may cause before its requests
+	// run one at a time, costlyPartStrikes that for parts of prompts.
+	costlyStrikes     = 3
+	costlyPartStrikes = 5
+	// lateAfter is how long after these crashes further ones count as late: until then requests
+	// are under way that nothing stops.
+	lateAfter = 3 * time.Second
+	// maxLateStrikes is the number of late strikes of an unanswered key from which on it gets no
+	// trials.
+	maxLateStrikes = 2
+	// quarantineTime is the time from the quarantine of a key to its first trial. The strikes and
+	// answers of all nodes are known by then.
+	quarantineTime = time.Second
+)
+
+// costlyStrikes returns the number of crashes before the key's requests run one at a time.
+func (e *entry) costlyStrikes() int {
+	if e.part {
+		return costlyPartStrikes
+	}
+	return costlyStrikes
+}
+
+// findQuarantined finds the keys to quarantine: upstreams crashed under several requests with the
+// key, none was answered, and no convicted key with better evidence explains the crashes. At one
+// moment that may be a loss of upstreams or a request of which copies were under way, which only a
+// run on its own tells apart.
+func (g *Guard) findQuarantined(now time.Time) {
+	previous := g.quarantined
+	g.quarantined = map[Key]*entry{}
+	for key, e := range g.keys {
+		if g.costly(e).size() < e.costlyStrikes() || g.convicted[key] != nil || g.doubtOf(e) != neverAnswered || g.isExplained(e) {
+			continue
+		}
+		g.quarantined[key] = e
+		if previous[key] == nil {
+			e.quarantinedAt, e.askedAt = now, time.Time{}
+			g.noteVerdict(e, Quarantined)
+		}
+	}
+	for key, e := range previous {
+		if g.quarantined[key] != nil {
+			continue
+		}
+		e.quarantinedAt = time.Time{}
+		if g.convicted[key] == nil {
+			g.noteVerdict(e, Cleared)
+		}
+	}
+}
+
+// costly returns the live strikes that may quarantine a key. For parts of prompts the crashes of a
+// loss don't count: many sound parts are in flight then, and few requests come that could clear one.
+func (g *Guard) costly(e *entry) crashSet {
+	if e.part {
+		return e.live().without(&g.losses)
+	}
+	return e.live()
+}
+
+// isExplained reports whether convicted keys explain an entry's strikes: those in one chain with it,
+// and others that were struck more often. A request that ran beside the cause of crashes may be
+// convicted in its place.
+func (g *Guard) isExplained(e *entry) bool {
+	var explained crashSet
+	for key, c := range g.convicted {
+		if live := c.live(); live.size() > e.live().size() || g.nested(key, e.key) || g.nested(e.key, key) {
+			explained.merge(&live)
+		}
+	}
+	return g.costly(e).without(&explained).size() < e.costlyStrikes()
+}
+
+// Blocking returns the keys of a chain for which its requests are refused, unless they are
+// trials: the convicted ones or, if there are none, the outermost that is quarantined.
+func (g *Guard) Blocking(chain Chain, now time.Time) []Key {
+	if keys := g.Convicted(chain, now); len(keys) > 0 || len(g.quarantined) == 0 {
+		return keys
+	}
+	for _, key := range chain {
+		if g.quarantined[key] != nil {
+			return []Key{key}
+		}
+	}
+	return nil
+}
+
+// IsConvicted reports whether a key is convicted.
+func (g *Guard) IsConvicted(key Key) bool { return g.convicted[key] != nil }
+
+// blocked returns the entry of a convicted or quarantined key, or nil.
+func (g *Guard) blocked(key Key) *entry {
+	if e := g.convicted[key]; e != nil {
+		return e
+	}
+	return g.quarantined[key]
+}
+
+// lateStrikes returns the number of a key's live strikes that happened later than lateAfter after
+// its costly ones.
+func (g *Guard) lateStrikes(e *entry) (late int) {
+	live, count := e.live(), 0
+	var from time.Time
+	for _, slot := range g.order {
+		if !live.has(slot) {
+			continue
+		}
+		count++
+		at := g.crashes[slot].at
+		if count == e.costlyStrikes() {
+			from = at.Add(lateAfter)
+		}
+		if count > e.costlyStrikes() && at.After(from) {
+			late++
+		}
+	}
+	return late
+}
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -30,7 +30,9 @@
 // ReportedKey is what a node knows of a key. Struck, Cleared and Sequels are bit sets of indexes
 // into the report's crashes.
 type ReportedKey struct {
-	Key, Parent              Key
+	Key, Parent Key
+	// Part is set for a part of prompts.
+	Part                     bool
 	Struck, Cleared, Sequels []byte
 	Trials                   int
 	// TrialAge is the time since the last trial; 0 for none.
@@ -49,7 +51,7 @@
 	var r Report
 	index := map[int]int{}
 	for _, e := range g.toReport(now) {
-		k := ReportedKey{Key: e.key, Parent: e.parent, Trials: e.trials}
+		k := ReportedKey{Key: e.key, Parent: e.parent, Part: e.part, Trials: e.trials}
 		if e.tried() {
 			k.TrialAge = max(now.Sub(e.trialAt), 1)
 		}
@@ -86,7 +88,7 @@
 		for _, e := range g.keys {
 			live := e.live()
 			isNews := live.common(&recent) > 0 && live.size() > 1 || live.common(&newest) > 0
-			if (g.isSentFirst(e, now) || isNews) && !yield(e) {
+			if (g.isSentFirst(e, now) || isNews || !e.quarantinedAt.IsZero()) && !yield(e) {
 				return
 			}
 		}
@@ -163,6 +165,7 @@
 	if e.parent == 0 {
 		e.parent = k.Parent
 	}
+	e.part = e.part || k.Part
 	struck, cleared, sequels, before := e.struck, e.cleared, e.sequels, e.live()
 	for i, slot := range slots {
 		if slot < 0 || !hasBit(k.Struck, i) {
@@ -199,7 +202,7 @@
 // mergeAsked takes a peer's time of the first request that the next trial might be. A peer that
 // does not know the last trial reports one of before.
 func (g *Guard) mergeAsked(e *entry, at time.Time, known bool) {
-	if !known || e.convictedAt.IsZero() || !e.askedAt.IsZero() && !at.Before(e.askedAt) {
+	if !known || e.blockedAt().IsZero() || !e.askedAt.IsZero() && !at.Before(e.askedAt) {
 		return
 	}
 	if due, ok := g.nextTrial(e); ok && at.Add(trialSpacing).After(due) {
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -21,11 +21,11 @@
 // another node or have ended with it. It is longer than requests wait for answers.
 const trialTimeout = 30 * time.Second
 
-// TrialDue returns for how long requests have come that might be the trial of a convicted key that
+// TrialDue returns for how long requests have come that might be the trial of a blocked key that
 // is due, this one with its chain among them; false if none is due. A request with a nested key
 // that was struck repeatedly may crash an upstream for that, and is no trial at first.
 func (g *Guard) TrialDue(chain Chain, key Key, now time.Time) (time.Duration, bool) {
-	e := g.convicted[key]
+	e := g.blocked(key)
 	if e == nil {
 		return 0, false
 	}
@@ -45,17 +45,20 @@
 	return now.Sub(later(at, e.askedAt)), true
 }
 
-// nextTrial returns when the next trial of a convicted key is due; false if there is none.
+// nextTrial returns when the next trial of a blocked key is due; false if there is none.
 func (g *Guard) nextTrial(e *entry) (time.Time, bool) {
 	trials, last := g.trialsOf(e)
-	if trials >= len(trialDelays) {
+	if trials >= len(trialDelays) || !e.part && g.lateStrikes(e) >= maxLateStrikes && g.doubtOf(e) == neverAnswered {
 		return time.Time{}, false
 	}
 	delay := trialDelays[trials]
-	if e.inTrial {
+	switch {
+	case e.inTrial:
 		delay = trialTimeout
+	case trials == 0 && g.convicted[e.key] == nil:
+		delay = quarantineTime
 	}
-	return later(e.convictedAt, last).Add(delay), true
+	return later(e.blockedAt(), last).Add(delay), true
 }
 
 // trialsOf returns the number of trials of a key, and the time of the last. Convicted keys with one
@@ -80,16 +83,16 @@
 // TrialNodes returns how many nodes may make a trial for which requests have come for some time.
 func TrialNodes(due time.Duration) int { return 1 << min(due/trialRankStep, 20) }
 
-// BeginTrial records that a request with the convicted key is about to be sent.
+// BeginTrial records that a request with the blocked key is about to be sent.
 func (g *Guard) BeginTrial(key Key, now time.Time) {
-	if e := g.convicted[key]; e != nil {
+	if e := g.blocked(key); e != nil {
 		e.trialAt, e.askedAt, e.inTrial = now, time.Time{}, true
 	}
 }
 
 // CountTrial records that a request that was let through may have run.
 func (g *Guard) CountTrial(key Key) {
-	if e := g.convicted[key]; e != nil {
+	if e := g.blocked(key); e != nil {
 		e.trials++
 		e.inTrial = false
 	}
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -81,13 +81,14 @@
 		g.convicted[c.key] = c.entry
 		if c.convictedAt.IsZero() {
 			c.convictedAt, c.askedAt = now, time.Time{}
-			g.noteVerdict(c.entry, true)
+			g.noteVerdict(c.entry, Convicted)
 		}
 	}
 	for key, e := range previous {
 		if g.convicted[key] == nil {
 			e.convictedAt = time.Time{}
-			g.noteVerdict(e, false)
+			g.noteVerdict(e, Cleared)
 		}
 	}
+	g.findQuarantined(now)
 }
--- a/internal/crashguard/verdict_change.go
+++ b/internal/crashguard/verdict_change.go
@@ -2,10 +2,22 @@
 
 import "time"
 
+// State is what a guard holds a key to be.
+type State int
+
+const (
+	// Cleared is the state of a key whose requests run.
+	Cleared State = iota
+	// Quarantined is that of a key whose requests run one at a time.
+	Quarantined
+	// Convicted is that of a key whose requests are refused but for a few trials.
+	Convicted
+)
+
 // Verdict is a change of what is known of a key.
 type Verdict struct {
-	Key       Key
-	Convicted bool
+	Key   Key
+	State State
 	// Strikes are the crashes that count against the key, Cleared those that did until a
 	// request with it was answered.
 	Strikes, Cleared int
@@ -15,9 +27,9 @@
 // maxVerdicts bounds the changes that wait to be taken.
 const maxVerdicts = 64
 
-func (g *Guard) noteVerdict(e *entry, convicted bool) {
+func (g *Guard) noteVerdict(e *entry, state State) {
 	if len(g.verdicts) < maxVerdicts {
-		g.verdicts = append(g.verdicts, Verdict{Key: e.key, Convicted: convicted, Strikes: e.live().size(), Cleared: e.cleared.size(), Trials: e.trials})
+		g.verdicts = append(g.verdicts, Verdict{Key: e.key, State: state, Strikes: e.live().size(), Cleared: e.cleared.size(), Trials: e.trials})
 	}
 }
 
@@ -29,5 +41,8 @@
 	return taken
 }
 
+// CountQuarantined returns the number of quarantined keys.
+func (g *Guard) CountQuarantined() int { return len(g.quarantined) }
+
 // CountConvicted returns the number of convicted keys.
 func (g *Guard) CountConvicted() int { return len(g.convicted) }
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -159,7 +159,7 @@
 // send sends an attempt to a random engine that is up, unless it is refused.
 func (w *world) send(a *worldAttempt) {
 	g := w.guards[a.node]
-	if keys := g.Convicted(a.chain, w.time()); len(keys) > 0 {
+	if keys := g.Blocking(a.chain, w.time()); len(keys) > 0 {
 		due, ok := g.TrialDue(a.chain, keys[0], w.time())
 		if !ok || len(keys) > 1 || !a.first || w.rank(a.node, keys[0]) >= TrialNodes(due) {
 			if !a.bad && a.first {
@@ -180,7 +180,7 @@
 		return
 	}
 	if a.trial {
-		key := g.Convicted(a.chain, w.time())[0]
+		key := g.Blocking(a.chain, w.time())[0]
 		g.BeginTrial(key, w.time())
 		g.CountTrial(key)
 		w.news[a.node] = true
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -18,6 +18,7 @@
 	RoomAwaited              = define(1915, slog.LevelInfo, "request waited for room at the upstreams")
 	RoomRefused              = define(1916, slog.LevelInfo, "request is refused for want of room at the upstreams")
 	EntryQueueUsed           = define(1917, slog.LevelInfo, "requests of a service wait here while its upstreams have no room")
+	CrashQuarantined         = define(1919, slog.LevelWarn, "upstreams crashed under a part of prompts or a request; its requests run one at a time")
 	ForwardAttempt           = define(1920, slog.LevelInfo, "attempt did not serve the request")
 	ForwardEscalated         = define(1921, slog.LevelInfo, "smaller model's confidence was low; a larger model answers")
 	ForwardResumed           = define(1922, slog.LevelInfo, "stream continues at another upstream")
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// mayRun reports whether the job may make a further attempt: no part of it is convicted of
+// mayRun reports whether the job may make a further attempt: no part of it is blocked for
 // crashing upstreams, and few have crashed while they were about to answer it.
 func (j *job) mayRun() bool {
 	j.node.mu.Lock()
@@ -98,10 +98,10 @@
 	return j.crashes < maxRequestCrashes && j.node.mayRun(j, time.Now(), false)
 }
 
-// mayRun reports whether no part of the job is convicted, or the job may be a trial of the
-// convicted key, which begins when it is about to be sent; the caller holds mu.
+// mayRun reports whether no part of the job is blocked, or the job may be a trial of the
+// blocked key, which begins when it is about to be sent; the caller holds mu.
 func (n *Node) mayRun(j *job, now time.Time, sending bool) bool {
-	keys := n.crashGuard.Convicted(j.chain, now)
+	keys := n.crashGuard.Blocking(j.chain, now)
 	switch {
 	case len(keys) == 0:
 		return true
@@ -118,7 +118,7 @@
 		wake(n.crashNews)
 		return true
 	}
-	j.convicted = keys[0]
+	j.blockedBy, j.quarantined = keys[0], !n.crashGuard.IsConvicted(keys[0])
 	return false
 }
 
@@ -145,7 +145,7 @@
 	j.node.crashGuard.DeclineTrial(j.trial)
 }
 
-// allowTrial reports whether this node may let a request with a convicted key through; the caller
+// allowTrial reports whether this node may let a request with a blocked key through; the caller
 // holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
 func (n *Node) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
 	due, ok := n.crashGuard.TrialDue(chain, key, now)
@@ -223,20 +223,28 @@
 	n.mergeCrashes(in, time.Now())
 }
 
+// crashEvents are the events of keys' new states.
+var crashEvents = map[crashguard.State]event.Event{
+	crashguard.Cleared: event.CrashAcquitted, crashguard.Quarantined: event.CrashQuarantined, crashguard.Convicted: event.CrashConvicted,
+}
+
 // logVerdicts logs new verdicts. Attempts in flight continue: their answers end wrong verdicts.
 func (n *Node) logVerdicts() {
 	n.mu.Lock()
 	verdicts := n.crashGuard.TakeVerdicts(time.Now())
 	n.mu.Unlock()
 	for _, v := range verdicts {
-		e := event.CrashAcquitted
-		if v.Convicted {
-			e = event.CrashConvicted
-		}
-		e.Log(n.log, slog.String("key", keyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
+		crashEvents[v.State].Log(n.log, slog.String("key", keyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
 	}
 }
 
+// quarantinedKeys returns the number of keys whose requests run one at a time.
+func (n *Node) quarantinedKeys() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return float64(n.crashGuard.CountQuarantined())
+}
+
 // convictedKeys returns the number of keys that are convicted of crashing upstreams.
 func (n *Node) convictedKeys() float64 {
 	n.mu.Lock()
--- a/internal/gateway/entry_queue.go
+++ b/internal/gateway/entry_queue.go
@@ -97,7 +97,7 @@
 	return j.entryQueue.Offer(entryqueue.Request{
 		ID: j.headers.ID, Organisation: j.orgName, Priority: j.priority,
 		Goal: j.route.LatencyGoal, Left: j.deadline.Sub(now),
-		Exempt: j.lastEvent != "" || len(n.crashGuard.Convicted(j.chain, now)) > 0,
+		Exempt: j.lastEvent != "" || len(n.crashGuard.Blocking(j.chain, now)) > 0,
 	}, now)
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -40,9 +40,11 @@
 	chain crashguard.Chain
 	// crashes counts the upstreams that crashed while they were about to answer the request.
 	crashes int
-	// convicted is the convicted key for which the request is refused; 0 for none.
-	convicted crashguard.Key
-	// trial is the convicted key that the request may contain, to find out whether it still
+	// blockedBy is the key for which the request is refused; 0 for none. quarantined is set if it is
+	// not convicted.
+	blockedBy   crashguard.Key
+	quarantined bool
+	// trial is the blocked key that the request may contain, to find out whether it still
 	// crashes upstreams; 0 for none.
 	trial crashguard.Key
 	// trialCounted is set once the trial may have run.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -216,6 +216,7 @@
 	d.Metrics.Gauge("hickorybank_speed_evidence_age_seconds", func() float64 { return n.speedSummary().OldestEvidence.Seconds() })
 	d.Metrics.Gauge("hickorybank_room_waiting", n.waitingRequests)
 	d.Metrics.Gauge("hickorybank_convicted_keys", n.convictedKeys)
+	d.Metrics.Gauge("hickorybank_quarantined_keys", n.quarantinedKeys)
 	return n
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -52,6 +52,19 @@
 // while.
 const crashingRetryAfter = 30 * time.Second
 
+// quarantinedRetryAfter is short, as a trial soon tells whether the request crashes upstreams.
+const quarantinedRetryAfter = time.Second
+
+// crashRefusal returns a refusal for the key by which the request is blocked.
+func (j *job) crashRefusal(ref *refusal) *refusal {
+	if !j.quarantined {
+		return ref
+	}
+	r := *ref
+	r.retryAfter = quarantinedRetryAfter
+	return &r
+}
+
 // promisesNotRun reports whether a status states that the request has not run.
 func promisesNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -89,8 +102,8 @@
 		e = event.ForwardFailed
 	}
 	attrs := []slog.Attr{slog.Int("status", ref.status), slog.String("reason", ref.reason)}
-	if j.convicted != 0 {
-		attrs = append(attrs, slog.String("key", keyText(j.convicted)), slog.String("parts", j.sharedParts()))
+	if j.blockedBy != 0 {
+		attrs = append(attrs, slog.String("key", keyText(j.blockedBy)), slog.String("parts", j.sharedParts()))
 	}
 	j.node.logEvent(e, j, attrs...)
 	j.observe(ref.status)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -52,14 +52,14 @@
 	switch {
 	case j.r.Context().Err() != nil:
 		j.callerLeft()
-	case j.answerStarted && j.convicted != 0:
+	case j.answerStarted && j.blockedBy != 0:
 		j.breakOff(crashingRequest.reason)
 	case j.answerStarted:
 		j.breakOff("no_upstream")
-	case j.convicted != 0 && j.mayHaveRun && j.route.Repeatable():
-		j.refuse(crashedUpstreams)
-	case j.convicted != 0:
-		j.refuse(crashingRequest)
+	case j.blockedBy != 0 && j.mayHaveRun && j.route.Repeatable():
+		j.refuse(j.crashRefusal(crashedUpstreams))
+	case j.blockedBy != 0:
+		j.refuse(j.crashRefusal(crashingRequest))
 	case j.failedAnswer != nil:
 		j.deliver(j.failedAnswer)
 	case j.ctx.Err() != nil && j.mayHaveRun:
--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -32,8 +32,10 @@
 	answerProofTime = 250 * time.Millisecond
 	// maxChainMessages bounds the messages of a chat that are watched for crashes.
 	maxChainMessages = 64
-	// crashRetryAfter is the RetryAfter of requests with a convicted message.
-	crashRetryAfter = 30 * time.Second
+	// crashRetryAfter is the RetryAfter of requests with a convicted message,
+	// quarantineRetryAfter that of those with a quarantined one.
+	crashRetryAfter      = 30 * time.Second
+	quarantineRetryAfter = time.Second
 )
 
 // crashParts finds the messages that crash upstreams in requests that share nothing else, and
@@ -77,13 +79,13 @@
 	}
 }
 
-// mayRun returns the refusal of a chat that contains a convicted message, or nil if it may run. A
+// mayRun returns the refusal of a chat that contains a blocked message, or nil if it may run. A
 // trial begins when it is about to be sent.
 func (c *crashParts) mayRun(r *chatRun, sending bool) *request.Failure {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	keys := c.guard.Convicted(r.chain, now)
+	keys := c.guard.Blocking(r.chain, now)
 	switch {
 	case len(keys) == 0:
 		return nil
@@ -100,7 +102,11 @@
 		c.wake()
 		return nil
 	}
-	return request.Refuse(request.CodeSuspect, crashRetryAfter, "requests like this one crash upstreams")
+	retryAfter := crashRetryAfter
+	if !c.guard.IsConvicted(keys[0]) {
+		retryAfter = quarantineRetryAfter
+	}
+	return request.Refuse(request.CodeSuspect, retryAfter, "requests like this one crash upstreams")
 }
 
 // countTrial counts a trial once it may have run.
@@ -125,7 +131,7 @@
 	c.guard.DeclineTrial(r.trial)
 }
 
-// allowTrial reports whether this node may let a request with a convicted key through; the caller
+// allowTrial reports whether this node may let a request with a blocked key through; the caller
 // holds mu.
 func (c *crashParts) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
 	due, ok := c.guard.TrialDue(chain, key, now)
@@ -229,16 +235,17 @@
 	}
 }
 
+// crashEvents are the events of keys' new states.
+var crashEvents = map[crashguard.State]event.Event{
+	crashguard.Cleared: event.CrashAcquitted, crashguard.Quarantined: event.CrashQuarantined, crashguard.Convicted: event.CrashConvicted,
+}
+
 func (c *crashParts) logVerdicts() {
 	c.mu.Lock()
 	verdicts := c.guard.TakeVerdicts(time.Now())
 	c.mu.Unlock()
 	for _, v := range verdicts {
-		e := event.CrashAcquitted
-		if v.Convicted {
-			e = event.CrashConvicted
-		}
-		e.Log(c.node.deps.Log, slog.String("key", crashKeyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
+		crashEvents[v.State].Log(c.node.deps.Log, slog.String("key", crashKeyText(v.Key)), slog.Int("strikes", v.Strikes), slog.Int("cleared", v.Cleared), slog.Int("trials", v.Trials))
 	}
 }
 
