One node grants the trials of a key

Cause: the nodes that may make a trial doubled each 8 s from the first request that might be one. Copies at all nodes at once find several of them permitted; none has heard of another's trial.

Change: a node that is about to send a trial asks the first node by rendezvous hashing, which grants one at a time (300 ms at most; on no answer the request is refused). A denied node asks again after 1 s. This replaces the doubling and its shared time; a trial now goes to the first request that comes, at any size.

--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -27,9 +27,8 @@
 	trialAt time.Time
 	// inTrial is set while it is not known here whether the last trial ran.
 	inTrial bool
-	// askedAt is when the first request came, at any node, that the next trial might be; zero if
-	// none has come since the trial was due.
-	askedAt time.Time
+	// askAgainAt is when this node may ask for a trial again; zero for at once.
+	askAgainAt time.Time
 }
 
 // blockedAt returns when the key was convicted or quarantined; zero if it is neither.
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -52,11 +52,13 @@
 	// quarantined are the keys that are not convicted and whose requests run one at a time.
 	quarantined map[Key]*entry
 	verdicts    []Verdict
+	// granted holds when this node granted trials.
+	granted map[Key]time.Time
 }
 
 // New returns a guard that knows of no crash.
 func New() *Guard {
-	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}, quarantined: map[Key]*entry{}}
+	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}, quarantined: map[Key]*entry{}, granted: map[Key]time.Time{}}
 }
 
 // Knows reports whether the crash is known.
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -160,19 +160,19 @@
 	}
 	key := PartKey("part")
 	is.True(e.convicted("part"))
-	_, due := e.g.TrialDue(Chain{key}, key, e.now.Add(trialDelays[0]-time.Second))
+	due := e.g.TrialDue(Chain{key}, key, e.now.Add(trialDelays[0]-time.Second))
 	is.True(!due)
 	for _, delay := range trialDelays {
 		e.now = e.now.Add(delay)
-		_, due = e.g.TrialDue(Chain{key}, key, e.now)
+		due = e.g.TrialDue(Chain{key}, key, e.now)
 		is.True(due)
 		e.trial(key)
 	}
-	_, due = e.g.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
+	due = e.g.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
 	is.True(!due)
 	peer := New()
 	peer.Merge(e.g.Report(e.now), e.now)
-	_, due = peer.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
+	due = peer.TrialDue(Chain{key}, key, e.now.Add(12*time.Hour))
 	is.True(!due) // trials count at all nodes
 	is.True(e.answer("part"))
 	is.True(!e.convicted("part"))
@@ -192,8 +192,7 @@
 	is.True(e.convicted("part"))
 	peer := New()
 	due := func(g *Guard, after time.Duration) bool {
-		_, due := g.TrialDue(Chain{key}, key, e.now.Add(after))
-		return due
+		return g.TrialDue(Chain{key}, key, e.now.Add(after))
 	}
 	for range 2 * len(trialDelays) {
 		e.now = e.now.Add(trialDelays[0])
@@ -211,6 +210,30 @@
 	}
 }
 
+// Fails if several nodes make the trial that is due at once.
+func TestTrialIsGrantedToOneNode(t *testing.T) {
+	is := is.New(t)
+	e, other := newEvidence(), New()
+	for range 3 {
+		e.crash(e.chain("part"))
+	}
+	key := PartKey("part")
+	is.True(e.convicted("part"))
+	other.Merge(e.g.Report(e.now), e.now)
+	is.Equal(len(other.Convicted(Chain{key}, e.now)), 1)
+	is.True(!e.g.GrantTrial(other.TrialRequest(key), e.now)) // it is not due yet
+	e.now = e.now.Add(trialDelays[0])
+	is.True(e.g.TrialDue(Chain{key}, key, e.now))
+	is.True(other.TrialDue(Chain{key}, key, e.now))
+	is.True(e.g.GrantTrial(e.g.TrialRequest(key), e.now))
+	is.True(!e.g.GrantTrial(other.TrialRequest(key), e.now))
+	other.DenyTrial(key, e.now)
+	is.True(!other.TrialDue(Chain{key}, key, e.now.Add(trialAskInterval-1)))
+	unknown := PartKey("unknown here")
+	is.True(e.g.GrantTrial(TrialRequest{Key: unknown}, e.now))
+	is.True(!e.g.GrantTrial(TrialRequest{Key: unknown}, e.now.Add(trialTimeout-1)))
+}
+
 // Fails if a conviction does not outlast a storm, or memory and reports are not bounded.
 func TestEvidenceIsBounded(t *testing.T) {
 	is := is.New(t)
@@ -256,7 +279,7 @@
 		is.True(e.convicted("part"))
 		for range trialDelays {
 			e.now = e.now.Add(time.Hour)
-			_, due := e.g.TrialDue(Chain{key}, key, e.now)
+			due := e.g.TrialDue(Chain{key}, key, e.now)
 			is.True(due)
 			e.trial(key)
 		}
--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -39,7 +39,7 @@
 		}
 		g.quarantined[key] = e
 		if previous[key] == nil {
-			e.quarantinedAt, e.askedAt = now, time.Time{}
+			e.quarantinedAt = now
 			g.noteVerdict(e, Quarantined)
 		}
 	}
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -37,8 +37,6 @@
 	Trials                   int
 	// TrialAge is the time since the last trial; 0 for none.
 	TrialAge time.Duration
-	// AskedAge is the time since the first request that the next trial might be; 0 for none.
-	AskedAge time.Duration
 }
 
 // Report returns the most important part of what the guard knows.
@@ -55,9 +53,6 @@
 		if e.tried() {
 			k.TrialAge = max(now.Sub(e.trialAt), 1)
 		}
-		if !e.askedAt.IsZero() {
-			k.AskedAge = max(now.Sub(e.askedAt), 1)
-		}
 		e.struck.each(func(slot int) {
 			i, ok := index[slot]
 			if !ok {
@@ -186,12 +181,11 @@
 		urgent = true
 	}
 	if at := now.Add(-k.TrialAge); k.TrialAge > 0 && at.Sub(e.trialAt) > trialSpacing {
-		e.trialAt, e.askedAt, e.inTrial, urgent = at, time.Time{}, true, true
+		e.trialAt, e.inTrial, urgent = at, true, true
 	}
 	if k.Trials > e.trials {
 		e.trials, e.inTrial, urgent = k.Trials, false, true
 	}
-	g.mergeAsked(e, now.Add(-k.AskedAge), k.AskedAge > 0)
 	g.dirty = g.dirty || e.struck != struck || e.cleared != cleared || e.sequels != sequels
 	if e.struck.empty() {
 		delete(g.keys, k.Key) // all its crashes have expired
@@ -199,17 +193,6 @@
 	return urgent
 }
 
-// mergeAsked takes a peer's time of the first request that the next trial might be. A peer that
-// does not know the last trial reports one of before.
-func (g *Guard) mergeAsked(e *entry, at time.Time, known bool) {
-	if !known || e.blockedAt().IsZero() || !e.askedAt.IsZero() && !at.Before(e.askedAt) {
-		return
-	}
-	if due, ok := g.nextTrial(e); ok && at.Add(trialSpacing).After(due) {
-		e.askedAt = at
-	}
-}
-
 func setBit(set []byte, i int) []byte {
 	for len(set) <= i/8 {
 		set = append(set, 0)
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -9,11 +9,6 @@
 // to the next. No more trials than delays may run: each of them may crash an upstream.
 var trialDelays = [...]time.Duration{5 * time.Second, 30 * time.Second}
 
-// trialRankStep is the time after which the number of nodes that may make a trial doubles, from
-// the first request that might be one. A trial is known to all nodes before the next one may make
-// another.
-const trialRankStep = 8 * time.Second
-
 // cleanTrialTime is how long a trial waits for a request without other keys in question.
 const cleanTrialTime = 4 * time.Second
 
@@ -21,28 +16,25 @@
 // another node or have ended with it. It is longer than requests wait for answers.
 const trialTimeout = 30 * time.Second
 
-// TrialDue returns for how long requests have come that might be the trial of a blocked key that
-// is due, this one with its chain among them; false if none is due. A request with a nested key
-// that was struck repeatedly may crash an upstream for that, and is no trial at first.
-func (g *Guard) TrialDue(chain Chain, key Key, now time.Time) (time.Duration, bool) {
+// trialAskInterval is the pause between two requests of a node for the same trial.
+const trialAskInterval = time.Second
+
+// TrialDue reports whether a request with its chain might be the trial of a blocked key, as far as
+// this node knows; it then asks for the trial. A request with a nested key that was struck
+// repeatedly may crash an upstream for that, and is no trial at first.
+func (g *Guard) TrialDue(chain Chain, key Key, now time.Time) bool {
 	e := g.blocked(key)
-	if e == nil {
-		return 0, false
+	if e == nil || now.Before(e.askAgainAt) {
+		return false
 	}
 	at, ok := g.nextTrial(e)
 	if !ok {
-		return 0, false
+		return false
 	}
 	if slices.ContainsFunc(chain[slices.Index(chain, key)+1:], func(k Key) bool { return g.Strikes(k) >= rivalCrashes }) {
 		at = at.Add(cleanTrialTime)
 	}
-	if now.Before(at) {
-		return 0, false
-	}
-	if e.askedAt.IsZero() {
-		e.askedAt = now
-	}
-	return now.Sub(later(at, e.askedAt)), true
+	return !now.Before(at)
 }
 
 // nextTrial returns when the next trial of a blocked key is due; false if there is none.
@@ -80,13 +72,10 @@
 	return trials, last
 }
 
-// TrialNodes returns how many nodes may make a trial for which requests have come for some time.
-func TrialNodes(due time.Duration) int { return 1 << min(due/trialRankStep, 20) }
-
 // BeginTrial records that a request with the blocked key is about to be sent.
 func (g *Guard) BeginTrial(key Key, now time.Time) {
 	if e := g.blocked(key); e != nil {
-		e.trialAt, e.askedAt, e.inTrial = now, time.Time{}, true
+		e.trialAt, e.inTrial = now, true
 	}
 }
 
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -80,7 +80,7 @@
 		explained.merge(&live)
 		g.convicted[c.key] = c.entry
 		if c.convictedAt.IsZero() {
-			c.convictedAt, c.askedAt = now, time.Time{}
+			c.convictedAt = now
 			g.noteVerdict(c.entry, Convicted)
 		}
 	}
--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -87,14 +87,14 @@
 	delays [][2]time.Duration
 }{
 	[]int{8}, []int{1, 2, 3, 4, 18}, []int{1, 4, 8},
-	[]time.Duration{3500 * time.Millisecond, 10 * time.Second},
+	[]time.Duration{3500 * time.Millisecond, 10 * time.Second, 30 * time.Second},
 	[][2]time.Duration{{5, 0}, {44, 0}, {20, 60}},
 }
 
 func init() {
 	if os.Getenv("HICKORYBANK_WAVES") == "all" {
 		waveCases.nodes, waveCases.together = []int{4, 8, 40}, []int{1, 2, 3, 4, 8}
-		waveCases.pauses = append(waveCases.pauses, time.Second, 30*time.Second)
+		waveCases.pauses = append(waveCases.pauses, time.Second)
 		waveCases.delays = append(waveCases.delays, [2]time.Duration{500, 0})
 	}
 }
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -159,15 +159,10 @@
 // send sends an attempt to a random engine that is up, unless it is refused.
 func (w *world) send(a *worldAttempt) {
 	g := w.guards[a.node]
-	if keys := g.Blocking(a.chain, w.time()); len(keys) > 0 {
-		due, ok := g.TrialDue(a.chain, keys[0], w.time())
-		if !ok || len(keys) > 1 || !a.first || w.rank(a.node, keys[0]) >= TrialNodes(due) {
-			if !a.bad && a.first {
-				w.refused[int(w.now/time.Second)]++
-			}
-			return
-		}
-		a.trial = true
+	keys := g.Blocking(a.chain, w.time())
+	if len(keys) > 0 && (len(keys) > 1 || !a.first || !g.TrialDue(a.chain, keys[0], w.time())) {
+		w.refuse(a)
+		return
 	}
 	var up []*worldEngine
 	for range 8 {
@@ -179,8 +174,14 @@
 	if len(up) == 0 {
 		return
 	}
-	if a.trial {
-		key := g.Blocking(a.chain, w.time())[0]
+	if len(keys) > 0 {
+		key := keys[0]
+		if !w.grant(a.node, key) {
+			g.DenyTrial(key, w.time())
+			w.refuse(a)
+			return
+		}
+		a.trial = true
 		g.BeginTrial(key, w.time())
 		g.CountTrial(key)
 		w.news[a.node] = true
@@ -200,15 +201,24 @@
 	up[0].attempts = append(up[0].attempts, a)
 }
 
-func (w *world) rank(node int, key Key) (before int) {
-	hash := func(i int) uint64 { return uint64(PartKey(fmt.Sprint(i, key))) }
-	own := hash(node)
+func (w *world) refuse(a *worldAttempt) {
+	if !a.bad && a.first {
+		w.refused[int(w.now/time.Second)]++
+	}
+}
+
+// grant asks the node that grants the trials of a key, the first by a hash of those in reach.
+func (w *world) grant(node int, key Key) bool {
+	holder, lowest := node, Key(0)
 	for i := range w.nodes {
-		if hash(i) < own {
-			before++
+		if hash := PartKey(fmt.Sprint(i, key)); w.isCut(i) == w.isCut(node) && (lowest == 0 || hash < lowest) {
+			holder, lowest = i, hash
 		}
 	}
-	return before
+	if holder != node && w.r.Float64() < w.lost {
+		return false
+	}
+	return w.guards[holder].GrantTrial(w.guards[node].TrialRequest(key), w.time())
 }
 
 func (w *world) random(ms int) time.Duration {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,8 +130,10 @@
 	n := a.job.node
 	now := time.Now()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.fleet.StillAccepts(a.up, now) && n.mayRun(a.job, now, true)
+	accepts := n.fleet.StillAccepts(a.up, now)
+	permission, trial := n.permit(a.job, now)
+	n.mu.Unlock()
+	return accepts && permission != refused && (permission != permittedAsTrial || a.job.beginTrial(trial))
 }
 
 // markStarted records that the attempt's answer has begun.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/hickorybank/hickorybank/internal/crashguard"
@@ -91,35 +90,44 @@
 }
 
 // mayRun reports whether the job may make a further attempt: no part of it is blocked for
-// crashing upstreams, and few have crashed while they were about to answer it.
+// crashing upstreams, or it may be a trial, and few have crashed while they were about to answer it.
 func (j *job) mayRun() bool {
 	j.node.mu.Lock()
 	defer j.node.mu.Unlock()
-	return j.crashes < maxRequestCrashes && j.node.mayRun(j, time.Now(), false)
+	permission, _ := j.node.permit(j, time.Now())
+	return j.crashes < maxRequestCrashes && permission != refused
 }
 
-// mayRun reports whether no part of the job is blocked, or the job may be a trial of the
-// blocked key, which begins when it is about to be sent; the caller holds mu.
-func (n *Node) mayRun(j *job, now time.Time, sending bool) bool {
+// permission tells whether a job may run.
+type permission int
+
+const (
+	refused permission = iota
+	permitted
+	// permittedAsTrial is for a job that may run once a trial of the key by which it is blocked is
+	// granted.
+	permittedAsTrial
+)
+
+// permit returns whether the job may run, and the key of its trial; the caller holds mu.
+func (n *Node) permit(j *job, now time.Time) (permission, crashguard.Key) {
 	keys := n.crashGuard.Blocking(j.chain, now)
 	switch {
 	case len(keys) == 0:
-		return true
+		return permitted, 0
 	case len(keys) > 1 || j.mayHaveRun:
 	case j.trial == keys[0]:
-		return true
-	case n.allowTrial(j.chain, keys[0], now):
-		if !sending {
-			return true
-		}
-		j.trial = keys[0]
-		n.crashGuard.BeginTrial(keys[0], now)
-		n.logEvent(event.CrashTrial, j, slog.String("key", keyText(keys[0])), slog.String("parts", j.sharedParts()))
-		wake(n.crashNews)
-		return true
+		return permitted, 0
+	case n.crashGuard.TrialDue(j.chain, keys[0], now):
+		return permittedAsTrial, keys[0]
 	}
-	j.blockedBy, j.quarantined = keys[0], !n.crashGuard.IsConvicted(keys[0])
-	return false
+	j.refuseFor(keys[0])
+	return refused, 0
+}
+
+// refuseFor records the key for which the job is refused; the caller holds mu.
+func (j *job) refuseFor(key crashguard.Key) {
+	j.blockedBy, j.quarantined = key, !j.node.crashGuard.IsConvicted(key)
 }
 
 // countTrial counts a trial once it may have run.
@@ -145,27 +153,6 @@
 	j.node.crashGuard.DeclineTrial(j.trial)
 }
 
-// allowTrial reports whether this node may let a request with a blocked key through; the caller
-// holds mu. The node's rank among all nodes for that key decides, so that they make one trial.
-func (n *Node) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
-	due, ok := n.crashGuard.TrialDue(chain, key, now)
-	if !ok {
-		return false
-	}
-	own, before := trialHash(n.settings.ID, key), 0
-	for _, m := range n.roster.Alive() {
-		if trialHash(m.ID, key) < own {
-			before++
-		}
-	}
-	return before < crashguard.TrialNodes(due)
-}
-
-// trialHash orders the nodes that may make a trial of a key.
-func trialHash(node string, key crashguard.Key) uint64 {
-	return xxhash.Sum64String(node + keyText(key))
-}
-
 func keyText(key crashguard.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
 
 // Crashes answers a peer's report of crashes. It is a method of the gossip service.
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -18,6 +18,8 @@
 	// reset, which only a timeout detects. Messages are small, whatever the size of the
 	// documents that they refer to.
 	callTimeout = 700 * time.Millisecond
+	// trialTimeout bounds a request for a trial, for which a caller waits.
+	trialTimeout = 300 * time.Millisecond
 	// pieceTimeout bounds the transfer of one piece of a document. It is five times the
 	// duration over 10 Mbit/s beside another transfer and callers that use half of the
 	// link.
@@ -41,6 +43,8 @@
 	Piece(in transfer.Ask) transfer.Piece
 	// Crashes merges a peer's report of crashes and returns this node's.
 	Crashes(in crashguard.Report) crashguard.Report
+	// GrantTrial reports whether a peer may make a trial of a key.
+	GrantTrial(in crashguard.TrialRequest) bool
 }
 
 // Server serves the calls of peers over net/rpc.
@@ -79,6 +83,12 @@
 	return nil
 }
 
+// GrantTrial answers a peer that asks for a trial.
+func (h *handler) GrantTrial(in crashguard.TrialRequest, out *bool) error {
+	*out = h.exchanger.GrantTrial(in)
+	return nil
+}
+
 // NewServer returns a server for a listener; [Server.Serve] starts it.
 func NewServer(l net.Listener, exchanger Exchanger) (*Server, error) {
 	s := &Server{listener: l, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
@@ -165,6 +175,11 @@
 	return call[crashguard.Report, crashguard.Report](c, addr, "Crashes", in, callTimeout)
 }
 
+// GrantTrial asks a peer for a trial of a key. It fails if the peer does not respond within 300 ms.
+func (c *Client) GrantTrial(addr string, in crashguard.TrialRequest) (bool, error) {
+	return call[crashguard.TrialRequest, bool](c, addr, "GrantTrial", in, trialTimeout)
+}
+
 // Piece requests a piece of a document from a peer. It fails if the peer does not
 // respond within 1 s.
 func (c *Client) Piece(addr string, in transfer.Ask) (transfer.Piece, error) {
--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/membership"
@@ -21,6 +19,7 @@
 const (
 	crashService      = "Crashes"
 	crashExchange     = crashService + ".Exchange"
+	crashGrant        = crashService + ".Grant"
 	crashCallTimeout  = time.Second
 	crashNewsInterval = 250 * time.Millisecond
 	// crashInterval is the pause between two exchanges without news, by which nodes that start
@@ -46,8 +45,8 @@
 
 	mu    sync.Mutex
 	guard *crashguard.Guard
-	ids   []string // of all nodes
-	addrs []string // of the peers that are called
+	all   []membership.Member // sorted by ID
+	addrs []string            // of the peers that are called
 }
 
 func newCrashParts(n *Node) *crashParts {
@@ -70,42 +69,28 @@
 	self := slices.IndexFunc(all, func(m membership.Member) bool { return m.ID == c.node.settings.ID })
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ids, c.addrs = nil, nil
-	for _, m := range all {
-		c.ids = append(c.ids, m.ID)
-	}
+	c.all, c.addrs = all, nil
 	for distance := 1; self >= 0 && distance < len(all); distance *= 2 {
 		c.addrs = append(c.addrs, all[(self+distance)%len(all)].Peer)
 	}
 }
 
 // mayRun returns the refusal of a chat that contains a blocked message, or nil if it may run. A
-// trial begins when it is about to be sent.
+// trial is asked for when the chat is about to be sent.
 func (c *crashParts) mayRun(r *chatRun, sending bool) *request.Failure {
 	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	keys := c.guard.Blocking(r.chain, now)
-	switch {
-	case len(keys) == 0:
-		return nil
-	case len(keys) > 1 || r.struck:
-	case r.trial == keys[0]:
-		return nil
-	case c.allowTrial(r.chain, keys[0], now):
-		if !sending {
-			return nil
-		}
-		r.trial = keys[0]
-		c.guard.BeginTrial(keys[0], now)
-		event.CrashTrial.Log(c.node.deps.Log, slog.String("request", r.id), slog.String("key", crashKeyText(keys[0])))
-		c.wake()
-		return nil
-	}
+	runs := len(keys) == 0 || len(keys) == 1 && !r.struck && r.trial == keys[0]
+	due := !runs && len(keys) == 1 && !r.struck && c.guard.TrialDue(r.chain, keys[0], now)
 	retryAfter := crashRetryAfter
-	if !c.guard.IsConvicted(keys[0]) {
+	if len(keys) > 0 && !c.guard.IsConvicted(keys[0]) {
 		retryAfter = quarantineRetryAfter
 	}
+	c.mu.Unlock()
+	if runs || due && (!sending || c.beginTrial(r, keys[0])) {
+		return nil
+	}
 	return request.Refuse(request.CodeSuspect, retryAfter, "requests like this one crash upstreams")
 }
 
@@ -131,23 +116,6 @@
 	c.guard.DeclineTrial(r.trial)
 }
 
-// allowTrial reports whether this node may let a request with a blocked key through; the caller
-// holds mu.
-func (c *crashParts) allowTrial(chain crashguard.Chain, key crashguard.Key, now time.Time) bool {
-	due, ok := c.guard.TrialDue(chain, key, now)
-	if !ok {
-		return false
-	}
-	rank := func(id string) uint64 { return xxhash.Sum64String(id + crashKeyText(key)) }
-	before, own := 0, rank(c.node.settings.ID)
-	for _, id := range c.ids {
-		if rank(id) < own {
-			before++
-		}
-	}
-	return before < crashguard.TrialNodes(due)
-}
-
 // crashed records that the upstream of a chat's attempt has crashed.
 func (c *crashParts) crashed(r *chatRun) {
 	a, now := r.current, time.Now()
@@ -264,3 +232,9 @@
 	*out = r.c.guard.Report(time.Now())
 	return nil
 }
+
+// Grant answers a node that asks for a trial of a key. It never returns an error.
+func (r *crashReceiver) Grant(in *crashguard.TrialRequest, out *bool) error {
+	*out = r.c.grant(*in)
+	return nil
+}
