A trial whose upstream is lost with others is made again

What callers saw (virtual time, not in a landing): a sound request that is new to the fleet and in flight everywhere when all upstreams are lost three times, 3 s apart, was refused for 26 s of its traffic and longer; its trials ran into the losses and counted.

Change: the crash of a trial that is part of a loss (four upstreams within 25 ms, while one run of the key is under way) starts the trials anew; late crashes of a loss count as one.

In the simulation, engines of one loss are down together; before, requests were sent on from one to the next within the same moment.

--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -102,10 +102,11 @@
 }
 
 // lateStrikes returns the number of a key's live strikes that happened later than lateAfter after
-// its costly ones.
-func (g *Guard) lateStrikes(e *entry) (late int) {
+// its costly ones. The crashes of a loss count as one.
+func (g *Guard) lateStrikes(e *entry) int {
 	live, count := e.live(), 0
 	var from time.Time
+	var late crashSet
 	for _, slot := range g.order {
 		if !live.has(slot) {
 			continue
@@ -116,8 +117,10 @@
 			from = at.Add(lateAfter)
 		}
 		if count > e.costlyStrikes() && at.After(from) {
-			late++
+			late.add(slot)
 		}
 	}
-	return late
+	single := late.without(&g.losses)
+	losses, _ := g.moments(e, late.without(&single))
+	return single.size() + losses
 }
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -40,6 +40,9 @@
 // nextTrial returns when the next trial of a blocked key is due; false if there is none.
 func (g *Guard) nextTrial(e *entry) (time.Time, bool) {
 	trials, last := g.trialsOf(e)
+	if g.wasLostInTrial(e) {
+		trials = 0
+	}
 	if trials >= len(trialDelays) || !e.part && g.lateStrikes(e) >= maxLateStrikes && g.doubtOf(e) == neverAnswered {
 		return time.Time{}, false
 	}
@@ -53,6 +56,15 @@
 	return later(e.blockedAt(), last).Add(delay), true
 }
 
+// wasLostInTrial reports whether the upstream of the last trial was lost together with others,
+// which says nothing of the key.
+func (g *Guard) wasLostInTrial(e *entry) (lost bool) {
+	e.live().each(func(slot int) {
+		lost = lost || g.losses.has(slot) && g.crashes[slot].at.After(e.trialAt)
+	})
+	return lost
+}
+
 // trialsOf returns the number of trials of a key, and the time of the last. Convicted keys with one
 // parent share their trials while no request with the parent is answered: the parent may be the
 // cause of all their strikes.
--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -139,3 +139,35 @@
 	}
 	t.Logf("%d of %d plays failed, %d late at the worst", failed, plays, worst)
 }
+
+// Fails if a request that crashed engines in waves stays refused after it was mended.
+func TestMendedRequestIsServedAfterWaves(t *testing.T) {
+	for _, together := range []int{1, 3, 8} {
+		for _, pause := range []time.Duration{time.Second, 3500 * time.Millisecond} {
+			v := &wave{together: together, pause: pause, until: 60 * time.Second, delay: 44 * time.Millisecond, mendedAt: 8 * time.Second}
+			w := waveWorld(8, 4, 1, v)
+			w.run(v.until)
+			for i, g := range w.guards {
+				if len(g.Blocking(w.waveAttempt(0).chain, w.time())) > 0 {
+					t.Errorf("%d together each %v: node %d still refuses the request", together, pause, i)
+				}
+			}
+		}
+	}
+}
+
+// Fails if half of the nodes, cut off from the others, let waves through.
+func TestRequestThatCrashesInWavesAtBothSidesOfACut(t *testing.T) {
+	const maxLate = 3 // on each side
+	for _, together := range []int{3, 8} {
+		v := &wave{together: together, pause: 3500 * time.Millisecond, until: 40 * time.Second, delay: 44 * time.Millisecond}
+		w := waveWorld(8, 4, 1, v)
+		w.cutNodes, w.cutFrom, w.cutUntil = 4, 900*time.Millisecond, 20*time.Second
+		w.run(v.until)
+		late := w.late(waveName, costlyStrikes, lateAfter)
+		t.Logf("%d together: %d late of both sides", together, late)
+		if late > 2*maxLate {
+			t.Errorf("%d together: %d late, %d may", together, late, 2*maxLate)
+		}
+	}
+}
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -41,8 +41,9 @@
 	seed uint64
 	// wave is a request that is sent several times at once; nil for none.
 	wave *wave
-	// hot is the share of sound requests that are one and the same.
-	hot float64
+	// hot is the share of sound requests that are one and the same, from hotFrom on.
+	hot     float64
+	hotFrom time.Duration
 }
 
 type worldEngine struct {
@@ -85,8 +86,10 @@
 	// refused counts the first tries of sound requests that were refused for a conviction, by
 	// second; sent all of them.
 	refused, sent map[int]int
-	exchanges     int
-	sentKeys      int
+	// hotRefused counts the refused first tries of the hot request.
+	hotRefused int
+	exchanges  int
+	sentKeys   int
 }
 
 var worldEpoch = time.Unix(1_000_000, 0)
@@ -114,11 +117,7 @@
 	for ; w.now < until; w.now += worldTick {
 		for _, at := range w.losses {
 			if at >= w.now && at < w.now+worldTick {
-				for _, e := range w.engines {
-					if w.r.Float64() < w.share && e.upFrom <= w.now {
-						w.crash(e)
-					}
-				}
+				w.lose()
 			}
 		}
 		w.arrive(w.soundPerSecond, w.sound, false)
@@ -135,6 +134,20 @@
 	}
 }
 
+// lose lets a share of the engines crash at once.
+func (w *world) lose() {
+	var lost []*worldEngine
+	for _, e := range w.engines {
+		if w.r.Float64() < w.share && e.upFrom <= w.now {
+			lost = append(lost, e)
+			e.upFrom = w.now + worldDowntime
+		}
+	}
+	for _, e := range lost {
+		w.crash(e)
+	}
+}
+
 func (w *world) arrive(perSecond float64, parts func(r *rand.Rand) []string, bad bool) {
 	for mean := perSecond * worldTick.Seconds(); mean > 0; mean-- {
 		if w.r.Float64() >= mean {
@@ -146,7 +159,7 @@
 			a.chain = append(a.chain, PartKey(p))
 		}
 		a.chain = append(a.chain, RequestKey("org", "/", []byte(fmt.Sprint(w.nextID))))
-		if !bad && w.r.Float64() < w.hot {
+		if !bad && w.now >= w.hotFrom && w.r.Float64() < w.hot {
 			a.chain = hotRequest
 		}
 		if !bad {
@@ -204,6 +217,9 @@
 func (w *world) refuse(a *worldAttempt) {
 	if !a.bad && a.first {
 		w.refused[int(w.now/time.Second)]++
+		if a.chain[0] == hotRequest[0] {
+			w.hotRefused++
+		}
 	}
 }
 
