Delays of versions are compared at equal load

During a burst these are loaded, and the trial's, which serve few sessions, are idle: its slow answers looked usual and its quick ones far quicker than the old version's.

Change: the median is scaled to the load of the attempt's upstream, the number of attempts under way there in octaves: by the ratio of the old version's delays at the nearest load to those at all loads.

--- a/internal/canary/delay_model_test.go
+++ b/internal/canary/delay_model_test.go
@@ -25,10 +25,18 @@
 	// burst is how many times as long all waits are from 4 to 10 s after the order; 0 for
 	// none.
 	burst float64
+	// idleNew is set if the burst does not reach the new version's upstreams, of which many serve
+	// few sessions.
+	idleNew bool
+	// longBurst is set for one that goes on until the limit.
+	longBurst bool
 	// cold is how many times as long the new version's waits are in its first second.
 	cold float64
 }
 
+// usualLoad is the number of attempts under way at an upstream on an ordinary day.
+const usualLoad = 4
+
 // usualDelays are those of an ordinary day.
 var usualDelays = delayModel{spread: 0.8}
 
@@ -37,6 +45,7 @@
 	route       string
 	upstream    string
 	wait, pause time.Duration // a pause of 0 is not known
+	load        float64       // attempts under way at the upstream
 }
 
 func (m *delayModel) draw(rnd *rand.Rand, onNew bool, t time.Duration) answerDelays {
@@ -57,7 +66,13 @@
 	}
 	wait := 0.25 * factor * math.Exp(m.spread*rnd.NormFloat64())
 	pause := 0.03 * factor * math.Exp(m.spread/3*rnd.NormFloat64())
-	if m.burst > 0 && t > 4*time.Second && t < 10*time.Second {
+	d.load = usualLoad
+	end := 10 * time.Second
+	if m.longBurst {
+		end = limit
+	}
+	if m.burst > 0 && t > 4*time.Second && t < end && !(onNew && m.idleNew) {
+		d.load *= m.burst
 		wait *= m.burst
 		pause *= math.Sqrt(m.burst)
 	}
--- /dev/null
+++ b/internal/canary/load_class.go
@@ -0,0 +1,17 @@
+package canary
+
+import "math/bits"
+
+// loadClass is the octave of the number of attempts under way at an upstream.
+type loadClass int
+
+const (
+	// anyLoad stands for attempts at any load.
+	anyLoad      loadClass = 0
+	maxLoadClass loadClass = 8
+)
+
+// classOf returns the class of a load in attempts: 1 below one, 2 below two, 3 below four.
+func classOf(load float64) loadClass {
+	return min(loadClass(bits.Len(uint(max(load, 0))))+1, maxLoadClass)
+}
--- a/internal/canary/simulation_test.go
+++ b/internal/canary/simulation_test.go
@@ -169,7 +169,7 @@
 func (w *world) attempt(c *Canary, version string, failed, first bool, t time.Duration) {
 	d := w.delays.draw(w.delayRnd, version == newVersion, t)
 	a := c.Begin(Attempt{
-		Service: serviceName, Version: version, Route: d.route, Model: "m", Upstream: d.upstream,
+		Service: serviceName, Version: version, Route: d.route, Model: "m", Upstream: d.upstream, Load: d.load,
 		Noticeable: [measures]time.Duration{60 * time.Millisecond, 24 * time.Millisecond},
 	}, first, w.now)
 	answered := w.now.Add(d.wait)
--- a/internal/canary/slow_version_test.go
+++ b/internal/canary/slow_version_test.go
@@ -63,6 +63,9 @@
 		{"three times, few requests", delayModel{spread: 0.8, slow: always(1, 3)}, 8},
 		{"three times, slow old upstreams, burst", delayModel{spread: 0.8, slow: always(1, 3), slowUpstreams: 0.25, burst: 3}, 0},
 		{"half eight times, slow old upstreams, burst", delayModel{spread: 0.8, slow: always(0.5, 8), slowUpstreams: 0.25, burst: 3}, 0},
+		{"three times, slow old upstreams, burst on the old", delayModel{spread: 0.8, slow: always(1, 3), slowUpstreams: 0.25, burst: 3, idleNew: true}, 0},
+		{"half eight times, slow old upstreams, burst on the old", delayModel{spread: 0.8, slow: always(0.5, 8), slowUpstreams: 0.25, burst: 3, idleNew: true}, 0},
+		{"half eight times, long burst on the old", delayModel{spread: 0.8, slow: always(0.5, 8), slowUpstreams: 0.25, burst: 3, longBurst: true, idleNew: true}, 0},
 		{"quarter eight times", delayModel{spread: 0.8, slow: always(0.25, 8)}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -83,6 +86,8 @@
 		{"slow old upstreams", delayModel{spread: 0.8, slowUpstreams: 0.25}, 0},
 		{"one slow upstream of the trial", delayModel{spread: 0.8, slowUpstreams: 0.05, slowNew: true}, 0},
 		{"burst", delayModel{spread: 0.8, burst: 3}, 0},
+		{"burst on the old", delayModel{spread: 0.8, burst: 3, idleNew: true}, 0},
+		{"long burst on the old, slow old upstreams", delayModel{spread: 0.8, slowUpstreams: 0.25, burst: 3, longBurst: true, idleNew: true}, 0},
 		{"cold upstreams", delayModel{spread: 0.8, cold: 3}, 0},
 		{"few requests", delayModel{spread: 0.8}, 8},
 	} {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,7 @@
 	if up == nil {
 		return nil, p.roomAt
 	}
+	load := up.AttemptsUnderWay(now)
 	rank, usualDelay := n.fleet.Rank(up, &spec, j.priority, now), n.fleet.ExpectedWait(&spec, now)
 	work := n.fleet.Begin(up, &spec, now)
 	n.countPrefix(work)
@@ -63,7 +64,7 @@
 		spec: spec, rank: rank, usualDelay: usualDelay, mayHaveRunBefore: j.mayHaveRun, work: work,
 		trial: n.canary.Begin(canary.Attempt{
 			Service: j.service, Version: up.Version, Upstream: up.ID, Route: j.route.Name, Model: j.requestedModel(),
-			Work: n.fleet.RelativeWork(work), Noticeable: j.noticeableDelays(),
+			Work: n.fleet.RelativeWork(work), Load: load, Noticeable: j.noticeableDelays(),
 		}, j.attemptsReached == 0, now),
 	}, time.Time{}
 }
