Trials: only a trial that was made can be lost; plain names

By reading: before any trial of its own, a key whose siblings had trials counted as lost in one if a loss had struck it, and got a trial of its own beside theirs. TrialRequest.Declined was set after trials that ran, too, which the granter may know of later: it is HasResult now, as it is used.

--- a/internal/canary/attempt.go
+++ b/internal/canary/attempt.go
@@ -12,8 +12,8 @@
 	// Work is the attempt's work relative to others of its service: its wait is expected to
 	// grow in proportion. 0 counts as 1.
 	Work float64
-	// Load is the number of other attempts under way at the upstream, of all nodes as far as known,
-	// when this one began.
+	// Load is the number of other attempts in progress at the upstream, at all nodes as far as
+	// known, when this one began.
 	Load float64
 	// Noticeable are the differences in the wait and in the pace that callers begin to notice.
 	Noticeable [measures]time.Duration
--- a/internal/canary/delay_model_test.go
+++ b/internal/canary/delay_model_test.go
@@ -34,7 +34,7 @@
 	cold float64
 }
 
-// usualLoad is the number of attempts under way at an upstream on an ordinary day.
+// usualLoad is the number of attempts in progress at an upstream on an ordinary day.
 const usualLoad = 4
 
 // usualDelays are those of an ordinary day.
@@ -45,7 +45,7 @@
 	route       string
 	upstream    string
 	wait, pause time.Duration // a pause of 0 is not known
-	load        float64       // attempts under way at the upstream
+	load        float64       // attempts in progress at the upstream
 }
 
 func (m *delayModel) draw(rnd *rand.Rand, onNew bool, t time.Duration) answerDelays {
--- a/internal/canary/load_class.go
+++ b/internal/canary/load_class.go
@@ -2,7 +2,7 @@
 
 import "math/bits"
 
-// loadClass is the octave of the number of attempts under way at an upstream.
+// loadClass is the octave of the number of attempts in progress at an upstream.
 type loadClass int
 
 const (
--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -8,7 +8,7 @@
 	costlyStrikes     = 3
 	costlyPartStrikes = 5
 	// lateAfter is how long after these crashes further ones count as late: until then requests
-	// are under way that nothing stops.
+	// that were already sent crash upstreams.
 	lateAfter = 3 * time.Second
 	// maxLateStrikes is the number of late strikes of an unanswered key from which on it gets no
 	// trials.
@@ -28,8 +28,8 @@
 
 // findQuarantined finds the keys to quarantine: upstreams crashed under several requests with the
 // key, none was answered, and no convicted key with better evidence explains the crashes. At one
-// moment that may be a loss of upstreams or a request of which copies were under way, which only a
-// run on its own tells apart.
+// moment that may be a loss of upstreams, or a request of which copies were in progress. Only a run on its own tells
+// them apart.
 func (g *Guard) findQuarantined(now time.Time) {
 	previous := g.quarantined
 	g.quarantined = map[Key]*entry{}
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -59,6 +59,9 @@
 // wasLostInTrial reports whether the upstream of the last trial was lost together with others,
 // which says nothing of the key.
 func (g *Guard) wasLostInTrial(e *entry) (lost bool) {
+	if !e.tried() {
+		return false
+	}
 	e.live().each(func(slot int) {
 		lost = lost || g.losses.has(slot) && g.crashes[slot].at.After(e.trialAt)
 	})
--- a/internal/crashguard/trial_grant.go
+++ b/internal/crashguard/trial_grant.go
@@ -6,14 +6,15 @@
 // of a key, so that copies of a request at several nodes make one.
 type TrialRequest struct {
 	Key Key
-	// Declined is set if the asking node made the last trial and no upstream ran it.
-	Declined bool
+	// HasResult is set if the asking node knows the result of the last trial: it ran, or no
+	// upstream took it.
+	HasResult bool
 }
 
 // TrialRequest returns the request for a trial of a blocked key.
 func (g *Guard) TrialRequest(key Key) TrialRequest {
 	e := g.blocked(key)
-	return TrialRequest{Key: key, Declined: e != nil && e.tried() && !e.inTrial}
+	return TrialRequest{Key: key, HasResult: e != nil && e.tried() && !e.inTrial}
 }
 
 // GrantTrial reports whether the asking node may make a trial now, and records that it does. A key
@@ -22,7 +23,7 @@
 	g.judge(now)
 	last, granted := g.granted[r.Key]
 	if e := g.blocked(r.Key); e != nil {
-		if r.Declined {
+		if r.HasResult {
 			e.inTrial = false
 		}
 		if at, ok := g.nextTrial(e); !ok || now.Before(at) {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -45,14 +45,14 @@
 // InFlight returns the number of this node's attempts in progress there.
 func (u *Upstream) InFlight() int { return u.inFlight }
 
-// AttemptsUnderWay estimates the number of attempts in progress there, of all nodes.
-func (u *Upstream) AttemptsUnderWay(now time.Time) float64 {
+// AttemptsInProgress estimates the number of attempts in progress there, at all nodes.
+func (u *Upstream) AttemptsInProgress(now time.Time) float64 {
 	return float64(u.inFlight) + u.othersLoad(now)
 }
 
 // load estimates the share of the slots in use; above 1, requests queue.
 func (u *Upstream) load(now time.Time) float64 {
-	return u.AttemptsUnderWay(now) / float64(max(u.Slots, 1))
+	return u.AttemptsInProgress(now) / float64(max(u.Slots, 1))
 }
 
 // othersLoad estimates the number of other nodes' attempts that run or wait there.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,7 +55,7 @@
 	if up == nil {
 		return nil, p.roomAt
 	}
-	load := up.AttemptsUnderWay(now)
+	load := up.AttemptsInProgress(now)
 	rank, usualDelay := n.fleet.Rank(up, &spec, j.priority, now), n.fleet.ExpectedWait(&spec, now)
 	work := n.fleet.Begin(up, &spec, now)
 	n.countPrefix(work)
