--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -28,8 +28,8 @@
 
 // findQuarantined finds the keys to quarantine: upstreams crashed under several requests with the
 // key, none was answered, and no convicted key with better evidence explains the crashes. At one
-// moment that may be a loss of upstreams, or a request of which copies were in progress. Only a run on its own tells
-// them apart.
+// moment that may be a loss of upstreams, or a request of which copies were in progress. Only a
+// run on its own tells them apart.
 func (g *Guard) findQuarantined(now time.Time) {
 	previous := g.quarantined
 	g.quarantined = map[Key]*entry{}
