--- a/internal/canary/load_class.go
+++ b/internal/canary/load_class.go
@@ -6,7 +6,7 @@
 type loadClass int
 
 const (
-	// anyLoad stands for attempts at any load.
+	// anyLoad is the class of attempts regardless of load.
 	anyLoad      loadClass = 0
 	maxLoadClass loadClass = 8
 )
--- a/internal/crashguard/verdict_change.go
+++ b/internal/crashguard/verdict_change.go
@@ -10,7 +10,7 @@
 	Cleared State = iota
 	// Quarantined is that of a key whose requests run one at a time.
 	Quarantined
-	// Convicted is that of a key whose requests are refused but for a few trials.
+	// Convicted is that of a key whose requests are refused, except for a few trials.
 	Convicted
 )
 
