A test of links waits until its peer has released the last connection

Cause, in the test: its peer may carry two connections. The first one stayed open for the whole test, and each dial of the loop came at once after the close of the last one, which the peer sees a moment later; a starved peer still counts both. The refusal is what the carrier promises at its bound (TestCarriedConnectionsAreBounded).

The test closes its first connection and dials again once the peer carries nothing. All its dials must still succeed, and the direct way must be used within the same time: it is as strict as it was.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -434,11 +434,15 @@
 	addr := startEcho(t)
 	nodes := startNodes(t, 2, addr)
 	nodes[0].links.lose(syscall.ECONNREFUSED)
-	_, err := nodes[0].dial(t, addr)
+	c, err := nodes[0].dial(t, addr)
 	is.NoErr(err)
+	is.NoErr(c.Close())
 	is.True(nodes[0].dialer.IsLost(addr))
 	nodes[0].links.lose(nil)
 	eventually(t, "the direct way is used", func() bool {
+		if nodes[1].carrier.Carried() > 0 {
+			return false // the peer has yet to see that the last connection is closed
+		}
 		c, err := nodes[0].dial(t, addr)
 		is.NoErr(err)
 		_, relayed := c.(*Conn)
