Canary: counts of all nodes are summed once an evaluation

A leader that holds 1,600 tallies of twelve routes took 4.8 ms of processor time an evaluation, four times a second: 1.9 % of a core, 1.8 are allowed for all control.

Cause: the counts of all routes were summed twice, once for the number of answers alone, and each addition copied a route's counts, 330 bytes, into and out of a map.

The sums are the same; all tests of canary and gateway pass.

--- a/internal/canary/add_evidence.go
+++ b/internal/canary/add_evidence.go
@@ -8,15 +8,16 @@
 )
 
 // addEvidence takes the answers up to now. It rolls the version back if they speak against it,
-// and fills in the decision where they do so most.
+// and fills in the decision where they do so most. It sums all nodes' counts, and so once for
+// each evaluation.
 func (r *rollout) addEvidence(d *Decision, now time.Time) {
 	trial := r.shiftedAt.IsZero()
 	all, slow, doubt := RouteCount{}, false, false
 	var delays addedDelays
 	totals := r.total()
 	for _, route := range slices.Sorted(maps.Keys(totals)) {
-		sum := totals[route]
-		all.merge(sum)
+		sum := *totals[route]
+		all.merge(&sum)
 		test := r.tests[route]
 		if test == nil {
 			test = &routeEvidence{}
@@ -45,6 +46,7 @@
 		r.verdict = RolledBack
 	}
 	d.Doubt = d.Doubt || doubt && !others.explainSlowness()
+	d.Answers = all.New
 	if d.Evidence == "" {
 		d.Counts = all
 	}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -268,7 +268,7 @@
 	tally(1, 2, 20)
 	tally(2, 1, 5)
 	r := c.rollouts[serviceName]
-	is.Equal(r.newAnswers(), int64(25))
+	is.Equal(r.total()["r"].New, int64(25))
 	is.Equal(r.oldInFlight(), 4)
 	c.ClearInFlight(func(_ string, born int64) bool { return born == 2 }) // the earlier run has ended, and its attempts with it
 	is.Equal(r.oldInFlight(), 2)
--- a/internal/canary/delay_count.go
+++ b/internal/canary/delay_count.go
@@ -51,7 +51,7 @@
 	return min(max(int(math.Floor(octaves))+usualGrade+1, 0), delayGrades-1)
 }
 
-func (c *DelayCounts) add(other DelayCounts) {
+func (c *DelayCounts) add(other *DelayCounts) {
 	for i, n := range other {
 		c[i] += n
 	}
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -63,7 +63,6 @@
 // whether it reached a verdict. Only a node whose view is whole completes a rollout.
 func (c *Canary) evaluate(r *rollout, d *Decision, now time.Time, view View) bool {
 	r.addEvidence(d, now)
-	d.Answers = r.newAnswers()
 	if r.verdict != Open {
 		return true
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -49,20 +49,22 @@
 }
 
 // total sums the counts of all nodes for each route.
-func (r *rollout) total() map[string]RouteCount {
-	sum := map[string]RouteCount{}
-	add := func(c RouteCount) {
+func (r *rollout) total() map[string]*RouteCount {
+	sum := map[string]*RouteCount{}
+	add := func(c *RouteCount) {
 		t := sum[c.Route]
-		t.Route = c.Route
+		if t == nil {
+			t = &RouteCount{Route: c.Route}
+			sum[c.Route] = t
+		}
 		t.merge(c)
-		sum[c.Route] = t
 	}
 	for _, c := range r.counts {
-		add(*c)
+		add(c)
 	}
 	for _, t := range r.peers {
-		for _, c := range t.Routes {
-			add(c)
+		for i := range t.Routes {
+			add(&t.Routes[i])
 		}
 	}
 	return sum
@@ -185,15 +187,6 @@
 	return requests, exposed
 }
 
-// newAnswers is how many answers of the new version all nodes have seen.
-func (r *rollout) newAnswers() int64 {
-	var n int64
-	for _, c := range r.total() {
-		n += c.New
-	}
-	return n
-}
-
 // oldInFlight is how many attempts run on the old version at all nodes.
 func (r *rollout) oldInFlight() int {
 	n := r.own.OldInFlight
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -47,15 +47,15 @@
 }
 
 // merge adds another route's counts.
-func (c *RouteCount) merge(other RouteCount) {
+func (c *RouteCount) merge(other *RouteCount) {
 	c.New += other.New
 	c.NewBad += other.NewBad
 	c.Base += other.Base
 	c.BaseBad += other.BaseBad
 	for m := range c.Delays {
-		c.Delays[m].New.add(other.Delays[m].New)
-		c.Delays[m].Base.add(other.Delays[m].Base)
-		c.Delays[m].Unfinished.add(other.Delays[m].Unfinished)
+		c.Delays[m].New.add(&other.Delays[m].New)
+		c.Delays[m].Base.add(&other.Delays[m].Base)
+		c.Delays[m].Unfinished.add(&other.Delays[m].Unfinished)
 	}
 }
 
--- a/internal/canary/upstream_class.go
+++ b/internal/canary/upstream_class.go
@@ -29,10 +29,10 @@
 	c[xxhash.Sum64String(upstream)%upstreamClasses][m][grade]++
 }
 
-func (c *ClassCounts) add(other ClassCounts) {
+func (c *ClassCounts) add(other *ClassCounts) {
 	for i := range c {
 		for m := range measures {
-			c[i][m].add(other[i][m])
+			c[i][m].add(&other[i][m])
 		}
 	}
 }
@@ -65,7 +65,7 @@
 			continue
 		}
 		for m := range measures {
-			rest[m].add(c[i][m])
+			rest[m].add(&c[i][m])
 		}
 	}
 	return rest, trimmed
@@ -90,7 +90,7 @@
 func (r *rollout) compareClasses(all RouteCount) otherClasses {
 	classes := r.own.Classes
 	for _, t := range r.peers {
-		classes.add(t.Classes)
+		classes.add(&t.Classes)
 	}
 	rest, trimmed := classes.withoutSlow()
 	var total slowdownScores
