ledger: a collector forgets offered bills that it cannot make safe

Cause: a node without bills of its own does not know whether its stores fail, so it takes rows that another collector offers. It kept them when they turned out unsafe there, although the other collector keeps them too. When the same bills then reached it from their own node, it had them twice: 84 copies of 21 bills at three collectors in place of 63 at most.

Change: offered bills make batches of their own, which are forgotten when they are reported as unsafe, and are not offered on. Copies at peers end that: from the reply on the collector is responsible. A node without bills in memory takes an offer, so that it learns that its stores are back.

The new test guards the way back; it fails where a node declines while its stores failed at last.

--- a/internal/ledger/at_risk_test.go
+++ b/internal/ledger/at_risk_test.go
@@ -190,3 +190,22 @@
 	}
 	c.members = members
 }
+
+// Fails if a node that could not store offered bills declines further ones for good: once its
+// stores are back, it must take those of a node that is still cut off.
+func TestOffersAreTakenAgainOnceStoresAreBack(t *testing.T) {
+	inBubble(t, 12, func(is *is.I, c *cluster) {
+		c.keepDomain("d0")
+		l := c.ledgers["e0"]
+		c.cutOff["e0"].Store(true)
+		c.storeDown(true)
+		_, err := billIn(l, 15*time.Second, billOf(newKey(), 1))
+		is.True(errors.Is(err, ErrUnsafe))
+		time.Sleep(30 * time.Second)
+		is.True(!l.Ready())
+		c.storeDown(false)
+		time.Sleep(10 * time.Second)
+		is.True(l.Ready())
+		is.Equal(len(c.allBills("e4")), 1)
+	})
+}
--- a/internal/ledger/bill/at_risk.go
+++ b/internal/ledger/bill/at_risk.go
@@ -19,12 +19,12 @@
 }
 
 // RowsAtRisk returns rows at risk, for another collector, the oldest first. There are no more
-// than needed for a number of bills.
+// than needed for a number of bills, and none that another collector has offered: it keeps them.
 func (c *Collector) RowsAtRisk(now time.Time, bills int) []Write {
 	var rows []Write
 	for _, batches := range [][]*batch{c.backlog, c.active} {
 		for _, b := range batches {
-			if bills > 0 && c.isAtRisk(now, b) {
+			if bills > 0 && !b.offered && c.isAtRisk(now, b) {
 				rows = append(rows, Write{b.number, b.row, now})
 				bills -= b.row.Bills.Len()
 			}
--- a/internal/ledger/bill/batch.go
+++ b/internal/ledger/bill/batch.go
@@ -21,6 +21,8 @@
 	taken bool
 	// adopted means that the row was taken over from another owner.
 	adopted bool
+	// offered means that another collector keeps all bills of the row until they are safe here.
+	offered bool
 	// inBacklog means that no caller waits for the row any more.
 	inBacklog bool
 
--- a/internal/ledger/bill/collector.go
+++ b/internal/ledger/bill/collector.go
@@ -40,9 +40,10 @@
 
 // waitingBill is a bill that is not yet in a batch.
 type waitingBill struct {
-	number uint64
-	bucket key.Bucket
-	bill   Bill
+	number  uint64
+	bucket  key.Bucket
+	offered bool
+	bill    Bill
 }
 
 // NewCollector returns an empty collector.
@@ -61,13 +62,19 @@
 
 // Add adds a bill under a number that the caller chooses. A later Ready returns the
 // reply.
-func (c *Collector) Add(number uint64, b Bill) {
+func (c *Collector) Add(number uint64, b Bill) { c.add(number, b, false) }
+
+// AddOffered adds a bill that another collector keeps until this one has made it safe. If it
+// is reported as [Unsafe], it is forgotten here.
+func (c *Collector) AddOffered(number uint64, b Bill) { c.add(number, b, true) }
+
+func (c *Collector) add(number uint64, b Bill, offered bool) {
 	if c.billCount >= c.settings.MaxWaiting {
 		c.replies = append(c.replies, Reply{Number: number, Safety: Unsafe, Tried: "none: memory is full"})
 		return
 	}
 	c.billCount++
-	c.unbatched = append(c.unbatched, waitingBill{number, c.settings.Layout.Bill(b.Key, b.At), b})
+	c.unbatched = append(c.unbatched, waitingBill{number, c.settings.Layout.Bill(b.Key, b.At), offered, b})
 }
 
 // Adopt takes over a row whose owner is lost. The row keeps its writer and sequence
@@ -150,6 +157,11 @@
 // finish ends a batch that is stored.
 func (c *Collector) finish(b *batch, s Safety) {
 	c.reply(b, s)
+	c.forget(b)
+}
+
+// forget removes a batch from memory and releases its copies at peers.
+func (c *Collector) forget(b *batch) {
 	c.drops = append(c.drops, b.heldRows...)
 	c.billCount -= b.row.Bills.Len()
 	delete(c.batches, b.number)
--- a/internal/ledger/bill/collector_decide.go
+++ b/internal/ledger/bill/collector_decide.go
@@ -36,7 +36,7 @@
 		}
 	}
 	if len(c.unbatched) > 0 && c.canStart(now) {
-		return c.write(now, c.formBatch(now, c.unbatched[0].bucket), r)
+		return c.write(now, c.formBatch(now), r)
 	}
 	for _, b := range c.backlog {
 		if b.idle() {
@@ -58,7 +58,7 @@
 // the gap between writes to stores, which failures have widened by then.
 func (c *Collector) formForPeers(now time.Time) {
 	if c.noHealthyStore() && len(c.unbatched) > 0 && c.holdPace.Allowed(now) && len(c.active) < c.settings.MaxInFlight {
-		c.formBatch(now, c.unbatched[0].bucket)
+		c.formBatch(now)
 		c.holdPace.Sent(now)
 	}
 }
@@ -107,14 +107,20 @@
 
 // giveUp replies Unsafe for bills that were not stored or held in time. They stay in
 // memory and are stored once a store is available: their work ran, so they must be
-// billed.
+// billed. Offered bills stay with the collector that offered them.
 func (c *Collector) giveUp(now time.Time) {
 	for i := len(c.active) - 1; i >= 0; i-- {
-		if b := c.active[i]; now.Sub(b.createdAt) > c.settings.GiveUp {
-			b.gaveUp = true
-			c.replyUnsafe(b, c.describe(now, b))
-			c.moveToBacklog(b)
+		b := c.active[i]
+		if now.Sub(b.createdAt) <= c.settings.GiveUp {
+			continue
 		}
+		c.replyUnsafe(b, c.describe(now, b))
+		if b.offered {
+			c.forget(b)
+			continue
+		}
+		b.gaveUp = true
+		c.moveToBacklog(b)
 	}
 }
 
--- a/internal/ledger/bill/collector_hold.go
+++ b/internal/ledger/bill/collector_hold.go
@@ -27,6 +27,7 @@
 	b.heldRows = []HeldRow{heldRow}
 	b.held = true
 	b.gaveUp = false
+	b.offered = false // the collector that offered them relies on this one from here on
 	c.reply(b, InPeers)
 	c.moveToBacklog(b)
 }
--- a/internal/ledger/bill/form.go
+++ b/internal/ledger/bill/form.go
@@ -6,27 +6,29 @@
 	"github.com/hickorybank/hickorybank/internal/ledger/key"
 )
 
-// formBatch makes a batch of the waiting bills of a bucket. While the table is healthy,
-// it adds bills of the backlog, if any: written separately, with one write per row, the
-// backlog would never shrink under load.
-func (c *Collector) formBatch(now time.Time, bucket key.Bucket) *batch {
-	waiting, bills := c.takeOpen(bucket)
+// formBatch makes a batch of the waiting bills of a bucket, offered or not like the first
+// waiting bill. While the table is healthy, it adds bills of the backlog, if any: written
+// separately, with one write per row, the backlog would never shrink under load.
+func (c *Collector) formBatch(now time.Time) *batch {
+	bucket, offered := c.unbatched[0].bucket, c.unbatched[0].offered
+	waiting, bills := c.takeOpen(bucket, offered)
 	var backlog mergedBatches
-	if c.table.healthy() {
+	if c.table.healthy() && !offered {
 		backlog = c.mergeBatches(c.takeBacklog(bucket, c.settings.MaxBatch-len(bills)))
 	}
 	b := c.packBatch(now, bucket, append(bills, backlog.bills...))
 	b.waiting = waiting
+	b.offered = offered
 	b.gaveUp = backlog.gaveUp
 	b.heldRows = backlog.heldRows
 	c.active = append(c.active, b)
 	return b
 }
 
-func (c *Collector) takeOpen(bucket key.Bucket) (waiting []uint64, bills []Bill) {
+func (c *Collector) takeOpen(bucket key.Bucket, offered bool) (waiting []uint64, bills []Bill) {
 	left := c.unbatched[:0]
 	for _, w := range c.unbatched {
-		if w.bucket != bucket || len(bills) >= c.settings.MaxBatch {
+		if w.bucket != bucket || w.offered != offered || len(bills) >= c.settings.MaxBatch {
 			left = append(left, w)
 			continue
 		}
--- a/internal/ledger/collecting.go
+++ b/internal/ledger/collecting.go
@@ -79,7 +79,11 @@
 					close(done)
 				}
 			}
-			c.core.Add(c.lastNumber, b)
+			if from == fromOffer {
+				c.core.AddOffered(c.lastNumber, b)
+			} else {
+				c.core.Add(c.lastNumber, b)
+			}
 		}
 	})
 	if !posted || len(bills) == 0 {
--- a/internal/ledger/offer.go
+++ b/internal/ledger/offer.go
@@ -42,7 +42,8 @@
 	case fromPeer:
 		return c.diverts.Load()
 	case fromOffer:
-		return c.core.StoresFail(now)
+		// Without bills of its own, a node learns from an offer whether its stores are back.
+		return c.core.Waiting() > 0 && c.core.StoresFail(now)
 	default:
 		return false
 	}
@@ -67,6 +68,10 @@
 		limit = 1 // a row is enough to learn that others can take it
 	}
 	rows := c.core.RowsAtRisk(now, limit)
+	if len(rows) == 0 {
+		c.offerDone(now, nil, bill.Unsafe)
+		return
+	}
 	c.offer.inFlight = true
 	c.calls.Go(func() {
 		safety := c.offerTo(others, rows)
