A request that was answered before it turned bad crashes a service in waves, red

The quarantine leaves out keys with answers, so that copies that crash upstreams at once still count by moments.

--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -18,6 +18,8 @@
 	// parts are the shared parts of its prompt, of which the last crashes engines. Without parts
 	// the request itself does.
 	parts []string
+	// badFrom is when it begins to crash engines; before that it is answered.
+	badFrom time.Duration
 	// mendedAt is when it no longer crashes engines; never if 0.
 	mendedAt time.Duration
 }
@@ -55,7 +57,7 @@
 func (w *world) runWave(a *worldAttempt) {
 	v := w.wave
 	w.arrivals[waveName] = append(w.arrivals[waveName], w.now)
-	if v.mendedAt > 0 && w.now >= v.mendedAt {
+	if w.now < v.badFrom || v.mendedAt > 0 && w.now >= v.mendedAt {
 		return
 	}
 	a.badPart = waveName
@@ -100,31 +102,37 @@
 }
 
 // Fails if a request that is sent several times at once crashes a small service in waves.
-func TestRequestThatCrashesInWaves(t *testing.T) { playAllWaves(t, nil, costlyStrikes) }
+func TestRequestThatCrashesInWaves(t *testing.T) { playAllWaves(t, nil, costlyStrikes, false) }
+
+// Fails if a request that was answered before it turned bad crashes a small service in waves.
+func TestAnsweredRequestThatCrashesInWaves(t *testing.T) { playAllWaves(t, nil, costlyStrikes, true) }
 
 // Fails if requests that share a part and are sent at once crash a service in waves.
-func TestPartThatCrashesInWaves(t *testing.T) { playAllWaves(t, []string{"first", "bad"}, partCrashes) }
+func TestPartThatCrashesInWaves(t *testing.T) { playAllWaves(t, []string{"first", "bad"}, partCrashes, false) }
 
-func playAllWaves(t *testing.T, parts []string, crashes int) {
+func playAllWaves(t *testing.T, parts []string, crashes int, answered bool) {
 	for _, nodes := range waveCases.nodes {
 		for _, engines := range waveCases.engines {
 			t.Run(fmt.Sprintf("%d nodes, %d engines", nodes, engines), func(t *testing.T) {
 				t.Parallel()
-				playWaves(t, nodes, engines, parts, crashes)
+				playWaves(t, nodes, engines, parts, crashes, answered)
 			})
 		}
 	}
 }
 
 // playWaves plays the waves. From lateAfter after a number of crashes on, at most three runs may be
-// sent to engines.
-func playWaves(t *testing.T, nodes, engines int, parts []string, crashes int) {
+// sent to engines. The first of them is answered if asked for.
+func playWaves(t *testing.T, nodes, engines int, parts []string, crashes int, answered bool) {
 	const maxLate = 3
 	failed, plays, worst := 0, 0, 0
 	for _, together := range waveCases.together {
 		for _, pause := range waveCases.pauses {
 			for _, delay := range waveCases.delays {
 				v := &wave{together: together, pause: pause, until: time.Second + 6*pause, parts: parts, delay: delay[0] * time.Millisecond, jitter: delay[1] * time.Millisecond}
+				if answered {
+					v.badFrom = time.Second + pause
+				}
 				w := waveWorld(nodes, engines, uint64(together)+uint64(pause), v)
 				w.run(v.until + time.Second)
 				late := w.late(waveName, crashes, lateAfter)
