Crash events tell whether the request was answered before

Cause: 1923 names strikes and moments, but a request with a rival and one that was answered before look the same in it, and the guard asks for four moments in both cases.

Change: `answered` in 1923: never, before the crashes, or between them, as far as the node knows.

--- a/internal/crashguard/candidate.go
+++ b/internal/crashguard/candidate.go
@@ -38,6 +38,9 @@
 	return [...]int{minMoments, minMomentsInDoubt, minMomentsAnswered}[d]
 }
 
+// String returns when requests with the key were answered, for logs.
+func (d doubt) String() string { return [...]string{"never", "before", "between"}[d] }
+
 func (g *Guard) doubtOf(e *entry) doubt {
 	switch {
 	case clearedWeight*e.cleared.size() >= e.live().size() && !e.cleared.empty():
--- a/internal/crashguard/evidence.go
+++ b/internal/crashguard/evidence.go
@@ -8,6 +8,9 @@
 	Strikes, Moments int
 	// Late are the crashes that happened over lateAfter after the costly ones.
 	Late int
+	// Answered is when requests with the key were answered lately: never, before the strikes, or
+	// between them.
+	Answered string
 }
 
 // Evidence returns what counts against a key.
@@ -21,5 +24,6 @@
 	v.Strikes = live.size()
 	v.Moments, _ = g.moments(e, live)
 	v.Late = g.lateStrikes(e)
+	v.Answered = g.doubtOf(e).String()
 	return v
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -58,7 +58,7 @@
 			n.metrics.Counter("hickorybank_crash_late_strikes_total").Inc()
 		}
 		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.String("key", keyText(key)),
-			slog.Int("strikes", evidence.Strikes), slog.Int("moments", evidence.Moments), slog.Int("late", evidence.Late),
+			slog.Int("strikes", evidence.Strikes), slog.Int("moments", evidence.Moments), slog.Int("late", evidence.Late), slog.String("answered", evidence.Answered),
 			slog.Bool("begun", begun), slog.String("parts", j.sharedParts()))
 		wake(n.crashNews)
 	}
