A request that was answered before it turned bad is quarantined like others

Cause: the quarantine left out keys with answers. Then copies that crash upstreams at one moment count as one of the four or five moments that convict such a key. An answer says that the request was sound then, not that it is.

Evidence: the crashes of the record's first wave are at three moments, which convict a request that was never answered.

Change: answers before the crashes put the quarantine off by a second, in which later answers of other nodes become known and clear the key.

--- a/internal/crashguard/bystanders_test.go
+++ b/internal/crashguard/bystanders_test.go
@@ -42,7 +42,9 @@
 				w.losses, w.share, w.hot, w.hotFrom = c.losses, c.share, 1.0/3, c.hotFrom
 				w.soundPerSecond = float64(20 * size[0])
 				w.run(lossAt + 30*time.Second)
-				t.Logf("%s: %d first tries of the hot request refused, %.1f s of its traffic", t.Name(), w.hotRefused, float64(w.hotRefused)/(w.soundPerSecond*w.hot))
+				perSecond := w.soundPerSecond * w.hot
+				t.Logf("%s: %d first tries of the hot request refused, %.1f s of its traffic, %.1f s while an engine was up",
+					t.Name(), w.hotRefused, float64(w.hotRefused)/perSecond, float64(w.hotRefusedUp)/perSecond)
 				// From its first loss until a trial, its answer and the news of it after the last one.
 				bound := w.soundPerSecond * w.hot * (hotBound + worldDowntime).Seconds()
 				if len(c.losses) > 0 {
--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -27,14 +27,21 @@
 }
 
 // findQuarantined finds the keys to quarantine: upstreams crashed under several requests with the
-// key, none was answered, and no convicted key with better evidence explains the crashes. At one
+// key, none was answered since, and no convicted key with better evidence explains the crashes. At one
 // moment that may be a loss of upstreams, or a request of which copies were in progress. Only a
 // run on its own tells them apart.
 func (g *Guard) findQuarantined(now time.Time) {
 	previous := g.quarantined
 	g.quarantined = map[Key]*entry{}
 	for key, e := range g.keys {
-		if g.costly(e).size() < e.costlyStrikes() || g.convicted[key] != nil || g.doubtOf(e) != neverAnswered || g.isExplained(e) {
+		if g.costly(e).size() < e.costlyStrikes() || g.convicted[key] != nil || g.isExplained(e) {
+			continue
+		}
+		quarantines, waits := g.outweighsAnswers(e, now)
+		if waits {
+			g.judgeAt = now.Add(judgeInterval)
+		}
+		if !quarantines {
 			continue
 		}
 		g.quarantined[key] = e
@@ -54,6 +61,22 @@
 	}
 }
 
+// outweighsAnswers reports whether a key with enough crashes is quarantined although requests with
+// it may have been answered. If they were answered before the crashes, the verdict waits until
+// later answers at other nodes are known. Parts are left out: the loss of all upstreams strikes those
+// that most prompts share, and to refuse them until a trial is answered costs more.
+func (g *Guard) outweighsAnswers(e *entry, now time.Time) (quarantines, waits bool) {
+	switch g.doubtOf(e) {
+	case neverAnswered:
+		return true, false
+	case answeredBefore:
+		waits = !e.part && now.Before(g.costlyAt(e).Add(doubtTime))
+		return !e.part && !waits, waits
+	default:
+		return false, false
+	}
+}
+
 // costly returns the live strikes that may quarantine a key. For parts of prompts the crashes of a
 // loss don't count: many sound parts are in flight then, and few requests come that could clear one.
 func (g *Guard) costly(e *entry) crashSet {
@@ -101,25 +124,33 @@
 	return g.quarantined[key]
 }
 
-// lateStrikes returns the number of a key's live strikes that happened later than lateAfter after
-// its costly ones. The crashes of a loss count as one.
-func (g *Guard) lateStrikes(e *entry) int {
+// costlyAt returns the time of the last of a key's costly strikes; zero if it has fewer.
+func (g *Guard) costlyAt(e *entry) time.Time {
 	live, count := e.live(), 0
-	var from time.Time
-	var late crashSet
 	for _, slot := range g.order {
 		if !live.has(slot) {
 			continue
 		}
-		count++
-		at := g.crashes[slot].at
-		if count == e.costlyStrikes() {
-			from = at.Add(lateAfter)
+		if count++; count == e.costlyStrikes() {
+			return g.crashes[slot].at
 		}
-		if count > e.costlyStrikes() && at.After(from) {
+	}
+	return time.Time{}
+}
+
+// lateStrikes returns the number of a key's live strikes that happened later than lateAfter after
+// its costly ones. The crashes of a loss count as one.
+func (g *Guard) lateStrikes(e *entry) int {
+	from := g.costlyAt(e)
+	if from.IsZero() {
+		return 0
+	}
+	var late crashSet
+	e.live().each(func(slot int) {
+		if g.crashes[slot].at.After(from.Add(lateAfter)) {
 			late.add(slot)
 		}
-	}
+	})
 	single := late.without(&g.losses)
 	losses, _ := g.moments(e, late.without(&single))
 	return single.size() + losses
--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -108,7 +108,14 @@
 func TestAnsweredRequestThatCrashesInWaves(t *testing.T) { playAllWaves(t, nil, costlyStrikes, true) }
 
 // Fails if requests that share a part and are sent at once crash a service in waves.
-func TestPartThatCrashesInWaves(t *testing.T) { playAllWaves(t, []string{"first", "bad"}, partCrashes, false) }
+func TestPartThatCrashesInWaves(t *testing.T) {
+	playAllWaves(t, []string{"first", "bad"}, partCrashes, false)
+}
+
+// Fails if requests with a part that was answered before it turned bad crash a service in waves.
+func TestAnsweredPartThatCrashesInWaves(t *testing.T) {
+	playAllWaves(t, []string{"first", "bad"}, partCrashes, true)
+}
 
 func playAllWaves(t *testing.T, parts []string, crashes int, answered bool) {
 	for _, nodes := range waveCases.nodes {
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -88,8 +88,10 @@
 	refused, sent map[int]int
 	// hotRefused counts the refused first tries of the hot request.
 	hotRefused int
-	exchanges  int
-	sentKeys   int
+	// hotRefusedUp counts those of them while an engine was up.
+	hotRefusedUp int
+	exchanges    int
+	sentKeys     int
 }
 
 var worldEpoch = time.Unix(1_000_000, 0)
@@ -219,6 +221,9 @@
 		w.refused[int(w.now/time.Second)]++
 		if a.chain[0] == hotRequest[0] {
 			w.hotRefused++
+			if slices.ContainsFunc(w.engines, func(e *worldEngine) bool { return e.upFrom <= w.now }) {
+				w.hotRefusedUp++
+			}
 		}
 	}
 }
