A play of waves while half of the nodes start

Cause: the postmortem's third hypothesis, nodes that start or know late, was not played.

Change: half of eight nodes start anew a second before each wave, with what a seed reports, a fifth of the exchanges is lost; requests that were answered before and that were not, 1, 3 and 8 copies.

--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -186,3 +186,33 @@
 		}
 	}
 }
+
+// Fails if nodes that start between the waves of a request, and know of the earlier ones what a seed
+// reports, let further waves through.
+func TestRequestThatCrashesInWavesWhileNodesStart(t *testing.T) {
+	const maxLate = 3
+	pause := 3500 * time.Millisecond
+	for _, together := range []int{1, 3, 8} {
+		for _, answered := range []bool{false, true} {
+			v := &wave{together: together, pause: pause, until: time.Second + 8*pause, delay: 44 * time.Millisecond}
+			if answered {
+				v.badFrom = time.Second + pause
+			}
+			w := waveWorld(8, 4, 1, v)
+			w.lost = 0.2
+			for next := pause; next < v.until; next += pause {
+				w.run(next) // a second before the next wave
+				for i := range w.nodes / 2 {
+					w.guards[i] = New()
+					w.guards[i].Merge(w.guards[w.nodes/2+i].Report(w.time()), w.time()) // its seed's answer
+				}
+			}
+			w.run(v.until)
+			late := w.late(waveName, costlyStrikes, lateAfter)
+			t.Logf("%d together, answered before: %v: %d late", together, answered, late)
+			if late > maxLate {
+				t.Errorf("%d together, answered before: %v: %d late, %d may", together, answered, late, maxLate)
+			}
+		}
+	}
+}
