A part of prompts that was answered before is quarantined after repeated losses

Cause: as for requests, answers before the crashes kept a part out of quarantine, and crashes of copies within 25 ms, four or more, look like a loss of engines, which does not count against parts.

Change: the exception for answers is that of requests. Losses count against a part if requests that were sent after all its crashes ended in a loss again and none was answered between. Sound parts that many prompts share are answered between losses.

--- a/internal/crashguard/quarantine.go
+++ b/internal/crashguard/quarantine.go
@@ -63,27 +63,36 @@
 
 // outweighsAnswers reports whether a key with enough crashes is quarantined although requests with
 // it may have been answered. If they were answered before the crashes, the verdict waits until
-// later answers at other nodes are known. Parts are left out: the loss of all upstreams strikes those
-// that most prompts share, and to refuse them until a trial is answered costs more.
+// later answers at other nodes are known.
 func (g *Guard) outweighsAnswers(e *entry, now time.Time) (quarantines, waits bool) {
 	switch g.doubtOf(e) {
 	case neverAnswered:
 		return true, false
 	case answeredBefore:
-		waits = !e.part && now.Before(g.costlyAt(e).Add(doubtTime))
-		return !e.part && !waits, waits
+		waits = now.Before(g.costlyAt(e).Add(doubtTime))
+		return !waits, waits
 	default:
 		return false, false
 	}
 }
 
 // costly returns the live strikes that may quarantine a key. For parts of prompts the crashes of a
-// loss don't count: many sound parts are in flight then, and few requests come that could clear one.
+// loss don't count, unless requests sent after it end in a loss again: many sound parts are in
+// flight in a loss, and few requests come that could clear one.
 func (g *Guard) costly(e *entry) crashSet {
-	if e.part {
-		return e.live().without(&g.losses)
+	live := e.live()
+	if !e.part || g.hasRepeatedLoss(e) {
+		return live
 	}
-	return e.live()
+	return live.without(&g.losses)
+}
+
+// hasRepeatedLoss reports whether upstreams were lost together under requests with the key that were
+// sent after all its earlier crashes, and no answer cleared these.
+func (g *Guard) hasRepeatedLoss(e *entry) bool {
+	repeated := e.sequels.without(&e.cleared)
+	single := repeated.without(&g.losses)
+	return single.size() < repeated.size()
 }
 
 // isExplained reports whether convicted keys explain an entry's strikes: those in one chain with it,
