--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the programs of the cases, with all stand-ins, into target/review/.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -o target/review/case1 ./review/1
--- /dev/null
+++ b/review/standin/runner.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Runner is a sound runner. It answers whole, or as a stream if it has events.
+type Runner struct {
+	ID, Service string
+	// Events is the number of events of each stream, Pause the time between two of them; 0 for
+	// whole answers.
+	Events int
+	Pause  time.Duration
+	listener    net.Listener
+	world       *World
+	work        time.Duration
+	slots       int
+	queue       int
+
+	mu      sync.Mutex
+	running int
+	waiting int
+	free    *sync.Cond
+	// Begun holds the IDs of the requests that the runner has begun to work on.
+	begun map[string]int
+}
+
+// AddRunner starts a runner and lists it in the store.
+func (w *World) AddRunner(id, service, version string, slots, queue int, work time.Duration) (*Runner, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{ID: id, Service: service, listener: l, world: w, work: work, slots: slots, queue: queue, begun: map[string]int{}}
+	r.free = sync.NewCond(&r.mu)
+	go r.accept()
+	entry := map[string]any{
+		"service": service, "address": l.Addr().String(), "zone": zones[len(id)%len(zones)], "version": version, "slots": slots,
+		"state": "ready", "seq": 1, "cold_left_ms": 0,
+	}
+	w.Store.Put("servers", id, entry)
+	return r, nil
+}
+
+func (r *Runner) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+func (r *Runner) serve(c net.Conn) {
+	defer func() { _ = c.Close() }() // the system may have closed it
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		n, err := io.Copy(io.Discard, req.Body)
+		if err != nil {
+			return
+		}
+		if !r.handle(c, req, n) {
+			return
+		}
+	}
+}
+
+func (r *Runner) handle(c net.Conn, req *http.Request, bytes int64) bool {
+	id := req.Header.Get("Request-Id")
+	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
+		return r.answer(c, id, http.StatusMisdirectedRequest, "Instance-Id: "+r.ID, "")
+	}
+	if !r.takeSlot() {
+		return r.answer(c, id, http.StatusServiceUnavailable, "Not-Executed: 1", "")
+	}
+	r.mu.Lock()
+	r.begun[id]++
+	r.mu.Unlock()
+	r.world.Record.Add("runner %s runs %s (%d bytes)", r.ID, id, bytes)
+	defer r.freeSlot()
+	time.Sleep(r.work)
+	if r.Events > 0 {
+		return r.stream(c, id)
+	}
+	return r.answer(c, id, http.StatusOK, fmt.Sprintf("Server-Load: %s", r.load()), strings.Repeat("a", 800))
+}
+
+// stream answers with a stream of events.
+func (r *Runner) stream(c net.Conn, id string) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, r.ID, id, r.load()); err != nil {
+		return false
+	}
+	for n := range r.Events {
+		if n > 0 {
+			time.Sleep(r.Pause)
+		}
+		event := fmt.Sprintf("id: %d\ndata: %d\n\n", n+1, n+1)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false // the system has closed the channel
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// takeSlot waits for a slot; false if the queue is full.
+func (r *Runner) takeSlot() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= r.slots && r.waiting >= r.queue {
+		return false
+	}
+	r.waiting++
+	for r.running >= r.slots {
+		r.free.Wait()
+	}
+	r.waiting--
+	r.running++
+	return true
+}
+
+func (r *Runner) freeSlot() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	r.free.Signal()
+}
+
+func (r *Runner) load() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", r.running, r.waiting, r.slots)
+}
+
+func (r *Runner) answer(c net.Conn, id string, status int, header, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, r.ID, id, header, len(body), body)
+	return err == nil
+}
+
+// Runs returns how often the runner began to work on a request.
+func (r *Runner) Runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun[id]
+}
+
+// Close stops the runner.
+func (r *Runner) Close() { _ = r.listener.Close() }
