--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -16,13 +16,13 @@
 	ID, Service string
 	// Events is the number of events of each stream, Pause the time between two of them; 0 for
 	// whole answers.
-	Events int
-	Pause  time.Duration
-	listener    net.Listener
-	world       *World
-	work        time.Duration
-	slots       int
-	queue       int
+	Events   int
+	Pause    time.Duration
+	listener net.Listener
+	world    *World
+	work     time.Duration
+	slots    int
+	queue    int
 
 	mu      sync.Mutex
 	running int
