review: machines that restart after a roll-out refuse the new version

Cause: peers stop telling the verdict of a roll-out 30 s after its limit but go on telling its order, so a node that starts later takes it for open and excludes the only version that is left.

Change: review/3 completes a roll-out, restarts all eight machines in turn and compares the later route with the first one.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -92,7 +92,7 @@
 		defer runner.Close()
 		r.runners = append(r.runners, runner)
 	}
-	if err := w.AddMachines(machines, memoryMB); err != nil {
+	if err := w.AddMachines(standin.Cartagena); err != nil {
 		fmt.Println(err)
 		return standin.ExitNotRun
 	}
@@ -226,7 +226,7 @@
 	for _, m := range r.world.Machines {
 		k, peak := m.Memory()
 		kills += k
-		r.world.Record.Add("%s: killed %d times for its memory, peak %d MB of %d MB", m.Name, k, peak, memoryMB)
+		r.world.Record.Add("%s: killed %d times for its memory, peak %d MB of %d MB", m.Name, k, peak, m.MemoryMB)
 	}
 	text := fmt.Sprintf("%d small and %d large requests, answers %v, %d answers were cut off, %d channels ended without an answer; of these requests %d were passed on to sound runners (the rule allows %d); %d processes were killed for their memory",
 		r.sentSmall, r.large, r.answers, r.cut, len(r.closed), lost, maxLost, kills)
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 go build -o target/review/case1 ./review/1
+go build -o target/review/case3 ./review/3
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -30,6 +30,7 @@
 	free    *sync.Cond
 	// Begun holds the IDs of the requests that the runner has begun to work on.
 	begun map[string]int
+	conns map[net.Conn]bool
 }
 
 // AddRunner starts a runner and lists it in the store.
@@ -38,11 +39,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{ID: id, Service: service, listener: l, world: w, work: work, slots: slots, queue: queue, begun: map[string]int{}}
+	r := &Runner{ID: id, Service: service, listener: l, world: w, work: work, slots: slots, queue: queue, begun: map[string]int{}, conns: map[net.Conn]bool{}}
 	r.free = sync.NewCond(&r.mu)
 	go r.accept()
 	entry := map[string]any{
-		"service": service, "address": l.Addr().String(), "zone": zones[len(id)%len(zones)], "version": version, "slots": slots,
+		"service": service, "address": l.Addr().String(), "zone": "zone-of-runners", "version": version, "slots": slots,
 		"state": "ready", "seq": 1, "cold_left_ms": 0,
 	}
 	w.Store.Put("servers", id, entry)
@@ -60,7 +61,15 @@
 }
 
 func (r *Runner) serve(c net.Conn) {
-	defer func() { _ = c.Close() }() // the system may have closed it
+	r.mu.Lock()
+	r.conns[c] = true
+	r.mu.Unlock()
+	defer func() {
+		_ = c.Close() // the system may have closed it
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, c)
+	}()
 	in := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(in)
@@ -158,5 +167,18 @@
 	return r.begun[id]
 }
 
-// Close stops the runner.
-func (r *Runner) Close() { _ = r.listener.Close() }
+// Close stops the runner at once.
+func (r *Runner) Close() {
+	_ = r.listener.Close() // it may be closed
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close() // as above
+	}
+}
+
+// Leave stops the runner at once, and takes its entry off the list.
+func (r *Runner) Leave() {
+	r.Close()
+	r.world.Store.Delete("servers", r.ID)
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -67,6 +67,7 @@
 // Machine is a front machine with one process of the system.
 type Machine struct {
 	Name     string
+	Zone     string
 	MemoryMB int
 	Front    string
 	Ready    string
@@ -103,14 +104,14 @@
 	return &World{Record: record, Store: platformtest.NewStore(), dir: dir, command: command, closing: make(chan struct{})}, nil
 }
 
-// settingsText follows the settings file of the users' deployment of six machines.
+// settingsText follows the settings files of the users' two small deployments.
 const settingsText = `node_name = %q
 role = "gateway"
 machine_class = "front"
 serves = ["front","control","directory"]
 ip = %q
 zone = %q
-region = "co-caribe"
+region = "region-1"
 port_range = [7340,7355]
 seeds = [%s]
 bootstrap = true
@@ -119,11 +120,7 @@
 heartbeat_ms = 1200
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","rollout"]
 [zones]
-manga = "co-caribe"
-bocagrande = "co-caribe"
-mamonal = "co-caribe"
-getsemani = "co-caribe"
-[listen]
+%s[listen]
 front = %q
 ready = %q
 control = %q
@@ -155,7 +152,7 @@
 revoke_ms = 5000
 retry_budget_ratio = 0.9
 budget_window_s = 10
-budget_slack = 52
+budget_slack = %d
 expose_share = 0.15
 expose_slack = 30
 rollback_ms = 5000
@@ -179,15 +176,34 @@
 blob_mb_per_s = 80.0
 `
 
-// zones are those of the users' deployment.
-var zones = []string{"manga", "bocagrande", "mamonal", "getsemani"}
+// Site is one of the users' small deployments.
+type Site struct {
+	// Zones are the zones of its front machines, one each.
+	Zones                 []string
+	MemoryMB, BudgetSlack int
+}
+
+// Cartagena and Registre are the sites tpc-cartagena and slf-registre.
+var (
+	Cartagena = Site{[]string{"manga", "manga", "bocagrande", "bocagrande", "mamonal", "getsemani"}, 134, 52}
+	Registre  = Site{[]string{"charguia-a", "charguia-a", "charguia-a", "charguia-b", "charguia-b", "ariana-un", "ariana-un", "ariana-deux"}, 284, 56}
+)
 
-// AddMachines adds front machines, each with an address of its own, and starts their processes.
-func (w *World) AddMachines(count, memoryMB int) error {
+// AddMachines adds the site's front machines, each with an address of its own.
+func (w *World) AddMachines(site Site) error {
+	count, memoryMB := len(site.Zones), site.MemoryMB
+	zones := map[string]bool{}
+	var zoneText strings.Builder
+	for _, z := range site.Zones {
+		if !zones[z] {
+			zones[z] = true
+			fmt.Fprintf(&zoneText, "%s = \"region-1\"\n", z)
+		}
+	}
 	type ports struct{ front, ready, control, directory string }
 	var all []ports
 	for i := range count {
-		ip := fmt.Sprintf("127.77.0.%d", i+1)
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%100, os.Getpid()/100%250, i+1) // runs beside this one have others
 		var addrs [4]string
 		for k := range addrs {
 			l, err := net.Listen("tcp4", ip+":0")
@@ -198,7 +214,7 @@
 			addrs[k] = l.Addr().String()
 		}
 		all = append(all, ports{addrs[0], addrs[1], addrs[2], addrs[3]})
-		w.Machines = append(w.Machines, &Machine{Name: fmt.Sprintf("front-%d", i+1), MemoryMB: memoryMB, Front: addrs[0], Ready: addrs[1], ip: ip, world: w})
+		w.Machines = append(w.Machines, &Machine{Name: fmt.Sprintf("front-%s-%d", site.Zones[i], i+1), Zone: site.Zones[i], MemoryMB: memoryMB, Front: addrs[0], Ready: addrs[1], ip: ip, world: w})
 	}
 	var seeds []string
 	for i := range min(count, 3) {
@@ -207,7 +223,7 @@
 	for i, m := range w.Machines {
 		p := all[i]
 		m.settings = filepath.Join(w.dir, m.Name+".toml")
-		text := fmt.Sprintf(settingsText, m.Name, m.ip, zones[i%len(zones)], strings.Join(seeds, ","), p.front, p.ready, p.control, p.directory, memoryMB, w.Store.Addr())
+		text := fmt.Sprintf(settingsText, m.Name, m.ip, m.Zone, strings.Join(seeds, ","), zoneText.String(), p.front, p.ready, p.control, p.directory, memoryMB, site.BudgetSlack, w.Store.Addr())
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
