review: crashes under attempts that were moved do not count against the request

Cause: an attempt at a plain service that is silent for twice the usual time is moved, and a runner that crashes after that gives no strike to the request.

Change: review/4 has a caller who repeats a request that crashes runners.

--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -4,16 +4,27 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/hickorybank/hickorybank/platform/platformtest"
 )
 
 // Runner is a sound runner. It answers whole, or as a stream if it has events.
 type Runner struct {
-	ID, Service string
+	ID, Service, Version string
+	// Spread is set if the work of whole answers varies by half, and one in a hundred takes five times
+	// as long.
+	Spread bool
+	// CrashPath is the path of the request that crashes the runner; empty for none. OnBegin is called
+	// when such a request begins to run, OnCrash when the runner has crashed.
+	CrashPath string
+	OnBegin   func(requestID string)
+	OnCrash   func()
 	// Events is the number of events of each stream, Pause the time between two of them; 0 for
 	// whole answers.
 	Events   int
@@ -29,17 +40,22 @@
 	waiting int
 	free    *sync.Cond
 	// Begun holds the IDs of the requests that the runner has begun to work on.
-	begun map[string]int
-	conns map[net.Conn]bool
+	begun   map[string]int
+	conns   map[net.Conn]bool
+	crashed bool
 }
 
 // AddRunner starts a runner and lists it in the store.
 func (w *World) AddRunner(id, service, version string, slots, queue int, work time.Duration) (*Runner, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return w.addRunnerAt("127.0.0.1:0", id, service, version, slots, queue, work)
+}
+
+func (w *World) addRunnerAt(addr, id, service, version string, slots, queue int, work time.Duration) (*Runner, error) {
+	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{ID: id, Service: service, listener: l, world: w, work: work, slots: slots, queue: queue, begun: map[string]int{}, conns: map[net.Conn]bool{}}
+	r := &Runner{ID: id, Service: service, Version: version, listener: l, world: w, work: work, slots: slots, queue: queue, begun: map[string]int{}, conns: map[net.Conn]bool{}}
 	r.free = sync.NewCond(&r.mu)
 	go r.accept()
 	entry := map[string]any{
@@ -99,13 +115,31 @@
 	r.mu.Unlock()
 	r.world.Record.Add("runner %s runs %s (%d bytes)", r.ID, id, bytes)
 	defer r.freeSlot()
-	time.Sleep(r.work)
+	if r.CrashPath != "" && req.URL.Path == r.CrashPath {
+		r.OnBegin(id)
+		time.Sleep(crashDelay) // it crashes also if the channel is closed meanwhile
+		r.crash()
+		return false
+	}
+	time.Sleep(r.drawWork())
 	if r.Events > 0 {
 		return r.stream(c, id)
 	}
 	return r.answer(c, id, http.StatusOK, fmt.Sprintf("Server-Load: %s", r.load()), strings.Repeat("a", 800))
 }
 
+// drawWork returns how long a request works.
+func (r *Runner) drawWork() time.Duration {
+	switch {
+	case !r.Spread:
+		return r.work
+	case rand.IntN(100) == 0:
+		return 5 * r.work
+	default:
+		return r.work/2 + rand.N(r.work)
+	}
+}
+
 // stream answers with a stream of events.
 func (r *Runner) stream(c net.Conn, id string) bool {
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -125,6 +159,49 @@
 	return err == nil
 }
 
+const (
+	// crashDelay is how long a request runs before it crashes its runner, crashDowntime how long the
+	// runner is away: as in the users' record of such a request.
+	crashDelay    = 77 * time.Millisecond
+	crashDowntime = 3300 * time.Millisecond
+	// entryLifetime is how long an entry outlives its runner: three check-in intervals.
+	entryLifetime = 3600 * time.Millisecond
+)
+
+// crash ends the runner with resets; another one starts at its address later.
+func (r *Runner) crash() {
+	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		return
+	}
+	r.crashed = true
+	_ = r.listener.Close() // a crash reports no error
+	for c := range r.conns {
+		platformtest.Reset(c)
+	}
+	r.mu.Unlock()
+	w := r.world
+	w.Record.Add("runner %s crashed", r.ID)
+	r.OnCrash()
+	time.AfterFunc(entryLifetime, func() { w.Store.Delete("servers", r.ID) })
+	time.AfterFunc(crashDowntime, func() {
+		name, _, _ := strings.Cut(r.ID, ".")
+		again, err := w.addRunnerAt(r.listener.Addr().String(), fmt.Sprintf("%s.%d", name, time.Now().UnixMilli()), r.Service, r.Version, r.slots, r.queue, r.work)
+		if err != nil {
+			w.Record.Add("runner %s does not start again: %v", r.ID, err)
+			return
+		}
+		again.SetCrash(r.CrashPath, r.OnBegin, r.OnCrash)
+		w.Record.Add("runner %s starts in place of %s", again.ID, r.ID)
+	})
+}
+
+// SetCrash sets the request that crashes the runner, whose other work varies.
+func (r *Runner) SetCrash(path string, onBegin func(requestID string), onCrash func()) {
+	r.Spread, r.CrashPath, r.OnBegin, r.OnCrash = true, path, onBegin, onCrash
+}
+
 // takeSlot waits for a slot; false if the queue is full.
 func (r *Runner) takeSlot() bool {
 	r.mu.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -78,7 +78,6 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	done    chan struct{}
-	down    bool
 	started time.Time
 	// kills counts how often the process was killed for its memory; peakMB is its peak.
 	kills, peakMB int
@@ -267,12 +266,7 @@
 // and started again after it has ended.
 func (m *Machine) run() {
 	for {
-		m.mu.Lock()
-		down := m.down
-		m.mu.Unlock()
-		if !down {
-			m.runOnce()
-		}
+		m.runOnce()
 		select {
 		case <-m.world.closing:
 			return
@@ -362,6 +356,13 @@
 	return m.kills, m.peakMB
 }
 
+// RunningSince returns when the machine's process was started last.
+func (m *Machine) RunningSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.started
+}
+
 // Signal sends a signal to the machine's process.
 func (m *Machine) Signal(s syscall.Signal) {
 	m.mu.Lock()
