--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,5 +1,6 @@
 // Command case4 lets a caller repeat a request that crashes the runners that run it, and counts how
-// often it still reaches runners.
+// often it still reaches runners. With the argument "restart" the request crashes its runners sooner,
+// and the trouble is that all processes of the system are killed in between.
 package main
 
 import (
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hickorybank/hickorybank/review/standin"
@@ -21,8 +23,13 @@
 	// period is the pause between two times that the caller sends the request; each time it
 	// repeats it once after a failure.
 	period = 4 * time.Second
-	// times is how often the caller comes.
-	times = 15
+	// times is how often the caller comes, killedAfter after how many times all processes are killed.
+	times       = 15
+	killedAfter = 6
+	// lateCrash is how long the request runs before it crashes its runner, as in the users' record;
+	// earlyCrash is sooner than an attempt is moved.
+	lateCrash  = 77 * time.Millisecond
+	earlyCrash = 15 * time.Millisecond
 	// stable is stable_ms, maxLate how many retries the rule allows later than that after the third
 	// crash.
 	stable  = 3 * time.Second
@@ -57,7 +64,8 @@
 		fmt.Println(err)
 		os.Exit(standin.ExitNotRun)
 	}
-	code, err := play(record, os.Getenv("TROUBLE") != "0")
+	restart := len(os.Args) > 2 && os.Args[2] == "restart"
+	code, err := play(record, os.Getenv("TROUBLE") != "0", restart)
 	if err != nil {
 		fmt.Println(err)
 		code = standin.ExitNotRun
@@ -69,7 +77,7 @@
 	os.Exit(code)
 }
 
-func play(record *standin.Record, trouble bool) (int, error) {
+func play(record *standin.Record, trouble, restart bool) (int, error) {
 	w, err := standin.NewWorld(record, []string{"target/hickorybank", "gateway"})
 	if err != nil {
 		return 0, err
@@ -77,12 +85,16 @@
 	defer w.Close()
 	r := &run{world: w, machines: map[string]*standin.Machine{}, sound: map[int]int{}, crashing: map[int]int{}}
 	w.Store.Put("op", "config", config())
+	delay := lateCrash
+	if restart {
+		delay = earlyCrash
+	}
 	for i := range 4 {
 		runner, err := w.AddRunner("i-records"+strconv.Itoa(i), "records", "v1", 6, 24, 15*time.Millisecond)
 		if err != nil {
 			return 0, err
 		}
-		runner.SetCrash(crashPath, r.noteArrival, r.noteCrash)
+		runner.SetCrash(crashPath, delay, r.noteArrival, r.noteCrash)
 	}
 	if err := w.AddMachines(standin.Registre); err != nil {
 		return 0, err
@@ -92,7 +104,7 @@
 		return 0, err
 	}
 	path := crashPath
-	if !trouble {
+	if !trouble && !restart {
 		path = "/records/2"
 	}
 	stop := make(chan struct{})
@@ -101,14 +113,17 @@
 		clients.Go(func() { r.callSound(stop) })
 	}
 	time.Sleep(2 * stable)
-	for range times {
+	for i := range times {
+		if i == killedAfter && trouble && restart {
+			r.killAll()
+		}
 		next := time.Now().Add(period)
 		r.callCrashing(path)
 		time.Sleep(time.Until(next))
 	}
 	close(stop)
 	clients.Wait()
-	return r.judge(trouble), nil
+	return r.judge(trouble || restart), nil
 }
 
 func config() map[string]any {
@@ -124,6 +139,14 @@
 	}
 }
 
+// killAll kills all processes at once, and waits until they have run for stable_ms again.
+func (r *run) killAll() {
+	for _, m := range r.world.Machines {
+		m.Signal(syscall.SIGKILL)
+	}
+	time.Sleep(stable + 2*time.Second)
+}
+
 // noteArrival records that a runner has begun to run the crashing request.
 func (r *run) noteArrival(id string) {
 	now := time.Now()
@@ -193,15 +216,15 @@
 }
 
 // judge counts the crashing requests that reached runners late.
-func (r *run) judge(trouble bool) int {
+func (r *run) judge(crashes bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if trouble && len(r.crashes) < 3 || r.sound[http.StatusOK] == 0 {
+	if crashes && len(r.crashes) < 3 || r.sound[http.StatusOK] == 0 {
 		fmt.Println("fewer than three crashes, or nothing served")
 		return standin.ExitNotRun
 	}
 	var from time.Time
-	if trouble {
+	if crashes {
 		from = r.crashes[2].Add(stable)
 	}
 	late := 0
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -25,6 +25,8 @@
 	CrashPath string
 	OnBegin   func(requestID string)
 	OnCrash   func()
+	// CrashDelay is how long the request runs before it crashes the runner.
+	CrashDelay time.Duration
 	// Events is the number of events of each stream, Pause the time between two of them; 0 for
 	// whole answers.
 	Events   int
@@ -117,7 +119,7 @@
 	defer r.freeSlot()
 	if r.CrashPath != "" && req.URL.Path == r.CrashPath {
 		r.OnBegin(id)
-		time.Sleep(crashDelay) // it crashes also if the channel is closed meanwhile
+		time.Sleep(r.CrashDelay) // it crashes also if the channel is closed meanwhile
 		r.crash()
 		return false
 	}
@@ -160,9 +162,8 @@
 }
 
 const (
-	// crashDelay is how long a request runs before it crashes its runner, crashDowntime how long the
-	// runner is away: as in the users' record of such a request.
-	crashDelay    = 77 * time.Millisecond
+	// crashDowntime is how long a runner that has crashed is away: as in the users' record of such a
+	// request.
 	crashDowntime = 3300 * time.Millisecond
 	// entryLifetime is how long an entry outlives its runner: three check-in intervals.
 	entryLifetime = 3600 * time.Millisecond
@@ -192,14 +193,14 @@
 			w.Record.Add("runner %s does not start again: %v", r.ID, err)
 			return
 		}
-		again.SetCrash(r.CrashPath, r.OnBegin, r.OnCrash)
+		again.SetCrash(r.CrashPath, r.CrashDelay, r.OnBegin, r.OnCrash)
 		w.Record.Add("runner %s starts in place of %s", again.ID, r.ID)
 	})
 }
 
-// SetCrash sets the request that crashes the runner, whose other work varies.
-func (r *Runner) SetCrash(path string, onBegin func(requestID string), onCrash func()) {
-	r.Spread, r.CrashPath, r.OnBegin, r.OnCrash = true, path, onBegin, onCrash
+// SetCrash sets the request that crashes the runner after a time, whose other work varies.
+func (r *Runner) SetCrash(path string, delay time.Duration, onBegin func(requestID string), onCrash func()) {
+	r.Spread, r.CrashPath, r.CrashDelay, r.OnBegin, r.OnCrash = true, path, delay, onBegin, onCrash
 }
 
 // takeSlot waits for a slot; false if the queue is full.
