review: a lookup that crashes runners is hidden by sound ones with other queries

Cause: the key of a request in internal/crashguard (RequestKey) holds organisation, path and body, without the query. Sound lookups on the same path clear the strikes of the one that crashes the runners.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -34,6 +34,8 @@
 	// BytesPerSecond is the rate at which the body is sent; 0 for no limit.
 	BytesPerSecond int
 	Header         []string
+	// Key is the API key; empty for that of the only tenant.
+	Key string
 }
 
 // Answer is what a client got.
@@ -56,7 +58,11 @@
 	if err := c.SetDeadline(until.Add(500 * time.Millisecond)); err != nil {
 		return a, err
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\n", r.Method, r.Path, Host, r.ID, r.Deadline.Milliseconds(), Key)
+	key := r.Key
+	if key == "" {
+		key = Key
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\n", r.Method, r.Path, Host, r.ID, r.Deadline.Milliseconds(), key)
 	if len(r.Header) > 0 {
 		head += strings.Join(r.Header, "\r\n") + "\r\n"
 	}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -20,11 +20,13 @@
 	// Spread is set if the work of whole answers varies by half, and one in a hundred takes five times
 	// as long.
 	Spread bool
-	// CrashPath is the path of the request that crashes the runner; empty for none. OnBegin is called
-	// when such a request begins to run, OnCrash when the runner has crashed.
-	CrashPath string
-	OnBegin   func(requestID string)
-	OnCrash   func()
+	// CrashPath is the path of the request that crashes the runner; empty for none. CrashQuery is its
+	// query; empty for any. OnBegin is called when such a request begins to run, OnCrash when the
+	// runner has crashed.
+	CrashPath  string
+	CrashQuery string
+	OnBegin    func(requestID string)
+	OnCrash    func()
 	// CrashDelay is how long the request runs before it crashes the runner.
 	CrashDelay time.Duration
 	// Events is the number of events of each stream, Pause the time between two of them; 0 for
@@ -117,7 +119,7 @@
 	r.mu.Unlock()
 	r.world.Record.Add("runner %s runs %s (%d bytes)", r.ID, id, bytes)
 	defer r.freeSlot()
-	if r.CrashPath != "" && req.URL.Path == r.CrashPath {
+	if r.crashesUnder(req) {
 		r.OnBegin(id)
 		time.Sleep(r.CrashDelay) // it crashes also if the channel is closed meanwhile
 		r.crash()
@@ -130,6 +132,11 @@
 	return r.answer(c, id, http.StatusOK, fmt.Sprintf("Server-Load: %s", r.load()), strings.Repeat("a", 800))
 }
 
+// crashesUnder reports whether a request crashes the runner.
+func (r *Runner) crashesUnder(req *http.Request) bool {
+	return r.CrashPath != "" && req.URL.Path == r.CrashPath && (r.CrashQuery == "" || req.URL.RawQuery == r.CrashQuery)
+}
+
 // drawWork returns how long a request works.
 func (r *Runner) drawWork() time.Duration {
 	switch {
@@ -194,6 +201,7 @@
 			return
 		}
 		again.SetCrash(r.CrashPath, r.CrashDelay, r.OnBegin, r.OnCrash)
+		again.CrashQuery = r.CrashQuery
 		w.Record.Add("runner %s starts in place of %s", again.ID, r.ID)
 	})
 }
