--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -267,6 +267,9 @@
 func (m *Machine) run() {
 	for {
 		m.runOnce()
+		if err := m.endBootstrap(); err != nil {
+			m.world.Record.Add("%s: settings of a restart: %v", m.Name, err)
+		}
 		select {
 		case <-m.world.closing:
 			return
@@ -275,6 +278,16 @@
 	}
 }
 
+// endBootstrap changes the settings for a restart: bootstrap is set only when the whole system
+// starts for the first time.
+func (m *Machine) endBootstrap() error {
+	text, err := os.ReadFile(m.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settings, []byte(strings.Replace(string(text), "bootstrap = true", "bootstrap = false", 1)), 0o600)
+}
+
 // memoryInterval is the pause between two looks at a process's memory.
 const memoryInterval = 10 * time.Millisecond
 
