--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,5 +1,6 @@
-// Command case5 lets one lookup crash the runners that run it, beside sound lookups on the same
-// path with other queries, and counts the retries that reach runners.
+// Command case5 lets a caller repeat a request that crashes the runners that run it, and counts how
+// often it still reaches runners. With the argument "restart" the request crashes its runners sooner,
+// and the trouble is that all processes of the system are killed in between.
 package main
 
 import (
@@ -8,47 +9,52 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hickorybank/hickorybank/review/standin"
 )
 
 const (
-	// lookups and checks are the usual numbers of requests a second, as on the users' sheet.
-	lookups = 9.5
-	checks  = 23.7
-	clients = 30
-	// tenants is the number of tenants; callerShare is the part of the lookups of the largest one, to
-	// which the caller of the crashing request belongs.
-	tenants     = 10
-	callerShare = 0.3
-	records     = 400
-	// period is the time between two tries of the crashing request.
-	period   = 4 * time.Second
-	deadline = 1500 * time.Millisecond
-	warmUp   = 6 * time.Second
-	length   = 60 * time.Second
-	// maxRetries is how many retries the rule allows later than stable after the third crash.
-	crashesBefore = 3
-	maxRetries    = 3
-	stable        = 3 * time.Second
+	crashPath = "/records/crash"
+	deadline  = 1500 * time.Millisecond
+	// period is the pause between two times that the caller sends the request; each time it
+	// repeats it once after a failure.
+	period = 4 * time.Second
+	// times is how often the caller comes, killedAfter after how many times all processes are killed.
+	times       = 15
+	killedAfter = 6
+	// lateCrash is how long the request runs before it crashes its runner, as in the users' record;
+	// earlyCrash is sooner than an attempt is moved.
+	lateCrash  = 77 * time.Millisecond
+	earlyCrash = 15 * time.Millisecond
+	// stable is stable_ms, maxLate how many retries the rule allows later than that after the third
+	// crash.
+	stable  = 3 * time.Second
+	maxLate = 3
+	// callers send sound requests.
+	callers = 12
 )
 
-// crashQuery is the query of the request that crashes runners.
-const crashQuery = "operator=unsound"
+// arrival is a crashing request that a runner began to run.
+type arrival struct {
+	at      time.Time
+	machine *standin.Machine
+	// inTouch is set if the machine's process had run for stable_ms.
+	inTouch bool
+}
 
 type run struct {
-	world *standin.World
-	// control is set if each record has a path of its own.
-	control bool
-	mu      sync.Mutex
-	next    int
-	crashes []time.Time
-	// begun is when a runner first began to work on a try, by its ID.
-	begun                       map[string]time.Time
-	runs, tries, refusals       int
-	sound, soundServed, refused int
+	world    *standin.World
+	mu       sync.Mutex
+	next     int
+	machines map[string]*standin.Machine
+	arrivals []arrival
+	crashes  []time.Time
+	sound    map[int]int
+	crashing map[int]int
 }
 
 func main() {
@@ -58,7 +64,8 @@
 		fmt.Println(err)
 		os.Exit(standin.ExitNotRun)
 	}
-	code, err := play(record, os.Getenv("TROUBLE") != "0", os.Getenv("CONTROL") == "1")
+	restart := len(os.Args) > 2 && os.Args[2] == "restart"
+	code, err := play(record, os.Getenv("TROUBLE") != "0", restart)
 	if err != nil {
 		fmt.Println(err)
 		code = standin.ExitNotRun
@@ -70,27 +77,24 @@
 	os.Exit(code)
 }
 
-func play(record *standin.Record, trouble, control bool) (int, error) {
+func play(record *standin.Record, trouble, restart bool) (int, error) {
 	w, err := standin.NewWorld(record, []string{"target/hickorybank", "gateway"})
 	if err != nil {
 		return 0, err
 	}
 	defer w.Close()
-	r := &run{world: w, control: control, begun: map[string]time.Time{}}
+	r := &run{world: w, machines: map[string]*standin.Machine{}, sound: map[int]int{}, crashing: map[int]int{}}
 	w.Store.Put("op", "config", config())
+	delay := lateCrash
+	if restart {
+		delay = earlyCrash
+	}
 	for i := range 4 {
-		runner, err := w.AddRunner(fmt.Sprintf("i-records%d", i), "records", "v1", 6, 24, 15*time.Millisecond)
+		runner, err := w.AddRunner("i-records"+strconv.Itoa(i), "records", "v1", 6, 24, 15*time.Millisecond)
 		if err != nil {
 			return 0, err
 		}
-		if trouble {
-			path, query := r.crashing()
-			runner.SetCrash(path, 5*time.Millisecond, r.noteBegun, r.noteCrash)
-			runner.CrashQuery = query
-		} else {
-			runner.Spread = true
-		}
-		defer runner.Close()
+		runner.SetCrash(crashPath, delay, r.noteArrival, r.noteCrash)
 	}
 	if err := w.AddMachines(standin.Registre); err != nil {
 		return 0, err
@@ -99,175 +103,141 @@
 	if err := w.AwaitReady(20 * time.Second); err != nil {
 		return 0, err
 	}
-	stop := make(chan struct{})
-	var users sync.WaitGroup
-	for range clients {
-		users.Go(func() { r.client(stop) })
+	path := crashPath
+	if !trouble && !restart {
+		path = "/records/2"
 	}
-	time.Sleep(warmUp)
-	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(period) {
-		r.try()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range callers {
+		clients.Go(func() { r.callSound(stop) })
+	}
+	time.Sleep(2 * stable)
+	for i := range times {
+		if i == killedAfter && trouble && restart {
+			r.killAll()
+		}
+		next := time.Now().Add(period)
+		r.callCrashing(path)
+		time.Sleep(time.Until(next))
 	}
 	close(stop)
-	users.Wait()
-	return r.judge(), nil
-}
-
-func key(tenant int) string {
-	if tenant == 0 {
-		return standin.Key
-	}
-	return fmt.Sprintf("%s-%d", standin.Key, tenant)
+	clients.Wait()
+	return r.judge(trouble || restart), nil
 }
 
 func config() map[string]any {
-	var all []any
-	for i := range tenants {
-		all = append(all, map[string]any{"name": fmt.Sprintf("tenant-%d", i), "api_keys": []string{key(i)}, "priority": 1})
-	}
 	return map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "r-lookups", "host": standin.Host, "prefix": "/lookups/", "kind": "safe", "service": "records", "timeout_ms": 800,
+			"name": "r-records", "host": standin.Host, "prefix": "/records/", "kind": "safe", "service": "records", "timeout_ms": 1500,
 			"latency_goal_ms": 100, "max_attempts": 2, "priority": 2, "public": false, "sticky": false,
-		}, map[string]any{
-			"name": "r-checks", "host": standin.Host, "prefix": "/checks/", "kind": "unsafe", "service": "records", "timeout_ms": 800,
-			"latency_goal_ms": 100, "max_attempts": 1, "priority": 2, "public": false, "sticky": false,
 		}},
 		"services": []any{map[string]any{"name": "records", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  all,
+		"tenants":  []any{map[string]any{"name": "tenant", "api_keys": []string{standin.Key}, "priority": 1}},
 	}
 }
 
-// lookup returns the target of the lookup of a record.
-func (r *run) lookup(query string) string {
-	if r.control {
-		return "/lookups/logbook/" + query
+// killAll kills all processes at once, and waits until they have run for stable_ms again.
+func (r *run) killAll() {
+	for _, m := range r.world.Machines {
+		m.Signal(syscall.SIGKILL)
 	}
-	return "/lookups/logbook?" + query
+	time.Sleep(stable + 2*time.Second)
 }
 
-// crashing returns the path and the query of the request that crashes runners.
-func (r *run) crashing() (path, query string) {
-	if r.control {
-		return r.lookup(crashQuery), ""
-	}
-	return "/lookups/logbook", crashQuery
+// noteArrival records that a runner has begun to run the crashing request.
+func (r *run) noteArrival(id string) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.machines[id]
+	a := arrival{now, m, now.Sub(m.RunningSince()) >= stable}
+	r.arrivals = append(r.arrivals, a)
+	r.world.Record.Add("crashing request %s, sent to %s, begins to run (%d so far, machine in touch: %v)", id, m.Name, len(r.arrivals), a.inTouch)
 }
 
-// client sends sound lookups and checks of random tenants, on kept channels.
-func (r *run) client(stop <-chan struct{}) {
-	var c *standin.Channel
-	defer func() {
-		if c != nil {
-			_ = c.Close() // the run ends
+// noteCrash records that a runner has crashed.
+func (r *run) noteCrash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes = append(r.crashes, time.Now())
+}
+
+// callCrashing sends the crashing request, and once more after a failure, to another machine.
+func (r *run) callCrashing(path string) {
+	order := rand.Perm(len(r.world.Machines))
+	for _, i := range order[:2] {
+		status := r.send(r.world.Machines[i], path)
+		r.mu.Lock()
+		r.crashing[status]++
+		r.mu.Unlock()
+		if status == http.StatusOK {
+			return
 		}
-	}()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (r *run) callSound(stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(rand.ExpFloat64() * clients / (lookups + checks) * float64(time.Second))):
-		}
-		tenant := 0
-		if rand.Float64() > callerShare {
-			tenant = 1 + rand.IntN(tenants-1)
+		case <-time.After(rand.N(800 * time.Millisecond)):
 		}
-		req := &standin.Request{Method: http.MethodGet, Path: r.lookup(fmt.Sprintf("operator=%d", rand.IntN(records))), ID: r.newID("sound"), Deadline: deadline, Key: key(tenant)}
-		if rand.Float64() < checks/(lookups+checks) {
-			req.Method, req.Path, req.Body = http.MethodPost, "/checks/1", fmt.Appendf(nil, `{"operator":%d}`, rand.IntN(records))
-		}
-		if c == nil {
-			var err error
-			if c, err = standin.Open(r.world.Machines[rand.IntN(len(r.world.Machines))].Front); err != nil {
-				c = nil
-				continue
-			}
-		}
-		a, err := r.send(c, req)
+		status := r.send(r.world.Machines[rand.IntN(len(r.world.Machines))], "/records/1")
 		r.mu.Lock()
-		r.sound++
-		if err == nil && a.Status == http.StatusOK {
-			r.soundServed++
-		}
-		if err == nil && a.Status == http.StatusServiceUnavailable {
-			r.refused++
-		}
+		r.sound[status]++
 		r.mu.Unlock()
-		if err != nil || !a.Keep {
-			_ = c.Close() // the next request opens another one
-			c = nil
-		}
 	}
 }
 
-// try sends the request that crashes runners once, to a random machine.
-func (r *run) try() {
-	c, err := standin.Open(r.world.Machines[rand.IntN(len(r.world.Machines))].Front)
+// send sends a request; the status is 0 if there was no answer.
+func (r *run) send(m *standin.Machine, path string) int {
+	r.mu.Lock()
+	r.next++
+	id := fmt.Sprintf("req-%d", r.next)
+	r.machines[id] = m
+	r.mu.Unlock()
+	c, err := standin.Open(m.Front)
 	if err != nil {
-		return
+		return 0
 	}
-	defer func() { _ = c.Close() }() // the next try may go to another machine
-	a, err := r.send(c, &standin.Request{Method: http.MethodGet, Path: r.lookup(crashQuery), ID: r.newID("try"), Deadline: deadline, Key: key(0)})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tries++
-	if err == nil && a.Status == http.StatusServiceUnavailable {
-		r.refusals++
+	defer func() { _ = c.Close() }() // the next request may go to another machine
+	r.world.Record.Add("sent %s %s to %s", id, path, m.Name)
+	a, err := c.Do(&standin.Request{Method: http.MethodGet, Path: path, ID: id, Deadline: deadline})
+	r.world.Record.Add("%s: answer %d %v", id, a.Status, err)
+	if err != nil {
+		return 0
 	}
+	return a.Status
 }
 
-func (r *run) newID(kind string) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-	return fmt.Sprintf("%s-%d", kind, r.next)
-}
-
-func (r *run) send(c *standin.Channel, req *standin.Request) (standin.Answer, error) {
-	r.world.Record.Add("sent %s %s %s to %s", req.ID, req.Method, req.Path, c.RemoteAddr())
-	a, err := c.Do(req)
-	r.world.Record.Add("%s: answer %d, Retry-After %q, error %v", req.ID, a.Status, a.RetryAfter, err)
-	return a, err
-}
-
-func (r *run) noteBegun(id string) {
+// judge counts the crashing requests that reached runners late.
+func (r *run) judge(crashes bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs++
-	if r.begun[id].IsZero() {
-		r.begun[id] = time.Now()
+	if crashes && len(r.crashes) < 3 || r.sound[http.StatusOK] == 0 {
+		fmt.Println("fewer than three crashes, or nothing served")
+		return standin.ExitNotRun
+	}
+	var from time.Time
+	if crashes {
+		from = r.crashes[2].Add(stable)
 	}
-}
-
-func (r *run) noteCrash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.crashes = append(r.crashes, time.Now())
-}
-
-// judge counts the tries that reached a runner later than stable after the third crash.
-func (r *run) judge() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	late := 0
-	if len(r.crashes) >= crashesBefore {
-		from := r.crashes[crashesBefore-1].Add(stable)
-		for _, at := range r.begun {
-			if at.After(from) {
-				late++
-			}
+	for _, a := range r.arrivals {
+		if a.inTouch && a.at.After(from) {
+			late++
 		}
 	}
-	text := fmt.Sprintf("%d tries, %d runs, %d crashes, %d tries refused; %d retries reached a runner later than %v after the third crash (the rule allows %d); sound requests: %d sent, %d served, %d answered 503",
-		r.tries, r.runs, len(r.crashes), r.refusals, late, stable, maxRetries, r.sound, r.soundServed, r.refused)
+	text := fmt.Sprintf("%d crashing requests reached runners and crashed them %d times, %d of them later than %v after the third, from machines in touch (the rule allows %d); answers to the caller %v, to sound requests %v",
+		len(r.arrivals), len(r.crashes), late, stable, maxLate, r.crashing, r.sound)
 	r.world.Record.Add("%s", text)
 	fmt.Println(text)
-	if r.soundServed == 0 {
-		return standin.ExitNotRun
-	}
-	if late > maxRetries {
+	if late > maxLate {
 		return standin.ExitBroken
 	}
 	return standin.ExitHeld
