--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,6 +1,6 @@
-// Command case5 lets a caller repeat a request that crashes the runners that run it, and counts how
-// often it still reaches runners. With the argument "restart" the request crashes its runners sooner,
-// and the trouble is that all processes of the system are killed in between.
+// Command case5 lets a caller repeat a request that crashes the runners that run it, kills all
+// processes of the system in between, and counts how often the request still reaches runners. With the
+// argument "moved" nothing is killed, and the request crashes its runners later than an attempt is moved.
 package main
 
 import (
@@ -64,7 +64,7 @@
 		fmt.Println(err)
 		os.Exit(standin.ExitNotRun)
 	}
-	restart := len(os.Args) > 2 && os.Args[2] == "restart"
+	restart := len(os.Args) < 3 || os.Args[2] != "moved"
 	code, err := play(record, os.Getenv("TROUBLE") != "0", restart)
 	if err != nil {
 		fmt.Println(err)
