--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/case1 ./review/1
-go build -o target/review/case3 ./review/3
-go build -o target/review/case4 ./review/4
-go build -o target/review/case5 ./review/5
+for folder in review/[1-5]; do
+    [ -f "$folder/main.go" ] || continue
+    go build -o "target/review/case${folder#review/}" "./$folder"
+done
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -345,7 +345,7 @@
 	_ = cmd.Process.Kill() // it may have ended
 }
 
-// residentMB returns the memory that a process has in use, in megabytes; 0 if it has ended.
+// residentMB returns the memory that a process has in use, in MiB; 0 if it has ended.
 func residentMB(pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
@@ -359,7 +359,7 @@
 	if err != nil {
 		return 0
 	}
-	return pages * os.Getpagesize() / 1_000_000
+	return pages * os.Getpagesize() >> 20
 }
 
 // Memory returns how often the process was killed for its memory, and its peak.
