--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -121,6 +122,10 @@
 	defer r.freeSlot()
 	if r.crashesUnder(req) {
 		r.OnBegin(id)
+		if limit := timeLimit(req); limit < r.CrashDelay {
+			time.Sleep(limit) // it stops work at its time limit
+			return r.answer(c, id, http.StatusGatewayTimeout, "Instance-Id: "+r.ID, "")
+		}
 		time.Sleep(r.CrashDelay) // it crashes also if the channel is closed meanwhile
 		r.crash()
 		return false
@@ -137,6 +142,15 @@
 	return r.CrashPath != "" && req.URL.Path == r.CrashPath && (r.CrashQuery == "" || req.URL.RawQuery == r.CrashQuery)
 }
 
+// timeLimit returns the time after which the runner stops work on a request.
+func timeLimit(req *http.Request) time.Duration {
+	ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms"))
+	if err != nil {
+		return time.Hour
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // drawWork returns how long a request works.
 func (r *Runner) drawWork() time.Duration {
 	switch {
