review: case 4, a later route with sizes whose streams may not be resumed loses all its requests

Cause: an uncertain answer of the smaller model is dropped although no further attempt may follow on such a route.

--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -32,13 +32,16 @@
 	CrashDelay time.Duration
 	// Events is the number of events of each stream, Pause the time between two of them; 0 for
 	// whole answers.
-	Events   int
-	Pause    time.Duration
-	listener net.Listener
-	world    *World
-	work     time.Duration
-	slots    int
-	queue    int
+	Events int
+	Pause  time.Duration
+	// Confidence returns a model's opinion of its answer to a request for a path, and whether the
+	// runner has the model. It is nil for a runner that takes any model and states no opinion.
+	Confidence func(model, path string) (opinion int, known bool)
+	listener   net.Listener
+	world      *World
+	work       time.Duration
+	slots      int
+	queue      int
 
 	mu      sync.Mutex
 	running int
@@ -112,13 +115,21 @@
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.ID {
 		return r.answer(c, id, http.StatusMisdirectedRequest, "Instance-Id: "+r.ID, "")
 	}
+	model, confidence := req.Header.Get("Model"), ""
+	if r.Confidence != nil {
+		opinion, known := r.Confidence(model, req.URL.Path)
+		if !known {
+			return r.answer(c, id, http.StatusMisdirectedRequest, "Not-Executed: 1", "")
+		}
+		confidence = fmt.Sprintf("Confidence: %d\r\n", opinion)
+	}
 	if !r.takeSlot() {
 		return r.answer(c, id, http.StatusServiceUnavailable, "Not-Executed: 1", "")
 	}
 	r.mu.Lock()
 	r.begun[id]++
 	r.mu.Unlock()
-	r.world.Record.Add("runner %s runs %s (%d bytes)", r.ID, id, bytes)
+	r.world.Record.Add("runner %s runs %s (%d bytes) %s", r.ID, id, bytes, model)
 	defer r.freeSlot()
 	if r.crashesUnder(req) {
 		r.OnBegin(id)
@@ -132,7 +143,7 @@
 	}
 	time.Sleep(r.drawWork())
 	if r.Events > 0 {
-		return r.stream(c, id)
+		return r.stream(c, id, confidence)
 	}
 	return r.answer(c, id, http.StatusOK, fmt.Sprintf("Server-Load: %s", r.load()), strings.Repeat("a", 800))
 }
@@ -164,9 +175,9 @@
 }
 
 // stream answers with a stream of events.
-func (r *Runner) stream(c net.Conn, id string) bool {
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		id, r.ID, id, r.load()); err != nil {
+func (r *Runner) stream(c net.Conn, id, confidence string) bool {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		id, r.ID, id, r.load(), confidence); err != nil {
 		return false
 	}
 	for n := range r.Events {
