--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,214 +1,273 @@
-// Command 4 plays a request that crashes each runner that begins to run it, one second after it has
-// begun.
+// Command 4 lets one lookup crash the runners that run it, beside sound lookups on the same
+// path with other queries, and counts the retries that reach runners.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hickorybank/hickorybank/review/standin"
 )
 
 const (
-	// stable is stable_ms of the settings.
-	stable = 3 * time.Second
-	// maxRetries is how many retries of the request may reach runners later than stable after it has
-	// crashed the third.
-	maxRetries = 3
-	// costlyCrashes is the number of crashes from which on retries count.
-	costlyCrashes = 3
-	// returnsEvery is the pause after which the request comes again, at the next machine.
-	returnsEvery = 5 * time.Second
-	// playTime is how long it keeps coming.
-	playTime = 62 * time.Second
-	// crashDelay is how long the request runs before it crashes its runner.
-	crashDelay = time.Second
-	// warmUp is how long only sound requests are sent.
-	warmUp = 6 * time.Second
-	// soundEvery is the pause between two sound requests at each machine.
-	soundEvery = 200 * time.Millisecond
-	timeLimit  = 5 * time.Second
-	crashPath  = "/tag/crashes"
+	// lookups and checks are the usual numbers of requests a second, as on the users' sheet.
+	lookups = 9.5
+	checks  = 23.7
+	clients = 30
+	// tenants is the number of tenants; callerShare is the part of the lookups of the largest one, to
+	// which the caller of the crashing request belongs.
+	tenants     = 10
+	callerShare = 0.3
+	records     = 400
+	// period is the time between two tries of the crashing request.
+	period   = 4 * time.Second
+	deadline = 1500 * time.Millisecond
+	warmUp   = 6 * time.Second
+	length   = 60 * time.Second
+	// maxRetries is how many retries the rule allows later than stable after the third crash.
+	crashesBefore = 3
+	maxRetries    = 3
+	stable        = 3 * time.Second
 )
 
-func main() { os.Exit(play(os.Args[1], os.Getenv("TROUBLE") != "0")) }
+// crashQuery is the query of the request that crashes runners.
+const crashQuery = "operator=unsound"
 
-// play runs the case in a folder and returns its exit code.
-func play(folder string, trouble bool) int {
-	record, err := standin.NewRecord(filepath.Join(folder, "record.txt"))
+type run struct {
+	world *standin.World
+	// control is set if each record has a path of its own.
+	control bool
+	mu      sync.Mutex
+	next    int
+	crashes []time.Time
+	// begun is when a runner first began to work on a try, by its ID.
+	begun                       map[string]time.Time
+	runs, tries, refusals       int
+	sound, soundServed, refused int
+}
+
+func main() {
+	dir := os.Args[1]
+	record, err := standin.NewRecord(filepath.Join(dir, "record.txt"))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return standin.ExitNotRun
+		fmt.Println(err)
+		os.Exit(standin.ExitNotRun)
 	}
-	code, err := run(record, trouble)
+	code, err := play(record, os.Getenv("TROUBLE") != "0", os.Getenv("CONTROL") == "1")
 	if err != nil {
-		record.Add("the case could not run: %v", err)
+		fmt.Println(err)
 		code = standin.ExitNotRun
 	}
-	record.Add("exit code %d", code)
 	if err := record.Close(); err != nil {
-		return standin.ExitNotRun
+		fmt.Println(err)
+		code = standin.ExitNotRun
 	}
-	return code
+	os.Exit(code)
 }
 
-func run(record *standin.Record, trouble bool) (int, error) {
+func play(record *standin.Record, trouble, control bool) (int, error) {
 	w, err := standin.NewWorld(record, []string{"target/hickorybank", "gateway"})
 	if err != nil {
-		return standin.ExitNotRun, err
+		return 0, err
 	}
 	defer w.Close()
-	w.Store.Put("op", "config", map[string]any{
-		"version": 7,
-		"routes": []map[string]any{{
-			"name": "berth-tag", "host": standin.Host, "prefix": "/tag/", "kind": "stream", "service": "hickory-llm",
-			"timeout_ms": 5000, "latency_goal_ms": 4000, "gap_aim_ms": 1200, "priority": 2, "max_attempts": 3, "sticky": true, "resumable": true,
-		}},
-		"services": []map[string]any{{"name": "hickory-llm", "health_path": "/healthz", "max_conns": 290}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "agents", "api_keys": []string{standin.Key}}},
-	})
-	if err := w.AddMachines(standin.Cartagena); err != nil {
-		return standin.ExitNotRun, err
-	}
-	p := &poison{world: w, record: record, sent: map[string]send{}}
-	for i := range 18 {
-		r, err := w.AddRunner(fmt.Sprintf("engine-%d", i+1), "hickory-llm", "v1", 48, 100, 20*time.Millisecond)
+	r := &run{world: w, control: control, begun: map[string]time.Time{}}
+	w.Store.Put("op", "config", config())
+	for i := range 4 {
+		runner, err := w.AddRunner(fmt.Sprintf("i-records%d", i), "records", "v1", 6, 24, 15*time.Millisecond)
 		if err != nil {
-			return standin.ExitNotRun, err
+			return 0, err
 		}
-		r.Events, r.Pause = 4, 10*time.Millisecond
 		if trouble {
-			r.SetCrash(crashPath, crashDelay, p.noteBegin, p.noteCrash)
+			path, query := r.crashing()
+			runner.SetCrash(path, 5*time.Millisecond, r.noteBegun, r.noteCrash)
+			runner.CrashQuery = query
+		} else {
+			runner.Spread = true
 		}
+		defer runner.Close()
+	}
+	if err := w.AddMachines(standin.Registre); err != nil {
+		return 0, err
 	}
 	w.StartAll()
-	if err := w.AwaitReady(15 * time.Second); err != nil {
-		return standin.ExitNotRun, err
+	if err := w.AwaitReady(20 * time.Second); err != nil {
+		return 0, err
 	}
-	ended := make(chan struct{})
-	var sound sync.WaitGroup
-	for _, m := range w.Machines {
-		sound.Go(func() { p.sendSound(m, ended) })
+	stop := make(chan struct{})
+	var users sync.WaitGroup
+	for range clients {
+		users.Go(func() { r.client(stop) })
 	}
 	time.Sleep(warmUp)
-	p.sendCrashing()
-	close(ended)
-	sound.Wait()
-	return p.judge(), nil
-}
-
-// send is when and where an attempt of the request was sent.
-type send struct {
-	at      time.Time
-	machine *standin.Machine
-}
-
-type poison struct {
-	world         *standin.World
-	record        *standin.Record
-	served, other atomic.Int64
-
-	mu      sync.Mutex
-	sent    map[string]send
-	crashes int
-	// costlyAt is when the request crashed the third runner.
-	costlyAt time.Time
-	// late are the attempts that count; lateRuns is how often runners began to run them.
-	late     map[string]bool
-	lateRuns int
+	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(period) {
+		r.try()
+	}
+	close(stop)
+	users.Wait()
+	return r.judge(), nil
 }
 
-// noteBegin counts a run of the request, if it is late and its machine is in touch.
-func (p *poison) noteBegin(id string) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.sent[id]
-	inTouch := s.machine != nil && s.at.Sub(s.machine.RunningSince()) > stable
-	counts := !p.costlyAt.IsZero() && s.at.Sub(p.costlyAt) > stable && now.Sub(p.costlyAt) > stable && inTouch
-	p.record.Add("a runner begins to run %s (%d crashes before, machine in touch: %t, counts: %t)", id, p.crashes, inTouch, counts)
-	if counts {
-		if p.late == nil {
-			p.late = map[string]bool{}
-		}
-		p.late[id] = true
-		p.lateRuns++
+func key(tenant int) string {
+	if tenant == 0 {
+		return standin.Key
 	}
+	return fmt.Sprintf("%s-%d", standin.Key, tenant)
 }
 
-func (p *poison) noteCrash() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.crashes++; p.crashes == costlyCrashes {
-		p.costlyAt = time.Now()
+func config() map[string]any {
+	var all []any
+	for i := range tenants {
+		all = append(all, map[string]any{"name": fmt.Sprintf("tenant-%d", i), "api_keys": []string{key(i)}, "priority": 1})
+	}
+	return map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r-lookups", "host": standin.Host, "prefix": "/lookups/", "kind": "safe", "service": "records", "timeout_ms": 800,
+			"latency_goal_ms": 100, "max_attempts": 2, "priority": 2, "public": false, "sticky": false,
+		}, map[string]any{
+			"name": "r-checks", "host": standin.Host, "prefix": "/checks/", "kind": "unsafe", "service": "records", "timeout_ms": 800,
+			"latency_goal_ms": 100, "max_attempts": 1, "priority": 2, "public": false, "sticky": false,
+		}},
+		"services": []any{map[string]any{"name": "records", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  all,
 	}
 }
 
-// sendCrashing sends the request again and again, each time to the next machine.
-func (p *poison) sendCrashing() {
-	began := time.Now()
-	for n := 0; time.Since(began) < playTime; n++ {
-		p.sendOnce(p.world.Machines[n%len(p.world.Machines)], fmt.Sprintf("crash-%d", n+1))
-		time.Sleep(returnsEvery)
+// lookup returns the target of the lookup of a record.
+func (r *run) lookup(query string) string {
+	if r.control {
+		return "/lookups/logbook/" + query
 	}
+	return "/lookups/logbook?" + query
 }
 
-// sendOnce sends one attempt of the request: the same path, caller and body each time.
-func (p *poison) sendOnce(m *standin.Machine, id string) {
-	p.mu.Lock()
-	p.sent[id] = send{time.Now(), m}
-	p.mu.Unlock()
-	p.record.Add("client sends %s to %s", id, m.Name)
-	c, err := standin.Open(m.Front)
-	if err != nil {
-		p.record.Add("client has no channel for %s: %v", id, err)
-		return
+// crashing returns the path and the query of the request that crashes runners.
+func (r *run) crashing() (path, query string) {
+	if r.control {
+		return r.lookup(crashQuery), ""
 	}
-	defer func() { _ = c.Close() }() // the machine may have closed it
-	a, err := c.Do(&standin.Request{Method: http.MethodPost, Path: crashPath, ID: id, Deadline: timeLimit, Body: []byte("a berth record")})
-	p.record.Add("client gets %d to %s (error %v, Retry-After %q)", a.Status, id, err, a.RetryAfter)
+	return "/lookups/logbook", crashQuery
 }
 
-// sendSound sends sound requests to a machine until ended is closed.
-func (p *poison) sendSound(m *standin.Machine, ended <-chan struct{}) {
-	for n := 0; ; n++ {
+// client sends sound lookups and checks of random tenants, on kept channels.
+func (r *run) client(stop <-chan struct{}) {
+	var c *standin.Channel
+	defer func() {
+		if c != nil {
+			_ = c.Close() // the run ends
+		}
+	}()
+	for {
 		select {
-		case <-ended:
+		case <-stop:
 			return
-		case <-time.After(soundEvery):
+		case <-time.After(time.Duration(rand.ExpFloat64() * clients / (lookups + checks) * float64(time.Second))):
 		}
-		id := fmt.Sprintf("sound-%s-%d", m.Name, n+1)
-		c, err := standin.Open(m.Front)
-		if err != nil {
-			p.other.Add(1)
-			continue
+		tenant := 0
+		if rand.Float64() > callerShare {
+			tenant = 1 + rand.IntN(tenants-1)
+		}
+		req := &standin.Request{Method: http.MethodGet, Path: r.lookup(fmt.Sprintf("operator=%d", rand.IntN(records))), ID: r.newID("sound"), Deadline: deadline, Key: key(tenant)}
+		if rand.Float64() < checks/(lookups+checks) {
+			req.Method, req.Path, req.Body = http.MethodPost, "/checks/1", fmt.Appendf(nil, `{"operator":%d}`, rand.IntN(records))
 		}
-		a, err := c.Do(&standin.Request{Method: http.MethodPost, Path: "/tag/" + id, ID: id, Deadline: timeLimit, Body: []byte(id)})
-		_ = c.Close() // the machine may have closed it
+		if c == nil {
+			var err error
+			if c, err = standin.Open(r.world.Machines[rand.IntN(len(r.world.Machines))].Front); err != nil {
+				c = nil
+				continue
+			}
+		}
+		a, err := r.send(c, req)
+		r.mu.Lock()
+		r.sound++
 		if err == nil && a.Status == http.StatusOK {
-			p.served.Add(1)
-		} else {
-			p.other.Add(1)
-			p.record.Add("sound request %s gets %d (error %v)", id, a.Status, err)
+			r.soundServed++
+		}
+		if err == nil && a.Status == http.StatusServiceUnavailable {
+			r.refused++
 		}
+		r.mu.Unlock()
+		if err != nil || !a.Keep {
+			_ = c.Close() // the next request opens another one
+			c = nil
+		}
+	}
+}
+
+// try sends the request that crashes runners once, to a random machine.
+func (r *run) try() {
+	c, err := standin.Open(r.world.Machines[rand.IntN(len(r.world.Machines))].Front)
+	if err != nil {
+		return
 	}
+	defer func() { _ = c.Close() }() // the next try may go to another machine
+	a, err := r.send(c, &standin.Request{Method: http.MethodGet, Path: r.lookup(crashQuery), ID: r.newID("try"), Deadline: deadline, Key: key(0)})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tries++
+	if err == nil && a.Status == http.StatusServiceUnavailable {
+		r.refusals++
+	}
+}
+
+func (r *run) newID(kind string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	return fmt.Sprintf("%s-%d", kind, r.next)
 }
 
-// judge returns the exit code.
-func (p *poison) judge() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	text := fmt.Sprintf("retries that count: %d in %d attempts, at most %d allowed; crashes in all: %d; sound requests: %d served, %d others", p.lateRuns, len(p.late), maxRetries, p.crashes, p.served.Load(), p.other.Load())
-	p.record.Add("%s", text)
+func (r *run) send(c *standin.Channel, req *standin.Request) (standin.Answer, error) {
+	r.world.Record.Add("sent %s %s %s to %s", req.ID, req.Method, req.Path, c.RemoteAddr())
+	a, err := c.Do(req)
+	r.world.Record.Add("%s: answer %d, Retry-After %q, error %v", req.ID, a.Status, a.RetryAfter, err)
+	return a, err
+}
+
+func (r *run) noteBegun(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs++
+	if r.begun[id].IsZero() {
+		r.begun[id] = time.Now()
+	}
+}
+
+func (r *run) noteCrash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes = append(r.crashes, time.Now())
+}
+
+// judge counts the tries that reached a runner later than stable after the third crash.
+func (r *run) judge() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	late := 0
+	if len(r.crashes) >= crashesBefore {
+		from := r.crashes[crashesBefore-1].Add(stable)
+		for _, at := range r.begun {
+			if at.After(from) {
+				late++
+			}
+		}
+	}
+	text := fmt.Sprintf("%d tries, %d runs, %d crashes, %d tries refused; %d retries reached a runner later than %v after the third crash (the rule allows %d); sound requests: %d sent, %d served, %d answered 503",
+		r.tries, r.runs, len(r.crashes), r.refusals, late, stable, maxRetries, r.sound, r.soundServed, r.refused)
+	r.world.Record.Add("%s", text)
 	fmt.Println(text)
-	// An attempt counts once, although it may have crashed two runners.
-	if len(p.late) > maxRetries {
+	if r.soundServed == 0 {
+		return standin.ExitNotRun
+	}
+	if late > maxRetries {
 		return standin.ExitBroken
 	}
 	return standin.ExitHeld
--- a/review/build.sh
+++ b/review/build.sh
@@ -9,5 +9,6 @@
     go build -o "target/review/case${folder#review/}" "./$folder"
 done
 for folder in review/more/*; do
+    [ -f "$folder/main.go" ] || continue
     go build -o "target/review/${folder#review/more/}" "./$folder"
 done
