--- /dev/null
+++ b/internal/streamwatch/silence.go
@@ -0,0 +1,18 @@
+package streamwatch
+
+// Silence describes the silent upstreams of a service at one moment.
+type Silence struct {
+	// Streaming is the number of upstreams with open streams.
+	Streaming int
+	// Upstreams are the IDs of those that are silent.
+	Upstreams []string
+}
+
+// minCommon is the number of silent upstreams from which a silence can be common.
+const minCommon = 2
+
+// IsCommon reports whether all upstreams with open streams are silent together. None of them is then
+// known to be at fault, nor any other to be better.
+func (s Silence) IsCommon() bool {
+	return s.Streaming >= minCommon && len(s.Upstreams) == s.Streaming
+}
