gateway: logs tell a common silence from an upstream that broke off

Change: streams are registered by upstream with the time of the latest event; 1922 names silent_upstreams of streaming_upstreams and attempts_left; 1987 the first events of a resumed run beside what the caller had; a counter of silent streams. No decision reads them yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,11 +73,7 @@
 // and in its pace: a small part of what the route aims for.
 func (j *job) noticeableDelays() [2]time.Duration {
 	const part = 50
-	gap := j.route.GapGoal
-	if gap <= 0 {
-		gap = j.route.LatencyGoal
-	}
-	return [2]time.Duration{canary.Wait: j.route.LatencyGoal / part, canary.Pace: gap / part}
+	return [2]time.Duration{canary.Wait: j.route.LatencyGoal / part, canary.Pace: j.gapGoal() / part}
 }
 
 // attemptSpec returns what the job's next attempt requires of an upstream.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -22,6 +22,7 @@
 	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/revision"
 	"github.com/hickorybank/hickorybank/internal/route"
+	"github.com/hickorybank/hickorybank/internal/streamwatch"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
 	"github.com/hickorybank/hickorybank/internal/transfer"
 )
@@ -64,6 +65,9 @@
 	active    atomic.Int64
 	bodyBytes atomic.Int64
 
+	// streams knows when upstreams last sent an event.
+	streams *streamwatch.Registry
+
 	// speedsLoggedAt is when upstreams' speeds were last logged; only followFlights uses it.
 	speedsLoggedAt time.Time
 
@@ -181,6 +185,7 @@
 		listOffered:    make(chan struct{}, 1),
 		applying:       make(chan struct{}, 1),
 		cascadePolicy:  cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy, AcceptFull: s.AcceptFull}),
+		streams:        streamwatch.New(),
 		incarnation:    began.UnixNano(), startedAt: began,
 		stopped:         make(chan struct{}),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,10 @@
 		j.model = next
 		return false
 	}
+	pulse := j.node.streams.Begin(j.service, a.id, time.Now())
+	defer pulse.End()
 	s := &eventReader{from: resp}
+	resumedAfter := j.lastEvent
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
 	stall := j.stallDeadline(0)
@@ -58,7 +61,11 @@
 			} else {
 				j.longestPause = max(j.longestPause, now.Sub(last))
 			}
+			if count == 0 && resumedAfter != "" {
+				j.node.logEvent(event.ForwardContinued, j, slog.String("upstream", a.id), slog.String("after_event", resumedAfter), slog.String("last_event", id))
+			}
 			last = now
+			pulse.Note(now)
 			count += n
 			if n > 0 { // bytes that trickle in without an event are no progress
 				stall = j.stallDeadline(count)
@@ -121,13 +128,20 @@
 	if events == 0 && !j.answerStarted {
 		return time.Now().Add(time.Duration(firstEventStallFactor * float64(j.route.LatencyGoal)))
 	}
-	gap := j.route.GapGoal
-	if gap <= 0 {
-		gap = j.route.LatencyGoal
+	return time.Now().Add(time.Duration(eventStallFactor * float64(j.gapGoal())))
+}
+
+// gapGoal returns the longest pause between events for which an answer is on time.
+func (j *job) gapGoal() time.Duration {
+	if j.route.GapGoal > 0 {
+		return j.route.GapGoal
 	}
-	return time.Now().Add(time.Duration(eventStallFactor * float64(gap)))
+	return j.route.LatencyGoal
 }
 
+// silenceThreshold returns from which pause on all its streams an upstream counts as silent.
+func (j *job) silenceThreshold() time.Duration { return j.gapGoal() }
+
 // sendEvents sends complete events to the caller.
 func (j *job) sendEvents(resp *exchange.Response, events []byte, id string) error {
 	if !j.answerStarted {
@@ -184,6 +198,7 @@
 		reason = "link_lost"
 	case isTimeout(err):
 		reason = "silent"
+		j.node.metrics.Counter("hickorybank_silent_streams_total", "service", j.service).Inc()
 	}
 	if reason == "link_lost" {
 		a.unreachable = true
@@ -193,8 +208,10 @@
 		a.reportOutcome(true, pause)
 	}
 	resp.Close()
+	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), time.Now())
 	j.node.logEvent(event.ForwardResumed, j, slog.String("upstream", a.id), slog.String("reason", reason),
-		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent))
+		slog.String("err", err.Error()), slog.String("last_event", j.lastEvent), slog.Int("attempts_left", j.attemptsLeft()),
+		slog.Int("silent_upstreams", len(silence.Upstreams)), slog.Int("streaming_upstreams", silence.Streaming))
 	if reason == "broke" {
 		j.node.suspectCrash(j, a)
 	}
