gateway: a whole answer to a resumed request is not written into the stream

Cause: an answer below 500 that is no stream was forwarded as a buffered one also after the caller had a part of the answer; its head was dropped and its body followed the events. Evidence: TestResumedStreamHoldsOnlyItsNextEvents, 404 and 202: body of the answer after event 2, complete. Why it works: only forwardStream writes to a started answer.

--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -78,3 +78,12 @@
 		j.attemptsUsed = max(j.route.MaxAttempts, 1)
 	}
 }
+
+// noteNotResumed records an attempt to resume a stream that got another answer than a stream. None
+// of it may follow what the caller has.
+func (j *job) noteNotResumed(a *attempt, resp *exchange.Response) {
+	resp.Close()
+	a.finish(fleet.Failed)
+	a.reportOutcome(true, 0)
+	j.node.logEvent(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "not_resumed"), slog.Int("status", resp.Status))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -207,6 +207,10 @@
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
 		return j.forwardStream(a, resp, reply)
 	}
+	if j.answerStarted {
+		j.noteNotResumed(a, resp)
+		return false
+	}
 	return j.forwardBuffered(a, resp)
 }
 
