gateway: events are forwarded only in the order of their IDs

Cause: the events of a run were forwarded as they came. A run that starts over in place of going on at Last-Event-Id, that of another run on the same connection, or one that goes back was written into the answer. Evidence: TestResumedStreamHoldsOnlyItsNextEvents: starts over, repeats the last event, goes back later. Change: the reader of events knows the last number that the caller has, and ends the attempt at the first event that does not follow (reason out_of_order); the events before it count. IDs may grow by more than one, be missing or be no numbers. Why it works: all events pass this reader, whatever engine, connection or run they come from.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -5,28 +5,45 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 )
 
 var errTruncatedEvent = errors.New("stream ended inside an event")
+var errEventOutOfOrder = errors.New("event does not follow the last one")
 var errEventTooLong = fmt.Errorf("event is longer than %d bytes", maxEventBytes)
 
-// eventReader splits a stream of server-sent events into complete events.
+// eventReader splits a stream of server-sent events into complete events whose numeric IDs grow.
 type eventReader struct {
-	from    io.Reader
+	from io.Reader
+	// last is the number of the last event; negative before the first one with a number.
+	last    int64
 	pending []byte
 	buf     [readBufferBytes]byte
 }
 
+// newEventReader returns a reader of the events that follow one with an ID, empty for the start.
+func newEventReader(from io.Reader, after string) *eventReader {
+	s := &eventReader{from: from, last: -1}
+	if n, ok := eventNumber([]byte(after)); ok {
+		s.last = n
+	}
+	return s
+}
+
 // next returns the bytes of the events that are complete, the last event ID among them, and
 // the number of events. The end of the stream inside an event is an error: the upstream
-// broke off.
+// broke off. So is an event that does not follow the last one; it is not returned.
 func (s *eventReader) next() (events []byte, id string, count int, err error) {
 	n, err := s.from.Read(s.buf[:])
 	s.pending = append(s.pending, s.buf[:n]...)
 	end, count := completeEvents(s.pending)
+	kept, id := s.inOrder(s.pending[:end])
+	if kept < end {
+		end, count = completeEvents(s.pending[:kept])
+		err = errEventOutOfOrder
+	}
 	events = s.pending[:end:end]
 	s.pending = s.pending[end:]
-	id = lastID(events)
 	switch {
 	case err == io.EOF && isBlank(s.pending):
 		events, s.pending = append(events, s.pending...), nil
@@ -66,15 +83,39 @@
 	return end, count
 }
 
-// lastID returns the last "id:" field of complete events.
-func lastID(events []byte) string {
-	id := ""
-	for len(events) > 0 {
-		line, rest, _ := bytes.Cut(events, []byte("\n"))
-		events = rest
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+// inOrder returns how many bytes of complete events are of events in order, and the last "id:" field
+// among them.
+func (s *eventReader) inOrder(events []byte) (kept int, id string) {
+	start, empty := 0, true // of the current event
+	for at := 0; at < len(events); {
+		line, _, _ := bytes.Cut(events[at:], []byte("\n"))
+		at += len(line) + 1
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			if !empty {
+				start = at
+			}
+			empty = true
+			continue
+		}
+		empty = false
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
 		}
+		value = bytes.TrimSpace(value)
+		if n, ok := eventNumber(value); ok {
+			if n <= s.last {
+				return start, id
+			}
+			s.last = n
+		}
+		id = string(value)
 	}
-	return id
+	return len(events), id
+}
+
+// eventNumber returns the number that an event ID is; ok is false for any other ID.
+func eventNumber(id []byte) (n int64, ok bool) {
+	n, err := strconv.ParseInt(string(id), 10, 64)
+	return n, err == nil && n >= 0
 }
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -13,7 +13,7 @@
 
 // readAll reads a stream to its end, whatever the sizes of its reads.
 func readAll(r io.Reader) (text, id string, count int, err error) {
-	s := &eventReader{from: r}
+	s := newEventReader(r, "")
 	for {
 		events, last, n, e := s.next()
 		text += string(events)
@@ -68,24 +68,40 @@
 }
 
 // For any input and read size, the events and the pending bytes together must equal the
-// input, and the pending bytes must hold no complete event.
+// input, the numbers of the events must grow, and the pending bytes must hold no complete
+// event but one that is out of order.
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), 3)
 	f.Add([]byte("\n\n\r\n\n"), 1)
+	f.Add([]byte("id: 2\n\ndata: a\n\nid: 1\n\nid: 3\n\n"), 7)
 	f.Fuzz(func(t *testing.T, in []byte, size int) {
-		s := &eventReader{from: &chunkReader{in, max(size%16, 1)}}
+		s := newEventReader(&chunkReader{in, max(size%16, 1)}, "")
 		var out []byte
-		for {
-			events, _, _, err := s.next()
+		var err error
+		for err == nil {
+			var events []byte
+			events, _, _, err = s.next()
 			out = append(out, events...)
-			if err != nil {
-				break
-			}
 		}
-		if !bytes.Equal(append(out, s.pending...), in) {
+		read := in
+		if errors.Is(err, errEventOutOfOrder) {
+			read = in[:min(len(out)+len(s.pending), len(in))] // the rest is not read
+		}
+		if !bytes.Equal(append(bytes.Clone(out), s.pending...), read) {
 			t.Fatalf("events %q and pending %q do not make up the input %q", out, s.pending, in)
 		}
-		if end, _ := completeEvents(s.pending); end > 0 && len(in) < maxEventBytes {
+		if kept, _ := newEventReader(nil, "").inOrder(out); kept < len(out) {
+			t.Fatalf("events %q are out of order after %d bytes", out, kept)
+		}
+		end, _ := completeEvents(s.pending)
+		if errors.Is(err, errEventOutOfOrder) {
+			all, last := in[:len(out)+end], newEventReader(nil, "")
+			if kept, _ := last.inOrder(all); kept != len(out) {
+				t.Fatalf("events %q were cut after %d bytes, not at the first one out of order", all, len(out))
+			}
+			return
+		}
+		if end > 0 && len(in) < maxEventBytes {
 			t.Fatalf("pending bytes %q hold a complete event", s.pending)
 		}
 	})
--- a/internal/gateway/silent_streams_test.go
+++ b/internal/gateway/silent_streams_test.go
@@ -141,6 +141,7 @@
 				"u1": test.resumed,
 			}, 100)
 			j := newStreamJob(t, n, httptest.NewRecorder())
+			j.route.MaxAttempts = 2
 			body, complete := runStream(j)
 			is.Equal(complete, test.complete)
 			is.Equal(body, test.body)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 	}
 	pulse := j.node.streams.Begin(j.service, a.id, time.Now())
 	defer pulse.End()
-	s := &eventReader{from: resp}
+	s := newEventReader(resp, j.lastEvent)
 	resumedAfter := j.lastEvent
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
@@ -196,6 +196,8 @@
 		j.noteEndless(a, err)
 	case resp.LinkLost():
 		reason = "link_lost"
+	case errors.Is(err, errEventOutOfOrder):
+		reason = "out_of_order"
 	case isTimeout(err):
 		reason = "silent"
 		j.node.metrics.Counter("hickorybank_silent_streams_total", "service", j.service).Inc()
