gateway: a silent stream stays open until another upstream has answered

Cause: at the stall timeout the live response was closed first; only then were the retry budget and another engine asked for. If either said no, nothing was left. Class: what one has is given up before what replaces it is certain. Change: a standby watches the stream. At the timeout it asks the budget and an upstream that is not silent itself; the resumed run begins beside the stream, and the stream is closed once the run's response has started. If the stream goes on first, the run is ended. If there is no budget or upstream it asks again at intervals. While all upstreams with open streams are silent together none is left or accused. Event 1988 says what was asked and answered. The stall timeout is as before. Why it works: the stream ends only by its own end, its deadline, its caller, or a response that has started. TestAnswerWithoutEndIsBrokenOff sends events without IDs where it sent one ID again and again, which is now out of order; that input is a case of its own, with one attempt.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -71,6 +71,7 @@
 	EvacuationUnknown        = define(1983, slog.LevelWarn, "order to evacuate names a failure domain that the settings do not know")
 	UpstreamSilent           = define(1985, slog.LevelInfo, "upstream of a plain service does not answer; it is avoided for a while")
 	UpstreamEndless          = define(1986, slog.LevelWarn, "upstream sends bytes without end; the connection is closed")
+	StreamSilent             = define(1988, slog.LevelInfo, "stream is silent beyond its stall timeout; it stays open while another upstream is asked")
 	ForwardContinued         = define(1987, slog.LevelInfo, "resumed stream has sent its first events")
 	LogLinesDropped          = define(1970, slog.LevelWarn, "log lines were dropped")
 )
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -59,6 +59,10 @@
 	r.pool.release(r.conn, keepAliveTimeout(r.Header))
 }
 
+// Abort closes the connection of a response that is still being read. Unlike Close it may be called
+// beside Read, which it ends; Close must still be called.
+func (r *Response) Abort() { _ = r.conn.Close() } // Read returns the error
+
 // LinkLost reports whether the exchange was ended because the link to the upstream is lost.
 func (r *Response) LinkLost() bool { return r.conn.aborted.Load() }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
@@ -80,7 +81,7 @@
 func (j *job) attemptSpec(rule canary.Rule) fleet.AttemptSpec {
 	spec := fleet.AttemptSpec{
 		Service: j.service, Version: rule.Version, ExcludedVersions: rule.Excluded, Model: j.requestedModel(),
-		Weight: j.modelWeight(), Tokens: j.headers.TokensIn, Tried: j.tried,
+		Weight: j.modelWeight(), Tokens: j.headers.TokensIn, Tried: slices.Concat(j.tried, j.avoided),
 		Regions: j.regions(), Plain: j.isPlain(), Once: !j.route.Repeatable(),
 		Seed: j.affinityHash ^ uint64(j.node.incarnation) ^ uint64(j.start.UnixNano()) ^ uint64(len(j.tried)),
 	}
@@ -133,6 +134,14 @@
 	return accepts && permission != refused && (permission != permittedAsTrial || a.job.beginTrial(trial))
 }
 
+// upstreamAccepts reports whether the attempt's upstream still accepts new work.
+func (a *attempt) upstreamAccepts() bool {
+	n := a.job.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.StillAccepts(a.up, time.Now())
+}
+
 // markStarted records that the attempt's answer has begun.
 func (a *attempt) markStarted() {
 	n := a.job.node
--- a/internal/gateway/endless_answer_test.go
+++ b/internal/gateway/endless_answer_test.go
@@ -101,15 +101,17 @@
 	for _, test := range []struct {
 		name, start, part string
 		kind              route.Kind
+		attempts          int
 	}{
-		{"events", streamHead, chunk(strings.Repeat("id: 1\n\n", 64)), route.Stream},
-		{"body", streamHead, chunk(strings.Repeat("x", 64<<10)), route.Once},
+		{"events", streamHead, chunk(strings.Repeat("data: x\n\n", 64)), route.Stream, 3},
+		{"events with one ID", streamHead, chunk(strings.Repeat("id: 1\n\n", 64)), route.Stream, 1},
+		{"body", streamHead, chunk(strings.Repeat("x", 64<<10)), route.Once, 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			n := newPipeNode(pipeDialer{"u0": func(c net.Conn) { writeEndlessly(c, test.start, test.part) }}, 100)
 			j := newStreamJob(t, n, discardWriter{http.Header{}})
-			j.route.Kind, j.headers.TokensOut = test.kind, 80
+			j.route.Kind, j.route.MaxAttempts, j.headers.TokensOut = test.kind, test.attempts, 80
 			func() {
 				defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
 				j.run()
--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -36,9 +36,7 @@
 		j.noteEndless(a, f.Err)
 	}
 	if f.Sent {
-		j.attemptsReached++
-		j.attemptsUsed++
-		j.mayHaveRun = true
+		j.noteReached()
 		j.countTrial()
 	} else if f.Reason != exchange.Withdrawn {
 		j.connectFailures++
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -54,6 +54,8 @@
 	// the attempts against the route's bound.
 	tried        []string
 	attemptsUsed int
+	// avoided are the IDs of upstreams that are silent on other streams.
+	avoided []string
 	// attemptsReached counts the attempts that reached an upstream.
 	attemptsReached int
 	// mayHaveRun is set once the first byte has been sent, until the upstream states that
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -24,6 +24,13 @@
 // minTrialUpstreams leaves a choice where one of the upstreams is slow.
 const minTrialUpstreams = 4
 
+// hasUpstream reports whether an upstream can take the job's next attempt.
+func (n *Node) hasUpstream(j *job, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.place(j, n.canary.Rule(j.service, j.caller(), now), n.heldVersion(j.service, now), now).upstream != nil
+}
+
 // place chooses an upstream for the job's next attempt under a roll-out's rule and without a held
 // version, empty for none; the caller holds mu.
 func (n *Node) place(j *job, rule canary.Rule, held string, now time.Time) placement {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -192,9 +192,7 @@
 		j.retryReserved = j.retryReserved || reserved && !failure.Sent // a retry that reached no upstream is not spent
 		return false
 	}
-	j.attemptsReached++
-	j.attemptsUsed++
-	j.mayHaveRun = true
+	j.noteReached()
 	a.markStarted()
 	if reply.NotRun {
 		j.noteDeclined(a, resp)
@@ -214,6 +212,13 @@
 	return j.forwardBuffered(a, resp)
 }
 
+// noteReached records that an attempt has reached its upstream, which may run the request.
+func (j *job) noteReached() {
+	j.attemptsReached++
+	j.attemptsUsed++
+	j.mayHaveRun = true
+}
+
 // attemptContext bounds an attempt at a buffered answer so that time is left for another
 // one, if the route allows one. Streams have their own stall deadlines.
 func (j *job) attemptContext() (context.Context, context.CancelFunc) {
--- a/internal/gateway/silent_streams_test.go
+++ b/internal/gateway/silent_streams_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,14 +67,22 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			var n *Node
+			var runs atomic.Int32
 			d := pipeDialer{}
 			for i := range test.upstreams {
 				d[fmt.Sprintf("u%d", i)] = func(c net.Conn) {
-					startStream(c, streamText(1, 2))
+					resumed := runs.Add(1) > streams
+					if !resumed {
+						startStream(c, streamText(1, 2))
+					}
 					for n.silentStreams() < streams { // all upstreams are silent until the last stream is
 						pause(context.Background(), time.Millisecond)
 					}
-					sendChunk(c, streamText(3, 5))
+					if resumed {
+						startStream(c, streamText(3, 5))
+					} else {
+						sendChunk(c, streamText(3, 5))
+					}
 					sendChunk(c, "")
 				}
 			}
--- /dev/null
+++ b/internal/gateway/standby.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/exchange"
+	"github.com/hickorybank/hickorybank/internal/fleet"
+)
+
+// standby looks for another upstream to go on with a stream that is silent, while the stream stays
+// open: its upstream may go on by itself, and nothing else is certain to.
+//
+// The stream's reader calls wait before and received after each read. In between the reader does not
+// touch the job, so that the timer may use it under mu.
+type standby struct {
+	job     *job
+	attempt *attempt
+	stream  *exchange.Response
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// waiting is set while the reader waits for the next event. silentSince is when the last one
+	// came; zero before the wait for the next one begins.
+	waiting     bool
+	silentSince time.Time
+	// timeout is the stall timeout of the next event. askAt is when to ask next whether the stream may
+	// go on elsewhere, asked is set once that was done since the last event.
+	timeout time.Duration
+	askAt   time.Time
+	asked   bool
+	// pending is a resumed run whose response has not started. taken is the one that replaces the
+	// stream.
+	pending, taken *resumedRun
+}
+
+// newStandby returns the standby of a stream; nil if the stream can't resume at another upstream.
+func newStandby(a *attempt, stream *exchange.Response) *standby {
+	if !a.job.route.Resumable || a.job.trial != 0 {
+		return nil
+	}
+	return &standby{job: a.job, attempt: a, stream: stream}
+}
+
+// wait starts the stall timeout of the next event, after a number of events.
+func (s *standby) wait(events int) {
+	if s == nil || s.job.attemptsLeft() < 1 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = true
+	now := time.Now()
+	if s.silentSince.IsZero() {
+		s.timeout = s.job.stallTimeout(events)
+		s.silentSince, s.askAt, s.asked = now, now.Add(s.timeout), false
+	}
+	if s.timer == nil {
+		s.timer = time.AfterFunc(s.askAt.Sub(now), s.fire)
+	} else {
+		s.timer.Reset(s.askAt.Sub(now))
+	}
+	s.takePending()
+}
+
+// received ends the wait. It returns false if the stream has been replaced. With progress, the
+// stream has sent an event; bytes that trickle in without one are no progress.
+func (s *standby) received(progress bool) bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	if s.taken != nil {
+		return false
+	}
+	if progress {
+		s.silentSince = time.Time{}
+		s.dropPending(fleet.Abandoned)
+	}
+	return true
+}
+
+// end ends the standby of a stream that has ended. broken is set if the stream broke off: a resumed
+// run that is still pending may then replace it.
+func (s *standby) end(broken bool) *resumedRun {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	result := fleet.Abandoned
+	if broken && s.pending != nil {
+		if s.pending.await(s.job) {
+			s.taken, s.pending = s.pending, nil
+		}
+		result = fleet.Moved
+	}
+	s.dropPending(result)
+	return s.taken
+}
+
+// dropPending ends a pending run and records its result; the caller holds mu.
+func (s *standby) dropPending(result fleet.Result) {
+	if s.pending == nil {
+		return
+	}
+	s.pending.drop(s.job, result)
+	s.pending = nil
+}
+
+// fire begins a resumed run beside the silent stream if there is an upstream and the retry budget
+// allows it. Otherwise it asks again later.
+func (s *standby) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.waiting || now.Before(s.askAt) {
+		return
+	}
+	if !s.asked {
+		s.asked = true
+		s.job.node.metrics.Counter("hickorybank_silent_streams_total", "service", s.job.service).Inc()
+	}
+	s.dropPending(fleet.Moved)
+	run, verdict := s.begin(now)
+	s.log(verdict, now)
+	if verdict != noAttemptLeft {
+		s.askAt = now.Add(s.timeout)
+		s.timer.Reset(s.timeout)
+	}
+	if run == nil {
+		return
+	}
+	s.pending = run
+	go s.follow(run)
+}
+
+// moveNow looks for another upstream at once: the link to the stream's is lost.
+func (s *standby) moveNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting && s.pending == nil && !s.asked {
+		s.askAt = time.Now()
+		s.timer.Reset(0)
+	}
+}
+
+// verdict is the answer to the question whether a silent stream may go on elsewhere.
+type verdict string
+
+const (
+	mayMove       verdict = "begun"
+	noAttemptLeft verdict = "no_attempt_left"
+	commonSilence verdict = "all_upstreams_silent"
+	noOther       verdict = "no_upstream"
+	noBudget      verdict = "retry_budget"
+	mayNotRun     verdict = "crashes_upstreams"
+)
+
+// begin returns a resumed run that has been taken from the retry budget; nil if there is none. The
+// caller holds mu.
+func (s *standby) begin(now time.Time) (*resumedRun, verdict) {
+	j := s.job
+	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), now)
+	switch {
+	case j.attemptsLeft() < 1:
+		return nil, noAttemptLeft
+	case silence.IsCommon():
+		return nil, commonSilence
+	case !j.mayRun():
+		return nil, mayNotRun
+	}
+	j.avoided = silence.Upstreams
+	defer func() { j.avoided = nil }()
+	if !j.node.hasUpstream(j, now) {
+		return nil, noOther
+	}
+	if !j.retryReserved && !j.node.allowRetry(j.service, 0) {
+		return nil, noBudget
+	}
+	j.retryReserved = true
+	a, _ := j.node.newAttempt(j)
+	if a == nil {
+		return nil, noOther
+	}
+	j.retryReserved = false
+	return newResumedRun(j, a), mayMove
+}
+
+// follow lets a resumed run replace the silent stream once its response has started.
+func (s *standby) follow(run *resumedRun) {
+	run.do()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takePending()
+}
+
+// takePending lets a pending run whose response has started replace the stream that the reader
+// waits for; the caller holds mu. A run that failed is recorded at the next event or timeout.
+func (s *standby) takePending() {
+	if !s.waiting || s.pending == nil || !s.pending.hasStarted() {
+		return
+	}
+	s.pending, s.taken = nil, s.pending
+	s.waiting = false
+	s.stream.Abort() // ends the reader's wait
+}
+
+// log records a verdict on the silent stream; the caller holds mu.
+func (s *standby) log(v verdict, now time.Time) {
+	j := s.job
+	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), now)
+	j.node.logEvent(event.StreamSilent, j, slog.String("upstream", s.attempt.id), slog.String("last_event", j.lastEvent),
+		slog.Int64("silent_ms", now.Sub(s.silentSince).Milliseconds()), slog.String("resumed_run", string(v)),
+		slog.Int("silent_upstreams", len(silence.Upstreams)), slog.Int("streaming_upstreams", silence.Streaming))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,13 +47,14 @@
 	resumedAfter := j.lastEvent
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
-	stall := j.stallDeadline(0)
+	other := newStandby(a, resp)
 	for {
-		if e := resp.Deadline(stall); e != nil {
-			end, err = endBroken, e
+		other.wait(count)
+		chunk, id, n, e := s.next()
+		if !other.received(n > 0) {
+			end, err = endBroken, errReplaced
 			break
 		}
-		chunk, id, n, e := s.next()
 		if len(chunk) > 0 {
 			now := time.Now()
 			if count == 0 {
@@ -67,9 +68,6 @@
 			last = now
 			pulse.Note(now)
 			count += n
-			if n > 0 { // bytes that trickle in without an event are no progress
-				stall = j.stallDeadline(count)
-			}
 			if !a.answered && now.Sub(first) >= answerProofTime {
 				a.noteAnswered(j.chain.Parts(), first)
 			}
@@ -92,7 +90,24 @@
 			break
 		}
 	}
-	return j.finishStream(a, resp, reply, end, err, meanPause(first, last, count))
+	next := other.end(end == endBroken && j.ctx.Err() == nil)
+	if next == nil {
+		return j.finishStream(a, resp, reply, end, err, meanPause(first, last, count))
+	}
+	defer next.close()
+	pulse.End()
+	j.noteReplaced(a, resp, err, meanPause(first, last, count))
+	return j.forwardResumed(next)
+}
+
+// errReplaced ends the reading of a silent stream that another upstream goes on with.
+var errReplaced = errors.New("another upstream goes on with the silent stream")
+
+// forwardResumed forwards the stream of a run that replaces another one.
+func (j *job) forwardResumed(run *resumedRun) bool {
+	run.noteStarted(j)
+	run.attempt.noteAnswering()
+	return j.forwardStream(run.attempt, run.resp, run.reply)
 }
 
 // meanPause returns the mean pause between a stream's events; 0 for fewer than four events.
@@ -119,16 +134,13 @@
 	return errors.Is(err, errEventTooLong) || errors.Is(err, errTooManyEvents)
 }
 
-// stallDeadline returns when a silent stream is abandoned for another upstream; the zero
-// time if no other attempt is possible.
-func (j *job) stallDeadline(events int) time.Time {
-	if !j.route.Resumable || j.attemptsLeft() < 1 {
-		return time.Time{}
-	}
+// stallTimeout returns how long a stream may be silent after a number of events before it may go on
+// at another upstream.
+func (j *job) stallTimeout(events int) time.Duration {
 	if events == 0 && !j.answerStarted {
-		return time.Now().Add(time.Duration(firstEventStallFactor * float64(j.route.LatencyGoal)))
+		return time.Duration(firstEventStallFactor * float64(j.route.LatencyGoal))
 	}
-	return time.Now().Add(time.Duration(eventStallFactor * float64(j.gapGoal())))
+	return time.Duration(eventStallFactor * float64(j.gapGoal()))
 }
 
 // gapGoal returns the longest pause between events for which an answer is on time.
@@ -189,21 +201,24 @@
 		}
 		return false
 	}
-	reason := "broke"
-	switch {
-	case isEndless(err):
-		reason = "too_long"
+	j.noteReplaced(a, resp, err, pause)
+	if j.answerStarted && (!j.route.Resumable || j.attemptsLeft() < 1 || errors.Is(err, errTooManyEvents)) {
+		j.breakOff(breakReason(resp, err))
+	}
+	return false
+}
+
+// noteReplaced records an attempt whose stream broke off or is silent, and that another one may
+// follow.
+func (j *job) noteReplaced(a *attempt, resp *exchange.Response, err error, pause time.Duration) {
+	reason := breakReason(resp, err)
+	switch reason {
+	case "too_long":
 		j.noteEndless(a, err)
-	case resp.LinkLost():
-		reason = "link_lost"
-	case errors.Is(err, errEventOutOfOrder):
-		reason = "out_of_order"
-	case isTimeout(err):
-		reason = "silent"
-		j.node.metrics.Counter("hickorybank_silent_streams_total", "service", j.service).Inc()
+	case "link_lost":
+		a.unreachable = true
 	}
 	if reason == "link_lost" {
-		a.unreachable = true
 		a.finish(fleet.Abandoned) // the upstream may be sound
 	} else {
 		a.finish(fleet.Failed)
@@ -217,10 +232,21 @@
 	if reason == "broke" {
 		j.node.suspectCrash(j, a)
 	}
-	if j.answerStarted && (!j.route.Resumable || j.attemptsLeft() < 1 || errors.Is(err, errTooManyEvents)) {
-		j.breakOff(reason)
+}
+
+// breakReason returns why a stream ended before its end, as logs show it.
+func breakReason(resp *exchange.Response, err error) string {
+	switch {
+	case isEndless(err):
+		return "too_long"
+	case resp.LinkLost():
+		return "link_lost"
+	case errors.Is(err, errEventOutOfOrder):
+		return "out_of_order"
+	case errors.Is(err, errReplaced), isTimeout(err):
+		return "silent"
 	}
-	return false
+	return "broke"
 }
 
 func isTimeout(err error) bool {
