exchange: a lost link ends only the exchange that waited on it

Callers saw: a request that may be repeated, on a connection that had just been reused, ended as link_lost. Cause: silent exchanges were marked under the lock and their connections closed after it. An exchange may end in between and its connection carry the next one. Evidence: TestAbortSilentSparesTheNextExchange; with the check of the exchange's number taken out it fails (link_lost, use of closed network connection). Change: exchanges are numbered; the connection is closed under the lock, only if it still carries the exchange that waited. Request.LinkLost, which decides whether an exchange may be ended, takes the place of Request.Repeatable; callers answer as before. Why it works: end and abort of an exchange exclude each other.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -26,10 +26,10 @@
 	// sentAt is when the current exchange began, lastRead when bytes last came, in Unix
 	// nanoseconds.
 	sentAt, lastRead atomic.Int64
-	// abortable is set if the current exchange may be repeated elsewhere. aborted is set when
-	// it was ended because the link is lost.
-	abortable bool
-	aborted   atomic.Bool
+	// linkLost is as in [Request], for the current exchange. aborted is set when that was ended
+	// because the link is lost.
+	linkLost atomic.Pointer[func() bool]
+	aborted  atomic.Bool
 	// headLeft is how many more bytes the head that is being read may have; negative without a
 	// bound.
 	headLeft int
@@ -87,8 +87,8 @@
 }
 
 // begin marks the start of an exchange.
-func (c *conn) begin(abortable bool) {
-	c.abortable = abortable
+func (c *conn) begin(linkLost func() bool) {
+	c.linkLost.Store(&linkLost)
 	c.sentAt.Store(time.Now().UnixNano())
 }
 
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -28,7 +28,7 @@
 		p.release(c, 0)
 		return nil, &Failure{Reason: Withdrawn, Err: errWithdrawn}
 	}
-	p.start(c, req.Repeatable)
+	p.start(c, req.LinkLost)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	writeResult := make(chan error, 1)
 	sent := send(c, req, writeResult)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -17,8 +17,10 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// active are the connections that carry an exchange.
-	active map[*conn]struct{}
+	// active are the connections that carry an exchange, with the number of that exchange. started
+	// counts all exchanges.
+	active  map[*conn]uint64
+	started uint64
 	// opened counts the connections opened since the start.
 	opened int64
 }
@@ -29,7 +31,7 @@
 	if s.Dialer == nil {
 		s.Dialer = network.NewProbedDialer(s.DialTimeout, s.SilentTimeout)
 	}
-	return &Pool{settings: s, dialer: s.Dialer, idle: map[string][]*conn{}, active: map[*conn]struct{}{}}
+	return &Pool{settings: s, dialer: s.Dialer, idle: map[string][]*conn{}, active: map[*conn]uint64{}}
 }
 
 // Opened returns how many connections were opened since the start.
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -21,8 +21,9 @@
 	// with another ID belongs to another request. An empty IDField disables the check.
 	IDField string
 	ID      string
-	// Repeatable allows [Pool.AbortSilent] to end the exchange.
-	Repeatable bool
+	// LinkLost is called while the exchange waits over a lost link, again and again and beside it. It
+	// reports whether [Pool.AbortSilent] may end the exchange; nil never allows it.
+	LinkLost func() bool
 	// MaxIdle bounds how long a reused connection may have been idle; 0 for the pool's
 	// own bound. A request on a connection that its upstream has silently dropped is
 	// lost, and cannot be resent where it is not idempotent.
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -63,6 +63,9 @@
 // beside Read, which it ends; Close must still be called.
 func (r *Response) Abort() { _ = r.conn.Close() } // Read returns the error
 
+// OnLinkLost replaces [Request.LinkLost] for the rest of the exchange.
+func (r *Response) OnLinkLost(f func() bool) { r.conn.linkLost.Store(&f) }
+
 // LinkLost reports whether the exchange was ended because the link to the upstream is lost.
 func (r *Response) LinkLost() bool { return r.conn.aborted.Load() }
 
--- a/internal/exchange/silence.go
+++ b/internal/exchange/silence.go
@@ -8,12 +8,13 @@
 // noteAlive records that an upstream has sent bytes on a direct connection.
 func (p *Pool) noteAlive(now time.Time) { p.settings.NoteAlive(now) }
 
-// start records that a connection carries an exchange.
-func (p *Pool) start(c *conn, abortable bool) {
-	c.begin(abortable)
+// start records that a connection carries an exchange; linkLost is as in [Request].
+func (p *Pool) start(c *conn, linkLost func() bool) {
+	c.begin(linkLost)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.active[c] = struct{}{}
+	p.started++
+	p.active[c] = p.started
 }
 
 // end records that the exchange of a connection has ended.
@@ -52,7 +53,7 @@
 }
 
 // AbortSilent ends what waits on silent direct connections to upstreams whose links are lost:
-// idle connections are closed, and exchanges that may be repeated fail with LinkLost.
+// idle connections are closed, and exchanges whose [Request.LinkLost] agrees fail with LinkLost.
 func (p *Pool) AbortSilent(isLost func(addr string) bool, now time.Time) {
 	var closed []*conn
 	p.mu.Lock()
@@ -62,15 +63,26 @@
 			delete(p.idle, addr)
 		}
 	}
-	var aborted []*conn
-	for c := range p.active {
-		if !c.relayed && c.abortable && isLost(c.addr) && now.Sub(c.silentSince()) >= silentAfter {
-			aborted = append(aborted, c)
+	silent := map[*conn]uint64{}
+	for c, exchange := range p.active {
+		if !c.relayed && isLost(c.addr) && now.Sub(c.silentSince()) >= silentAfter {
+			silent[c] = exchange
 		}
 	}
 	p.mu.Unlock()
 	closeAll(closed)
-	for _, c := range aborted {
+	for c, exchange := range silent {
+		if linkLost := c.linkLost.Load(); linkLost != nil && *linkLost != nil && (*linkLost)() {
+			p.abort(c, exchange)
+		}
+	}
+}
+
+// abort ends an exchange. It does nothing if that has ended: the connection may carry another one.
+func (p *Pool) abort(c *conn, exchange uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[c] == exchange {
 		c.abort()
 	}
 }
--- a/internal/exchange/silence_test.go
+++ b/internal/exchange/silence_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -27,7 +29,9 @@
 	for repeatable, result := range results {
 		go func() {
 			req := newRequest("a")
-			req.Repeatable = repeatable
+			if repeatable {
+				req.LinkLost = func() bool { return true }
+			}
 			resp, failure := p.Do(context.Background(), silent, req)
 			if failure == nil {
 				resp.Close()
@@ -52,6 +56,67 @@
 	is.Equal(<-results[false], nil)
 }
 
+// Fails if an exchange is ended because the link was lost under an earlier one on its connection.
+func TestAbortSilentSparesTheNextExchange(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{}, 2)
+	addr := startServer(t, func(c net.Conn, in *bufio.Reader, _ int) {
+		for {
+			req, err := readRequest(in)
+			if err != nil {
+				return
+			}
+			<-release
+			writeResponse(c, req.Header.Get(idField), "ok")
+		}
+	})
+	p := NewPool(Settings{})
+	defer p.Close()
+	next := make(chan *Failure, 1)
+	first := newRequest("a")
+	ended := make(chan struct{})
+	first.LinkLost = func() bool { // the exchange ends while it is asked
+		release <- struct{}{}
+		<-ended
+		go func() {
+			req := newRequest("b")
+			req.LinkLost = func() bool { return true }
+			resp, failure := p.Do(context.Background(), addr, req)
+			if failure == nil {
+				_, _ = io.ReadAll(resp)
+				resp.Close()
+			}
+			next <- failure
+		}()
+		for p.activeExchanges() == 0 {
+			runtime.Gosched()
+		}
+		return true
+	}
+	go func() {
+		resp, failure := p.Do(context.Background(), addr, first)
+		if failure == nil {
+			_, _ = io.ReadAll(resp)
+			resp.Close()
+		}
+		close(ended)
+	}()
+	for len(p.SilentUpstreams(time.Now())) == 0 {
+		runtime.Gosched()
+	}
+	p.AbortSilent(func(string) bool { return true }, time.Now())
+	release <- struct{}{}
+	is.Equal(<-next, nil)
+	is.Equal(p.Opened(), int64(1)) // both used one connection
+}
+
+// activeExchanges returns the number of exchanges that connections carry.
+func (p *Pool) activeExchanges() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.active)
+}
+
 // Fails if a relayed connection is used again: its peer may stop at any time.
 func TestRelayedConnectionCarriesOneExchange(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -243,7 +243,10 @@
 		Fields: j.node.dialect.Forward(j.r.Header, &j.headers, &order),
 		Body:   j.body, HasBody: len(j.body) > 0 || j.r.ContentLength == 0 && j.r.Method != http.MethodGet && j.r.Method != http.MethodHead,
 		IDField: j.node.dialect.IDField(), ID: j.headers.ID,
-		ShouldSend: a.maySend, Repeatable: j.route.Repeatable(),
+		ShouldSend: a.maySend,
+	}
+	if j.route.Repeatable() {
+		req.LinkLost = func() bool { return true }
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdle = nonIdempotentMaxIdle
