gateway: an exchange over a lost link ends only once another one is certain

Callers saw: answers broken off, and calls answered with a failure, because the link to their upstream counted as lost for a moment. Cause: silent exchanges over such links were closed at once; the retry budget and another upstream were asked for afterwards. The same class as the silent stream. Change: an attempt whose answer has not begun is left if another upstream and the budget allow a further attempt, which is taken from the budget at that moment; a stream that is open looks for another upstream at once, beside its connection (reason link_lost as before). A common silence does not hold that up: peers may reach what this node does not. Why it works: as for the silent stream; the connection itself ends by its socket options if the link stays lost. Measured: go test -race ./internal/gateway ./internal/exchange passes; platform's tests of links and streams pass.

--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -38,8 +38,9 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	// moved is set when the timer has cancelled the attempt. disarmed is set when it no
-	// longer may: an answer that has begun is never cut off.
-	moved, disarmed bool
+	// longer may: an answer that has begun is never cut off. left is set when the attempt may end
+	// because its link is lost.
+	moved, disarmed, left bool
 }
 
 // startTimer starts a timer that runs until the attempt's answer begins; cancel ends the
@@ -98,6 +99,24 @@
 	return t.moved
 }
 
+// leaveLostLink reports whether the attempt may end because its link is lost: another upstream and
+// the retry budget allow another one, which is then taken from the budget.
+func (t *attemptTimer) leaveLostLink(a *attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.left {
+		t.left = !t.moved && a.job.attemptsLeft() >= 2 && a.job.node.allowMove(a, 0)
+	}
+	return t.left
+}
+
+// hasLeft reports whether the attempt was allowed to end because its link is lost.
+func (t *attemptTimer) hasLeft() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.left
+}
+
 // movable reports whether the attempt may be moved: it must be repeatable, and another attempt
 // must be left for the request.
 func (a *attempt) movable() bool {
--- a/internal/gateway/resumed_run.go
+++ b/internal/gateway/resumed_run.go
@@ -27,6 +27,7 @@
 	j.tried = append(j.tried, a.id)
 	r := &resumedRun{attempt: a, request: j.upstreamRequest(a), done: make(chan struct{})}
 	r.request.ShouldSend = a.upstreamAccepts
+	r.request.LinkLost = func() bool { return true } // the stream that it would replace is still open
 	r.ctx, r.cancel = context.WithCancel(j.ctx)
 	return r
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -174,7 +174,11 @@
 	defer cancel()
 	j.tried = append(j.tried, a.id)
 	timer := a.startTimer(cancel)
-	resp, failure := j.node.pool.Do(ctx, a.addr, j.upstreamRequest(a))
+	req := j.upstreamRequest(a)
+	if j.route.Repeatable() {
+		req.LinkLost = func() bool { return timer.leaveLostLink(a) }
+	}
+	resp, failure := j.node.pool.Do(ctx, a.addr, req)
 	moved := timer.stop()
 	var reply Reply
 	if failure == nil {
@@ -189,7 +193,7 @@
 	}
 	if failure != nil {
 		j.noteFailedAttempt(a, failure, moved)
-		j.retryReserved = j.retryReserved || reserved && !failure.Sent // a retry that reached no upstream is not spent
+		j.retryReserved = j.retryReserved || timer.hasLeft() || reserved && !failure.Sent // a retry that reached no upstream is not spent
 		return false
 	}
 	j.noteReached()
@@ -209,7 +213,9 @@
 		j.noteNotResumed(a, resp)
 		return false
 	}
-	return j.forwardBuffered(a, resp)
+	answered := j.forwardBuffered(a, resp)
+	j.retryReserved = j.retryReserved || !answered && timer.hasLeft()
+	return answered
 }
 
 // noteReached records that an attempt has reached its upstream, which may run the request.
@@ -245,9 +251,6 @@
 		IDField: j.node.dialect.IDField(), ID: j.headers.ID,
 		ShouldSend: a.maySend,
 	}
-	if j.route.Repeatable() {
-		req.LinkLost = func() bool { return true }
-	}
 	if !j.route.Repeatable() {
 		req.MaxIdle = nonIdempotentMaxIdle
 	}
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -31,6 +31,8 @@
 	timeout time.Duration
 	askAt   time.Time
 	asked   bool
+	// lost is set if the link to the stream's upstream was lost since the last event.
+	lost bool
 	// pending is a resumed run whose response has not started. taken is the one that replaces the
 	// stream.
 	pending, taken *resumedRun
@@ -81,7 +83,7 @@
 		return false
 	}
 	if progress {
-		s.silentSince = time.Time{}
+		s.silentSince, s.lost = time.Time{}, false
 		s.dropPending(fleet.Abandoned)
 	}
 	return true
@@ -146,14 +148,29 @@
 	go s.follow(run)
 }
 
-// moveNow looks for another upstream at once: the link to the stream's is lost.
-func (s *standby) moveNow() {
+// linkLost looks for another upstream at once, as the link to the stream's is lost. It returns false:
+// the stream stays open.
+func (s *standby) linkLost() bool {
+	if s == nil {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.waiting && s.pending == nil && !s.asked {
-		s.askAt = time.Now()
+	if s.waiting && !s.lost {
+		s.lost, s.askAt = true, time.Now()
 		s.timer.Reset(0)
 	}
+	return false
+}
+
+// cause returns why a stream was replaced.
+func (s *standby) cause() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return errLinkSilent
+	}
+	return errReplaced
 }
 
 // verdict is the answer to the question whether a silent stream may go on elsewhere.
@@ -176,13 +193,15 @@
 	switch {
 	case j.attemptsLeft() < 1:
 		return nil, noAttemptLeft
-	case silence.IsCommon():
+	case silence.IsCommon() && !s.lost:
 		return nil, commonSilence
 	case !j.mayRun():
 		return nil, mayNotRun
 	}
-	j.avoided = silence.Upstreams
-	defer func() { j.avoided = nil }()
+	if !s.lost { // peers reach the upstreams that are silent to this node
+		j.avoided = silence.Upstreams
+		defer func() { j.avoided = nil }()
+	}
 	if !j.node.hasUpstream(j, now) {
 		return nil, noOther
 	}
@@ -222,6 +241,6 @@
 	j := s.job
 	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), now)
 	j.node.logEvent(event.StreamSilent, j, slog.String("upstream", s.attempt.id), slog.String("last_event", j.lastEvent),
-		slog.Int64("silent_ms", now.Sub(s.silentSince).Milliseconds()), slog.String("resumed_run", string(v)),
+		slog.Int64("silent_ms", now.Sub(s.silentSince).Milliseconds()), slog.String("resumed_run", string(v)), slog.Bool("link_lost", s.lost),
 		slog.Int("silent_upstreams", len(silence.Upstreams)), slog.Int("streaming_upstreams", silence.Streaming))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,11 +48,12 @@
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
 	other := newStandby(a, resp)
+	resp.OnLinkLost(other.linkLost)
 	for {
 		other.wait(count)
 		chunk, id, n, e := s.next()
 		if !other.received(n > 0) {
-			end, err = endBroken, errReplaced
+			end, err = endBroken, other.cause()
 			break
 		}
 		if len(chunk) > 0 {
@@ -100,8 +101,12 @@
 	return j.forwardResumed(next)
 }
 
-// errReplaced ends the reading of a silent stream that another upstream goes on with.
-var errReplaced = errors.New("another upstream goes on with the silent stream")
+// errReplaced ends the reading of a silent stream that another upstream goes on with, errLinkSilent
+// that of one whose link is lost.
+var (
+	errReplaced   = errors.New("another upstream goes on with the silent stream")
+	errLinkSilent = errors.New("another upstream goes on with the stream, whose link is lost")
+)
 
 // forwardResumed forwards the stream of a run that replaces another one.
 func (j *job) forwardResumed(run *resumedRun) bool {
@@ -239,7 +244,7 @@
 	switch {
 	case isEndless(err):
 		return "too_long"
-	case resp.LinkLost():
+	case resp.LinkLost(), errors.Is(err, errLinkSilent):
 		return "link_lost"
 	case errors.Is(err, errEventOutOfOrder):
 		return "out_of_order"
