gateway: while most upstreams of a service are silent, streams wait before they ask for another one

Cause: only a silence of all upstreams with open streams counted as common. Where one of eighteen goes on, all streams of the others asked for it, and spent the retry budget on what one upstream cannot run. Change: a silence of most upstreams is common for twice the stall timeout; one of all as long as it lasts.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -101,6 +101,9 @@
 	// eventStallFactor is how long a stream may stay silent before it resumes at another
 	// upstream, as a multiple of the goal for pauses.
 	eventStallFactor = 2.5
+	// commonSilenceFactor is how long a silence of most upstreams of a service counts as common, as a
+	// multiple of the stall timeout.
+	commonSilenceFactor = 2
 	// firstEventStallFactor bounds the wait for a stream's first event, as a multiple of
 	// the route's goal, if the stream can resume at another upstream.
 	firstEventStallFactor = 1.5
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -8,6 +8,7 @@
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/streamwatch"
 )
 
 // standby looks for another upstream to go on with a stream that is silent, while the stream stays
@@ -179,7 +180,7 @@
 const (
 	mayMove       verdict = "begun"
 	noAttemptLeft verdict = "no_attempt_left"
-	commonSilence verdict = "all_upstreams_silent"
+	commonSilence verdict = "common_silence"
 	noOther       verdict = "no_upstream"
 	noBudget      verdict = "retry_budget"
 	mayNotRun     verdict = "crashes_upstreams"
@@ -193,7 +194,7 @@
 	switch {
 	case j.attemptsLeft() < 1:
 		return nil, noAttemptLeft
-	case silence.IsCommon() && !s.lost:
+	case s.isCommon(silence, now):
 		return nil, commonSilence
 	case !j.mayRun():
 		return nil, mayNotRun
@@ -217,6 +218,13 @@
 	return newResumedRun(j, a), mayMove
 }
 
+// isCommon reports whether a silence is common, so that another upstream is no better. A silence of
+// most upstreams that lasts is theirs; peers may reach upstreams that are silent to this node only.
+func (s *standby) isCommon(silence streamwatch.Silence, now time.Time) bool {
+	lasts := now.Sub(s.silentSince) >= commonSilenceFactor*s.timeout
+	return !s.lost && (silence.IsTotal() || silence.IsCommon() && !lasts)
+}
+
 // follow lets a resumed run replace the silent stream once its response has started.
 func (s *standby) follow(run *resumedRun) {
 	run.do()
