gateway: a recorded member is called by its address alone

What callers saw: nothing yet; found by reading and a unit test. A row among the members with the ID of a live node and another address, of another writer or left by an earlier process of the node, is called now and then. The failed calls count against the live node; after two in a row it is dead for this node, which tells its peers, until the node refutes it: its callers' addresses come and go. Cause: a record was used as if it were an entry of the roster. Evidence: TestOddRecordOfMemberDoesNotEndIt on the code before: n1 is not alive after 20 failed calls of two such records. Change: only the address of a record is used, as with seeds; who answers there says so itself. Why it works: without an ID a failed call counts against nobody (notePeerFailure). Measured: the test passes; go test ./internal/gateway -run 'Contact|Peer|Group' passes.

--- a/internal/gateway/follow_peers.go
+++ b/internal/gateway/follow_peers.go
@@ -86,9 +86,13 @@
 const unknownPeerOdds = 6
 
 // unknownPeer picks a seed or a recorded member that is not known to be alive; the caller
-// holds mu.
+// holds mu. A recorded member is called by its address alone: the record may be outdated or of
+// another writer, and a failed call must not count against the member with its ID.
 func (n *Node) unknownPeer(now time.Time) (gossip.Member, bool) {
-	all := append(n.seeds(), n.recordedMembers...)
+	all := n.seeds()
+	for _, m := range n.recordedMembers {
+		all = append(all, gossip.Member{Peer: m.Peer})
+	}
 	all = append(all, n.roster.Dead(now)...)
 	return n.pickNotLive(all)
 }
