gateway: a stream without a length that ends before its first event is not complete

Callers saw: a 200 with an empty body, framed as whole, when an engine closed its connection right after the head of an answer with neither a length nor chunks. A stream that another upstream could run was not tried again. Cause: the end of the connection counted as the end of the stream, with or without events. Class: an end that says nothing of how it came about. Change: the exchange says whether a response is unframed; an unframed stream that ends without an event counts as broken off. Another attempt follows where one may, else 502, or the answer is broken off. Why it works: a stream has at least one event unless its length or its chunks say otherwise. A caller that resumes after the last event at an upstream that sends no frames is refused instead of getting an empty 200.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -44,16 +44,21 @@
 		failure.Reason = reasonUnlessCancelled(ctx, failure.Reason)
 		return nil, failure
 	}
+	unframed := isUnframed(resp)
 	r := &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, HeadReadAt: time.Now(), Reused: c.reused,
-		body: resp.Body, conn: c, pool: p, writeResult: writeResult, stop: stop,
-		closeAfter: resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Unframed: unframed, HeadReadAt: time.Now(), Reused: c.reused,
+		body: resp.Body, conn: c, pool: p, writeResult: writeResult, stop: stop, closeAfter: resp.Close || unframed,
 	}
 	return r, nil
 }
 
 var errWithdrawn = errors.New("the upstream takes no new work any more")
 
+// isUnframed reports whether a response has neither a length nor chunks.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // reasonUnlessCancelled returns Cancelled if ctx has ended, else the given reason.
 func reasonUnlessCancelled(ctx context.Context, reason Reason) Reason {
 	if ctx.Err() != nil {
@@ -125,7 +130,7 @@
 		if req.IDField == "" || resp.Header.Get(req.IDField) == req.ID {
 			return resp, nil
 		}
-		if resp.Header.Get(req.IDField) == "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Header.Get(req.IDField) == "" || isUnframed(resp) {
 			return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errors.New("answer names no request")}
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBodyBytes+1))
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -15,6 +15,9 @@
 	Header http.Header
 	// Length is the Content-Length in bytes, or -1 if it is not stated.
 	Length int64
+	// Unframed is set if the body ends with the connection. If the upstream broke off and its
+	// system closed the connection, the body still looks complete.
+	Unframed bool
 	// HeadReadAt is the time when the head of the response was read.
 	HeadReadAt time.Time
 	// Reused reports whether the exchange used an idle connection of the pool.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,6 +79,9 @@
 				break
 			}
 		}
+		if e == io.EOF && count == 0 && resp.Unframed {
+			e = errNoEvent
+		}
 		if e == io.EOF {
 			break
 		}
@@ -103,6 +106,10 @@
 // errReplaced ends the reading of a silent stream that another upstream goes on with.
 var errReplaced = errors.New("another upstream goes on with the silent stream")
 
+// errNoEvent ends a stream whose connection ended after the head. An upstream that broke off there
+// cannot be told from one that has no events to send.
+var errNoEvent = errors.New("stream without a length ended before its first event")
+
 // forwardResumed forwards the stream of a run that replaces another one.
 func (j *job) forwardResumed(run *resumedRun) bool {
 	run.noteStarted(j)
