gateway: the connection of an unframed answer is reset however it ends early

Callers saw: over HTTP/1.0, a success with the first part of a stream or of a long answer that looked complete: when a stop's grace ended and the server closed its connections, when the caller took too long to read, when it had closed its sending side, and when the process ended (the last one only read and tried outside of the node). Cause: only breakOff reset the connection. The server's Close, the write deadline and callerLeft closed it properly, and without a length or chunks that is the end of the answer. Class: an end that says nothing of how it came about. Evidence: TestUnframedAnswerThatIsBrokenOffIsReset before: four of six cases got io.EOF after a part of the answer (stream: server closed, caller slow, caller has sent all; long answer: server closed); the two whole answers passed. Change: from before the head of an answer without a length until its last byte is flushed, the connection of a caller below HTTP/1.1 has a linger time of 0; resetUnframed and its Hijack are gone. Why it works: the kernel resets the connection whoever closes it.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,26 +91,9 @@
 	j.outcome = "broken_off"
 	j.node.logEvent(event.ForwardBroken, j, slog.String("reason", reason), slog.String("last_event", j.lastEvent))
 	j.observe(http.StatusBadGateway)
-	j.resetUnframed()
 	panic(http.ErrAbortHandler) // closes the connection without the end of the body
 }
 
-// resetUnframed resets the connection of a caller whose protocol has no chunks: the end of the
-// connection would look like the end of the answer.
-func (j *job) resetUnframed() {
-	if j.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	c, _, err := http.NewResponseController(j.w).Hijack()
-	if err != nil {
-		return // the connection has ended
-	}
-	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
-		_ = l.SetLinger(0) // makes Close send a reset
-	}
-	_ = c.Close() // as above
-}
-
 // nextAttempt chooses an upstream for the next attempt. Without any it waits briefly, as
 // one may be available again within moments.
 func (j *job) nextAttempt() *attempt {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -168,6 +168,7 @@
 		IdleTimeout:       idleSentinel,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLog,
+		ConnContext:       withCallerConn,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
 			case http.StateNew:
