--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,6 +80,9 @@
 				break
 			}
 		}
+		if e == io.EOF && count == 0 && resp.Unframed {
+			e = errNoEvent
+		}
 		if e == io.EOF {
 			break
 		}
@@ -108,6 +111,10 @@
 	errLinkSilent = errors.New("another upstream goes on with the stream, whose link is lost")
 )
 
+// errNoEvent ends a stream whose connection ended after the head. An upstream that broke off there
+// cannot be told from one that has no events to send.
+var errNoEvent = errors.New("stream without a length ended before its first event")
+
 // forwardResumed forwards the stream of a run that replaces another one.
 func (j *job) forwardResumed(run *resumedRun) bool {
 	run.noteStarted(j)
@@ -163,6 +170,7 @@
 func (j *job) sendEvents(resp *exchange.Response, events []byte, id string) error {
 	if !j.answerStarted {
 		copyHeader(j.w.Header(), resp.Header)
+		j.beginUnframed()
 		j.w.WriteHeader(resp.Status)
 		j.answerStarted = true
 		j.firstPartAfter = time.Since(j.start)
@@ -189,6 +197,8 @@
 		if !j.answerStarted {
 			copyHeader(j.w.Header(), resp.Header)
 			j.w.WriteHeader(resp.Status)
+		} else {
+			j.endUnframed()
 		}
 		j.outcome = "answered"
 		j.node.logEvent(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.id),
