gateway: an attempt whose request is blocked is not moved

Callers saw: a refusal ("requests like this one crash upstreams; it may have run") although their first upstream was at work on the answer. Cause: the timers that move an attempt asked only for an upstream and the retry budget before they ended it. The next attempt is also subject to the crash guard, which refuses every request that may have run while one of its keys is convicted or quarantined; a trial of a quarantined key is always such a request. Class: what one has is given up before what replaces it is certain. Change: allowMove asks the crash guard too, and chooses by the same placement as the next attempt (rollout rule and held version of now) in place of the spec with which the attempt began. The second part is by reading; no test shows a failure of it. Why it works: a move is allowed only if each check of the next attempt would pass at that moment.

--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -117,16 +117,18 @@
 	return j.attemptsLeft() >= needed
 }
 
-// allowMove takes a move from the retry budget, less the fraction reserve, if another
-// upstream can run the attempt.
+// allowMove takes a move from the retry budget, less the fraction reserve, if the request may run
+// again and another upstream can take it.
 func (n *Node) allowMove(a *attempt, reserve float64) bool {
-	now := time.Now()
+	j, now := a.job, time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	spec := a.spec
-	spec.Tried = append([]string{a.id}, spec.Tried...)
-	if n.fleet.Choose(spec, now) == nil {
+	if len(n.crashGuard.Blocking(j.chain, now)) > 0 {
+		return false // it may have run, so it is no longer let through as a trial
+	}
+	p := n.place(j, n.canary.Rule(j.service, j.caller(), now), n.previewHeldVersion(j.service, now), now)
+	if p.upstream == nil || p.upstream.ID == a.id {
 		return false
 	}
-	return n.budget(spec.Service, now).Allow(now, reserve)
+	return n.budget(j.service, now).Allow(now, reserve)
 }
