gateway: a buffered answer is given up at half of its time only for a certain attempt

Callers saw: 502 after half of their time from a repeatable request at a slow upstream, although that upstream would have answered in time and no other attempt could follow: a single upstream, all others tried, or the retry budget spent. Cause: the attempt's context ended at half of the time left; only then were the retry budget and another upstream asked for. Class: what one has is given up before what replaces it is certain. Change: an answerTimer takes the place of that context. At half of the time it asks the crash guard, the placement and the budget (allowMove), and ends the attempt only if all allow another one. Otherwise it asks again after half of what is left. Why it works: an attempt ends only by its own end, its deadline, its caller, or with another one reserved.

--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -25,7 +25,7 @@
 	case f.Reason == exchange.Cancelled && moved:
 		result, reason = fleet.Moved, "waited_too_long"
 		j.retryReserved = true
-	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil:
+	case f.Reason == exchange.Cancelled && j.ctx.Err() != nil && !a.timedOut:
 		result = fleet.Abandoned
 	case f.Reason == exchange.Cancelled:
 		result, a.timedOut = fleet.Failed, true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -160,7 +160,7 @@
 
 // runAttempt sends the request to one upstream. It returns true if the request has its
 // final answer, false if another attempt may be made.
-func (j *job) runAttempt(a *attempt) bool {
+func (j *job) runAttempt(a *attempt) (final bool) {
 	if j.attemptsReached > 0 && !j.retryReserved && !j.node.allowRetry(j.service, 0) {
 		j.attemptsUsed = max(j.route.MaxAttempts, 1) // no more attempts
 		a.unreachable = true
@@ -170,10 +170,15 @@
 	}
 	reserved := j.attemptsReached > 0
 	j.retryReserved = false
-	ctx, cancel := j.attemptContext()
+	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
 	j.tried = append(j.tried, a.id)
-	timer := a.startTimer(cancel)
+	timer, whole := a.startTimer(cancel), a.startAnswerTimer(cancel)
+	defer func() {
+		if _, moved := whole.stop(); moved && !final {
+			j.retryReserved = true
+		}
+	}()
 	resp, failure := j.node.pool.Do(ctx, a.addr, j.upstreamRequest(a))
 	moved := timer.stop()
 	var reply Reply
@@ -188,6 +193,8 @@
 		failure = &exchange.Failure{Sent: true, Reason: exchange.Cancelled, Err: errMoved}
 	}
 	if failure != nil {
+		late, _ := whole.stop()
+		a.timedOut = late && failure.Reason == exchange.Cancelled
 		j.noteFailedAttempt(a, failure, moved)
 		j.retryReserved = j.retryReserved || reserved && !failure.Sent // a retry that reached no upstream is not spent
 		return false
@@ -219,15 +226,6 @@
 	j.mayHaveRun = true
 }
 
-// attemptContext bounds an attempt at a buffered answer so that time is left for another
-// one, if the route allows one. Streams have their own stall deadlines.
-func (j *job) attemptContext() (context.Context, context.CancelFunc) {
-	if j.route.Kind == route.Stream || !j.route.Repeatable() || j.attemptsLeft() < 2 {
-		return context.WithCancel(j.ctx)
-	}
-	return context.WithTimeout(j.ctx, time.Until(j.deadline)/2)
-}
-
 // upstreamRequest returns the request that is sent to an upstream.
 func (j *job) upstreamRequest(a *attempt) *exchange.Request {
 	_, target := rawTarget(j.r)
