gateway: timers of an attempt ask about its job only until its answer begins

Change: both timers are disarmed before the job changes: the one of lost links once the head has come, the one of late answers once the body has.

--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -99,13 +99,14 @@
 	return t.moved
 }
 
-// leaveLostLink reports whether the attempt may end because its link is lost: another upstream and
-// the retry budget allow another one, which is then taken from the budget.
+// leaveLostLink reports whether the attempt may end because its link is lost: its answer has not
+// begun, and another upstream and the retry budget allow another one, which is then taken from the
+// budget.
 func (t *attemptTimer) leaveLostLink(a *attempt) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.left {
-		t.left = !t.moved && a.job.attemptsLeft() >= 2 && a.job.node.allowMove(a, 0)
+		t.left = !t.moved && !t.disarmed && a.job.attemptsLeft() >= 2 && a.job.node.allowMove(a, 0)
 	}
 	return t.left
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -203,7 +203,7 @@
 		j.noteNotResumed(a, resp)
 		return false
 	}
-	return j.forwardBuffered(a, resp)
+	return j.forwardBuffered(a, resp, whole)
 }
 
 // noteReached records that an attempt has reached its upstream, which may run the request.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -25,9 +25,10 @@
 
 // forwardBuffered forwards an answer after it has arrived completely, so that a truncated
 // one can be retried or shows as a failure.
-func (j *job) forwardBuffered(a *attempt, resp *exchange.Response) bool {
+func (j *job) forwardBuffered(a *attempt, resp *exchange.Response, timer *answerTimer) bool {
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+	timer.stop()
 	switch {
 	case err != nil && resp.LinkLost():
 		a.unreachable = true
