gateway: a silent stream is replaced by a first event, and asks again after a failure

Cause: an independent review of the standby found, each with a test of its own: streams of hanging upstreams stayed there while sound ones had no open stream (both broken off after their whole deadline; 128 ms before); the ID of a rejected event became the caller's last one, so that events 2 to 4 of 6 were skipped in an answer that ended as complete; a head alone replaced a live stream; a run that failed was noticed only at the next stall timeout; one stream held up the check of all links for 4.48 s. Change: a common silence needs three upstreams and holds for twice the stall timeout only; IDs count once their event is complete; a resumed run replaces the stream with its first event in order, and a failed one is recorded and followed by the next at once; the reader records runs outside of the lock; the timeout doubles each time that a stream went on by itself, up to three times; a route that can't resume does not compare IDs with what its caller has. Measured: the new tests pass (-race -count=2 with the other stream tests); FuzzEventReader 8 s without a failure after one that it found (an empty ID behind a number), which is in its corpus.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -19,6 +19,27 @@
 	last    int64
 	pending []byte
 	buf     [readBufferBytes]byte
+	// ready is what await has read; nil for nothing.
+	ready *readEvents
+}
+
+// readEvents is what one read of an [eventReader] has returned.
+type readEvents struct {
+	events []byte
+	id     string
+	count  int
+	err    error
+}
+
+// await reads until there is a complete event or an error, which the following next returns.
+func (s *eventReader) await() *readEvents {
+	for s.ready == nil {
+		events, id, count, err := s.next()
+		if count > 0 || err != nil {
+			s.ready = &readEvents{events, id, count, err}
+		}
+	}
+	return s.ready
 }
 
 // newEventReader returns a reader of the events that follow one with an ID, empty for the start.
@@ -34,6 +55,10 @@
 // the number of events. The end of the stream inside an event is an error: the upstream
 // broke off. So is an event that does not follow the last one; it is not returned.
 func (s *eventReader) next() (events []byte, id string, count int, err error) {
+	if r := s.ready; r != nil {
+		s.ready = nil
+		return r.events, r.id, r.count, r.err
+	}
 	n, err := s.from.Read(s.buf[:])
 	s.pending = append(s.pending, s.buf[:n]...)
 	end, count := completeEvents(s.pending)
@@ -87,12 +112,16 @@
 // among them.
 func (s *eventReader) inOrder(events []byte) (kept int, id string) {
 	start, empty := 0, true // of the current event
+	eventID, number := "", s.last
 	for at := 0; at < len(events); {
 		line, _, _ := bytes.Cut(events[at:], []byte("\n"))
 		at += len(line) + 1
 		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
 			if !empty {
-				start = at
+				start, s.last = at, number
+				if eventID != "" {
+					id, eventID = eventID, ""
+				}
 			}
 			empty = true
 			continue
@@ -104,12 +133,12 @@
 		}
 		value = bytes.TrimSpace(value)
 		if n, ok := eventNumber(value); ok {
-			if n <= s.last {
+			if n <= number {
 				return start, id
 			}
-			s.last = n
+			number = n
 		}
-		id = string(value)
+		eventID = string(value)
 	}
 	return len(events), id
 }
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -73,6 +73,7 @@
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), 3)
 	f.Add([]byte("\n\n\r\n\n"), 1)
+	f.Add([]byte("id:1\n\nid:6\nid:5\n\n"), 15)
 	f.Add([]byte("id: 2\n\ndata: a\n\nid: 1\n\nid: 3\n\n"), 7)
 	f.Fuzz(func(t *testing.T, in []byte, size int) {
 		s := newEventReader(&chunkReader{in, max(size%16, 1)}, "")
@@ -80,8 +81,12 @@
 		var err error
 		for err == nil {
 			var events []byte
-			events, _, _, err = s.next()
+			var id string
+			events, id, _, err = s.next()
 			out = append(out, events...)
+			if id != "" && !bytes.Contains(events, []byte(id)) {
+				t.Fatalf("ID %q is not in the events %q", id, events)
+			}
 		}
 		read := in
 		if errors.Is(err, errEventOutOfOrder) {
--- a/internal/gateway/resumed_run.go
+++ b/internal/gateway/resumed_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,24 +16,28 @@
 	request *exchange.Request
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// done is closed once the response has started or failed.
+	// done is closed once the first event has come, or the run has failed.
 	done    chan struct{}
 	resp    *exchange.Response
 	reply   Reply
 	failure *exchange.Failure
+	// events reads the stream. broke is set if that broke off before its first event.
+	events *eventReader
+	broke  error
+	after  string
 }
 
 // newResumedRun returns the run of an attempt after the job's last event.
 func newResumedRun(j *job, a *attempt) *resumedRun {
 	j.tried = append(j.tried, a.id)
-	r := &resumedRun{attempt: a, request: j.upstreamRequest(a), done: make(chan struct{})}
+	r := &resumedRun{attempt: a, request: j.upstreamRequest(a), after: j.resumesAfter(), done: make(chan struct{})}
 	r.request.ShouldSend = a.upstreamAccepts
 	r.request.LinkLost = func() bool { return true } // the stream that it would replace is still open
 	r.ctx, r.cancel = context.WithCancel(j.ctx)
 	return r
 }
 
-// do sends the request and reads the head of its response.
+// do sends the request and reads its response up to the first event.
 func (r *resumedRun) do() {
 	defer close(r.done)
 	n := r.attempt.job.node
@@ -44,20 +49,36 @@
 	if r.resp.Status != http.StatusMisdirectedRequest { // another upstream answered
 		n.noteResponse(r.attempt.up, r.reply, r.resp.HeadReadAt)
 	}
+	if r.reply.NotRun || r.resp.Status != http.StatusOK {
+		return
+	}
+	r.events = newEventReader(r.resp, r.after)
+	first := r.events.await()
+	if first.count == 0 && (first.err != io.EOF || r.resp.Unframed) && r.ctx.Err() == nil {
+		r.broke = first.err
+		if first.err == io.EOF {
+			r.broke = errNoEvent
+		}
+	}
 }
 
-// hasStarted reports whether the run's response has started and may replace the stream.
-func (r *resumedRun) hasStarted() bool {
+// isDone reports whether the first event has come, or the run has failed.
+func (r *resumedRun) isDone() bool {
 	select {
 	case <-r.done:
-		return r.failure == nil && !r.reply.NotRun && r.resp.Status == http.StatusOK
+		return true
 	default:
 		return false
 	}
 }
 
-// await waits until the response has started, for as long as an attempt may wait without one. It
-// reports whether the run may replace the stream.
+// goesOn reports whether the run goes on with the stream, or ends it.
+func (r *resumedRun) goesOn() bool {
+	return r.isDone() && r.events != nil && r.broke == nil && r.ctx.Err() == nil
+}
+
+// await waits for the first event, for as long as an attempt may wait without one. It
+// reports whether the run goes on with the stream.
 func (r *resumedRun) await(j *job) bool {
 	t := time.NewTimer(lateDelay(j.route.LatencyGoal, time.Until(j.deadline)))
 	defer t.Stop()
@@ -66,7 +87,7 @@
 	case <-j.ctx.Done():
 	case <-t.C:
 	}
-	return r.hasStarted()
+	return r.goesOn()
 }
 
 // noteStarted records that the run's response has started.
@@ -102,6 +123,9 @@
 	case r.resp.Status != http.StatusOK:
 		r.noteStarted(j)
 		j.noteNotResumed(a, r.resp)
+	case r.broke != nil:
+		r.noteStarted(j)
+		j.noteReplaced(a, r.resp, r.broke, 0)
 	default:
 		r.noteStarted(j)
 		r.resp.Close()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -197,7 +197,7 @@
 	}
 	j.countTrial()
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
-		return j.forwardStream(a, resp, reply)
+		return j.forwardStream(a, resp, reply, newEventReader(resp, j.resumesAfter()))
 	}
 	if j.answerStarted {
 		j.noteNotResumed(a, resp)
--- a/internal/gateway/silent_streams_test.go
+++ b/internal/gateway/silent_streams_test.go
@@ -139,6 +139,85 @@
 	<-left // the upstream can stop its work
 }
 
+// Fails if streams of upstreams that hang stay there because no other upstream has open streams.
+func TestStreamsLeaveHangingUpstreamsForAnIdleOne(t *testing.T) {
+	const hanging = 3
+	is := is.New(t)
+	hang := func(c net.Conn) {
+		startStream(c, streamText(1, 2))
+		_, _ = c.Read(make([]byte, 1)) // silent until the node leaves
+	}
+	n := newPipeNode(pipeDialer{
+		"u0": hang, "u1": hang, "u2": hang,
+		"u3": func(c net.Conn) { startStream(c, streamText(3, 5)); sendChunk(c, "") },
+	}, 100)
+	var all sync.WaitGroup
+	for i := range hanging {
+		j := newStreamJob(t, n, newRecorder())
+		for k := range hanging {
+			if k != i {
+				j.tried = append(j.tried, fmt.Sprintf("u%d", k)) // each stream begins at an upstream of its own
+			}
+		}
+		all.Go(func() {
+			body, complete := runStream(j)
+			is.True(complete)
+			is.Equal(body, streamText(1, 5))
+		})
+	}
+	all.Wait()
+}
+
+// Fails if a silent stream is given up for a run that sends the head of its response and no event.
+func TestSilentStreamIsNotLeftForAHeadAlone(t *testing.T) {
+	is := is.New(t)
+	headSent := make(chan struct{})
+	n := newPipeNode(pipeDialer{
+		"u0": func(c net.Conn) {
+			startStream(c, streamText(1, 2))
+			<-headSent
+			sendChunk(c, streamText(3, 5))
+			sendChunk(c, "")
+		},
+		"u1": func(c net.Conn) {
+			startStream(c, "id: 3\n")
+			close(headSent)
+			_, _ = c.Read(make([]byte, 1)) // silent until the node leaves
+		},
+	}, 100)
+	j := newStreamJob(t, n, newRecorder())
+	j.route.MaxAttempts = 2
+	body, complete := runStream(j)
+	is.True(complete)
+	is.Equal(body, streamText(1, 5))
+}
+
+// Fails if a silent stream asks no other upstream after the first one could not go on with it.
+func TestSilentStreamAsksAnotherUpstreamAfterAFailure(t *testing.T) {
+	for name, failure := range map[string]func(c net.Conn){
+		"error":          func(c net.Conn) { reply(c, http.StatusInternalServerError, "") },
+		"breaks off":     func(c net.Conn) { startStream(c, "id: 3\nda") },
+		"starts over":    func(c net.Conn) { startStream(c, streamText(1, 5)); sendChunk(c, "") },
+		"another answer": func(c net.Conn) { reply(c, http.StatusNotFound, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newPipeNode(pipeDialer{
+				"u0": func(c net.Conn) {
+					startStream(c, streamText(1, 2))
+					_, _ = c.Read(make([]byte, 1)) // silent until the node leaves
+				},
+				"u1": failure,
+				"u2": func(c net.Conn) { startStream(c, streamText(3, 5)); sendChunk(c, "") },
+			}, 100)
+			j := newStreamJob(t, n, newRecorder())
+			body, complete := runStream(j)
+			is.True(complete)
+			is.Equal(body, streamText(1, 5))
+		})
+	}
+}
+
 // Fails if a resumed answer holds events of a run that does not go on after the caller's last one,
 // or ends as complete with another answer's body.
 func TestResumedStreamHoldsOnlyItsNextEvents(t *testing.T) {
@@ -157,6 +236,7 @@
 			sendChunk(c, streamText(2, 5))
 			sendChunk(c, "")
 		}, streamText(1, 4), false},
+		{"another ID in an event", func(c net.Conn) { startStream(c, "id: 3\n\nid: 6\nid: 2\n\n"+streamText(4, 5)); sendChunk(c, "") }, streamText(1, 2) + "id: 3\n\n", false},
 		{"a whole answer below 500", func(c net.Conn) { reply(c, http.StatusNotFound, "no such run") }, streamText(1, 2), false},
 		{"a whole answer of another kind", func(c net.Conn) { reply(c, http.StatusAccepted, streamText(3, 4)) }, streamText(1, 2), false},
 	}
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -34,6 +34,8 @@
 	asked   bool
 	// lost is set if the link to the stream's upstream was lost since the last event.
 	lost bool
+	// vain counts the resumed runs that were ended because the stream went on.
+	vain int
 	// pending is a resumed run whose response has not started. taken is the one that replaces the
 	// stream.
 	pending, taken *resumedRun
@@ -57,7 +59,7 @@
 	s.waiting = true
 	now := time.Now()
 	if s.silentSince.IsZero() {
-		s.timeout = s.job.stallTimeout(events)
+		s.timeout = s.job.stallTimeout(events) << min(s.vain, maxStallBackoff)
 		s.silentSince, s.askAt, s.asked = now, now.Add(s.timeout), false
 	}
 	if s.timer == nil {
@@ -65,52 +67,60 @@
 	} else {
 		s.timer.Reset(s.askAt.Sub(now))
 	}
-	s.takePending()
+	s.settle(now)
 }
 
+// maxStallBackoff bounds how often the stall timeout of a stream doubles. It doubles each time that
+// the stream has gone on although another upstream was asked.
+const maxStallBackoff = 3
+
 // received ends the wait. It returns false if the stream has been replaced. With progress, the
 // stream has sent an event; bytes that trickle in without one are no progress.
 func (s *standby) received(progress bool) bool {
 	if s == nil {
 		return true
 	}
+	pending, taken := s.stopWaiting(progress)
+	if pending != nil {
+		pending.drop(s.job, fleet.Abandoned)
+		s.vain++
+	}
+	return taken == nil
+}
+
+// stopWaiting ends the wait, after which the job is the reader's. With all, the pending run is taken
+// out of the standby; nil for none.
+func (s *standby) stopWaiting(all bool) (pending, taken *resumedRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting = false
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	if s.taken != nil {
-		return false
-	}
-	if progress {
+	if all && s.taken == nil {
 		s.silentSince, s.lost = time.Time{}, false
-		s.dropPending(fleet.Abandoned)
+		pending, s.pending = s.pending, nil
 	}
-	return true
+	return pending, s.taken
 }
 
-// end ends the standby of a stream that has ended. broken is set if the stream broke off: a resumed
-// run that is still pending may then replace it.
+// end ends the standby of a stream that has ended, and returns the run that replaces it; nil for
+// none. broken is set if the stream broke off: a run that is still pending may then replace it.
 func (s *standby) end(broken bool) *resumedRun {
 	if s == nil {
 		return nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waiting = false
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-	result := fleet.Abandoned
-	if broken && s.pending != nil {
-		if s.pending.await(s.job) {
-			s.taken, s.pending = s.pending, nil
-		}
-		result = fleet.Moved
+	pending, taken := s.stopWaiting(true)
+	switch {
+	case pending == nil:
+	case !broken:
+		pending.drop(s.job, fleet.Abandoned)
+	case pending.await(s.job):
+		return pending
+	default:
+		pending.drop(s.job, fleet.Moved)
 	}
-	s.dropPending(result)
-	return s.taken
+	return taken
 }
 
 // dropPending ends a pending run and records its result; the caller holds mu.
@@ -136,8 +146,9 @@
 		s.job.node.metrics.Counter("hickorybank_silent_streams_total", "service", s.job.service).Inc()
 	}
 	s.dropPending(fleet.Moved)
-	run, verdict := s.begin(now)
-	s.log(verdict, now)
+	silence := s.job.node.streams.Silence(s.job.service, s.job.silenceThreshold(), now)
+	run, verdict := s.begin(silence, now)
+	s.log(verdict, silence, now)
 	if verdict != noAttemptLeft {
 		s.askAt = now.Add(s.timeout)
 		s.timer.Reset(s.timeout)
@@ -188,11 +199,10 @@
 
 // begin returns a resumed run that has been taken from the retry budget; nil if there is none. The
 // caller holds mu.
-func (s *standby) begin(now time.Time) (*resumedRun, verdict) {
+func (s *standby) begin(silence streamwatch.Silence, now time.Time) (*resumedRun, verdict) {
 	j := s.job
-	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), now)
 	switch {
-	case j.attemptsLeft() < 1:
+	case j.attemptsLeft() < 1 || j.connectFailures > maxConnectFailures:
 		return nil, noAttemptLeft
 	case s.isCommon(silence, now):
 		return nil, commonSilence
@@ -218,36 +228,44 @@
 	return newResumedRun(j, a), mayMove
 }
 
-// isCommon reports whether a silence is common, so that another upstream is no better. A silence of
-// most upstreams that lasts is theirs; peers may reach upstreams that are silent to this node only.
+// isCommon reports whether a silence is common, so that another upstream is no better. One that
+// lasts is not: the upstreams without open streams may go on. Peers may reach upstreams that are
+// silent to this node only.
 func (s *standby) isCommon(silence streamwatch.Silence, now time.Time) bool {
 	lasts := now.Sub(s.silentSince) >= commonSilenceFactor*s.timeout
-	return !s.lost && (silence.IsTotal() || silence.IsCommon() && !lasts)
+	return !s.lost && !lasts && silence.IsCommon()
 }
 
-// follow lets a resumed run replace the silent stream once its response has started.
+// follow waits for the first event of a resumed run.
 func (s *standby) follow(run *resumedRun) {
 	run.do()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.takePending()
+	if s.pending == run && s.waiting {
+		s.settle(time.Now())
+	}
 }
 
-// takePending lets a pending run whose response has started replace the stream that the reader
-// waits for; the caller holds mu. A run that failed is recorded at the next event or timeout.
-func (s *standby) takePending() {
-	if !s.waiting || s.pending == nil || !s.pending.hasStarted() {
-		return
+// settle lets a pending run that has sent an event replace the stream that the reader waits for. In
+// place of a run that failed another one is looked for at once. The caller holds mu.
+func (s *standby) settle(now time.Time) {
+	switch {
+	case s.pending == nil || !s.pending.isDone():
+	case s.pending.goesOn():
+		s.pending, s.taken = nil, s.pending
+		s.waiting = false
+		s.taken.resp.OnLinkLost(func() bool { return false })
+		s.stream.Abort() // ends the reader's wait
+	default:
+		s.dropPending(fleet.Moved)
+		s.askAt = now
+		s.timer.Reset(0)
 	}
-	s.pending, s.taken = nil, s.pending
-	s.waiting = false
-	s.stream.Abort() // ends the reader's wait
 }
 
 // log records a verdict on the silent stream; the caller holds mu.
-func (s *standby) log(v verdict, now time.Time) {
+func (s *standby) log(v verdict, silence streamwatch.Silence, now time.Time) {
 	j := s.job
-	silence := j.node.streams.Silence(j.service, j.silenceThreshold(), now)
 	j.node.logEvent(event.StreamSilent, j, slog.String("upstream", s.attempt.id), slog.String("last_event", j.lastEvent),
 		slog.Int64("silent_ms", now.Sub(s.silentSince).Milliseconds()), slog.String("resumed_run", string(v)), slog.Bool("link_lost", s.lost),
 		slog.Int("silent_upstreams", len(silence.Upstreams)), slog.Int("streaming_upstreams", silence.Streaming))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,7 +33,7 @@
 
 // forwardStream forwards a stream's complete events as they arrive. It returns true if the
 // request has its final answer, false if the stream should resume at another upstream.
-func (j *job) forwardStream(a *attempt, resp *exchange.Response, reply Reply) bool {
+func (j *job) forwardStream(a *attempt, resp *exchange.Response, reply Reply, s *eventReader) bool {
 	defer resp.Close()
 	if next := j.escalate(a, reply); next != "" {
 		a.finish(fleet.Served)
@@ -43,7 +43,6 @@
 	}
 	pulse := j.node.streams.Begin(j.service, a.id, time.Now())
 	defer pulse.End()
-	s := newEventReader(resp, j.lastEvent)
 	resumedAfter := j.lastEvent
 	first, last, count := time.Time{}, time.Time{}, 0
 	end, err := endComplete, error(nil)
@@ -119,7 +118,7 @@
 func (j *job) forwardResumed(run *resumedRun) bool {
 	run.noteStarted(j)
 	run.attempt.noteAnswering()
-	return j.forwardStream(run.attempt, run.resp, run.reply)
+	return j.forwardStream(run.attempt, run.resp, run.reply, run.events)
 }
 
 // meanPause returns the mean pause between a stream's events; 0 for fewer than four events.
@@ -155,6 +154,14 @@
 	return time.Duration(eventStallFactor * float64(j.gapGoal()))
 }
 
+// resumesAfter returns the ID of the event after which the next run goes on; empty for the start.
+func (j *job) resumesAfter() string {
+	if !j.route.Resumable {
+		return ""
+	}
+	return j.lastEvent
+}
+
 // gapGoal returns the longest pause between events for which an answer is on time.
 func (j *job) gapGoal() time.Duration {
 	if j.route.GapGoal > 0 {
--- a/internal/streamwatch/silence.go
+++ b/internal/streamwatch/silence.go
@@ -9,14 +9,10 @@
 }
 
 // minCommon is the number of silent upstreams from which a silence can be common.
-const minCommon = 2
+const minCommon = 3
 
-// IsTotal reports whether all upstreams with open streams are silent together. None of them is then
-// known to be at fault, nor any other to be better.
-func (s Silence) IsTotal() bool { return s.IsCommon() && len(s.Upstreams) == s.Streaming }
-
-// IsCommon reports whether most upstreams with open streams are silent together. The others could
-// not run their streams too.
+// IsCommon reports whether most upstreams with open streams are silent together. None of them is then
+// known to be at fault, and the others could not run their streams too.
 func (s Silence) IsCommon() bool {
 	return len(s.Upstreams) >= minCommon && 2*len(s.Upstreams) > s.Streaming
 }
