gateway: a smaller model's answer is dropped only if a larger one may and can run

Cause: escalate asked the cascade and the retry budget, and the answer was closed. Whether the route may be repeated, the request is blocked, or an upstream can take the larger model was asked only afterwards. Class: what one has is given up before what replaces it is certain. Change: reserveEscalation asks what the next attempt will ask: attempts left and the kind of the route, crash guard, an upstream for the larger model now, and the budget last, so that it is not spent in vain. Why it works: an answer is dropped only when each check of the next attempt passes at that moment. Asking the larger model first, with the small answer open until the larger one starts, would also cover a larger run that fails or is declined. It was not chosen: it holds two runs of one request, beyond the 400 ms of TWICE where the larger model reads a long prompt, and pays for tokens that are dropped in most cases.

--- a/internal/gateway/escalate.go
+++ b/internal/gateway/escalate.go
@@ -30,16 +30,40 @@
 		slog.Int("slots_in_use_percent", int(100*state.Load)),
 		slog.Int64("largest_ms", state.Largest.Milliseconds()), slog.Int64("left_ms", state.Left.Milliseconds()),
 	}
-	if !j.node.allowRetry(j.service, cascade.Reserve(reply.Confidence)) {
+	if v := j.reserveEscalation(next, reply.Confidence); v != mayMove {
 		// Without a further attempt the small model's answer is the only one.
-		j.node.logEvent(event.ForwardLowConfidence, j, attrs...)
+		j.node.logEvent(event.ForwardLowConfidence, j, append(attrs, slog.String("larger_run", string(v)))...)
 		return ""
 	}
 	j.node.logEvent(event.ForwardEscalated, j, attrs...)
-	j.retryReserved = true
 	return next
 }
 
+// reserveEscalation takes an attempt at a larger model from the retry budget, if the request may run
+// again and an upstream can take it now.
+func (j *job) reserveEscalation(larger string, confidence int) verdict {
+	switch {
+	case !j.mayAttempt():
+		return noAttemptLeft
+	case !j.mayRun():
+		return mayNotRun
+	case !j.hasUpstreamFor(larger):
+		return noOther
+	case !j.node.allowRetry(j.service, cascade.Reserve(confidence)):
+		return noBudget
+	}
+	j.retryReserved = true
+	return mayMove
+}
+
+// hasUpstreamFor reports whether an upstream can take the job's next attempt with a model.
+func (j *job) hasUpstreamFor(model string) bool {
+	current := j.model
+	j.model = model
+	defer func() { j.model = current }()
+	return j.node.hasUpstream(j, time.Now())
+}
+
 // initialCascadeState returns the input of the model choice before the first attempt.
 func (j *job) initialCascadeState() cascade.State {
 	j.node.mu.Lock()
