lifecycle: a stream that its node can't read on is not cancelled if its caller can resume it

Callers saw: a stream that ends with an error while their node has no link to its engine could not be resumed through another node either. Cause: abandon cancels the attempt at its engine before anything replaces it. Where the caller has a part of the answer nothing can replace it; the caller's stream token is the only way on, and the cancellation ends the stream that it names. A caller that disconnects already leaves its attempt running for that reason. Change: after failed or used-up resumptions, a resumable stream of which the caller has a part fails without Cancel. Why it works: the engine keeps the stream for its usual time, as after a disconnected caller. Measured: go test ./internal/lifecycle ./internal/node passes. Not played: a caller that resumes after such an error, end to end.

--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -18,7 +18,7 @@
 		return c.retryNotRun()
 	}
 	if resuming && reach != upstream.MaybeRun {
-		return c.abandon()
+		return c.abandonUnlessResumable()
 	}
 	return c.resume()
 }
@@ -46,19 +46,33 @@
 func (c *Chat) resume() []Decision {
 	a := c.current
 	if a.resumes >= c.settings.MaxResumes {
-		return c.abandon()
+		return c.abandonUnlessResumable()
 	}
 	a.resumes++
 	return []Decision{Resume{Attempt: a.id, VM: a.vm, After: a.lastSeq}}
 }
 
+// abandonUnlessResumable abandons an attempt that this node can't read on. The attempt of a
+// resumable stream is not cancelled, so that the caller can resume it through another node.
+func (c *Chat) abandonUnlessResumable() []Decision {
+	if c.emitted && c.settings.Resumable {
+		return c.failBrokenOff()
+	}
+	return c.abandon()
+}
+
+// failBrokenOff fails a request whose caller has a part of the answer.
+func (c *Chat) failBrokenOff() []Decision {
+	return c.fail(request.CodeUpstreamFailed, retryDelay, "the answer broke off and could not be resumed")
+}
+
 // abandon cancels the attempt and retries at another upstream. Once a chunk has been sent to
 // the caller, no other attempt's text could continue the answer, so the request fails instead.
 func (c *Chat) abandon() []Decision {
 	cancel := Cancel{Attempt: c.current.id, VM: c.current.vm}
 	c.ambiguous++
 	if c.emitted {
-		return append([]Decision{cancel}, c.fail(request.CodeUpstreamFailed, retryDelay, "the answer broke off and could not be resumed")...)
+		return append([]Decision{cancel}, c.failBrokenOff()...)
 	}
 	return c.retry([]Decision{cancel})
 }
