upstream client: a relayed connection is not kept for another request

Callers saw (own door): "upstream failed", outcome unknown, for a call whose connection through a peer was closed while its request was being written. In the worst case it may have run. Cause: net/http puts a connection into its pool at the end of a body, before the body's Close ends it. The next request gets a connection that is being closed. Change: a request that is about to go out on a relayed connection says "Connection: close", so that neither the upstream nor the transport keeps the connection. Why it works: the response says so too, and net/http pools no such connection. An upstream that ignores the field is handled as before.

--- a/internal/upstream/client/sending.go
+++ b/internal/upstream/client/sending.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 
@@ -11,6 +12,8 @@
 type sendTracker struct {
 	// maySend is called before the request is written, if it is set.
 	maySend func() error
+	// header is the request's.
+	header http.Header
 
 	mu           sync.Mutex
 	conn         *sealableConn
@@ -37,6 +40,11 @@
 	s.conn = c
 	s.writesBefore = c.writesStarted()
 	c.checkNextWrite(s.maySend)
+	if c.relayed {
+		// Otherwise the transport keeps the connection once it has read the body, and the next request
+		// may get it before relayedBody closes it.
+		s.header.Set("Connection", "close")
+	}
 }
 
 // relayedConn returns the connection of the request if it passes through a peer, else nil.
