lifecycle: a part of an answer is not given up for one missed connection to its engine

Callers saw (own door): a stream that ends with an error when its node gets no connection to the engine at the first resumption, for instance after its silent connection over a lost link was closed and no peer could carry another one at that moment. The engine kept the stream. Cause: a resumption that was not sent abandoned the attempt at once, although resumptions were left and nothing else can continue the text. An engine that refuses connections or is known to have crashed ends the attempt at once, as before. Without a part sent, another engine is tried at once, as before. Scripts may set MaxResumes. Why it works: a moment without a way to the engine no longer ends an answer that the engine still holds. Not played over real lost links.

--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -9,7 +9,8 @@
 
 // ConnectionFailed is the event that sending an attempt, resuming it or reading its stream
 // failed. With resuming set, reach is that of the resumption and says nothing about whether the
-// attempt ran.
+// attempt ran. Without a connection, a resumption of an answer of which the caller has a part is
+// repeated: nothing else can continue it.
 func (c *Chat) ConnectionFailed(attempt string, reach upstream.Reach, resuming bool) []Decision {
 	if c.phase != running || attempt != c.current.id {
 		return nil
@@ -17,7 +18,7 @@
 	if !resuming && reach != upstream.MaybeRun {
 		return c.retryNotRun()
 	}
-	if resuming && reach != upstream.MaybeRun {
+	if resuming && reach != upstream.MaybeRun && !(c.emitted && reach == upstream.NotSent) {
 		return c.abandonUnlessResumable()
 	}
 	return c.resume()
--- a/internal/lifecycle/script_test.go
+++ b/internal/lifecycle/script_test.go
@@ -33,6 +33,9 @@
 
 func chatSettings(t *testing.T, d *datadriven.TestData) ChatSettings {
 	s := ChatSettings{ID: "r", MaxAttempts: 3, MaxResumes: 1, Threshold: 0.8, Streaming: d.HasArg("stream"), Resumable: d.HasArg("resumable")}
+	if d.HasArg("resumes") {
+		s.MaxResumes = intArg(t, d, "resumes")
+	}
 	var versions string
 	d.ScanArgs(t, "plan", &versions)
 	s.Versions = strings.Split(versions, "+")
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -25,6 +25,8 @@
 	// unreachableTimeout replaces firstChunkTimeout for a resumption at an upstream whose
 	// circuit breaker is open: it answers no polls either.
 	unreachableTimeout = 2 * time.Second
+	// resumePause is the pause before the next resumption after one that got no connection.
+	resumePause = 300 * time.Millisecond
 )
 
 // activeAttempt is the attempt in flight of a chat request.
@@ -134,6 +136,9 @@
 
 func (r *chatRun) resume(ctx context.Context, d lifecycle.Resume) []lifecycle.Decision {
 	r.current.close()
+	if r.current.err != nil && reachOf(r.current.err) == upstream.NotSent {
+		pause(ctx, resumePause) // if ctx ends, so does the resumption
+	}
 	timeout := r.node.upstreams.resumeTimeout(r.current)
 	stream, err := r.node.deps.Engines.Resume(r.node.upstreams.withNotices(r.withStallTimer(ctx, timeout), r.current.vm), r.current.vm.Addr, d.Attempt, d.After)
 	if err != nil {
@@ -245,6 +250,9 @@
 	}
 	if resuming && (isRefused(err) || r.node.hasCrashed(r.current.vm, r.current.epoch)) {
 		r.upstreamCrashed()
+		if reachOf(err) == upstream.NotSent {
+			return r.machine.EngineFailed(r.current.attempt)
+		}
 	}
 	return r.machine.ConnectionFailed(r.current.attempt, reachOf(err), resuming)
 }
