lifecycle: a convicted request keeps the answer of its first stage

Callers saw (own door, two stages): a refusal as a request that crashes upstreams, although the first version's whole answer was there and only the second stage may not run any more. Cause: Convicted failed the request; a refusal of the same attempt for any other reason, or a conviction seen one step later (NotSent), falls back to the first stage's answer. Evidence: the new script of testdata/chat/convicted gave Fail before the change. Change: a conviction before the next attempt uses the earlier answer if there is one. Why it works: nothing more is sent either way. Measured: go test ./internal/lifecycle passes.

--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -107,8 +107,11 @@
 	return []Decision{Fail{Failure: &request.Failure{Code: code, Message: message, Outcome: outcome, RetryAfter: retryAfter}}}
 }
 
-// Convicted is the event that the request is known to crash upstreams.
+// Convicted is the event that the request is known to crash upstreams. No further attempt is sent.
 func (c *Chat) Convicted() []Decision {
+	if c.phase == picking {
+		return c.useEarlierOrFail(request.CodeSuspect, 0, "upstreams crash on this request")
+	}
 	return c.cancelAndFail(request.CodeSuspect, 0, "upstreams crash on this request")
 }
 
