--- a/internal/lifecycle/chat_failure.go
+++ b/internal/lifecycle/chat_failure.go
@@ -9,7 +9,8 @@
 
 // ConnectionFailed is the event that sending an attempt, resuming it or reading its stream
 // failed. With resuming set, reach is that of the resumption and says nothing about whether the
-// attempt ran.
+// attempt ran. Without a connection, a resumption of an answer of which the caller has a part is
+// repeated: nothing else can continue it.
 func (c *Chat) ConnectionFailed(attempt string, reach upstream.Reach, resuming bool) []Decision {
 	if c.phase != running || attempt != c.current.id {
 		return nil
@@ -17,8 +18,8 @@
 	if !resuming && reach != upstream.MaybeRun {
 		return c.retryNotRun()
 	}
-	if resuming && reach != upstream.MaybeRun {
-		return c.abandon()
+	if resuming && reach != upstream.MaybeRun && !(c.emitted && reach == upstream.NotSent) {
+		return c.abandonUnlessResumable()
 	}
 	return c.resume()
 }
@@ -46,19 +47,33 @@
 func (c *Chat) resume() []Decision {
 	a := c.current
 	if a.resumes >= c.settings.MaxResumes {
-		return c.abandon()
+		return c.abandonUnlessResumable()
 	}
 	a.resumes++
 	return []Decision{Resume{Attempt: a.id, VM: a.vm, After: a.lastSeq}}
 }
 
+// abandonUnlessResumable abandons an attempt that this node can't read on. The attempt of a
+// resumable stream is not cancelled, so that the caller can resume it through another node.
+func (c *Chat) abandonUnlessResumable() []Decision {
+	if c.emitted && c.settings.Resumable {
+		return c.failBrokenOff()
+	}
+	return c.abandon()
+}
+
+// failBrokenOff fails a request whose caller has a part of the answer.
+func (c *Chat) failBrokenOff() []Decision {
+	return c.fail(request.CodeUpstreamFailed, retryDelay, "the answer broke off and could not be resumed")
+}
+
 // abandon cancels the attempt and retries at another upstream. Once a chunk has been sent to
 // the caller, no other attempt's text could continue the answer, so the request fails instead.
 func (c *Chat) abandon() []Decision {
 	cancel := Cancel{Attempt: c.current.id, VM: c.current.vm}
 	c.ambiguous++
 	if c.emitted {
-		return append([]Decision{cancel}, c.fail(request.CodeUpstreamFailed, retryDelay, "the answer broke off and could not be resumed")...)
+		return append([]Decision{cancel}, c.failBrokenOff()...)
 	}
 	return c.retry([]Decision{cancel})
 }
@@ -92,8 +107,11 @@
 	return []Decision{Fail{Failure: &request.Failure{Code: code, Message: message, Outcome: outcome, RetryAfter: retryAfter}}}
 }
 
-// Convicted is the event that the request is known to crash upstreams.
+// Convicted is the event that the request is known to crash upstreams. No further attempt is sent.
 func (c *Chat) Convicted() []Decision {
+	if c.phase == picking {
+		return c.useEarlierOrFail(request.CodeSuspect, 0, "upstreams crash on this request")
+	}
 	return c.cancelAndFail(request.CodeSuspect, 0, "upstreams crash on this request")
 }
 
