node: an unframed answer that is broken off is reset at the own door too

Callers saw: over HTTP/1.0, a chat stream whose connection ended properly when the grace of a stop was over, as after its last event; only the missing end marker told. Cause: the own door reset no connections. Class: an end that says nothing of how it came about. Evidence: TestStopResetsUnframedAnswers without the change: io.EOF after the first event of a stream that goes on. Change: package unframed holds what the gateway did for its unframed answers, as a handler for both doors: the connection of a caller below HTTP/1.1 is reset by any close until the handler has returned and its answer is flushed. The gateway's own calls for it are gone. Why it works: as before; a handler that panics, a server that is closed and a deadline that passes all come before the handler's return. A close between the flush and the end of the reset resets a whole answer: the safe way round. Not over TLS, where a close first sends the proper end.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,6 +17,7 @@
 	"github.com/hickorybank/hickorybank/internal/explain"
 	"github.com/hickorybank/hickorybank/internal/gossip"
 	"github.com/hickorybank/hickorybank/internal/relay"
+	"github.com/hickorybank/hickorybank/internal/unframed"
 )
 
 // Run serves until ctx ends, then stops gracefully within the settings' Grace. directory
@@ -163,12 +164,12 @@
 
 func (c *connections) server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           unframed.Handler(h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleSentinel,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLog,
-		ConnContext:       withCallerConn,
+		ConnContext:       unframed.ConnContext,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
 			case http.StateNew:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -165,7 +165,6 @@
 func (j *job) sendEvents(resp *exchange.Response, events []byte, id string) error {
 	if !j.answerStarted {
 		copyHeader(j.w.Header(), resp.Header)
-		j.beginUnframed()
 		j.w.WriteHeader(resp.Status)
 		j.answerStarted = true
 		j.firstPartAfter = time.Since(j.start)
@@ -192,8 +191,6 @@
 		if !j.answerStarted {
 			copyHeader(j.w.Header(), resp.Header)
 			j.w.WriteHeader(resp.Status)
-		} else {
-			j.endUnframed()
 		}
 		j.outcome = "answered"
 		j.node.logEvent(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.String("upstream", a.id),
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -90,8 +90,6 @@
 	copyHeader(j.w.Header(), resp.Header)
 	if resp.Length >= 0 {
 		j.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-	} else {
-		j.beginUnframed()
 	}
 	j.answerStarted = true
 	j.w.WriteHeader(resp.Status)
@@ -112,7 +110,6 @@
 		a.finish(fleet.Failed)
 		j.breakOff("cut_short")
 	}
-	j.endUnframed()
 	a.finish(fleet.Served)
 	a.reportOutcome(resp.Status >= http.StatusInternalServerError, 0)
 	j.node.logEvent(event.ForwardAnswered, j, slog.Int("status", resp.Status), slog.Int64("bytes", resp.Length))
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+
+	"github.com/hickorybank/hickorybank/internal/unframed"
 )
 
 // callerServer serves the connections of callers. Its close breaks off no request.
@@ -19,14 +21,14 @@
 func newCallerServer(l net.Listener, secure *tls.Config) *callerServer {
 	s := &callerServer{connections: newConnections(), accepted: make(chan struct{})}
 	s.listener = withTLS(&callerListener{Listener: l, tracker: s.connections}, secure)
-	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connections.stateChanged}
+	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connections.stateChanged, ConnContext: unframed.ConnContext}
 	return s
 }
 
 // serve accepts connections until the listener is closed.
 func (s *callerServer) serve(h http.Handler) {
 	defer close(s.accepted)
-	s.http.Handler = h
+	s.http.Handler = unframed.Handler(h)
 	_ = s.http.Serve(s.listener) // returns when the listener is closed
 }
 
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -62,6 +62,14 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets how long a close waits for unsent bytes, in seconds; 0 resets the connection.
+func (c *callerConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // callerListener accepts connections of callers and tracks them.
 type callerListener struct {
 	net.Listener
