gateway: unreadable rows and configurations take a bounded part of the log

What callers saw: nothing yet; found by a unit test. A decoder's error repeats the number that it cannot read, of any length, and each unreadable row of a response had its line, written while the node's lock is held. Cause: texts of another writer went into the log as they are; changed records are bounded, unreadable ones were not. Evidence: TestUnreadableRowsDoNotFillTheLog on the code before: 1000 lines of 1 MB for one response; the test took 16 s, all of it under the lock. Change: the first 32 rows of a response are logged, each with their number (rows), and errors of rows and configurations up to 256 bytes. The counter hickorybank_unreadable_rows_total counts all. Why it works: a response adds at most 32 short lines; all three places that log odd rows or configurations use the same two functions.

--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -132,18 +132,12 @@
 // entry has been overwritten, so it no longer describes the upstream. Other upstreams are
 // unaffected.
 func (n *Node) dropUnreadable(rows []UnreadableRow) {
+	n.noteUnreadable(rows)
 	for _, r := range rows {
-		n.noteUnreadable(r)
 		n.dropUpstream(r.Key)
 	}
 }
 
-// noteUnreadable counts and logs a row that can't be read.
-func (n *Node) noteUnreadable(r UnreadableRow) {
-	n.metrics.Counter("hickorybank_unreadable_rows_total").Inc()
-	event.RowUnreadable.Log(n.log, slog.String("key", r.Key), slog.String("err", r.Err.Error()))
-}
-
 // dropUpstream drops an upstream, retained or not; the caller holds mu.
 func (n *Node) dropUpstream(id string) {
 	delete(n.view.retained, id)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -22,9 +22,7 @@
 		n.restoreRollouts(ctx, c.Rollouts)
 	}
 	n.mu.Lock()
-	for _, r := range c.Unreadable {
-		n.noteUnreadable(r)
-	}
+	n.noteUnreadable(c.Unreadable)
 	restoring := n.isRestoring(time.Now())
 	n.applyEvacuations(n.withoutOutdated(c.Evacuations, restoring), fromTable)
 	if c.Complete && !restoring {
@@ -148,7 +146,7 @@
 // noteRejectedConfig counts and logs an unusable configuration; the active one stays.
 func (n *Node) noteRejectedConfig(from string, err error) {
 	n.metrics.Counter("hickorybank_config_rejected_total").Inc()
-	event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", err.Error()))
+	event.TableRejected.Log(n.log, slog.String("from", from), slog.String("err", boundedText(err)))
 }
 
 // configActivated applies what waited for the new configuration. On the leader of a group
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -80,7 +80,7 @@
 	}
 	records, err := fleet.DecodeRecords(data)
 	if err != nil {
-		event.RowUnreadable.Log(n.log, slog.String("key", "snapshot"), slog.String("err", err.Error()))
+		n.noteUnreadable([]UnreadableRow{{Key: "snapshot", Err: err}})
 		return nil
 	}
 	return records
