platform: odd records of members are logged, and need a usable address

What callers saw: nothing; found by reading. A member's row that was no JSON was skipped without a trace, and one with a port out of range, without a host or under another node's key was taken and called again and again. Cause: the rows of members were decoded without a check, and the interface had no way to report them. Change: a record needs the ID of its key and a host and port; others are returned as unreadable and get event 1933, as upstreams' rows do. Why it works: what is left can be called, and the node that answers there says who it is. Tests: TestOddMemberIsSkippedByItself (11 kinds, beside good records, twice), new with the interface. TestOddOrderIsUnreadableByItself (10 kinds of rollout orders beside a good one, the configuration and evacuations with odd keys, and later changes) passes without a change: not here. TestUnreadableRowsAreSkipped gives its own member an address, as real ones have, and also checks that the odd row is named.

--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -107,7 +107,7 @@
 	n.mu.Lock()
 	self := n.roster.Self()
 	n.mu.Unlock()
-	members, err := n.source.Join(ctx, self)
+	members, unreadable, err := n.source.Join(ctx, self)
 	n.sourceResult("join", err)
 	if err != nil {
 		return false
@@ -115,5 +115,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.recordedMembers = members
+	n.noteUnreadable(unreadable)
 	return true
 }
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -82,8 +82,8 @@
 	// the state that then stands.
 	Record(ctx context.Context, o canary.Order, v canary.Verdict) (canary.Verdict, error)
 	// Join records a member, so that others find it, and returns the members recorded so
-	// far.
-	Join(ctx context.Context, m gossip.Member) ([]gossip.Member, error)
+	// far, and the records that can't be read.
+	Join(ctx context.Context, m gossip.Member) (members []gossip.Member, unreadable []UnreadableRow, err error)
 	// SaveSnapshot stores the list of upstreams apart from their own entries. LoadSnapshot
 	// returns it, or nothing if none was stored. Additional bytes may follow the stored
 	// ones.
