platform client: one odd entry of the VM list costs only itself

What callers saw: nothing yet; found by a table test after the report of odd entries (machines that stopped following the list). Cause: the list was decoded as a whole. An entry with a number in place of a text, a list as address, or nested beyond the decoder's bound of 10,000 levels failed the whole response: no entry node saw a change of the list any more, and no event said so. Change: entries are decoded one by one. Where the decoder refuses the document for its depth, it is split without decoding. Entries that cannot be decoded are counted in event 1409 with the first error, cut to 256 bytes, each time the list is read in full.

--- a/internal/confsync/list_read.go
+++ b/internal/confsync/list_read.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/platform"
 )
 
@@ -50,6 +53,9 @@
 	if err != nil || read.Unchanged {
 		return nil, err
 	}
+	if len(read.Unreadable) > 0 {
+		event.ListUnreadable.Log(s.deps.Log, slog.Int("entries", len(read.Unreadable)), slog.String("error", fmt.Sprintf("%.256s", read.Unreadable[0])))
+	}
 	list, err := newVMList(read.VMs)
 	if err != nil {
 		return nil, err
--- a/internal/event/confsync.go
+++ b/internal/event/confsync.go
@@ -13,6 +13,7 @@
 	ConfigFollower  = define(1406, slog.LevelInfo, "node pulls the configuration from a peer")
 	ConfigReadError = define(1407, slog.LevelWarn, "head of the configuration could not be read")
 	ListRejected    = define(1408, slog.LevelWarn, "VM list of a peer could not be applied")
+	ListUnreadable  = define(1409, slog.LevelWarn, "entries of the VM list cannot be decoded; they are ignored")
 	MemberLeaving   = define(1420, slog.LevelInfo, "VM is leaving")
 	MemberSuspect   = define(1421, slog.LevelWarn, "VM is unreachable")
 	MemberLive      = define(1422, slog.LevelInfo, "VM is serving")
--- a/internal/platform/client/vms.go
+++ b/internal/platform/client/vms.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -8,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hickorybank/hickorybank/internal/archive"
 	"github.com/hickorybank/hickorybank/internal/platform"
 	"github.com/hickorybank/hickorybank/internal/platform/client/wire"
 )
@@ -17,11 +19,10 @@
 
 var _ platform.ConditionalVMs = vms{}
 
-// List implements [platform.VMs].
+// List implements [platform.VMs]. Entries that cannot be decoded are left out.
 func (v vms) List(ctx context.Context) ([]platform.VM, error) {
-	var resp wire.VMsResponse
-	err := v.c.do(ctx, operation{method: http.MethodGet, path: wire.PathVMs}, &resp)
-	return resp.VMs, err
+	list, err := v.ListIfChanged(ctx, "")
+	return list.VMs, err
 }
 
 // ListIfChanged implements [platform.ConditionalVMs] with an HTTP entity tag. A platform
@@ -36,11 +37,42 @@
 	if received.notModified {
 		return platform.TaggedVMs{Tag: tag, Unchanged: true}, nil
 	}
-	var resp wire.VMsResponse
-	if err := json.Unmarshal(data, &resp); err != nil {
+	entries, err := vmEntries(data)
+	if err != nil {
 		return platform.TaggedVMs{}, eris.Wrap(wire.Refused(err), "platform: decode the VM list")
 	}
-	return platform.TaggedVMs{VMs: resp.VMs, Tag: received.tag}, nil
+	list := platform.TaggedVMs{Tag: received.tag}
+	for i, entry := range entries {
+		var vm platform.VM
+		if err := json.Unmarshal(entry, &vm); err != nil {
+			list.Unreadable = append(list.Unreadable, eris.Wrapf(err, "entry %d of the VM list", i))
+			continue
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	return list, nil
+}
+
+// vmEntries returns the encoded entries of a VM list. The decoder refuses a whole list for the
+// sake of one entry that is nested too deeply, so that such a list is split without decoding.
+func vmEntries(data []byte) ([]json.RawMessage, error) {
+	var list struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	err := json.Unmarshal(data, &list)
+	if err == nil {
+		return list.VMs, nil
+	}
+	fields, splitErr := archive.Fields(bytes.TrimSpace(data))
+	if splitErr != nil {
+		return nil, err
+	}
+	for _, f := range fields {
+		if entries, ok := archive.Elements(f.Value); ok && f.Name == "vms" {
+			return entries, nil
+		}
+	}
+	return nil, err
 }
 
 // RegisterVM adds a VM to the list of the stand-in platform, or replaces the one with
--- a/internal/platform/vm.go
+++ b/internal/platform/vm.go
@@ -58,4 +58,6 @@
 	Tag string
 	// Unchanged means that the list still has the given tag; then VMs is not set.
 	Unchanged bool
+	// Unreadable describes the entries that are left out because they cannot be decoded.
+	Unreadable []error
 }
