choice/share: one odd row among versions' holds hides no other hold

What callers saw: nothing yet; found by reading after the report of odd entries. While one row of a hold cannot be decoded, no node learns of any new hold or lift from the table, and no event says so: a version that another node found bad goes on getting work. Cause: readHolds stopped at the first such row and the scan dropped what came with the error. Operators still get an error beside the list. Why it works: holds are independent of each other, and one that is not read leaves what nodes know in force. Tests: TestLateRecordDoesNotUndoLift checks in addition that no row is unreadable.

--- a/internal/choice/share/holdrow.go
+++ b/internal/choice/share/holdrow.go
@@ -18,26 +18,26 @@
 // write at the same time.
 const maxRecordAttempts = 4
 
-// readHolds returns the holds in the table. At a row that cannot be decoded it stops, and
-// returns the holds before it with an error that names the row.
-func readHolds(ctx context.Context, table platform.Table) ([]choice.Hold, error) {
-	var list []choice.Hold
+// readHolds returns the holds in the table, and an error for each row that cannot be decoded. If
+// a call fails, it returns the holds before it.
+func readHolds(ctx context.Context, table platform.Table) (list []choice.Hold, unreadable []error, err error) {
 	after := ""
 	for {
 		rows, err := table.Scan(ctx, holdPrefix, after, maxScanRows)
 		if err != nil {
-			return list, err
+			return list, unreadable, err
 		}
 		for _, row := range rows {
+			after = row.Key
 			h, err := parseHold(row)
 			if err != nil {
-				return list, err
+				unreadable = append(unreadable, err)
+				continue
 			}
 			list = append(list, h)
-			after = row.Key
 		}
 		if len(rows) < maxScanRows {
-			return list, nil
+			return list, unreadable, nil
 		}
 	}
 }
--- a/internal/choice/share/holds.go
+++ b/internal/choice/share/holds.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 	// unrecorded are the latest holds, by version, that are not in the table yet.
 	unrecorded map[string]choice.Hold
 	scanned    time.Time
+	// unreadable is the number of rows that the last scan could not decode.
+	unreadable int
 }
 
 func newHolds(d Deps) *holds { return &holds{deps: d, unrecorded: map[string]choice.Hold{}} }
@@ -126,11 +130,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := readHolds(ctx, h.deps.Table)
+	list, unreadable, err := readHolds(ctx, h.deps.Table)
 	if err != nil {
 		return // known holds stay in force
 	}
-	h.scanned = now
+	if len(unreadable) > 0 && len(unreadable) != h.unreadable {
+		event.HoldRowBroken.Log(h.deps.Log, slog.Int("rows", len(unreadable)), slog.String("error", fmt.Sprintf("%.256s", unreadable[0])))
+	}
+	h.scanned, h.unreadable = now, len(unreadable)
 	if changed := h.apply(list); scanner && len(changed) > 0 {
 		h.notifyPeers(ctx, changed)
 	}
@@ -138,7 +145,8 @@
 
 // Holds returns the holds in the table. It may return some holds together with an error.
 func (s *Share) Holds(ctx context.Context) ([]choice.Hold, error) {
-	return readHolds(ctx, s.deps.Table)
+	list, unreadable, err := readHolds(ctx, s.deps.Table)
+	return list, errors.Join(append(unreadable, err)...)
 }
 
 // Lift ends one term of a version's hold and notifies the group. It returns false if the
--- a/internal/choice/share/share_test.go
+++ b/internal/choice/share/share_test.go
@@ -198,7 +198,8 @@
 	stored, err := recordHold(t.Context(), table, choice.Hold{Version: "dues@1", Term: 1, Node: "e2"})
 	is.NoErr(err)
 	is.Equal(stored, lifted)
-	list, err := readHolds(t.Context(), table)
+	list, unreadable, err := readHolds(t.Context(), table)
 	is.NoErr(err)
+	is.Equal(len(unreadable), 0)
 	is.Equal(list, []choice.Hold{lifted})
 }
