archive: a delta whose numbers overflow is an error

What callers saw: processes that end by themselves. Deltas come from rows of the table (config/delta/) and from peers; a node that is started again reads the same row again. Cause: the bound of a run was checked by the sum of its two numbers, which overflows to -2. Evidence: TestDeltaBeyondItsBaseIsAnError on the code before: panic, slice bounds out of range [:-2]. Change: the count is compared with what is left after the index. Why it works: no sum, so nothing overflows. The error makes the reader ask for the whole document, as for other damaged deltas. Measured: the test passes with seven pairs at the ends of int; go test ./internal/archive passes.

--- a/internal/archive/script.go
+++ b/internal/archive/script.go
@@ -109,7 +109,7 @@
 	b.WriteByte('[')
 	empty := true
 	for _, r := range f.Runs {
-		if r.From < 0 || r.Count < 0 || r.From+r.Count > len(elements) {
+		if r.From < 0 || r.Count < 0 || r.From > len(elements) || r.Count > len(elements)-r.From {
 			return eris.Errorf("delta copies %d elements from index %d of field %q, which has %d", r.Count, r.From, f.Name, len(elements))
 		}
 		empty = writeElements(b, elements[r.From:r.From+r.Count], empty)
