--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"encoding/gob"
+	"io"
 
 	"github.com/rotisserie/eris"
 )
@@ -24,11 +25,15 @@
 	return out.Bytes(), nil
 }
 
+// maxRecordsBytes is the maximum size of decompressed records, in bytes: more than 10,000
+// upstreams take.
+const maxRecordsBytes = 16 << 20
+
 // DecodeRecords decodes the data of [EncodeRecords]. Data after it is ignored, and
-// incomplete or invalid data is an error.
+// incomplete, invalid or too large data is an error.
 func DecodeRecords(data []byte) ([]Record, error) {
 	var columns RecordColumns
-	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(data))).Decode(&columns); err != nil {
+	if err := gob.NewDecoder(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxRecordsBytes)).Decode(&columns); err != nil {
 		return nil, eris.Wrap(err, "decode records")
 	}
 	records, ok := columns.Records()
