--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -64,7 +64,6 @@
 	// active counts callers' requests in progress, bodyBytes the size of their bodies.
 	active    atomic.Int64
 	bodyBytes atomic.Int64
-
 	// streams knows when upstreams last sent an event.
 	streams *streamwatch.Registry
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,25 +28,6 @@
 	resumePause = 300 * time.Millisecond
 )
 
-// activeAttempt is the attempt in flight of a chat request.
-type activeAttempt struct {
-	attempt    string
-	version    string
-	vm         platform.VM
-	epoch      uint64
-	token      balance.Token
-	stream     upstream.Stream
-	stallTimer *time.Timer // cancels the stream's context when no chunk arrives
-	began      time.Time
-	firstToken time.Duration
-	chunks     int
-	text       strings.Builder
-	err        error // the last failure
-	concluded  bool  // the suspects know how the attempt ended
-	adopted    bool  // begun elsewhere: unknown to the balancer and the suspects
-	answered   bool  // the messages are known not to have crashed the upstream
-}
-
 // pick selects an upstream for the next attempt after checking the retry budget and the
 // configuration, and asks the suspects to admit the attempt.
 func (r *chatRun) pick(ctx context.Context, d lifecycle.Pick) []lifecycle.Decision {
@@ -274,16 +254,6 @@
 	})
 }
 
-func (a *activeAttempt) close() {
-	if a.stream != nil {
-		_ = a.stream.Close()
-		a.stream = nil
-	}
-	if a.stallTimer != nil {
-		a.stallTimer.Stop()
-	}
-}
-
 // endAttempt releases the resources of the attempt and reports its result.
 func (r *chatRun) endAttempt() {
 	a := r.current
