--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -36,8 +36,7 @@
 	lost bool
 	// vain counts the resumed runs that were ended because the stream went on.
 	vain int
-	// pending is a resumed run whose response has not started. taken is the one that replaces the
-	// stream.
+	// pending is a resumed run that has sent no event. taken is the one that replaces the stream.
 	pending, taken *resumedRun
 }
 
