--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,7 +111,7 @@
 )
 
 // errNoEvent ends a stream whose connection ended after the head. An upstream that broke off there
-// cannot be told from one that has no events to send.
+// looks like one that has no events to send.
 var errNoEvent = errors.New("stream without a length ended before its first event")
 
 // forwardResumed forwards the stream of a run that replaces another one.
