Roll-outs: an order is sent with its outcome for as long as it lasts

Cause: tallies alone carried the verdict, and they end 30 s after the limit; orders are sent for ever. A node that started later took a recorded roll-out for one on trial.

Change: gossip sends each order with its outcome (verdict, recorded or not, up to eight versions that earlier orders rolled back): a few bytes a service, flat in orders; counts end as before. A node that learns of an order after its limit does not continue the trial, keeps requests off the version and makes no verdict of its own; if none is known after 5 s it offers "rolled back" to the table, which keeps a verdict that it holds (event 1966). A verdict read from the table is logged (1961).

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -34,7 +34,7 @@
 		return false
 	}
 	if current != nil && current.verdict == RolledBack {
-		c.rolledBack[o.Service] = append(c.rolledBack[o.Service], current.order.Target)
+		c.addRolledBack(o.Service, current.order.Target)
 	}
 	c.rolledBack[o.Service] = slices.DeleteFunc(c.rolledBack[o.Service], func(v string) bool { return v == o.Target })
 	c.rollouts[o.Service] = &rollout{
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -12,6 +12,9 @@
 	Verdict Verdict
 	// Reached is set when this call reached the verdict.
 	Reached bool
+	// Proposed is set if this node knows no verdict long after the limit. The verdict then takes
+	// effect only if the table holds no other one.
+	Proposed bool
 	// Widened is set when this call let more sessions take part in the trial, Shift when
 	// it began to shift all.
 	Widened, Shift bool
@@ -46,12 +49,18 @@
 	var out []Decision
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
-		if r.verdict == Open {
+		switch {
+		case r.verdict == Open && r.awaitsVerdict:
+			d.Proposed = r.proposesRollback(now, view)
+		case r.verdict == Open:
 			c.countUnfinished(r, now)
 			d.Reached = c.evaluate(r, &d, now, view)
 		}
 		d.Verdict = r.verdict
-		if r.verdict != Open && !r.written || d.Shift || d.Widened {
+		if d.Proposed {
+			d.Verdict = RolledBack
+		}
+		if d.Proposed || r.verdict != Open && !r.written || d.Shift || d.Widened {
 			out = append(out, d)
 		}
 	}
@@ -59,6 +68,19 @@
 	return out
 }
 
+// awaitTime is how long a node that learned of an order after its limit waits for the verdict
+// of its peers.
+const awaitTime = 5 * time.Second
+
+// proposesRollback reports whether an order without a known verdict should be recorded as rolled
+// back. All nodes may have been lost during the trial: operators must not wait for ever.
+func (r *rollout) proposesRollback(now time.Time, view View) bool {
+	if r.awaitedSince.IsZero() {
+		r.awaitedSince = now
+	}
+	return view.Complete && now.Sub(r.awaitedSince) >= awaitTime
+}
+
 // evaluate updates the evidence, widens or shifts the trial when it is due, and reports
 // whether it reached a verdict. Only a node whose view is whole completes a rollout.
 func (c *Canary) evaluate(r *rollout, d *Decision, now time.Time, view View) bool {
--- a/internal/canary/pins.go
+++ b/internal/canary/pins.go
@@ -72,7 +72,7 @@
 // hasTrial reports whether some order is open and its sessions are not shifted yet.
 func (c *Canary) hasTrial() bool {
 	for _, r := range c.rollouts {
-		if r.verdict == Open && r.shiftedAt.IsZero() {
+		if r.verdict == Open && r.shiftedAt.IsZero() && !r.awaitsVerdict {
 			return true
 		}
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -25,6 +25,10 @@
 	verdict   Verdict
 	// written is set when the platform's table holds the verdict.
 	written bool
+	// awaitsVerdict is set if this node learned of the order only after its limit; awaitedSince
+	// is when it first evaluated the order.
+	awaitsVerdict bool
+	awaitedSince  time.Time
 	// widenedShare is the share of the sessions in the trial since more of them take part; 0
 	// before.
 	widenedShare float64
@@ -75,7 +79,7 @@
 	switch {
 	case r.verdict == Completed:
 		return 1
-	case r.verdict == RolledBack:
+	case r.verdict == RolledBack || r.awaitsVerdict:
 		return 0
 	case r.shiftedAt.IsZero() && r.widenedShare == 0:
 		return s.ShareBound * canaryPart
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -59,6 +59,9 @@
 	if now.Before(retry) || tried && n.tableUnavailable() || !d.Reached && now.Before(turn) {
 		return
 	}
+	if d.Proposed {
+		event.VersionProposed.Log(n.log, attrs...)
+	}
 	if !n.recordVerdict(ctx, d.Order, d.Verdict) {
 		retryAt[d.Order.Service] = now.Add(maxRetryDelay)
 		return
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -90,6 +90,7 @@
 	}
 	for _, o := range n.rollouts {
 		o.Age = now.Sub(n.rolloutStartedAt[o.Service])
+		o.Outcome = n.canary.Outcome(o.Service)
 		m.Orders = append(m.Orders, o)
 	}
 	return m
@@ -148,6 +149,7 @@
 	n.mergeNotices(in, now)
 	for _, o := range in.Orders {
 		n.applyRollout(o.Order, o.Age, in.From)
+		n.applyOutcome(o, in.From)
 	}
 	n.canary.MergePins(in.Pins, now)
 	for _, t := range in.Tallies {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -182,7 +182,7 @@
 		for _, s := range states {
 			if s.Order.Service == o.Service && s.Order.Revision == o.Revision {
 				n.applyRollout(o, s.Age, fromTable)
-				n.canary.ApplyVerdict(o.Service, o.Revision, s.Verdict, true)
+				n.applyOutcome(gossip.Order{Order: o, Outcome: canary.Outcome{Verdict: s.Verdict, Written: s.Verdict != canary.Open}}, fromTable)
 			}
 		}
 	}
@@ -205,6 +205,17 @@
 	}
 	n.rollouts = append(kept, gossip.Order{Order: o})
 	n.rolloutStartedAt[o.Service] = started
+	if age >= o.Limit {
+		n.canary.AwaitVerdict(o.Service)
+	}
 	event.VersionOrdered.Log(n.log, slog.String("service", o.Service), slog.String("target", o.Target),
 		slog.Duration("limit", o.Limit), revisionAttr(o.Revision), slog.Duration("age", age), slog.String("from", from))
 }
+
+// applyOutcome applies a peer's outcome of an order; the caller holds mu.
+func (n *Node) applyOutcome(o gossip.Order, from string) {
+	if n.canary.ApplyOutcome(o.Service, o.Revision, o.Outcome) {
+		event.VersionDecided.Log(n.log, slog.String("service", o.Service), slog.String("target", o.Target),
+			slog.String("verdict", o.Outcome.Verdict.String()), revisionAttr(o.Revision), slog.String("from", from))
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -81,8 +81,9 @@
 	FleetHash uint64
 }
 
-// Order is a rollout and the time since its start.
+// Order is a rollout, the time since its start and its outcome as far as the sender knows.
 type Order struct {
 	canary.Order
-	Age time.Duration
+	Age     time.Duration
+	Outcome canary.Outcome
 }
