crashguard: the key of a request covers its method, host and query

Cause: the key left out the query, so that the answers to sound lookups on the same path cleared the strikes of the one that crashes upstreams.

Change: organisation, method, the route's host, the target as it is sent, and the body. The route's host, not the caller's text: one request keeps one key at all nodes.

--- a/internal/crashguard/key.go
+++ b/internal/crashguard/key.go
@@ -9,13 +9,14 @@
 // organisations, routes and models, since the rest of a request does not matter to a crash.
 func PartKey(id string) Key { return Key(xxhash.Sum64String("part\x00" + id)) }
 
-// RequestKey returns the key of requests with the same organisation, path and body. Their IDs do
-// not matter.
-func RequestKey(organisation, path string, body []byte) Key {
+// RequestKey returns the key of requests with the same organisation, target and body. Requests that
+// share a key acquit each other, so target covers all that an upstream gets beside the body, the
+// query included. Their IDs do not matter.
+func RequestKey(organisation, target string, body []byte) Key {
 	d := xxhash.New()
 	_, _ = d.WriteString(organisation) // hash writes never fail
 	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(path)
+	_, _ = d.WriteString(target)
 	_, _ = d.WriteString("\x00")
 	_, _ = d.Write(body)
 	return Key(d.Sum64())
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -39,7 +40,7 @@
 			return report, nil
 		}
 	}
-	j.identify(r.Path)
+	j.identify(http.MethodGet, r.Path)
 	report.Service, report.Priority, report.Regions = j.service, j.priority, j.regions()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -85,7 +85,7 @@
 	}
 	for i := range 200 { // requests do leave the traces that are checked above
 		j := &job{node: n, route: n.config.Load().Match("h", "/choice/a"), config: n.config.Load(), headers: CallerHeaders{Session: fmt.Sprint(i)}}
-		j.identify("/choice/a")
+		j.identify(http.MethodGet, "/choice/a")
 		n.newAttempt(j)
 		n.countRequest("engine")
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -165,8 +165,9 @@
 	return r.Shares[0].Service
 }
 
-// identify sets the job's affinity hash, service and chain.
-func (j *job) identify(path string) {
+// identify sets the job's affinity hash, service and chain. target is the request's target, query
+// included, in the form that is sent to upstreams.
+func (j *job) identify(method, target string) {
 	key := j.headers.Session
 	if key == "" {
 		key = j.headers.ID
@@ -177,7 +178,8 @@
 	for _, b := range shared[:min(len(shared), maxChainParts)] {
 		j.chain = append(j.chain, crashguard.PartKey(b.ID))
 	}
-	j.chain = append(j.chain, crashguard.RequestKey(j.orgName, path, j.body))
+	// The route's host and not the caller's: the same request may name it in another form.
+	j.chain = append(j.chain, crashguard.RequestKey(j.orgName, method+" "+strings.ToLower(j.route.Host)+target, j.body))
 }
 
 // sharedBlocks returns the parts of the prompt that other requests may share, in order. The last
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -35,8 +35,8 @@
 		j.refuse(ref)
 		return
 	}
-	path, _ := rawTarget(r)
-	j.identify(path)
+	_, target := rawTarget(r)
+	j.identify(r.Method, target)
 	var cancel context.CancelFunc
 	j.ctx, cancel = context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
