canary: unfinished attempts of a route without answers are no evidence

Callers saw nothing; operators saw good versions rolled back at their limit. Requests that end without an answer on the old version too (a route whose time-out is shorter than the work) counted as unfinished, slow attempts of the new version only.

Cause: an old version's attempt shows a delay only when it is answered; the new one's counts by what it has reached. Change: where the old version shows no delay of a route, unfinished attempts there are left out.

Measured: TestUnfinishedAttemptsOfARouteWithoutAnswersAreNoEvidence fails before.

--- a/internal/canary/delay_evidence.go
+++ b/internal/canary/delay_evidence.go
@@ -62,6 +62,11 @@
 	e.counted = c
 	usual := usualShares(e.base, c.Base)
 	added = scores(usual, fresh)
+	if c.Base.total() == 0 {
+		// The old version's attempts show no delay either: all of them may end without an answer.
+		e.sum(added, unfinished)
+		return added, unfinished
+	}
 	for s, way := range slowdowns {
 		slower := way.apply(usual)
 		slowerTail, usualTail := 0.0, 0.0
