Roll-outs: a soak of plain services above the coming load

Cause: the trial's upstreams are idle, so nothing fails before the shift; after it 4 % of the answers fail, half of which had not arrived from other nodes at the verdict, and the sequential test looks for 20 % more.

Change: between the shift and the verdict a plain service's requests go to few of the version's upstreams in turn (up to four times the coming load, half of their slots) and in groups of 75 ms; nodes exchange counts every 125 ms; the answers since the shift are tested as a whole; the soak lasts until one write of the record still fits. The bound on the version's requests is unchanged.

--- a/internal/canary/add_evidence.go
+++ b/internal/canary/add_evidence.go
@@ -30,6 +30,7 @@
 		d.note(failureEvidence, test.failures.likelihood, sum)
 		if test.failures.rejects(now, trial) {
 			r.verdict = RolledBack
+			d.settle(failureEvidence, test.failures.likelihood, sum)
 		}
 		slow = r.judgeDelays(test, d, sum, now) || slow
 		doubt = doubt || test.doubtsDelays()
@@ -56,7 +57,14 @@
 func (r *rollout) judgeDelays(test *routeEvidence, d *Decision, sum RouteCount, now time.Time) bool {
 	m, likelihood := test.worstDelay()
 	d.note(m.String(), likelihood, sum)
-	return test.rejectsDelays(sum, now, r.shiftedAt.IsZero())
+	if late, ok := test.becameSlow(); ok {
+		d.note(late.String()+" lately", test.delays[late].becameSlow(), sum)
+	}
+	if !test.rejectsDelays(sum, now, r.shiftedAt.IsZero()) {
+		return false
+	}
+	d.settle(m.String(), likelihood, sum)
+	return true
 }
 
 // failureEvidence names the evidence from failed answers in decisions.
@@ -64,7 +72,13 @@
 
 // note records the strongest evidence against the version.
 func (d *Decision) note(by string, likelihood float64, sum RouteCount) {
-	if likelihood > d.Likelihood {
+	if likelihood > d.Likelihood && !d.settled {
 		d.Likelihood, d.Evidence, d.Route, d.Counts = likelihood, by, sum.Route, sum
 	}
 }
+
+// settle records the evidence that decides; others may be stronger by a smaller bound.
+func (d *Decision) settle(by string, likelihood float64, sum RouteCount) {
+	d.settled = true
+	d.Likelihood, d.Evidence, d.Route, d.Counts = likelihood, by, sum.Route, sum
+}
--- a/internal/canary/attempt.go
+++ b/internal/canary/attempt.go
@@ -17,6 +17,9 @@
 	Load float64
 	// Noticeable are the differences in the wait and in the pace that callers begin to notice.
 	Noticeable [measures]time.Duration
+	// Overloaded is set if the upstream gets more load than usual on purpose: the delays of the
+	// attempt are not comparable.
+	Overloaded bool
 
 	// onNew is set if the attempt is compared as one of the new version.
 	onNew bool
@@ -122,7 +125,7 @@
 
 // grade counts a delay by its grade. A delay whose usual value is not known is no evidence.
 func (c *Canary) grade(a *Attempt, m Measure, delay time.Duration) {
-	if a.graded[m] {
+	if a.graded[m] || a.Overloaded {
 		return
 	}
 	a.graded[m] = true
--- a/internal/canary/delay_model_test.go
+++ b/internal/canary/delay_model_test.go
@@ -34,6 +34,8 @@
 	idleNew bool
 	// longBurst is set for one that goes on until the limit.
 	longBurst bool
+	// plain is set for a service without models, whose answers come at once.
+	plain bool
 	// cold is how many times as long the new version's waits are in its first second.
 	cold float64
 }
@@ -72,6 +74,9 @@
 		factor = 4
 	}
 	wait := 0.25 * factor * math.Exp(m.spread*rnd.NormFloat64())
+	if m.plain {
+		wait /= 10
+	}
 	pause := 0.03 * factor * math.Exp(m.spread/3*rnd.NormFloat64())
 	d.load = usualLoad
 	end := 10 * time.Second
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -31,6 +31,8 @@
 	// Counts are the answers of that route, Answers all answers of the new version.
 	Counts  RouteCount
 	Answers int64
+	// settled is set once evidence has decided.
+	settled bool
 }
 
 // View is what a node knows beside the answers.
@@ -38,6 +40,8 @@
 	// Count returns how many ready upstreams have the version, and how many there are in
 	// all.
 	Count func(service, version string) (ofVersion, all int)
+	// Plain reports whether a service runs no models; nil for never.
+	Plain func(service string) bool
 	// Complete is set if the node receives the tallies of all nodes. Only then does a count
 	// of no attempts in flight mean that there are none.
 	Complete bool
@@ -49,6 +53,7 @@
 	var out []Decision
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
+		r.plain = view.Plain != nil && view.Plain(r.order.Service)
 		switch {
 		case r.verdict == Open && r.awaitsVerdict:
 			d.Proposed = r.proposesRollback(now, view)
@@ -118,17 +123,17 @@
 	if r.shiftedAt.IsZero() {
 		return false
 	}
-	if d.AsQuick < quickThreshold {
-		if now.Before(r.deadline(c.settings)) {
-			return false
-		}
-		r.verdict = RolledBack
-		return true
+	if r.atShift == nil {
+		r.beginSoak()
 	}
-	soaked := now.Sub(r.shiftedAt) >= soakTime && r.oldInFlight() == 0
-	if now.Before(r.deadline(c.settings)) && (r.share(c.settings, now) < 1 || !soaked) {
+	end := r.soakEnd(c.settings, d.AsQuick)
+	soaked := r.share(c.settings, now) == 1 && now.Sub(r.shiftedAt) >= soakTime && r.oldInFlight() == 0
+	if now.Before(end) && !(soaked && d.AsQuick >= quickThreshold) {
 		return false
 	}
 	r.verdict = Completed
+	if r.failsInSoak(d) || d.AsQuick < quickThreshold {
+		r.verdict = RolledBack
+	}
 	return true
 }
--- a/internal/canary/pins.go
+++ b/internal/canary/pins.go
@@ -79,8 +79,8 @@
 	return false
 }
 
-// Settling reports whether some order was given so recently that nodes must exchange
-// their sessions more often: they learn of them before the trial begins.
+// Settling reports whether some order was given so recently that nodes must exchange their
+// sessions more often: they learn of them before the trial begins.
 func (c *Canary) Settling(now time.Time) bool {
 	for _, r := range c.rollouts {
 		if r.verdict == Open && now.Sub(r.started) < 2*trialDelay {
@@ -89,3 +89,14 @@
 	}
 	return false
 }
+
+// Soaking reports whether all sessions go to a version that has no verdict yet. Nodes exchange their
+// counts often then: what has not arrived at the end does not count.
+func (c *Canary) Soaking() bool {
+	for _, r := range c.rollouts {
+		if r.verdict == Open && !r.awaitsVerdict && !r.shiftedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -29,11 +29,15 @@
 	// is when it first evaluated the order.
 	awaitsVerdict bool
 	awaitedSince  time.Time
+	// plain is set if the service runs no models, so that its upstreams have no caches to warm.
+	plain bool
 	// widenedShare is the share of the sessions in the trial since more of them take part; 0
 	// before.
 	widenedShare float64
 	// shiftedAt is when the shift of all sessions began; zero before.
 	shiftedAt time.Time
+	// atShift are the counts by route at the shift; nil before this node evaluated it.
+	atShift map[string]RouteCount
 }
 
 // runKey identifies one run of a node.
@@ -85,7 +89,7 @@
 		return s.ShareBound * canaryPart
 	case r.shiftedAt.IsZero():
 		return r.widenedShare
-	case now.Sub(r.shiftedAt) < halfTime:
+	case now.Sub(r.shiftedAt) < halfTime && !r.plain:
 		return 0.5
 	default:
 		return 1
@@ -98,6 +102,20 @@
 	return r.started.Add(r.order.Limit - r.order.Late - s.Lag - recordMargin)
 }
 
+// soakEnd is when the verdict on a version that all sessions go to has to be reached. The soak of
+// one that is as quick may go on longer, unless its shift came too late for a soak.
+func (r *rollout) soakEnd(s Settings, asQuick float64) time.Time {
+	end := r.deadline(s)
+	switch {
+	case asQuick < quickThreshold:
+		return end
+	case r.shiftedAt.After(end):
+		return end.Add(shiftGrace)
+	default:
+		return end.Add(soakGrace)
+	}
+}
+
 // mayShift reports whether all sessions may go to the new version now. Sessions must be
 // free to change their version, and the requests that the version gets until the time
 // limit must stay within the bound even if it turns out bad.
--- a/internal/canary/route_evidence.go
+++ b/internal/canary/route_evidence.go
@@ -81,6 +81,17 @@
 	return m, likelihood
 }
 
+// becameSlow returns the first measure by which the version may be slow now, regardless of its
+// earlier answers; ok is false if there is none.
+func (e *routeEvidence) becameSlow() (m Measure, ok bool) {
+	for i := range measures {
+		if e.delays[i].becameSlow() >= lateDoubtThreshold {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // asQuick returns the log likelihood ratio of "as quick as the old version" against the
 // likeliest slowdown.
 func (e *routeEvidence) asQuick() float64 {
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -10,6 +10,9 @@
 	Excluded []string
 	// UpstreamPart is the part of the version's upstreams to use, in (0,1); 0 means all.
 	UpstreamPart float64
+	// Soak limits the upstreams of the version while all sessions go to it and its verdict is
+	// open; nil for no limit.
+	Soak *Soak
 }
 
 // Caller identifies who sends a request: a session, or a request without one.
@@ -55,6 +58,9 @@
 	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r, now) {
 		return Rule{Excluded: c.excluded(service, r)}, staysOnOld
 	}
+	if !r.shiftedAt.IsZero() {
+		return Rule{Version: r.order.Target, Soak: &Soak{Age: now.Sub(r.shiftedAt)}}, staysOnOld
+	}
 	return Rule{Version: r.order.Target, UpstreamPart: upstreamPart(share)}, staysOnOld
 }
 
@@ -65,7 +71,7 @@
 // only one or two of them there is no choice where to place an attempt: answers stall
 // behind long prompts more often than the old version's, and a good version would be
 // rolled back for it. With more upstreams each is less busy than after the shift, so
-// faults that show only under load are looked for after it.
+// faults that show only under load are looked for in the soak after it.
 func upstreamPart(share float64) float64 {
 	if part := trialSpread * share; part < 1 {
 		return part
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -61,11 +61,13 @@
 	// recordMargin is the time reserved for writing the verdict before the time limit.
 	recordMargin = 900 * time.Millisecond
 	// shiftGrace is how much later than the deadline a version without doubt may still be
-	// shifted: where the bound is tight its requests fit in only then. Half a second is
-	// left to write the record.
+	// shifted: where the bound is tight its requests fit in only then.
 	shiftGrace = 300 * time.Millisecond
+	// soakGrace is how much longer than the deadline the soak may last. What is left is enough for
+	// one write of the record: answers under load are worth more than a second try.
+	soakGrace = 800 * time.Millisecond
 	// halfTime is how long half of the sessions go to the new version before all do,
-	// because its caches and connections are cold.
+	// because its caches are cold.
 	halfTime = 400 * time.Millisecond
 	// doubtThreshold is the log likelihood ratio from which a version is not shifted; it
 	// is rolled back at the deadline. A single bad answer adds at most 2.0 and stays
--- a/internal/canary/simulation_test.go
+++ b/internal/canary/simulation_test.go
@@ -25,6 +25,9 @@
 	// sessions are the open sessions; their requests go to any node.
 	sessions [120]int
 	newest   int
+	// soakBadShare is the share of the new version's answers that fail in the soak of a plain
+	// service, in place of badShare.
+	soakBadShare float64
 	// lastServed is the version of each session's last request, and its time.
 	lastServed map[int]servedBy
 	// moved counts requests whose session changed its version in the first half of the
@@ -65,6 +68,8 @@
 	perSecond   = 80
 	// exchangeInterval is the time between two exchanges of tallies and pins.
 	exchangeInterval = 900 * time.Millisecond
+	// soakExchangeInterval is that time in a soak.
+	soakExchangeInterval = 125 * time.Millisecond
 	// sessionLength is the mean number of requests of a session.
 	sessionLength = 5
 )
@@ -117,7 +122,7 @@
 		}
 		w.due.run(w.now)
 		w.request(t)
-		if w.now.Sub(exchangedAt) >= exchangeInterval {
+		if since := w.now.Sub(exchangedAt); since >= exchangeInterval || since >= soakExchangeInterval && w.nodes[0].Soaking() {
 			exchangedAt = w.now
 			w.exchange()
 		}
@@ -155,7 +160,11 @@
 	w.lastServed[session] = servedBy{version, w.now}
 	failed := w.rnd.Float64() < w.baseBadShare
 	if version == newVersion {
-		failed = w.rnd.Float64() < w.badShare(t)
+		bad := w.badShare(t)
+		if w.delays.plain && rule.Soak != nil {
+			bad = w.soakBadShare
+		}
+		failed = w.rnd.Float64() < bad
 	}
 	if t >= 0 && t < limit {
 		w.requests++
@@ -213,7 +222,7 @@
 
 func (w *world) evaluate(t time.Duration) {
 	for i, c := range w.nodes {
-		view := View{Count: func(string, string) (int, int) { return 18, 36 }, Complete: i == 0}
+		view := View{Count: func(string, string) (int, int) { return 18, 36 }, Plain: func(string) bool { return w.delays.plain }, Complete: i == 0}
 		for _, d := range c.Tick(w.now, view) {
 			if d.Verdict == Open {
 				w.exchange() // a shift is sent at once
--- a/internal/canary/unfinished.go
+++ b/internal/canary/unfinished.go
@@ -7,6 +7,8 @@
 func (c *Canary) reachedGrade(a *Attempt, now time.Time) (m Measure, g int, ok bool) {
 	var reached time.Duration
 	switch {
+	case a.Overloaded:
+		return 0, 0, false
 	case !a.graded[Wait]:
 		m, reached = Wait, now.Sub(a.began)
 	case !a.graded[Pace]:
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -26,8 +26,9 @@
 	// Tried are the IDs of the upstreams that this request was already sent to.
 	Tried []string
 	// MaxUpstreams is the maximum number of usable upstreams of the service that are
-	// considered, in order of their IDs; 0 for all.
-	MaxUpstreams int
+	// considered, in order of their IDs; 0 for all. FirstUpstream is the position of the first of
+	// them in that order, which continues at its start.
+	MaxUpstreams, FirstUpstream int
 	// Regions are the regions that may run the request; nil for all.
 	Regions []string
 	// Plain is set if the service runs no models.
@@ -94,16 +95,34 @@
 	}
 	limited := &pool{}
 	for _, u := range p.sorted() {
-		if len(limited.members) == spec.MaxUpstreams {
+		if len(limited.members) == spec.MaxUpstreams && spec.FirstUpstream == 0 {
 			break
 		}
 		if f.matches(u, spec) && f.usable(u, now) {
 			limited.members = append(limited.members, u)
 		}
 	}
+	if spec.FirstUpstream > 0 {
+		limited.members = window(limited.members, spec.FirstUpstream, spec.MaxUpstreams)
+	}
 	return limited
 }
 
+// window returns count members from a position on, in the order of the members.
+func window(members []*Upstream, first, count int) []*Upstream {
+	n := len(members)
+	if n <= count {
+		return members
+	}
+	var chosen []*Upstream
+	for i, u := range members {
+		if (i-first%n+n)%n < count {
+			chosen = append(chosen, u)
+		}
+	}
+	return chosen
+}
+
 // sample appends up to sampleSize candidates to out, selected by the seed.
 //
 // All nodes see the same load reports with the same delay. If each node chose the least
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,7 @@
 		trial: n.canary.Begin(canary.Attempt{
 			Service: j.service, Version: up.Version, Upstream: up.ID, Route: j.route.Name, Model: j.requestedModel(),
 			Work: n.fleet.RelativeWork(work), Load: load, Noticeable: j.noticeableDelays(),
+			Overloaded: p.soak != nil,
 		}, j.attemptsReached == 0, now),
 	}, time.Time{}
 }
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -20,7 +20,7 @@
 	case <-n.rolloutOrdered:
 	}
 	retryAt := map[string]time.Time{}
-	for pause(ctx, rolloutTickInterval) {
+	for pause(ctx, n.rolloutTick()) {
 		for _, d := range n.evaluateRollouts(time.Now()) {
 			n.applyDecision(ctx, d, retryAt)
 		}
@@ -28,13 +28,23 @@
 	}
 }
 
+// rolloutTick returns the pause until the next evaluation of rollouts.
+func (n *Node) rolloutTick() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.canary.Soaking() {
+		return soakTickInterval
+	}
+	return rolloutTickInterval
+}
+
 // applyDecision acts on a decision about a rollout. retryAt is when a service's state may
 // be written again after a failed write, by service.
 func (n *Node) applyDecision(ctx context.Context, d canary.Decision, retryAt map[string]time.Time) {
 	attrs := []slog.Attr{
 		slog.String("service", d.Order.Service), slog.String("target", d.Order.Target), slog.String("verdict", d.Verdict.String()),
 		slog.Float64("likelihood", d.Likelihood), slog.String("evidence", d.Evidence), slog.String("route", d.Route),
-		slog.Float64("as_quick", d.AsQuick), slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
+		slog.Float64("as_quick", d.AsQuick), slog.Bool("doubt", d.Doubt), slog.Int64("answers", d.Answers), slog.Int64("new", d.Counts.New), slog.Int64("new_bad", d.Counts.NewBad),
 		slog.Int64("old", d.Counts.Base), slog.Int64("old_bad", d.Counts.BaseBad), revisionAttr(d.Order.Revision),
 	}
 	if d.Widened {
@@ -85,6 +95,7 @@
 	n.canary.ClearInFlight(n.roster.IsAlive)
 	return n.canary.Tick(now, canary.View{
 		Count:    func(service, version string) (int, int) { return n.fleet.Count(service, version, now) },
+		Plain:    n.config.Load().isPlain,
 		Complete: n.leadsGroup(),
 	})
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -14,6 +14,8 @@
 	upstream *fleet.Upstream
 	roomAt   time.Time
 	spec     fleet.AttemptSpec
+	// soak is set if the attempt is part of a soak above the usual load.
+	soak *canary.Soak
 }
 
 // caller identifies the request to roll-outs.
@@ -42,7 +44,15 @@
 		ofVersion, _ := n.fleet.Count(j.service, rule.Version, now)
 		p.spec.MaxUpstreams = max(minTrialUpstreams, int(rule.UpstreamPart*float64(ofVersion)+0.5))
 	}
+	p.soak = j.soakOf(rule)
+	if p.soak != nil {
+		n.limitToSoak(&p.spec, p.soak, now)
+	}
 	p.upstream = n.fleet.Choose(p.spec, now)
+	if p.upstream == nil && p.soak != nil {
+		p.spec.MaxUpstreams, p.spec.FirstUpstream = 0, 0
+		p.upstream = n.fleet.Choose(p.spec, now)
+	}
 	if p.upstream == nil {
 		p.roomAt, _ = n.fleet.NextAvailable(&p.spec, now)
 	}
@@ -50,7 +60,7 @@
 		// No upstream of the version can run the request, so any other allowed version is
 		// used. A session waits instead when its own version is known to have capacity
 		// later.
-		p.spec.Version, p.spec.MaxUpstreams = "", 0
+		p.spec.Version, p.spec.MaxUpstreams, p.spec.FirstUpstream = "", 0, 0
 		p.upstream = n.fleet.Choose(p.spec, now)
 	}
 	if p.upstream == nil && j.retryAtTried() && n.fleet.IsPlain(j.service) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,6 +30,7 @@
 	if len(j.route.Models) > 0 && j.headers.AnyModel {
 		j.model = j.node.cascadePolicy.First(j.initialCascadeState())
 	}
+	j.awaitSoakBatch()
 	for {
 		a := j.nextAttempt()
 		if a == nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -96,6 +96,9 @@
 	gossipInterval = 600 * time.Millisecond
 	// rolloutTickInterval is the pause between evaluations of rollouts.
 	rolloutTickInterval = 250 * time.Millisecond
+	// soakTickInterval is that pause, and the one between a leader's pushes, while all sessions go
+	// to a version without a verdict.
+	soakTickInterval = 125 * time.Millisecond
 	// sweepInterval is the pause between sweeps of idle connections.
 	sweepInterval = 300 * time.Millisecond
 	// eventStallFactor is how long a stream may stay silent before it resumes at another
--- a/internal/gateway/silent_attempt.go
+++ b/internal/gateway/silent_attempt.go
@@ -74,7 +74,13 @@
 }
 
 // isPlain reports whether the job's service runs no models.
-func (j *job) isPlain() bool {
-	s := j.config.Service(j.service)
+func (j *job) isPlain() bool { return j.config.isPlain(j.service) }
+
+// isPlain reports whether a service runs no models.
+func (c *configuration) isPlain(service string) bool {
+	if c == nil {
+		return false
+	}
+	s := c.Service(service)
 	return s != nil && s.Engine == nil
 }
--- a/internal/gateway/tell_rollouts.go
+++ b/internal/gateway/tell_rollouts.go
@@ -23,7 +23,7 @@
 		case <-n.pushRequested:
 			n.pushToAll(ctx)
 		case <-ordered:
-			ticker := time.NewTicker(rolloutTickInterval)
+			ticker := time.NewTicker(soakTickInterval)
 			defer ticker.Stop()
 			ordered, tick = nil, ticker.C
 		case <-tick:
@@ -50,14 +50,15 @@
 func (n *Node) pushSettling(ctx context.Context) {
 	now := time.Now()
 	n.mu.Lock()
-	due := n.canary.Settling(now) && now.Sub(n.lastPushAt) >= settlingPushInterval
+	soaking := n.canary.Soaking()
+	due := soaking || n.canary.Settling(now) && now.Sub(n.lastPushAt) >= settlingPushInterval
 	if !due {
 		due = len(n.rollouts) > 0 && now.Sub(n.lastPushAt) >= n.readInterval()
 	}
 	if due {
 		n.lastPushAt = now
 	}
-	settling := n.canary.Settling(now)
+	settling := soaking || n.canary.Settling(now)
 	open := len(n.canary.Tallies(now)) > 0
 	n.mu.Unlock()
 	if !due {
