gateway: a node that stops begins no attempt that the stop would cut off

Cause: nothing after a request's head looked at what is left of the stop.

Change: reading a body, waiting, retries and escalations end once a run of the route (95th percentile of its answered attempts, else its latency goal) would outlast the stop. The caller is told that nothing has run (503 stopping, short Retry-After), before the rest of the body is read. Streams that have begun and requests with an earlier deadline go on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,6 +170,9 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if result == fleet.Served {
+		n.runTimes.observe(a.job.route.Name, now.Sub(a.began))
+	}
 	n.fleet.End(a.up, a.work, result, now)
 	n.canary.End(a.trial, a.cutOff(result), now)
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -60,7 +60,8 @@
 	// newestPeerVersion is the newest version of the configuration that any peer has.
 	newestPeerVersion atomic.Int64
 	stopping          atomic.Bool
-	stopped           chan struct{}
+	stopBound         *stopBound
+	runTimes          *runTimes
 	// active counts callers' requests in progress, bodyBytes the size of their bodies.
 	active    atomic.Int64
 	bodyBytes atomic.Int64
@@ -186,7 +187,8 @@
 		cascadePolicy:  cascade.New(cascade.Settings{Accept: s.Accept, AcceptBusy: s.AcceptBusy, AcceptFull: s.AcceptFull}),
 		streams:        streamwatch.New(),
 		incarnation:    began.UnixNano(), startedAt: began,
-		stopped:         make(chan struct{}),
+		stopBound:       newStopBound(),
+		runTimes:        newRunTimes(),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		crashGuard:      crashguard.New(),
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -33,6 +33,7 @@
 	notInTime        = &refusal{status: http.StatusServiceUnavailable, reason: "not_in_time", text: "no upstream took the request in time", retryAfter: refusedRetryAfter}
 	upstreamsFull    = &refusal{status: http.StatusServiceUnavailable, reason: "upstreams_full", text: "the upstreams are full", retryAfter: refusedRetryAfter}
 	upstreamFailed   = &refusal{status: http.StatusBadGateway, reason: "upstream_broke", text: "the upstream failed; the request may have run"}
+	nodeStops        = &refusal{status: http.StatusServiceUnavailable, reason: "stopping", text: "this node stops before the request could end", retryAfter: minRetryAfter}
 	timedOut         = &refusal{status: http.StatusGatewayTimeout, reason: "time_over", text: "no answer within the time limit; the request may have run"}
 )
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,8 @@
 		j.refuse(notInTime)
 	case j.mayHaveRun:
 		j.refuse(upstreamFailed)
+	case j.outlivesStop():
+		j.refuse(nodeStops)
 	default:
 		j.refuse(j.unplacedRefusal(time.Now()))
 	}
@@ -124,7 +126,7 @@
 
 // mayAttempt reports whether the route allows another attempt.
 func (j *job) mayAttempt() bool {
-	if j.connectFailures > maxConnectFailures || j.attemptsLeft() <= 0 {
+	if j.connectFailures > maxConnectFailures || j.attemptsLeft() <= 0 || !j.answerStarted && j.outlivesStop() {
 		return false
 	}
 	return !j.mayHaveRun || j.route.Repeatable()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,6 +135,7 @@
 // It returns when all requests have finished or the grace is over.
 func (n *Node) stop(ctx context.Context, front *http.Server, conns *connections) {
 	began := time.Now()
+	n.stopBound.set(began.Add(n.settings.Grace - stopReserve))
 	n.stopping.Store(true)
 	n.links.carrier.Stop()
 	n.mu.Lock()
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/event"
@@ -136,12 +137,16 @@
 	if err := rc.SetReadDeadline(j.deadline); err != nil {
 		n.log.Debug("cannot set read deadline", slog.Any("err", err))
 	}
+	release := j.boundBodyByStop(rc.SetReadDeadline)
 	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	release()
 	_ = rc.SetReadDeadline(time.Time{}) // the connection may be closed already
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded) && j.outlivesStop():
+		return nodeStops
 	case err != nil:
 		n.logEvent(event.ForwardCallerLeft, j, slog.String("at", "body"), slog.String("err", err.Error()))
 		panic(http.ErrAbortHandler) // the body is incomplete, so no answer is possible
--- a/internal/hedge/quantile.go
+++ b/internal/hedge/quantile.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// Value returns the quantile; ok is false while too few responses were observed.
+func (q *Quantile) Value() (d time.Duration, ok bool) {
+	if q == nil || q.count < minResponses {
+		return 0, false
+	}
+	return time.Duration(q.seconds * float64(time.Second)), true
+}
+
 // SilentAfter returns how long an attempt waits before it counts as silent, at most half of
 // the caller's time left, so that another attempt has as much. ok is false while too few
 // responses were observed.
