--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -103,17 +103,13 @@
 }
 
 // soakEnd is when the verdict on a version that all sessions go to has to be reached. The soak of
-// one that is as quick may go on longer, unless its shift came too late for a soak.
+// a plain service's version may go on longer if it is as quick and its shift left time for a soak.
 func (r *rollout) soakEnd(s Settings, asQuick float64) time.Time {
 	end := r.deadline(s)
-	switch {
-	case asQuick < quickThreshold:
+	if !r.plain || asQuick < quickThreshold || r.shiftedAt.After(end) {
 		return end
-	case r.shiftedAt.After(end):
-		return end.Add(shiftGrace)
-	default:
-		return end.Add(soakGrace)
 	}
+	return end.Add(soakGrace)
 }
 
 // mayShift reports whether all sessions may go to the new version now. Sessions must be
