--- a/internal/canary/soak_test.go
+++ b/internal/canary/soak_test.go
@@ -83,3 +83,20 @@
 	is.Equal(len(sent), 14) // once in 75 ms
 	is.Equal((&Soak{Age: time.Millisecond}).BatchWait(0), time.Duration(0))
 }
+
+// Fails if a version of engines is recorded late, as its soak goes on for evidence that engines do
+// not give.
+func TestSoakOfEnginesEndsAtTheDeadline(t *testing.T) {
+	for _, plain := range []bool{false, true} {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		c := New(testSettings, "n1", 1)
+		c.AddOrder(Order{Service: serviceName, Target: newVersion, Limit: limit, Revision: 1}, start)
+		r := c.rollouts[serviceName]
+		addQuickAnswers(c, 2*minAnswers, start) // the evidence that a shift needs
+		r.shiftedAt = r.deadline(testSettings).Add(-time.Second)
+		view := View{Complete: true, Count: func(string, string) (int, int) { return 1, 2 }, Plain: func(string) bool { return plain }}
+		is.Equal(len(c.Tick(r.deadline(testSettings), view)) > 0, !plain)
+		is.Equal(len(c.Tick(r.deadline(testSettings).Add(soakGrace), view)), 1)
+	}
+}
