gateway: memory for bodies, answers and events is reserved before it is read

Cause: bodies counted only when they were whole, in chunks not at all; up to 512 KiB of each answer and 256 KiB of each event were added up nowhere; a body was copied to be sent.

Change: one account, a quarter of the process's memory, reserved before it is read (16 KiB of each are free). Bodies beyond it are refused at once, as are those longer than allowed; answers beyond it are passed on as they come. Bodies are sent without a copy.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -70,23 +70,26 @@
 // send writes the request; a large one is written concurrently with the reading of the
 // response. It returns false only when the kernel accepted no byte of the request.
 func send(c *conn, req *Request, writeResult chan<- error) (sent bool) {
-	data := encode(req)
-	if len(data) <= maxSyncWriteBytes {
-		n, err := c.Write(data)
+	if len(req.Body) <= maxSyncWriteBytes {
+		n, err := c.Write(append(encodeHead(req, len(req.Body)), req.Body...))
 		writeResult <- err
 		return err == nil || n > 0
 	}
 	go func() {
-		_, err := c.Write(data)
+		_, err := c.Write(encodeHead(req, 0))
+		if err == nil {
+			_, err = c.Write(req.Body) // not copied behind the head: bodies may be large
+		}
 		writeResult <- err
 	}()
 	return true
 }
 
-// encode returns the request in its HTTP/1.1 wire format.
-func encode(req *Request) []byte {
+// encodeHead returns the head of the request in its HTTP/1.1 wire format, with room for further
+// bytes.
+func encodeHead(req *Request, room int) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	b.Grow(512 + room)
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
@@ -105,7 +108,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -21,6 +21,10 @@
 	buf     [readBufferBytes]byte
 	// ready is what await has read; nil for nothing.
 	ready *readEvents
+	// reserve takes memory for an event beyond unaccountedBytes, reserved what it has taken; nil
+	// for no account.
+	reserve  func(int64) bool
+	reserved int64
 }
 
 // readEvents is what one read of an [eventReader] has returned.
@@ -51,6 +55,13 @@
 	return s
 }
 
+// newEventReader returns a reader of an upstream's events within the job's memory.
+func (j *job) newEventReader(from io.Reader, after string) *eventReader {
+	s := newEventReader(from, after)
+	s.reserve = j.held.reserve
+	return s
+}
+
 // next returns the bytes of the events that are complete, the last event ID among them, and
 // the number of events. The end of the stream inside an event is an error: the upstream
 // broke off. So is an event that does not follow the last one; it is not returned.
@@ -76,10 +87,26 @@
 		err = errTruncatedEvent
 	case err == nil && len(s.pending) > maxEventBytes:
 		err = errEventTooLong
+	case err == nil && !s.hasMemory():
+		err = errNoMemory
 	}
 	return events, id, count, err
 }
 
+// hasMemory reserves memory for what has come of an event; it reports whether there is any.
+func (s *eventReader) hasMemory() bool {
+	need := int64(len(s.pending)) - unaccountedBytes - s.reserved
+	if need <= 0 || s.reserve == nil {
+		return true
+	}
+	need = max(need, unaccountedBytes)
+	if !s.reserve(need) {
+		return false
+	}
+	s.reserved += need
+	return true
+}
+
 // isBlank reports whether bytes are empty lines only.
 func isBlank(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
 
--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -60,7 +60,7 @@
 
 // noteDeclined records an attempt that the upstream did not run.
 func (j *job) noteDeclined(a *attempt, resp *exchange.Response) {
-	answer := readBuffered(resp)
+	answer := j.readBuffered(resp)
 	resp.Close()
 	a.finish(fleet.Full)
 	j.mayHaveRun = a.mayHaveRunBefore
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -28,10 +28,12 @@
 	organisation *route.Organisation
 	headers      CallerHeaders
 	body         []byte
-	bodyRead     bool
-	start        time.Time
-	deadline     time.Time
-	priority     int
+	// held is the memory that the request's body, answers and events take.
+	held     *heldMemory
+	bodyRead bool
+	start    time.Time
+	deadline time.Time
+	priority int
 	// affinityHash is a hash of the session or, without one, of the request's ID. It selects the
 	// service and whether the request gets a new version.
 	affinityHash uint64
--- /dev/null
+++ b/internal/gateway/memory_account_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+// Fails if bytes are read before their memory is reserved, are lost where there is none, or stay
+// reserved after their request.
+func TestBodiesAreReservedBeforeTheyAreRead(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		bytes, length  int64
+		left, reserved int64
+		whole          bool
+	}{
+		{"small", 9_000, 9_000, 0, 0, true},
+		{"empty", 0, 0, 0, 0, true},
+		{"with length", 100_000, 100_000, 100_000, 100_000, true},
+		{"with length, no memory", 100_000, 100_000, 99_999, 0, false},
+		{"without length", 40_000, -1, 1 << 20, 49_156, true},
+		{"without length, no memory", 100_000, -1, 40_000, 16_385, false},
+		{"longer than stated", 30_000, 20_000, 1 << 20, 40_001, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			account := &memoryAccount{limit: max(c.left, 1)}
+			held := &heldMemory{account: account}
+			in := strings.Repeat("b", int(c.bytes))
+			out, err := readWhole(iotest.HalfReader(strings.NewReader(in)), c.length, held.reserve)
+			is.Equal(errors.Is(err, errNoMemory), !c.whole)
+			if c.whole {
+				is.Equal(string(out), in)
+			}
+			is.True(strings.HasPrefix(in, string(out)))
+			is.Equal(account.used.Load(), c.reserved)
+			held.release()
+			is.Equal(account.used.Load(), int64(0))
+			is.True(!held.reserve(1)) // the request has ended
+		})
+	}
+}
+
+// Fails if an event without end takes memory that is not reserved.
+func TestEventsAreReserved(t *testing.T) {
+	is := is.New(t)
+	account := &memoryAccount{limit: 40_000}
+	s := newEventReader(bytes.NewReader(bytes.Repeat([]byte("e"), 200_000)), "")
+	s.reserve = (&heldMemory{account: account}).reserve
+	is.True(errors.Is(s.await().err, errNoMemory))
+	is.True(len(s.pending) <= unaccountedBytes+40_000+readBufferBytes)
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -62,9 +62,9 @@
 	stopping          atomic.Bool
 	stopBound         *stopBound
 	runTimes          *runTimes
-	// active counts callers' requests in progress, bodyBytes the size of their bodies.
-	active    atomic.Int64
-	bodyBytes atomic.Int64
+	// active counts callers' requests in progress.
+	active atomic.Int64
+	memory *memoryAccount
 	// streams knows when upstreams last sent an event.
 	streams *streamwatch.Registry
 
@@ -188,6 +188,7 @@
 		streams:        streamwatch.New(),
 		incarnation:    began.UnixNano(), startedAt: began,
 		stopBound:       newStopBound(),
+		memory:          newMemoryAccount(s.MemoryMB),
 		runTimes:        newRunTimes(),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
--- a/internal/gateway/resumed_run.go
+++ b/internal/gateway/resumed_run.go
@@ -52,7 +52,7 @@
 	if r.reply.NotRun || r.resp.Status != http.StatusOK {
 		return
 	}
-	r.events = newEventReader(r.resp, r.after)
+	r.events = r.attempt.job.newEventReader(r.resp, r.after)
 	first := r.events.await()
 	if first.count == 0 && (first.err != io.EOF || r.resp.Unframed) && r.ctx.Err() == nil {
 		r.broke = first.err
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -200,7 +200,7 @@
 	}
 	j.countTrial()
 	if j.route.Kind == route.Stream && resp.Status == http.StatusOK {
-		return j.forwardStream(a, resp, reply, newEventReader(resp, j.resumesAfter()))
+		return j.forwardStream(a, resp, reply, j.newEventReader(resp, j.resumesAfter()))
 	}
 	if j.answerStarted {
 		j.noteNotResumed(a, resp)
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -23,8 +22,8 @@
 		// follow it on the connection are therefore never read as a request.
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{node: n, w: w, r: r, start: time.Now()}
-	defer func() { n.bodyBytes.Add(-int64(len(j.body))) }()
+	j := &job{node: n, w: w, r: r, start: time.Now(), held: &heldMemory{account: n.memory}}
+	defer j.held.release()
 	ref := j.admit()
 	if ref == notReady {
 		ref = j.waitForConfig()
@@ -130,21 +129,23 @@
 		return nil
 	}
 	n := j.node
-	if n.bodyMemoryExceeded(j.r.ContentLength) {
-		return tooManyBodies
+	if j.r.ContentLength > limit {
+		return bodyTooLarge
 	}
 	rc := http.NewResponseController(j.w)
 	if err := rc.SetReadDeadline(j.deadline); err != nil {
 		n.log.Debug("cannot set read deadline", slog.Any("err", err))
 	}
 	release := j.boundBodyByStop(rc.SetReadDeadline)
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	body, err := readWhole(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, j.held.reserve)
 	release()
 	_ = rc.SetReadDeadline(time.Time{}) // the connection may be closed already
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge
+	case errors.Is(err, errNoMemory):
+		return tooManyBodies
 	case errors.Is(err, os.ErrDeadlineExceeded) && j.outlivesStop():
 		return nodeStops
 	case err != nil:
@@ -152,7 +153,6 @@
 		panic(http.ErrAbortHandler) // the body is incomplete, so no answer is possible
 	}
 	j.body, j.bodyRead = body, true
-	n.bodyBytes.Add(int64(len(body)))
 	return nil
 }
 
@@ -166,13 +166,3 @@
 
 // defaultBodyBytes bounds a body if the configuration does not.
 const defaultBodyBytes = 4 << 20
-
-// bodyMemoryExceeded reports whether another body of this length would exceed the memory
-// for bodies.
-func (n *Node) bodyMemoryExceeded(length int64) bool {
-	if n.settings.MemoryMB <= 0 {
-		return false
-	}
-	limit := int64(bodiesFraction * float64(n.settings.MemoryMB) * (1 << 20))
-	return n.bodyBytes.Load()+max(length, 0) > limit
-}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -144,8 +144,9 @@
 	// memoryFraction is the fraction of the process's memory that is set as the runtime's
 	// soft memory limit.
 	memoryFraction = 0.7
-	// bodiesFraction is the fraction of the memory that bodies in progress may use.
-	bodiesFraction = 0.25
+	// heldFraction is the fraction of the memory that bodies, buffered answers and events in
+	// progress may use.
+	heldFraction = 0.25
 	// newVersionHold is how long upstreams of a version that no order names get no
 	// requests: the order may be on its way.
 	newVersionHold = 3 * time.Second
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,21 +16,28 @@
 
 // readBuffered reads an answer up to maxBufferedBytes; nil if it was truncated or is
 // larger.
-func readBuffered(resp *exchange.Response) *bufferedAnswer {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+func (j *job) readBuffered(resp *exchange.Response) *bufferedAnswer {
+	body, err := j.readAnswer(resp)
 	if err != nil || len(body) > maxBufferedBytes {
 		return nil
 	}
 	return &bufferedAnswer{status: resp.Status, header: resp.Header, body: body}
 }
 
+// readAnswer reads an answer up to a byte more than maxBufferedBytes, as far as there is memory.
+func (j *job) readAnswer(resp *exchange.Response) ([]byte, error) {
+	return readWhole(io.LimitReader(resp, maxBufferedBytes+1), min(resp.Length, maxBufferedBytes+1), j.held.reserve)
+}
+
 // forwardBuffered forwards an answer after it has arrived completely, so that a truncated
 // one can be retried or shows as a failure.
 func (j *job) forwardBuffered(a *attempt, resp *exchange.Response, timer *answerTimer) bool {
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+	body, err := j.readAnswer(resp)
 	timer.stop()
 	switch {
+	case errors.Is(err, errNoMemory):
+		return j.forwardUnbuffered(a, resp, body)
 	case err != nil && resp.LinkLost():
 		a.unreachable = true
 		a.finish(fleet.Abandoned) // the upstream may be sound
