gateway: a stop sets no read deadline once a body is whole

Cause: the function that bounds the reading of a body runs on its own goroutine once the stop has begun. It could set its deadline after the body was whole and the deadline had been cleared; net/http watches the connection during the request and takes the timeout for a caller that has left. Evidence: the cut comes at the latest start of the route's runs.

Change: nothing is set after the release. TestStopLeavesRequestsWithAWholeBodyAlone fails before (a deadline set after the body in one of 200 tries).

--- a/internal/gateway/stop_bound.go
+++ b/internal/gateway/stop_bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -49,10 +50,23 @@
 
 // boundBodyByStop ends the reading of the job's body once a run could no longer end within a stop of
 // this node, whenever the stop begins. The caller calls release after the body.
-func (j *job) boundBodyByStop(setReadDeadline func(time.Time) error) (release func() bool) {
-	return context.AfterFunc(j.node.stopBound.began, func() {
-		if latest, ok := j.latestStart(); ok {
+//
+// Nothing is set after the release: a read deadline that passes later would look like a caller that
+// has left.
+func (j *job) boundBodyByStop(setReadDeadline func(time.Time) error) (release func()) {
+	var mu sync.Mutex
+	released := false
+	cancel := context.AfterFunc(j.node.stopBound.began, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if latest, ok := j.latestStart(); ok && !released {
 			_ = setReadDeadline(latest) // the connection may be closed already
 		}
 	})
+	return func() {
+		cancel()
+		mu.Lock()
+		defer mu.Unlock()
+		released = true
+	}
 }
