canary: the soak of a plain service lasts until its end, and its test is less strict

Cause: the soak ended after 1.5 s, 0.2 to 0.3 s before its end, while the bound on the version's requests counts them until the limit anyway; and a test at 4.0 waited for a third failure. Change: 3 s or until the end, threshold 3.0.

--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -127,7 +127,7 @@
 		r.beginSoak()
 	}
 	end := r.soakEnd(c.settings, d.AsQuick)
-	soaked := r.share(c.settings, now) == 1 && now.Sub(r.shiftedAt) >= soakTime && r.oldInFlight() == 0
+	soaked := r.share(c.settings, now) == 1 && now.Sub(r.shiftedAt) >= r.soakTime() && r.oldInFlight() == 0
 	if now.Before(end) && !(soaked && d.AsQuick >= quickThreshold) {
 		return false
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -102,6 +102,15 @@
 	return r.started.Add(r.order.Limit - r.order.Late - s.Lag - recordMargin)
 }
 
+// soakTime is how long all sessions go to the version before it is completed, if the time limit
+// leaves as much.
+func (r *rollout) soakTime() time.Duration {
+	if r.plain {
+		return plainSoakTime
+	}
+	return soakTime
+}
+
 // soakEnd is when the verdict on a version that all sessions go to has to be reached. The soak of
 // a plain service's version may go on longer if it is as quick and its shift left time for a soak.
 func (r *rollout) soakEnd(s Settings, asQuick float64) time.Time {
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -80,6 +80,9 @@
 	// the time limit leaves as much: faults that show only under the whole load appear in
 	// it.
 	soakTime = 1500 * time.Millisecond
+	// plainSoakTime is that time for a plain service, whose upstreams run above the coming load
+	// meanwhile.
+	plainSoakTime = 3 * time.Second
 	// priorAnswers is the weight, in answers, of the long-run share of bad answers
 	// against the recent ones.
 	priorAnswers = 8
--- a/internal/canary/soak_evidence.go
+++ b/internal/canary/soak_evidence.go
@@ -15,8 +15,8 @@
 
 const (
 	// soakThreshold is the log likelihood ratio at which a version is not completed: at most one
-	// good version in fifty reaches it if the old version's share of bad answers is known.
-	soakThreshold = 4.0
+	// good version in twenty reaches it if the old version's share of bad answers is known.
+	soakThreshold = 3.0
 	// maxSoakBadShare is the old version's share of bad answers up to which the test applies.
 	// Usual failures come in clusters, as callers and nodes repeat what failed.
 	maxSoakBadShare = 0.05
