gateway: logs and metrics of what a node believes of operator orders

Cause: a refusal by an older version of the configuration can't be traced. Nothing says how old a node's knowledge of operator orders is, that it misses its reader, or that it puts its next reading off. Change: 401, 403 and 404 name orders_age_ms and the newest version of any peer; events 1967 (reader missed), 1968 (reading put off), 1969 (reader reports an outage); gauges hickorybank_orders_age_seconds and hickorybank_table_reading_due_seconds. No change of when a node reads. Measured: go test ./internal/event ./internal/gateway pass. Calls of the table are those of before by construction.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -30,6 +30,9 @@
 			continue
 		}
 		cause, before := n.readingCause(failures), n.readingAudience()
+		if cause == CauseMember && !n.actingAsReader() {
+			n.logReaderMissed()
+		}
 		ok := r.read(withCause(ctx, cause))
 		n.noteReading(ok, cause)
 		if ok {
@@ -37,6 +40,7 @@
 			n.pushReading(ctx, cause, before)
 		} else {
 			failures++
+			n.logReadingPutOff(failures)
 			n.pushOutage(ctx, failures)
 		}
 	}
@@ -154,6 +158,14 @@
 func (n *Node) nextReading(failures int) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	p := n.readingPlan(failures)
+	n.view.readingDueAt = p.due()
+	return n.view.readingDueAt
+}
+
+// readingPlan returns the state on which the next reading depends, after a number of failed
+// readings; the caller holds mu.
+func (n *Node) readingPlan(failures int) readingPlan {
 	p := readingPlan{
 		interval:  n.listInterval(),
 		startedAt: n.startedAt, expectsPeers: n.expectsPeers(), informedAt: n.informedAt, bootstrapping: n.bootstrapping(),
@@ -166,7 +178,7 @@
 	}
 	p.place, p.turn = n.readTurn()
 	p.startTurn, p.startJitter = n.startTurn(p.place), n.startJitter()
-	return p.due()
+	return p
 }
 
 // startJitter returns a fraction, 0 to 1, that differs between nodes and their starts.
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -184,6 +184,7 @@
 	n.view.outageAt = later(n.view.outageAt, now.Add(-in.Proof.Away))
 	if first && n.view.outageAt.After(n.view.listAsOf) {
 		n.view.outageSince = now
+		event.OutageReported.Log(n.log, slog.String("from", in.From), slog.Int64("away_ms", in.Proof.Away.Milliseconds()), ordersAgeAttr(n.view.ordersAsOf, now))
 		wake(n.readingDue)
 		n.noteRemoteReading(in)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -212,6 +212,8 @@
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
 	d.Metrics.Gauge("hickorybank_config_heard_version", func() float64 { return float64(max(n.newestPeerVersion.Load(), n.configVersion())) })
 	d.Metrics.Gauge("hickorybank_table_age_seconds", n.tableAge)
+	d.Metrics.Gauge("hickorybank_orders_age_seconds", n.ordersAge)
+	d.Metrics.Gauge("hickorybank_table_reading_due_seconds", n.timeToReading)
 	d.Metrics.Gauge("hickorybank_evacuated_domains", n.evacuatedDomains)
 	d.Metrics.Gauge("hickorybank_limited_upstreams", n.limitedUpstreams)
 	d.Metrics.Gauge("hickorybank_leaving_upstreams", n.leavingUpstreams)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -106,6 +106,9 @@
 	if j.blockedBy != 0 {
 		attrs = append(attrs, slog.String("key", keyText(j.blockedBy)), slog.String("parts", j.sharedParts()))
 	}
+	if ref.isConfigured() {
+		attrs = append(attrs, j.node.configKnowledge()...)
+	}
 	j.node.logEvent(e, j, attrs...)
 	j.observe(ref.status)
 }
@@ -124,6 +127,12 @@
 	}
 }
 
+// isConfigured reports whether the refusal follows from the configuration alone, which may be
+// out of date.
+func (r *refusal) isConfigured() bool {
+	return r.status == http.StatusUnauthorized || r.status == http.StatusForbidden || r.status == http.StatusNotFound
+}
+
 // executionOutcome returns the outcome field of a refusal's body.
 func executionOutcome(mayHaveRun bool) string {
 	if mayHaveRun {
--- a/internal/gateway/table_view.go
+++ b/internal/gateway/table_view.go
@@ -44,6 +44,8 @@
 	// set if that reading was in place of the reader.
 	ownListAsOf time.Time
 	substituted bool
+	// readingDueAt is when this node next reads the table, unless it receives a reading before.
+	readingDueAt time.Time
 	// readFailed is set if this node's latest reading failed. relayToGroup and relayToLeaders
 	// are set while a reading of another node has to be pushed on.
 	readFailed, relayToGroup, relayToLeaders bool
