--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -158,6 +158,7 @@
 		return
 	}
 	c.closed = true
+	delete(c.out.from.open, c)
 	c.out.unsent = c.out.unsent[:min(len(c.out.unsent), sendBuffer)]
 	for len(c.out.unsent) > 0 {
 		c.out.sendNext()
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -19,6 +19,10 @@
 	loss             float64
 	listeners        map[int]*listener
 	nextPort         int
+	// open are this host's ends of connections that are not closed.
+	open map[*conn]bool
+	// killed is set once the host's process has been killed.
+	killed bool
 }
 
 // Cut selects the directions of a host's link that are blocked.
@@ -31,6 +35,20 @@
 	h.cut = c
 }
 
+// Kill ends the host's process without notice: its listeners and connections are closed, and it
+// opens no others. [Network.AddHost] with the same IP gives its successor a host.
+func (h *Host) Kill() {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	h.killed = true
+	for _, l := range h.listeners {
+		l.close()
+	}
+	for c := range h.open {
+		c.close()
+	}
+}
+
 // SetLoss sets the probability, 0 to 1, that a segment on the host's link is lost.
 func (h *Host) SetLoss(share float64) {
 	h.net.mu.Lock()
@@ -64,7 +82,7 @@
 	}
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
-	if ip != h.ip || h.listeners[port] != nil {
+	if ip != h.ip || h.killed || h.listeners[port] != nil {
 		return nil, eris.Errorf("listen %s: port in use or not an address of host %s", addr, h.ip)
 	}
 	l := &listener{host: h, addr: tcpAddr(ip, port), changed: sync.NewCond(&h.net.mu)}
@@ -76,7 +94,7 @@
 const synBytes = 60
 
 // Dial opens a connection to an address of any host of the network. It fails with
-// EHOSTUNREACH if no host has the IP and with ECONNREFUSED if nothing listens on the
+// EHOSTUNREACH if no host has the IP or this host's process was killed, and with ECONNREFUSED if nothing listens on the
 // port. If ctx ends first, the error is a net.Error with Timeout() true.
 func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	ip, port, err := splitAddr(addr)
@@ -85,7 +103,7 @@
 	}
 	h.net.mu.Lock()
 	to := h.net.hosts[ip]
-	if to == nil {
+	if to == nil || h.killed {
 		h.net.mu.Unlock()
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.EHOSTUNREACH}
 	}
@@ -99,6 +117,10 @@
 			return
 		}
 		l.enqueue(remote)
+		to.open[remote] = true
+		if !local.closed {
+			h.open[local] = true
+		}
 		h.net.send(to, h, synBytes, func() { answered <- nil })
 	})
 	h.net.mu.Unlock()
--- a/internal/sim/listener.go
+++ b/internal/sim/listener.go
@@ -45,13 +45,19 @@
 	if l.closed {
 		return errors.New("listener is closed already")
 	}
+	l.close()
+	return nil
+}
+
+// close frees the port and closes the connections that were not accepted. The caller holds the
+// network's lock.
+func (l *listener) close() {
 	l.closed = true
 	delete(l.host.listeners, l.addr.Port)
 	for _, c := range l.pending {
 		c.close()
 	}
 	l.changed.Broadcast()
-	return nil
 }
 
 // Addr returns the address that the listener is bound to.
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -34,7 +34,7 @@
 // AddHost adds a host with an IP. bitsPerSecond limits each direction of its link; 0
 // means unlimited.
 func (n *Network) AddHost(ip string, bitsPerSecond float64) *Host {
-	h := &Host{net: n, ip: ip, listeners: map[int]*listener{}, nextPort: firstPort}
+	h := &Host{net: n, ip: ip, listeners: map[int]*listener{}, open: map[*conn]bool{}, nextPort: firstPort}
 	h.uplink.bytesPerSecond = bitsPerSecond / bitsPerByte
 	h.downlink.bytesPerSecond = bitsPerSecond / bitsPerByte
 	n.mu.Lock()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,3 +130,28 @@
 		is.True(err != nil)
 	})
 }
+
+// Fails if a killed process answers or its connections stay open: its peers would wait for a
+// time-out where the kernel resets them.
+func TestKilledHostRefusesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := New(time.Millisecond, 1)
+		a, b := n.AddHost("10.0.0.1", 0), n.AddHost("10.0.0.2", 0)
+		l, err := b.Listen("10.0.0.2:1")
+		is.NoErr(err)
+		c, err := a.Dial(t.Context(), "10.0.0.2:1")
+		is.NoErr(err)
+		_, err = l.Accept()
+		is.NoErr(err)
+		b.Kill()
+		_, err = c.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		_, err = a.Dial(t.Context(), "10.0.0.2:1")
+		is.True(errors.Is(err, syscall.ECONNREFUSED))
+		_, err = b.Dial(t.Context(), "10.0.0.1:1")
+		is.True(errors.Is(err, syscall.EHOSTUNREACH))
+		_, err = n.AddHost("10.0.0.2", 0).Listen("10.0.0.2:1")
+		is.NoErr(err) // the successor has the address
+	})
+}
