gateway: a node's own failed reading is no report of its reader

Callers saw: 404 by an older version at nodes whose reader was lost, for up to six read intervals (2.7 times the bound on changes). Cause: pushOutage stored a node's own failure in view.outageAt, which the reading plan takes for its reader's report of an outage. That report means that somebody lives who keeps trying, so that members wait longer; here nobody does. Why it works: readFailedAt holds the node's own failure, outageAt only reports. After its own failure a member retries after 0.25 s as beside a silent reader.

--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -85,7 +85,7 @@
 func (n *Node) tableUnavailable() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.outageAt.After(n.view.listAsOf)
+	return n.view.unavailable()
 }
 
 // evaluateRollouts returns what the evidence on new versions decides now.
--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -244,7 +244,7 @@
 	if !at.After(known) {
 		return
 	}
-	if n.view.outageAt.After(known) {
+	if n.view.lastFailure().After(known) {
 		n.view.recoveredAt = time.Now()
 	}
 	if known.IsZero() || n.missedReadings(at) {
--- a/internal/gateway/follow_table_test.go
+++ b/internal/gateway/follow_table_test.go
@@ -98,3 +98,15 @@
 	is.Equal(table.lists, 1)
 	is.True(n.actsAsReader()) // its next call waits for changes, as a reader's
 }
+
+// Fails if a member that misses its reader takes its own failed call for the reader's report of an
+// outage, and leaves the table alone for longer than the bound on changes.
+func TestMemberRetriesSoonAfterItsOwnFailedReading(t *testing.T) {
+	is := is.New(t)
+	n := newGroupNode(false)
+	now := time.Now()
+	n.startedAt = now.Add(-time.Minute)
+	n.view.listAsOf, n.view.ordersAsOf, n.lastReadAt = now.Add(-2*time.Second), now.Add(-2*time.Second), now
+	n.pushOutage(t.Context(), 1)
+	is.True(n.nextReading(1).Sub(now) <= firstRetryDelay)
+}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -64,9 +64,9 @@
 		m.Proof.ListClock = n.view.listClock
 		m.Proof.ListRead = n.view.listRevision
 	}
-	m.Reading = n.view.listAsOf.IsZero() && n.lastReadAt.After(n.view.outageAt)
-	if outageAt := n.view.outageAt; outageAt.After(n.view.listAsOf) {
-		m.Proof.Away = now.Sub(outageAt)
+	m.Reading = n.view.listAsOf.IsZero() && n.lastReadAt.After(n.view.readFailedAt)
+	if n.view.unavailable() {
+		m.Proof.Away = now.Sub(n.view.lastFailure())
 	}
 	if asOf := n.view.ordersAsOf; !asOf.IsZero() {
 		m.Proof.OrdersAge = now.Sub(asOf)
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -15,7 +15,7 @@
 // turn.
 func (n *Node) pushOutage(ctx context.Context, failures int) {
 	n.mu.Lock()
-	n.view.outageAt = time.Now()
+	n.view.readFailedAt = time.Now()
 	push := n.leadsGroup() && failures == 1
 	n.mu.Unlock()
 	if push {
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -49,7 +49,7 @@
 		return nil, saved
 	}
 	hash := n.fleet.EffectiveHash()
-	complete := len(n.view.retained) == 0 && now.Sub(n.view.gaplessSince) > recoveryWindow && !n.view.outageAt.After(n.view.listAsOf)
+	complete := len(n.view.retained) == 0 && now.Sub(n.view.gaplessSince) > recoveryWindow && !n.view.unavailable()
 	if hash == saved || !complete {
 		return nil, hash
 	}
--- a/internal/gateway/table_view.go
+++ b/internal/gateway/table_view.go
@@ -37,8 +37,11 @@
 	transferring bool
 	// recoveredAt is when this node first knew of a reading after an outage of the table.
 	recoveredAt time.Time
-	// outageAt is when this node, its reader or its leader last failed to read the table;
-	// outageSince is when a report of that first arrived since the last reading.
+	// readFailedAt is when this node last failed to read the table. It says nothing about its
+	// reader, which may be lost.
+	readFailedAt time.Time
+	// outageAt is when this node's reader or leader last failed to read the table, as it
+	// reports; outageSince is when the first such report arrived since the last reading.
 	outageAt, outageSince time.Time
 	// ownListAsOf is when this node's own latest reading of the list began. substituted is
 	// set if that reading was in place of the reader.
@@ -62,3 +65,9 @@
 	// until which they are retained.
 	retained map[string]time.Time
 }
+
+// lastFailure returns when this node, its reader or its leader last failed to read the table.
+func (v *tableView) lastFailure() time.Time { return later(v.readFailedAt, v.outageAt) }
+
+// unavailable reports whether the latest known reading of the table failed.
+func (v *tableView) unavailable() bool { return v.lastFailure().After(v.listAsOf) }
