gateway: no pause between readings exceeds the bound on changes

Callers would see: refusals by an older version at a node that has failed to read twice and that nobody informs, at a reader that the table refuses once its substitute is lost, and at a node that serves by a peer's configuration while its own first readings fail. Cause: pauses sized by the calls that they save. Members waited 3 read intervals after the second failure (1.35 times the bound), beside a reported outage up to 6 (2.7 times), also when the reporter had died since; a node without known orders 0.4 s times its turn (up to 10 s), also if it serves. Evidence: TestPausesOfReadingPlanFitTheBoundOnChanges failed in 2,304 states. Change: maxSilence bounds each wait of a node that serves, counted from the last reading or report. A reader renews its report once per read interval while nobody else can read, leaders pass it on, and members keep their long pauses only as long as reports come. A report of no age counts (0 means no outage). As reports now reach other groups at once, the reader's own group reads first: its readings are passed on, and one substitute is enough. Why it works: whatever fails, a node reads, or knows that somebody tries, within 0.92 of the bound, 0.75 with settled members, which leaves a failed call.

--- a/internal/gateway/follow_table.go
+++ b/internal/gateway/follow_table.go
@@ -172,7 +172,9 @@
 		peersAnswer: len(n.peerStates) > 0, peerReadingAt: n.view.peerReadingAt,
 		listAsOf: n.view.listAsOf, listPendingAt: n.view.listPendingAt, ordersAsOf: n.view.ordersAsOf, ordersPendingAt: n.view.ordersPendingAt,
 		readAt: n.lastReadAt, failures: failures, empty: !n.view.ordersAsOf.IsZero() && n.view.ordersRevision == 0,
-		outage: n.view.outageAt.After(n.view.listAsOf), outageSince: n.view.outageSince,
+		outage: n.view.outageAt.After(n.view.listAsOf), outageSince: n.view.outageSince, outageAt: n.view.outageAt,
+		nearReader: n.roster.Reader().ID == n.roster.Group()[0].ID,
+		serves:     n.config.Load() != nil && n.view.listRevision > 0,
 		messageAge: n.view.messageAge, acting: n.actsAsReader(),
 		leadsGroup: n.leadsGroup(), readsTable: n.readsTable(),
 	}
--- a/internal/gateway/knowledge_age.go
+++ b/internal/gateway/knowledge_age.go
@@ -54,11 +54,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	p := n.readingPlan(0)
-	reader := n.roster.Group()[0]
-	if p.leadsGroup && len(n.roster.LeaderGroup()) > 0 {
-		reader = n.roster.LeaderGroup()[0]
-	}
-	event.ReaderMissed.Log(n.log, slog.String("reader", reader.ID), slog.Int("place", p.place), slog.Bool("outage", p.outage),
+	event.ReaderMissed.Log(n.log, slog.String("reader", n.roster.Reader().ID), slog.Int("place", p.place), slog.Bool("outage", p.outage),
 		slog.Int64("list_age_ms", now.Sub(n.view.listAsOf).Milliseconds()), ordersAgeAttr(n.view.ordersAsOf, now))
 }
 
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -66,7 +66,7 @@
 	}
 	m.Reading = n.view.listAsOf.IsZero() && n.lastReadAt.After(n.view.readFailedAt)
 	if n.view.unavailable() {
-		m.Proof.Away = now.Sub(n.view.lastFailure())
+		m.Proof.Away = max(now.Sub(n.view.lastFailure()), time.Nanosecond) // 0 means no outage
 	}
 	if asOf := n.view.ordersAsOf; !asOf.IsZero() {
 		m.Proof.OrdersAge = now.Sub(asOf)
@@ -181,8 +181,16 @@
 		return
 	}
 	first := !n.view.outageAt.After(n.view.listAsOf)
-	n.view.outageAt = later(n.view.outageAt, now.Add(-in.Proof.Away))
-	if first && n.view.outageAt.After(n.view.listAsOf) {
+	failedAt := now.Add(-in.Proof.Away)
+	renewed := failedAt.Sub(n.view.outageAt) >= firstRetryDelay
+	n.view.outageAt = later(n.view.outageAt, failedAt)
+	if !n.view.outageAt.After(n.view.listAsOf) {
+		return
+	}
+	if renewed && !first {
+		n.noteRemoteReading(in)
+	}
+	if first {
 		n.view.outageSince = now
 		event.OutageReported.Log(n.log, slog.String("from", in.From), slog.Int64("away_ms", in.Proof.Away.Milliseconds()), ordersAgeAttr(n.view.ordersAsOf, now))
 		wake(n.readingDue)
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -10,13 +10,22 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// pushOutage notifies the nodes that depend on this one that it cannot read the table, once
-// per outage. Otherwise they would assume that it has failed, and all read the table in
-// turn.
+// pushOutage notifies the nodes that depend on this one that it cannot read the table, at once
+// and then once per read interval. Otherwise they would assume that it has failed, and all read
+// the table in turn. While other nodes can read, these inform them.
 func (n *Node) pushOutage(ctx context.Context, failures int) {
+	now := time.Now()
 	n.mu.Lock()
-	n.view.readFailedAt = time.Now()
-	push := n.leadsGroup() && failures == 1
+	if failures == 1 {
+		n.view.failingSince = now
+	}
+	othersRead := n.view.listAsOf.After(n.view.failingSince) && now.Sub(n.view.listAsOf) < 2*n.readInterval()
+	renew := now.Sub(n.view.outagePushedAt) >= n.readInterval()-maxReaderRetryDelay && !othersRead
+	push := n.leadsGroup() && (failures == 1 || renew)
+	n.view.readFailedAt = now
+	if push {
+		n.view.outagePushedAt = now
+	}
 	n.mu.Unlock()
 	if push {
 		n.pushReading(ctx, CauseReader, n.readingAudience())
--- a/internal/gateway/reading_plan.go
+++ b/internal/gateway/reading_plan.go
@@ -35,9 +35,9 @@
 	// without state. A node must see the table's return early enough to meet all bounds on
 	// changes.
 	maxReaderRetryDelay = 400 * time.Millisecond
-	// memberRetryReads is the pause between failed readings of a node that is not a reader,
-	// in read intervals. Nodes that can read inform it meanwhile.
-	memberRetryReads = 3
+	// refusedReaderReads is the pause between failed readings of a reader while other nodes
+	// inform it, in read intervals.
+	refusedReaderReads = 3
 	// peerWait is how long a node without state waits for the answer of a peer, and
 	// peerWaitSpread the time over which nodes without an answer then read the table: many
 	// may start at once, their seeds among them. informedWait is how long a node waits for
@@ -65,7 +65,11 @@
 //   - All nodes have lost their state: the first seed reads at once, and the others take
 //     turns in case it can't. A list is then read by a few nodes and not by each.
 //   - The table is unavailable to all: readers keep checking for its return and report the
-//     outage. A few other nodes try in turns with growing delays.
+//     outage each read interval. A few other nodes try in turns with growing delays, as long as
+//     the reports come.
+//
+// A node that serves never goes without a reading, its own or another's, and without a report for
+// longer than maxSilence, which fits into the bound on changes with one failed call.
 type readingPlan struct {
 	// interval is the pause between a reader's readings.
 	interval time.Duration
@@ -93,11 +97,16 @@
 	failures int
 	empty    bool
 	// outage is set while the reader or leader of this node reports that it can't read;
-	// outageSince is when the first such report arrived.
-	outage      bool
-	outageSince time.Time
+	// outageSince is when the first such report arrived, outageAt when its latest reading
+	// failed.
+	outage                bool
+	outageSince, outageAt time.Time
+	// nearReader is set if the reader leads this node's own group.
+	nearReader bool
 	// messageAge is the age of the latest reading of another node when it arrived.
 	messageAge time.Duration
+	// serves is set if the node answers callers, by a configuration that may be out of date.
+	serves bool
 	// acting is set while this node reads in place of its reader, whose messages stopped.
 	acting bool
 	// leadsGroup is set if the node leads its group, readsTable if it also reads for its
@@ -116,17 +125,15 @@
 		return p.readAt.Add(firstRetryDelay) // the operator's first configuration is expected
 	case unknown && p.failures == 0:
 		return p.startDue()
-	case unknown && p.peersAnswer:
-		return p.readAt.Add(p.retryDelay(maxReaderRetryDelay) * time.Duration(1+p.startTurn))
 	case unknown:
-		return p.readAt.Add(p.retryDelay(maxReaderRetryDelay))
+		return p.readAt.Add(p.startRetryDelay())
 	case !p.readsTable && !p.acting:
 		return p.followerDue()
 	case p.failures == 0:
 		return p.listAsOf // a reader's own call waits for changes
 	case p.listAsOf.After(p.readAt):
-		// Another node can read: the table refuses only this one.
-		return p.readAt.Add(p.retryDelay(memberRetryReads * p.interval))
+		// Another node can read: the table refuses only this one, while that node lives.
+		return earlier(p.readAt.Add(p.retryDelay(refusedReaderReads*p.interval)), p.retryAfterSilence())
 	default:
 		return p.readAt.Add(p.retryDelay(maxReaderRetryDelay))
 	}
@@ -149,41 +156,79 @@
 	}
 }
 
+// startRetryDelay returns the pause after failed readings of a node that does not know all
+// state. Nodes without any take turns, one that serves reads within the bound on changes.
+func (p *readingPlan) startRetryDelay() time.Duration {
+	delay := p.retryDelay(maxReaderRetryDelay)
+	if !p.peersAnswer {
+		return delay
+	}
+	delay *= time.Duration(1 + p.startTurn)
+	if p.serves {
+		return min(delay, p.maxSilence())
+	}
+	return delay
+}
+
 // followerDue returns when a node that is not a reader reads the table itself.
 func (p *readingPlan) followerDue() time.Time {
+	if !p.outage {
+		return p.retryAfterSilence()
+	}
+	// The reader lives and can't read, so that there is no message to wait for.
+	turn := p.outageSince.Add(p.outageDelay())
+	if p.failures > 0 {
+		turn = later(turn, p.readAt.Add(maxOutageDelay*p.interval))
+	}
+	return earlier(turn, p.retryAfterSilence())
+}
+
+// retryAfterSilence returns when a node reads that has no sign of its reader's life, after a
+// pause if its latest reading failed. No pause may exceed the bound on changes: nobody else may
+// inform this node.
+func (p *readingPlan) retryAfterSilence() time.Time {
+	silent := p.lastSign().Add(p.maxSilence())
+	if p.failures == 0 {
+		return silent
+	}
+	return later(silent, p.readAt.Add(p.retryDelay(p.maxSilence())))
+}
+
+// lastSign returns when a reader last read the table for this node or tried to.
+func (p *readingPlan) lastSign() time.Time {
+	known := earlier(later(p.listAsOf, p.listPendingAt), later(p.ordersAsOf, p.ordersPendingAt))
+	if p.outage {
+		return later(known, p.outageAt)
+	}
+	return known
+}
+
+// maxSilence returns how long this node goes without a sign of its reader's life.
+func (p *readingPlan) maxSilence() time.Duration {
 	wait := memberReadDelay + memberTurnSpan*p.turn
 	if p.leadsGroup {
 		wait = leaderReadDelay + leaderTurnSpan*p.turn
 	}
 	wait += min(float64(p.messageAge)/float64(p.interval), maxMessageAge)
-	retry := memberRetryReads * p.interval
-	if p.outage {
-		wait += p.outageTurn()
-		retry = maxOutageDelay * p.interval
-	}
-	known := earlier(later(p.listAsOf, p.listPendingAt), later(p.ordersAsOf, p.ordersPendingAt))
-	if known.Sub(p.startedAt) < leaderSettleTime {
+	if p.lastSign().Sub(p.startedAt) < leaderSettleTime {
 		wait += settlingDelay
 	}
-	due := known.Add(time.Duration(wait * float64(p.interval)))
-	if p.outage && !p.outageSince.IsZero() {
-		// The reader says that it can't read, so that there is no message to wait for.
-		due = earlier(due, p.outageSince.Add(p.outageDelay()))
-	}
-	switch {
-	case p.failures == 0:
-		return due
-	case p.outage:
-		return later(due, p.readAt.Add(retry))
-	default:
-		return later(due, p.readAt.Add(p.retryDelay(retry)))
+	pause := p.interval
+	if p.outage {
+		// A reader whose calls hang reports once in that time.
+		pause = max(pause, tableCallTimeout+maxReaderRetryDelay)
 	}
+	return time.Duration(wait * float64(pause))
 }
 
 // outageDelay returns how long after its reader's report this node reads the table itself.
-// Leaders come first.
+// Leaders come first, and the reader's own group before others: the reader passes on what its
+// group's members read.
 func (p *readingPlan) outageDelay() time.Duration {
 	turn := p.outageTurn()
+	if !p.nearReader {
+		turn += outageTurns * outageTurnDelay
+	}
 	if !p.leadsGroup {
 		turn += memberReadDelay - leaderReadDelay
 	}
--- a/internal/gateway/table_view.go
+++ b/internal/gateway/table_view.go
@@ -37,12 +37,14 @@
 	transferring bool
 	// recoveredAt is when this node first knew of a reading after an outage of the table.
 	recoveredAt time.Time
-	// readFailedAt is when this node last failed to read the table. It says nothing about its
-	// reader, which may be lost.
-	readFailedAt time.Time
+	// readFailedAt is when this node last failed to read the table, failingSince when it first
+	// did since its last success. They say nothing about its reader, which may be lost.
+	readFailedAt, failingSince time.Time
 	// outageAt is when this node's reader or leader last failed to read the table, as it
 	// reports; outageSince is when the first such report arrived since the last reading.
 	outageAt, outageSince time.Time
+	// outagePushedAt is when this node last reported that it can't read.
+	outagePushedAt time.Time
 	// ownListAsOf is when this node's own latest reading of the list began. substituted is
 	// set if that reading was in place of the reader.
 	ownListAsOf time.Time
--- a/internal/gossip/derived.go
+++ b/internal/gossip/derived.go
@@ -6,4 +6,5 @@
 	groups      [][]Member
 	group       []Member
 	leaderGroup []Member
+	reader      Member
 }
--- a/internal/gossip/groups.go
+++ b/internal/gossip/groups.go
@@ -62,16 +62,35 @@
 }
 
 func (r *Roster) leaderGroupIn(groups [][]Member) []Member {
+	if group := leaderGroupOf(r.self.ID, groups); group != nil {
+		return group
+	}
+	return []Member{}
+}
+
+// leaderGroupOf returns the leader group of the leader with an ID; nil if it leads no group.
+func leaderGroupOf(leader string, groups [][]Member) []Member {
 	var leaders []Member
 	for _, group := range groups {
 		leaders = append(leaders, group[0])
 	}
 	for group := range slices.Chunk(leaders, maxGroupSize) {
-		if slices.ContainsFunc(group, func(m Member) bool { return m.ID == r.self.ID }) {
+		if slices.ContainsFunc(group, func(m Member) bool { return m.ID == leader }) {
 			return readerFirst(group)
 		}
 	}
-	return []Member{}
+	return nil
+}
+
+// Reader returns the node that reads the table for this node's group.
+func (r *Roster) Reader() Member {
+	if r.derived.reader.ID == "" {
+		r.derived.reader = r.Group()[0]
+		if group := leaderGroupOf(r.Group()[0].ID, r.Groups()); group != nil {
+			r.derived.reader = group[0]
+		}
+	}
+	return r.derived.reader
 }
 
 // readerFirst returns a copy of the group with its reader in the first place.
