gateway: a reader whose process refuses connections is known to be gone

Cause: members report their in-flight work to their leader up to five times a second and ignored that its port refuses; only gossip rounds with that node, some seconds apart, counted. Until then members missed its messages one by one and read the table in its place. Change: a refused report counts as a miss, as a refused exchange does. Time-outs don't: a leader with a full link lives.

--- a/internal/gateway/follow_flights.go
+++ b/internal/gateway/follow_flights.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -65,6 +67,9 @@
 	n.mu.Unlock()
 	all, err := n.gossipClient.Flights(role.To.Peer, report)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.notePeerFailure(role.To, err) // no process listens there, whatever the load
+		}
 		return false
 	}
 	n.mu.Lock()
