gateway: a transfer that has ended is no reason to wait

Callers would see: refusals by an older version at members whose leader missed the end of a large transfer. Cause: a leader passes on that orders are in transfer as long as it has not got them. Members counted each such message as a new sign, also when the reader that took the transfer was lost seconds ago: one node's news taken for another's. Change: the message says how long ago the sender learned of the transfer, 0 for its own; members count from then. A node of an older release sends 0, as before.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -73,6 +73,9 @@
 		m.Proof.OrdersRead = n.view.ordersRevision
 		m.Proof.OrdersClock = n.view.ordersClock
 		m.Proof.OrdersPending = (n.leadsGroup() || n.view.transferring) && n.view.ordersPendingAt.After(asOf)
+		if m.Proof.OrdersPending && !n.view.transferring {
+			m.Proof.PendingAge = now.Sub(n.view.ordersPendingAt)
+		}
 	}
 	_, known := n.peerStates[to]
 	m.Notices = n.fleet.Notices(now, !known)
@@ -242,7 +245,7 @@
 // holds mu.
 func (n *Node) mergeOrdersProof(in gossip.Message, now time.Time) {
 	if in.Proof.OrdersPending && (n.receivesTableFrom(in.From) || n.inGroup(in.From)) {
-		n.view.ordersPendingAt = now
+		n.view.ordersPendingAt = later(n.view.ordersPendingAt, now.Add(-in.Proof.PendingAge))
 	}
 	if in.Proof.OrdersAge < 0 || in.ConfigVersion == 0 || in.Proof.OrdersRead.Era() < n.view.era ||
 		!n.areOrdersNewer(in.Proof.OrdersRead, in.Proof.OrdersClock) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -72,6 +72,8 @@
 	// OrdersPending is set if the sender reads operators' changes for its group and is
 	// still fetching a large change.
 	OrdersPending bool
+	// PendingAge is the time since the sender learned of that transfer; 0 if it is its own.
+	PendingAge time.Duration
 	// Away is the time since the sender, or its reader, last failed to read the table, if
 	// nothing has been read since; otherwise 0.
 	Away time.Duration
