gateway: no final refusal by a configuration that is known to be replaced

Callers saw: 404 for a route that exists, at a node whose peers have a newer configuration. 401, 403 and 404 are final: the caller does not ask elsewhere. Change: a request that the configuration refuses while a live peer is known to have a newer one, which this node has not rejected, waits for it, up to a tenth of the caller's time and 0.5 s, and is then refused as 503 config_outdated, not run, with Retry-After. Whom the newer one allows is served. Nothing waits otherwise. Why not more: a node that has no readings at all, beside a table that others read, can't tell this from an outage for all, in which nothing may be refused.

--- a/internal/gateway/follow_config.go
+++ b/internal/gateway/follow_config.go
@@ -98,6 +98,7 @@
 	}
 	f.rejectedVersion, f.rejectedAt = version, now
 	f.rejections++
+	f.node.rejectedVersion.Store(version)
 }
 
 // backingOffRejected reports whether this node has recently rejected what its peers have.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -59,7 +59,9 @@
 	config atomic.Pointer[configuration]
 	// newestPeerVersion is the newest version of the configuration that any peer has.
 	newestPeerVersion atomic.Int64
-	stopBound         *stopBound
+	// rejectedVersion is the latest version of a peer that this node could not read.
+	rejectedVersion atomic.Int64
+	stopBound       *stopBound
 	// active counts callers' requests in progress.
 	active atomic.Int64
 	memory *memoryAccount
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,6 +21,7 @@
 
 var (
 	notReady        = &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", text: "this node does not know the configuration yet", retryAfter: notReadyRetryAfter}
+	outdatedConfig  = &refusal{status: http.StatusServiceUnavailable, reason: "config_outdated", text: "this node's configuration is out of date", retryAfter: notReadyRetryAfter}
 	unknownRoute    = &refusal{status: http.StatusNotFound, reason: "unknown_route", text: "no route for this host and path"}
 	unknownKey      = &refusal{status: http.StatusUnauthorized, reason: "unknown_key", text: "the key is not known"}
 	bodyTooLarge    = &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", text: "body is too large"}
@@ -106,7 +107,7 @@
 	if j.blockedBy != 0 {
 		attrs = append(attrs, slog.String("key", keyText(j.blockedBy)), slog.String("parts", j.sharedParts()))
 	}
-	if ref.isConfigured() {
+	if ref.isConfigured() || ref == outdatedConfig {
 		attrs = append(attrs, j.node.configKnowledge()...)
 	}
 	j.node.logEvent(e, j, attrs...)
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -24,7 +24,7 @@
 	}
 	j := &job{node: n, w: w, r: r, start: time.Now(), held: &heldMemory{account: n.memory}}
 	defer j.held.release()
-	ref := j.admit()
+	ref := j.admitByNewest()
 	if ref == notReady {
 		ref = j.waitForConfig()
 	}
--- a/internal/gateway/wait_for_config.go
+++ b/internal/gateway/wait_for_config.go
@@ -27,7 +27,7 @@
 		return ref
 	}
 	for time.Now().Before(until) && pause(j.r.Context(), waitPollInterval) {
-		if ref := j.admit(); ref != notReady {
+		if ref := j.admitByNewest(); ref != notReady {
 			return ref
 		}
 	}
