--- a/internal/gateway/follow_flights.go
+++ b/internal/gateway/follow_flights.go
@@ -68,7 +68,7 @@
 	all, err := n.gossipClient.Flights(role.To.Peer, report)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.notePeerFailure(role.To, err) // no process listens there, whatever the load
+			n.notePeerFailure(role.To, err) // no process listens there
 		}
 		return false
 	}
--- a/internal/gateway/knowledge_age.go
+++ b/internal/gateway/knowledge_age.go
@@ -7,6 +7,17 @@
 	"github.com/hickorybank/hickorybank/internal/event"
 )
 
+// tableAge returns the age of the applied reading of the list in seconds; 0 before the
+// first one.
+func (n *Node) tableAge() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.view.listAsOf.IsZero() {
+		return 0
+	}
+	return time.Since(n.view.listAsOf).Seconds()
+}
+
 // ordersAge returns the age of this node's knowledge of operator orders in seconds; 0 before
 // the first.
 func (n *Node) ordersAge() float64 {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -177,30 +177,6 @@
 	}
 }
 
-// mergeOutage records that this node's reader or leader can't read the table, which a
-// leader passes on; the caller holds mu.
-func (n *Node) mergeOutage(in gossip.Message, now time.Time) {
-	if in.Proof.Away <= 0 || !n.receivesTableFrom(in.From) {
-		return
-	}
-	first := !n.view.outageAt.After(n.view.listAsOf)
-	failedAt := now.Add(-in.Proof.Away)
-	renewed := failedAt.Sub(n.view.outageAt) >= firstRetryDelay
-	n.view.outageAt = later(n.view.outageAt, failedAt)
-	if !n.view.outageAt.After(n.view.listAsOf) {
-		return
-	}
-	if renewed && !first {
-		n.noteRemoteReading(in)
-	}
-	if first {
-		n.view.outageSince = now
-		event.OutageReported.Log(n.log, slog.String("from", in.From), slog.Int64("away_ms", in.Proof.Away.Milliseconds()), ordersAgeAttr(n.view.ordersAsOf, now))
-		wake(n.readingDue)
-		n.noteRemoteReading(in)
-	}
-}
-
 // mergeListProof takes over a peer's newer reading of the list, once this node has
 // everything that the reading returned. The caller holds mu.
 //
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -233,17 +233,6 @@
 	return xxhash.Sum64String(id + "@" + strconv.FormatInt(born, 10))
 }
 
-// tableAge returns the age of the applied reading of the list in seconds; 0 before the
-// first one.
-func (n *Node) tableAge() float64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.view.listAsOf.IsZero() {
-		return 0
-	}
-	return time.Since(n.view.listAsOf).Seconds()
-}
-
 // configVersion returns the version of the active configuration; 0 for none.
 func (n *Node) configVersion() int64 {
 	if c := n.config.Load(); c != nil {
--- a/internal/gateway/push_table.go
+++ b/internal/gateway/push_table.go
@@ -10,28 +10,6 @@
 	"github.com/hickorybank/hickorybank/internal/gossip"
 )
 
-// pushOutage notifies the nodes that depend on this one that it cannot read the table, at once
-// and then once per read interval. Otherwise they would assume that it has failed, and all read
-// the table in turn. While other nodes can read, these inform them.
-func (n *Node) pushOutage(ctx context.Context, failures int) {
-	now := time.Now()
-	n.mu.Lock()
-	if failures == 1 {
-		n.view.failingSince = now
-	}
-	othersRead := n.view.listAsOf.After(n.view.failingSince) && now.Sub(n.view.listAsOf) < 2*n.readInterval()
-	renew := now.Sub(n.view.outagePushedAt) >= n.readInterval()-maxReaderRetryDelay && !othersRead
-	push := n.leadsGroup() && (failures == 1 || renew)
-	n.view.readFailedAt = now
-	if push {
-		n.view.outagePushedAt = now
-	}
-	n.mu.Unlock()
-	if push {
-		n.pushReading(ctx, CauseReader, n.readingAudience())
-	}
-}
-
 // audience is the nodes to which a node pushes what it reads of the table.
 type audience struct {
 	// group is the node's group, leaders its leader group, which only leaders have.
--- a/internal/gateway/reading_plan.go
+++ b/internal/gateway/reading_plan.go
@@ -69,7 +69,8 @@
 //     the reports come.
 //
 // A node that serves never goes without a reading, its own or another's, and without a report for
-// longer than maxSilence, which fits into the bound on changes with one failed call.
+// longer than maxSilence. That fits into the bound on changes, with one failed call once the node
+// has settled.
 type readingPlan struct {
 	// interval is the pause between a reader's readings.
 	interval time.Duration
