Logs: one line a second of each kind and route passes the rate limit

Change: above the limit one line a second passes of each event, status, reason and route, 64 kinds a second at most, so that a node's log stays bounded beside any number of routes.

--- a/internal/logring/limit.go
+++ b/internal/logring/limit.go
@@ -8,7 +8,8 @@
 )
 
 // RateLimitHandler is a slog.Handler that rate-limits records below warning level. Warnings
-// and errors always pass, so the lines of a failed request are never dropped here.
+// and errors always pass, so the lines of a failed request are never dropped here, and of each kind
+// of event one line a second.
 type RateLimitHandler struct {
 	slog.Handler
 	bucket *bucket
@@ -20,6 +21,7 @@
 	tokens     float64
 	refilledAt time.Time
 	dropped    int64
+	floor      floor
 }
 
 // NewRateLimitHandler returns a handler that passes records on to h within the rate limit.
@@ -29,7 +31,7 @@
 
 // Handle passes a record on, or drops and counts it where the limit is exceeded.
 func (l *RateLimitHandler) Handle(ctx context.Context, r slog.Record) error {
-	if r.Level < slog.LevelWarn && !l.bucket.take(r.Time) {
+	if r.Level < slog.LevelWarn && !l.bucket.take(r) {
 		return nil
 	}
 	return l.Handler.Handle(ctx, r)
@@ -52,7 +54,8 @@
 	return l.bucket.dropped
 }
 
-func (b *bucket) take(now time.Time) bool {
+func (b *bucket) take(r slog.Record) bool {
+	now := r.Time
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.refilledAt.IsZero() && now.After(b.refilledAt) {
@@ -60,6 +63,9 @@
 	}
 	b.refilledAt = now
 	if b.tokens < 1 {
+		if b.floor.take(r) {
+			return true
+		}
 		b.dropped++
 		return false
 	}
--- a/internal/logring/writer_test.go
+++ b/internal/logring/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -95,3 +96,31 @@
 		is.Equal(strings.Count(out.String(), "later"), infoLinesPerSecond)
 	})
 }
+
+// Fails if a flood of lines hides that another route is refused.
+func TestOneLineOfEachKindPassesInAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		limit := NewRateLimitHandler(slog.NewTextHandler(&out, nil))
+		log := slog.New(limit)
+		refuse := func(route, request string) {
+			log.Info("refused", "event", 1911, "route", route, "status", 404, "reason", "unknown_route", "request", request)
+		}
+		for range 3 {
+			for range 2 * infoLineBurst {
+				refuse("busy", "usual")
+			}
+			refuse("quiet", "first")
+			refuse("quiet", "second")
+			for i := range 2 * maxFloorKinds {
+				refuse(strconv.Itoa(i), "many")
+			}
+			time.Sleep(floorInterval)
+		}
+		is.Equal(strings.Count(out.String(), "first"), 3)
+		is.Equal(strings.Count(out.String(), "second"), 0)
+		is.Equal(strings.Count(out.String(), "many"), 3*(maxFloorKinds-2)) // bounded beside any number of routes
+		is.Equal(limit.Dropped()+int64(strings.Count(out.String(), "refused")), int64(3*(2*infoLineBurst+2+2*maxFloorKinds)))
+	})
+}
