A reading of the table doesn't take an earlier one's result for its own

What callers saw: changes that are late by a whole wait for the reader after its loss, at all nodes of a failure domain or more, with no call of the table refused. In virtual time, 415 kB of configuration, reader and one more node lost at a change: five of five live nodes behind 2.0 s after its confirmation.

Cause: a reading of operator orders whose answer comes over 150 ms late goes on beside the node's next readings. Its result stayed in the channel until the next reading, which may be many seconds later if other nodes inform this one meanwhile. That reading took it for its own, called only for the list, and waited for its reader again. A failed earlier one counted as a new failure, so that the pause was the long one of repeated failures. Until then the node also told its peers that a transfer was in progress. Class: an old result is taken for news.

Change: a result of an earlier reading counts only if it is a success within the read interval; a reader then passes it on at once, as before. The end of the reading itself ends the state of transfer.

--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -18,7 +18,13 @@
 	node *Node
 	// orders receives the result of the reading of operator orders in progress; nil for
 	// none.
-	orders chan bool
+	orders chan ordersResult
+}
+
+// ordersResult is the result of a reading of operator orders, and when it ended.
+type ordersResult struct {
+	ok      bool
+	endedAt time.Time
 }
 
 const (
@@ -42,10 +48,7 @@
 	n.lastReadAt = time.Now()
 	first := n.view.ordersAsOf.IsZero()
 	n.mu.Unlock()
-	if r.orders == nil {
-		r.orders = make(chan bool, 1)
-		go func(done chan<- bool) { done <- n.readOrders(ctx) }(r.orders)
-	}
+	r.startOrders(ctx)
 	// The first list waits for the first orders. Otherwise a version without a known order
 	// would count as one that may serve.
 	ok, finished := r.awaitOrders(first)
@@ -58,6 +61,33 @@
 	return n.readUpstreams(ctx)
 }
 
+// startOrders starts a reading of operator orders, unless an earlier one is in progress or has
+// only just succeeded. An older result says nothing of the table now: the node may have been
+// informed by others since.
+func (r *tableReader) startOrders(ctx context.Context) {
+	n := r.node
+	select {
+	case earlier := <-r.orders:
+		if !earlier.ok || time.Since(earlier.endedAt) >= n.readInterval() {
+			r.orders = nil
+		} else {
+			r.orders <- earlier
+		}
+	default:
+	}
+	if r.orders != nil {
+		return
+	}
+	r.orders = make(chan ordersResult, 1)
+	go func(done chan<- ordersResult) {
+		ok := n.readOrders(ctx)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.view.transferring = false
+		done <- ordersResult{ok, time.Now()}
+	}(r.orders)
+}
+
 // listIsFresh reports whether the list needs no reading after one of operator orders.
 //
 // It saves half of a reader's calls. Each write to the table gives it a newer revision, so
@@ -96,16 +126,15 @@
 		expired = nil
 	}
 	select {
-	case ok = <-r.orders:
+	case result := <-r.orders:
 		r.orders = nil
-		n.mu.Lock()
-		n.view.transferring = false
-		n.mu.Unlock()
-		return ok, true
+		return result.ok, true
 	case <-expired:
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.view.ordersPendingAt, n.view.transferring = time.Now(), true
+		if len(r.orders) == 0 {
+			n.view.ordersPendingAt, n.view.transferring = time.Now(), true
+		}
 		return false, false
 	}
 }
