A body over the limit is answered 413 and not reset

What callers saw: an upload over the limit with Connection: close ends in a reset instead of the answer, in half of the cases here.

Cause: such a body is refused by its Content-Length before anything is read. net/http closes at once then, with bytes unread, which resets the connection; it keeps the connection open for a moment only if its MaxBytesReader has met the limit.

Change: before that refusal one byte is read against a limit of zero, for 100 ms at most, unless the caller waits for 100 Continue.

--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -130,6 +130,7 @@
 	}
 	n := j.node
 	if j.r.ContentLength > limit {
+		j.noteUnreadBody()
 		return bodyTooLarge
 	}
 	rc := http.NewResponseController(j.w)
@@ -156,6 +157,22 @@
 	return nil
 }
 
+// unreadBodyWait bounds the wait for the first byte of a body that is not read.
+const unreadBodyWait = 100 * time.Millisecond
+
+// noteUnreadBody has the HTTP server keep the connection open for a moment after the answer, which
+// a caller that is still sending would lose to a reset. The server does so once a limit on the
+// body has been reached.
+func (j *job) noteUnreadBody() {
+	if j.r.Header.Get("Expect") != "" {
+		return // the caller sends nothing before it is asked to
+	}
+	rc := http.NewResponseController(j.w)
+	_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait)) // not supported in tests without a connection
+	_, _ = http.MaxBytesReader(j.w, j.r.Body, 0).Read(make([]byte, 1))
+	_ = rc.SetReadDeadline(time.Time{})
+}
+
 // maxBodyBytes returns the size of the largest body that is read, in bytes.
 func (j *job) maxBodyBytes() int64 {
 	if j.config == nil || j.config.Limits.BodyBytes <= 0 {
