gateway: a crash of an upstream counts against the attempts there that were left

Cause: evidence was taken only from the attempt that the node still waits for. An attempt that it had moved, cut off at its deadline, dropped or left with its caller made no strike when its upstream crashed later, so that six crashes made three strikes.

Change: the guard remembers left attempts by their upstream, for a bounded time and number, and strikes them once a crash of that incarnation is known: from another attempt, a peer's report, a successor at its address, or a closed address or ended idle connections, which a probe confirms. A crash under a request probes the upstreams that it had left; an upstream that listens for a moment after it reset a connection is probed twice more. It works because the crash is known to somebody within moments, only not by the connection that was closed. Nothing is asked of an upstream without a sign, and one that leaves as announced is no crash.

--- a/internal/crashguard/bystanders_test.go
+++ b/internal/crashguard/bystanders_test.go
@@ -13,6 +13,8 @@
 	share   float64
 	hotFrom time.Duration
 	wave    *wave
+	// slow is the share of sound requests that were moved before.
+	slow float64
 }
 
 const (
@@ -28,6 +30,12 @@
 	{name: "a quarter lost, new to the fleet", losses: []time.Duration{lossAt}, share: 0.25, hotFrom: lossAt - 30*time.Millisecond},
 	{name: "all lost, new to the fleet", losses: []time.Duration{lossAt}, share: 1, hotFrom: lossAt - 30*time.Millisecond},
 	{name: "all lost three times, new to the fleet", losses: []time.Duration{lossAt, lossAt + 3*time.Second, lossAt + 6*time.Second}, share: 1, hotFrom: lossAt - 30*time.Millisecond},
+	{name: "a quarter lost after moves", losses: []time.Duration{lossAt}, share: 0.25, slow: 0.3},
+	{name: "all lost after moves", losses: []time.Duration{lossAt}, share: 1, slow: 0.3},
+	{name: "all lost three times after moves", losses: []time.Duration{lossAt, lossAt + 3*time.Second, lossAt + 6*time.Second}, share: 1, slow: 0.3},
+	{name: "a quarter lost after moves, new to the fleet", losses: []time.Duration{lossAt}, share: 0.25, hotFrom: lossAt - 300*time.Millisecond, slow: 0.3},
+	{name: "all lost after moves, new to the fleet", losses: []time.Duration{lossAt}, share: 1, hotFrom: lossAt - 300*time.Millisecond, slow: 0.3},
+	{name: "beside a wave, after moves", slow: 0.3, wave: &wave{together: 8, pause: 3500 * time.Millisecond, until: lossAt + 10*time.Second, delay: 400 * time.Millisecond, moveAfter: 45 * time.Millisecond}},
 	{name: "beside a wave", wave: &wave{together: 8, pause: 3500 * time.Millisecond, until: lossAt + 10*time.Second, delay: 44 * time.Millisecond}},
 	{name: "beside a wave, new to the fleet", hotFrom: time.Second, wave: &wave{together: 8, pause: 3500 * time.Millisecond, until: lossAt + 10*time.Second, delay: 44 * time.Millisecond}},
 }
@@ -39,7 +47,7 @@
 			t.Run(fmt.Sprintf("%s, %d nodes, %d engines", c.name, size[0], size[1]), func(t *testing.T) {
 				t.Parallel()
 				w := waveWorld(size[0], size[1], 7, c.wave)
-				w.losses, w.share, w.hot, w.hotFrom = c.losses, c.share, 1.0/3, c.hotFrom
+				w.losses, w.share, w.hot, w.hotFrom, w.slow = c.losses, c.share, 1.0/3, c.hotFrom, c.slow
 				w.soundPerSecond = float64(20 * size[0])
 				w.run(lossAt + 30*time.Second)
 				perSecond := w.soundPerSecond * w.hot
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -54,11 +54,15 @@
 	verdicts    []Verdict
 	// granted holds when this node granted trials.
 	granted map[Key]time.Time
+	// left are the attempts that this node has left, by their upstreams, leftCount their number.
+	left      map[CrashID][]leftAttempt
+	leftCount int
 }
 
 // New returns a guard that knows of no crash.
 func New() *Guard {
-	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}, quarantined: map[Key]*entry{}, granted: map[Key]time.Time{}}
+	return &Guard{slots: map[CrashID]int{}, keys: map[Key]*entry{}, convicted: map[Key]*entry{}, quarantined: map[Key]*entry{}, granted: map[Key]time.Time{},
+		left: map[CrashID][]leftAttempt{}}
 }
 
 // Knows reports whether the crash is known.
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -151,6 +151,9 @@
 	for i := range r.Keys {
 		urgent = g.mergeKey(&r.Keys[i], slots, now) || urgent
 	}
+	for _, c := range r.Crashes {
+		urgent = g.Crashed(c.ID, now.Add(-c.Age), now) || urgent
+	}
 	g.bound(now)
 	return urgent
 }
--- a/internal/crashguard/waves_test.go
+++ b/internal/crashguard/waves_test.go
@@ -20,6 +20,8 @@
 	parts []string
 	// badFrom is when it begins to crash engines; before that it is answered.
 	badFrom time.Duration
+	// moveAfter is how long a node waits for an answer before it moves the request; 0 for ever.
+	moveAfter time.Duration
 	// mendedAt is when it no longer crashes engines; never if 0.
 	mendedAt time.Duration
 }
@@ -61,6 +63,9 @@
 		return
 	}
 	a.badPart = waveName
+	if v.moveAfter > 0 {
+		a.moveAt = w.now + v.moveAfter
+	}
 	a.crashesAt = w.now + v.delay
 	if v.jitter > 0 {
 		a.crashesAt += w.random(int(v.jitter / time.Millisecond))
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -44,6 +44,8 @@
 	// hot is the share of sound requests that are one and the same, from hotFrom on.
 	hot     float64
 	hotFrom time.Duration
+	// slow is the share of sound attempts that wait for long, and are moved.
+	slow float64
 }
 
 type worldEngine struct {
@@ -66,6 +68,12 @@
 	first         bool
 	// repeated is set for a caller's repeat.
 	repeated bool
+	// left is set once its node no longer waits for the attempt, movedFrom is the crash of the upstream that
+	// the request was moved off before; 0 for none.
+	left      bool
+	movedFrom CrashID
+	// moveAt is when the request is moved; 0 for never.
+	moveAt time.Duration
 }
 
 // world plays a spec.
@@ -92,6 +100,8 @@
 	hotRefusedUp int
 	exchanges    int
 	sentKeys     int
+	// notices are the crashes of upstreams that nodes with left attempts there will learn of.
+	notices []worldNotice
 }
 
 var worldEpoch = time.Unix(1_000_000, 0)
@@ -126,8 +136,10 @@
 		w.arrive(w.badPerSecond, w.bad, true)
 		w.sendWave()
 		for _, e := range w.engines {
+			w.moveAttempts(e)
 			w.advance(e)
 		}
+		w.noticeCrashes()
 		for i := range w.guards {
 			if w.now >= w.next[i] {
 				w.exchange(i)
@@ -201,7 +213,7 @@
 		g.CountTrial(key)
 		w.news[a.node] = true
 	}
-	a.first, a.proved = false, false
+	a.first, a.proved, a.moveAt = false, false, 0
 	// The crash before a repeat happened earlier in the tick.
 	a.sent, a.begins, a.ends, a.crashesAt = w.now+worldTick/10, w.now+40*time.Millisecond+w.random(100), w.now+600*time.Millisecond, 0
 	if i := slices.IndexFunc(a.parts, func(p string) bool { return w.isBad(p, w.now) }); i >= 0 {
@@ -210,6 +222,9 @@
 		a.crashesAt = w.now + 30*time.Millisecond + w.random(200)
 		a.begins, a.ends = a.crashesAt+time.Hour, a.crashesAt+time.Hour
 	}
+	if !a.bad && w.slow > 0 && a.movedFrom == 0 && w.r.Float64() < w.slow {
+		a.begins, a.ends, a.moveAt = w.now+worldSlow, w.now+worldSlow+600*time.Millisecond, w.now+worldMove
+	}
 	if a.bad && w.wave != nil {
 		w.runWave(a)
 	}
@@ -264,6 +279,9 @@
 		if w.now < a.ends {
 			return false
 		}
+		if a.left {
+			return true
+		}
 		g.Answered(a.chain, worldEpoch.Add(a.begins), w.time())
 		return true
 	})
@@ -276,6 +294,10 @@
 	w.lives++
 	e.id, e.attempts, e.upFrom = w.lives, nil, w.now+worldDowntime
 	for _, a := range running {
+		if a.left {
+			w.notices = append(w.notices, worldNotice{w.now + w.random(int(worldNoticed/time.Millisecond)), a.node, id})
+			continue
+		}
 		chain := a.chain
 		if w.now >= a.begins+worldProof {
 			chain = chain.Request()
@@ -283,6 +305,10 @@
 			a.crashes++
 		}
 		w.news[a.node] = w.guards[a.node].Strike(id, chain, worldEpoch.Add(a.sent), w.time(), w.time()) || w.news[a.node]
+		if a.movedFrom != 0 && w.guards[a.node].Knows(a.movedFrom) {
+			a.crashes++
+			a.movedFrom = 0
+		}
 		if a.crashes < 2 && !a.trial {
 			w.send(a)
 		} else if a.bad && w.wave != nil && !a.repeated {
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -23,6 +23,7 @@
 	ForwardEscalated         = define(1921, slog.LevelInfo, "smaller model's confidence was low; a larger model answers")
 	ForwardResumed           = define(1922, slog.LevelInfo, "stream continues at another upstream")
 	ForwardUpstreamCrashed   = define(1923, slog.LevelWarn, "upstream crashed while it ran a request")
+	UpstreamCrashedLater     = define(1989, slog.LevelWarn, "upstream crashed after this node had left attempts there")
 	ForwardLowConfidence     = define(1924, slog.LevelInfo, "smaller model's confidence was low; its answer is kept because no larger model may or can answer")
 	CrashConvicted           = define(1925, slog.LevelWarn, "a part of prompts or a request is convicted of crashing upstreams")
 	CrashAcquitted           = define(1926, slog.LevelInfo, "a part of prompts or a request is no longer convicted of crashing upstreams")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,9 @@
 	speedsSentAt time.Time
 	// closedAt holds when this node last found an upstream's address closed.
 	closedAt map[*Upstream]time.Time
+	// closedElsewhere are the flight keys of the upstreams whose addresses other nodes found closed,
+	// as of the latest flight.
+	closedElsewhere []uint32
 	// prefix is what is known of prefix blocks.
 	prefix prefixState
 	// loadReported are the services of which an upstream has reported its load; plain holds the
--- a/internal/fleet/flight.go
+++ b/internal/fleet/flight.go
@@ -146,6 +146,7 @@
 			mentioned = append(mentioned, u)
 		}
 	}
+	f.closedElsewhere = remaining.Closed
 	f.avoidClosed(remaining, now)
 	f.noteCrowded(mentioned, now)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,6 +25,8 @@
 	// answered is set once the parts of the prompt are known not to have crashed the upstream.
 	answered bool
 	ended    bool
+	// leftAt is when the node stopped waiting for the attempt, which its upstream may still run.
+	leftAt time.Time
 	// unreachable is set if the upstream did not get the request, timedOut if it got half of the
 	// time left and did not answer.
 	unreachable, timedOut bool
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -20,6 +20,9 @@
 	// answerProofTime is how long after its first event an attempt shows that the parts of its
 	// prompt do not crash the upstream.
 	answerProofTime = 250 * time.Millisecond
+	// brokenProbes is the number of further probes, one each leftCheckInterval, of an upstream that broke
+	// off an answer and still listened.
+	brokenProbes = 2
 	// maxRequestCrashes is the number of upstreams that may crash while they are about to
 	// answer one request. Others may be the cause of one of them.
 	maxRequestCrashes = 2
@@ -34,16 +37,13 @@
 // the parts of its prompt if its answer had not begun. An upstream that only lost one
 // connection causes no strike, nor does one that is out of reach.
 func (n *Node) suspectCrash(j *job, a *attempt) {
-	at := time.Now()
-	id := crashguard.NewCrashID(a.up.Incarnation())
-	begun := !a.firstEventAt.IsZero() && at.Sub(a.firstEventAt) >= answerProofTime
+	at, id := time.Now(), a.crashID()
+	chain, begun := a.chainAt(at)
 	if !n.isCrashed(id, a.addr) {
+		a.leaveAndProbe(brokenProbes) // it may end a moment after its connections
 		return
 	}
-	chain := j.chain
-	if begun {
-		chain = chain.Request()
-	} else {
+	if !begun {
 		j.crashes++
 	}
 	n.mu.Lock()
@@ -62,6 +62,8 @@
 			slog.Bool("begun", begun), slog.String("parts", j.sharedParts()))
 		wake(n.crashNews)
 	}
+	n.noteCrash(a.up, a.addr)
+	j.checkLeft()
 }
 
 // isCrashed reports whether an incarnation of an upstream has crashed: the crash is known, or the
@@ -95,7 +97,7 @@
 	j.node.mu.Lock()
 	defer j.node.mu.Unlock()
 	permission, _ := j.node.permit(j, time.Now())
-	return j.crashes < maxRequestCrashes && permission != refused
+	return j.crashesKnown() < maxRequestCrashes && permission != refused
 }
 
 // permission tells whether a job may run.
--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -45,8 +45,12 @@
 	if f.Reason == exchange.NotConnected {
 		j.node.noteNotConnected(a.up, errors.Is(f.Err, syscall.ECONNREFUSED))
 	}
-	if f.Sent && f.Reason == exchange.Broken {
+	switch {
+	case !f.Sent:
+	case f.Reason == exchange.Broken:
 		j.node.suspectCrash(j, a)
+	default:
+		a.leave()
 	}
 	j.node.logEvent(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", reason),
 		slog.Bool("sent", f.Sent), slog.Int64("usual_ms", a.usualDelay.Milliseconds()), slog.String("err", f.Err.Error()))
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -42,6 +42,8 @@
 	chain crashguard.Chain
 	// crashes counts the upstreams that crashed while they were about to answer the request.
 	crashes int
+	// left are the attempts that the node no longer waits for, although their upstreams may run them.
+	left []*attempt
 	// blockedBy is the key for which the request is refused; 0 for none. quarantined is set if it is
 	// not convicted.
 	blockedBy   crashguard.Key
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -76,9 +76,11 @@
 	fleet      *fleet.Fleet
 	canary     *canary.Canary
 	crashGuard *crashguard.Guard
-	roster     *gossip.Roster
-	flights    *gossip.FlightSums
-	speeds     *gossip.SpeedSums
+	// leftUpstreams are the upstreams at which this node has left attempts.
+	leftUpstreams map[crashguard.CrashID]leftUpstream
+	roster        *gossip.Roster
+	flights       *gossip.FlightSums
+	speeds        *gossip.SpeedSums
 	// ownSpeeds are this node's part of the speeds that were last exchanged.
 	ownSpeeds   fleet.Speeds
 	evacuations *evacuation.Orders
@@ -130,6 +132,8 @@
 	pushRequested chan struct{}
 	// crashNews wakes followCrashes.
 	crashNews chan struct{}
+	// leftAttempts wakes followLeftAttempts.
+	leftAttempts chan struct{}
 	// rolloutOrdered is closed once this node knows a rollout.
 	rolloutOrdered chan struct{}
 }
@@ -192,6 +196,7 @@
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		crashGuard:      crashguard.New(),
+		leftUpstreams:   map[crashguard.CrashID]leftUpstream{},
 		roster:          gossip.NewRoster(gossip.Member{ID: s.ID, Born: began.UnixNano(), Front: s.Front, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Link: s.Link}),
 		flights:         gossip.NewFlightSums(),
 		speeds:          gossip.NewSpeedSums(),
@@ -205,6 +210,7 @@
 		invalidFieldLoggedAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
 		peerStates: map[string]peerState{}, contacts: contacts{}, draws: newDraws(s.Seed), verdictSeenAt: map[verdictKey]time.Time{},
 		crashNews:      make(chan struct{}, 1),
+		leftAttempts:   make(chan struct{}, 1),
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
--- a/internal/gateway/resumed_run.go
+++ b/internal/gateway/resumed_run.go
@@ -112,6 +112,7 @@
 	case r.failure != nil && r.failure.Reason == exchange.Cancelled:
 		if r.failure.Sent {
 			j.noteReached()
+			a.leave()
 		}
 		a.unreachable = !r.failure.Sent
 		a.finish(result)
@@ -130,6 +131,7 @@
 		r.noteStarted(j)
 		r.resp.Close()
 		a.finish(fleet.Abandoned)
+		a.leave()
 	}
 	j.retryReserved = j.retryReserved || r.failure != nil && !r.failure.Sent // it reached no upstream
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,6 +70,7 @@
 	loops.Go(func() { n.followPeers(loopCtx) })
 	loops.Go(func() { n.followFlights(loopCtx) })
 	loops.Go(func() { n.followCrashes(loopCtx) })
+	loops.Go(func() { n.followLeftAttempts(loopCtx) })
 	loops.Go(func() { n.followConfig(loopCtx) })
 	loops.Go(func() { n.followList(loopCtx) })
 	loops.Go(func() { n.sweep(loopCtx) })
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 	if next := j.escalate(a, reply); next != "" {
 		a.finish(fleet.Served)
 		a.reportOutcome(false, 0)
+		a.leave()
 		j.model = next
 		return false
 	}
@@ -212,9 +213,11 @@
 		return true
 	case end == endCallerGone || j.r.Context().Err() != nil:
 		a.finish(fleet.Abandoned)
+		a.leave()
 		j.callerLeft()
 	case context.Cause(j.ctx) != nil:
 		a.finish(fleet.Abandoned)
+		a.leave()
 		if j.answerStarted {
 			j.breakOff("time_over")
 		}
@@ -250,6 +253,8 @@
 		slog.Int("silent_upstreams", len(silence.Upstreams)), slog.Int("streaming_upstreams", silence.Streaming))
 	if reason == "broke" {
 		j.node.suspectCrash(j, a)
+	} else {
+		a.leave()
 	}
 }
 
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -41,6 +41,7 @@
 	case err != nil && resp.LinkLost():
 		a.unreachable = true
 		a.finish(fleet.Abandoned) // the upstream may be sound
+		a.leave()
 		j.node.logEvent(event.ForwardAttempt, j, slog.String("upstream", a.id), slog.String("reason", "link_lost"), slog.String("err", err.Error()))
 		return false
 	case err != nil:
@@ -68,6 +69,7 @@
 func (j *job) noteTruncated(a *attempt, err error) {
 	if j.ctx.Err() != nil {
 		a.finish(fleet.Abandoned)
+		a.leave()
 		return
 	}
 	a.finish(fleet.Failed)
@@ -117,6 +119,7 @@
 	}
 	if err != nil {
 		a.finish(fleet.Failed)
+		a.leave()
 		j.breakOff("cut_short")
 	}
 	a.finish(fleet.Served)
