canary: the verdict of a node that was cut off does not outlast its order

Cause: a node that is cut off during a roll-out may decide otherwise than the rest. When the next order replaced that one, it kept the version as rolled back by its own verdict, which was never recorded, and its peers took the union of such versions. After a rollback of the next order the only version with upstreams was excluded everywhere.

Change: ended orders are kept and exchanged with their revision, verdict and whether it was recorded, one for each version. A later order of a version overrides an earlier one, and a recorded verdict one that is not, so that what the table held decides wherever a peer knows it.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -1,9 +1,9 @@
 package canary
 
 import (
-	"github.com/hickorybank/hickorybank/internal/revision"
-	"slices"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/revision"
 )
 
 // Canary holds the newest order of each service on one node. It is not safe for
@@ -15,15 +15,15 @@
 	rollouts   map[string]*rollout
 	references references
 	pins       pins
-	// rolledBack lists the versions that were rolled back, by service.
-	rolledBack map[string][]string
+	// ended lists earlier orders by service, the newest last.
+	ended map[string][]EndedOrder
 }
 
 // New returns the Canary of one run of a node; born tells the runs of a node apart.
 func New(s Settings, node string, born int64) *Canary {
 	return &Canary{settings: s, node: node, born: born, rollouts: map[string]*rollout{}, references: references{},
-		rolledBack: map[string][]string{},
-		pins:       pins{ttl: s.Session + pinSpread, lastSeen: map[uint64]time.Time{}}}
+		ended: map[string][]EndedOrder{},
+		pins:  pins{ttl: s.Session + pinSpread, lastSeen: map[uint64]time.Time{}}}
 }
 
 // AddOrder adds an order that began at started. It reports whether the order is newer than
@@ -33,10 +33,9 @@
 	if current != nil && current.order.Revision >= o.Revision {
 		return false
 	}
-	if current != nil && current.verdict == RolledBack {
-		c.addRolledBack(o.Service, current.order.Target)
+	if current != nil {
+		c.noteEnded(o.Service, EndedOrder{current.order.Target, current.order.Revision, current.verdict, current.written})
 	}
-	c.rolledBack[o.Service] = slices.DeleteFunc(c.rolledBack[o.Service], func(v string) bool { return v == o.Target })
 	c.rollouts[o.Service] = &rollout{
 		order: o, started: started,
 		own:    Tally{Service: o.Service, Revision: o.Revision, Node: c.node, Born: c.born},
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -82,7 +82,13 @@
 // excluded returns the versions that do not serve the old version's requests: the one on
 // trial, and those that were rolled back before.
 func (c *Canary) excluded(service string, r *rollout) []string {
-	return append([]string{r.order.Target}, c.rolledBack[service]...)
+	versions := []string{r.order.Target}
+	for _, v := range c.rolledBack(service) {
+		if v != r.order.Target {
+			versions = append(versions, v)
+		}
+	}
+	return versions
 }
 
 // overexposed reports whether the new version's requests, over all nodes as far as known
