canary: the only version with upstreams is not rolled back for want of a comparison

Callers saw: 503 no_upstream for a service at all nodes until the next order, after all nodes were lost and the platform's table came back from a copy without the record of the verdict.

Cause: a version about which the answers decide nothing, or whose verdict is unknown after its limit, is rolled back so that the old one stays. Here operators had stopped the old one, as they do once the new one is completed, and the trial had nothing to compare with.

Change: if a node has seen no upstreams of another version listed since it knows of the order, such a version is completed, unless its answers speak against it.

--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -40,6 +40,8 @@
 	// Count returns how many ready upstreams have the version, and how many there are in
 	// all.
 	Count func(service, version string) (ofVersion, all int)
+	// Versions returns the versions of which upstreams are listed; nil if that is not known.
+	Versions func(service string) []string
 	// Plain reports whether a service runs no models; nil for never.
 	Plain func(service string) bool
 	// Complete is set if the node receives the tallies of all nodes. Only then does a count
@@ -54,16 +56,19 @@
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
 		r.plain = view.Plain != nil && view.Plain(r.order.Service)
+		if r.verdict == Open && view.Versions != nil {
+			r.noteVersions(view.Versions(r.order.Service))
+		}
 		switch {
 		case r.verdict == Open && r.awaitsVerdict:
-			d.Proposed = r.proposesRollback(now, view)
+			d.Proposed = r.proposes(now, view)
 		case r.verdict == Open:
 			c.countUnfinished(r, now)
 			d.Reached = c.evaluate(r, &d, now, view)
 		}
 		d.Verdict = r.verdict
 		if d.Proposed {
-			d.Verdict = RolledBack
+			d.Verdict = r.unproved()
 		}
 		if d.Proposed || r.verdict != Open && !r.written || d.Shift || d.Widened {
 			out = append(out, d)
@@ -77,15 +82,31 @@
 // of its peers.
 const awaitTime = 5 * time.Second
 
-// proposesRollback reports whether an order without a known verdict should be recorded as rolled
-// back. All nodes may have been lost during the trial: operators must not wait for ever.
-func (r *rollout) proposesRollback(now time.Time, view View) bool {
+// proposes reports whether a verdict should be recorded for an order without a known one. All nodes may
+// have been lost during the trial: operators must not wait for ever.
+func (r *rollout) proposes(now time.Time, view View) bool {
 	if r.awaitedSince.IsZero() {
 		r.awaitedSince = now
 	}
 	return view.Complete && now.Sub(r.awaitedSince) >= awaitTime
 }
 
+// noteVersions records whether upstreams of the order's version, and of others, are listed.
+func (r *rollout) noteVersions(versions []string) {
+	r.targetListed = slices.Contains(versions, r.order.Target)
+	r.othersListed = r.othersListed || len(versions) > 1 || len(versions) == 1 && !r.targetListed
+}
+
+// unproved returns the verdict on a version about which the answers decide nothing. Operators stop the old
+// version's upstreams once the new one is completed. A service that has had no others since this
+// node knows of the order shows that it was, and that the record is lost.
+func (r *rollout) unproved() Verdict {
+	if r.targetListed && !r.othersListed {
+		return Completed
+	}
+	return RolledBack
+}
+
 // evaluate updates the evidence, widens or shifts the trial when it is due, and reports
 // whether it reached a verdict. Only a node whose view is whole completes a rollout.
 func (c *Canary) evaluate(r *rollout, d *Decision, now time.Time, view View) bool {
@@ -118,6 +139,9 @@
 		// With doubt left or too few answers the old version stays. The operator can
 		// order the new one again.
 		r.verdict = RolledBack
+		if !d.Doubt {
+			r.verdict = r.unproved()
+		}
 		return true
 	}
 	if r.shiftedAt.IsZero() {
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -60,7 +60,7 @@
 	VersionDecided           = define(1961, slog.LevelInfo, "roll-out of a version was decided")
 	VersionShifts            = define(1964, slog.LevelInfo, "all sessions go to the new version")
 	VersionWidened           = define(1965, slog.LevelInfo, "more sessions take part in a version's trial")
-	VersionProposed          = define(1966, slog.LevelWarn, "verdict of a roll-out is unknown after its limit; it is recorded as rolled back unless the table holds another")
+	VersionProposed          = define(1966, slog.LevelWarn, "verdict of a roll-out is unknown after its limit; one is recorded unless the table holds another")
 	VersionRecorded          = define(1962, slog.LevelInfo, "roll-out's state was recorded")
 	VersionUnrecorded        = define(1963, slog.LevelWarn, "roll-out's state could not be recorded yet")
 	BrittleBegan             = define(1958, slog.LevelWarn, "upstream fails if it has to reject many requests")
--- a/internal/gateway/follow_rollouts.go
+++ b/internal/gateway/follow_rollouts.go
@@ -95,6 +95,7 @@
 	n.canary.ClearInFlight(n.roster.IsAlive)
 	return n.canary.Tick(now, canary.View{
 		Count:    func(service, version string) (int, int) { return n.fleet.Count(service, version, now) },
+		Versions: n.fleet.Versions,
 		Plain:    n.config.Load().isPlain,
 		Complete: n.leadsGroup(),
 	})
--- a/internal/gateway/late_verdict_test.go
+++ b/internal/gateway/late_verdict_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hickorybank/hickorybank/internal/canary"
+	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/gossip"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
 )
@@ -99,3 +100,36 @@
 		})
 	}
 }
+
+// Fails if a service whose verdict is lost with all nodes and the table's copy is refused for good although
+// only the version in use has upstreams.
+func TestLostVerdictFollowsFromTheUpstreamsThatAreLeft(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		listed []string
+		want   canary.Verdict
+	}{
+		{"only the new version", []string{"v2"}, canary.Completed},
+		{"both versions", []string{"v1", "v2"}, canary.RolledBack},
+		{"only the old version", []string{"v1"}, canary.RolledBack},
+		{"no upstream", nil, canary.RolledBack},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newRolloutNode("n1", &tableWithVerdict{})
+				for _, version := range test.listed {
+					n.fleet.Put(fleet.Record{ID: version, Addr: version, Service: "engine", Version: version, Slots: 6}, time.Now())
+				}
+				order := canary.Order{Service: "engine", Target: "v2", Limit: 16 * time.Second, Revision: 2}
+				n.receive(gossip.Message{From: "n2", Orders: []gossip.Order{{Order: order, Age: time.Minute}}})
+				for began := time.Now(); n.canary.Open("engine") && time.Since(began) < time.Minute; time.Sleep(rolloutTickInterval) {
+					for _, d := range n.evaluateRollouts(time.Now()) {
+						n.applyDecision(t.Context(), d, map[string]time.Time{})
+					}
+				}
+				is.Equal(n.canary.Outcome("engine").Verdict, test.want)
+			})
+		})
+	}
+}
