gateway: peers send the list of upstreams as of the table's era

Callers saw: a node that was restarted after a restore of the platform's table answers 503 not_ready to everything for 20 s and more, with its peers serving and the table back.

Cause: the document of the list that peers send was encoded anew only when the list's hash changed. After a restore with the same upstreams it was as of the era before, which a starting node rejects; and each piece that was served put off the node's own reading of the table, usable or not.

Change: a document is current only in the era of the table, and for 5 s with an earlier revision of one era. A list that proves unusable no longer puts off the reading.

--- a/internal/gateway/document_fetch.go
+++ b/internal/gateway/document_fetch.go
@@ -138,6 +138,7 @@
 		f.backOff(peer, failedBackoff) // the sender's record of this transfer expires by itself
 	}
 	if usable, err := f.apply(peer, tag); !usable {
+		f.forgetProgress()
 		f.abort(peer, began, err)
 	}
 }
@@ -153,6 +154,17 @@
 	f.node.view.listPendingAt = time.Now()
 }
 
+// forgetProgress lets this node read the list from the table: what a peer served was not usable.
+func (f *documentFetch) forgetProgress() {
+	if f.document != transfer.List {
+		return
+	}
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	f.node.view.listPendingAt = time.Time{}
+	wake(f.node.readingDue)
+}
+
 // backOff leaves a peer alone for a time.
 func (f *documentFetch) backOff(m gossip.Member, d time.Duration) {
 	f.retryAt[m.ID] = time.Now().Add(d)
--- a/internal/gateway/follow_list.go
+++ b/internal/gateway/follow_list.go
@@ -139,16 +139,17 @@
 // refreshListDocument sets the list that is sent to peers to this node's own, if that has
 // changed. Without requests a changed list is not encoded.
 func (n *Node) refreshListDocument() {
-	n.listDocument.Lock()
-	defer n.listDocument.Unlock()
+	d := &n.listDocument
+	d.Lock()
+	defer d.Unlock()
 	n.mu.Lock()
-	hash, known := n.fleet.Hash(), n.view.listRevision
-	if known == 0 || n.view.listAsOf.IsZero() || hash == n.listDocumentHash {
+	hash, known, now := n.fleet.Hash(), n.view.listRevision, time.Now()
+	if known == 0 || n.view.listAsOf.IsZero() || d.isCurrent(hash, known, now) {
 		n.mu.Unlock()
 		return
 	}
 	list := fleet.List{Records: n.fleet.Records(time.Now()), Retained: n.retainedRecords(), Revision: known, Clock: n.view.listClock}
 	n.mu.Unlock()
 	n.listSender.Set(archive.New(uint64(known), list.Encode(), nil))
-	n.listDocumentHash = hash
+	d.hash, d.revision, d.at = hash, known, now
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -45,9 +45,8 @@
 	// newerConfig wakes followConfig.
 	newerConfig chan struct{}
 	listSender  *transfer.Sender
-	// listDocument guards listDocumentHash, the hash of the list that listSender sends.
-	listDocument     sync.Mutex
-	listDocumentHash uint64
+	// listDocument describes the list that listSender sends.
+	listDocument listDocument
 	// listOffered wakes followList.
 	listOffered chan struct{}
 	// applying is a semaphore of one place for reading and activating a configuration.
