--- a/internal/gateway/attempt_timer.go
+++ b/internal/gateway/attempt_timer.go
@@ -146,9 +146,6 @@
 	if len(n.crashGuard.Blocking(j.chain, now)) > 0 {
 		return false // it may have run, so it is no longer let through as a trial
 	}
-	if own := j.chain.Request(); len(own) > 0 && n.crashGuard.Strikes(own[0]) >= maxRequestCrashes {
-		return false // it would crash another upstream, and that tells nothing more
-	}
 	p := n.place(j, n.canary.Rule(j.service, j.caller(), now), n.previewHeldVersion(j.service, now), now)
 	if p.upstream == nil || p.upstream.ID == a.id {
 		return false
