canary: the only version with upstreams serves all requests during its trial

Callers saw: five of six requests of a service refused with 503 no_upstream for the 15 s of a trial in which only the version on trial has upstreams, after all nodes and the table's record of its verdict were lost.

Cause: requests beyond the trial's share exclude the version on trial, for an old version that is no longer there.

Change: while no upstreams of another version have been listed since the node knows of the order, the version on trial is not excluded.

--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -97,11 +97,14 @@
 	r.othersListed = r.othersListed || len(versions) > 1 || len(versions) == 1 && !r.targetListed
 }
 
-// unproved returns the verdict on a version about which the answers decide nothing. Operators stop the old
-// version's upstreams once the new one is completed. A service that has had no others since this
-// node knows of the order shows that it was, and that the record is lost.
+// isOnlyVersion reports whether no upstreams of another version were listed since this node knows of the
+// order. Operators stop the old version's upstreams once the new one is completed, so that it probably
+// was, and the record is lost.
+func (r *rollout) isOnlyVersion() bool { return r.targetListed && !r.othersListed }
+
+// unproved returns the verdict on a version about which the answers decide nothing.
 func (r *rollout) unproved() Verdict {
-	if r.targetListed && !r.othersListed {
+	if r.isOnlyVersion() {
 		return Completed
 	}
 	return RolledBack
--- a/internal/canary/only_version_test.go
+++ b/internal/canary/only_version_test.go
@@ -7,8 +7,9 @@
 	"github.com/matryer/is"
 )
 
-// Fails if the only version with upstreams is rolled back because its trial had nothing to compare it
-// with, or completed although its answers are failures or another version was there.
+// Fails if the only version with upstreams serves only its trial's share of the requests, or is rolled
+// back because the trial had nothing to compare it with; or if it is completed although its answers are
+// failures or another version was there.
 func TestOnlyVersionWithUpstreamsIsCompleted(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -37,6 +38,10 @@
 				}
 				c.End(a, false, now.Add(100*time.Millisecond))
 				c.Tick(now, view)
+				if c.Open(serviceName) {
+					serves := len(c.Preview(serviceName, Caller{Hash: shareScale - 1}, now).Excluded) == 0
+					is.Equal(serves, len(test.listed) == 1)
+				}
 			}
 			is.Equal(c.Outcome(serviceName).Verdict, test.want)
 		})
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -79,10 +79,13 @@
 	return 0
 }
 
-// excluded returns the versions that do not serve the old version's requests: the one on
-// trial, and those that were rolled back before.
+// excluded returns the versions that do not serve the old version's requests: the one on trial, unless
+// there is no other, and those that were rolled back before.
 func (c *Canary) excluded(service string, r *rollout) []string {
-	versions := []string{r.order.Target}
+	var versions []string
+	if r.verdict != Open || !r.isOnlyVersion() {
+		versions = append(versions, r.order.Target)
+	}
 	for _, v := range c.rolledBack(service) {
 		if v != r.order.Target {
 			versions = append(versions, v)
