canary: a version counts as the only one once others were unlisted for 4 s

Cause (by reading the diff): entries that lapsed in an outage of the table come back one by one. A node that starts then may first see the version on trial alone, and would send it all requests.

Change: a version counts as the only one after 4 s without others, while its verdict is open.

--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -57,7 +57,7 @@
 		d := Decision{Order: r.order}
 		r.plain = view.Plain != nil && view.Plain(r.order.Service)
 		if r.verdict == Open && view.Versions != nil {
-			r.noteVersions(view.Versions(r.order.Service))
+			r.noteVersions(view.Versions(r.order.Service), now)
 		}
 		switch {
 		case r.verdict == Open && r.awaitsVerdict:
@@ -68,7 +68,7 @@
 		}
 		d.Verdict = r.verdict
 		if d.Proposed {
-			d.Verdict = r.unproved()
+			d.Verdict = r.unproved(now)
 		}
 		if d.Proposed || r.verdict != Open && !r.written || d.Shift || d.Widened {
 			out = append(out, d)
@@ -91,20 +91,33 @@
 	return view.Complete && now.Sub(r.awaitedSince) >= awaitTime
 }
 
-// noteVersions records whether upstreams of the order's version, and of others, are listed.
-func (r *rollout) noteVersions(versions []string) {
-	r.targetListed = slices.Contains(versions, r.order.Target)
-	r.othersListed = r.othersListed || len(versions) > 1 || len(versions) == 1 && !r.targetListed
+// noteVersions records since when upstreams of the order's version are listed, and whether any of others
+// were.
+func (r *rollout) noteVersions(versions []string, now time.Time) {
+	listed := slices.Contains(versions, r.order.Target)
+	switch {
+	case !listed:
+		r.listedSince = time.Time{}
+	case r.listedSince.IsZero():
+		r.listedSince = now
+	}
+	r.othersListed = r.othersListed || len(versions) > 1 || len(versions) == 1 && !listed
 }
 
+// onlyVersionTime is how long no upstreams of another version may be listed before there are taken to be
+// none: entries that lapsed in an outage of the table come back one by one.
+const onlyVersionTime = 4 * time.Second
+
 // isOnlyVersion reports whether no upstreams of another version were listed since this node knows of the
 // order. Operators stop the old version's upstreams once the new one is completed, so that it probably
 // was, and the record is lost.
-func (r *rollout) isOnlyVersion() bool { return r.targetListed && !r.othersListed }
+func (r *rollout) isOnlyVersion(now time.Time) bool {
+	return !r.othersListed && !r.listedSince.IsZero() && now.Sub(r.listedSince) >= onlyVersionTime
+}
 
 // unproved returns the verdict on a version about which the answers decide nothing.
-func (r *rollout) unproved() Verdict {
-	if r.isOnlyVersion() {
+func (r *rollout) unproved(now time.Time) Verdict {
+	if r.isOnlyVersion(now) {
 		return Completed
 	}
 	return RolledBack
@@ -143,7 +156,7 @@
 		// order the new one again.
 		r.verdict = RolledBack
 		if !d.Doubt {
-			r.verdict = r.unproved()
+			r.verdict = r.unproved(now)
 		}
 		return true
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -29,9 +29,10 @@
 	// is when it first evaluated the order.
 	awaitsVerdict bool
 	awaitedSince  time.Time
-	// targetListed is set while upstreams of the version are listed, othersListed once upstreams of others
-	// were.
-	targetListed, othersListed bool
+	// listedSince is since when upstreams of the version are listed, othersListed is set once upstreams of
+	// others were.
+	listedSince  time.Time
+	othersListed bool
 	// plain is set if the service runs no models, so that its upstreams have no caches to warm.
 	plain bool
 	// widenedShare is the share of the sessions in the trial since more of them take part; 0
--- a/internal/canary/rule.go
+++ b/internal/canary/rule.go
@@ -50,13 +50,13 @@
 	case r == nil:
 		return Rule{}, staysOnOld
 	case onOld:
-		return Rule{Excluded: c.excluded(service, r)}, staysOnOld
+		return Rule{Excluded: c.excluded(service, r, now)}, staysOnOld
 	case r.verdict == Completed:
 		return Rule{Version: r.order.Target}, staysOnOld
 	}
 	share := r.share(c.settings, now)
 	if float64(caller.Hash%shareScale) >= share*shareScale || c.overexposed(r, now) {
-		return Rule{Excluded: c.excluded(service, r)}, staysOnOld
+		return Rule{Excluded: c.excluded(service, r, now)}, staysOnOld
 	}
 	if !r.shiftedAt.IsZero() {
 		return Rule{Version: r.order.Target, Soak: &Soak{Age: now.Sub(r.shiftedAt)}}, staysOnOld
@@ -81,9 +81,9 @@
 
 // excluded returns the versions that do not serve the old version's requests: the one on trial, unless
 // there is no other, and those that were rolled back before.
-func (c *Canary) excluded(service string, r *rollout) []string {
+func (c *Canary) excluded(service string, r *rollout, now time.Time) []string {
 	var versions []string
-	if r.verdict != Open || !r.isOnlyVersion() {
+	if r.verdict != Open || !r.isOnlyVersion(now) {
 		versions = append(versions, r.order.Target)
 	}
 	for _, v := range c.rolledBack(service) {
--- a/internal/gateway/left_attempt_test.go
+++ b/internal/gateway/left_attempt_test.go
@@ -31,7 +31,7 @@
 	return d.pipeDialer.Dial(ctx, addr)
 }
 
-// Fails if an attempt that the node no longer waits for, whatever the reason, does not count when its
+// Fails if an attempt that the node no longer waits for, for any reason, does not count when its
 // upstream crashes later.
 func TestLeftAttemptCountsOnceItsUpstreamCrashes(t *testing.T) {
 	silent := func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) } // until the node closes the connection
