--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -133,7 +133,7 @@
 	if !view.Complete {
 		return false
 	}
-	if r.shouldWiden(c.settings, now, d.Answers, d.AsQuick) {
+	if r.shouldWiden(now, d.Answers, d.AsQuick) {
 		r.widenedShare = r.widened(c.settings, now)
 		d.Widened = true
 	}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -146,12 +146,12 @@
 // trust a good version, and it was rolled back. The share grows only after sessions may
 // change their version. From then on it never shrinks, so that no session returns to the
 // old version.
-func (r *rollout) shouldWiden(s Settings, now time.Time, answers int64, asQuick float64) bool {
+func (r *rollout) shouldWiden(now time.Time, answers int64, asQuick float64) bool {
 	if r.widenedShare > 0 || !r.shiftedAt.IsZero() || now.Sub(r.started) < time.Duration(widenPart*float64(r.order.Limit)) {
 		return false
 	}
 	elapsed := (now.Sub(r.started) - trialDelay).Seconds()
-	duration := (r.deadline(s).Sub(r.started) - trialDelay - countDelay).Seconds()
+	duration := (r.order.Limit - trialDelay).Seconds()
 	few := float64(answers)*duration < minAnswers*elapsed
 	return few || asQuick >= 0 && asQuick < quickThreshold || r.isAnyRouteUnclear()
 }
--- a/internal/canary/settings.go
+++ b/internal/canary/settings.go
@@ -58,9 +58,6 @@
 	// projected. It lies after fixedPart, because sessions that were under way take part
 	// only from then on.
 	widenPart = 0.55
-	// countDelay is how long it takes until an answer of the new version counts at the node that decides: its
-	// run, and an exchange of counts.
-	countDelay = time.Second
 	// recordMargin is the time reserved for writing the verdict before the time limit.
 	recordMargin = 900 * time.Millisecond
 	// shiftGrace is how much later than the deadline a version without doubt may still be
