--- a/internal/gateway/left_attempt.go
+++ b/internal/gateway/left_attempt.go
@@ -22,7 +22,9 @@
 }
 
 // leave records that the node no longer waits for an attempt that its upstream may still run. The
-// request may crash the upstream later, which then counts against it.
+// request may crash the upstream later, which then counts against it. It does not count against the
+// parts of its prompt, which many sound requests share: the crash becomes known late, and so looks
+// like one apart from a loss of many upstreams.
 func (a *attempt) leave() { a.leaveAndProbe(0) }
 
 // leaveAndProbe is leave for an attempt whose upstream is probed a number of times soon.
@@ -32,11 +34,10 @@
 		return
 	}
 	a.leftAt = now
-	chain, _ := a.chainAt(now)
 	j.left = append(j.left, a)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.crashGuard.Leave(a.crashID(), chain, a.began, j.deadline, now) {
+	if n.crashGuard.Leave(a.crashID(), j.chain.Request(), a.began, j.deadline, now) {
 		wake(n.crashNews)
 		return
 	}
@@ -133,6 +134,7 @@
 		}
 	}
 	n.leftUpstreams = awaited
+	awaits := len(awaited) > 0
 	n.mu.Unlock()
 	for _, up := range others {
 		if n.pool.DropEnded(up.Addr) {
@@ -147,5 +149,5 @@
 	for _, up := range crashed {
 		n.noteCrash(up, up.Addr)
 	}
-	return len(awaited) > 0
+	return awaits
 }
