gateway: upstreams whose links are lost are not probed for crashes of left attempts

Cause (suspected): a node whose own host refuses connections finds all upstreams closed, and probed each with left attempts through a peer four times a second.

Change: an upstream whose direct link is known to be lost is not probed.

--- a/internal/gateway/left_attempt.go
+++ b/internal/gateway/left_attempt.go
@@ -126,7 +126,7 @@
 		switch {
 		case n.fleet.WasReplaced(up.Upstream):
 			crashed = append(crashed, up.Upstream)
-		case n.fleet.IsLeaving(up.Upstream):
+		case n.fleet.IsLeaving(up.Upstream), n.links.dialer.IsLost(up.Addr): // a refusal may be this host's own
 		case up.probes > 0, n.fleet.IsFoundClosed(up.Upstream):
 			suspected = append(suspected, up.Upstream)
 		default:
