--- a/review/fleet2/client.go
+++ b/review/fleet2/client.go
@@ -29,12 +29,13 @@
 	next   atomic.Int64
 	mu     sync.Mutex
 	all    []Answer
+	gates  map[string]string
 	group  sync.WaitGroup
 }
 
 // NewClients returns clients that keep their channels open.
 func NewClients(r *Record) *Clients {
-	return &Clients{Record: r, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 8 * time.Second, DisableCompression: true}}}
+	return &Clients{Record: r, gates: map[string]string{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 8 * time.Second, DisableCompression: true}}}
 }
 
 // Do sends one request and waits for its answer, for limit at most.
@@ -61,6 +62,9 @@
 		}
 	}
 	a.Sent = time.Now()
+	c.mu.Lock()
+	c.gates[a.ID] = g.Name
+	c.mu.Unlock()
 	c.Record.Note("client sends %s to %s", a.ID, g.Name)
 	resp, err := c.client.Do(req)
 	if err == nil {
@@ -104,6 +108,13 @@
 // Wait waits for all answers.
 func (c *Clients) Wait() { c.group.Wait() }
 
+// GateOf returns the name of the gateway to which a request was sent.
+func (c *Clients) GateOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gates[id]
+}
+
 // Answers returns the answers so far.
 func (c *Clients) Answers() []Answer {
 	c.mu.Lock()
--- a/review/fleet2/gate.go
+++ b/review/fleet2/gate.go
@@ -85,7 +85,7 @@
 // outgoing connections, so that none takes one before its process has started.
 func freeAddrs(count int) ([]string, error) {
 	var all []string
-	port := firstPort + os.Getpid()%portSpread
+	port := firstPort + os.Getpid()*portStep%portSpread
 	for ; len(all) < count && port < lastPort; port++ {
 		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
@@ -104,6 +104,7 @@
 
 const (
 	firstPort  = 12000
+	portStep   = 41 // more than a case takes, so that cases beside each other do not meet
 	portSpread = 8000
 	lastPort   = 32000
 )
