review: case 10, a silent stream and the run that replaces it both work for over 400 ms

Cause: internal/gateway/standby.go keeps the first run's channel open until the second run has sent an event.

--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -22,6 +22,8 @@
 	Ran bool
 	// LastEvent is its Last-Event-Id.
 	LastEvent string
+	// Began and Ended are when the runner began and ended to work on it; zero before.
+	Began, Ended time.Time
 }
 
 // Runner is a stand-in of a runner: it runs slots requests at a time and lets a few wait.
@@ -215,7 +217,7 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID, id)
 		return err == nil
 	}
-	_, ran := r.begin(ctx, req)
+	index, ran := r.begin(ctx, req)
 	if !ran {
 		r.record.Note("runner %s rejects %s", r.ID, id)
 		_, err := io.WriteString(c, r.head(http.StatusServiceUnavailable, id)+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -223,7 +225,7 @@
 		return err == nil
 	}
 	r.record.Note("runner %s runs %s (event %q)", r.ID, id, req.Header.Get("Last-Event-Id"))
-	defer r.end()
+	defer r.end(index)
 	if r.crash != nil && r.crash(req) {
 		return false
 	}
@@ -270,13 +272,14 @@
 	}
 	r.waiting--
 	r.running++
-	r.arrivals[index].Ran = true
+	r.arrivals[index].Ran, r.arrivals[index].Began = true, time.Now()
 	return index, true
 }
 
-func (r *Runner) end() {
+func (r *Runner) end(index int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.arrivals[index].Ended = time.Now()
 	r.running--
 	close(r.freed)
 	r.freed = make(chan struct{})
