--- a/review/fleet2/client.go
+++ b/review/fleet2/client.go
@@ -16,10 +16,12 @@
 	ID, Gate  string
 	Path      string
 	Sent, End time.Time
-	Status    int
-	Body      string
-	Err       error
-	Header    http.Header
+	// Head is when the head of the answer came; zero for none.
+	Head   time.Time
+	Status int
+	Body   string
+	Err    error
+	Header http.Header
 }
 
 // Clients send requests to gateways.
@@ -68,7 +70,7 @@
 	c.Record.Note("client sends %s to %s", a.ID, g.Name)
 	resp, err := c.client.Do(req)
 	if err == nil {
-		a.Status, a.Header = resp.StatusCode, resp.Header
+		a.Status, a.Header, a.Head = resp.StatusCode, resp.Header, time.Now()
 		body, e := io.ReadAll(resp.Body)
 		a.Body, err = string(body), e
 		_ = resp.Body.Close() // it has been read
