exchange, relay, upstream/client: an answer that is cut off during the upload is not complete

The system reports a connection's error once; the write took it, and the read saw a plain end, the proper end of an answer without a length. The same at the carrier of a relayed connection and in the other door's client. At such an end a write in progress is ended by its deadline, and the answer counts as complete only if the whole request was written; the carrier passes an end on only if no write failed or was in progress and nothing waits to be passed on. No pause and no guess of time is in it: an ended write returns at once.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -6,10 +6,9 @@
 	"net"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/hickorybank/hickorybank/internal/network"
 )
 
 // conn is a connection to an upstream. It carries one exchange at a time.
@@ -52,18 +51,7 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = e == unix.EAGAIN
-		return true
-	})
-	return err == nil && noData
+	return network.IsQuiet(c.Conn)
 }
 
 // Read reads from the connection and records when bytes came.
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,7 +17,8 @@
 	// Length is the Content-Length in bytes, or -1 if it is not stated.
 	Length int64
 	// Unframed is set if the body ends with the connection. If the upstream broke off and its
-	// system closed the connection, the body still looks complete.
+	// system closed the connection, the body still looks complete. It does not if the request has
+	// not been written whole by then.
 	Unframed bool
 	// HeadReadAt is the time when the head of the response was read.
 	HeadReadAt time.Time
@@ -28,21 +30,39 @@
 	conn        *conn
 	pool        *Pool
 	writeResult <-chan error
-	stop        func() bool
-	closeAfter  bool
-	closed      bool
+	// writeErr is the result of the write once writeEnded is set.
+	writeErr   error
+	writeEnded bool
+	stop       func() bool
+	closeAfter bool
+	closed     bool
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body; a truncated
 // body ends in another error.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.Unframed && !r.requestWritten() {
+		err = errUnwritten
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, err
 }
 
+var errUnwritten = fmt.Errorf("response without a length ended before its request was written: %w", io.ErrUnexpectedEOF)
+
+// requestWritten reports whether the whole request has been written without an error. It ends a write in
+// progress. The error of a connection is reported once: if the write takes it, Read sees a plain end.
+func (r *Response) requestWritten() bool {
+	if !r.writeEnded {
+		_ = r.conn.SetWriteDeadline(time.Unix(1, 0)) // the connection may be closed
+		r.writeErr, r.writeEnded = <-r.writeResult, true
+	}
+	return r.writeErr == nil
+}
+
 // Close ends the exchange. The connection returns to the pool only when the body was
 // read to its end and the framing is not in doubt. Otherwise it is closed, so that
 // the upstream can stop its work.
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -182,7 +182,8 @@
 var buffers = sync.Pool{New: func() any { return new([frameHeadBytes + carryBufferBytes]byte) }}
 
 // pass passes bytes on until either end closes its connection.
-func (c *Carrier) pass(node, upstream net.Conn) {
+func (c *Carrier) pass(node, conn net.Conn) {
+	upstream := network.WatchWrites(conn)
 	toUpstream := make(chan struct{})
 	go func() {
 		defer close(toUpstream)
@@ -219,8 +220,9 @@
 }
 
 // passResponse passes the upstream's bytes on in frames. It returns true if the upstream has
-// closed its connection properly and the end has been passed on.
-func (c *Carrier) passResponse(node, upstream net.Conn) bool {
+// closed its connection properly and the end has been passed on. An end while a part of the request is
+// still to be passed on is not proper: a response without a length would look complete.
+func (c *Carrier) passResponse(node net.Conn, upstream *network.WatchedConn) bool {
 	buf := buffers.Get().(*[frameHeadBytes + carryBufferBytes]byte)
 	defer buffers.Put(buf)
 	for {
@@ -232,6 +234,9 @@
 				return false
 			}
 		}
+		if err == io.EOF && (upstream.WriteFailed() || network.HasUnread(node)) {
+			return false
+		}
 		if err == io.EOF {
 			binary.BigEndian.PutUint16(buf[:], 0)
 			_, err := node.Write(buf[:frameHeadBytes])
--- a/internal/upstream/client/open_conns.go
+++ b/internal/upstream/client/open_conns.go
@@ -89,3 +89,19 @@
 	_ = b.conn.Close() // it carries nothing any more
 	return err
 }
+
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	request *sendTracker
+}
+
+// Read returns io.EOF only if the whole request has been written. It ends a write in progress. The
+// error of a connection is reported once: if the write takes it, a read sees a plain end.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.request.isWritten() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/upstream/client/sending.go
+++ b/internal/upstream/client/sending.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/hickorybank/hickorybank/internal/upstream"
 )
@@ -21,11 +22,36 @@
 	// uncertain is set if the transport used a second connection, or one that does not
 	// count writes.
 	uncertain bool
+	// writeErr is the result of the write once writeEnded is set; written is closed then.
+	writeErr   error
+	writeEnded bool
+	written    chan struct{}
 }
 
 // trace returns a trace that reports the connections of the request.
 func (s *sendTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: s.gotConn}
+	return &httptrace.ClientTrace{GotConn: s.gotConn, WroteRequest: s.wroteRequest}
+}
+
+// wroteRequest records that the request has been written, or why not.
+func (s *sendTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writeEnded {
+		s.uncertain = true
+		return
+	}
+	s.writeErr, s.writeEnded = info.Err, true
+	close(s.written)
+}
+
+// isWritten reports whether the whole request has been written. It ends a write in progress.
+func (s *sendTracker) isWritten() bool {
+	_ = s.usedConn().SetWriteDeadline(time.Unix(1, 0)) // the connection may be closed
+	<-s.written
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeErr == nil
 }
 
 // gotConn records that the request is about to use a connection.
@@ -47,13 +73,10 @@
 	}
 }
 
-// relayedConn returns the connection of the request if it passes through a peer, else nil.
-func (s *sendTracker) relayedConn() *sealableConn {
+// usedConn returns the connection of the request; nil if it got none.
+func (s *sendTracker) usedConn() *sealableConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn == nil || !s.conn.relayed {
-		return nil
-	}
 	return s.conn
 }
 
--- a/internal/upstream/client/trip.go
+++ b/internal/upstream/client/trip.go
@@ -21,12 +21,16 @@
 // checkedRoundTrip is roundTrip with a check immediately before the request is written: with an
 // error of maySend it is not sent. A nil maySend checks nothing.
 func checkedRoundTrip(t *http.Transport, req *http.Request, maySend func() error) (*http.Response, *upstream.Error) {
-	tracker := sendTracker{maySend: maySend, header: req.Header}
+	tracker := &sendTracker{maySend: maySend, header: req.Header, written: make(chan struct{})}
 	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), tracker.trace())))
 	if err != nil {
 		return nil, newError(req.URL.Host, tracker.reach(), err)
 	}
-	if c := tracker.relayedConn(); c != nil {
+	c := tracker.usedConn()
+	if c != nil && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		res.Body = &unframedBody{res.Body, tracker}
+	}
+	if c != nil && c.relayed {
 		res.Body = &relayedBody{res.Body, c}
 	}
 	if handle := upstream.NoticeHandlerFrom(req.Context()); handle != nil {
