httphead: bytes that break the grammar of a response are no answer

Heads were read by net/http, which accepts any three digits and drops lines whose names it cannot read; a dropped Transfer-Encoding left the body without its framing. A checker follows the bytes of each response as they arrive (status line, fields, interim heads, lengths of chunks, trailers) and fails at the first byte that RFC 9112 does not allow. The gateway's exchanges, the other door's client and both clients of tables read through it. Two different IDs are malformed.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hickorybank/hickorybank/internal/httphead"
 	"github.com/hickorybank/hickorybank/internal/network"
 )
 
@@ -32,6 +33,9 @@
 	// headLeft is how many more bytes the head that is being read may have; negative without a
 	// bound.
 	headLeft int
+	// checker checks what is read of a response. malformed is set once that breaks the grammar.
+	checker   httphead.Checker
+	malformed error
 }
 
 var errHeadTooLong = errors.New("response head is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
@@ -39,6 +43,14 @@
 // boundHead bounds what is read until unboundHead is called.
 func (c *conn) boundHead() { c.headLeft = maxHeadBytes }
 
+// checkResponse checks the response that begins with the next byte. bodyless is set for responses to HEAD
+// requests.
+func (c *conn) checkResponse(bodyless bool) {
+	c.checker.Begin(bodyless)
+	buffered, _ := c.in.Peek(c.in.Buffered()) // never more than there is
+	c.malformed = c.checker.Feed(buffered)
+}
+
 func (c *conn) unboundHead() { c.headLeft = -1 }
 
 // isHealthy reports whether an idle connection may carry another request.
@@ -66,6 +78,12 @@
 	if c.headLeft > 0 {
 		c.headLeft -= n
 	}
+	if c.malformed == nil {
+		c.malformed = c.checker.Feed(p[:n])
+	}
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
 	if n > 0 && !c.relayed {
 		now := time.Now()
 		c.lastRead.Store(now.UnixNano())
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -6,9 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/httphead"
 )
 
 // Do sends the request to a host and port once and returns once the head of the
@@ -115,9 +118,10 @@
 // repeated one to an earlier request. It is skipped, since the response to req follows.
 func readHead(c *conn, req *Request) (*http.Response, *Failure) {
 	httpRequest := &http.Request{Method: req.Method}
+	c.checkResponse(req.Method == http.MethodHead)
 	for range maxStrayResponses {
 		c.boundHead()
-		resp, err := http.ReadResponse(c.in, httpRequest)
+		resp, err := c.readResponse(httpRequest)
 		tooLong := c.headLeft == 0
 		c.unboundHead()
 		if err != nil && tooLong {
@@ -129,16 +133,22 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if req.IDField == "" || resp.Header.Get(req.IDField) == req.ID {
+		ids := slices.Compact(slices.Clone(resp.Header.Values(req.IDField)))
+		if req.IDField != "" && len(ids) > 1 {
+			return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errNoID}
+		}
+		id := strings.Join(ids, "")
+		if req.IDField == "" || id == req.ID {
 			return resp, nil
 		}
-		if resp.Header.Get(req.IDField) == "" || isUnframed(resp) {
-			return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errors.New("answer names no request")}
+		if id == "" || isUnframed(resp) {
+			return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errNoID}
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBodyBytes+1))
 		if err != nil {
 			return nil, &Failure{Sent: true, Reason: readFailureReason(err), Err: err}
 		}
+		c.checkResponse(req.Method == http.MethodHead)
 		if n > maxStrayBodyBytes {
 			// What follows belongs to that answer, not to the next one.
 			return nil, &Failure{Sent: true, Reason: TooLong, Err: errStrayTooLong}
@@ -147,6 +157,20 @@
 	return nil, &Failure{Sent: true, Reason: InvalidResponse, Err: errors.New("only answers to other requests")}
 }
 
+var errNoID = errors.New("response does not name one request")
+
+// readResponse reads the head of a response, if it keeps the grammar.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	if c.malformed != nil {
+		return nil, c.malformed
+	}
+	resp, err := http.ReadResponse(c.in, req)
+	if c.malformed != nil {
+		err = c.malformed // net/http may have read enough before it
+	}
+	return resp, err
+}
+
 var errStrayTooLong = errors.New("answer to another request is longer than " + strconv.Itoa(maxStrayBodyBytes) + " bytes")
 
 // readFailureReason distinguishes malformed bytes from a connection that ended. net/http
@@ -155,6 +179,10 @@
 	if errors.Is(err, errHeadTooLong) {
 		return TooLong
 	}
+	var malformed *httphead.Error
+	if errors.As(err, &malformed) {
+		return InvalidResponse
+	}
 	text := err.Error()
 	if strings.Contains(text, "too long") || strings.Contains(text, "suspiciously long") {
 		return TooLong // a chunk's length or the trailer, bounded by net/http
--- a/internal/platform/client/conn.go
+++ b/internal/platform/client/conn.go
@@ -5,13 +5,17 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/hickorybank/hickorybank/internal/httphead"
 )
 
 // countingConn counts the writes started on a connection. The count shows whether any
 // byte of a failed call may have been sent.
 type countingConn struct {
 	net.Conn
-	writes atomic.Uint64
+	// checked is the same connection; it checks responses. Nil for none.
+	checked *httphead.Conn
+	writes  atomic.Uint64
 }
 
 // Write increments the counter before it writes, so that a write that is not counted
@@ -37,7 +41,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: raw}, nil
+			checked := httphead.NewConn(raw)
+			return &countingConn{Conn: checked, checked: checked}, nil
 		},
 		MaxIdleConns:        DefaultConnections,
 		MaxIdleConnsPerHost: DefaultConnections,
--- a/internal/platform/client/sent.go
+++ b/internal/platform/client/sent.go
@@ -30,6 +30,9 @@
 		s.maybeWritten = true
 	}
 	counting, ok := info.Conn.(*countingConn)
+	if ok && counting.checked != nil {
+		counting.checked.Begin(false) // no call is a HEAD request
+	}
 	if !ok {
 		s.maybeWritten = true
 		return
--- a/internal/upstream/client/conn.go
+++ b/internal/upstream/client/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/hickorybank/hickorybank/internal/httphead"
 )
 
 var errSealed = eris.New("connection is sealed")
@@ -20,6 +22,8 @@
 // one lock ensures that nothing is written later.
 type sealableConn struct {
 	net.Conn
+	// checked is the same connection; it checks responses.
+	checked *httphead.Conn
 	// relayed is set if the connection passes through a peer.
 	relayed bool
 	open    *openConns
--- a/internal/upstream/client/open_conns.go
+++ b/internal/upstream/client/open_conns.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/httphead"
 )
 
 // silentAfter is how long no bytes pass on a connection until it counts as silent.
@@ -30,7 +32,8 @@
 
 // add returns an opened connection to an address.
 func (o *openConns) add(addr string, nc net.Conn) *sealableConn {
-	c := &sealableConn{Conn: nc, open: o}
+	checked := httphead.NewConn(nc)
+	c := &sealableConn{Conn: checked, checked: checked, open: o}
 	if r, ok := nc.(interface{ Relayed() bool }); ok {
 		c.relayed = r.Relayed()
 	}
--- a/internal/upstream/client/sending.go
+++ b/internal/upstream/client/sending.go
@@ -13,8 +13,9 @@
 type sendTracker struct {
 	// maySend is called before the request is written, if it is set.
 	maySend func() error
-	// header is the request's.
-	header http.Header
+	// header is the request's. bodyless is set for HEAD requests.
+	header   http.Header
+	bodyless bool
 
 	mu           sync.Mutex
 	conn         *sealableConn
@@ -66,6 +67,7 @@
 	s.conn = c
 	s.writesBefore = c.writesStarted()
 	c.checkNextWrite(s.maySend)
+	c.checked.Begin(s.bodyless)
 	if c.relayed {
 		// Otherwise the transport keeps the connection once it has read the body, and the next request
 		// may get it before relayedBody closes it.
--- a/internal/upstream/client/trip.go
+++ b/internal/upstream/client/trip.go
@@ -21,7 +21,7 @@
 // checkedRoundTrip is roundTrip with a check immediately before the request is written: with an
 // error of maySend it is not sent. A nil maySend checks nothing.
 func checkedRoundTrip(t *http.Transport, req *http.Request, maySend func() error) (*http.Response, *upstream.Error) {
-	tracker := &sendTracker{maySend: maySend, header: req.Header, written: make(chan struct{})}
+	tracker := &sendTracker{maySend: maySend, header: req.Header, bodyless: req.Method == http.MethodHead, written: make(chan struct{})}
 	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), tracker.trace())))
 	if err != nil {
 		return nil, newError(req.URL.Host, tracker.reach(), err)
