intake: heads of requests are counted before they are parsed, requests that stand still make room

A crowd of clients with heads of many short lines took a process of 88 MB to 228 MiB; beside bodies that stop one byte short of their end no ordinary upload was served in 20 s. A line of four bytes takes some 300 once parsed, forwarded and encoded, and nothing counted heads; the configured limits on heads were not in force. A body that stands still kept its memory until its deadline. The connection counts lines and bytes of a head as they arrive and reserves them in the account of bodies and answers before net/http gets them. It hands net/http no byte behind a head's or a body's end, so that no pipelined head is parsed uncounted. The configured limits apply (431). When the account is full, the request that has sent less than 16 KiB for longest, 0.5 s at least, makes room (503, not run); else the new one is refused. gateway's account moved to the new package; its tests are the same but for the names.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -58,7 +58,7 @@
 // newEventReader returns a reader of an upstream's events within the job's memory.
 func (j *job) newEventReader(from io.Reader, after string) *eventReader {
 	s := newEventReader(from, after)
-	s.reserve = j.held.reserve
+	s.reserve = j.held.Reserve
 	return s
 }
 
--- a/internal/gateway/idle_listener.go
+++ b/internal/gateway/idle_listener.go
@@ -38,12 +38,15 @@
 
 // SetLinger sets how long a close waits for unsent bytes, in seconds; 0 resets the connection.
 func (c *idleConn) SetLinger(sec int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		return tcp.SetLinger(sec)
 	}
 	return nil
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // idleLimit returns how long a caller's connection may be idle.
 func (n *Node) idleLimit() time.Duration {
 	if c := n.config.Load(); c != nil && c.Limits.IdleTimeout > 0 {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/crashguard"
 	"github.com/hickorybank/hickorybank/internal/entryqueue"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/route"
 )
 
@@ -29,7 +30,7 @@
 	headers      CallerHeaders
 	body         []byte
 	// held is the memory that the request's body, answers and events take.
-	held     *heldMemory
+	held     *intake.Holding
 	bodyRead bool
 	start    time.Time
 	deadline time.Time
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -19,6 +19,7 @@
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/network"
 	"github.com/hickorybank/hickorybank/internal/revision"
 	"github.com/hickorybank/hickorybank/internal/route"
@@ -63,7 +64,7 @@
 	stopBound       *stopBound
 	// active counts callers' requests in progress.
 	active atomic.Int64
-	memory *memoryAccount
+	memory *intake.Account
 	// streams knows when upstreams last sent an event.
 	streams *streamwatch.Registry
 
@@ -191,7 +192,7 @@
 		streams:        streamwatch.New(),
 		incarnation:    began.UnixNano(), startedAt: began,
 		stopBound:       newStopBound(),
-		memory:          newMemoryAccount(s.MemoryMB),
+		memory:          intake.NewAccount(int64(heldFraction * float64(s.MemoryMB) * (1 << 20))),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		crashGuard:      crashguard.New(),
@@ -214,6 +215,7 @@
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
 	n.links, n.pool = newLinks(n, d.Upstreams)
+	n.memory.OnEvicted(n.noteEvicted)
 	n.configSender.Seed(n.draws.Uint64())
 	n.listSender.Seed(n.draws.Uint64())
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
--- a/internal/gateway/memory_account_test.go
+++ b/internal/gateway/read_whole_test.go
@@ -8,6 +8,8 @@
 	"testing/iotest"
 
 	"github.com/matryer/is"
+
+	"github.com/hickorybank/hickorybank/internal/intake"
 )
 
 // Fails if bytes are read before their memory is reserved, are lost where there is none, or stay
@@ -29,19 +31,19 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			account := &memoryAccount{limit: max(c.left, 1)}
-			held := &heldMemory{account: account}
+			account := intake.NewAccount(max(c.left, 1))
+			held := account.Hold()
 			in := strings.Repeat("b", int(c.bytes))
-			out, err := readWhole(iotest.HalfReader(strings.NewReader(in)), c.length, held.reserve)
+			out, err := readWhole(iotest.HalfReader(strings.NewReader(in)), c.length, held.Reserve)
 			is.Equal(errors.Is(err, errNoMemory), !c.whole)
 			if c.whole {
 				is.Equal(string(out), in)
 			}
 			is.True(strings.HasPrefix(in, string(out)))
-			is.Equal(account.used.Load(), c.reserved)
-			held.release()
-			is.Equal(account.used.Load(), int64(0))
-			is.True(!held.reserve(1)) // the request has ended
+			is.Equal(account.Used(), c.reserved)
+			held.Release()
+			is.Equal(account.Used(), int64(0))
+			is.True(!held.Reserve(1)) // the request has ended
 		})
 	}
 }
@@ -49,9 +51,9 @@
 // Fails if an event without end takes memory that is not reserved.
 func TestEventsAreReserved(t *testing.T) {
 	is := is.New(t)
-	account := &memoryAccount{limit: 40_000}
+	account := intake.NewAccount(40_000)
 	s := newEventReader(bytes.NewReader(bytes.Repeat([]byte("e"), 200_000)), "")
-	s.reserve = (&heldMemory{account: account}).reserve
+	s.reserve = account.Hold().Reserve
 	is.True(errors.Is(s.await().err, errNoMemory))
 	is.True(len(s.pending) <= unaccountedBytes+40_000+readBufferBytes)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,7 @@
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/explain"
 	"github.com/hickorybank/hickorybank/internal/gossip"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/relay"
 	"github.com/hickorybank/hickorybank/internal/unframed"
 )
@@ -27,7 +28,7 @@
 	if n.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryFraction * float64(n.settings.MemoryMB) * (1 << 20)))
 	}
-	front, err := n.listen(n.settings.Front)
+	front, err := n.listenTo(frontListener, n.settings.Front)
 	if err != nil {
 		return err
 	}
@@ -43,17 +44,20 @@
 	servers := []*http.Server{conns.server(http.HandlerFunc(n.ServeHTTP))}
 	listeners := []net.Listener{&idleListener{front, n.idleLimit}}
 	for _, extra := range []struct {
-		addr    string
-		handler http.Handler
-	}{{n.settings.Directory, directory}, {n.settings.Ready, ready}, {n.settings.Metrics, n.metricsRouter()}} {
+		name, addr string
+		handler    http.Handler
+	}{
+		{directoryListener, n.settings.Directory, directory}, {readyListener, n.settings.Ready, ready},
+		{metricsListener, n.settings.Metrics, n.metricsRouter()},
+	} {
 		if extra.addr == "" {
 			continue
 		}
-		l, err := n.listen(extra.addr)
+		l, err := n.listenTo(extra.name, extra.addr)
 		if err != nil {
 			return err
 		}
-		servers = append(servers, &http.Server{Handler: extra.handler, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog})
+		servers = append(servers, &http.Server{Handler: intake.Handler(extra.handler), ConnContext: intake.ConnContext, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog})
 		listeners = append(listeners, l)
 	}
 	loopCtx, stopLoops := context.WithCancel(context.Background())
@@ -165,12 +169,14 @@
 
 func (c *connections) server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           unframed.Handler(h),
-		ReadHeaderTimeout: headerTimeout,
+		Handler:           intake.Handler(unframed.Handler(h)),
+		ReadHeaderTimeout: headerTimeout, // for the first byte; the listener bounds the rest
 		IdleTimeout:       idleSentinel,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    2 * maxHeadLimit, // the listener's bound is the lower one
 		ErrorLog:          discardLog,
-		ConnContext:       unframed.ConnContext,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return intake.ConnContext(unframed.ConnContext(ctx, c), c)
+		},
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
 			case http.StateNew:
@@ -183,13 +189,13 @@
 }
 
 const (
-	// headerTimeout bounds the reading of a request's header, far above what callers need.
+	// headerTimeout bounds the wait for the first byte on a new connection.
 	headerTimeout = 10 * time.Second
 	// idleSentinel marks the idle timeout in the server's deadlines, for idleConn to
 	// replace. It is longer than any deadline of a request.
 	idleSentinel = 1000 * time.Hour
 	// defaultIdleTimeout is the idle timeout if the configuration sets none.
 	defaultIdleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a request's header.
+	// maxHeaderBytes bounds a request's header at the other ports.
 	maxHeaderBytes = 64 << 10
 )
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/route"
 )
 
@@ -22,8 +23,8 @@
 		// follow it on the connection are therefore never read as a request.
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{node: n, w: w, r: r, start: time.Now(), held: &heldMemory{account: n.memory}}
-	defer j.held.release()
+	j := &job{node: n, w: w, r: r, start: time.Now(), held: intake.HoldingOf(r.Context(), n.memory)}
+	defer j.held.Release()
 	ref := j.admitByNewest()
 	if ref == notReady {
 		ref = j.waitForConfig()
@@ -138,14 +139,15 @@
 		n.log.Debug("cannot set read deadline", slog.Any("err", err))
 	}
 	release := j.boundBodyByStop(rc.SetReadDeadline)
-	body, err := readWhole(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, j.held.reserve)
+	body, err := readWhole(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, j.held.Reserve)
 	release()
 	_ = rc.SetReadDeadline(time.Time{}) // the connection may be closed already
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory) || err == nil && !intake.Complete(j.r.Context()) || j.held.Evicted():
+		j.w.Header().Set("Connection", "close") // what is left of the body is not read
 		return tooManyBodies
 	case errors.Is(err, os.ErrDeadlineExceeded) && j.outlivesStop():
 		return nodeStops
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,8 @@
 	Bootstrap bool
 	// MemoryMB is the memory of the process in MiB; 0 for no bound.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may have; 0 for no bound.
+	MaxFDs int
 	// Link is the bandwidth of the machine's link in bytes per second, each way; 0 if
 	// unknown.
 	Link float64
@@ -147,6 +149,9 @@
 	// heldFraction is the fraction of the memory that bodies, buffered answers and events in
 	// progress may use.
 	heldFraction = 0.25
+	// peerFraction is the fraction of the memory that unfinished messages of peers may use. It is apart
+	// from that of callers, who could keep changes from spreading otherwise.
+	peerFraction = 0.05
 	// newVersionHold is how long upstreams of a version that no order names get no
 	// requests: the order may be on its way.
 	newVersionHold = 3 * time.Second
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -26,7 +26,7 @@
 
 // readAnswer reads an answer up to a byte more than maxBufferedBytes, as far as there is memory.
 func (j *job) readAnswer(resp *exchange.Response) ([]byte, error) {
-	return readWhole(io.LimitReader(resp, maxBufferedBytes+1), min(resp.Length, maxBufferedBytes+1), j.held.reserve)
+	return readWhole(io.LimitReader(resp, maxBufferedBytes+1), min(resp.Length, maxBufferedBytes+1), j.held.Reserve)
 }
 
 // forwardBuffered forwards an answer after it has arrived completely, so that a truncated
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,171 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testClock is a clock that a test sets.
+type testClock struct{ at time.Time }
+
+func (c *testClock) now() time.Time { return c.at }
+
+// Fails if a request that still makes progress, or is complete, makes room for another one, or if one that
+// stands still does not.
+func TestStalledUploadMakesRoom(t *testing.T) {
+	is := is.New(t)
+	clock := &testClock{at: time.Unix(1000, 0)}
+	a := NewAccount(100_000)
+	a.now = clock.now
+	count := 0
+	a.OnEvicted(func() { count++ })
+	evicted := ""
+	begin := func(name string) *Holding { return a.holdUnfinished(func() { evicted += name }) }
+	complete, moving, stalled := begin("complete "), begin("moving "), begin("stalled ")
+	for _, h := range []*Holding{complete, moving, stalled} {
+		is.True(h.Reserve(33_000))
+	}
+	is.True(complete.Complete())
+	late := begin("late ")
+	is.True(!late.Reserve(33_000)) // nobody has stood still
+	clock.at = clock.at.Add(stalledAfter)
+	moving.received(progressBytes)
+	stalled.received(progressBytes - 1)
+	is.True(late.Reserve(33_000))
+	is.Equal(evicted, "stalled ")
+	is.Equal(count, 1)
+	is.True(stalled.Evicted())
+	is.True(!stalled.Complete())
+	is.True(!stalled.Reserve(1))
+	is.Equal(a.Used(), int64(99_000))
+	for _, h := range []*Holding{complete, moving, stalled, late} {
+		h.Release()
+		h.Release()
+	}
+	is.Equal(a.Used(), int64(0))
+}
+
+// Fails if the lines of a head are not counted, wherever its bytes are split.
+func TestHeadLinesAreCounted(t *testing.T) {
+	is := is.New(t)
+	const text = "POST / HTTP/1.1\r\na:\nb: c\r\n\r\nbody\r\n\r\n"
+	end := strings.Index(text, "body")
+	for split := 1; split < end; split++ {
+		var h head
+		first := h.scan([]byte(text[:split]))
+		is.Equal(first, split)
+		is.Equal(split+h.scan([]byte(text[split:])), end)
+		is.Equal(h.bytes, int64(end))
+		is.Equal(h.lines, int64(4))
+	}
+}
+
+// startServer starts a server behind a listener with the settings. It answers with the method and the size
+// of the body, and reserves each body.
+func startServer(t *testing.T, s Settings) string {
+	t.Helper()
+	raw, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !HoldingOf(r.Context(), s.Account).Reserve(int64(len(body))) || !Complete(r.Context()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprint(w, r.Method, " ", len(body)) // the client may have gone
+	}))}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(NewListener(raw, s)) // until it is closed
+	}()
+	t.Cleanup(func() {
+		_ = server.Close() // the test ends
+		<-done
+	})
+	return raw.Addr().String()
+}
+
+// Fails if requests that follow each other on a connection, also several at once, are mixed up, or if they
+// leave memory reserved.
+func TestRequestsOnOneConnectionAreServedInOrder(t *testing.T) {
+	is := is.New(t)
+	a := NewAccount(10 << 20)
+	addr := startServer(t, Settings{Account: a})
+	c, err := net.Dial("tcp4", addr)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }() // the test ends
+	var all strings.Builder
+	var want []string
+	for i := range 20 {
+		lines := strings.Repeat("a:\r\n", 300*(i%3))
+		fmt.Fprintf(&all, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", lines)
+		fmt.Fprintf(&all, "POST / HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", lines, 1000*i, strings.Repeat("\r\n", 500*i))
+		want = append(want, "GET 0", fmt.Sprint("POST ", 1000*i))
+	}
+	all.WriteString("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	want = append(want, "POST 3")
+	go func() { _, _ = io.WriteString(c, all.String()) }()
+	in := bufio.NewReader(c)
+	for i, text := range want {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), text)
+		is.Equal(resp.Close, i == len(want)-1) // what follows a body without a length is not read
+	}
+	_, err = in.ReadByte()
+	is.Equal(err, io.EOF)
+	for end := time.Now().Add(10 * time.Second); a.Used() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(a.Used(), int64(0))
+}
+
+// Fails if a refused head gets another answer than one that promises that it has not run, or leaves memory
+// reserved.
+func TestRefusedHeadsAreAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit  int64
+		lines  int
+		status int
+		retry  string
+	}{
+		"no memory": {20_000, 1000, http.StatusServiceUnavailable, "0.6"},
+		"too long":  {10 << 20, 20_000, http.StatusRequestHeaderFieldsTooLarge, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := NewAccount(c.limit)
+			addr := startServer(t, Settings{Account: a, HeadBytes: func() int { return 16_384 }})
+			conn, err := net.Dial("tcp4", addr)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }() // the test ends
+			go func() { _, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", c.lines)) }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get("Retry-After"), c.retry)
+			is.True(strings.Contains(string(body), `"outcome":"not_run"`))
+			_ = conn.Close() // as above
+			for end := time.Now().Add(10 * time.Second); a.Used() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			is.Equal(a.Used(), int64(0))
+		})
+	}
+}
--- /dev/null
+++ b/internal/intake/listener.go
@@ -0,0 +1,103 @@
+package intake
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listener accepts connections within the bounds of its settings.
+type Listener struct {
+	net.Listener
+	settings Settings
+
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+}
+
+// NewListener returns a listener with bounds on the connections of another one.
+func NewListener(l net.Listener, s Settings) *Listener {
+	if s.ReadBuffer > 0 {
+		setReadBuffer(l, s.ReadBuffer)
+	}
+	return &Listener{Listener: l, settings: s.withDefaults(), open: map[*Conn]struct{}{}}
+}
+
+// setReadBuffer sets the receive buffer of accepted connections, which inherit it. Listeners of tests that
+// are not of the operating system are left as they are.
+func setReadBuffer(l net.Listener, bytes int) {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return // the listener is closed
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) // the system's bound stays
+	})
+}
+
+// Accept waits for a connection. Beyond MaxConnections, one that carries no complete request is closed
+// for it; without any, the new one is closed.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: accepted, listener: l, progressAt: time.Now()}
+		if l.admit(c) {
+			return c, nil
+		}
+		l.settings.Observer.ConnectionClosed(l.settings.Name, accepted.RemoteAddr().String())
+		_ = accepted.Close() // nothing has been read
+	}
+}
+
+// admit adds a connection to the open ones.
+func (l *Listener) admit(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.settings.MaxConnections
+	for limit > 0 && len(l.open) >= limit {
+		victim := l.victim(time.Now())
+		if victim == nil || !victim.retire() {
+			return false
+		}
+		delete(l.open, victim)
+		l.settings.Observer.ConnectionClosed(l.settings.Name, victim.RemoteAddr().String())
+	}
+	l.open[c] = struct{}{}
+	return true
+}
+
+// victim returns the connection to close for a new one: the one that has stood still for longest, first of
+// those with a part of a request or without any. The caller holds mu.
+func (l *Listener) victim(now time.Time) *Conn {
+	var idle, unfinished *Conn
+	var idleSince, unfinishedSince time.Time
+	for c := range l.open {
+		kind, since := c.standing()
+		switch {
+		case kind == standsIdle && (idle == nil || since.Before(idleSince)):
+			idle, idleSince = c, since
+		case kind == standsUnfinished && (unfinished == nil || since.Before(unfinishedSince)):
+			unfinished, unfinishedSince = c, since
+		}
+	}
+	if unfinished != nil && (idle == nil || now.Sub(unfinishedSince) >= stalledAfter) {
+		return unfinished
+	}
+	return idle
+}
+
+// remove removes a connection that is closed.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
