intake: messages of peers are bounded, alone and together

A frame without end at the peers' port took a process of 88 MB to 432 MiB: encoding/gob allows messages of a gigabyte and more, and keeps what has come of each. A listener follows the lengths of messages: at most 8 MiB each, and 5 % of the memory for all unfinished ones over 16 KiB, with an account of their own, as clients could otherwise keep changes from spreading. The other door's peer port has the bound on each message.

--- a/internal/gateway/client_bounds.go
+++ b/internal/gateway/client_bounds.go
@@ -31,6 +31,7 @@
 	directoryListener = "directory"
 	readyListener     = "ready"
 	metricsListener   = "metrics"
+	peerListener      = "peer"
 )
 
 const (
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,8 @@
 	if err != nil {
 		return err
 	}
-	peers, err := gossip.NewServer(relay.Split(peer, n.links.carrier), n)
+	messages := intake.NewAccount(int64(peerFraction * float64(n.settings.MemoryMB) * (1 << 20)))
+	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(peer, n.links.carrier), peerListener, messages, n), n)
 	if err != nil {
 		return eris.Wrapf(err, "gossip server on %s", n.settings.Peer)
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -169,3 +169,44 @@
 		})
 	}
 }
+
+// Fails if the end of a request line, or messages within the bounds, end a connection of peers, or if a
+// message over the bounds does not.
+func TestMessagesOverTheBoundEndTheConnection(t *testing.T) {
+	const account = 100_000
+	for name, c := range map[string]struct {
+		sent  []byte
+		whole bool
+	}{
+		"small":       {[]byte{2, 'a', 'b', 1, 'c'}, true},
+		"large":       {append([]byte{0xfd, 0x01, 0x00, 0x00}, make([]byte, 1<<16)...), true},
+		"no memory":   {append([]byte{0xfd, 0x02, 0x00, 0x00}, make([]byte, 1<<17)...), false},
+		"too long":    {[]byte{0xfc, 0x3f, 0xff, 0xff, 0xff, 0}, false},
+		"nine digits": {[]byte{0xf7, 0, 0, 0, 0, 0, 0, 0, 0, 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			raw, err := net.Listen("tcp4", "127.0.0.1:0")
+			is.NoErr(err)
+			a := NewAccount(account)
+			l := NewGobListener(raw, "peer", a, nil)
+			defer func() { _ = l.Close() }() // the test ends
+			go func() {
+				conn, err := net.Dial("tcp4", raw.Addr().String())
+				if err == nil {
+					_, _ = conn.Write(c.sent)
+					_ = conn.Close() // the test may have ended it
+				}
+			}()
+			conn, err := l.Accept()
+			is.NoErr(err)
+			got, err := io.ReadAll(conn)
+			is.Equal(err == nil, c.whole)
+			if c.whole {
+				is.Equal(got, c.sent)
+			}
+			_ = conn.Close() // as above
+			is.Equal(a.Used(), int64(0))
+		})
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hickorybank/hickorybank/internal/duty"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/relay"
 )
 
@@ -55,6 +56,7 @@
 	if s.carrier != nil {
 		listener = relay.Split(listener, s.carrier)
 	}
+	listener = intake.NewGobListener(listener, "peer", nil, nil)
 	s.listener = listener
 	return nil
 }
