intake: a refused head stays refused

Cause: net/http reads on after an error in the middle of a head, so that a refused connection began a new head, was refused again, and its memory was parsed in vain: 1,779 refusals for 400 connections. Change: reads fail from the first refusal on. The unit test now also checks that one answer is sent; it did not show this fault before.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -24,6 +24,8 @@
 	reserved int64
 	// bodyLeft counts the bytes that are left of the body.
 	bodyLeft int64
+	// refused is set once a head has been refused. net/http reads on after an error.
+	refused bool
 
 	mu    sync.Mutex
 	phase phase
@@ -91,6 +93,9 @@
 	if c.listener.settings.Account == nil {
 		return c.readUncounted(p)
 	}
+	if c.refused {
+		return 0, errRefused
+	}
 	if c.bodyLeft > 0 {
 		n, err := c.take(p[:min(int64(len(p)), c.bodyLeft)])
 		c.noteBody(n)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -155,11 +155,14 @@
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }() // the test ends
 			go func() { _, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", c.lines)) }()
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			in := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(in, nil)
 			is.NoErr(err)
 			body, err := io.ReadAll(resp.Body)
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, c.status)
+			rest, _ := io.ReadAll(in) // the connection may be reset
+			is.Equal(len(rest), 0)    // one answer
 			is.Equal(resp.Header.Get("Retry-After"), c.retry)
 			is.True(strings.Contains(string(body), `"outcome":"not_run"`))
 			_ = conn.Close() // as above
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -29,6 +29,7 @@
 // refuse answers a request whose head is not complete, and ends its connection. The head keeps its memory
 // until then. drain is set if the client may still be sending.
 func (c *Conn) refuse(reason string, drain bool) error {
+	c.refused = true
 	defer c.endRequest()
 	c.complete()
 	c.listener.settings.Observer.HeadRefused(c.listener.settings.Name, c.RemoteAddr().String(), reason)
