gateway: connections of clients are bounded by the descriptors and the memory of the VM

5,000 silent connections took 5,020 descriptors where the VM has 4,200, and nothing bounded them. Callers, the directory, readiness and metrics ports and peers each have a bound, a fraction of max_fds and of the memory, so that upstreams and the table keep theirs.

--- a/internal/gateway/client_bounds.go
+++ b/internal/gateway/client_bounds.go
@@ -10,21 +10,18 @@
 )
 
 // listenTo listens for callers or others who send HTTP requests, within bounds.
-func (n *Node) listenTo(name, addr string) (net.Listener, error) {
+func (n *Node) listenTo(name, addr string, connections int) (net.Listener, error) {
 	l, err := n.listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	s := intake.Settings{Name: name, ReadBuffer: unreadBytes, Account: n.memory, Observer: n}
+	s := intake.Settings{Name: name, MaxConnections: connections, ReadBuffer: unreadBytes, Account: n.memory, Observer: n}
 	if name == frontListener {
 		s.HeadBytes, s.HeadTimeout = n.maxHeadBytes, n.headTimeout
 	}
 	return intake.NewListener(l, s), nil
 }
 
-// unreadBytes bounds what the system has received on a client's connection and the process has not read.
-const unreadBytes = 16 << 10
-
 // The names of listeners, as events and metrics show them.
 const (
 	frontListener     = "front"
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,7 +28,8 @@
 	if n.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryFraction * float64(n.settings.MemoryMB) * (1 << 20)))
 	}
-	front, err := n.listenTo(frontListener, n.settings.Front)
+	bounds := newConnectionBounds(n.settings.MemoryMB, n.settings.MaxFDs)
+	front, err := n.listenTo(frontListener, n.settings.Front, bounds.callers)
 	if err != nil {
 		return err
 	}
@@ -36,8 +37,9 @@
 	if err != nil {
 		return err
 	}
+	bounded := intake.NewListener(peer, intake.Settings{Name: peerListener, MaxConnections: bounds.peers, Observer: n})
 	messages := intake.NewAccount(int64(peerFraction * float64(n.settings.MemoryMB) * (1 << 20)))
-	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(peer, n.links.carrier), peerListener, messages, n), n)
+	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(bounded, n.links.carrier), peerListener, messages, n), n)
 	if err != nil {
 		return eris.Wrapf(err, "gossip server on %s", n.settings.Peer)
 	}
@@ -54,7 +56,7 @@
 		if extra.addr == "" {
 			continue
 		}
-		l, err := n.listenTo(extra.name, extra.addr)
+		l, err := n.listenTo(extra.name, extra.addr, bounds.side)
 		if err != nil {
 			return err
 		}
