node: clients that do not behave end no entry node

Its callers', operators' and peers' listeners go through intake now; bodies are reserved before they are read and refused with 429 overloaded, not run, where there is no memory. The account, the reading of bodies, the bounds on connections and the recorder of events and counters moved from gateway to intake, with their tests, which are the same but for names.

--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/request"
 )
 
@@ -22,6 +23,8 @@
 	maxTimeout   = time.Hour
 	// bodyTimeout is the time limit for reading a body.
 	bodyTimeout = 30 * time.Second
+	// bodyRetryAfter is when a caller may come back whose body found no memory.
+	bodyRetryAfter = 600 * time.Millisecond
 )
 
 // Headers of requests and responses.
@@ -66,7 +69,12 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // test recorders do not support it
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
+	held := intake.HoldingOf(r.Context(), nil)
+	body, err := intake.ReadWhole(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, held.Reserve)
+	if errors.Is(err, intake.ErrNoMemory) || err == nil && !intake.Complete(r.Context()) || held.Evicted() {
+		w.Header().Set("Connection", "close") // what is left of the body is not read
+		return nil, request.Refuse(request.CodeOverloaded, bodyRetryAfter, "too many bodies are being received")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, badRequest(request.ReasonTooLarge, "the body is larger than "+strconv.Itoa(maxBodyBytes)+" bytes")
@@ -77,21 +85,6 @@
 	return body, nil
 }
 
-// maxPreallocatedBytes is the maximum number of bytes that are allocated for a stated
-// content length before any data is received.
-const maxPreallocatedBytes = 64 << 10
-
-// readAll reads a body. If its length is stated and small, it allocates the buffer once.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > maxPreallocatedBytes {
-		return io.ReadAll(r)
-	}
-	var body bytes.Buffer
-	body.Grow(int(length) + bytes.MinRead)
-	_, err := body.ReadFrom(r)
-	return body.Bytes(), err
-}
-
 // decode decodes the body of a chat request into the call. stream is set if the answer is
 // to be streamed. Fields that the router does not use are passed to the engine.
 func (call *ChatCall) decode(body []byte) (stream bool, failure *request.Failure) {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"runtime/debug"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,6 +46,8 @@
 	Seeds          []string         `long:"seed-peer" env:"HICKORYBANK_SEED_PEER" env-delim:"," accept:"address" description:"peer IP and port to ask while the platform gives no list (repeat)"`
 	AddressTTL     setting.Duration `long:"address-ttl" env:"HICKORYBANK_ADDRESS_TTL" accept:"100ms..1h" default:"5s" description:"how long callers may keep an answer of /v1/addresses"`
 	StopTimeout    setting.Duration `long:"stop-timeout" env:"HICKORYBANK_STOP_TIMEOUT" accept:"1s..24h" default:"30m" description:"how long a stop may take; what runs then is cut off"`
+	Memory         setting.Count    `long:"memory" env:"HICKORYBANK_MEMORY" accept:"64..1048576" default:"1024" description:"memory of the process in MiB, of which callers and peers may take fixed parts"`
+	MaxDescriptors setting.Count    `long:"max-descriptors" env:"HICKORYBANK_MAX_DESCRIPTORS" accept:"300..1048576" default:"16384" description:"descriptors that the process may have, of which callers and peers may take fixed parts"`
 	Register       bool             `long:"register" env:"HICKORYBANK_REGISTER" description:"tell a stand-in platform of this VM"`
 }
 
@@ -59,6 +62,9 @@
 	}}
 }
 
+// memoryFraction is the fraction of the process's memory that is set as the runtime's soft memory limit.
+const memoryFraction = 0.7
+
 // Execute runs an entry node until SIGINT or SIGTERM.
 func (c *entryCommand) Execute([]string) error {
 	settings, err := c.settings()
@@ -66,6 +72,7 @@
 		return err
 	}
 	log := c.logger(c.env)
+	debug.SetMemoryLimit(int64(memoryFraction * float64(c.Memory.Get()) * (1 << 20)))
 	source := net.ParseIP(c.SourceIP)
 	client := platformclient.New(c.Platform, platformclient.WithSource(source))
 	defer client.Close()
@@ -111,6 +118,7 @@
 		Listen: c.Listen, PeerListen: c.PeerListen, AdminListen: c.AdminListen,
 		OperatorKeyHashes: c.OperatorKeys, SessionKeys: decodeSecrets(c.SessionKeys),
 		Source: net.ParseIP(c.SourceIP), Seeds: c.Seeds, AddressTTL: c.AddressTTL.Get(), Seed: seedFromID(c.ID),
+		MemoryMB: c.Memory.Get(), MaxFDs: c.MaxDescriptors.Get(),
 		TLS: configs,
 	}, nil
 }
--- a/internal/gateway/client_bounds.go
+++ b/internal/gateway/client_bounds.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"log/slog"
 	"net"
 	"time"
 
-	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/intake"
 )
 
@@ -15,10 +13,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := intake.Settings{Name: name, MaxConnections: connections, ReadBuffer: unreadBytes, Account: n.memory, Observer: n}
+	s := intake.Settings{Name: name, MaxConnections: connections, Account: n.memory, Observer: n.intakeRecorder()}
 	if name == frontListener {
 		s.HeadBytes, s.HeadTimeout = n.maxHeadBytes, n.headTimeout
 	}
+	intake.BoundUnread(l)
 	return intake.NewListener(l, s), nil
 }
 
@@ -53,20 +52,7 @@
 	return intake.DefaultHeadTimeout
 }
 
-// HeadRefused implements [intake.Observer].
-func (n *Node) HeadRefused(listener, client, reason string) {
-	n.metrics.Counter("hickorybank_refused_heads_total", "listener", listener, "reason", reason).Inc()
-	event.HeadRefused.Log(n.log, slog.String("listener", listener), slog.String("reason", reason), slog.String("client", client))
-}
-
-// ConnectionClosed implements [intake.Observer].
-func (n *Node) ConnectionClosed(listener, client string) {
-	n.metrics.Counter("hickorybank_closed_client_connections_total", "listener", listener).Inc()
-	event.ClientConnectionClosed.Log(n.log, slog.String("listener", listener), slog.String("client", client))
-}
-
-// noteEvicted records that a stalled request has made room for another one.
-func (n *Node) noteEvicted() {
-	n.metrics.Counter("hickorybank_evicted_requests_total").Inc()
-	event.RequestEvicted.Log(n.log)
+// intakeRecorder returns what counts and logs the bounds that clients meet.
+func (n *Node) intakeRecorder() *intake.Recorder {
+	return &intake.Recorder{Log: n.log, Metrics: n.metrics}
 }
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/hickorybank/hickorybank/internal/intake"
 )
 
 var errTruncatedEvent = errors.New("stream ended inside an event")
@@ -21,7 +23,7 @@
 	buf     [readBufferBytes]byte
 	// ready is what await has read; nil for nothing.
 	ready *readEvents
-	// reserve takes memory for an event beyond unaccountedBytes, reserved what it has taken; nil
+	// reserve takes memory for an event beyond intake.UnreservedBytes, reserved what it has taken; nil
 	// for no account.
 	reserve  func(int64) bool
 	reserved int64
@@ -88,18 +90,18 @@
 	case err == nil && len(s.pending) > maxEventBytes:
 		err = errEventTooLong
 	case err == nil && !s.hasMemory():
-		err = errNoMemory
+		err = intake.ErrNoMemory
 	}
 	return events, id, count, err
 }
 
 // hasMemory reserves memory for what has come of an event; it reports whether there is any.
 func (s *eventReader) hasMemory() bool {
-	need := int64(len(s.pending)) - unaccountedBytes - s.reserved
+	need := int64(len(s.pending)) - intake.UnreservedBytes - s.reserved
 	if need <= 0 || s.reserve == nil {
 		return true
 	}
-	need = max(need, unaccountedBytes)
+	need = max(need, intake.UnreservedBytes)
 	if !s.reserve(need) {
 		return false
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -192,7 +192,7 @@
 		streams:        streamwatch.New(),
 		incarnation:    began.UnixNano(), startedAt: began,
 		stopBound:       newStopBound(),
-		memory:          intake.NewAccount(int64(heldFraction * float64(s.MemoryMB) * (1 << 20))),
+		memory:          intake.NewRequestAccount(s.MemoryMB),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		crashGuard:      crashguard.New(),
@@ -215,7 +215,7 @@
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
 	n.links, n.pool = newLinks(n, d.Upstreams)
-	n.memory.OnEvicted(n.noteEvicted)
+	n.memory.OnEvicted(n.intakeRecorder().Evicted)
 	n.configSender.Seed(n.draws.Uint64())
 	n.listSender.Seed(n.draws.Uint64())
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,8 +28,8 @@
 	if n.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryFraction * float64(n.settings.MemoryMB) * (1 << 20)))
 	}
-	bounds := newConnectionBounds(n.settings.MemoryMB, n.settings.MaxFDs)
-	front, err := n.listenTo(frontListener, n.settings.Front, bounds.callers)
+	bounds := intake.NewConnectionBounds(n.settings.MemoryMB, n.settings.MaxFDs)
+	front, err := n.listenTo(frontListener, n.settings.Front, bounds.Callers)
 	if err != nil {
 		return err
 	}
@@ -37,9 +37,9 @@
 	if err != nil {
 		return err
 	}
-	bounded := intake.NewListener(peer, intake.Settings{Name: peerListener, MaxConnections: bounds.peers, Observer: n})
-	messages := intake.NewAccount(int64(peerFraction * float64(n.settings.MemoryMB) * (1 << 20)))
-	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(bounded, n.links.carrier), peerListener, messages, n), n)
+	bounded := intake.NewListener(peer, intake.Settings{Name: peerListener, MaxConnections: bounds.Peers, Observer: n.intakeRecorder()})
+	messages := intake.NewMessageAccount(n.settings.MemoryMB)
+	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(bounded, n.links.carrier), peerListener, messages, n.intakeRecorder()), n)
 	if err != nil {
 		return eris.Wrapf(err, "gossip server on %s", n.settings.Peer)
 	}
@@ -56,7 +56,7 @@
 		if extra.addr == "" {
 			continue
 		}
-		l, err := n.listenTo(extra.name, extra.addr, bounds.side)
+		l, err := n.listenTo(extra.name, extra.addr, bounds.Side)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/serve_request.go
+++ b/internal/gateway/serve_request.go
@@ -139,14 +139,14 @@
 		n.log.Debug("cannot set read deadline", slog.Any("err", err))
 	}
 	release := j.boundBodyByStop(rc.SetReadDeadline)
-	body, err := readWhole(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, j.held.Reserve)
+	body, err := intake.ReadWhole(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength, j.held.Reserve)
 	release()
 	_ = rc.SetReadDeadline(time.Time{}) // the connection may be closed already
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLarge
-	case errors.Is(err, errNoMemory) || err == nil && !intake.Complete(j.r.Context()) || j.held.Evicted():
+	case errors.Is(err, intake.ErrNoMemory) || err == nil && !intake.Complete(j.r.Context()) || j.held.Evicted():
 		j.w.Header().Set("Connection", "close") // what is left of the body is not read
 		return tooManyBodies
 	case errors.Is(err, os.ErrDeadlineExceeded) && j.outlivesStop():
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -146,12 +146,6 @@
 	// memoryFraction is the fraction of the process's memory that is set as the runtime's
 	// soft memory limit.
 	memoryFraction = 0.7
-	// heldFraction is the fraction of the memory that bodies, buffered answers and events in
-	// progress may use.
-	heldFraction = 0.25
-	// peerFraction is the fraction of the memory that unfinished messages of peers may use. It is apart
-	// from that of callers, who could keep changes from spreading otherwise.
-	peerFraction = 0.05
 	// newVersionHold is how long upstreams of a version that no order names get no
 	// requests: the order may be on its way.
 	newVersionHold = 3 * time.Second
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -12,6 +12,7 @@
 	"github.com/hickorybank/hickorybank/internal/event"
 	"github.com/hickorybank/hickorybank/internal/exchange"
 	"github.com/hickorybank/hickorybank/internal/fleet"
+	"github.com/hickorybank/hickorybank/internal/intake"
 )
 
 // readBuffered reads an answer up to maxBufferedBytes; nil if it was truncated or is
@@ -26,7 +27,7 @@
 
 // readAnswer reads an answer up to a byte more than maxBufferedBytes, as far as there is memory.
 func (j *job) readAnswer(resp *exchange.Response) ([]byte, error) {
-	return readWhole(io.LimitReader(resp, maxBufferedBytes+1), min(resp.Length, maxBufferedBytes+1), j.held.Reserve)
+	return intake.ReadWhole(io.LimitReader(resp, maxBufferedBytes+1), min(resp.Length, maxBufferedBytes+1), j.held.Reserve)
 }
 
 // forwardBuffered forwards an answer after it has arrived completely, so that a truncated
@@ -36,7 +37,7 @@
 	body, err := j.readAnswer(resp)
 	timer.stop()
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, intake.ErrNoMemory):
 		return j.forwardUnbuffered(a, resp, body)
 	case err != nil && resp.LinkLost():
 		a.unreachable = true
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -38,8 +38,13 @@
 	return a.used
 }
 
-// Hold returns the holding of a request that is complete.
-func (a *Account) Hold() *Holding { return &Holding{account: a} }
+// Hold returns the holding of a request that is complete. A nil account has no limit.
+func (a *Account) Hold() *Holding {
+	if a == nil {
+		return nil
+	}
+	return &Holding{account: a}
+}
 
 // holdUnfinished returns the holding of a request that is being received. evict is called if it has to
 // make room.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -268,6 +268,9 @@
 	return nil
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the sending direction.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/gateway/connection_bounds_test.go
+++ b/internal/intake/connection_bounds_test.go
@@ -1,4 +1,4 @@
-package gateway
+package intake
 
 import (
 	"testing"
@@ -14,16 +14,16 @@
 	for _, memoryMB := range []int{88, 134, 284} {
 		is := is.New(t)
 		const maxFDs, sidePorts = 4200, 3
-		b := newConnectionBounds(memoryMB, maxFDs)
+		b := NewConnectionBounds(memoryMB, maxFDs)
 		memory := float64(memoryMB) * (1 << 20)
 		sum := idleBytes + (heldFraction+peerFraction)*memory +
-			float64((b.callers+sidePorts*b.side)*(connectionBytes+unreadBytes)+b.peers*peerConnectionBytes)
+			float64((b.Callers+sidePorts*b.Side)*(connectionBytes+UnreadBytes)+b.Peers*peerConnectionBytes)
 		t.Logf("%d MiB: %+v, together %.0f MiB", memoryMB, b, sum/(1<<20))
 		is.True(sum <= memory)
-		is.True(float64(b.callers+sidePorts*b.side+b.peers) <= 0.65*(maxFDs-fileFDs))
-		is.True(b.callers >= 500)
+		is.True(float64(b.Callers+sidePorts*b.Side+b.Peers) <= 0.65*(maxFDs-fileFDs))
+		is.True(b.Callers >= 500)
 	}
 	is := is.New(t)
-	is.Equal(newConnectionBounds(0, 0), connectionBounds{})
-	is.Equal(newConnectionBounds(0, 1), newConnectionBounds(0, MinFDs))
+	is.Equal(NewConnectionBounds(0, 0), ConnectionBounds{})
+	is.Equal(NewConnectionBounds(0, 1), NewConnectionBounds(0, MinFDs))
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -19,15 +19,13 @@
 
 // NewListener returns a listener with bounds on the connections of another one.
 func NewListener(l net.Listener, s Settings) *Listener {
-	if s.ReadBuffer > 0 {
-		setReadBuffer(l, s.ReadBuffer)
-	}
 	return &Listener{Listener: l, settings: s.withDefaults(), open: map[*Conn]struct{}{}}
 }
 
-// setReadBuffer sets the receive buffer of accepted connections, which inherit it. Listeners of tests that
-// are not of the operating system are left as they are.
-func setReadBuffer(l net.Listener, bytes int) {
+// BoundUnread bounds the bytes that are received on each connection of a listener and not yet read, by the
+// receive buffer, which the connections inherit. Listeners that are not of the operating system are left as
+// they are.
+func BoundUnread(l net.Listener) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return
@@ -37,7 +35,7 @@
 		return // the listener is closed
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) // the system's bound stays
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, UnreadBytes) // the system's bound stays
 	})
 }
 
--- a/internal/gateway/read_whole.go
+++ b/internal/intake/read_whole.go
@@ -1,22 +1,23 @@
-package gateway
+package intake
 
 import (
 	"errors"
 	"io"
 )
 
-var errNoMemory = errors.New("the memory for bodies and answers is in use")
+// ErrNoMemory means that the account has no memory left for what is read.
+var ErrNoMemory = errors.New("the memory for bodies and answers is in use")
 
-// unaccountedBytes is what each body, answer and event may take without a reservation.
-const unaccountedBytes = 16 << 10
+// UnreservedBytes is what each body, answer and event may take without a reservation.
+const UnreservedBytes = 16 << 10
 
-// readWhole reads to the end, or until reserve fails: then it returns what it has read and
-// errNoMemory. length is the stated length, negative for none.
-func readWhole(from io.Reader, length int64, reserve func(int64) bool) ([]byte, error) {
-	size := int64(unaccountedBytes)
+// ReadWhole reads to the end, or until reserve fails: then it returns what it has read and
+// ErrNoMemory. length is the stated length, negative for none.
+func ReadWhole(from io.Reader, length int64, reserve func(int64) bool) ([]byte, error) {
+	size := int64(UnreservedBytes)
 	if length > size {
 		if !reserve(length) {
-			return nil, errNoMemory
+			return nil, ErrNoMemory
 		}
 		size = length
 	} else if length >= 0 {
@@ -34,9 +35,9 @@
 		case len(buf) < cap(buf):
 			continue
 		}
-		size = max(int64(len(buf)), unaccountedBytes)
+		size = max(int64(len(buf)), UnreservedBytes)
 		if !reserve(size) {
-			return buf, errNoMemory
+			return buf, ErrNoMemory
 		}
 		grown := make([]byte, len(buf), 2*size+1)
 		copy(grown, buf)
--- a/internal/gateway/read_whole_test.go
+++ b/internal/intake/read_whole_test.go
@@ -1,15 +1,12 @@
-package gateway
+package intake
 
 import (
-	"bytes"
 	"errors"
 	"strings"
 	"testing"
 	"testing/iotest"
 
 	"github.com/matryer/is"
-
-	"github.com/hickorybank/hickorybank/internal/intake"
 )
 
 // Fails if bytes are read before their memory is reserved, are lost where there is none, or stay
@@ -31,11 +28,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			account := intake.NewAccount(max(c.left, 1))
+			account := NewAccount(max(c.left, 1))
 			held := account.Hold()
 			in := strings.Repeat("b", int(c.bytes))
-			out, err := readWhole(iotest.HalfReader(strings.NewReader(in)), c.length, held.Reserve)
-			is.Equal(errors.Is(err, errNoMemory), !c.whole)
+			out, err := ReadWhole(iotest.HalfReader(strings.NewReader(in)), c.length, held.Reserve)
+			is.Equal(errors.Is(err, ErrNoMemory), !c.whole)
 			if c.whole {
 				is.Equal(string(out), in)
 			}
@@ -47,13 +44,3 @@
 		})
 	}
 }
-
-// Fails if an event without end takes memory that is not reserved.
-func TestEventsAreReserved(t *testing.T) {
-	is := is.New(t)
-	account := intake.NewAccount(40_000)
-	s := newEventReader(bytes.NewReader(bytes.Repeat([]byte("e"), 200_000)), "")
-	s.reserve = account.Hold().Reserve
-	is.True(errors.Is(s.await().err, errNoMemory))
-	is.True(len(s.pending) <= unaccountedBytes+40_000+readBufferBytes)
-}
--- a/internal/intake/settings.go
+++ b/internal/intake/settings.go
@@ -8,9 +8,6 @@
 	Name string
 	// MaxConnections bounds the open connections; 0 for no bound.
 	MaxConnections int
-	// ReadBuffer bounds the bytes that were received on a connection and not yet read; 0 for the
-	// system's bound.
-	ReadBuffer int
 	// Account is the memory for heads; nil if the listener does not serve HTTP.
 	Account *Account
 	// HeadBytes returns the size of the longest head; nil for DefaultHeadBytes.
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/unframed"
 )
 
@@ -19,16 +20,27 @@
 
 // newCallerServer returns a server for a listener, with TLS if secure is not nil.
 func newCallerServer(l net.Listener, secure *tls.Config) *callerServer {
+	return newBoundedCallerServer(l, secure, intake.Settings{})
+}
+
+// newBoundedCallerServer is newCallerServer with bounds on what callers take.
+func newBoundedCallerServer(l net.Listener, secure *tls.Config, bounds intake.Settings) *callerServer {
 	s := &callerServer{connections: newConnections(), accepted: make(chan struct{})}
-	s.listener = withTLS(&callerListener{Listener: l, tracker: s.connections}, secure)
-	s.http = http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connections.stateChanged, ConnContext: unframed.ConnContext}
+	intake.BoundUnread(l)
+	s.listener = intake.NewListener(withTLS(&callerListener{Listener: l, tracker: s.connections}, secure), bounds)
+	s.http = http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.connections.stateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return intake.ConnContext(unframed.ConnContext(ctx, c), c)
+		},
+	}
 	return s
 }
 
 // serve accepts connections until the listener is closed.
 func (s *callerServer) serve(h http.Handler) {
 	defer close(s.accepted)
-	s.http.Handler = unframed.Handler(h)
+	s.http.Handler = intake.Handler(unframed.Handler(h))
 	_ = s.http.Serve(s.listener) // returns when the listener is closed
 }
 
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -95,11 +94,16 @@
 	if state != http.StateIdle {
 		return
 	}
-	if secured, ok := conn.(*tls.Conn); ok {
-		conn = secured.NetConn()
-	}
-	if c, ok := conn.(*callerConn); ok {
-		c.idleSince.Store(time.Now().UnixNano())
+	for {
+		if c, ok := conn.(*callerConn); ok {
+			c.idleSince.Store(time.Now().UnixNano())
+			return
+		}
+		wrapped, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		conn = wrapped.NetConn()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/hickorybank/hickorybank/internal/confsync/tablestore"
 	"github.com/hickorybank/hickorybank/internal/duty"
 	"github.com/hickorybank/hickorybank/internal/event"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/ledger"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/peer"
@@ -137,11 +138,15 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", n.settings.Listen)
 	}
-	n.callers = newCallerServer(listener, n.settings.TLS.Callers)
-	if err := n.listenOperators(); err != nil {
+	account := intake.NewRequestAccount(n.settings.MemoryMB)
+	account.OnEvicted(n.intakeRecorder().Evicted)
+	bounds := intake.NewConnectionBounds(n.settings.MemoryMB, n.settings.MaxFDs)
+	n.callers = newBoundedCallerServer(listener, n.settings.TLS.Callers, n.intakeSettings("callers", bounds.Callers, account))
+	if err := n.listenOperators(n.intakeSettings("operators", bounds.Side, account)); err != nil {
 		_ = listener.Close()
 		return err
 	}
+	n.peers.Bound(bounds.Peers, intake.NewMessageAccount(n.settings.MemoryMB), n.intakeRecorder())
 	if err := n.peers.Listen(n.settings.PeerListen); err != nil {
 		_ = listener.Close()
 		return err
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -11,6 +11,7 @@
 
 	"github.com/hickorybank/hickorybank/internal/admin"
 	"github.com/hickorybank/hickorybank/internal/balance"
+	"github.com/hickorybank/hickorybank/internal/intake"
 	"github.com/hickorybank/hickorybank/internal/ledger"
 	"github.com/hickorybank/hickorybank/internal/membership"
 	"github.com/hickorybank/hickorybank/internal/telemetry"
@@ -19,8 +20,8 @@
 // operators implements the data sources of the administration API.
 type operators struct{ node *Node }
 
-// listenOperators opens the listener for operators if one is configured.
-func (n *Node) listenOperators() error {
+// listenOperators opens the listener for operators within bounds if one is configured.
+func (n *Node) listenOperators(bounds intake.Settings) error {
 	if n.settings.AdminListen == "" {
 		return nil
 	}
@@ -28,7 +29,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for operators on %s", n.settings.AdminListen)
 	}
-	n.adminListener = withTLS(listener, n.settings.TLS.Callers)
+	intake.BoundUnread(listener)
+	n.adminListener = intake.NewListener(withTLS(listener, n.settings.TLS.Callers), bounds)
 	return nil
 }
 
@@ -58,7 +60,7 @@
 	mux.Handle("/debug/pprof/profile", n.operatorsOnly(http.HandlerFunc(pprof.Profile)))
 	mux.Handle("/healthz", telemetry.Healthz())
 	mux.Handle("/readyz", telemetry.Readyz(n.notReady))
-	n.adminServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.adminServer = &http.Server{Handler: intake.Handler(mux), ConnContext: intake.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.duties.Go(func() { _ = n.adminServer.Serve(n.adminListener) }) // returns when closed
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -31,6 +31,9 @@
 	Seeds []string
 	// AddressTTL is how long callers may cache the entry addresses; 0 selects the default.
 	AddressTTL time.Duration
+	// MemoryMB is the memory of the process in MiB, MaxFDs the number of descriptors that it may have; 0
+	// for no bound on what callers take of them.
+	MemoryMB, MaxFDs int
 	// TLS configures the listeners and the calls between nodes; its zero value means plain
 	// TCP.
 	TLS secure.Configs
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,7 +21,13 @@
 	listener  net.Listener
 	// carrier serves requests for connections to upstreams; nil for none.
 	carrier *relay.Carrier
-	tasks   duty.Group
+	// maxConnections bounds the connections of peers, messages their unfinished messages; 0 and nil
+	// for no bound. observer may be nil.
+	maxConnections int
+	messages       *intake.Account
+	observer       intake.Observer
+
+	tasks duty.Group
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -50,17 +56,24 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	listener = intake.NewListener(listener, intake.Settings{Name: "peer", MaxConnections: s.maxConnections, Observer: s.observer})
 	if s.tlsConfig != nil {
 		listener = tls.NewListener(listener, s.tlsConfig)
 	}
 	if s.carrier != nil {
 		listener = relay.Split(listener, s.carrier)
 	}
-	listener = intake.NewGobListener(listener, "peer", nil, nil)
+	listener = intake.NewGobListener(listener, "peer", s.messages, s.observer)
 	s.listener = listener
 	return nil
 }
 
+// Bound sets bounds on the connections and the unfinished messages of peers. It must be called before
+// [Server.Listen].
+func (s *Server) Bound(connections int, messages *intake.Account, o intake.Observer) {
+	s.maxConnections, s.messages, s.observer = connections, messages, o
+}
+
 // Carry lets a carrier serve the peers' requests for connections to upstreams. It must be called
 // before [Server.Listen].
 func (s *Server) Carry(c *relay.Carrier) { s.carrier = c }
