intake: the rest of a body that a handler leaves is read for a second at most; one log line a second

Callers saw: a node that stopped took until the end of its grace while clients stopped short of the end of a body. Cause: net/http reads what a handler has left of a body, without a deadline, also after a panic. Change: that reading has a deadline of a second. Warnings of bounds are not limited by the log, so that a crowd would fill it: one line a second of each kind, with the number of those that were not logged.

--- a/internal/gateway/client_bounds.go
+++ b/internal/gateway/client_bounds.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := intake.Settings{Name: name, MaxConnections: connections, Account: n.memory, Observer: n.intakeRecorder()}
+	s := intake.Settings{Name: name, MaxConnections: connections, Account: n.memory, Observer: n.intakeRecorder}
 	if name == frontListener {
 		s.HeadBytes, s.HeadTimeout = n.maxHeadBytes, n.headTimeout
 	}
@@ -51,8 +51,3 @@
 	}
 	return intake.DefaultHeadTimeout
 }
-
-// intakeRecorder returns what counts and logs the bounds that clients meet.
-func (n *Node) intakeRecorder() *intake.Recorder {
-	return &intake.Recorder{Log: n.log, Metrics: n.metrics}
-}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -65,6 +65,8 @@
 	// active counts callers' requests in progress.
 	active atomic.Int64
 	memory *intake.Account
+	// intakeRecorder counts and logs the bounds that clients meet.
+	intakeRecorder *intake.Recorder
 	// streams knows when upstreams last sent an event.
 	streams *streamwatch.Registry
 
@@ -193,6 +195,7 @@
 		incarnation:    began.UnixNano(), startedAt: began,
 		stopBound:       newStopBound(),
 		memory:          intake.NewRequestAccount(s.MemoryMB),
+		intakeRecorder:  intake.NewRecorder(d.Log, d.Metrics),
 		fleet:           fleet.New(fleet.Settings{Domain: s.Domain, Regions: s.Regions, Origin: originOf(s.ID, began.UnixNano())}),
 		canary:          canary.New(canary.Settings{ShareBound: s.ExposeShare, Slack: s.ExposeSlack, Session: s.Session, Lag: orderLag}, s.ID, began.UnixNano()),
 		crashGuard:      crashguard.New(),
@@ -215,7 +218,7 @@
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
 	}
 	n.links, n.pool = newLinks(n, d.Upstreams)
-	n.memory.OnEvicted(n.intakeRecorder().Evicted)
+	n.memory.OnEvicted(n.intakeRecorder.Evicted)
 	n.configSender.Seed(n.draws.Uint64())
 	n.listSender.Seed(n.draws.Uint64())
 	d.Metrics.Gauge("hickorybank_config_version", func() float64 { return float64(n.configVersion()) })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,9 +37,9 @@
 	if err != nil {
 		return err
 	}
-	bounded := intake.NewListener(peer, intake.Settings{Name: peerListener, MaxConnections: bounds.Peers, Observer: n.intakeRecorder()})
+	bounded := intake.NewListener(peer, intake.Settings{Name: peerListener, MaxConnections: bounds.Peers, Observer: n.intakeRecorder})
 	messages := intake.NewMessageAccount(n.settings.MemoryMB)
-	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(bounded, n.links.carrier), peerListener, messages, n.intakeRecorder()), n)
+	peers, err := gossip.NewServer(intake.NewGobListener(relay.Split(bounded, n.links.carrier), peerListener, messages, n.intakeRecorder), n)
 	if err != nil {
 		return eris.Wrapf(err, "gossip server on %s", n.settings.Peer)
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"math"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -39,54 +37,6 @@
 	interrupted bool
 }
 
-// phase is what a connection is used for.
-type phase int
-
-const (
-	// phaseNew: nothing has been received.
-	phaseNew phase = iota
-	phaseHead
-	phaseBody
-	// phaseServed: the whole request has been received and is being served.
-	phaseServed
-	phaseIdle
-	phaseRetired
-)
-
-// standing is how a connection stands when another one needs its place.
-type standing int
-
-const (
-	standsBusy standing = iota
-	standsIdle
-	standsUnfinished
-)
-
-// standing returns how the connection stands, and since when.
-func (c *Conn) standing() (standing, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch c.phase {
-	case phaseNew, phaseHead, phaseBody:
-		return standsUnfinished, c.progressAt
-	case phaseIdle:
-		return standsIdle, c.progressAt
-	}
-	return standsBusy, time.Time{}
-}
-
-// retire closes the connection unless it carries a complete request.
-func (c *Conn) retire() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseServed {
-		return false
-	}
-	c.phase = phaseRetired
-	_ = c.Conn.Close() // the client may have closed it
-	return true
-}
-
 // Read gives net/http the bytes of one head or body at a time, so that the next head is counted before
 // it is parsed.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -285,49 +235,3 @@
 	c.endRequest()
 	return c.Conn.Close()
 }
-
-// beginRequest records that the head of a request has been parsed. It returns false if the connection has
-// been closed for another one.
-func (c *Conn) beginRequest(r *http.Request) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseRetired {
-		return false
-	}
-	if c.held == nil { // a head that came with the request before
-		c.held = c.listener.settings.Account.holdUnfinished(c.interrupt)
-	}
-	c.phase, c.progressAt = phaseServed, time.Now()
-	if r.ContentLength == 0 { // net/http may be reading beside the handler
-		return c.held.Complete()
-	}
-	if c.phase, c.bodyLeft = phaseBody, r.ContentLength; c.bodyLeft < 0 {
-		c.bodyLeft = math.MaxInt64
-	}
-	return true
-}
-
-// complete records that the whole request has been received. It returns false if it has been evicted.
-func (c *Conn) complete() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseRetired {
-		return false
-	}
-	c.phase = phaseServed
-	return c.held == nil || c.held.Complete()
-}
-
-// endRequest releases what the current request holds.
-func (c *Conn) endRequest() {
-	c.mu.Lock()
-	held := c.held
-	c.held = nil
-	if c.phase != phaseRetired {
-		c.phase, c.progressAt = phaseIdle, time.Now()
-	}
-	c.mu.Unlock()
-	if held != nil {
-		held.Release()
-	}
-}
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -44,6 +44,7 @@
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 		defer c.endRequest()
+		defer c.boundRest() // net/http reads it after a panic, too
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,15 +138,15 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", n.settings.Listen)
 	}
-	account := intake.NewRequestAccount(n.settings.MemoryMB)
-	account.OnEvicted(n.intakeRecorder().Evicted)
+	account, recorder := intake.NewRequestAccount(n.settings.MemoryMB), intake.NewRecorder(n.deps.Log, n.metrics)
+	account.OnEvicted(recorder.Evicted)
 	bounds := intake.NewConnectionBounds(n.settings.MemoryMB, n.settings.MaxFDs)
-	n.callers = newBoundedCallerServer(listener, n.settings.TLS.Callers, n.intakeSettings("callers", bounds.Callers, account))
-	if err := n.listenOperators(n.intakeSettings("operators", bounds.Side, account)); err != nil {
+	n.callers = newBoundedCallerServer(listener, n.settings.TLS.Callers, intake.Settings{Name: "callers", MaxConnections: bounds.Callers, Account: account, Observer: recorder})
+	if err := n.listenOperators(intake.Settings{Name: "operators", MaxConnections: bounds.Side, Account: account, Observer: recorder}); err != nil {
 		_ = listener.Close()
 		return err
 	}
-	n.peers.Bound(bounds.Peers, intake.NewMessageAccount(n.settings.MemoryMB), n.intakeRecorder())
+	n.peers.Bound(bounds.Peers, intake.NewMessageAccount(n.settings.MemoryMB), recorder)
 	if err := n.peers.Listen(n.settings.PeerListen); err != nil {
 		_ = listener.Close()
 		return err
