intake: a body's progress counts when a connection has to go; names and words

Cause: the connection of a long upload counted as without progress since its head, so that beyond the bound on connections it was closed before a silent one that came later. Evidence: TestSilentClientIsClosedForANewConnection fails without the change (checked by taking it out), 20 of 20 with it, -race. Found by reading the diff; no caller has met it.

--- a/internal/cli/entry_crowd_test.go
+++ b/internal/cli/entry_crowd_test.go
@@ -86,7 +86,7 @@
 	return p
 }
 
-// watch counts the sockets of the process until it is told to stop.
+// watch samples the sockets of the process until meet stops it.
 func (p *entryProcess) watch() {
 	for {
 		select {
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -80,6 +80,6 @@
 	ForwardContinued         = define(1987, slog.LevelInfo, "resumed stream has sent its first events")
 	HeadRefused              = define(1990, slog.LevelWarn, "head of a request is refused")
 	ClientConnectionClosed   = define(1991, slog.LevelWarn, "client's connection is closed to keep to the bound on connections")
-	RequestEvicted           = define(1992, slog.LevelWarn, "request that stood still has made room for another one")
+	RequestEvicted           = define(1992, slog.LevelWarn, "stalled request was evicted for another one")
 	LogLinesDropped          = define(1970, slog.LevelWarn, "log lines were dropped")
 )
--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -8,7 +8,7 @@
 // Checker follows one response at a time. The zero value checks nothing until Begin is called.
 type Checker struct {
 	state state
-	// bodyless is set if the response has no body whatever its head says.
+	// bodyless is set if the response has no body regardless of its head.
 	bodyless bool
 	// line is the number of the current line of the head, from 1; 0 for the status line.
 	line int
@@ -124,7 +124,7 @@
 	}
 }
 
-// statusFormat is the form of the status line up to its code; d stands for a digit.
+// statusFormat is the form of the status line up to its code; d matches a digit.
 const statusFormat = "HTTP/1.d ddd"
 
 func (c *Checker) stepStatus(b byte) string {
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -84,7 +84,7 @@
 	return fits
 }
 
-// stalled returns the unfinished holding that has stood still for longest; nil if none has for
+// stalled returns the unfinished holding without progress for longest; nil if there is none for
 // stalledAfter. The caller holds mu.
 func (a *Account) stalled(except *Holding) *Holding {
 	var longest *Holding
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -86,7 +86,7 @@
 	return c.Conn.Write(p)
 }
 
-// noteUse records that a connection without HTTP is used: it stands idle from now on.
+// noteUse records that a connection without HTTP is used: it is idle from now on.
 func (c *Conn) noteUse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,13 +165,12 @@
 		return
 	}
 	c.mu.Lock()
-	held := c.held
+	defer c.mu.Unlock()
 	if c.phase == phaseBody && c.bodyLeft == 0 {
 		c.phase = phaseServed
 	}
-	c.mu.Unlock()
-	if held != nil {
-		held.received(n)
+	if c.held != nil && c.held.received(n) {
+		c.progressAt = time.Now()
 	}
 }
 
--- a/internal/intake/conn_phase.go
+++ b/internal/intake/conn_phase.go
@@ -20,26 +20,26 @@
 	phaseRetired
 )
 
-// standing is how a connection stands when another one needs its place.
-type standing int
+// usage is what a connection is used for when another one needs its place.
+type usage int
 
 const (
-	standsBusy standing = iota
-	standsIdle
-	standsUnfinished
+	busy usage = iota
+	idle
+	unfinished
 )
 
-// standing returns how the connection stands, and since when.
-func (c *Conn) standing() (standing, time.Time) {
+// usage returns what the connection is used for, and since when without progress.
+func (c *Conn) usage() (usage, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.phase {
 	case phaseNew, phaseHead, phaseBody:
-		return standsUnfinished, c.progressAt
+		return unfinished, c.progressAt
 	case phaseIdle:
-		return standsIdle, c.progressAt
+		return idle, c.progressAt
 	}
-	return standsBusy, time.Time{}
+	return busy, time.Time{}
 }
 
 // retire closes the connection unless it carries a complete request.
--- a/internal/intake/doc.go
+++ b/internal/intake/doc.go
@@ -3,6 +3,6 @@
 //
 // A head is counted as its bytes arrive, before net/http parses it: its parsed form takes many times the
 // memory of its bytes. Memory is reserved in an [Account] that all requests of the process share. If that
-// is full, a request that has stood still makes room for one that goes on, so that clients that never
-// finish do not keep others out.
+// is full, a stalled request is evicted for one that goes on, so that clients that never finish do not keep
+// others out.
 package intake
--- a/internal/intake/holding.go
+++ b/internal/intake/holding.go
@@ -53,14 +53,15 @@
 	return h.evicted
 }
 
-// received records bytes of the request.
-func (h *Holding) received(n int) {
+// received records bytes of the request. It returns true if they complete a block.
+func (h *Holding) received(n int) bool {
 	h.partial += n // only the goroutine that reads the connection
 	if h.partial < progressBytes {
-		return
+		return false
 	}
 	h.partial = 0
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	h.progressAt = h.account.now()
+	return true
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -38,7 +38,7 @@
 	}
 	is.True(complete.Complete())
 	late := begin("late ")
-	is.True(!late.Reserve(33_000)) // nobody has stood still
+	is.True(!late.Reserve(33_000)) // none is stalled
 	clock.at = clock.at.Add(stalledAfter)
 	moving.received(progressBytes)
 	stalled.received(progressBytes - 1)
@@ -135,6 +135,85 @@
 	is.Equal(a.Used(), int64(0))
 }
 
+// count returns the number of open connections in a phase.
+func (l *Listener) count(p phase) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.open {
+		c.mu.Lock()
+		if c.phase == p {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// Fails if a connection that makes progress, or carries a complete request, is closed for a new one while
+// another one is silent.
+func TestSilentClientIsClosedForANewConnection(t *testing.T) {
+	is := is.New(t)
+	raw, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	reading, served, resume := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			served <- struct{}{}
+			<-resume
+			return
+		}
+		_, _ = io.ReadFull(r.Body, make([]byte, progressBytes)) // the rest is sent later
+		reading <- struct{}{}
+		_, _ = io.Copy(w, r.Body) // as above
+	}))}
+	l := NewListener(raw, Settings{MaxConnections: 3, Account: NewAccount(0)})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l) // until it is closed
+	}()
+	defer func() {
+		_ = server.Close() // the test ends
+		<-done
+	}()
+	dial := func(text string) (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp4", raw.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() }) // the server may have closed it
+		_, err = io.WriteString(c, text)
+		is.NoErr(err)
+		return c, bufio.NewReader(c)
+	}
+	const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, complete := dial(get)
+	<-served
+	upload, uploaded := dial(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", progressBytes+4))
+	await := func(p phase) {
+		for l.count(p) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	await(phaseBody)
+	_, silent := dial("G")
+	await(phaseHead)
+	_, err = io.WriteString(upload, strings.Repeat("x", progressBytes))
+	is.NoErr(err)
+	<-reading
+	_, late := dial(get)
+	<-served
+	_, err = silent.ReadByte()
+	is.True(err != nil) // closed
+	_, err = io.WriteString(upload, "rest")
+	is.NoErr(err)
+	close(resume)
+	for _, in := range []*bufio.Reader{complete, uploaded, late} {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
+
 // Fails if a refused head gets another answer than one that promises that it has not run, or leaves memory
 // reserved.
 func TestRefusedHeadsAreAnswered(t *testing.T) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -73,24 +73,20 @@
 	return true
 }
 
-// victim returns the connection to close for a new one: the one that has stood still for longest, first of
-// those with a part of a request or without any. The caller holds mu.
+// victim returns the connection to close for a new one: the one without progress for longest, stalled ones with a
+// part of a request or none before idle ones. The caller holds mu.
 func (l *Listener) victim(now time.Time) *Conn {
-	var idle, unfinished *Conn
-	var idleSince, unfinishedSince time.Time
+	oldest, oldestSince := map[usage]*Conn{}, map[usage]time.Time{}
 	for c := range l.open {
-		kind, since := c.standing()
-		switch {
-		case kind == standsIdle && (idle == nil || since.Before(idleSince)):
-			idle, idleSince = c, since
-		case kind == standsUnfinished && (unfinished == nil || since.Before(unfinishedSince)):
-			unfinished, unfinishedSince = c, since
+		kind, since := c.usage()
+		if oldest[kind] == nil || since.Before(oldestSince[kind]) {
+			oldest[kind], oldestSince[kind] = c, since
 		}
 	}
-	if unfinished != nil && (idle == nil || now.Sub(unfinishedSince) >= stalledAfter) {
-		return unfinished
+	if oldest[unfinished] != nil && (oldest[idle] == nil || now.Sub(oldestSince[unfinished]) >= stalledAfter) {
+		return oldest[unfinished]
 	}
-	return idle
+	return oldest[idle]
 }
 
 // remove removes a connection that is closed.
--- a/internal/intake/recorder.go
+++ b/internal/intake/recorder.go
@@ -55,7 +55,7 @@
 	r.record(event.ClientConnectionClosed, "connection "+listener, slog.String("listener", listener), slog.String("client", client))
 }
 
-// Evicted records that a request that stood still has made room for another one.
+// Evicted records that a stalled request was evicted for another one.
 func (r *Recorder) Evicted() {
 	r.metrics.Counter("hickorybank_evicted_requests_total").Inc()
 	r.record(event.RequestEvicted, "evicted")
