--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -21,8 +21,7 @@
 
 func (c *testClock) now() time.Time { return c.at }
 
-// Fails if a request that still makes progress, or is complete, makes room for another one, or if one that
-// stands still does not.
+// Fails if a complete request or one that makes progress is evicted, or if a stalled one is not.
 func TestStalledUploadMakesRoom(t *testing.T) {
 	is := is.New(t)
 	clock := &testClock{at: time.Unix(1000, 0)}
--- a/internal/network/unread.go
+++ b/internal/network/unread.go
@@ -7,8 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// HasUnread reports whether bytes have been received on a connection and not yet read; false if it
-// cannot be told.
+// HasUnread reports whether bytes have been received on a connection and not yet read. It returns false for
+// connections that are not of the operating system.
 func HasUnread(c net.Conn) bool {
 	n, err := peek(c)
 	return err == nil && n > 0
