gateway: log what a node knows of crashes as it begins to serve

A node's log did not tell whether it started without evidence, or had it and judged otherwise; both lead to the same crashes (1923) after a start.

Event 1993 states, with the first routes, who gave them and how many crashes, keys, convictions and quarantines are known.

All six nodes start again with crashes=0, keys=0, convicted=0, whoever gave them their routes; the next crash logs strikes=1. So the evidence itself is lost, and neither the judgement nor the exchange with peers.

--- a/internal/crashguard/evidence.go
+++ b/internal/crashguard/evidence.go
@@ -27,3 +27,12 @@
 	v.Answered = g.doubtOf(e).String()
 	return v
 }
+
+// Summary is how much a guard knows.
+type Summary struct{ Crashes, Keys, Convicted, Quarantined int }
+
+// Summary returns how much the guard knows.
+func (g *Guard) Summary(now time.Time) Summary {
+	g.judge(now)
+	return Summary{Crashes: len(g.slots), Keys: len(g.keys), Convicted: len(g.convicted), Quarantined: len(g.quarantined)}
+}
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -81,5 +81,6 @@
 	HeadRefused              = define(1990, slog.LevelWarn, "head of a request is refused")
 	ClientConnectionClosed   = define(1991, slog.LevelWarn, "client's connection is closed to keep to the bound on connections")
 	RequestEvicted           = define(1992, slog.LevelWarn, "stalled request was evicted for another one")
+	CrashesAtStart           = define(1993, slog.LevelInfo, "evidence of crashes that this node has as its first routes are applied")
 	LogLinesDropped          = define(1970, slog.LevelWarn, "log lines were dropped")
 )
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -227,6 +227,15 @@
 	}
 }
 
+// logCrashesAtStart logs what the node knows of crashes when it begins to serve.
+func (n *Node) logCrashesAtStart(from string) {
+	n.mu.Lock()
+	known := n.crashGuard.Summary(time.Now())
+	n.mu.Unlock()
+	event.CrashesAtStart.Log(n.log, slog.String("from", from), slog.Int("crashes", known.Crashes), slog.Int("keys", known.Keys),
+		slog.Int("convicted", known.Convicted), slog.Int("quarantined", known.Quarantined))
+}
+
 // quarantinedKeys returns the number of keys whose requests run one at a time.
 func (n *Node) quarantinedKeys() float64 {
 	n.mu.Lock()
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -132,7 +132,9 @@
 	if next.Tag() != uint64(table.Version) {
 		return eris.Errorf("configuration: version is %d, archive has version %d", table.Version, next.Tag())
 	}
-	n.config.Store(&configuration{Table: table, archive: next})
+	if n.config.Swap(&configuration{Table: table, archive: next}) == nil {
+		n.logCrashesAtStart(from)
+	}
 	n.configSender.Set(next)
 	event.TableApplied.Log(n.log, slog.Int64("version", table.Version), slog.String("from", from), slog.Int("bytes", len(doc)),
 		slog.Duration("decoding", time.Since(began)))
