crashguard, gateway: evidence of crashes outlasts a loss of all processes

What callers saw: a request that crashes upstreams is refused everywhere, and crashes upstreams again after all processes were killed or stopped together.

Cause: strikes, clearances and trials were held in memory and exchanged among live peers only. Event 1993 shows it: after the kill all six nodes begin with crashes=0 keys=0, and the same key as before gets strikes=1.

Change: one row of the product's table holds a record of the evidence. A node writes what it finds out itself at once (read, merge, conditional write); of more than 16 nodes the first 16 by rendezvous hashing do, and others hand theirs over. What is left, one node writes after 0.3 s, the next two in turn. A node that starts alone reads the record before its first routes are in force, and its messages to peers hold both. Trials of convicted keys are recorded before they are sent; one that ran when all processes were lost counts. Times are by the table's clock, and a crash keeps the time recorded first, so that crashes of one loss stay one moment. Restarts no longer end a conviction: a node lists what it holds at /crashes, and takes pardons from its own VM.

Why it works: the verdict is a function of the evidence, and the evidence is in the table some ms after each crash, from before any node serves again.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -32,6 +32,8 @@
 	id CrashID
 	// at is when it happened, by the clock of this node; zero if the slot is free.
 	at time.Time
+	// tableMs is that time by the table's clock, as recorded; 0 if it is not.
+	tableMs int64
 }
 
 // Guard stores what a node knows of crashes. It is not safe for concurrent use.
@@ -57,6 +59,8 @@
 	// left are the attempts that this node has left, by their upstreams, leftCount their number.
 	left      map[CrashID][]leftAttempt
 	leftCount int
+	// era is the era of the table in which the recorded parts of entries were written.
+	era uint64
 }
 
 // New returns a guard that knows of no crash.
@@ -182,6 +186,8 @@
 		e.struck.remove(slot)
 		e.cleared.remove(slot)
 		e.sequels.remove(slot)
+		e.recorded.struck.remove(slot)
+		e.recorded.cleared.remove(slot)
 		if e.struck.empty() {
 			delete(g.keys, key)
 			delete(g.convicted, key)
--- a/internal/crashguard/moved_world_test.go
+++ b/internal/crashguard/moved_world_test.go
@@ -29,7 +29,7 @@
 func (w *world) moveAttempts(e *worldEngine) {
 	for _, a := range e.attempts {
 		g := w.guards[a.node]
-		if a.moveAt == 0 || w.now < a.moveAt || a.left || a.trial || a.movedFrom != 0 || len(g.Blocking(a.chain, w.time())) > 0 {
+		if a.moveAt == 0 || w.now < a.moveAt || a.left || a.orphaned || a.trial || a.movedFrom != 0 || len(g.Blocking(a.chain, w.time())) > 0 {
 			continue
 		}
 		g.Leave(e.crashID(), a.chain, worldEpoch.Add(a.sent), w.time().Add(worldDeadline), w.time())
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -143,11 +143,7 @@
 	for i, c := range r.Crashes {
 		slots[i] = g.slot(c.ID, now.Add(-c.Age), now)
 	}
-	for i, slot := range slots {
-		if slot >= 0 && g.crashes[slot].id != r.Crashes[i].ID {
-			slots[i] = -1 // a later one has taken its slot
-		}
-	}
+	g.dropReused(slots, func(i int) CrashID { return r.Crashes[i].ID })
 	for i := range r.Keys {
 		urgent = g.mergeKey(&r.Keys[i], slots, now) || urgent
 	}
@@ -158,6 +154,15 @@
 	return urgent
 }
 
+// dropReused replaces by -1 the slots of crashes that later ones have taken.
+func (g *Guard) dropReused(slots []int, id func(i int) CrashID) {
+	for i, slot := range slots {
+		if slot >= 0 && g.crashes[slot].id != id(i) {
+			slots[i] = -1
+		}
+	}
+}
+
 func (g *Guard) mergeKey(k *ReportedKey, slots []int, now time.Time) (urgent bool) {
 	e := g.entry(k.Key)
 	if e.parent == 0 {
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -87,11 +87,16 @@
 	return trials, last
 }
 
-// BeginTrial records that a request with the blocked key is about to be sent.
-func (g *Guard) BeginTrial(key Key, now time.Time) {
-	if e := g.blocked(key); e != nil {
-		e.trialAt, e.inTrial = now, true
+// BeginTrial records that this node is about to send a request with the blocked key. It reports
+// whether the trial has to be recorded in the table before: otherwise a loss of all nodes during the
+// trial of a convicted key would allow another one.
+func (g *Guard) BeginTrial(key Key, now time.Time) (record bool) {
+	e := g.blocked(key)
+	if e == nil {
+		return false
 	}
+	e.trialAt, e.inTrial, e.persistent = now, true, g.IsConvicted(key)
+	return e.persistent
 }
 
 // CountTrial records that a request that was let through may have run.
--- a/internal/crashguard/world_test.go
+++ b/internal/crashguard/world_test.go
@@ -44,6 +44,8 @@
 	// hot is the share of sound requests that are one and the same, from hotFrom on.
 	hot     float64
 	hotFrom time.Duration
+	// processLosses are times at which all processes are lost; see worldTable.
+	processLosses []time.Duration
 	// slow is the share of sound attempts that wait for long, and are moved.
 	slow float64
 }
@@ -68,6 +70,8 @@
 	first         bool
 	// repeated is set for a caller's repeat.
 	repeated bool
+	// orphaned is set once its process is lost.
+	orphaned bool
 	// left is set once its node no longer waits for the attempt, movedFrom is the crash of the upstream that
 	// the request was moved off before; 0 for none.
 	left      bool
@@ -102,6 +106,8 @@
 	sentKeys     int
 	// notices are the crashes of upstreams that nodes with left attempts there will learn of.
 	notices []worldNotice
+	// table holds what nodes record; nil for none.
+	table *worldTable
 }
 
 var worldEpoch = time.Unix(1_000_000, 0)
@@ -132,6 +138,7 @@
 				w.lose()
 			}
 		}
+		w.playTable()
 		w.arrive(w.soundPerSecond, w.sound, false)
 		w.arrive(w.badPerSecond, w.bad, true)
 		w.sendWave()
@@ -141,7 +148,7 @@
 		}
 		w.noticeCrashes()
 		for i := range w.guards {
-			if w.now >= w.next[i] {
+			if w.now >= w.next[i] && !w.areLost() {
 				w.exchange(i)
 			}
 		}
@@ -185,6 +192,9 @@
 
 // send sends an attempt to a random engine that is up, unless it is refused.
 func (w *world) send(a *worldAttempt) {
+	if w.areLost() {
+		return
+	}
 	g := w.guards[a.node]
 	keys := g.Blocking(a.chain, w.time())
 	if len(keys) > 0 && (len(keys) > 1 || !a.first || !g.TrialDue(a.chain, keys[0], w.time())) {
@@ -209,8 +219,11 @@
 			return
 		}
 		a.trial = true
-		g.BeginTrial(key, w.time())
+		if g.BeginTrial(key, w.time()) && w.table != nil {
+			w.save(a.node)
+		}
 		g.CountTrial(key)
+		w.recordSoon(a.node)
 		w.news[a.node] = true
 	}
 	a.first, a.proved, a.moveAt = false, false, 0
@@ -272,6 +285,9 @@
 	}
 	e.attempts = slices.DeleteFunc(e.attempts, func(a *worldAttempt) bool {
 		g := w.guards[a.node]
+		if a.orphaned {
+			return w.now >= a.ends
+		}
 		if !a.proved && w.now >= a.begins+worldProof {
 			a.proved = true
 			w.news[a.node] = g.Answered(a.chain.Parts(), worldEpoch.Add(a.begins), w.time()) || w.news[a.node]
@@ -294,6 +310,9 @@
 	w.lives++
 	e.id, e.attempts, e.upFrom = w.lives, nil, w.now+worldDowntime
 	for _, a := range running {
+		if a.orphaned {
+			continue
+		}
 		if a.left {
 			w.notices = append(w.notices, worldNotice{w.now + w.random(int(worldNoticed/time.Millisecond)), a.node, id})
 			continue
@@ -304,7 +323,10 @@
 		} else {
 			a.crashes++
 		}
-		w.news[a.node] = w.guards[a.node].Strike(id, chain, worldEpoch.Add(a.sent), w.time(), w.time()) || w.news[a.node]
+		if w.guards[a.node].Strike(id, chain, worldEpoch.Add(a.sent), w.time(), w.time()) {
+			w.news[a.node] = true
+			w.recordSoon(a.node)
+		}
 		if a.movedFrom != 0 && w.guards[a.node].Knows(a.movedFrom) {
 			a.crashes++
 			a.movedFrom = 0
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -82,5 +82,8 @@
 	ClientConnectionClosed   = define(1991, slog.LevelWarn, "client's connection is closed to keep to the bound on connections")
 	RequestEvicted           = define(1992, slog.LevelWarn, "stalled request was evicted for another one")
 	CrashesAtStart           = define(1993, slog.LevelInfo, "evidence of crashes that this node has as its first routes are applied")
+	CrashesRecorded          = define(1994, slog.LevelInfo, "evidence of crashes was recorded in the platform's table")
+	CrashesUnrecorded        = define(1995, slog.LevelWarn, "record of crashes in the platform's table could not be read or written yet")
+	CrashPardoned            = define(1996, slog.LevelWarn, "operator has pardoned a part of prompts or a request")
 	LogLinesDropped          = define(1970, slog.LevelWarn, "log lines were dropped")
 )
--- a/internal/gateway/call_meter.go
+++ b/internal/gateway/call_meter.go
@@ -29,6 +29,8 @@
 	CauseJoin CallCause = "join"
 	// CauseSnapshot marks calls that save or load the snapshot of the list of upstreams.
 	CauseSnapshot CallCause = "snapshot"
+	// CauseCrashes marks calls that read or write the record of crashes.
+	CauseCrashes CallCause = "crashes"
 	// CauseRollout marks calls that read or record the states of rollouts.
 	CauseRollout CallCause = "rollout"
 )
--- a/internal/gateway/crash_trial.go
+++ b/internal/gateway/crash_trial.go
@@ -15,21 +15,35 @@
 // which it is blocked.
 func (j *job) beginTrial(key crashguard.Key) bool {
 	n := j.node
-	granted := n.askTrial(key)
+	if !n.askTrial(key) {
+		j.denyTrial(key)
+		return false
+	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !granted {
-		n.crashGuard.DenyTrial(key, time.Now())
-		j.refuseFor(key)
+	record := n.crashGuard.BeginTrial(key, time.Now())
+	n.mu.Unlock()
+	if record && !n.recordTrial(j.ctx, key) {
+		n.mu.Lock()
+		n.crashGuard.DeclineTrial(key)
+		n.mu.Unlock()
+		j.denyTrial(key)
 		return false
 	}
 	j.trial = key
-	n.crashGuard.BeginTrial(key, time.Now())
 	n.logEvent(event.CrashTrial, j, slog.String("key", keyText(key)), slog.String("parts", j.sharedParts()))
 	wake(n.crashNews)
 	return true
 }
 
+// denyTrial refuses the job for a key of which it may make no trial now.
+func (j *job) denyTrial(key crashguard.Key) {
+	n := j.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashGuard.DenyTrial(key, time.Now())
+	j.refuseFor(key)
+}
+
 // askTrial asks the node that grants the trials of a key for one.
 func (n *Node) askTrial(key crashguard.Key) bool {
 	n.mu.Lock()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -48,6 +48,9 @@
 	}
 	n.mu.Lock()
 	fresh := n.crashGuard.Strike(id, chain, a.began, at, time.Now())
+	if fresh {
+		n.noteOwnEvidence()
+	}
 	key := j.chain[len(j.chain)-1]
 	evidence := n.crashGuard.Evidence(key, time.Now())
 	n.mu.Unlock()
@@ -60,7 +63,6 @@
 		n.logEvent(event.ForwardUpstreamCrashed, j, slog.String("upstream", a.id), slog.String("key", keyText(key)),
 			slog.Int("strikes", evidence.Strikes), slog.Int("moments", evidence.Moments), slog.Int("late", evidence.Late), slog.String("answered", evidence.Answered),
 			slog.Bool("begun", begun), slog.String("parts", j.sharedParts()))
-		wake(n.crashNews)
 	}
 	n.noteCrash(a.up, a.addr)
 	j.checkLeft()
@@ -88,6 +90,7 @@
 	defer n.mu.Unlock()
 	if n.crashGuard.Answered(chain, at, time.Now()) {
 		wake(n.crashNews)
+		wake(n.crashRecordNews)
 	}
 }
 
@@ -142,7 +145,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.crashGuard.CountTrial(j.trial)
-	wake(n.crashNews)
+	n.noteOwnEvidence()
 }
 
 // endTrial records the end of a job that was let through and did not run.
@@ -153,6 +156,7 @@
 	j.node.mu.Lock()
 	defer j.node.mu.Unlock()
 	j.node.crashGuard.DeclineTrial(j.trial)
+	j.node.noteOwnEvidence()
 }
 
 func keyText(key crashguard.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
@@ -170,6 +174,7 @@
 func (n *Node) mergeCrashes(in crashguard.Report, now time.Time) {
 	if n.crashGuard.Merge(in, now) {
 		wake(n.crashNews)
+		wake(n.crashRecordNews)
 	}
 }
 
@@ -185,7 +190,10 @@
 		n.logVerdicts()
 		work := pool.New()
 		for _, m := range n.pickPeers(crashNewsPeers) {
-			work.Go(func() { n.exchangeCrashes(m) })
+			work.Go(func() { n.exchangeCrashes(m, n.gossipClient.Crashes) })
+		}
+		if m, ok := n.handOver(); ok {
+			work.Go(func() { n.exchangeCrashes(m, n.gossipClient.RecordCrashes) })
 		}
 		work.Wait()
 		n.logVerdicts()
@@ -195,12 +203,12 @@
 	}
 }
 
-// exchangeCrashes exchanges reports of crashes with a peer.
-func (n *Node) exchangeCrashes(m gossip.Member) {
+// exchangeCrashes exchanges reports of crashes with a peer by a call of it.
+func (n *Node) exchangeCrashes(m gossip.Member, call func(addr string, out crashguard.Report) (crashguard.Report, error)) {
 	n.mu.Lock()
 	out := n.crashGuard.Report(time.Now())
 	n.mu.Unlock()
-	in, err := n.gossipClient.Crashes(m.Peer, out)
+	in, err := call(m.Peer, out)
 	n.countExchange(err)
 	if err != nil {
 		event.PeerCallFailed.Log(n.log, slog.String("peer", m.ID), slog.String("addr", m.Peer), slog.String("err", err.Error()))
--- a/internal/gateway/left_attempt.go
+++ b/internal/gateway/left_attempt.go
@@ -38,7 +38,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.crashGuard.Leave(a.crashID(), j.chain.Request(), a.began, j.deadline, now) {
-		wake(n.crashNews)
+		n.noteOwnEvidence()
 		return
 	}
 	left := n.leftUpstreams[a.crashID()]
@@ -87,6 +87,9 @@
 	id, now := crashguard.NewCrashID(up.Incarnation()), time.Now()
 	n.mu.Lock()
 	fresh := n.crashGuard.Crashed(id, now, now)
+	if fresh {
+		n.noteOwnEvidence()
+	}
 	delete(n.leftUpstreams, id)
 	n.mu.Unlock()
 	if !fresh {
@@ -95,7 +98,6 @@
 	n.pool.Forget(addr)
 	n.metrics.Counter("hickorybank_crash_left_total").Inc()
 	event.UpstreamCrashedLater.Log(n.log, slog.String("upstream", up.ID))
-	wake(n.crashNews)
 }
 
 // followLeftAttempts looks for crashes of upstreams at which this node has left attempts.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -80,6 +80,8 @@
 	crashGuard *crashguard.Guard
 	// leftUpstreams are the upstreams at which this node has left attempts.
 	leftUpstreams map[crashguard.CrashID]leftUpstream
+	crashRecord   crashRecord
+	tableClock    tableClock
 	roster        *gossip.Roster
 	flights       *gossip.FlightSums
 	speeds        *gossip.SpeedSums
@@ -134,6 +136,10 @@
 	pushRequested chan struct{}
 	// crashNews wakes followCrashes.
 	crashNews chan struct{}
+	// crashRecordNews wakes followCrashRecord.
+	crashRecordNews chan struct{}
+	// recordingCrashes is a semaphore of one place for writing the record of crashes.
+	recordingCrashes chan struct{}
 	// leftAttempts wakes followLeftAttempts.
 	leftAttempts chan struct{}
 	// rolloutOrdered is closed once this node knows a rollout.
@@ -212,7 +218,8 @@
 		entryQueues: map[queueKey]*serviceQueue{}, rolloutStartedAt: map[string]time.Time{}, announcedRevision: map[string]revision.Revision{},
 		invalidFieldLoggedAt: map[string]time.Time{}, noticeLabels: map[string]bool{},
 		peerStates: map[string]peerState{}, contacts: contacts{}, draws: newDraws(s.Seed), verdictSeenAt: map[verdictKey]time.Time{},
-		crashNews:      make(chan struct{}, 1),
+		crashNews:       make(chan struct{}, 1),
+		crashRecordNews: make(chan struct{}, 1), recordingCrashes: make(chan struct{}, 1),
 		leftAttempts:   make(chan struct{}, 1),
 		rolloutOrdered: make(chan struct{}),
 		pushRequested:  make(chan struct{}, 1), remoteReading: make(chan struct{}, 1), readingDue: make(chan struct{}, 1),
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -28,6 +28,7 @@
 	switch {
 	case !n.view.eraKnown:
 		n.view.era, n.view.eraKnown = era, true
+		n.crashGuard.SetEra(era)
 		return true
 	case era <= n.view.era:
 		return era == n.view.era
@@ -35,6 +36,9 @@
 	n.view.era, n.view.restoredAt = era, now
 	n.view.gaplessSince = now // the list is read often until all entries are back
 	n.fleet.NoteRestore(now)
+	n.crashGuard.SetEra(era)
+	n.tableClock = tableClock{}
+	wake(n.crashRecordNews)
 	event.TableRestored.Log(n.log, slog.Uint64("era", era), slog.Uint64("list_version", n.view.listRevision.Version()),
 		slog.Uint64("orders_version", n.view.ordersRevision.Version()), slog.Uint64("version", r.Version()))
 	return true
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,6 +77,7 @@
 	loops.Go(func() { n.followPeers(loopCtx) })
 	loops.Go(func() { n.followFlights(loopCtx) })
 	loops.Go(func() { n.followCrashes(loopCtx) })
+	loops.Go(func() { n.followCrashRecord(loopCtx) })
 	loops.Go(func() { n.followLeftAttempts(loopCtx) })
 	loops.Go(func() { n.followConfig(loopCtx) })
 	loops.Go(func() { n.followList(loopCtx) })
@@ -116,6 +117,8 @@
 	r := httprouter.New()
 	r.Handler(http.MethodGet, "/metrics", n.metrics.Handler())
 	r.Handler(http.MethodGet, explain.Path, newExplainHandler(n))
+	r.GET(CrashesPath, n.listHeldKeys)
+	r.DELETE(CrashesPath+"/:key", n.pardonKey)
 	return r
 }
 
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -89,6 +89,10 @@
 	// ones.
 	SaveSnapshot(ctx context.Context, data []byte) error
 	LoadSnapshot(ctx context.Context) ([]byte, error)
+	// LoadCrashes returns the row of the record of crashes. SaveCrashes replaces it if its
+	// revision is still the given one; ok is false if it is not.
+	LoadCrashes(ctx context.Context) (CrashRow, error)
+	SaveCrashes(ctx context.Context, data []byte, at revision.Revision) (ok bool, err error)
 	// Decode decodes a configuration, which is valid compact JSON. It reuses the parts of
 	// the earlier table whose input is unchanged; earlier may be nil.
 	Decode(config []byte, earlier *route.Table) (*route.Table, error)
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/hickorybank/hickorybank/internal/fleet"
 	"github.com/hickorybank/hickorybank/internal/revision"
 )
@@ -154,7 +156,13 @@
 	if (n.readsTable() || n.actsAsReader()) && n.view.ordersRevision > 0 && !n.sourceHealth.down {
 		wait = max(time.Until(n.view.listAsOf.Add(n.readerInterval())), 0)
 	}
+	starts := n.view.ordersRevision == 0
 	n.mu.Unlock()
+	var loading conc.WaitGroup
+	defer loading.Wait()
+	if starts {
+		loading.Go(func() { n.loadCrashRecord(ctx) })
+	}
 	read, clock := revision.Revision(0), time.Duration(0)
 	for {
 		began := time.Now()
@@ -166,6 +174,7 @@
 		if err != nil || !n.noteReadingEra(orders.Revision, time.Now()) {
 			return false
 		}
+		loading.Wait() // this node must not serve before it knows which requests crash upstreams
 		n.applyOrdersChange(ctx, orders, first, wait > 0)
 		if after == 0 {
 			n.noteOrdersReadWhole(began)
@@ -202,6 +211,9 @@
 	if err != nil || !n.noteReadingEra(change.Revision, time.Now()) {
 		return false
 	}
+	n.mu.Lock()
+	n.tableClock.observe(change.Clock, began, time.Now())
+	n.mu.Unlock()
 	var listed []fleet.Record
 	if change.Complete && after == 0 {
 		listed = n.loadSnapshot(ctx)
--- a/internal/gateway/wait_for_config_test.go
+++ b/internal/gateway/wait_for_config_test.go
@@ -34,6 +34,8 @@
 	return route.New(1, route.Limits{}, []*route.Route{r}, nil, nil), nil
 }
 
+func (oneRoute) LoadCrashes(context.Context) (CrashRow, error) { return CrashRow{}, nil }
+
 // newUnconfiguredNode returns a node without state, whose callers set a timeout.
 func newUnconfiguredNode(callersTime time.Duration) *Node {
 	return New(Settings{ID: "n1"}, Deps{
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -43,6 +43,8 @@
 	Piece(in transfer.Ask) transfer.Piece
 	// Crashes merges a peer's report of crashes and returns this node's.
 	Crashes(in crashguard.Report) crashguard.Report
+	// RecordCrashes is Crashes for a report that this node writes to the table as well.
+	RecordCrashes(in crashguard.Report) crashguard.Report
 	// GrantTrial reports whether a peer may make a trial of a key.
 	GrantTrial(in crashguard.TrialRequest) bool
 }
@@ -83,6 +85,12 @@
 	return nil
 }
 
+// RecordCrashes exchanges reports of crashes with a peer and records its own.
+func (h *handler) RecordCrashes(in crashguard.Report, out *crashguard.Report) error {
+	*out = h.exchanger.RecordCrashes(in)
+	return nil
+}
+
 // GrantTrial answers a peer that asks for a trial.
 func (h *handler) GrantTrial(in crashguard.TrialRequest, out *bool) error {
 	*out = h.exchanger.GrantTrial(in)
@@ -175,6 +183,12 @@
 	return call[crashguard.Report, crashguard.Report](c, addr, "Crashes", in, callTimeout)
 }
 
+// RecordCrashes sends a report of crashes to a peer that writes it to the table, and returns its
+// report. It fails if the peer does not respond within 700 ms.
+func (c *Client) RecordCrashes(addr string, in crashguard.Report) (crashguard.Report, error) {
+	return call[crashguard.Report, crashguard.Report](c, addr, "RecordCrashes", in, callTimeout)
+}
+
 // GrantTrial asks a peer for a trial of a key. It fails if the peer does not respond within 300 ms.
 func (c *Client) GrantTrial(addr string, in crashguard.TrialRequest) (bool, error) {
 	return call[crashguard.TrialRequest, bool](c, addr, "GrantTrial", in, trialTimeout)
--- a/internal/gossip/peer_test.go
+++ b/internal/gossip/peer_test.go
@@ -26,8 +26,9 @@
 
 func (echo) Piece(in transfer.Ask) transfer.Piece { return transfer.Piece{To: in.Known + 1} }
 
-func (echo) Crashes(in crashguard.Report) crashguard.Report { return in }
-func (echo) GrantTrial(crashguard.TrialRequest) bool        { return false }
+func (echo) Crashes(in crashguard.Report) crashguard.Report       { return in }
+func (echo) RecordCrashes(in crashguard.Report) crashguard.Report { return in }
+func (echo) GrantTrial(crashguard.TrialRequest) bool              { return false }
 
 // A peer responds, its connection breaks, and it is called again over a new one.
 func TestExchangeAfterConnectionBreaks(t *testing.T) {
