cli: hickorybank crashes lists what a node refuses for crashes, and pardons it

Cause: until now a restart of all nodes ended a wrong conviction. Since the evidence is recorded it does not, and operators need another way out.

The call of a node's metrics address is shared with `explain`. A pardon clears the crashes for all keys that they struck: otherwise the parts of the prompt, which sound requests share, would be convicted in place of the request.

Measured: crashguard TestPardonEndsAConviction, gateway TestOperatorsListAndPardonHeldKeys and the packages' other tests pass.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hickorybank/hickorybank/internal/cli/setting"
 	"github.com/hickorybank/hickorybank/internal/explain"
 )
@@ -90,36 +86,14 @@
 	return printExplanation(c.env.out, report)
 }
 
-// maxExplanation bounds the answer that is read, in bytes.
-const maxExplanation = 8 << 20
-
 // askNode asks the node at an address where the request would go.
 func askNode(address string, r *explain.Request, timeout time.Duration) (*explain.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: address, Path: explain.Path, RawQuery: r.Values().Encode()}
-	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "request to node")
-	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	defer transport.CloseIdleConnections()
-	resp, err := (&http.Client{Transport: transport}).Do(call)
-	if err != nil {
-		return nil, eris.Wrapf(err, "node %s gave no answer", address)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body := json.NewDecoder(io.LimitReader(resp.Body, maxExplanation))
-	if resp.StatusCode != http.StatusOK {
-		var answer struct{ Error string }
-		if body.Decode(&answer) != nil || answer.Error == "" {
-			answer.Error = "is this the address of its metrics?"
-		}
-		return nil, eris.Errorf("node %s answered %d: %s", address, resp.StatusCode, answer.Error)
-	}
 	report := &explain.Report{}
-	if err := body.Decode(report); err != nil {
-		return nil, eris.Wrapf(err, "answer of node %s", address)
+	target := url.URL{Scheme: "http", Host: address, Path: explain.Path, RawQuery: r.Values().Encode()}
+	if err := callNode(ctx, address, http.MethodGet, target, report); err != nil {
+		return nil, err
 	}
 	return report, nil
 }
--- a/internal/cli/parser.go
+++ b/internal/cli/parser.go
@@ -63,6 +63,7 @@
 		}},
 		{name: "capacity", short: "measure costs and work out the letter's size", long: capacityHelp, data: &capacityCommand{env: e}},
 		{name: "explain", short: "ask a gateway node where a request would go now, and why", long: explainHelp, data: &explainCommand{env: e}},
+		{name: "crashes", short: "list what a gateway node refuses because upstreams crashed under it, or pardon it", long: crashesHelp, data: &crashesCommand{env: e}},
 		{name: "version", short: "print the version", long: versionHelp, data: &versionCommand{env: e}},
 	}
 }
