node, suspect: evidence of crashes outlasts a loss of all entry nodes

What callers saw: at the other door, too, a chat or a message of chats that had crashed engines and was refused crashed more of them after all entry nodes had been stopped and started.

Cause: the same as at the gateway: suspects and the guard of messages were held in memory and exchanged among live nodes only.

Change: one row of the table holds the guard's record and the suspects, 128 at most, without doubts about nodes, which end with them. Nodes write it within some ms of a crash, the first 16 read it as they start, and no node admits requests before that, for a second at most. The plan that decides when a node writes moved to crashguard, and both doors use it.

Why it works: suspects and strikes only grow, so a node that has read the row refuses what the nodes before it refused, and its peers learn it as usual.

--- a/internal/crashguard/record.go
+++ b/internal/crashguard/record.go
@@ -53,15 +53,23 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Record{}, eris.Wrap(err, "record of crashes")
 	}
+	if err := r.Check(); err != nil {
+		return Record{}, err
+	}
+	return r, nil
+}
+
+// Check returns the first value of the record that is out of bounds; nil if there is none.
+func (r *Record) Check() error {
 	if len(r.Crashes) > maxCrashes || len(r.Keys) > maxKeys {
-		return Record{}, eris.Errorf("record of crashes: %d crashes and %d keys, at most %d and %d are allowed", len(r.Crashes), len(r.Keys), maxCrashes, maxKeys)
+		return eris.Errorf("record of crashes: %d crashes and %d keys, at most %d and %d are allowed", len(r.Crashes), len(r.Keys), maxCrashes, maxKeys)
 	}
 	for i := range r.Keys {
 		if trials := r.Keys[i].Trials; trials < 0 || trials > maxRecordedTrials {
-			return Record{}, eris.Errorf("record of crashes: trials of key %016x is %d, want 0 to %d", uint64(r.Keys[i].Key), trials, maxRecordedTrials)
+			return eris.Errorf("record of crashes: trials of key %016x is %d, want 0 to %d", uint64(r.Keys[i].Key), trials, maxRecordedTrials)
 		}
 	}
-	return r, nil
+	return nil
 }
 
 // maxRecordedTrials bounds the trials of a key in a record. A loss of upstreams in a trial starts
--- a/internal/event/load.go
+++ b/internal/event/load.go
@@ -15,4 +15,8 @@
 	SuspectRefused   = define(1622, slog.LevelWarn, "suspected request was refused")
 	SuspectUnknown   = define(1624, slog.LevelWarn, "request was refused: peers did not answer whether it crashes upstreams")
 	SuspectConvicted = define(1623, slog.LevelError, "request was found to crash upstreams")
+
+	CrashRecordRead    = define(1625, slog.LevelInfo, "record of crashes was read from the platform's table")
+	CrashRecordWritten = define(1626, slog.LevelInfo, "record of crashes was written to the platform's table")
+	CrashRecordFailed  = define(1627, slog.LevelWarn, "record of crashes in the platform's table can't be used or written yet")
 )
--- a/internal/gateway/crash_record.go
+++ b/internal/gateway/crash_record.go
@@ -47,7 +47,7 @@
 
 // crashRecord is what a node knows of its part in the record of crashes.
 type crashRecord struct {
-	recordPlan
+	crashguard.RecordPlan
 	// unreadable is the revision of the row that could not be decoded.
 	unreadable revision.Revision
 }
@@ -81,23 +81,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := &n.crashRecord
-	switch {
-	case !n.crashGuard.HasUnrecorded(now):
-		r.unrecordedSince, r.own = time.Time{}, false
-		if !r.unread {
-			return time.Time{}, false
-		}
-	case r.unrecordedSince.IsZero():
-		r.unrecordedSince = now
+	r.NoteEvidence(n.crashGuard.HasUnrecorded(now), now)
+	if r.UnrecordedSince.IsZero() && !r.Unread {
+		return time.Time{}, false
 	}
-	r.rank, r.unavailable = n.crashRecorderRank(), n.view.unavailable()
-	return r.due()
+	r.Rank, r.Unavailable = n.crashRecorderRank(), n.view.unavailable()
+	return r.Due()
 }
 
 // noteOwnEvidence records that this node has found out something about a crash, which others learn
 // of and the table holds soon. The caller holds mu.
 func (n *Node) noteOwnEvidence() {
-	n.crashRecord.own = true
+	n.crashRecord.Own = true
 	wake(n.crashRecordNews)
 	wake(n.crashNews)
 }
@@ -145,17 +140,10 @@
 // noteRecordTried records the result of an attempt to write to the record.
 func (n *Node) noteRecordTried(err error) {
 	n.mu.Lock()
-	r := &n.crashRecord
-	r.noteTry(time.Now())
-	switch {
-	case err == nil:
-		r.failures, r.unread = 0, false
-	case !errors.Is(err, errRecordContended):
-		r.failures++
-	}
-	failures := r.failures
+	contended := errors.Is(err, errRecordContended)
+	failures := n.crashRecord.NoteTry(time.Now(), err != nil && !contended)
 	n.mu.Unlock()
-	if !errors.Is(err, errRecordContended) {
+	if !contended {
 		n.sourceResult("crashes", err)
 	}
 	if err != nil {
@@ -210,10 +198,10 @@
 			return
 		}
 	}
+	n.noteRecordTried(err)
 	n.mu.Lock()
-	n.crashRecord.unread = true
+	n.crashRecord.Unread = true
 	n.mu.Unlock()
-	n.noteRecordTried(err)
 	wake(n.crashRecordNews)
 }
 
@@ -261,7 +249,7 @@
 func (n *Node) handOver() (gossip.Member, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.crashRecord.own || n.crashRecorderRank() < crashRecorders {
+	if !n.crashRecord.Own || n.crashRecorderRank() < crashguard.Recorders {
 		return gossip.Member{}, false
 	}
 	all := slices.Clone(n.roster.Alive())
@@ -271,8 +259,8 @@
 		}
 		return 1
 	})
-	n.crashRecord.own = false
-	return all[n.draws.IntN(crashRecorders)], true
+	n.crashRecord.Own = false
+	return all[n.draws.IntN(crashguard.Recorders)], true
 }
 
 // recorderHash orders the nodes that write to the record of crashes.
--- a/internal/gateway/crash_record_test.go
+++ b/internal/gateway/crash_record_test.go
@@ -108,7 +108,7 @@
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				is.Equal(len(n.crashGuard.Blocking(crashguard.Chain{key}, time.Now())) > 0, c.known)
-				is.Equal(n.crashRecord.unread, c.failures == recordLoadAttempts)
+				is.Equal(n.crashRecord.Unread, c.failures == recordLoadAttempts)
 			})
 		})
 	}
--- a/internal/node/chat.go
+++ b/internal/node/chat.go
@@ -108,6 +108,9 @@
 	if snapshot == nil || !fresh {
 		return nil, request.Refuse(request.CodeNotFresh, freshRetry, "this VM cannot tell whether its configuration is in force")
 	}
+	if !n.recorder.known.Load() {
+		return nil, request.Refuse(request.CodeNotFresh, freshRetry, "this VM does not know yet which requests crash upstreams")
+	}
 	if !n.ledger.Ready() {
 		return nil, request.Refuse(request.CodeLedger, retrySoon, "no bill can be made safe at present")
 	}
--- a/internal/node/crash_parts.go
+++ b/internal/node/crash_parts.go
@@ -103,6 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard.CountTrial(r.trial)
+	c.node.recorder.noteEvidence()
 	c.wake()
 }
 
@@ -114,6 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard.DeclineTrial(r.trial)
+	c.node.recorder.noteEvidence()
 }
 
 // crashed records that the upstream of a chat's attempt has crashed.
@@ -129,6 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.guard.Strike(id, chain, a.began, now, now) {
+		c.node.recorder.noteEvidence()
 		c.wake()
 	}
 }
--- /dev/null
+++ b/internal/node/crash_parts_record.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hickorybank/hickorybank/internal/crashguard"
+)
+
+// The guard's part of the record of crashes.
+
+func (c *crashParts) summary() crashguard.Summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.Summary(time.Now())
+}
+
+func (c *crashParts) hasUnrecorded(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.HasUnrecorded(now)
+}
+
+func (c *crashParts) mergeRecord(r crashguard.Record, atStart bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard.MergeRecord(r, wallClock, atStart, now) {
+		c.wake()
+	}
+}
+
+func (c *crashParts) draft(now time.Time) (*crashguard.Draft, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.Draft(wallClock, now)
+}
+
+func (c *crashParts) noteRecorded(d *crashguard.Draft) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.NoteRecorded(d)
+}
+
+func (c *crashParts) hasUnrecordedTrial(key crashguard.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.HasUnrecordedTrial(key)
+}
--- a/internal/node/crash_trial.go
+++ b/internal/node/crash_trial.go
@@ -17,20 +17,33 @@
 // beginTrial reports whether a chat is granted a trial of a blocked key. It is about to be sent
 // then.
 func (c *crashParts) beginTrial(r *chatRun, key crashguard.Key) bool {
-	granted := c.askTrial(key)
+	if !c.askTrial(key) {
+		c.denyTrial(key)
+		return false
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !granted {
-		c.guard.DenyTrial(key, time.Now())
+	record := c.guard.BeginTrial(key, time.Now())
+	c.mu.Unlock()
+	if record && (c.node.recorder.save(context.Background(), trialAskTimeout) != nil || c.hasUnrecordedTrial(key)) {
+		c.mu.Lock()
+		c.guard.DeclineTrial(key)
+		c.mu.Unlock()
+		c.denyTrial(key)
 		return false
 	}
 	r.trial = key
-	c.guard.BeginTrial(key, time.Now())
 	event.CrashTrial.Log(c.node.deps.Log, slog.String("request", r.id), slog.String("key", crashKeyText(key)))
 	c.wake()
 	return true
 }
 
+// denyTrial records that this node may make no trial of a key now.
+func (c *crashParts) denyTrial(key crashguard.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.DenyTrial(key, time.Now())
+}
+
 // askTrial asks the node that grants the trials of a key for one.
 func (c *crashParts) askTrial(key crashguard.Key) bool {
 	c.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	limits    *limits
 	suspects  *suspects
 	crashes   *crashParts
+	recorder  *crashRecord
 	raters    *raters
 	sealer    *seal.Sealer
 	sessions  *session.Signer
@@ -165,6 +166,7 @@
 	n.limits = newLimits(n)
 	n.suspects = newSuspects(n)
 	n.crashes = newCrashParts(n)
+	n.recorder = newCrashRecord(n)
 	n.raters = newRaters(n)
 	n.chooser = choice.New(choice.Settings{Node: n.settings.ID, Epoch: uint64(time.Now().UnixNano())})
 	n.members = membership.New(
@@ -252,6 +254,7 @@
 	n.duties.Go(func() { n.gate.expireQueued(ctx) })
 	n.duties.Go(func() { n.suspects.run(ctx) })
 	n.duties.Go(func() { n.crashes.run(ctx) })
+	n.duties.Go(func() { n.recorder.run(ctx) })
 	n.duties.Go(func() { n.limits.run(ctx) })
 	for range raterWorkers {
 		n.duties.Go(func() { n.raters.run(ctx) })
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -209,6 +209,28 @@
 	attempts := s.tracker.Crashed(suspect.CrashID{Upstream: vm, Epoch: epoch}, time.Now())
 	event.UpstreamCrashed.Log(s.node.deps.Log, slog.String("vm", vm), slog.Uint64("epoch", epoch), slog.Int("suspects", len(attempts)))
 	s.flush()
+	s.node.recorder.noteEvidence()
+}
+
+// records returns the suspects that have to outlast a loss of all nodes.
+func (s *suspects) records(limit int, now time.Time) []suspect.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Records(limit, now)
+}
+
+// restore merges suspects that the table holds.
+func (s *suspects) restore(rows []suspectRow, now time.Time) {
+	var records []suspect.Record
+	for i := range rows {
+		if r, ok := rows[i].record(now); ok {
+			records = append(records, r)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Restore(records, now)
+	s.flush()
 }
 
 func (s *suspects) run(ctx context.Context) {
