admin, node: operators list and pardon what is held for crashes at entry nodes

Cause: since the record, a restart of all entry nodes does not end a conviction there either.

Change: GET /admin/v1/crashes lists suspects and the guard's keys as the node knows them, POST /admin/v1/crashes/KEY/pardon clears the crashes of one at all nodes and in the table; `admin crashes` and `admin pardon KEY` call them.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -37,6 +37,7 @@
 	Upstreams UpstreamReader
 	Rollouts  RolloutReader
 	Holds     HoldManager
+	Crashes   CrashManager
 	// OnAccepted is called with each revision that this server has accepted; may be nil.
 	OnAccepted func(revision uint64)
 	Log        *slog.Logger
@@ -72,6 +73,7 @@
 	s.entityRoutes()
 	s.versionRoutes()
 	s.statusRoutes()
+	s.crashRoutes()
 	s.mux.NotFound = s.handlerFunc(func(in *request) (any, *Failure) {
 		return nil, notFound("there is no %s %s", in.r.Method, in.r.URL.Path)
 	})
--- a/internal/admin/status_test.go
+++ b/internal/admin/status_test.go
@@ -49,8 +49,19 @@
 	return true, f.err
 }
 
+func (f *fakeReaders) HeldCrashes(context.Context) ([]HeldCrash, error) {
+	return []HeldCrash{{Key: "5cf9", Of: "message", State: "convicted", Crashes: 5}}, f.err
+}
+
+func (f *fakeReaders) Pardon(_ context.Context, key string) (bool, error) {
+	if key == "x" {
+		return false, errors.New(`key is "x", want hexadecimal digits`)
+	}
+	return key == "5cf9", f.err
+}
+
 func (f *fakeReaders) attach(d *Deps) {
-	d.Confirmer, d.Bills, d.Nodes, d.Upstreams, d.Rollouts, d.Holds = f, f, f, f, f, f
+	d.Confirmer, d.Bills, d.Nodes, d.Upstreams, d.Rollouts, d.Holds, d.Crashes = f, f, f, f, f, f, f
 	d.Now = func() time.Time { return time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC) }
 }
 
@@ -66,6 +77,7 @@
 		{"/admin/v1/upstreams", `"upstreams": []`},
 		{"/admin/v1/rollouts", `"dues@3"`},
 		{"/admin/v1/holds", `"term": 2`},
+		{"/admin/v1/crashes", `"convicted"`},
 	}
 	for _, c := range cases {
 		is := is.New(t)
@@ -78,7 +90,7 @@
 func TestUnreadableStatusIsAnError(t *testing.T) {
 	d := newFixture(t, (&fakeReaders{err: errors.New("no peer answers")}).attach)
 	noReaders := newFixture(t)
-	for _, path := range []string{"configuration/status", "bills", "nodes", "upstreams", "rollouts", "holds"} {
+	for _, path := range []string{"configuration/status", "bills", "nodes", "upstreams", "rollouts", "holds", "crashes"} {
 		is := is.New(t)
 		is.True(d.call("GET", "/admin/v1/"+path, "").status >= 500)
 		is.Equal(noReaders.call("GET", "/admin/v1/"+path, "").status, http.StatusNotImplemented)
@@ -126,6 +138,16 @@
 	is.Equal(f.lifted, "dues@3")
 }
 
+// Fails if a pardon names no key, or an unknown one, and is reported as done.
+func TestPardonNamesAHeldKey(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(t, new(fakeReaders).attach)
+	is.Equal(d.call("POST", "/admin/v1/crashes/5cf9/pardon", "").status, http.StatusOK)
+	is.Equal(d.call("POST", "/admin/v1/crashes/5cf8/pardon", "").status, http.StatusNotFound)
+	is.Equal(d.call("POST", "/admin/v1/crashes/x/pardon", "").status, http.StatusBadRequest)
+	is.Equal(newFixture(t).call("POST", "/admin/v1/crashes/5cf9/pardon", "").status, http.StatusNotImplemented)
+}
+
 func TestKeysAreParsed(t *testing.T) {
 	is := is.New(t)
 	keys, err := ParseKeys([]string{config.HashKey("a"), "ben=" + config.HashKey("b")})
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -81,6 +81,10 @@
 
 Example:
   hickorybank admin lift dues@3 --term 1`
+	pardonHelp = `Clear the crashes that count against a request or a message, at all nodes.
+
+Example:
+  hickorybank admin pardon 5cf98777a2bf6535`
 )
 
 func adminCommands(e *env) []command {
@@ -96,6 +100,7 @@
 		{name: "rollout", short: "show or change roll-outs", long: rolloutHelp, data: &adminRolloutCommand{changeOptions: change}},
 		{name: "target", short: "set a quality target", long: targetHelp, data: &adminTargetCommand{changeOptions: change}},
 		{name: "lift", short: "lift a version's hold", long: liftHelp, data: &adminLiftCommand{adminOptions: options}},
+		{name: "pardon", short: "clear the crashes of a request or a message", long: pardonHelp, data: &adminPardonCommand{adminOptions: options}},
 	}...)
 }
 
@@ -114,6 +119,7 @@
 		{name: "bills", short: "list bills", long: billsHelp, data: &adminBillsCommand{adminOptions: o}},
 		listCommand("nodes", "list entry nodes as the asked one sees them", &adminNodesCommand{adminOptions: o}),
 		listCommand("upstreams", "list upstreams that the asked node knows", &adminUpstreamsCommand{adminOptions: o}),
+		listCommand("crashes", "list requests and messages that are held because upstreams crashed under them", &adminCrashesCommand{adminOptions: o}),
 		listCommand("holds", "list versions that are or were held because they turned bad", &adminHoldsCommand{adminOptions: o}),
 	}
 }
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -65,6 +65,12 @@
 	return term == 1, nil
 }
 
+func (o *fakeReaders) HeldCrashes(context.Context) ([]admin.HeldCrash, error) {
+	return []admin.HeldCrash{{Key: "5cf9", Of: "message", State: "convicted", Crashes: 5, Trials: 1}}, nil
+}
+
+func (o *fakeReaders) Pardon(_ context.Context, key string) (bool, error) { return key == "5cf9", nil }
+
 // startAdmin serves the API with the tarifas example and sets the variables that the commands use to
 // reach it.
 func startAdmin(t *testing.T, wrap func(http.Handler) http.Handler) *admin.Store {
@@ -80,7 +86,7 @@
 	o := new(fakeReaders)
 	server := httptest.NewServer(wrap(admin.NewServer(admin.Deps{
 		Store: store, Keys: keys, Log: slog.New(slog.DiscardHandler),
-		Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o,
+		Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o, Crashes: o,
 	})))
 	t.Cleanup(server.Close)
 	t.Setenv("HICKORYBANK_ADMIN", server.URL)
@@ -110,8 +116,10 @@
 		{"nodes", "e1    127.0.0.1:1  -     manga           live   4"},
 		{"upstreams", "dues@1,dues@2"},
 		{"rollout", "dues@3   canary  0.05   e1"},
+		{"crashes", "5cf9  message  convicted  5        0        1"},
 		{"holds", "dues@3   1     false   ratings  -      e2"},
 		{"lift dues@3 --term 1", "lifted hold 1 of dues@3"},
+		{"pardon 5cf9", "pardoned 5cf9"},
 	}
 	for _, c := range cases {
 		t.Run(c.command, func(t *testing.T) {
@@ -122,7 +130,7 @@
 			}
 			is.Equal(got.code, 0)
 			is.True(strings.Contains(got.out, c.part)) // the output has the row
-			if strings.HasPrefix(c.command, "lift") {
+			if strings.HasPrefix(c.command, "lift") || strings.HasPrefix(c.command, "pardon") {
 				return
 			}
 			got = runCommand(append([]string{"admin"}, strings.Fields(c.command+" --json")...)...)
@@ -155,6 +163,7 @@
 		{"put models/dues/versions dues@4 " + version, 0, "+ models[dues].versions[dues@4]"},
 		{"delete models/dues/versions dues@4", 0, "- models[dues].versions[dues@4]"},
 		{"lift dues@3 --term 2", 1, "no hold of term 2"},
+		{"pardon 5cf8", 1, "nothing counts against key"},
 	}
 	for _, s := range steps {
 		got := runCommand(append([]string{"admin"}, strings.Fields(s.args)...)...)
--- a/internal/node/crash_parts_record.go
+++ b/internal/node/crash_parts_record.go
@@ -14,6 +14,23 @@
 	return c.guard.Summary(time.Now())
 }
 
+func (c *crashParts) held(now time.Time) []crashguard.HeldKey {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.Held(now)
+}
+
+func (c *crashParts) pardon(key crashguard.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.guard.Pardon(key, time.Now()) {
+		return false
+	}
+	c.node.recorder.noteEvidence()
+	c.wake()
+	return true
+}
+
 func (c *crashParts) hasUnrecorded(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/crash_record_test.go
+++ b/internal/node/crash_record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +80,25 @@
 			after := f.crashCount() - crashes
 			t.Logf("%d crashes before all nodes were lost, %d after", crashes, after)
 			is.True(after <= c.trials)
+			for _, e := range f.engines {
+				is.NoErr(e.ChangeFaults(func(faults *engine.Faults) error { faults.CrashMarker = ""; return nil }))
+			}
+			o := &operators{node: f.nodes[0]}
+			held, err := o.HeldCrashes(t.Context())
+			is.NoErr(err)
+			is.True(len(held) > 0)
+			for _, h := range held {
+				_, err := o.Pardon(t.Context(), h.Key)
+				is.NoErr(err)
+			}
+			f.await("pardoned chat is served at all nodes", func() bool {
+				for range size.nodes {
+					if !strings.Contains(send(), "choices") {
+						return false
+					}
+				}
+				return true
+			})
 			sound, err := f.post(f.nodes[0], callerRequest{path: "/v1/chat/completions", key: "sound", body: chatOf("first", "sound")})
 			is.NoErr(err)
 			is.Equal(sound.status, http.StatusOK)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -52,7 +52,7 @@
 	o := &operators{node: n}
 	mux := http.NewServeMux()
 	mux.Handle("/admin/", admin.NewServer(admin.Deps{
-		Store: n.store, Keys: n.operatorKeys, Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o,
+		Store: n.store, Keys: n.operatorKeys, Confirmer: o, Bills: o, Nodes: o, Upstreams: o, Rollouts: o, Holds: o, Crashes: o,
 		OnAccepted: func(uint64) { n.sync.RequestRead() }, Log: n.deps.Log,
 	}))
 	mux.Handle("/metrics", n.metrics.Handler())
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -219,6 +219,18 @@
 	return s.tracker.Records(limit, now)
 }
 
+// pardon clears the crashes that count against a request; it reports whether any did.
+func (s *suspects) pardon(f request.Fingerprint) bool {
+	s.mu.Lock()
+	pardoned := s.tracker.Pardon(f, time.Now())
+	s.flush()
+	s.mu.Unlock()
+	if pardoned {
+		s.node.recorder.noteEvidence()
+	}
+	return pardoned
+}
+
 // restore merges suspects that the table holds.
 func (s *suspects) restore(rows []suspectRow, now time.Time) {
 	var records []suspect.Record
--- a/internal/suspect/outlast.go
+++ b/internal/suspect/outlast.go
@@ -5,6 +5,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/hickorybank/hickorybank/internal/request"
 )
 
 // Records returns what has to outlast a loss of all nodes: at most limit records, those with the most
@@ -14,18 +16,18 @@
 	var list []Record
 	for _, r := range t.store.records(t.now) {
 		r.Crashes, r.Cleared = withoutDoubts(r.Crashes), withoutDoubts(r.Cleared)
-		if r.counted() > 0 {
+		if r.Counted() > 0 {
 			list = append(list, r)
 		}
 	}
 	slices.SortFunc(list, func(a, b Record) int {
-		return cmp.Or(-cmp.Compare(a.counted(), b.counted()), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		return cmp.Or(-cmp.Compare(a.Counted(), b.Counted()), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	return list[:min(len(list), limit)]
 }
 
-// counted returns the number of crashes that the request is not cleared of.
-func (r *Record) counted() (count int) {
+// Counted returns the number of crashes that the request is not cleared of.
+func (r *Record) Counted() (count int) {
 	for _, c := range r.Crashes {
 		if !contains(r.Cleared, c) {
 			count++
@@ -43,6 +45,18 @@
 	return kept
 }
 
+// Pardon clears the request of its crashes, as if it had completed. It reports whether any counted.
+func (t *Tracker) Pardon(f request.Fingerprint, now time.Time) bool {
+	t.setTime(now)
+	e := t.store.get(f)
+	if !e.suspect() {
+		return false
+	}
+	t.learn(Record{Fingerprint: f, Cleared: e.crashes, Left: e.expiresAt - t.now}, "")
+	t.advance()
+	return true
+}
+
 // Restore merges records that outlasted the nodes which made them. Those that are not valid have no
 // effect.
 func (t *Tracker) Restore(records []Record, now time.Time) {
