canary: a trial that all nodes have lost is widened by the rate of its own counts

What callers saw: after a loss of all nodes in the second half of a roll-out, sessions moved to the new version and, some seconds later, back to the old one.

Cause: the counts of a trial are lost with all processes, but the rate of requests was taken over the time since the order. One request in 15 s let 40 % of the sessions take part at the first evaluation, five times what the bound on the version's requests bears; when the bound was reached, sessions were turned back.

Change: a node knows since when it counts. Unless counts of a node that ran at the order are known, the rate covers that time only, the trial is widened 1.5 s after it at the earliest, and the bound leaves out what the lost trial may have used.

--- a/internal/canary/attempt.go
+++ b/internal/canary/attempt.go
@@ -52,6 +52,7 @@
 	if r.verdict != Open {
 		return &a
 	}
+	r.observe(now)
 	if first {
 		r.own.Requests++
 	}
--- a/internal/canary/evaluate.go
+++ b/internal/canary/evaluate.go
@@ -55,6 +55,7 @@
 	var out []Decision
 	for _, r := range c.rollouts {
 		d := Decision{Order: r.order}
+		r.observe(now)
 		r.plain = view.Plain != nil && view.Plain(r.order.Service)
 		if r.verdict == Open && view.Versions != nil {
 			r.noteVersions(view.Versions(r.order.Service), now)
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -12,10 +12,12 @@
 	// former are the order's earlier revisions.
 	former  []revision.Revision
 	started time.Time
-	own     Tally
-	counts  map[string]*RouteCount
-	peers   map[runKey]Tally
-	tests   map[string]*routeEvidence
+	// observedSince is since when this node counts requests.
+	observedSince time.Time
+	own           Tally
+	counts        map[string]*RouteCount
+	peers         map[runKey]Tally
+	tests         map[string]*routeEvidence
 	// running are this node's unfinished attempts on the new version. cut are the grades that
 	// those ended early had reached, by route.
 	running map[*Attempt]struct{}
@@ -150,8 +152,12 @@
 	if r.widenedShare > 0 || !r.shiftedAt.IsZero() || now.Sub(r.started) < time.Duration(widenPart*float64(r.order.Limit)) {
 		return false
 	}
-	elapsed := (now.Sub(r.started) - trialDelay).Seconds()
-	duration := (r.order.Limit - trialDelay).Seconds()
+	began := later(r.started.Add(trialDelay), r.countedSince())
+	if r.lostTime() > 0 && now.Sub(began) < minRateTime {
+		return false // the rate of requests is not known yet
+	}
+	elapsed := now.Sub(began).Seconds()
+	duration := r.started.Add(r.order.Limit).Sub(began).Seconds()
 	few := float64(answers)*duration < minAnswers*elapsed
 	return few || asQuick >= 0 && asQuick < quickThreshold || r.isAnyRouteUnclear()
 }
@@ -177,7 +183,9 @@
 		attempts += float64(t.Attempts)
 	}
 	attemptRate := r.rate(now) * max(attempts/max(requests, 1), 1)
-	free := r.trialBound(s, now) - exposed
+	// Requests of which the counts are lost leave room for sessions that send more than others.
+	lost := (1 - capPart) * s.ShareBound * r.rate(now) * r.lostTime().Seconds()
+	free := r.trialBound(s, now) - exposed - lost
 	until := r.deadline(s).Sub(now).Seconds()
 	return max(share, min(widenedPart*free/(attemptRate*until), maxWidenedShare))
 }
@@ -190,16 +198,58 @@
 	return shiftPart*r.bound(s, rate) - afterShift
 }
 
-// rate returns the service's requests a second since the order.
+// minRateTime is how long requests are counted before their rate is known, where earlier counts are
+// lost.
+const minRateTime = 1500 * time.Millisecond
+
+// minLostTime is how much later than the order counts begin if those from before are lost.
+const minLostTime = time.Second
+
+// observe records that this node counts requests.
+func (r *rollout) observe(now time.Time) {
+	if r.observedSince.IsZero() {
+		r.observedSince = now
+	}
+}
+
+// countedSince returns since when the known counts cover the service's requests: since the order,
+// unless all nodes that were running then are lost.
+func (r *rollout) countedSince() time.Time {
+	if r.observedSince.Sub(r.started) < minLostTime {
+		return r.started
+	}
+	for run := range r.peers {
+		if time.Unix(0, run.born).Before(r.started) {
+			return r.started
+		}
+	}
+	return r.observedSince
+}
+
+// lostTime returns the time since the order of which the counts are lost.
+func (r *rollout) lostTime() time.Duration { return r.countedSince().Sub(r.started) }
+
+// rate returns the service's requests a second since the order, as far as they are counted.
 func (r *rollout) rate(now time.Time) float64 {
 	requests, _ := r.exposure()
-	return max(requests, 1) / max(now.Sub(r.started).Seconds(), 0.1)
+	return max(requests, 1) / max(now.Sub(r.countedSince()).Seconds(), 0.1)
 }
 
-// bound returns how many requests the version may get until the time limit at a rate of
-// requests a second.
+// bound returns how many requests the version may get until the time limit at a rate of requests
+// a second, less those that a trial may have used of which the counts are lost.
 func (r *rollout) bound(s Settings, rate float64) float64 {
-	return s.ShareBound*rate*r.order.Limit.Seconds() + s.Slack
+	bound := s.ShareBound*rate*r.order.Limit.Seconds() + s.Slack
+	if lost := r.lostTime(); lost > 0 {
+		bound -= s.ShareBound*capPart*rate*lost.Seconds() + slackPart*s.Slack
+	}
+	return bound
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // sessionsFixed reports whether no session may change its version yet.
--- a/internal/gateway/crash_record_test.go
+++ b/internal/gateway/crash_record_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 // crashTable is a table with a route and a record of crashes.
 type crashTable struct {
 	oneRoute
+	mu  sync.Mutex
 	row CrashRow
 	// delay is how long a reading of the record takes, failures how many fail next.
 	delay    time.Duration
@@ -37,17 +39,23 @@
 }
 
 func (s *crashTable) LoadCrashes(ctx context.Context) (CrashRow, error) {
+	s.mu.Lock()
 	s.reads++
+	s.mu.Unlock()
 	if s.failures.Add(-1) >= 0 {
 		return CrashRow{}, errAway
 	}
 	if !pause(ctx, s.delay) {
 		return CrashRow{}, ctx.Err()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.row, nil
 }
 
 func (s *crashTable) SaveCrashes(_ context.Context, data []byte, at revision.Revision) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.attempts++
 	if s.conflicts--; s.conflicts >= 0 || at != s.row.Revision {
 		return false, nil
@@ -127,13 +135,15 @@
 		go func() { n.followCrashRecord(ctx); close(done) }()
 		strikeThrice(n, 7)
 		time.Sleep(time.Minute)
+		s.mu.Lock()
 		is.True(len(s.row.Data) > 0)
-		reads, attempts := s.reads, s.attempts
-		is.Equal(attempts, 2*maxRecordAttempts+1)
+		is.Equal(s.attempts, 2*maxRecordAttempts+1)
+		reads := s.reads
+		s.mu.Unlock()
 		time.Sleep(time.Minute)
-		is.Equal(s.reads, reads) // what is recorded causes no calls
 		stop()
 		<-done
+		is.Equal(s.reads, reads) // what is recorded causes no calls
 	})
 }
 
