gateway, node: the record of crashes is read once at a start, and its loops end with the node

Cause, found by reading the change: a node on an empty table read the record with each reading of the orders; a wait for another write of the same node counted as a failed call; a node that stops could call the table without a pause.

Change: the record is read once, a wait that made no call is no failure, and the loops end with their context.

Measured: gateway and node tests pass; GOARCH=arm64 builds, and vet of the changed packages passes.

--- a/internal/gateway/crash_record.go
+++ b/internal/gateway/crash_record.go
@@ -48,13 +48,15 @@
 // crashRecord is what a node knows of its part in the record of crashes.
 type crashRecord struct {
 	crashguard.RecordPlan
+	// loaded is set once the node has read the record as it started.
+	loaded bool
 	// unreadable is the revision of the row that could not be decoded.
 	unreadable revision.Revision
 }
 
 // followCrashRecord writes evidence of crashes to the table.
 func (n *Node) followCrashRecord(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		due, ok := n.crashRecordDue(time.Now())
 		wait := time.Until(due)
 		if ok && wait <= 0 {
@@ -105,7 +107,7 @@
 	case n.recordingCrashes <- struct{}{}:
 		defer func() { <-n.recordingCrashes }()
 	case <-ctx.Done():
-		return ctx.Err()
+		return ctx.Err() // no call was made
 	}
 	defer func() { n.noteRecordTried(err) }()
 	for range maxRecordAttempts {
@@ -139,6 +141,9 @@
 
 // noteRecordTried records the result of an attempt to write to the record.
 func (n *Node) noteRecordTried(err error) {
+	if errors.Is(err, context.Canceled) {
+		return // the node stops
+	}
 	n.mu.Lock()
 	contended := errors.Is(err, errRecordContended)
 	failures := n.crashRecord.NoteTry(time.Now(), err != nil && !contended)
@@ -216,6 +221,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.mergeCrashRow(row, began, true)
+	n.crashRecord.loaded = true
 	return nil
 }
 
--- a/internal/gateway/table_reader.go
+++ b/internal/gateway/table_reader.go
@@ -156,7 +156,7 @@
 	if (n.readsTable() || n.actsAsReader()) && n.view.ordersRevision > 0 && !n.sourceHealth.down {
 		wait = max(time.Until(n.view.listAsOf.Add(n.readerInterval())), 0)
 	}
-	starts := n.view.ordersRevision == 0
+	starts := n.view.ordersRevision == 0 && !n.crashRecord.loaded
 	n.mu.Unlock()
 	var loading conc.WaitGroup
 	defer loading.Wait()
--- a/internal/node/crash_record.go
+++ b/internal/node/crash_record.go
@@ -72,7 +72,7 @@
 // run reads the record and keeps it up to date until ctx ends.
 func (r *crashRecord) run(ctx context.Context) {
 	r.load(ctx)
-	for {
+	for ctx.Err() == nil {
 		due, ok := r.due(time.Now())
 		wait := time.Until(due)
 		if ok && wait <= 0 {
