gateway: an entry that lacks its upstream's known start is unreadable

What callers saw: an upstream that drains got requests again, cut by its exit, after another program had overwritten its entry without the field born.

Cause: born decoded as 0, which made the record one of another incarnation. The list dropped the running one, and with it that it drains.

Change: an entry without born of an upstream that is known to state it is unreadable, as any entry with a missing field.

--- a/internal/gateway/fleet_changes.go
+++ b/internal/gateway/fleet_changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
@@ -22,8 +23,9 @@
 		return // a later reading, by this node or a peer, is applied already
 	}
 	n.setListRevision(c.Revision)
-	n.putUpstreams(c.Put, now)
-	n.dropUnreadable(c.Unreadable)
+	put, unborn := n.splitUnborn(c.Put)
+	n.putUpstreams(put, now)
+	n.dropUnreadable(slices.Concat(c.Unreadable, unborn))
 	drop := c.Drop
 	if c.Complete {
 		drop = append(drop, n.unlisted(c.Put)...)
@@ -31,6 +33,24 @@
 	n.dropUpstreams(drop, at, mayHaveLapsed)
 }
 
+// errUnborn reports an entry without the start of an upstream that has stated it before.
+var errUnborn = errors.New("born is missing, the upstream's entry has stated it before")
+
+// splitUnborn returns the records that can be used, and as unreadable those that lack the start of an
+// upstream that is known to state it: another program has overwritten its entry. As a record of
+// another incarnation it would end what is known of the running one, as that it leaves. The
+// caller holds mu.
+func (n *Node) splitUnborn(records []fleet.Record) (usable []fleet.Record, unborn []UnreadableRow) {
+	for _, r := range records {
+		if known := n.fleet.Get(r.ID); r.Born == 0 && known != nil && known.Born != 0 {
+			unborn = append(unborn, UnreadableRow{Key: r.ID, Err: errUnborn})
+			continue
+		}
+		usable = append(usable, r)
+	}
+	return usable, unborn
+}
+
 // setListRevision sets the table's revision of the changes of the list that follow; the caller
 // holds mu.
 func (n *Node) setListRevision(r revision.Revision) {
