--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -27,8 +27,8 @@
 	trialAt time.Time
 	// inTrial is set while it is not known here whether the last trial ran.
 	inTrial bool
-	// persistent is set if the last trial is recorded in the table before it is sent.
-	persistent bool
+	// recordsTrial is set if the last trial is recorded in the table before it is sent.
+	recordsTrial bool
 	// answered is set if the record of a key states that its requests were answered.
 	answered bool
 	// recorded is the part of this entry that the table holds.
--- a/internal/crashguard/held.go
+++ b/internal/crashguard/held.go
@@ -13,7 +13,7 @@
 	Key string `json:"key"`
 	// Part is set for a part of prompts that requests share; otherwise it is one request.
 	Part bool `json:"part"`
-	// Convicted is set if requests are refused but for a few trials, otherwise they run one at a
+	// Convicted is set if requests are refused except for a few trials; otherwise they run one at a
 	// time.
 	Convicted bool `json:"convicted"`
 	// Strikes are the crashes that count, Moments the separate moments of them, Late those over 3 s
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -95,8 +95,8 @@
 	if e == nil {
 		return false
 	}
-	e.trialAt, e.inTrial, e.persistent = now, true, g.IsConvicted(key)
-	return e.persistent
+	e.trialAt, e.inTrial, e.recordsTrial = now, true, g.IsConvicted(key)
+	return e.recordsTrial
 }
 
 // CountTrial records that a request that was let through may have run.
--- a/internal/crashguard/trial_grant.go
+++ b/internal/crashguard/trial_grant.go
@@ -29,7 +29,7 @@
 		if at, ok := g.nextTrial(e); !ok || now.Before(at) {
 			return false
 		}
-		e.trialAt, e.inTrial, e.persistent = now, true, false // the asking node records it
+		e.trialAt, e.inTrial, e.recordsTrial = now, true, false // the asking node records it
 	} else if granted && now.Sub(last) < trialTimeout {
 		return false
 	}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hickorybank/hickorybank/internal/admission"
+	"github.com/hickorybank/hickorybank/internal/config"
 	"github.com/hickorybank/hickorybank/internal/membership"
 )
 
@@ -159,3 +160,14 @@
 	}
 	return all, inDomain
 }
+
+// rateLimits returns the limits of all organisations that have one.
+func rateLimits(s *config.Snapshot) []admission.Limit {
+	var limits []admission.Limit
+	for _, o := range s.Doc.Organisations {
+		if o.RatePerSecond > 0 {
+			limits = append(limits, admission.Limit{Org: o.Name, PerSecond: o.RatePerSecond})
+		}
+	}
+	return limits
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hickorybank/hickorybank/internal/admin"
-	"github.com/hickorybank/hickorybank/internal/admission"
 	"github.com/hickorybank/hickorybank/internal/api"
 	"github.com/hickorybank/hickorybank/internal/choice"
 	"github.com/hickorybank/hickorybank/internal/choice/share"
@@ -289,13 +288,3 @@
 	n.gate.setSnapshot(s, limits)
 	n.limits.setLimits(limits)
 }
-
-func rateLimits(s *config.Snapshot) []admission.Limit {
-	var limits []admission.Limit
-	for _, o := range s.Doc.Organisations {
-		if o.RatePerSecond > 0 {
-			limits = append(limits, admission.Limit{Org: o.Name, PerSecond: o.RatePerSecond})
-		}
-	}
-	return limits
-}
