Revert "gateway: a node's part of the retry slack grows from its start on"

Cause: platform TestUnsentAttemptsDoNotSpendRetryBudget fails with it: a node that has just started keeps answers of low confidence in place of asking a larger model, for the ten seconds in which its part of the slack grows.

--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -21,7 +21,6 @@
 func newExplainNode(now time.Time) *Node {
 	n := newGroupNode(true)
 	n.settings.RetrySlack, n.settings.RetryRatio, n.settings.RetryWindow = 52, 0.9, 10*time.Second
-	n.startedAt = time.Now().Add(-time.Minute) // its part of the slack has grown
 	n.view.listRevision, n.view.listAsOf = 1, now.Add(-time.Second)
 	for i := range 5 {
 		version := fmt.Sprintf("v%d", 1+i/3)
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -24,21 +24,10 @@
 }
 
 // retrySlack returns this node's part of the slack; the caller holds mu.
-//
-// The part grows from the node's start on, over a window: the nodes that ran before may all have been
-// lost with what they had spent, and a node does not know yet among how many the slack is divided.
-// The first further attempts are allowed, as far as the whole part allows them.
 func (n *Node) retrySlack() float64 {
-	part := n.settings.RetrySlack * retryBudgetFraction / float64(max(len(n.roster.Alive()), 1))
-	if grown := float64(time.Since(n.startedAt)) / float64(max(n.settings.RetryWindow, 1)); grown < 1 {
-		return min(part, max(part*grown, firstRetries))
-	}
-	return part
+	return n.settings.RetrySlack * retryBudgetFraction / float64(max(len(n.roster.Alive()), 1))
 }
 
-// firstRetries is the number of further attempts for each service that need no requests before them.
-const firstRetries = 2
-
 // retryBudgetFraction is the fraction of the retry bound that is used. Requests near a
 // window's edge may count in different windows at their node and at upstreams, and a
 // restarted node does not know what it spent before.
