crashguard: a running node takes no times from the record; older convictions survive a start

Cause: (1) A running node learned crashes of others with times by its estimate of the table's clock. Peers keep the earliest time of a crash, so an error spreads, and crashes of one loss come apart, which convicts what ran in it. (2) Crashes of more than ten minutes ago were dropped before what was just merged was judged: a node that starts forgot older convictions, of its peers too.

Change: (1) A running node learns from the record what bears on crashes that it knows, and writes a record that combines both. (2) Judge before dropping.

Measured: TestRunningNodeTakesNoTimesFromTheRecord, TestStartedNodeKeepsOlderConvictionsOfItsPeers; TestEvidenceOutlastsLossOfAllProcesses after an hour fails without (2). crashguard, gateway and node pass, and platform TestConvictionOutlastsLossOfAllProcesses with 0 or 1 late in six shapes, and TestSoundPartsAreServedAfterLossesOfEngines.

--- a/internal/crashguard/draft.go
+++ b/internal/crashguard/draft.go
@@ -14,9 +14,9 @@
 	states map[Key]recordedState
 }
 
-// Draft returns the record that the table should hold: the evidence that matters most. ok is false
-// if the table is known to hold it.
-func (g *Guard) Draft(clock TableClock, now time.Time) (d *Draft, ok bool) {
+// Draft returns the record that the table should hold beside what it holds: the evidence that matters
+// most. ok is false if the table is known to hold it.
+func (g *Guard) Draft(held Record, clock TableClock, now time.Time) (d *Draft, ok bool) {
 	g.bound(now)
 	g.judge(now)
 	selected := g.toRecord()
@@ -37,8 +37,13 @@
 	for key, e := range g.keys {
 		d.states[key] = g.stateOf(e)
 	}
+	both := New()
+	both.mergeRecord(held, clock, combined, now)
+	both.mergeRecord(g.record(selected, clock), clock, combined, now)
+	both.judge(now)
+	selected = both.toRecord()
 	for count := len(selected); ; count = count * 3 / 4 {
-		d.Record = g.record(selected[:count], clock)
+		d.Record = both.record(selected[:count], clock)
 		data, err := json.Marshal(d.Record)
 		if err != nil {
 			panic(err) // its types always encode
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -209,10 +209,15 @@
 
 // bound drops expired crashes, and beyond maxKeys the keys that matter least.
 func (g *Guard) bound(now time.Time) {
+	judged := false
 	for slot, c := range g.crashes {
 		if c.at.IsZero() || now.Sub(c.at) <= strikeTTL {
 			continue
 		}
+		if !judged {
+			g.judge(now) // what was just merged may convict keys, whose crashes are kept for longer
+			judged = true
+		}
 		if now.Sub(c.at) > convictionTTL || !g.strikesConvicted(slot) {
 			g.forget(slot)
 		}
--- a/internal/crashguard/loss_world_test.go
+++ b/internal/crashguard/loss_world_test.go
@@ -56,19 +56,20 @@
 	}
 }
 
-func (w *world) load(node int, atStart bool) {
+func (w *world) load(node int, starts bool) (r Record) {
 	if w.table.missing {
-		return
+		return r
 	}
 	w.table.reads++
 	if w.table.data == nil {
-		return
+		return r
 	}
 	r, err := DecodeRecord(w.table.data)
 	if err != nil {
 		panic(err) // nobody else writes it
 	}
-	w.guards[node].MergeRecord(r, w.tableClock(), atStart, w.time())
+	w.guards[node].MergeRecord(r, w.tableClock(), starts, w.time())
+	return r
 }
 
 // save lets a node write what the table lacks.
@@ -76,8 +77,8 @@
 	if w.table.missing {
 		return
 	}
-	w.load(node, false)
-	if d, ok := w.guards[node].Draft(w.tableClock(), w.time()); ok {
+	held := w.load(node, false)
+	if d, ok := w.guards[node].Draft(held, w.tableClock(), w.time()); ok {
 		w.table.writes++
 		w.table.data = d.Data
 		w.guards[node].NoteRecorded(d)
--- a/internal/crashguard/record_test.go
+++ b/internal/crashguard/record_test.go
@@ -13,6 +13,8 @@
 type recordEnv struct {
 	now   time.Time
 	clock TableClock
+	// data is the row of the table.
+	data []byte
 }
 
 func newRecordEnv() *recordEnv {
@@ -31,11 +33,13 @@
 // write returns the record that a guard writes, and notes that it is written.
 func (e *recordEnv) write(t *testing.T, g *Guard) []byte {
 	t.Helper()
-	d, ok := g.Draft(e.clock, e.now)
+	held, _ := DecodeRecord(e.data) // the first time there is none
+	d, ok := g.Draft(held, e.clock, e.now)
 	if !ok {
 		t.Fatal("there is nothing to record")
 	}
 	g.NoteRecorded(d)
+	e.data = d.Data
 	return d.Data
 }
 
@@ -63,42 +67,50 @@
 		want State
 		// trials are those that count after the start.
 		trials int
+		// down is how long no process runs; a minute if 0.
+		down time.Duration
 	}{
-		{"convicted", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Second) }, Convicted, 0},
-		{"quarantined", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Millisecond) }, Quarantined, 0},
-		{"two crashes", func(e *recordEnv, g *Guard) { e.strike(g, chain, 2, time.Second) }, Cleared, 0},
+		{"convicted an hour ago", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Second) }, Convicted, 0, time.Hour},
+		{"convicted a day ago", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Second) }, Cleared, 0, convictionTTL + time.Minute},
+		{"quarantined an hour ago", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Millisecond) }, Cleared, 0, time.Hour},
+		{"convicted", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Second) }, Convicted, 0, 0},
+		{"quarantined", func(e *recordEnv, g *Guard) { e.strike(g, chain, 3, time.Millisecond) }, Quarantined, 0, 0},
+		{"two crashes", func(e *recordEnv, g *Guard) { e.strike(g, chain, 2, time.Second) }, Cleared, 0, 0},
 		{"a trial has run", func(e *recordEnv, g *Guard) {
 			e.strike(g, chain, 3, time.Second)
 			g.Convicted(chain, e.now)
 			g.BeginTrial(key, e.now)
 			g.CountTrial(key)
-		}, Convicted, 1},
+		}, Convicted, 1, 0},
 		{"a trial is running", func(e *recordEnv, g *Guard) {
 			e.strike(g, chain, 3, time.Second)
 			g.Convicted(chain, e.now)
 			g.BeginTrial(key, e.now)
-		}, Convicted, 1},
+		}, Convicted, 1, 0},
 		{"a trial was declined", func(e *recordEnv, g *Guard) {
 			e.strike(g, chain, 3, time.Second)
 			g.Convicted(chain, e.now)
 			g.BeginTrial(key, e.now)
 			g.DeclineTrial(key)
-		}, Convicted, 0},
+		}, Convicted, 0, 0},
 		{"answered after the crashes", func(e *recordEnv, g *Guard) {
 			e.strike(g, chain, 3, time.Second)
 			g.Answered(chain, e.now, e.now)
 			e.strike(g, chain, 1, time.Second)
-		}, Cleared, 0},
+		}, Cleared, 0, 0},
 		{"answered shortly before three crashes", func(e *recordEnv, g *Guard) {
 			g.Answered(chain, e.now, e.now)
 			e.strike(g, Chain{RequestKey("o", "/other", nil), key}, 2, 2*time.Second)
-		}, Cleared, 0},
+		}, Cleared, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			e, g := newRecordEnv(), New()
 			c.play(e, g)
-			g = e.startedWith(t, e.write(t, g), time.Minute)
+			if c.down == 0 {
+				c.down = time.Minute
+			}
+			g = e.startedWith(t, e.write(t, g), c.down)
 			state := Cleared
 			if keys := g.Blocking(chain, e.now); len(keys) > 0 {
 				state = Quarantined
@@ -120,7 +132,7 @@
 	is := is.New(t)
 	e, g, peer := newRecordEnv(), New(), New()
 	chain := Chain{PartKey("part"), RequestKey("o", "/", nil)}
-	lacks := func(g *Guard) bool { _, ok := g.Draft(e.clock, e.now); return ok }
+	lacks := func(g *Guard) bool { _, ok := g.Draft(Record{}, e.clock, e.now); return ok }
 	is.True(!lacks(g)) // it knows of no crash
 	e.strike(g, chain, 2, time.Second)
 	is.True(lacks(g))
@@ -173,7 +185,7 @@
 			is.Equal(err != nil, c.invalid)
 			g.MergeRecord(r, e.clock, true, e.now)
 			is.Equal(len(g.Blocking(Chain{key}, e.now)) > 0, c.blocked)
-			if d, ok := g.Draft(e.clock, e.now); ok {
+			if d, ok := g.Draft(Record{}, e.clock, e.now); ok {
 				for _, crash := range d.Record.Crashes {
 					is.True(crash.AtMs <= e.clock.toTable(e.now)) // each start would take it for one of that moment
 				}
@@ -226,7 +238,7 @@
 	}
 	late := Chain{RequestKey("o", "/late", nil)}
 	e.strike(g, late, 2, time.Second)
-	d, ok := g.Draft(e.clock, e.now)
+	d, ok := g.Draft(Record{}, e.clock, e.now)
 	is.True(ok)
 	t.Logf("%d keys, %d crashes, %d bytes", len(d.Record.Keys), len(d.Record.Crashes), len(d.Data))
 	is.True(len(d.Data) <= maxRecordBytes)
@@ -235,3 +247,32 @@
 	g.NoteRecorded(d)
 	is.True(!g.HasUnrecorded(e.now)) // what has no room causes no writes
 }
+
+// Fails if a running node takes times of crashes from the record, which are less exact than a peer's, or
+// if it writes a record without the crashes that it does not know.
+func TestRunningNodeTakesNoTimesFromTheRecord(t *testing.T) {
+	is := is.New(t)
+	e, g, other := newRecordEnv(), New(), New()
+	chain := Chain{RequestKey("o", "/", nil)}
+	e.strike(other, chain, 2, time.Second)
+	e.write(t, other)
+	e.strike(g, chain, 1, time.Second)
+	held, err := DecodeRecord(e.data)
+	is.NoErr(err)
+	g.MergeRecord(held, e.clock, false, e.now)
+	is.Equal(g.Strikes(chain[0]), 1)
+	e.write(t, g)
+	is.Equal(e.startedWith(t, e.data, time.Second).Strikes(chain[0]), 3)
+}
+
+// Fails if a node that starts forgets what its peers know of convictions after ten minutes.
+func TestStartedNodeKeepsOlderConvictionsOfItsPeers(t *testing.T) {
+	is := is.New(t)
+	e, peer, g := newRecordEnv(), New(), New()
+	chain := Chain{RequestKey("o", "/", nil)}
+	e.strike(peer, chain, 3, time.Second)
+	is.Equal(len(peer.Convicted(chain, e.now)), 1)
+	e.now = e.now.Add(time.Hour)
+	g.Merge(peer.Report(e.now), e.now)
+	is.Equal(len(g.Convicted(chain, e.now)), 1)
+}
--- a/internal/gateway/crash_record.go
+++ b/internal/gateway/crash_record.go
@@ -161,38 +161,39 @@
 func (n *Node) draftCrashRecord(row CrashRow, began time.Time) *crashguard.Draft {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.mergeCrashRow(row, began, false) {
+	held, ok := n.mergeCrashRow(row, began, false)
+	if !ok {
 		return nil
 	}
-	d, _ := n.crashGuard.Draft(n.tableClock.forCrashes(), time.Now())
+	d, _ := n.crashGuard.Draft(held, n.tableClock.forCrashes(), time.Now())
 	return d
 }
 
-// mergeCrashRow merges a row of the record. It returns false if the row is of an earlier era than
-// the latest; the caller holds mu.
-func (n *Node) mergeCrashRow(row CrashRow, began time.Time, atStart bool) bool {
+// mergeCrashRow merges a row of the record and returns it. It returns false if the row is of an earlier
+// era than the latest; the caller holds mu.
+func (n *Node) mergeCrashRow(row CrashRow, began time.Time, starts bool) (held crashguard.Record, ok bool) {
 	now := time.Now()
 	if !n.noteEra(row.Revision, now) {
-		return false
+		return held, false
 	}
 	n.tableClock.observe(row.Clock, began, now)
 	if row.Revision.Version() == 0 {
 		n.crashGuard.ForgetRecorded()
-		return true
+		return held, true
 	}
-	record, err := crashguard.DecodeRecord(row.Data)
+	held, err := crashguard.DecodeRecord(row.Data)
 	if err != nil {
 		n.crashGuard.ForgetRecorded() // the next write replaces it
 		if n.crashRecord.unreadable != row.Revision {
 			n.crashRecord.unreadable = row.Revision
 			n.noteUnreadable([]UnreadableRow{{Key: "crashes", Err: err}})
 		}
-		return true
+		return held, true
 	}
-	if n.crashGuard.MergeRecord(record, n.tableClock.forCrashes(), atStart, now) {
+	if n.crashGuard.MergeRecord(held, n.tableClock.forCrashes(), starts, now) {
 		wake(n.crashNews)
 	}
-	return true
+	return held, true
 }
 
 // loadCrashRecord reads the record as this node starts without a peer that knows more.
@@ -220,7 +221,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.mergeCrashRow(row, began, true)
+	_, _ = n.mergeCrashRow(row, began, true) // of an earlier era it does not count
 	n.crashRecord.loaded = true
 	return nil
 }
--- a/internal/node/crash_parts_record.go
+++ b/internal/node/crash_parts_record.go
@@ -37,18 +37,18 @@
 	return c.guard.HasUnrecorded(now)
 }
 
-func (c *crashParts) mergeRecord(r crashguard.Record, atStart bool, now time.Time) {
+func (c *crashParts) mergeRecord(r crashguard.Record, starts bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.guard.MergeRecord(r, wallClock, atStart, now) {
+	if c.guard.MergeRecord(r, wallClock, starts, now) {
 		c.wake()
 	}
 }
 
-func (c *crashParts) draft(now time.Time) (*crashguard.Draft, bool) {
+func (c *crashParts) draft(held crashguard.Record, now time.Time) (*crashguard.Draft, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.guard.Draft(wallClock, now)
+	return c.guard.Draft(held, wallClock, now)
 }
 
 func (c *crashParts) noteRecorded(d *crashguard.Draft) {
--- a/internal/node/crash_record.go
+++ b/internal/node/crash_record.go
@@ -150,13 +150,13 @@
 }
 
 // merge adds a row to what this node knows, and returns it decoded.
-func (r *crashRecord) merge(row platform.Row, atStart bool) crashRow {
+func (r *crashRecord) merge(row platform.Row, starts bool) crashRow {
 	held, err := decodeCrashRow(row.Value)
 	if err != nil {
 		event.CrashRecordFailed.Log(r.node.deps.Log, slog.String("err", err.Error()))
 	}
 	now := time.Now()
-	r.node.crashes.mergeRecord(held.Parts, atStart, now)
+	r.node.crashes.mergeRecord(held.Parts, starts, now)
 	r.node.suspects.restore(held.Suspects, now)
 	r.setWritten(held.Suspects)
 	return held
@@ -174,7 +174,7 @@
 		}
 		held := r.merge(row, false)
 		now := time.Now()
-		draft, ok := r.node.crashes.draft(now)
+		draft, ok := r.node.crashes.draft(held.Parts, now)
 		next := crashRow{Parts: held.Parts, Suspects: r.suspects(now)}
 		if !ok && sameSuspects(held.Suspects, next.Suspects) {
 			return nil
