crashguard: a running node takes no evidence from the record

Cause: a node that writes merged the row.

Change: a running node notes what is recorded, and takes nothing else. Evidence comes from peers as before the record; what is written combines both.

--- a/internal/crashguard/merge_record.go
+++ b/internal/crashguard/merge_record.go
@@ -9,9 +9,8 @@
 	// atStart is for a process that starts when none that knew more may be alive: a trial that was
 	// running then has ended with its node and counts.
 	atStart recordUse = iota
-	// whileRunning is for a process whose peers tell it of crashes. It learns what is recorded of
-	// those that it knows: the times of others are less exact in a record than from a peer, and
-	// crashes of one loss would come apart.
+	// whileRunning is for a process that learns of crashes from its peers. It learns only what is
+	// recorded: strikes of a loss would arrive before the answers that clear them.
 	whileRunning
 	// combined is for the record that is to be written.
 	combined
@@ -74,7 +73,9 @@
 	if use == atStart && k.InTrial {
 		in.Trials++
 	}
-	urgent = g.mergeKey(&in, slots, now)
+	if use != whileRunning {
+		urgent = g.mergeKey(&in, slots, now)
+	}
 	e := g.keys[k.Key]
 	if e == nil {
 		return urgent // all its crashes have expired
