--- a/internal/gateway/crash_record.go
+++ b/internal/gateway/crash_record.go
@@ -99,7 +99,7 @@
 	wake(n.crashNews)
 }
 
-// saveCrashRecord adds what this node knows to the record, and takes over what it lacks.
+// saveCrashRecord adds what this node knows to the record.
 func (n *Node) saveCrashRecord(ctx context.Context, timeout time.Duration) (err error) {
 	ctx, cancel := context.WithTimeout(withCause(ctx, CauseCrashes), timeout)
 	defer cancel()
--- a/internal/gateway/table_clock_test.go
+++ b/internal/gateway/table_clock_test.go
@@ -18,7 +18,7 @@
 			at, takes time.Duration
 			late      bool
 		}
-		// shift is how far this node's clock stands still before the last call.
+		// shift is how long this node's clock is stopped before the last call.
 		shift, want time.Duration
 	}{
 		{"quick, then slow", []struct {
--- a/internal/node/crash_record.go
+++ b/internal/node/crash_record.go
@@ -162,7 +162,7 @@
 	return held
 }
 
-// save adds what this node knows to the record, and takes over what it lacks.
+// save adds what this node knows to the record, and takes over its suspects.
 func (r *crashRecord) save(ctx context.Context, timeout time.Duration) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
